Lay out the workspace, the schemas and the catalog

Cause: a new repository. Change: workspace with the library, the thin binary and the stand-ins; JSON Schemas of configuration and settings with generated types; the catalog, an arena per kind of record whose keys hold from one revision to the next.

--- /dev/null
+++ b/src/bin/ragwortfold/main.rs
@@ -0,0 +1,3 @@
+//! The command line of ragwortfold.
+
+fn main() {}
--- /dev/null
+++ b/src/catalog/mod.rs
@@ -0,0 +1,577 @@
+//! The checked configuration, laid out for decisions: arenas of small records under `Copy` keys.
+//!
+//! A key stays the same for a name from one revision to the next, so that state kept by key
+//! survives a change of configuration. A removed record stays in its arena with
+//! [`State::Off`]; arenas shrink only when the process starts anew.
+
+mod client;
+mod error;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use la_arena::{Arena, Idx};
+
+use crate::border::configuration as border;
+
+pub use border::State;
+pub use client::Table;
+pub use error::Error;
+
+/// Key of a region.
+pub type RegionKey = Idx<Region>;
+/// Key of an availability zone.
+pub type ZoneKey = Idx<Zone>;
+/// Key of an entry host.
+pub type HostKey = Idx<Host>;
+/// Key of a service.
+pub type ServiceKey = Idx<Service>;
+/// Key of a target.
+pub type TargetKey = Idx<Target>;
+/// Key of one direction of a link between two regions.
+pub type LinkKey = Idx<Link>;
+
+/// A region: a group of availability zones.
+#[derive(Clone, Debug)]
+pub struct Region {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// Its own state; see [`Catalog::zone_state`] for the effective one.
+    pub state: State,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug)]
+pub struct Zone {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// The region it lies in.
+    pub region: RegionKey,
+    /// Its own state.
+    pub state: State,
+}
+
+/// An entry host.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// The availability zone it lies in.
+    pub zone: ZoneKey,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Where other entry hosts connect.
+    pub peer_address: SocketAddr,
+    /// Its own state.
+    pub state: State,
+}
+
+/// Whether a request may be sent again after it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Repeat {
+    /// Idempotent: running twice does no harm.
+    Safe,
+    /// Must run at most once.
+    Never,
+}
+
+/// A service, as callers name it.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// The traffic class in metrics and queues.
+    pub class: Arc<str>,
+    /// Whether its requests are idempotent.
+    pub repeat: Repeat,
+    /// Time for a request whose caller states none.
+    pub deadline: Duration,
+    /// Largest request body, in bytes.
+    pub max_body: u64,
+    /// Rank in a full queue, 0 (dropped first) to 9.
+    pub priority: u8,
+    /// The cap on planned moves of its traffic.
+    pub shift: Cap,
+}
+
+/// A target: one back end of one service.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// The service it runs.
+    pub service: ServiceKey,
+    /// The availability zone it lies in.
+    pub zone: ZoneKey,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Connections it accepts.
+    pub connections: u32,
+    /// Time over which it is brought to full use from cold.
+    pub warm: Duration,
+    /// Its own state; see [`Catalog::target_state`] for the effective one.
+    pub state: State,
+}
+
+/// One direction of a link between two regions.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Its name in the configuration.
+    pub name: Arc<str>,
+    /// The region traffic leaves.
+    pub from: RegionKey,
+    /// The region traffic enters.
+    pub to: RegionKey,
+    /// One-way latency.
+    pub latency: Duration,
+    /// Most requests per second.
+    pub requests: u64,
+    /// Most bytes per second.
+    pub bytes: u64,
+}
+
+/// The largest share of traffic that may move within any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cap {
+    /// Share of the traffic, 0 to 1.
+    pub share: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// Limits that hold for the whole system.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Cap on moves away from lost places.
+    pub failover: Cap,
+    /// The part of a capacity that steering may fill, 0 to 1.
+    pub utilization: f64,
+    /// Retries allowed, as a share of requests.
+    pub retry: f64,
+    /// Hedged requests allowed, as a share of requests.
+    pub hedge: f64,
+    /// How long callers may keep a look-up's answer.
+    pub ttl: Duration,
+}
+
+/// The targets of one service in one availability zone.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// All targets that are not removed, whatever their state.
+    pub targets: Vec<TargetKey>,
+    /// Slots of the targets whose effective state is serving.
+    pub slots: u32,
+}
+
+/// One revision of the configuration, immutable.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    /// The revision; 0 is the empty configuration.
+    pub revision: u64,
+    regions: Arena<Region>,
+    zones: Arena<Zone>,
+    hosts: Arena<Host>,
+    services: Arena<Service>,
+    targets: Arena<Target>,
+    links: Arena<Link>,
+    names: Names,
+    sites: BTreeMap<(ServiceKey, ZoneKey), Site>,
+    limits: Limits,
+    clients: Arc<Table>,
+}
+
+/// Keys by name. A name stays after its record was removed.
+#[derive(Clone, Debug, Default)]
+struct Names {
+    regions: BTreeMap<Arc<str>, RegionKey>,
+    zones: BTreeMap<Arc<str>, ZoneKey>,
+    hosts: BTreeMap<Arc<str>, HostKey>,
+    services: BTreeMap<Arc<str>, ServiceKey>,
+    targets: BTreeMap<Arc<str>, TargetKey>,
+    links: BTreeMap<Arc<str>, LinkKey>,
+}
+
+/// Planned moves when the configuration names no cap.
+const DEFAULT_SHIFT: Cap = Cap {
+    share: 0.05,
+    window: Duration::from_secs(60),
+};
+/// Emergency moves when the configuration names no cap.
+const DEFAULT_FAILOVER: Cap = Cap {
+    share: 0.25,
+    window: Duration::from_secs(10),
+};
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self::new(&border::Limits::default())
+    }
+}
+
+impl Limits {
+    fn new(limits: &border::Limits) -> Self {
+        Self {
+            failover: cap(limits, "failover").unwrap_or(DEFAULT_FAILOVER),
+            utilization: limits.utilization,
+            retry: limits.retry_share,
+            hedge: limits.hedge_share,
+            ttl: Duration::from_millis(limits.lookup_ttl_ms.into()),
+        }
+    }
+}
+
+fn cap(limits: &border::Limits, name: &str) -> Option<Cap> {
+    let cap = limits.shift.get(name)?;
+    Some(Cap {
+        share: cap.share,
+        window: Duration::from_secs(u64::from(cap.window_s.get())),
+    })
+}
+
+/// Stores `record` under `name`, in the place that name had before.
+fn put<T>(
+    arena: &mut Arena<T>,
+    names: &mut BTreeMap<Arc<str>, Idx<T>>,
+    name: Arc<str>,
+    record: T,
+) -> Idx<T> {
+    if let Some(&key) = names.get(&name) {
+        arena[key] = record;
+        return key;
+    }
+    let key = arena.alloc(record);
+    names.insert(name, key);
+    key
+}
+
+fn address(path: &str, text: &str) -> Result<SocketAddr, Error> {
+    text.parse().map_err(|_| Error::Address {
+        path: path.into(),
+        text: text.into(),
+    })
+}
+
+impl Catalog {
+    /// Lays out `configuration` as `revision`, keeping the keys of this catalog.
+    ///
+    /// # Errors
+    ///
+    /// A name that nothing defines, an address or a client block that cannot be read.
+    pub fn with_revision(
+        &self,
+        revision: u64,
+        configuration: &border::Configuration,
+    ) -> Result<Self, Error> {
+        let mut next = self.clone();
+        next.revision = revision;
+        next.limits = Limits::new(&configuration.limits);
+        next.retire();
+        next.put_places(configuration)?;
+        next.put_services(configuration);
+        next.put_targets(configuration)?;
+        next.put_links(configuration)?;
+        next.put_clients(configuration)?;
+        next.sites = next.lay_sites();
+        Ok(next)
+    }
+
+    /// Marks every record as removed; those that the new revision names come back.
+    fn retire(&mut self) {
+        self.regions.values_mut().for_each(|r| r.state = State::Off);
+        self.zones.values_mut().for_each(|z| z.state = State::Off);
+        self.hosts.values_mut().for_each(|h| h.state = State::Off);
+        self.targets.values_mut().for_each(|t| t.state = State::Off);
+        self.names.services.clear();
+        self.names.links.clear();
+        self.links = Arena::new();
+    }
+
+    fn put_places(&mut self, configuration: &border::Configuration) -> Result<(), Error> {
+        for (name, region) in &configuration.regions {
+            let name: Arc<str> = name.as_str().into();
+            let record = Region {
+                name: name.clone(),
+                state: region.state,
+            };
+            put(&mut self.regions, &mut self.names.regions, name, record);
+        }
+        for (name, zone) in &configuration.availability_zones {
+            let name: Arc<str> = name.as_str().into();
+            let record = Zone {
+                name: name.clone(),
+                region: self.need_region(&zone.region)?,
+                state: zone.state,
+            };
+            put(&mut self.zones, &mut self.names.zones, name, record);
+        }
+        for (name, host) in &configuration.hosts {
+            let name: Arc<str> = name.as_str().into();
+            let record = Host {
+                name: name.clone(),
+                zone: self.need_zone(&host.availability_zone)?,
+                address: address(&format!("hosts.{name}.address"), &host.address)?,
+                peer_address: address(&format!("hosts.{name}.peer_address"), &host.peer_address)?,
+                state: host.state,
+            };
+            put(&mut self.hosts, &mut self.names.hosts, name, record);
+        }
+        Ok(())
+    }
+
+    fn put_services(&mut self, configuration: &border::Configuration) {
+        let known: BTreeMap<Arc<str>, ServiceKey> = self
+            .services
+            .iter()
+            .map(|(key, service)| (service.name.clone(), key))
+            .collect();
+        let planned = cap(&configuration.limits, "default").unwrap_or(DEFAULT_SHIFT);
+        for (name, service) in &configuration.services {
+            let name: Arc<str> = name.as_str().into();
+            let record = Service {
+                name: name.clone(),
+                class: service.class.as_str().into(),
+                repeat: if service.idempotent {
+                    Repeat::Safe
+                } else {
+                    Repeat::Never
+                },
+                deadline: Duration::from_millis(u64::from(service.deadline_ms.get())),
+                max_body: service.max_body_bytes,
+                priority: service.priority,
+                shift: cap(&configuration.limits, &name).unwrap_or(planned),
+            };
+            let key = match known.get(&name) {
+                Some(&key) => {
+                    self.services[key] = record;
+                    key
+                }
+                None => self.services.alloc(record),
+            };
+            self.names.services.insert(name, key);
+        }
+    }
+
+    fn put_targets(&mut self, configuration: &border::Configuration) -> Result<(), Error> {
+        for (name, target) in &configuration.targets {
+            let name: Arc<str> = name.as_str().into();
+            let record = Target {
+                name: name.clone(),
+                service: self.need_service(&target.service)?,
+                zone: self.need_zone(&target.availability_zone)?,
+                address: address(&format!("targets.{name}.address"), &target.address)?,
+                slots: target.slots.get(),
+                connections: target.connections.get(),
+                warm: Duration::from_secs(target.warm_s.into()),
+                state: target.state,
+            };
+            put(&mut self.targets, &mut self.names.targets, name, record);
+        }
+        Ok(())
+    }
+
+    fn put_links(&mut self, configuration: &border::Configuration) -> Result<(), Error> {
+        for (name, link) in &configuration.links {
+            let name: Arc<str> = name.as_str().into();
+            let record = Link {
+                name: name.clone(),
+                from: self.need_region(&link.from)?,
+                to: self.need_region(&link.to)?,
+                latency: Duration::from_secs_f64(link.latency_ms / 1000.0),
+                requests: link.requests_per_s.get(),
+                bytes: link.bytes_per_s.get(),
+            };
+            put(&mut self.links, &mut self.names.links, name, record);
+        }
+        Ok(())
+    }
+
+    fn put_clients(&mut self, configuration: &border::Configuration) -> Result<(), Error> {
+        let mut blocks = Vec::with_capacity(configuration.clients.len());
+        for (block, client) in &configuration.clients {
+            let net = block.parse().map_err(|_| Error::Block {
+                text: block.as_str().into(),
+            })?;
+            blocks.push((net, self.need_region(&client.region)?));
+        }
+        self.clients = Arc::new(self.clients.with_blocks(&blocks));
+        Ok(())
+    }
+
+    fn lay_sites(&self) -> BTreeMap<(ServiceKey, ZoneKey), Site> {
+        let mut sites: BTreeMap<(ServiceKey, ZoneKey), Site> = BTreeMap::new();
+        for (key, target) in self.targets.iter() {
+            if target.state == State::Off {
+                continue;
+            }
+            let site = sites.entry((target.service, target.zone)).or_default();
+            site.targets.push(key);
+            if self.target_state(key) == State::Serving {
+                site.slots += target.slots;
+            }
+        }
+        sites
+    }
+
+    fn need_region(&self, name: &str) -> Result<RegionKey, Error> {
+        self.region_key(name).ok_or_else(|| Error::Name {
+            kind: "regions",
+            name: name.into(),
+        })
+    }
+
+    fn need_zone(&self, name: &str) -> Result<ZoneKey, Error> {
+        self.zone_key(name).ok_or_else(|| Error::Name {
+            kind: "availability_zones",
+            name: name.into(),
+        })
+    }
+
+    fn need_service(&self, name: &str) -> Result<ServiceKey, Error> {
+        self.service_key(name).ok_or_else(|| Error::Name {
+            kind: "services",
+            name: name.into(),
+        })
+    }
+
+    /// The key of a region.
+    pub fn region_key(&self, name: &str) -> Option<RegionKey> {
+        self.names.regions.get(name).copied()
+    }
+
+    /// The key of an availability zone.
+    pub fn zone_key(&self, name: &str) -> Option<ZoneKey> {
+        self.names.zones.get(name).copied()
+    }
+
+    /// The key of an entry host, also one that was removed.
+    pub fn host_key(&self, name: &str) -> Option<HostKey> {
+        self.names.hosts.get(name).copied()
+    }
+
+    /// The key of a service; none once it was removed.
+    pub fn service_key(&self, name: &str) -> Option<ServiceKey> {
+        self.names.services.get(name).copied()
+    }
+
+    /// The key of a target, also one that was removed.
+    pub fn target_key(&self, name: &str) -> Option<TargetKey> {
+        self.names.targets.get(name).copied()
+    }
+
+    /// A region's record.
+    pub fn region(&self, key: RegionKey) -> &Region {
+        &self.regions[key]
+    }
+
+    /// An availability zone's record.
+    pub fn zone(&self, key: ZoneKey) -> &Zone {
+        &self.zones[key]
+    }
+
+    /// An entry host's record.
+    pub fn host(&self, key: HostKey) -> &Host {
+        &self.hosts[key]
+    }
+
+    /// A service's record.
+    pub fn service(&self, key: ServiceKey) -> &Service {
+        &self.services[key]
+    }
+
+    /// A target's record.
+    pub fn target(&self, key: TargetKey) -> &Target {
+        &self.targets[key]
+    }
+
+    /// All regions, with those removed.
+    pub fn regions(&self) -> impl Iterator<Item = (RegionKey, &Region)> {
+        self.regions.iter()
+    }
+
+    /// All availability zones, with those removed.
+    pub fn zones(&self) -> impl Iterator<Item = (ZoneKey, &Zone)> {
+        self.zones.iter()
+    }
+
+    /// All entry hosts, with those removed.
+    pub fn hosts(&self) -> impl Iterator<Item = (HostKey, &Host)> {
+        self.hosts.iter()
+    }
+
+    /// The services of this revision.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &Service)> {
+        self.names
+            .services
+            .values()
+            .map(|&key| (key, &self.services[key]))
+    }
+
+    /// All targets, with those removed.
+    pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.targets.iter()
+    }
+
+    /// The links of this revision. Their keys hold for this revision only.
+    pub fn links(&self) -> impl Iterator<Item = (LinkKey, &Link)> {
+        self.links.iter()
+    }
+
+    /// The link that carries traffic from one region to another.
+    pub fn link(&self, from: RegionKey, to: RegionKey) -> Option<&Link> {
+        self.links
+            .values()
+            .find(|link| link.from == from && link.to == to)
+    }
+
+    /// The sites of a service: its targets, by availability zone.
+    pub fn sites(&self, service: ServiceKey) -> impl Iterator<Item = (ZoneKey, &Site)> {
+        let first = (service, ZoneKey::from_raw(0.into()));
+        let last = (service, ZoneKey::from_raw(u32::MAX.into()));
+        self.sites
+            .range(first..=last)
+            .map(|(&(_, zone), site)| (zone, site))
+    }
+
+    /// The targets of a service in an availability zone.
+    pub fn site(&self, service: ServiceKey, zone: ZoneKey) -> Option<&Site> {
+        self.sites.get(&(service, zone))
+    }
+
+    /// The region of an availability zone.
+    pub fn region_of(&self, zone: ZoneKey) -> RegionKey {
+        self.zones[zone].region
+    }
+
+    /// The effective state of an availability zone: its own or its region's, whichever is further
+    /// from serving.
+    pub fn zone_state(&self, key: ZoneKey) -> State {
+        let zone = &self.zones[key];
+        zone.state.max(self.regions[zone.region].state)
+    }
+
+    /// The effective state of an entry host.
+    pub fn host_state(&self, key: HostKey) -> State {
+        let host = &self.hosts[key];
+        host.state.max(self.zone_state(host.zone))
+    }
+
+    /// The effective state of a target.
+    pub fn target_state(&self, key: TargetKey) -> State {
+        let target = &self.targets[key];
+        target.state.max(self.zone_state(target.zone))
+    }
+
+    /// The limits of the whole system.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The client blocks.
+    pub fn clients(&self) -> &Table {
+        &self.clients
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration folders and settings: read, merge, check.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry host's daemon: actors on one stakker thread, I/O on others.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! Global traffic steering for small operators.
+//!
+//! The daemon `ragwortfold entry` and its command line are thin; what they do is in this library.
+//! Decisions ([`steer`], [`control`]) are plain structs without I/O or a clock of their own, so that
+//! other programs can embed them.
+
+pub mod border;
+pub mod catalog;
+pub mod config;
+pub mod control;
+pub mod entry;
+pub mod peer;
+pub mod steer;
+pub mod store;
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Links between entry hosts: WebSocket connections that carry CBOR frames.
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's object API: versions, conditional updates, watches, and what to do in its outages.
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the stand-ins.
+
+fn main() {}
