--- /dev/null
+++ b/src/control/delegate.rs
@@ -0,0 +1,1 @@
+//! The hosts of a zone that talk to the platform and to other zones.
--- /dev/null
+++ b/src/control/lease.rs
@@ -0,0 +1,1 @@
+//! The planner lease.
--- /dev/null
+++ b/src/control/membership.rs
@@ -0,0 +1,1 @@
+//! Which entry hosts are alive, by incarnation.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,1 +1,7 @@
 //! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
+
+pub mod delegate;
+pub mod lease;
+pub mod membership;
+pub mod plan;
+pub mod summary;
--- /dev/null
+++ b/src/control/plan.rs
@@ -0,0 +1,1 @@
+//! The plan: splits and quota bonuses, worked out from summaries.
--- /dev/null
+++ b/src/steer/attempt.rs
@@ -0,0 +1,1 @@
+//! The course of one request: attempts, retries and its one outcome.
--- /dev/null
+++ b/src/steer/dedupe.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys this incarnation has seen, and their outcomes.
--- /dev/null
+++ b/src/steer/eject.rs
@@ -0,0 +1,1 @@
+//! Ejection of outliers, with a floor.
--- /dev/null
+++ b/src/steer/hedge.rs
@@ -0,0 +1,1 @@
+//! When a second copy of an idempotent request is sent.
--- /dev/null
+++ b/src/steer/limit.rs
@@ -0,0 +1,1 @@
+//! The adaptive concurrency limit of one target.
--- /dev/null
+++ b/src/steer/lookup.rs
@@ -0,0 +1,1 @@
+//! Which entry hosts a caller should use.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -1,1 +1,18 @@
 //! Decisions: where a request goes, and whether it goes at all. Pure: no I/O, no clock, no randomness of its own.
+
+pub mod attempt;
+pub mod dedupe;
+pub mod eject;
+pub mod goal;
+pub mod group;
+pub mod hedge;
+pub mod limit;
+pub mod lookup;
+pub mod pick;
+pub mod queue;
+pub mod quota;
+pub mod retry;
+pub mod shift;
+pub mod split;
+pub mod ticket;
+pub mod warm;
--- /dev/null
+++ b/src/steer/pick.rs
@@ -0,0 +1,1 @@
+//! The choice of a target under lagging load reports.
--- /dev/null
+++ b/src/steer/queue.rs
@@ -0,0 +1,1 @@
+//! A bounded queue by deadline and class.
--- /dev/null
+++ b/src/steer/quota.rs
@@ -0,0 +1,1 @@
+//! What this host may send to another region or over a link.
--- /dev/null
+++ b/src/steer/retry.rs
@@ -0,0 +1,1 @@
+//! The retry budget.
--- /dev/null
+++ b/src/steer/split.rs
@@ -0,0 +1,1 @@
+//! Shares of sites, and the choice of a site for a client block.
