--- /dev/null
+++ b/src/entry/head.rs
@@ -0,0 +1,223 @@
+//! The head of a caller's request, checked.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::steer::ticket;
+
+/// Time left, in milliseconds.
+pub const DEADLINE: &str = "Ragwortfold-Deadline-Ms";
+/// Binds resends of one request together.
+pub const KEY: &str = "Idempotency-Key";
+/// What a look-up handed out.
+pub const TICKET: &str = "Ragwortfold-Ticket";
+/// What became of a request.
+pub const OUTCOME: &str = "Ragwortfold-Outcome";
+/// Names a request towards a target.
+pub const REQUEST_ID: &str = "Ragwortfold-Request-Id";
+/// A target's load, `IN_FLIGHT/SLOTS`.
+pub const LOAD: &str = "Ragwortfold-Load";
+/// A target's state.
+pub const STATE: &str = "Ragwortfold-State";
+
+/// Longest time a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 255;
+/// The path before a service's name.
+pub(crate) const SERVICES: &str = "/v1/services/";
+
+/// Headers that concern one connection only and are not passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+/// Headers that this host writes itself.
+const OWN: [&str; 4] = [
+    "host",
+    "content-length",
+    "expect",
+    "ragwortfold-deadline-ms",
+];
+
+/// A header's name and value.
+pub type Header = (Arc<str>, Arc<str>);
+
+/// The head of a request that can be carried.
+#[derive(Clone, Debug)]
+pub(crate) struct Head {
+    pub(crate) service: Arc<str>,
+    pub(crate) method: Arc<str>,
+    /// Path and query for the target, with the leading slash.
+    pub(crate) path: Arc<str>,
+    /// What is passed on.
+    pub(crate) headers: Vec<Header>,
+    /// Time the caller gives.
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) ticket: Option<ticket::Ticket>,
+    /// Length of the body; none for a chunked one.
+    pub(crate) length: Option<u64>,
+    /// The caller's address.
+    pub(crate) client: IpAddr,
+}
+
+/// What is wrong with a head; the request did not run.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error("headers of {0} bytes are too large")]
+    Oversize(usize),
+    #[error("{DEADLINE}: '{0}' is not a number of milliseconds from 1 to 3600000")]
+    Deadline(Arc<str>),
+    #[error("{KEY}: must be 1 to {MAX_KEY} visible ASCII characters")]
+    Key,
+    #[error("{TICKET}: {0}")]
+    Ticket(#[from] ticket::Error),
+    #[error("Content-Length: '{0}' is not a number")]
+    Length(Arc<str>),
+    #[error("conflicting or repeated {0}")]
+    Repeated(&'static str),
+    #[error("no service is named in '{0}'")]
+    Path(Arc<str>),
+}
+
+impl Error {
+    /// The status that tells the caller.
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Self::Oversize(_) => 431,
+            Self::Path(_) => 404,
+            _ => 400,
+        }
+    }
+}
+
+/// Whether a header concerns one connection only, or is listed as such in `Connection`.
+pub(crate) fn is_hop_by_hop(name: &str, connection: &str) -> bool {
+    let listed = connection
+        .split(',')
+        .any(|item| item.trim().eq_ignore_ascii_case(name));
+    listed || contains(&HOP_BY_HOP, name)
+}
+
+fn contains(names: &[&str], name: &str) -> bool {
+    names.iter().any(|item| item.eq_ignore_ascii_case(name))
+}
+
+impl Head {
+    /// Checks the head of `request`, whose headers may take `limit` bytes.
+    pub(crate) fn new(
+        request: &tiny_http::Request,
+        client: IpAddr,
+        limit: usize,
+    ) -> Result<Self, Error> {
+        let url = request.url();
+        let size = url.len()
+            + request
+                .headers()
+                .iter()
+                .map(|header| header.field.as_str().as_str().len() + header.value.as_str().len())
+                .sum::<usize>();
+        if size > limit {
+            return Err(Error::Oversize(size));
+        }
+        let (service, path) = split(url).ok_or_else(|| Error::Path(url.into()))?;
+        let mut head = Self {
+            service,
+            method: request.method().as_str().into(),
+            path,
+            headers: Vec::with_capacity(request.headers().len()),
+            deadline: None,
+            key: None,
+            ticket: None,
+            length: None,
+            client,
+        };
+        head.take_headers(request)?;
+        Ok(head)
+    }
+
+    fn take_headers(&mut self, request: &tiny_http::Request) -> Result<(), Error> {
+        let connection = find(request, "connection").unwrap_or_default();
+        let chunked = find(request, "transfer-encoding").is_some();
+        let mut lengths = 0;
+        for header in request.headers() {
+            let name = header.field.as_str().as_str();
+            let value = header.value.as_str();
+            if name.eq_ignore_ascii_case(DEADLINE) {
+                self.deadline = Some(deadline(value)?);
+            } else if name.eq_ignore_ascii_case(KEY) {
+                self.set_key(value)?;
+            } else if name.eq_ignore_ascii_case(TICKET) {
+                self.ticket = Some(value.parse()?);
+                continue;
+            } else if name.eq_ignore_ascii_case("content-length") {
+                lengths += 1;
+                let length = value.parse().map_err(|_| Error::Length(value.into()))?;
+                self.length = Some(length);
+            }
+            if !is_hop_by_hop(name, &connection) && !contains(&OWN, name) {
+                self.headers.push((name.into(), value.into()));
+            }
+        }
+        if lengths > 1 || (lengths == 1 && chunked) {
+            return Err(Error::Repeated("Content-Length"));
+        }
+        if lengths == 0 && !chunked {
+            self.length = Some(0);
+        }
+        Ok(())
+    }
+
+    fn set_key(&mut self, value: &str) -> Result<(), Error> {
+        if self.key.is_some() {
+            return Err(Error::Repeated(KEY));
+        }
+        let visible = value.bytes().all(|byte| byte.is_ascii_graphic());
+        if value.is_empty() || value.len() > MAX_KEY || !visible {
+            return Err(Error::Key);
+        }
+        self.key = Some(value.into());
+        Ok(())
+    }
+}
+
+fn find(request: &tiny_http::Request, name: &'static str) -> Option<Arc<str>> {
+    request
+        .headers()
+        .iter()
+        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|header| header.value.as_str().into())
+}
+
+fn deadline(value: &str) -> Result<Duration, Error> {
+    let wrong = || Error::Deadline(value.into());
+    let ms: u64 = value.trim().parse().map_err(|_| wrong())?;
+    let time = Duration::from_millis(ms);
+    if ms == 0 || time > MAX_DEADLINE {
+        return Err(wrong());
+    }
+    Ok(time)
+}
+
+/// Splits `/v1/services/S/PATH?QUERY` into `S` and `/PATH?QUERY`.
+fn split(url: &str) -> Option<(Arc<str>, Arc<str>)> {
+    let rest = url.strip_prefix(SERVICES)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    if service.is_empty() {
+        return None;
+    }
+    if path.starts_with('/') {
+        return Some((service.into(), path.into()));
+    }
+    Some((service.into(), format!("/{path}").into()))
+}
--- /dev/null
+++ b/src/entry/log.rs
@@ -0,0 +1,53 @@
+//! The process's log: one line a message on standard error, each with its part's prefix.
+
+use std::sync::Arc;
+
+use spdlog::formatter::{pattern, JsonFormatter, PatternFormatter};
+use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+
+use crate::border::settings as border;
+
+use super::Error;
+
+/// Makes the default logger write as `log` says.
+///
+/// # Errors
+///
+/// The logger could not be built.
+pub fn install(log: &border::Log) -> Result<(), Error> {
+    let sink = StdStreamSink::builder()
+        .std_stream(StdStream::Stderr)
+        .build()
+        .map_err(Error::log)?;
+    match log.format {
+        border::Format::Json => sink.set_formatter(Box::new(JsonFormatter::new())),
+        border::Format::Text => sink.set_formatter(Box::new(PatternFormatter::new(pattern!(
+            "{date} {time}.{millisecond} {level} {payload}{eol}"
+        )))),
+    }
+    let sink: Arc<dyn Sink> = Arc::new(sink);
+    let logger = Logger::builder()
+        .sink(sink)
+        .flush_level_filter(LevelFilter::All)
+        .level_filter(filter(log.level))
+        .build()
+        .map_err(Error::log)?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Changes the level of the default logger.
+pub fn set_level(level: border::Level) {
+    spdlog::default_logger().set_level_filter(filter(level));
+}
+
+fn filter(level: border::Level) -> LevelFilter {
+    LevelFilter::MoreSevereEqual(match level {
+        border::Level::Error => Level::Error,
+        border::Level::Warn => Level::Warn,
+        border::Level::Info => Level::Info,
+        border::Level::Debug => Level::Debug,
+        border::Level::Trace => Level::Trace,
+    })
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,147 @@
+//! Metrics, through `opentelemetry`, in Prometheus' text format.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use super::Error;
+
+/// Bounds of latency histograms, in seconds.
+const SECONDS: [f64; 16] = [
+    0.000_1, 0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+    10.0, 60.0,
+];
+/// Bounds of the histogram of attempts.
+const ATTEMPTS: [f64; 5] = [1.0, 2.0, 3.0, 4.0, 8.0];
+
+/// The metrics of one entry host.
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Instruments stop recording when their provider goes.
+    _provider: SdkMeterProvider,
+    lookups: Counter<u64>,
+    requests: Histogram<f64>,
+    added: Histogram<f64>,
+    waited: Histogram<f64>,
+    attempts: Histogram<u64>,
+    refusals: Counter<u64>,
+    late: Counter<u64>,
+    headroom: Gauge<f64>,
+    revision: Gauge<u64>,
+}
+
+/// What is recorded of a request.
+pub(crate) struct Sample<'a> {
+    pub(crate) service: &'a Arc<str>,
+    pub(crate) class: &'a Arc<str>,
+    pub(crate) outcome: &'static str,
+    /// From the request's arrival to its answer.
+    pub(crate) total: Duration,
+    /// Of that, not spent waiting for a target.
+    pub(crate) added: Duration,
+    /// Of that, spent in a queue.
+    pub(crate) waited: Duration,
+    /// Calls made.
+    pub(crate) attempts: u32,
+}
+
+impl Metrics {
+    /// Instruments that record into a registry of their own.
+    pub(crate) fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .build()
+            .map_err(Error::metrics)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("ragwortfold");
+        Ok(Self {
+            lookups: meter.u64_counter("ragwortfold_lookups").build(),
+            requests: seconds(&meter, "ragwortfold_request_seconds"),
+            added: seconds(&meter, "ragwortfold_added_seconds"),
+            waited: seconds(&meter, "ragwortfold_queue_seconds"),
+            attempts: meter
+                .u64_histogram("ragwortfold_attempts")
+                .with_boundaries(ATTEMPTS.to_vec())
+                .build(),
+            refusals: meter.u64_counter("ragwortfold_refusals").build(),
+            late: meter.u64_counter("ragwortfold_late_answers").build(),
+            headroom: meter.f64_gauge("ragwortfold_headroom").build(),
+            revision: meter
+                .u64_gauge("ragwortfold_configuration_revision")
+                .build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A look-up was answered.
+    pub(crate) fn lookup(&self, service: &Arc<str>) {
+        self.lookups.add(1, &[text("service", service)]);
+    }
+
+    /// A request ended.
+    pub(crate) fn request(&self, sample: &Sample<'_>) {
+        let both = [
+            text("service", sample.service),
+            text("class", sample.class),
+        ];
+        let outcome = [
+            both[0].clone(),
+            both[1].clone(),
+            KeyValue::new("outcome", sample.outcome),
+        ];
+        self.requests.record(sample.total.as_secs_f64(), &outcome);
+        self.added.record(sample.added.as_secs_f64(), &both);
+        self.waited.record(sample.waited.as_secs_f64(), &both);
+        self.attempts.record(u64::from(sample.attempts), &both);
+    }
+
+    /// A request was refused.
+    pub(crate) fn refusal(&self, service: &Arc<str>, reason: &'static str) {
+        let labels = [text("service", service), KeyValue::new("reason", reason)];
+        self.refusals.add(1, &labels);
+    }
+
+    /// An answer came for a request that had its answer already.
+    pub(crate) fn late(&self) {
+        self.late.add(1, &[]);
+    }
+
+    /// The part of a region's or link's capacity that is free, 0 to 1.
+    pub(crate) fn headroom(&self, kind: &'static str, name: &Arc<str>, free: f64) {
+        let labels = [KeyValue::new("kind", kind), text("name", name)];
+        self.headroom.record(free, &labels);
+    }
+
+    /// The configuration in force.
+    pub(crate) fn revision(&self, revision: u64) {
+        self.revision.record(revision, &[]);
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut buffer = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            spdlog::warn!("metrics: cannot write them: {error}");
+        }
+        buffer
+    }
+}
+
+fn seconds(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_boundaries(SECONDS.to_vec())
+        .build()
+}
+
+fn text(name: &'static str, value: &Arc<str>) -> KeyValue {
+    KeyValue::new(name, value.clone())
+}
--- /dev/null
+++ b/src/entry/reply.rs
@@ -0,0 +1,148 @@
+//! An answer to a caller, and how it is written.
+
+use std::io::{self, Cursor, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tiny_http::{Request, Response, StatusCode};
+
+use super::cut;
+use super::head::{self, Header};
+
+/// The body of an answer.
+pub(crate) enum Body {
+    /// All of it.
+    Whole(Arc<[u8]>),
+    /// A body too large to hold, of a known length.
+    Stream(Box<dyn Read + Send>, u64),
+    /// What a HEAD request gets: the length alone.
+    Length(u64),
+}
+
+/// An answer.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Body,
+}
+
+/// The body of an answer that ragwortfold itself gives for a request it did not carry.
+#[derive(Serialize)]
+struct Problem<'a> {
+    error: &'a str,
+    outcome: &'a str,
+}
+
+impl Reply {
+    /// A JSON answer.
+    pub(crate) fn json(status: u16, value: &impl Serialize) -> Self {
+        let text = serde_json::to_vec(value).unwrap_or_default();
+        Self::whole(status, "application/json", text)
+    }
+
+    /// An answer with all of its body.
+    pub(crate) fn whole(status: u16, kind: &str, body: Vec<u8>) -> Self {
+        Self {
+            status,
+            headers: vec![("Content-Type".into(), kind.into())],
+            body: Body::Whole(body.into()),
+        }
+    }
+
+    /// The request did not run.
+    pub(crate) fn not_run(status: u16, error: &str, retry_after: Option<Duration>) -> Self {
+        let mut reply = Self::problem(status, error, "not-run");
+        if let Some(wait) = retry_after {
+            let seconds = wait.as_secs_f64().ceil().max(1.0);
+            reply.add("Retry-After", &format!("{seconds:.0}"));
+        }
+        reply
+    }
+
+    /// Whether the request ran cannot be told.
+    pub(crate) fn unknown(status: u16, error: &str) -> Self {
+        Self::problem(status, error, "unknown")
+    }
+
+    fn problem(status: u16, error: &str, outcome: &str) -> Self {
+        let mut reply = Self::json(status, &Problem { error, outcome });
+        reply.add(head::OUTCOME, outcome);
+        reply
+    }
+
+    /// Adds a header.
+    pub(crate) fn add(&mut self, name: &str, value: &str) {
+        self.headers.push((name.into(), value.into()));
+    }
+
+    /// Writes the answer to the caller. A body that breaks off closes the connection, so that the
+    /// caller cannot take it for whole.
+    pub(crate) fn send(self, request: Request) {
+        let peer = request.remote_addr().copied();
+        let (length, reader): (u64, Box<dyn Read + Send>) = match self.body {
+            Body::Whole(bytes) => (bytes.len() as u64, Box::new(Cursor::new(bytes))),
+            Body::Stream(reader, length) => (length, Box::new(Exact::new(reader, length))),
+            Body::Length(length) => (length, Box::new(io::empty())),
+        };
+        let headers = self.headers.iter().filter_map(to_header).collect();
+        let response = Response::new(
+            StatusCode(self.status),
+            headers,
+            reader,
+            usize::try_from(length).ok(),
+            None,
+        )
+        .with_chunked_threshold(usize::MAX);
+        if let Err(error) = request.respond(response) {
+            spdlog::debug!("http: an answer broke off: {error}");
+            close(peer);
+        }
+    }
+}
+
+fn close(peer: Option<SocketAddr>) {
+    if let Some(peer) = peer {
+        cut::close(peer);
+    }
+}
+
+fn to_header((name, value): &Header) -> Option<tiny_http::Header> {
+    tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
+}
+
+/// A reader that fails if its source ends before `left` bytes.
+struct Exact {
+    reader: Box<dyn Read + Send>,
+    left: u64,
+}
+
+impl Exact {
+    fn new(reader: Box<dyn Read + Send>, length: u64) -> Self {
+        Self {
+            reader,
+            left: length,
+        }
+    }
+}
+
+impl Read for Exact {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.left == 0 {
+            return Ok(0);
+        }
+        let most = buffer
+            .len()
+            .min(usize::try_from(self.left).unwrap_or(usize::MAX));
+        let count = self.reader.read(&mut buffer[..most]).map_err(|error| {
+            // The library takes broken connections for the caller's and hides them.
+            io::Error::other(error)
+        })?;
+        if count == 0 && most > 0 {
+            return Err(io::Error::other("the body ended early"));
+        }
+        self.left -= count as u64;
+        Ok(count)
+    }
+}
