Add the store's client and its fault table

Cause: hosts and operators need versions, conditional updates, watches and the host list, and must know after each failure whether a write can have taken effect.

--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,1 +1,7 @@
 //! The platform's object API: versions, conditional updates, watches, and what to do in its outages.
+//!
+//! [`client`] is the one file that knows the API's shape. [`guard`] puts a rate budget and a circuit
+//! breaker before it, [`settle`] finds out what became of a write whose answer was lost, and
+//! [`publication`] keeps the configuration's revisions.
+
+pub mod client;
--- /dev/null
+++ b/tests/fake/mod.rs
@@ -0,0 +1,251 @@
+//! A platform in memory, on an ephemeral port, whose every answer a test can spoil.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use serde_json::{json, Value};
+
+/// What becomes of one call.
+#[derive(Clone, Debug)]
+#[allow(dead_code)]
+pub enum Fault {
+    /// It is served as it should be.
+    None,
+    /// It is not served; the answer is this status, ETag and body.
+    Answer(u16, &'static str, &'static str),
+    /// It takes effect, but its ETag is replaced.
+    Etag(&'static str),
+    /// The connection closes before it takes effect.
+    LoseCall,
+    /// It takes effect, and the connection closes without an answer.
+    LoseAnswer,
+    /// It takes effect, and no answer comes while the caller waits.
+    Silence,
+    /// A listing shows what was there at [`Platform::keep`].
+    Stale,
+}
+
+/// A call as it came.
+#[allow(dead_code)]
+pub struct Call {
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub body: Vec<u8>,
+    condition: Option<u64>,
+    absent: bool,
+}
+
+type Objects = BTreeMap<String, (u64, Value)>;
+type Plan = Box<dyn FnMut(&Call) -> Fault + Send>;
+
+pub struct State {
+    pub version: u64,
+    pub objects: Objects,
+    pub calls: Vec<String>,
+    log: Vec<(u64, String, Value)>,
+    kept: Objects,
+}
+
+#[derive(Clone)]
+pub struct Platform {
+    pub url: String,
+    state: Arc<Mutex<State>>,
+    plan: Arc<Mutex<Plan>>,
+}
+
+#[allow(dead_code)]
+impl Platform {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let platform = Self {
+            url: format!("http://{}", listener.local_addr().unwrap()),
+            state: Arc::new(Mutex::new(State {
+                version: 0,
+                objects: BTreeMap::new(),
+                calls: Vec::new(),
+                log: Vec::new(),
+                kept: BTreeMap::new(),
+            })),
+            plan: Arc::new(Mutex::new(Box::new(|_| Fault::None))),
+        };
+        let shared = platform.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let shared = shared.clone();
+                std::thread::spawn(move || shared.serve(stream.unwrap()));
+            }
+        });
+        platform
+    }
+
+    pub fn with_plan(self, plan: impl FnMut(&Call) -> Fault + Send + 'static) -> Self {
+        self.set_plan(plan);
+        self
+    }
+
+    pub fn set_plan(&self, plan: impl FnMut(&Call) -> Fault + Send + 'static) {
+        *self.plan.lock().unwrap() = Box::new(plan);
+    }
+
+    /// One fault for the first call whose method and path match, none after it.
+    pub fn once(&self, method: &'static str, path: &'static str, fault: Fault) {
+        let mut left = Some(fault);
+        self.set_plan(move |call| {
+            if call.method == method && call.path.contains(path) {
+                return left.take().unwrap_or(Fault::None);
+            }
+            Fault::None
+        });
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// What later [`Fault::Stale`] listings show.
+    pub fn keep(&self) {
+        let mut state = self.state();
+        state.kept = state.objects.clone();
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        stream.set_nodelay(true).unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut stream = stream;
+        while let Some(call) = read(&mut reader) {
+            let fault = (self.plan.lock().unwrap())(&call);
+            let (status, etag, body) = match fault {
+                Fault::LoseCall => return,
+                Fault::Answer(status, etag, body) => (status, etag.to_owned(), body.to_owned()),
+                _ => self.state().answer(&call, matches!(fault, Fault::Stale)),
+            };
+            let etag = match fault {
+                Fault::LoseAnswer => return,
+                Fault::Silence => {
+                    let _ = reader.read(&mut [0]);
+                    return;
+                }
+                Fault::Etag(text) => text.to_owned(),
+                _ => etag,
+            };
+            let head = format!(
+                "HTTP/1.1 {status} S\r\nETag: {etag}\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let Ok(()) = stream.write_all((head + &body).as_bytes()) else {
+                return;
+            };
+        }
+    }
+}
+
+impl State {
+    fn answer(&mut self, call: &Call, stale: bool) -> (u16, String, String) {
+        self.calls.push(format!("{} {}", call.method, call.path));
+        if call.path == "/v1/objects" {
+            let objects = if stale { &self.kept } else { &self.objects };
+            let prefix = call.query.strip_prefix("prefix=").unwrap();
+            let objects: Vec<_> = objects
+                .iter()
+                .filter(|(key, _)| key.starts_with(prefix))
+                .map(|(key, (version, value))| json!({"key": key, "version": version, "value": value}))
+                .collect();
+            let body = json!({"version": self.version, "objects": objects});
+            return (200, String::new(), body.to_string());
+        }
+        if call.path == "/v1/watch" {
+            let after: u64 = field(&call.query, "after").parse().unwrap();
+            let prefix = field(&call.query, "prefix");
+            let events: Vec<_> = self
+                .log
+                .iter()
+                .filter(|(version, key, _)| *version > after && key.starts_with(prefix))
+                .map(
+                    |(version, key, value)| json!({"key": key, "version": version, "value": value}),
+                )
+                .collect();
+            let body = json!({"version": self.version, "events": events});
+            return (200, String::new(), body.to_string());
+        }
+        if call.path == "/v1/hosts" {
+            let body = r#"{"hosts":[{"host":"a","state":"live"},{"host":"b","state":"leaving"}]}"#;
+            return (200, String::new(), body.to_owned());
+        }
+        self.object(call)
+    }
+
+    fn object(&mut self, call: &Call) -> (u16, String, String) {
+        let key = call.path.strip_prefix("/v1/objects/").unwrap().to_owned();
+        let found = self.objects.get(&key).map(|(version, _)| *version);
+        let held = match (call.absent, call.condition) {
+            (true, _) => found.is_none(),
+            (_, Some(version)) => found == Some(version),
+            _ => true,
+        };
+        match (call.method.as_str(), held) {
+            ("GET", _) => match self.objects.get(&key) {
+                Some((version, value)) => (200, format!("\"{version}\""), value.to_string()),
+                None => (404, String::new(), String::new()),
+            },
+            (_, false) => (412, String::new(), String::new()),
+            (method, true) => {
+                self.version += 1;
+                let value = match method {
+                    "DELETE" => {
+                        self.objects.remove(&key);
+                        Value::Null
+                    }
+                    _ => serde_json::from_slice(&call.body).unwrap(),
+                };
+                if method != "DELETE" {
+                    self.objects
+                        .insert(key.clone(), (self.version, value.clone()));
+                }
+                self.log.push((self.version, key, value));
+                (200, format!("\"{}\"", self.version), String::new())
+            }
+        }
+    }
+}
+
+fn field<'a>(query: &'a str, name: &str) -> &'a str {
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+        .unwrap()
+}
+
+fn read(reader: &mut impl BufRead) -> Option<Call> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let mut words = line.split(' ');
+    let method = words.next()?.to_owned();
+    let target = words.next()?.to_owned();
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    let mut call = Call {
+        method,
+        path: path.to_owned(),
+        query: query.to_owned(),
+        body: Vec::new(),
+        condition: None,
+        absent: false,
+    };
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else {
+            break;
+        };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => call.body = vec![0; value.parse().unwrap()],
+            "if-match" => call.condition = value.trim_matches('"').parse().ok(),
+            "if-none-match" => call.absent = true,
+            _ => {}
+        }
+    }
+    reader.read_exact(&mut call.body).ok()?;
+    Some(call)
+}
