Add the group of targets of one site

Cause: nothing chose among the targets of a site or admitted requests to them. Change: group::Group with choice, adaptive limit, ejection, slow start and queue.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -1,1 +1,932 @@
-//! The targets of one service in this zone, as this host sees them: pick and admission.
+//! The targets of one service in one availability zone, as one host sees them.
+//!
+//! The aggregate decides which request goes to which target, waits or is refused. Other hosts of
+//! the zone use the same targets; a host knows only its own requests and what answers report, so
+//! every rule here holds for its own share and stays true when it is added up over the hosts.
+//!
+//! A request is over in one of three ways: it is admitted ([`Grant`]), refused ([`Refusal`]) or
+//! cancelled by its owner. Whoever holds a grant must hand it back with [`Group::finish`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::eject::{Eject, Sign, Standing, LATENCY_RATIO};
+use super::limit::Limit;
+use super::pick::{Estimate, Picker};
+use super::queue::{Entry, Queue};
+use super::warm::Warm;
+use crate::border::settings::Steer;
+use crate::catalog::{self, Catalog, ServiceKey, TargetKey, ZoneKey};
+
+pub use super::limit::Load;
+pub use super::queue::{Id, Order};
+pub use crate::border::settings::{Pick, Switch};
+
+/// Requests that may wait, when nothing else is set.
+const QUEUE: usize = 1024;
+/// Latency to reckon with before the first answer, in seconds.
+const UNKNOWN_LATENCY: f64 = 0.005;
+/// Weight of one answer in the group's mean time to hold a target.
+const HOLD_WEIGHT: f64 = 0.02;
+/// The least advice to a refused caller on when to come back.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// How long the figures of the whole group may be old.
+const TALLY_AGE: Duration = Duration::from_millis(2);
+/// Time for which a draining header holds against other sources.
+const DRAIN_HOLD: Duration = Duration::from_secs(10);
+/// The first rest of a target after a refusal or a failure; doubles with each in a row.
+const REST: Duration = Duration::from_millis(5);
+/// Doublings of the rest at most.
+const REST_DOUBLINGS: u32 = 7;
+/// The part of the slots that may be ejected.
+const EJECT_SHARE: f64 = 0.5;
+/// A probe is a request that has time for the wait and as many latencies again.
+const PROBE_SLACK: f64 = 4.0;
+/// Waiting requests that are looked at for a target that came free.
+const TRIES: usize = 8;
+/// Time after which a queue that never emptied shows overload rather than a spike.
+const SPIKE: Duration = Duration::from_millis(100);
+/// The wait allowed under overload, in mean times to hold a target.
+const PATIENCE: f64 = 0.5;
+
+/// What a target says of itself, or others of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Takes work.
+    Serving,
+    /// Takes work, with caches not yet filled.
+    Cold,
+    /// Finishes what it has.
+    Draining,
+}
+
+/// Who says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// A header of the target's answers.
+    Header,
+    /// The target's health endpoint.
+    Health,
+    /// The platform's host list.
+    List,
+}
+
+/// What a health endpoint says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// Can serve.
+    Up,
+    /// Cannot serve, or cannot be reached.
+    Down,
+}
+
+/// How a group decides.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The choice among usable targets.
+    pub pick: Pick,
+    /// Adaptive concurrency; off leaves only the share of the connections.
+    pub limit: Switch,
+    /// Outlier ejection and rests after failures.
+    pub eject: Switch,
+    /// Slow start.
+    pub warm: Switch,
+    /// Preference for the target that served the same content before.
+    pub affinity: Switch,
+    /// Which waiting request goes first.
+    pub order: Order,
+    /// Requests that may wait.
+    pub queue: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self::new(&Steer::default())
+    }
+}
+
+impl Config {
+    /// From a host's settings.
+    pub fn new(steer: &Steer) -> Self {
+        Self {
+            pick: steer.pick,
+            limit: Switch::On,
+            eject: Switch::On,
+            warm: steer.warm,
+            affinity: steer.affinity,
+            order: Order::Fifo,
+            queue: QUEUE,
+        }
+    }
+
+    /// With nothing but the choice of a target, as a baseline for measurements.
+    pub fn with_pick_alone(pick: Pick) -> Self {
+        Self {
+            pick,
+            limit: Switch::Off,
+            eject: Switch::Off,
+            warm: Switch::Off,
+            affinity: Switch::Off,
+            ..Self::default()
+        }
+    }
+}
+
+/// A request that asks for a target.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Identifies the request; unique among those that wait.
+    pub id: Id,
+    /// When its answer is of no more use.
+    pub deadline: Instant,
+    /// Rank in a full queue; higher stays longer.
+    pub priority: u8,
+    /// Requests of one value gain from one target's caches; 0 is none.
+    pub affinity: u64,
+    /// Targets not to use, as they were tried.
+    pub exclude: Vec<TargetKey>,
+}
+
+/// Leave to send one request to one target. To be handed back with [`Group::finish`].
+#[derive(Debug, PartialEq, Eq)]
+pub struct Grant {
+    target: TargetKey,
+    at: Instant,
+    probe: bool,
+}
+
+impl Grant {
+    /// The target.
+    pub fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// When it was given.
+    pub fn at(&self) -> Instant {
+        self.at
+    }
+
+    /// Whether it probes an ejected target; such a request should be hedged if it can be.
+    pub fn is_probe(&self) -> bool {
+        self.probe
+    }
+}
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// No target takes work.
+    NoTarget,
+    /// All targets that take work were tried.
+    Tried,
+    /// The deadline cannot be met.
+    Deadline,
+    /// More work than the targets can do.
+    Overload,
+    /// Others of higher rank fill the queue.
+    Full,
+}
+
+/// A request that did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When to try again.
+    pub retry_after: Duration,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it now.
+    Go(Grant),
+    /// It waits; it comes out of [`Group::finish`], [`Group::ready`] or [`Group::expire`].
+    Wait,
+    /// It did not run.
+    Refuse(Refusal),
+}
+
+/// How a request to a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The target answered.
+    Answered,
+    /// The target refused; the request did not run.
+    Refused,
+    /// No connection; the request did not run.
+    ConnectFailed,
+    /// The connection broke.
+    Broken,
+    /// No answer in time.
+    TimedOut,
+    /// Given up by this host or the caller.
+    Cancelled,
+}
+
+/// What a request showed of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// How it ended.
+    pub end: End,
+    /// From the grant's use to the end.
+    pub latency: Duration,
+    /// The target's load header.
+    pub load: Option<Load>,
+    /// The target's state header.
+    pub state: Option<State>,
+}
+
+/// A summary of the group, for other hosts and for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Headroom {
+    /// Slots of the targets that take work, of all hosts.
+    pub slots: u32,
+    /// This host's requests at targets.
+    pub in_flight: u32,
+    /// What this host may have at targets now.
+    pub limit: u32,
+    /// Requests that wait.
+    pub queued: usize,
+    /// The part of the slots that is warming up, 0 to 1.
+    pub cold: f64,
+    /// The part of the slots that is ejected, 0 to 1.
+    pub ejected: f64,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+struct Member {
+    key: TargetKey,
+    slots: u32,
+    configured: catalog::State,
+    leaving: BTreeMap<Source, Instant>,
+    word: State,
+    health: Health,
+    in_flight: u32,
+    limit: Limit,
+    warm: Warm,
+    eject: Eject,
+    estimate: Estimate,
+    refusals: u32,
+    rest: Option<Instant>,
+}
+
+impl Member {
+    fn new(key: TargetKey, target: &catalog::Target, hosts: usize) -> Self {
+        Self {
+            key,
+            slots: target.slots,
+            configured: catalog::State::Serving,
+            leaving: BTreeMap::new(),
+            word: State::Serving,
+            health: Health::Up,
+            in_flight: 0,
+            limit: Limit::new(target.slots, target.connections, hosts),
+            warm: Warm::new(target.warm),
+            eject: Eject::new(),
+            estimate: Estimate::new(),
+            refusals: 0,
+            rest: None,
+        }
+    }
+
+    /// Whether new work may be sent at all.
+    fn is_serving(&self) -> bool {
+        self.configured == catalog::State::Serving && self.leaving.is_empty()
+    }
+
+    fn rests(&self, now: Instant) -> bool {
+        self.rest.is_some_and(|until| now < until)
+    }
+
+    fn start_rest(&mut self, now: Instant) {
+        let factor = 1 << self.refusals.min(REST_DOUBLINGS);
+        self.refusals += 1;
+        self.rest = Some(now + REST * factor);
+    }
+
+    fn has_tried(&self, ask: &Ask) -> bool {
+        ask.exclude.contains(&self.key)
+    }
+}
+
+/// Figures of the whole group, kept for a short time.
+#[derive(Clone, Copy, Debug)]
+struct Tally {
+    at: Option<Instant>,
+    slots: u32,
+    ejected: u32,
+    cold: f64,
+    limit: f64,
+    median: f64,
+    others: f64,
+    success: f64,
+    probes: bool,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        Self {
+            at: None,
+            slots: 0,
+            ejected: 0,
+            cold: 0.0,
+            limit: 0.0,
+            median: UNKNOWN_LATENCY,
+            others: 0.0,
+            success: 1.0,
+            probes: false,
+        }
+    }
+}
+
+/// The targets of one service in one availability zone.
+#[derive(Clone, Debug)]
+pub struct Group {
+    config: Config,
+    members: Vec<Member>,
+    index: BTreeMap<TargetKey, usize>,
+    picker: Picker,
+    queue: Queue<Ask>,
+    shed: Vec<(Id, Refusal)>,
+    tally: Tally,
+    in_flight: u32,
+    hold: f64,
+    known: bool,
+}
+
+impl Group {
+    /// A group without targets.
+    pub fn new(config: Config) -> Self {
+        Self {
+            members: Vec::new(),
+            index: BTreeMap::new(),
+            picker: Picker::new(config.pick),
+            queue: Queue::new(config.order, config.queue),
+            shed: Vec::new(),
+            tally: Tally::default(),
+            in_flight: 0,
+            hold: UNKNOWN_LATENCY,
+            known: false,
+            config,
+        }
+    }
+
+    /// Takes the targets of `service` in `zone` from a revision, to be shared by `hosts` hosts
+    /// configured there. What is known of targets that stay is kept.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        catalog: &Catalog,
+        service: ServiceKey,
+        zone: ZoneKey,
+        hosts: usize,
+    ) {
+        let listed: BTreeSet<TargetKey> = catalog
+            .site(service, zone)
+            .map(|site| site.targets.iter().copied().collect())
+            .unwrap_or_default();
+        for member in &mut self.members {
+            if !listed.contains(&member.key) {
+                member.configured = catalog::State::Off;
+            }
+        }
+        self.members
+            .retain(|member| member.in_flight > 0 || listed.contains(&member.key));
+        self.lay_index();
+        for &key in &listed {
+            self.update_member(now, catalog, key, hosts);
+        }
+        self.known = true;
+        self.refresh(now);
+    }
+
+    fn lay_index(&mut self) {
+        self.index = self
+            .members
+            .iter()
+            .enumerate()
+            .map(|(place, member)| (member.key, place))
+            .collect();
+    }
+
+    fn update_member(&mut self, now: Instant, catalog: &Catalog, key: TargetKey, hosts: usize) {
+        let target = catalog.target(key);
+        let state = catalog.target_state(key);
+        let place = match self.index.get(&key) {
+            Some(&place) => place,
+            None => {
+                let mut member = Member::new(key, target, hosts);
+                if self.known {
+                    member.warm.start(now);
+                }
+                self.members.push(member);
+                self.index.insert(key, self.members.len() - 1);
+                self.members.len() - 1
+            }
+        };
+        let member = &mut self.members[place];
+        let was = member.is_serving();
+        member.configured = state;
+        member.slots = target.slots;
+        member.limit = member
+            .limit
+            .with_size(target.slots, target.connections, hosts);
+        member.warm = member.warm.with_ramp(target.warm);
+        if !was && member.is_serving() {
+            member.warm.start(now);
+        }
+    }
+
+    /// Takes in what `source` says of a target. One that says draining is enough to stop new work.
+    pub fn set_state(&mut self, now: Instant, target: TargetKey, source: Source, state: State) {
+        let Some(&place) = self.index.get(&target) else {
+            return;
+        };
+        let member = &mut self.members[place];
+        let was = member.is_serving();
+        if state == State::Draining {
+            member.leaving.insert(source, now);
+        } else {
+            member.leaving.remove(&source);
+            if source == Source::Health {
+                let held = |at: &Instant| now < *at + DRAIN_HOLD;
+                member
+                    .leaving
+                    .retain(|&source, at| source != Source::Header || held(at));
+            }
+        }
+        let fresh = state == State::Cold && member.word != State::Cold;
+        if source == Source::Header {
+            member.word = state;
+        }
+        let back = !was && member.is_serving();
+        if back || (fresh && source == Source::Header) {
+            member.warm.start(now);
+        }
+        if was != member.is_serving() {
+            self.refresh(now);
+        }
+    }
+
+    /// Takes in what a target's health endpoint says. It may lag or mislead, so it only makes
+    /// ejection quicker.
+    pub fn health(&mut self, target: TargetKey, health: Health) {
+        if let Some(&place) = self.index.get(&target) {
+            self.members[place].health = health;
+        }
+    }
+
+    /// Decides on a request.
+    pub fn admit(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Verdict {
+        self.refresh_if_old(now);
+        if let Some(reason) = self.hopeless(now, &ask) {
+            return Verdict::Refuse(self.refusal(reason));
+        }
+        if let Some(place) = self.place(now, &ask, rng) {
+            return Verdict::Go(self.grant(now, place));
+        }
+        self.wait(now, ask)
+    }
+
+    /// Whether no target could take the request, however long it waited.
+    fn hopeless(&self, now: Instant, ask: &Ask) -> Option<Reason> {
+        if ask.deadline <= now {
+            return Some(Reason::Deadline);
+        }
+        let mut serving = self
+            .members
+            .iter()
+            .filter(|member| member.is_serving() && member.limit.hard() > 0)
+            .peekable();
+        if serving.peek().is_none() {
+            return Some(Reason::NoTarget);
+        }
+        if !ask.exclude.is_empty() && serving.all(|member| member.has_tried(ask)) {
+            return Some(Reason::Tried);
+        }
+        None
+    }
+
+    fn wait(&mut self, now: Instant, ask: Ask) -> Verdict {
+        let start_by = ask
+            .deadline
+            .checked_sub(Duration::from_secs_f64(self.hold))
+            .unwrap_or(now);
+        let expected = self.expected(self.queue.ahead(ask.priority) + 1);
+        if now + expected > start_by {
+            return Verdict::Refuse(self.refusal(Reason::Deadline));
+        }
+        if self.is_overloaded(now) && expected.as_secs_f64() > self.hold * PATIENCE {
+            return Verdict::Refuse(self.refusal(Reason::Overload));
+        }
+        let id = ask.id;
+        let entry = Entry {
+            id,
+            priority: ask.priority,
+            start_by,
+            since: now,
+            item: ask,
+        };
+        let Some(out) = self.queue.push(entry) else {
+            return Verdict::Wait;
+        };
+        let refusal = self.refusal(Reason::Full);
+        if out.id == id {
+            return Verdict::Refuse(refusal);
+        }
+        self.shed.push((out.id, refusal));
+        Verdict::Wait
+    }
+
+    /// The time in which so many waiting requests start, at the measured rate.
+    fn expected(&self, count: usize) -> Duration {
+        let rate = self.tally.limit.max(1.0) / self.hold;
+        Duration::from_secs_f64(count as f64 / rate)
+    }
+
+    fn is_overloaded(&self, now: Instant) -> bool {
+        self.queue
+            .busy_since()
+            .is_some_and(|since| now.saturating_duration_since(since) > SPIKE)
+    }
+
+    fn refusal(&self, reason: Reason) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: self.expected(self.queue.len()).max(RETRY_AFTER),
+        }
+    }
+
+    /// Chooses a target for a request, if one is free.
+    fn place(&mut self, now: Instant, ask: &Ask, rng: &mut impl Rng) -> Option<usize> {
+        if self.config.limit == Switch::On && f64::from(self.in_flight) >= self.tally.limit.ceil() {
+            return None;
+        }
+        if let Some(place) = self.probe(now, ask) {
+            return Some(place);
+        }
+        let (members, config, tally) = (&self.members, &self.config, &self.tally);
+        self.picker.choose(members.len(), rng, |place| {
+            let member = &members[place];
+            let usable = is_free(config, member, now) && !member.has_tried(ask);
+            usable.then(|| score(config, tally, member, now))
+        })
+    }
+
+    /// An ejected target that is due for a probe, if the request can afford it.
+    fn probe(&mut self, now: Instant, ask: &Ask) -> Option<usize> {
+        if !self.tally.probes {
+            return None;
+        }
+        let left = ask.deadline.saturating_duration_since(now).as_secs_f64();
+        self.members.iter().position(|member| {
+            member.is_serving()
+                && member.in_flight == 0
+                && member.limit.hard() > 0
+                && member.eject.is_due(now)
+                && !member.has_tried(ask)
+                && left > PROBE_SLACK * self.tally.median
+        })
+    }
+
+    fn grant(&mut self, now: Instant, place: usize) -> Grant {
+        let member = &mut self.members[place];
+        member.in_flight += 1;
+        self.in_flight += 1;
+        Grant {
+            target: member.key,
+            at: now,
+            probe: !member.eject.is_in(),
+        }
+    }
+
+    /// Takes back a grant. Returns the waiting requests that may now go.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        grant: Grant,
+        report: Report,
+        rng: &mut impl Rng,
+    ) -> Vec<(Id, Grant)> {
+        if let Some(state) = report.state {
+            self.set_state(now, grant.target, Source::Header, state);
+        }
+        if let Some(&place) = self.index.get(&grant.target) {
+            self.learn(now, place, &grant, &report, rng);
+        }
+        self.ready(now, rng)
+    }
+
+    fn learn(
+        &mut self,
+        now: Instant,
+        place: usize,
+        grant: &Grant,
+        report: &Report,
+        rng: &mut impl Rng,
+    ) {
+        let tally = self.tally;
+        let member = &mut self.members[place];
+        let full = member.in_flight >= member.limit.whole(member.warm.fraction());
+        if let Some(load) = report.load {
+            member.estimate.report(now, load, member.in_flight);
+        }
+        member.in_flight -= 1;
+        self.in_flight -= 1;
+        let seconds = report.latency.as_secs_f64();
+        match report.end {
+            End::Answered => {
+                member.refusals = 0;
+                member.rest = None;
+                member.estimate.record(report.latency);
+                member.warm.answer(now);
+                let ratio = member.estimate.likely(tally.median) / tally.median;
+                member.limit.answer(now, full, ratio, report.load);
+                self.hold += (seconds - self.hold) * HOLD_WEIGHT;
+            }
+            End::Refused => {
+                member.limit.refuse(now);
+                member.start_rest(now);
+            }
+            End::ConnectFailed | End::Broken => member.start_rest(now),
+            End::TimedOut | End::Cancelled => {
+                if member
+                    .estimate
+                    .latency()
+                    .is_some_and(|known| seconds > known)
+                {
+                    member.estimate.record(report.latency);
+                }
+            }
+        }
+        self.judge(now, place, grant, report, rng);
+    }
+
+    /// Ejects a target or takes in a probe.
+    fn judge(
+        &mut self,
+        now: Instant,
+        place: usize,
+        grant: &Grant,
+        report: &Report,
+        rng: &mut impl Rng,
+    ) {
+        if self.config.eject == Switch::Off {
+            return;
+        }
+        let tally = self.tally;
+        let member = &mut self.members[place];
+        let Some(sign) = sign(report, tally.median) else {
+            return;
+        };
+        if !member.eject.is_in() {
+            if grant.probe && member.eject.probe(now, sign, rng) {
+                member.warm.start(now);
+            }
+            self.refresh(now);
+            return;
+        }
+        member.eject.record(sign);
+        let standing = Standing {
+            ratio: member.estimate.likely(tally.median) / tally.median,
+            samples: member.estimate.samples(),
+            success: tally.success,
+            down: member.health == Health::Down,
+            cold: member.warm.is_cold(),
+        };
+        let after = f64::from(tally.ejected + member.slots);
+        let allowed = f64::from(tally.slots) * EJECT_SHARE;
+        if member.is_serving() && after <= allowed && member.eject.is_outlier(&standing) {
+            member.eject.eject(now, rng);
+            member.estimate.forget();
+            self.refresh(now);
+        }
+    }
+
+    /// Returns the waiting requests that may go now.
+    pub fn ready(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<(Id, Grant)> {
+        self.refresh_if_old(now);
+        let mut ready = Vec::new();
+        while let Some((id, place)) = self.next(now, rng) {
+            ready.push((id, self.grant(now, place)));
+        }
+        ready
+    }
+
+    fn next(&mut self, now: Instant, rng: &mut impl Rng) -> Option<(Id, usize)> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let mut queue = std::mem::replace(&mut self.queue, Queue::new(Order::Fifo, 0));
+        let found = queue.pop_fit(TRIES, |entry| {
+            if entry.start_by <= now {
+                return None;
+            }
+            self.place(now, &entry.item, rng)
+        });
+        self.queue = queue;
+        found.map(|(entry, place)| (entry.id, place))
+    }
+
+    /// Returns the requests that leave the queue without having run: those whose deadline cannot
+    /// be met any more, and those that had to make room.
+    pub fn expire(&mut self, now: Instant) -> Vec<(Id, Refusal)> {
+        let mut out = std::mem::take(&mut self.shed);
+        while let Some(entry) = self.queue.pop_due(now) {
+            out.push((entry.id, self.refusal(Reason::Deadline)));
+        }
+        if self.members.iter().any(Member::is_serving) {
+            return out;
+        }
+        while let Some(entry) = self.queue.pop_last() {
+            out.push((entry.id, self.refusal(Reason::NoTarget)));
+        }
+        out
+    }
+
+    /// Takes a waiting request out. False if it does not wait; it was then admitted or refused.
+    pub fn cancel(&mut self, id: Id) -> bool {
+        self.queue.remove(id).is_some()
+    }
+
+    /// When to call [`Group::expire`] and [`Group::ready`] next, if nothing else happens.
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        if !self.shed.is_empty() {
+            return Some(now);
+        }
+        if self.queue.is_empty() {
+            return None;
+        }
+        if !self.members.iter().any(Member::is_serving) {
+            return Some(now);
+        }
+        let rests = self.members.iter().filter_map(|member| member.rest);
+        let probes = self
+            .members
+            .iter()
+            .filter_map(|member| member.eject.until());
+        let later = rests.chain(probes).filter(|&at| at > now).min();
+        self.queue.next_due().into_iter().chain(later).min()
+    }
+
+    /// The group's summary.
+    pub fn headroom(&self) -> Headroom {
+        Headroom {
+            slots: self.tally.slots,
+            in_flight: self.in_flight,
+            limit: self.tally.limit.ceil() as u32,
+            queued: self.queue.len(),
+            cold: self.tally.cold,
+            ejected: f64::from(self.tally.ejected) / f64::from(self.tally.slots.max(1)),
+        }
+    }
+
+    /// This host's requests at one target.
+    pub fn in_flight(&self, target: TargetKey) -> u32 {
+        self.index
+            .get(&target)
+            .map_or(0, |&place| self.members[place].in_flight)
+    }
+
+    /// What this host may have at one target at most, now.
+    pub fn limit(&self, target: TargetKey) -> u32 {
+        self.index
+            .get(&target)
+            .map_or(0, |&place| allowed(&self.config, &self.members[place]))
+    }
+
+    /// Whether a target is ejected.
+    pub fn is_ejected(&self, target: TargetKey) -> bool {
+        self.index
+            .get(&target)
+            .is_some_and(|&place| !self.members[place].eject.is_in())
+    }
+
+    fn refresh_if_old(&mut self, now: Instant) {
+        if self.tally.at.is_none_or(|at| now >= at + TALLY_AGE) {
+            self.refresh(now);
+        }
+    }
+
+    /// Works out the figures of the whole group anew.
+    fn refresh(&mut self, now: Instant) {
+        self.restore_excess(now);
+        let serving = || self.members.iter().filter(|member| member.is_serving());
+        let used = || serving().filter(|member| member.eject.is_in());
+        let slots: u32 = serving().map(|member| member.slots).sum();
+        let inside: u32 = used().map(|member| member.slots).sum();
+        let cold: u32 = used()
+            .filter(|member| self.config.warm == Switch::On && member.warm.is_cold())
+            .map(|member| member.slots)
+            .sum();
+        let count = used().count().max(1) as f64;
+        self.tally = Tally {
+            at: Some(now),
+            slots,
+            ejected: slots - inside,
+            cold: f64::from(cold) / f64::from(slots.max(1)),
+            limit: used().map(|member| fair(&self.config, member)).sum(),
+            median: median(used()).unwrap_or(self.tally.median),
+            others: used().map(|member| member.estimate.others()).sum::<f64>() / count,
+            success: used().map(|member| member.eject.success()).sum::<f64>() / count,
+            probes: serving().any(|member| member.eject.is_due(now)),
+        };
+    }
+
+    /// Brings ejected targets back while more than the allowed part is out, as when others drain.
+    fn restore_excess(&mut self, now: Instant) {
+        loop {
+            let serving = || self.members.iter().filter(|member| member.is_serving());
+            let slots: u32 = serving().map(|member| member.slots).sum();
+            let out: u32 = serving()
+                .filter(|member| !member.eject.is_in())
+                .map(|member| member.slots)
+                .sum();
+            if f64::from(out) <= f64::from(slots) * EJECT_SHARE {
+                return;
+            }
+            let soonest = self
+                .members
+                .iter_mut()
+                .filter(|member| member.is_serving() && !member.eject.is_in())
+                .min_by_key(|member| member.eject.until());
+            let Some(member) = soonest else {
+                return;
+            };
+            member.eject.restore(now);
+        }
+    }
+}
+
+/// The part of a target's limit in use while it warms up.
+fn fraction(config: &Config, member: &Member) -> f64 {
+    match config.warm {
+        Switch::On => member.warm.fraction(),
+        Switch::Off => 1.0,
+    }
+}
+
+/// What a target adds to the limit of the whole group.
+fn fair(config: &Config, member: &Member) -> f64 {
+    match config.limit {
+        Switch::On => member.limit.value() * fraction(config, member),
+        Switch::Off => f64::from(member.limit.hard()),
+    }
+}
+
+/// Requests allowed at a target.
+fn allowed(config: &Config, member: &Member) -> u32 {
+    match config.limit {
+        Switch::On => member.limit.whole(fraction(config, member)),
+        Switch::Off => member.limit.hard(),
+    }
+}
+
+/// Whether a target can take one more request now.
+fn is_free(config: &Config, member: &Member, now: Instant) -> bool {
+    let rests = config.eject == Switch::On && member.rests(now);
+    member.is_serving()
+        && member.eject.is_in()
+        && !rests
+        && member.in_flight < allowed(config, member)
+}
+
+/// The cost of sending one more request to a target; lower is better.
+fn score(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
+    if config.pick != Pick::TwoChoices {
+        return f64::from(member.in_flight);
+    }
+    let foreign = member.estimate.foreign(now, tally.others);
+    let load = 1.0 + f64::from(member.in_flight) + foreign;
+    let speed = member.estimate.likely(tally.median);
+    load * speed / (f64::from(member.slots) * fraction(config, member))
+}
+
+/// What a request's end shows of its target, if anything.
+fn sign(report: &Report, median: f64) -> Option<Sign> {
+    let slow = report.latency.as_secs_f64() > LATENCY_RATIO * median;
+    match report.end {
+        End::Answered if slow => Some(Sign::Slow),
+        End::Answered => Some(Sign::Good),
+        End::ConnectFailed | End::Broken => Some(Sign::Bad),
+        End::TimedOut if slow => Some(Sign::Bad),
+        End::Refused | End::TimedOut | End::Cancelled => None,
+    }
+}
+
+/// The median latency over targets of which it is known, in seconds.
+fn median<'a>(members: impl Iterator<Item = &'a Member>) -> Option<f64> {
+    let mut known: Vec<f64> = members
+        .filter_map(|member| member.estimate.latency())
+        .collect();
+    if known.is_empty() {
+        return None;
+    }
+    let middle = known.len() / 2;
+    let (_, &mut found, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(found.max(f64::MIN_POSITIVE))
+}
