Check configuration folders and settings value by value

Cause: faults had no places, and only the first one was told. Change: files are parsed to trees that keep each value's place, merged by key, checked against the schemas (types, keys, choices, ranges) and against each other (names, addresses, client blocks, links, caps, zones without hosts, services nobody reaches). All faults are told at once as FILE:LINE:COLUMN: PATH: PROBLEM, exit code 2.

--- a/src/bin/ragwortfold/app.rs
+++ b/src/bin/ragwortfold/app.rs
@@ -1,17 +1,42 @@
 //! From arguments to one `Config`.
 
+use std::net::IpAddr;
 use std::path::PathBuf;
 
 use clap::ArgMatches;
+use clap_complete::Shell;
 
+use ragwortfold::border::configuration::State;
 use ragwortfold::config::settings::Overrides;
+use ragwortfold::config::Origin;
 
-use crate::{clap_app, entry};
+use crate::drain::Kind;
+use crate::table::Format;
+use crate::{clap_app, config, drain, entry, lookup, publish, status};
 
 /// What the arguments ask for.
 pub(crate) enum Config {
+    /// Print the completions of a shell.
+    Completions(Shell),
+    /// Print the man page.
+    Man,
     /// Run an entry host.
     Entry(entry::Config),
+    /// Check a configuration folder.
+    Check(config::Check),
+    /// Show a configuration folder.
+    Show(config::Show),
+    /// Read or change the configuration on the platform.
+    Publish(publish::Config),
+    /// Change the state of a place.
+    Drain(drain::Config),
+    /// Show what a host or the platform says of the system.
+    Status(status::Config),
+    /// Ask for entry hosts.
+    Lookup(lookup::Config),
+    /// Run the demo.
+    #[cfg(feature = "demo")]
+    Demo(crate::demo::Config),
 }
 
 /// The parsed arguments.
@@ -29,9 +54,20 @@
 
     /// What the arguments ask for.
     pub(crate) fn config(&self) -> Config {
+        if let Some(&shell) = self.matches.get_one::<Shell>("completions") {
+            return Config::Completions(shell);
+        }
         match self.matches.subcommand() {
             Some(("entry", matches)) => Config::Entry(entry_config(matches)),
-            _ => unreachable!("clap requires a known subcommand"),
+            Some(("config", matches)) => folder_config(matches),
+            Some(("drain", matches)) => Config::Drain(drain_config(matches, State::Draining)),
+            Some(("undrain", matches)) => Config::Drain(drain_config(matches, State::Serving)),
+            Some(("status", matches)) => Config::Status(status_config(matches)),
+            Some(("lookup", matches)) => Config::Lookup(lookup_config(matches)),
+            #[cfg(feature = "demo")]
+            Some(("demo", matches)) => Config::Demo(demo_config(matches)),
+            // The parser allows nothing else but `--man`.
+            _ => Config::Man,
         }
     }
 }
@@ -45,10 +81,121 @@
         })
         .collect();
     entry::Config {
-        settings: matches
-            .get_one::<PathBuf>("settings")
-            .cloned()
-            .unwrap_or_default(),
+        settings: path(matches, "settings"),
         overrides: Overrides { values },
     }
 }
+
+fn folder_config(matches: &ArgMatches) -> Config {
+    let (name, matches) = matches.subcommand().unwrap_or(("", matches));
+    let action = match name {
+        "check" => {
+            let dir = path(matches, "dir");
+            return Config::Check(config::Check { dir });
+        }
+        "show" => return Config::Show(show_config(matches)),
+        "diff" => publish::Action::Diff {
+            dir: path(matches, "dir"),
+        },
+        "apply" => apply_action(matches),
+        "pull" => publish::Action::Pull {
+            dir: path(matches, "dir"),
+        },
+        // The parser allows nothing else.
+        _ => publish::Action::History,
+    };
+    Config::Publish(publish::Config {
+        platform: text(matches, "platform"),
+        action,
+    })
+}
+
+fn show_config(matches: &ArgMatches) -> config::Show {
+    config::Show {
+        dir: path(matches, "dir"),
+        origin: if matches.get_flag("origin") {
+            Origin::Shown
+        } else {
+            Origin::Hidden
+        },
+    }
+}
+
+fn apply_action(matches: &ArgMatches) -> publish::Action {
+    publish::Action::Apply {
+        source: match matches.get_one::<u64>("revert") {
+            Some(&revision) => publish::Source::Revision(revision),
+            None => publish::Source::Folder(path(matches, "dir")),
+        },
+        note: matches.get_one("note").cloned(),
+        author: matches.get_one("author").cloned(),
+    }
+}
+
+fn drain_config(matches: &ArgMatches, state: State) -> drain::Config {
+    drain::Config {
+        platform: text(matches, "platform"),
+        kind: choice(matches, "kind", &Kind::ALL),
+        name: text(matches, "name"),
+        state,
+        note: matches.get_one("note").cloned(),
+        author: matches.get_one("author").cloned(),
+    }
+}
+
+fn status_config(matches: &ArgMatches) -> status::Config {
+    status::Config {
+        from: match matches.get_one::<String>("entry") {
+            Some(url) => status::From::Entry(url.clone()),
+            None => status::From::Platform(text(matches, "platform")),
+        },
+        format: format(matches),
+    }
+}
+
+fn lookup_config(matches: &ArgMatches) -> lookup::Config {
+    lookup::Config {
+        entry: text(matches, "entry"),
+        service: text(matches, "service"),
+        client: matches.get_one::<IpAddr>("client").map(IpAddr::to_string),
+        format: format(matches),
+    }
+}
+
+#[cfg(feature = "demo")]
+fn demo_config(matches: &ArgMatches) -> crate::demo::Config {
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    crate::demo::Config {
+        customer: choice(matches, "customer", &crate::demo::Customer::ALL),
+        seconds: number("seconds"),
+        rate: matches.get_one("rate").copied(),
+        seed: number("seed"),
+        fault: text(matches, "fault"),
+        format: format(matches),
+    }
+}
+
+/// The value of a path that the parser requires.
+fn path(matches: &ArgMatches, name: &str) -> PathBuf {
+    matches.get_one(name).cloned().unwrap_or_default()
+}
+
+/// The value of a text that the parser requires.
+fn text(matches: &ArgMatches, name: &str) -> String {
+    matches.get_one(name).cloned().unwrap_or_default()
+}
+
+/// The value that a word stands for; the parser allows only the words of `all`.
+fn choice<T: Copy>(matches: &ArgMatches, name: &str, all: &[(&str, T)]) -> T {
+    let word = text(matches, name);
+    let found = all.iter().find(|(known, _)| *known == word);
+    found.unwrap_or(&all[0]).1
+}
+
+fn format(matches: &ArgMatches) -> Format {
+    if matches.get_flag("json") {
+        Format::Json
+    } else {
+        Format::Table
+    }
+}
--- a/src/bin/ragwortfold/clap_app.rs
+++ b/src/bin/ragwortfold/clap_app.rs
@@ -1,8 +1,16 @@
 //! The parser of the command line.
 
+use std::net::IpAddr;
 use std::path::PathBuf;
 
+use clap::builder::PossibleValuesParser;
 use clap::{value_parser, Arg, ArgAction, Command};
+use clap_complete::Shell;
+
+use crate::drain::Kind;
+
+/// The program's name.
+pub(crate) const NAME: &str = "ragwortfold";
 
 /// Flags of `entry` that override a value of the settings file: flag, path of the value, help.
 pub(crate) const OVERRIDES: &[(&str, &str, &str)] = &[
@@ -38,12 +46,53 @@
 
 /// The whole command line.
 pub(crate) fn build() -> Command {
-    Command::new("ragwortfold")
+    let command = Command::new(NAME)
         .version(env!("CARGO_PKG_VERSION"))
         .about("Global traffic steering for small operators")
-        .subcommand_required(true)
+        .long_about(
+            "Global traffic steering for small operators.\n\n\
+             Entry hosts ('ragwortfold entry') tell callers which hosts to use and carry their \
+             requests to targets. Operators keep a folder of small configuration files and put it \
+             in force with 'ragwortfold config apply'.",
+        )
+        .after_help("Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or configuration.")
         .arg_required_else_help(true)
+        .args_conflicts_with_subcommands(true)
+        .arg(completions())
+        .arg(man())
         .subcommand(entry())
+        .subcommand(config())
+        .subcommand(drain(
+            "drain",
+            "Takes new work away from a target, zone, region or host",
+        ))
+        .subcommand(drain(
+            "undrain",
+            "Gives a target, zone, region or host work again",
+        ))
+        .subcommand(status())
+        .subcommand(lookup());
+    #[cfg(feature = "demo")]
+    let command = command.subcommand(demo());
+    command
+}
+
+fn completions() -> Arg {
+    Arg::new("completions")
+        .long("completions")
+        .value_name("SHELL")
+        .value_parser(value_parser!(Shell))
+        .help("Print the completions of a shell")
+        .long_help(
+            "Print the completions of a shell, for instance:\n  \
+             ragwortfold --completions bash > /etc/bash_completion.d/ragwortfold",
+        )
+}
+
+fn man() -> Arg {
+    flag("man", "Print the man page")
+        .long_help("Print the man page, for instance:\n  ragwortfold --man > ragwortfold.1")
+        .conflicts_with("completions")
 }
 
 fn entry() -> Command {
@@ -52,19 +101,251 @@
             .long(flag)
             .value_name("VALUE")
             .help(help)
-            .help_heading("Overrides")
+            .help_heading("Overrides of the settings")
     });
     Command::new("entry")
         .about("Runs an entry host")
+        .long_about(
+            "Runs an entry host until SIGTERM, on which it finishes its work and exits with 0. \
+             SIGHUP reads the log level again.",
+        )
         .arg(
-            Arg::new("settings")
-                .long("settings")
-                .short('s')
-                .value_name("FILE")
-                .required(true)
-                .action(ArgAction::Set)
-                .value_parser(value_parser!(PathBuf))
-                .help("The settings of this host, JSON with comments"),
+            path(
+                "settings",
+                "FILE",
+                "The host's settings, JSON with comments",
+            )
+            .long("settings")
+            .short('s'),
         )
         .args(overrides)
 }
+
+fn config() -> Command {
+    Command::new("config")
+        .about("Checks, shows and publishes configuration folders")
+        .long_about(
+            "Checks, shows and publishes configuration folders.\n\n\
+             The *.json files of a folder (JSON with comments) are merged in byte order of their \
+             names: objects merge by key, a later scalar or list replaces, null removes.",
+        )
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("Checks every value of a folder")
+                .long_about(
+                    "Checks every value of a folder and prints all faults, each as \
+                     FILE:LINE:COLUMN: PATH: PROBLEM. Exits with 2 if there are any.",
+                )
+                .arg(dir()),
+        )
+        .subcommand(
+            Command::new("show")
+                .about("Prints the merged folder as JSON")
+                .arg(dir())
+                .arg(
+                    flag("origin", "Say which file and line each value comes from").long_help(
+                        "Say which file and line each value comes from, as a comment after it; \
+                         the output can be read as a configuration file again",
+                    ),
+                ),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Shows how a folder differs from the platform's configuration")
+                .arg(dir())
+                .arg(platform()),
+        )
+        .subcommand(apply())
+        .subcommand(
+            Command::new("pull")
+                .about("Writes the platform's configuration to a folder")
+                .arg(dir())
+                .arg(platform()),
+        )
+        .subcommand(
+            Command::new("history")
+                .about("Lists the revisions of the platform's configuration")
+                .arg(platform()),
+        )
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Makes a folder the next revision of the platform's configuration")
+        .long_about(
+            "Makes a folder, or with --revert an earlier revision, the next revision of the \
+             platform's configuration. Revisions only rise. Racing changes of other files are \
+             taken in; a racing change of the same file is a conflict.",
+        )
+        .arg(
+            dir()
+                .required_unless_present("revert")
+                .conflicts_with("revert"),
+        )
+        .arg(platform())
+        .arg(note())
+        .arg(author())
+        .arg(
+            Arg::new("revert")
+                .long("revert")
+                .value_name("N")
+                .value_parser(value_parser!(u64))
+                .help("Take the files of revision N instead of a folder's"),
+        )
+}
+
+fn drain(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(
+            Arg::new("kind")
+                .value_name("KIND")
+                .required(true)
+                .value_parser(PossibleValuesParser::new(Kind::ALL.map(|(word, _)| word)))
+                .help("What kind of place"),
+        )
+        .arg(
+            Arg::new("name")
+                .value_name("NAME")
+                .required(true)
+                .help("Its name in the configuration"),
+        )
+        .arg(platform())
+        .arg(note())
+        .arg(author())
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Prints what an entry host or the platform says of the system")
+        .arg(
+            url("entry", "Ask this entry host")
+                .required_unless_present("platform")
+                .conflicts_with("platform"),
+        )
+        .arg(url(
+            "platform",
+            "Ask the platform for its list of entry hosts",
+        ))
+        .arg(json())
+}
+
+fn lookup() -> Command {
+    Command::new("lookup")
+        .about("Asks an entry host which hosts a caller should use")
+        .arg(url("entry", "The entry host to ask").required(true))
+        .arg(
+            Arg::new("service")
+                .value_name("SERVICE")
+                .required(true)
+                .help("The service to be called"),
+        )
+        .arg(
+            Arg::new("client")
+                .long("client")
+                .value_name("IP")
+                .value_parser(value_parser!(IpAddr))
+                .help("The caller's address, if not this machine's"),
+        )
+        .arg(json())
+}
+
+#[cfg(feature = "demo")]
+fn demo() -> Command {
+    use crate::demo::{Customer, FAULTS};
+    Command::new("demo")
+        .about("Runs a whole system in this process and counts broken promises")
+        .long_about(
+            "Runs a whole system in this process on loopback ports: platform, entry hosts, \
+             targets, links and callers. Prints what callers saw; exits with 1 if a promise was \
+             broken.",
+        )
+        .arg(
+            Arg::new("customer")
+                .value_name("CUSTOMER")
+                .default_value("quispe")
+                .value_parser(PossibleValuesParser::new(
+                    Customer::ALL.map(|(word, _)| word),
+                ))
+                .help("Whose system"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .default_value("20")
+                .value_parser(value_parser!(u64).range(1..=86_400))
+                .help("How long callers send"),
+        )
+        .arg(
+            Arg::new("rate")
+                .long("rate")
+                .value_name("R")
+                .value_parser(value_parser!(f64))
+                .help("Requests a second of all callers together"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("S")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("The seed of all random choices"),
+        )
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .value_name("NAME")
+                .default_value("none")
+                .value_parser(PossibleValuesParser::new(FAULTS))
+                .help("The fault to inject"),
+        )
+        .arg(json())
+}
+
+fn path(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name(value)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn dir() -> Arg {
+    path("dir", "DIR", "The configuration folder")
+}
+
+fn url(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name("URL").help(help)
+}
+
+fn platform() -> Arg {
+    url("platform", "The base URL of the platform's object API").required(true)
+}
+
+fn note() -> Arg {
+    Arg::new("note")
+        .long("note")
+        .value_name("TEXT")
+        .help("Why, for the history")
+}
+
+fn author() -> Arg {
+    Arg::new("author")
+        .long("author")
+        .value_name("NAME")
+        .help("Who, for the history")
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+fn json() -> Arg {
+    flag("json", "Print JSON")
+}
--- /dev/null
+++ b/src/bin/ragwortfold/config.rs
@@ -0,0 +1,58 @@
+//! `ragwortfold config check` and `show`.
+
+use std::path::PathBuf;
+
+use ragwortfold::border::configuration::Configuration;
+use ragwortfold::config::{self, Folder, Origin};
+
+use crate::{print, Error};
+
+/// The arguments of `config check`.
+pub(crate) struct Check {
+    /// The folder.
+    pub(crate) dir: PathBuf,
+}
+
+/// The arguments of `config show`.
+pub(crate) struct Show {
+    /// The folder.
+    pub(crate) dir: PathBuf,
+    /// Whether to say where values come from.
+    pub(crate) origin: Origin,
+}
+
+/// Checks a folder and says what is in it.
+pub(crate) fn check(config: &Check) -> Result<(), Error> {
+    let folder = config::read(&config.dir)?;
+    let configuration = checked(&folder)?;
+    let dir = config.dir.display();
+    print(&format!("{dir}: {}\n", summary(&folder, &configuration)))
+}
+
+/// Prints the merged folder, then its faults if it has any.
+pub(crate) fn show(config: &Show) -> Result<(), Error> {
+    let folder = config::read(&config.dir)?;
+    let text = folder.show(config.origin).map_err(config::Error::from)?;
+    print(&text)?;
+    checked(&folder)?;
+    Ok(())
+}
+
+fn checked(folder: &Folder) -> Result<Configuration, Error> {
+    Ok(config::check(folder).map_err(config::Error::from)?)
+}
+
+fn summary(folder: &Folder, configuration: &Configuration) -> String {
+    let counts = [
+        (folder.files().len(), "files"),
+        (configuration.regions.len(), "regions"),
+        (configuration.availability_zones.len(), "availability zones"),
+        (configuration.hosts.len(), "hosts"),
+        (configuration.services.len(), "services"),
+        (configuration.targets.len(), "targets"),
+        (configuration.clients.len(), "client blocks"),
+        (configuration.links.len(), "links"),
+    ];
+    let parts = counts.map(|(count, noun)| format!("{count} {noun}"));
+    format!("{}; no faults", parts.join(", "))
+}
--- a/src/bin/ragwortfold/main.rs
+++ b/src/bin/ragwortfold/main.rs
@@ -2,8 +2,19 @@
 
 mod app;
 mod clap_app;
+mod config;
+#[cfg(feature = "demo")]
+mod demo;
+mod drain;
 mod entry;
+mod fetch;
+mod help;
+mod lookup;
+mod publish;
+mod status;
+mod table;
 
+use std::io::{self, Write as _};
 use std::process::ExitCode;
 
 use app::{App, Config};
@@ -22,20 +33,53 @@
     /// The daemon failed.
     #[error(transparent)]
     Entry(#[from] ragwortfold::entry::Error),
+    /// A host or the platform gave no answer.
+    #[error(transparent)]
+    Fetch(#[from] fetch::Error),
+    /// The platform's configuration could not be read or changed.
+    #[error(transparent)]
+    Publish(#[from] publish::Error),
+    /// The demo failed.
+    #[cfg(feature = "demo")]
+    #[error(transparent)]
+    Demo(#[from] demo::Error),
+    /// Standard output cannot be written.
+    #[error("standard output: {0}")]
+    Output(#[from] io::Error),
 }
 
 impl Error {
     fn code(&self) -> u8 {
         match self {
             Error::Config(_) => WRONG,
-            Error::Entry(_) => FAILED,
+            _ => FAILED,
         }
     }
 }
 
+/// Writes `text` to standard output. A reader that has seen enough is no error.
+fn print(text: &str) -> Result<(), Error> {
+    let mut output = io::stdout().lock();
+    let written = output.write_all(text.as_bytes());
+    match written.and_then(|()| output.flush()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(error.into()),
+        _ => Ok(()),
+    }
+}
+
 fn run() -> Result<(), Error> {
     match App::new().config() {
+        Config::Completions(shell) => help::completions(shell),
+        Config::Man => help::man(),
         Config::Entry(config) => entry::run(&config),
+        Config::Check(config) => config::check(&config),
+        Config::Show(config) => config::show(&config),
+        Config::Publish(config) => publish::run(&config),
+        Config::Drain(config) => drain::run(&config),
+        Config::Status(config) => status::run(&config),
+        Config::Lookup(config) => lookup::run(&config),
+        #[cfg(feature = "demo")]
+        Config::Demo(config) => demo::run(&config),
     }
 }
 
--- a/src/config/folder.rs
+++ b/src/config/folder.rs
@@ -1,15 +1,29 @@
 //! A folder of configuration files.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
+
+use serde::Deserialize as _;
 
 use crate::border::configuration::Configuration;
 
-use super::{Error, Fault, Faults};
+use super::fault::{Problems, Source};
+use super::shape::Shape;
+use super::show::{self, Origin};
+use super::tree::{self, Node, Place, Value};
+use super::value::Reader;
+use super::{rules, Error, Faults};
 
 /// The ending of the files that count.
 const ENDING: &str = ".json";
+/// The largest file, in bytes: what the platform takes as one object.
+pub const LARGEST_FILE: usize = 1_000_000;
+
+/// What the schema says of single values.
+static SHAPE: LazyLock<Shape> =
+    LazyLock::new(|| Shape::with_schema(include_str!("../../schema/configuration.json")));
 
 /// The files of a configuration, by name. Later names override earlier ones.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -28,64 +42,114 @@
         &self.files
     }
 
-    /// The configuration that the files make together.
+    /// The configuration that the files make together, checked.
     ///
     /// # Errors
     ///
-    /// All faults of the folder at once.
+    /// All faults of the folder at once. While a file has a syntax error, only syntax errors are
+    /// reported.
     pub fn merged(&self) -> Result<Configuration, Faults> {
-        let mut merged = serde_json::Value::Object(serde_json::Map::new());
-        for (name, text) in &self.files {
-            let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
-                .map_err(|error| fault(name, &error))?;
-            merge(&mut merged, value);
+        let mut problems = Problems::default();
+        let sources = self.sources();
+        let Some(root) = tree(&sources, &mut problems) else {
+            return Err(problems.faults(&sources));
+        };
+        SHAPE.check(&root, &mut Vec::new(), &mut problems);
+        rules::check(&root, &mut problems);
+        if problems.is_empty() {
+            match Configuration::deserialize(Reader(&root)) {
+                Ok(configuration) => return Ok(configuration),
+                Err(error) => problems.add(root.place, &[], error.to_string()),
+            }
         }
-        serde_json::from_value(merged).map_err(|error| fault("", &error))
+        Err(problems.faults(&sources))
+    }
+
+    /// The merged files as pretty-printed JSON, whether their values are right or not.
+    ///
+    /// # Errors
+    ///
+    /// Syntax errors.
+    pub fn show(&self, origin: Origin) -> Result<String, Faults> {
+        let mut problems = Problems::default();
+        let sources = self.sources();
+        match tree(&sources, &mut problems) {
+            Some(root) => Ok(show::text(&root, &sources, origin)),
+            None => Err(problems.faults(&sources)),
+        }
+    }
+
+    fn sources(&self) -> Vec<Source<'_>> {
+        let files = self.files.iter();
+        files.map(|(name, text)| Source { name, text }).collect()
     }
 }
 
-fn fault(name: &str, error: &dyn std::fmt::Display) -> Faults {
-    Faults(vec![Fault {
-        file: name.into(),
-        line: 1,
-        column: 1,
-        path: "".into(),
-        problem: error.to_string().into(),
-    }])
+/// All sources merged; none when one of them cannot be read as an object.
+fn tree<'a>(sources: &[Source<'a>], problems: &mut Problems) -> Option<Node<'a>> {
+    let mut layers = Vec::with_capacity(sources.len());
+    for (i, source) in sources.iter().enumerate() {
+        layers.extend(layer(i as u32, source, problems));
+    }
+    if layers.len() < sources.len() {
+        return None;
+    }
+    let empty = Node {
+        place: Place { file: 0, offset: 0 },
+        value: Value::Object(Vec::new()),
+    };
+    Some(tree::merge(layers).unwrap_or(empty))
 }
 
-fn merge(into: &mut serde_json::Value, from: serde_json::Value) {
-    use serde_json::Value;
-    match (into, from) {
-        (Value::Object(into), Value::Object(from)) => {
-            for (key, value) in from {
-                if value.is_null() {
-                    into.remove(&key);
-                } else {
-                    merge(into.entry(key).or_insert(Value::Null), value);
-                }
-            }
-        }
-        (into, from) => *into = from,
+fn layer<'a>(file: u32, source: &Source<'a>, problems: &mut Problems) -> Option<Node<'a>> {
+    let start = Place { file, offset: 0 };
+    if source.text.len() > LARGEST_FILE {
+        let problem = format!("has more than {LARGEST_FILE} bytes");
+        problems.add(start, &[], problem);
+        return None;
+    }
+    let node = tree::parse(file, source.text, problems)?;
+    if !matches!(node.value, Value::Object(_)) {
+        problems.add(node.place, &[], "expected an object".into());
+        return None;
     }
+    Some(node)
 }
 
 /// Reads the files of `dir`.
 pub(super) fn read(dir: &Path) -> Result<Folder, Error> {
-    let failed = |path: &Path| {
-        let path: Arc<str> = path.display().to_string().into();
-        move |source| Error::Read { path, source }
-    };
     let mut files = BTreeMap::new();
-    for entry in std::fs::read_dir(dir).map_err(failed(dir))? {
-        let path = entry.map_err(failed(dir))?.path();
+    for entry in std::fs::read_dir(dir).map_err(|source| read_error(dir, source))? {
+        let path = entry.map_err(|source| read_error(dir, source))?.path();
         let Some(name) = path.file_name().and_then(|name| name.to_str()) else {
             continue;
         };
         if name.ends_with(ENDING) && path.is_file() {
-            let text = std::fs::read_to_string(&path).map_err(failed(&path))?;
-            files.insert(name.into(), text.into());
+            files.insert(name.into(), read_file(&path)?);
         }
     }
+    if files.is_empty() {
+        return Err(Error::Empty {
+            path: dir.display().to_string().into(),
+        });
+    }
     Ok(Folder { files })
 }
+
+fn read_file(path: &Path) -> Result<Arc<str>, Error> {
+    let size = std::fs::metadata(path).map_err(|source| read_error(path, source))?;
+    if size.len() > LARGEST_FILE as u64 {
+        return Err(Error::Size {
+            path: path.display().to_string().into(),
+            bytes: size.len(),
+        });
+    }
+    let text = std::fs::read_to_string(path).map_err(|source| read_error(path, source))?;
+    Ok(text.into())
+}
+
+/// The error of a file or folder that cannot be read.
+pub(super) fn read_error(path: &Path, source: io::Error) -> Error {
+    let path = path.display().to_string().into();
+    Error::Read { path, source }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,7 +2,13 @@
 
 mod fault;
 mod folder;
+mod lines;
+mod rules;
 pub mod settings;
+mod shape;
+mod show;
+mod tree;
+mod value;
 
 use std::path::Path;
 use std::sync::Arc;
@@ -10,7 +16,8 @@
 use crate::border::configuration::Configuration;
 
 pub use fault::{Fault, Faults};
-pub use folder::Folder;
+pub use folder::{Folder, LARGEST_FILE};
+pub use show::Origin;
 
 /// What keeps files from being read.
 #[derive(Debug, thiserror::Error)]
@@ -23,6 +30,20 @@
         /// Why not.
         source: std::io::Error,
     },
+    /// A folder without configuration files.
+    #[error("{path}: no *.json files here")]
+    Empty {
+        /// The folder.
+        path: Arc<str>,
+    },
+    /// A file larger than the platform takes.
+    #[error("{path}: has {bytes} bytes, more than {LARGEST_FILE}")]
+    Size {
+        /// The file.
+        path: Arc<str>,
+        /// Its size.
+        bytes: u64,
+    },
     /// Some values are wrong.
     #[error(transparent)]
     Faults(#[from] Faults),
