Add the stand-ins of platform, target and link

Cause: the daemon, the store's client and the tests need surroundings that misbehave on demand. Change: standin::{platform, target, link}, embedded or by /standin/ calls. The server is a small one over httparse, not tiny_http: tiny_http gives no hold of the socket, so it cannot end a connection without an answer, reset, bound connections or break an answer off.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,30 @@
 //! Stand-ins for what surrounds ragwortfold: a platform, targets, a faulty link, callers.
+//!
+//! Each can be embedded (it runs on threads of its own and stops when dropped) or started as a
+//! process by the `standin` binary. Faults are switched while they run, by a method or by
+//! `POST /standin/fault`.
+
+//pub mod caller;
+mod error;
+mod http;
+pub mod link;
+mod listen;
+pub mod pattern;
+pub mod platform;
+pub mod target;
+
+pub use error::Error;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Locks a mutex; the state of a stand-in stays usable after a panic elsewhere.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Microseconds since the Unix epoch, comparable between the processes of one machine.
+pub fn unix_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_micros() as u64)
+}
--- /dev/null
+++ b/standin/src/link.rs
@@ -0,0 +1,471 @@
+//! A TCP link with faults: delay, loss of a direction, cuts, refusal, resets, limited bandwidth.
+//!
+//! Each direction of a connection has a reader, which stamps chunks with the time they are due,
+//! and a writer, which sends them then: a delay does not lower the throughput, up to
+//! [`QUEUE`] chunks under way. While a direction is a black hole its bytes are held and arrive
+//! after it ends, as retransmission would have it; a new connection is accepted all the same,
+//! since the kernel does that. When the far end refuses, the link refuses as well, until the far
+//! end is back; the connection that finds it out is reset.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{self, Receiver, SyncSender};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::http::{Reply, Request, Response, Server};
+use crate::listen::{self, Gate, Listener};
+use crate::{lock, Error};
+
+/// Bytes read at once.
+const CHUNK: usize = 16 << 10;
+/// Chunks under way in one direction of a connection.
+const QUEUE: usize = 256;
+const MAX_CONNECTIONS: usize = 1024;
+const CONTROL_CONNECTIONS: usize = 8;
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between tries to reach a far end that refused.
+const PROBE_PAUSE: Duration = Duration::from_millis(20);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+const STACK: usize = 128 << 10;
+
+/// What one direction does to the bytes. The default is to pass them on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Flow {
+    /// Time under way, in microseconds.
+    pub delay_us: u64,
+    /// Nothing arrives while it lasts.
+    pub black_hole: bool,
+    /// The connection is cut after this many bytes since the fault was set.
+    pub cut_after: Option<u64>,
+    /// Bandwidth shared by all connections, in bytes per second; 0 is no limit.
+    pub bytes_per_s: u64,
+}
+
+/// What becomes of new connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Accept {
+    /// They are joined to the far end.
+    #[default]
+    Join,
+    /// They are refused.
+    Refuse,
+    /// They are accepted and reset.
+    Reset,
+}
+
+/// What a link does wrong. The default is nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fault {
+    /// Bytes from the connecting side to the far end.
+    pub forth: Flow,
+    /// Bytes from the far end back.
+    pub back: Flow,
+    /// What becomes of new connections.
+    pub accept: Accept,
+    /// Resets every connection that is open when the fault is set.
+    pub reset_open: bool,
+}
+
+impl Fault {
+    /// A sound link of that delay each way.
+    pub fn delay(delay: Duration) -> Self {
+        let flow = Flow {
+            delay_us: delay.as_micros() as u64,
+            ..Flow::default()
+        };
+        Self {
+            forth: flow,
+            back: flow,
+            ..Self::default()
+        }
+    }
+
+    /// The same with nothing passing either way.
+    pub fn with_black_hole(mut self) -> Self {
+        self.forth.black_hole = true;
+        self.back.black_hole = true;
+        self
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Direction {
+    Forth = 0,
+    Back = 1,
+}
+
+/// The two joined streams: the near one and the far one.
+struct Connection {
+    near: TcpStream,
+    far: TcpStream,
+    reset: AtomicBool,
+}
+
+impl Connection {
+    /// The stream a direction reads and the one it writes.
+    fn streams(&self, direction: Direction) -> (&TcpStream, &TcpStream) {
+        match direction {
+            Direction::Forth => (&self.near, &self.far),
+            Direction::Back => (&self.far, &self.near),
+        }
+    }
+
+    fn cut(&self) {
+        let _ = self.near.shutdown(Shutdown::Both);
+        let _ = self.far.shutdown(Shutdown::Both);
+    }
+
+    /// Resets both sides; the resets go out when the threads have let go.
+    fn reset(&self) {
+        self.reset.store(true, Ordering::Relaxed);
+        listen::reset(&self.near);
+        listen::reset(&self.far);
+    }
+}
+
+/// What a reader hands to its writer.
+enum Piece {
+    Bytes(Vec<u8>),
+    End,
+    Reset,
+}
+
+type Due = (Instant, Piece);
+
+struct State {
+    fault: Fault,
+    /// Rises with each change of the fault.
+    generation: u64,
+    /// When each direction has sent what it was given so far.
+    free: [Option<Instant>; 2],
+    connections: BTreeMap<u64, Arc<Connection>>,
+    /// The far end refused and is being probed.
+    far_refuses: bool,
+    bytes: [u64; 2],
+    stopped: bool,
+}
+
+struct Shared {
+    to: SocketAddr,
+    state: Mutex<State>,
+    changed: Condvar,
+    gate: OnceLock<Box<dyn Fn(Gate) + Send + Sync>>,
+}
+
+/// A running link; it stops when dropped.
+pub struct Link {
+    shared: Arc<Shared>,
+    listener: Listener,
+    control: Option<Server>,
+}
+
+impl Link {
+    /// Starts a sound link from `listen` (port 0 takes a free one) to `to`.
+    pub fn new(listen: SocketAddr, to: SocketAddr) -> Result<Self, Error> {
+        let state = State {
+            fault: Fault::default(),
+            generation: 0,
+            free: [None; 2],
+            connections: BTreeMap::new(),
+            far_refuses: false,
+            bytes: [0; 2],
+            stopped: false,
+        };
+        let shared = Arc::new(Shared {
+            to,
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            gate: OnceLock::new(),
+        });
+        let inner = Arc::clone(&shared);
+        let mut next = 0;
+        let listener = Listener::new(listen, move |stream| {
+            next += 1;
+            open(&inner, next, stream);
+        })?;
+        let _ = shared.gate.set(Box::new(listener.setter()));
+        Ok(Self {
+            shared,
+            listener,
+            control: None,
+        })
+    }
+
+    /// Takes `POST /standin/fault` at a second address, which no fault reaches.
+    pub fn with_control(mut self, listen: SocketAddr) -> Result<Self, Error> {
+        let shared = Arc::clone(&self.shared);
+        let handler = move |request: Request| {
+            if (request.method.as_str(), request.path.as_str()) != ("POST", "/standin/fault") {
+                return Reply::from(Response::error(404, "no such call"));
+            }
+            match serde_json::from_slice(&request.body) {
+                Ok(fault) => {
+                    shared.set_fault(fault);
+                    Response::json(200, &fault).into()
+                }
+                Err(error) => Response::error(400, &error.to_string()).into(),
+            }
+        };
+        self.control = Some(Server::new(listen, CONTROL_CONNECTIONS, handler)?);
+        Ok(self)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Where it takes control calls, if there is a second address.
+    pub fn control_address(&self) -> Option<SocketAddr> {
+        self.control.as_ref().map(Server::address)
+    }
+
+    /// Replaces the faults shown, for open connections too.
+    pub fn fault(&self, fault: Fault) {
+        self.shared.set_fault(fault);
+    }
+
+    /// Bytes passed on so far, forth and back.
+    pub fn bytes(&self) -> [u64; 2] {
+        lock(&self.shared.state).bytes
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        let mut state = lock(&self.shared.state);
+        state.stopped = true;
+        state
+            .connections
+            .values()
+            .for_each(|connection| connection.cut());
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Shared {
+    fn set_fault(&self, fault: Fault) {
+        let mut state = lock(&self.state);
+        state.fault = fault;
+        state.generation += 1;
+        if fault.reset_open {
+            state
+                .connections
+                .values()
+                .for_each(|connection| connection.reset());
+        }
+        drop(state);
+        self.changed.notify_all();
+        self.regate();
+    }
+
+    /// Refuses connections if the fault says so or the far end does.
+    fn regate(&self) {
+        let state = lock(&self.state);
+        let closed = state.far_refuses || state.fault.accept == Accept::Refuse;
+        if let Some(gate) = self.gate.get() {
+            gate(if closed { Gate::Closed } else { Gate::Open });
+        }
+    }
+
+    /// Connects to the far end; if it refuses, refuses too until it is back.
+    fn connect(&self) -> io::Result<TcpStream> {
+        let result = TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT);
+        let refused = |r: &io::Result<TcpStream>| {
+            r.as_ref()
+                .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+        };
+        if refused(&result) && self.note_refusal() {
+            self.regate();
+            let mut probe = TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT);
+            while refused(&probe) && !lock(&self.state).stopped {
+                thread::sleep(PROBE_PAUSE);
+                probe = TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT);
+            }
+            lock(&self.state).far_refuses = false;
+            self.regate();
+        }
+        result
+    }
+
+    /// Whether this is the first connection that the far end refused.
+    fn note_refusal(&self) -> bool {
+        let mut state = lock(&self.state);
+        !std::mem::replace(&mut state.far_refuses, true)
+    }
+
+    /// When bytes read now arrive.
+    fn due(&self, direction: Direction, length: usize) -> Instant {
+        let mut state = lock(&self.state);
+        let flow = state.fault.flow(direction);
+        let now = Instant::now();
+        let free = &mut state.free[direction as usize];
+        let mut sent = free.map_or(now, |free| free.max(now));
+        if flow.bytes_per_s > 0 {
+            sent += Duration::from_secs_f64(length as f64 / flow.bytes_per_s as f64);
+        }
+        *free = Some(sent);
+        sent + Duration::from_micros(flow.delay_us)
+    }
+
+    /// Waits until a piece may arrive; answers the cut in force and the fault's generation.
+    fn arrive(&self, direction: Direction, due: Instant) -> io::Result<(Option<u64>, u64)> {
+        let mut state = lock(&self.state);
+        loop {
+            let flow = state.fault.flow(direction);
+            if state.stopped {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() && !flow.black_hole {
+                return Ok((flow.cut_after, state.generation));
+            }
+            let wait = if flow.black_hole { WRITE_TIMEOUT } else { left };
+            let waited = self.changed.wait_timeout(state, wait);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+impl Fault {
+    fn flow(&self, direction: Direction) -> Flow {
+        match direction {
+            Direction::Forth => self.forth,
+            Direction::Back => self.back,
+        }
+    }
+}
+
+/// Takes a new connection on the accepting thread.
+fn open(shared: &Arc<Shared>, id: u64, near: TcpStream) {
+    let state = lock(&shared.state);
+    let full = state.connections.len() >= MAX_CONNECTIONS;
+    if full || state.fault.accept == Accept::Reset {
+        listen::reset(&near);
+        return;
+    }
+    drop(state);
+    let shared = Arc::clone(shared);
+    // If no thread can be had the connection ends, which the connecting side sees.
+    let _ = spawn(move || {
+        let _ = join(&shared, id, near);
+    });
+}
+
+fn spawn(run: impl FnOnce() + Send + 'static) -> io::Result<thread::JoinHandle<()>> {
+    thread::Builder::new()
+        .name("link".into())
+        .stack_size(STACK)
+        .spawn(run)
+}
+
+/// Joins a connection to the far end until both directions have ended.
+fn join(shared: &Arc<Shared>, id: u64, near: TcpStream) -> io::Result<()> {
+    let far = match shared.connect() {
+        Ok(far) => far,
+        Err(error) => {
+            listen::reset(&near);
+            return Err(error);
+        }
+    };
+    far.set_nodelay(true)?;
+    near.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    far.set_write_timeout(Some(WRITE_TIMEOUT))?;
+    let connection = Arc::new(Connection {
+        near,
+        far,
+        reset: AtomicBool::new(false),
+    });
+    lock(&shared.state)
+        .connections
+        .insert(id, Arc::clone(&connection));
+    let mut threads = Vec::new();
+    for direction in [Direction::Forth, Direction::Back] {
+        let (sender, receiver) = mpsc::sync_channel(QUEUE);
+        let (s, c) = (Arc::clone(shared), Arc::clone(&connection));
+        threads.push(spawn(move || read(&s, &c, direction, &sender)));
+        let (s, c) = (Arc::clone(shared), Arc::clone(&connection));
+        threads.push(spawn(move || {
+            if write(&s, &c, direction, &receiver).is_err() {
+                c.cut();
+            }
+        }));
+    }
+    if threads.iter().any(Result::is_err) {
+        connection.cut();
+    }
+    for thread in threads.into_iter().flatten() {
+        let _ = thread.join();
+    }
+    lock(&shared.state).connections.remove(&id);
+    Ok(())
+}
+
+fn read(shared: &Shared, connection: &Connection, direction: Direction, to: &SyncSender<Due>) {
+    let (mut from, _) = connection.streams(direction);
+    let mut buffer = vec![0; CHUNK];
+    loop {
+        let piece = match from.read(&mut buffer) {
+            Ok(0) => Piece::End,
+            Ok(n) => Piece::Bytes(buffer[..n].to_vec()),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            Err(_) => Piece::Reset,
+        };
+        let length = if let Piece::Bytes(bytes) = &piece {
+            bytes.len()
+        } else {
+            0
+        };
+        let due = shared.due(direction, length);
+        if to.send((due, piece)).is_err() || length == 0 {
+            return;
+        }
+    }
+}
+
+fn write(
+    shared: &Shared,
+    connection: &Connection,
+    direction: Direction,
+    from: &Receiver<Due>,
+) -> io::Result<()> {
+    let (_, mut to) = connection.streams(direction);
+    let mut sent = 0;
+    let mut seen = 0;
+    while let Ok((due, piece)) = from.recv() {
+        let (cut_after, generation) = shared.arrive(direction, due)?;
+        if generation != seen {
+            seen = generation;
+            sent = 0;
+        }
+        match piece {
+            Piece::Bytes(bytes) => {
+                let room = cut_after.map_or(u64::MAX, |limit| limit - sent);
+                let passed = (bytes.len() as u64).min(room) as usize;
+                to.write_all(&bytes[..passed])?;
+                sent += passed as u64;
+                lock(&shared.state).bytes[direction as usize] += passed as u64;
+                if cut_after == Some(sent) {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+            }
+            Piece::End if connection.reset.load(Ordering::Relaxed) => return Ok(()),
+            Piece::End => return to.shutdown(Shutdown::Write),
+            Piece::Reset => {
+                connection.reset();
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standin/tests/link.rs
@@ -0,0 +1,139 @@
+//! The faults of a link that other tests rely on.
+
+#![allow(clippy::unwrap_used)]
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use standin::link::{Accept, Fault, Flow, Link};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// A far end that sends back what it gets.
+fn echo() -> SocketAddr {
+    let listener = TcpListener::bind(any()).unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.unwrap();
+            thread::spawn(move || {
+                let _ = std::io::copy(&mut &stream, &mut &stream);
+                let _ = stream.shutdown(Shutdown::Write);
+            });
+        }
+    });
+    address
+}
+
+fn connect(link: &Link) -> TcpStream {
+    let stream = TcpStream::connect(link.address()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// Sends bytes, ends, and reads what comes back and how that ends.
+fn exchange(mut stream: TcpStream, bytes: &[u8]) -> (usize, Option<ErrorKind>) {
+    let mut writer = stream.try_clone().unwrap();
+    let bytes = bytes.to_vec();
+    let sender = thread::spawn(move || {
+        let _ = writer.write_all(&bytes);
+        let _ = writer.shutdown(Shutdown::Write);
+    });
+    let mut back = Vec::new();
+    let end = stream.read_to_end(&mut back).err().map(|e| e.kind());
+    sender.join().unwrap();
+    (back.len(), end)
+}
+
+macro_rules! case {
+    ($($name:ident: $run:expr;)*) => {
+        $(#[test] fn $name() { let link = Link::new(any(), echo()).unwrap(); $run(&link); })*
+    };
+}
+
+case! {
+    bytes_pass: |link: &Link| {
+        assert_eq!(exchange(connect(link), &[7; 3_000_000]), (3_000_000, None));
+        assert_eq!(link.bytes(), [3_000_000; 2]);
+    };
+    a_delay_keeps_the_throughput: |link: &Link| {
+        let delay = Duration::from_millis(40);
+        link.fault(Fault::delay(delay));
+        let start = Instant::now();
+        assert_eq!(exchange(connect(link), &[7; 4_000_000]), (4_000_000, None));
+        let took = start.elapsed();
+        assert!(took >= 2 * delay, "{took:?}");
+        // One chunk at a time would take 245 delays.
+        assert!(took < 100 * delay, "{took:?}");
+    };
+    bandwidth_is_limited: |link: &Link| {
+        let forth = Flow { bytes_per_s: 1_000_000, ..Flow::default() };
+        link.fault(Fault { forth, ..Fault::default() });
+        let start = Instant::now();
+        assert_eq!(exchange(connect(link), &[7; 200_000]), (200_000, None));
+        assert!(start.elapsed() >= Duration::from_millis(199));
+    };
+    a_cut_counts_the_bytes_of_its_direction: |link: &Link| {
+        let cut = Flow { cut_after: Some(1000), ..Flow::default() };
+        link.fault(Fault { back: cut, ..Fault::default() });
+        assert_eq!(exchange(connect(link), &[7; 5000]).0, 1000);
+        assert_eq!(link.bytes()[1], 1000);
+        link.fault(Fault { forth: cut, ..Fault::default() });
+        assert!(exchange(connect(link), &[7; 5000]).0 <= 1000);
+    };
+    a_black_hole_holds_the_bytes: |link: &Link| {
+        let mut stream = connect(link);
+        let mut byte = [0];
+        stream.write_all(b"a").unwrap();
+        stream.read_exact(&mut byte).unwrap();
+        link.fault(Fault::default().with_black_hole());
+        stream.write_all(b"b").unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        assert_eq!(stream.read(&mut byte).unwrap_err().kind(), ErrorKind::WouldBlock);
+        link.fault(Fault::default());
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.read_exact(&mut byte).unwrap();
+        assert_eq!(&byte, b"b");
+    };
+    open_connections_are_reset: |link: &Link| {
+        let mut stream = connect(link);
+        stream.write_all(b"a").unwrap();
+        stream.read_exact(&mut [0]).unwrap();
+        link.fault(Fault { reset_open: true, ..Fault::default() });
+        assert_eq!(stream.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
+    };
+    new_connections_are_refused_or_reset: |link: &Link| {
+        link.fault(Fault { accept: Accept::Refuse, ..Fault::default() });
+        let refused = TcpStream::connect(link.address()).unwrap_err();
+        assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+        link.fault(Fault { accept: Accept::Reset, ..Fault::default() });
+        assert_eq!(connect(link).read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
+        link.fault(Fault::default());
+        assert_eq!(exchange(connect(link), b"a"), (1, None));
+    };
+}
+
+#[test]
+fn a_refusing_far_end_is_refused() {
+    let port = TcpListener::bind(any()).unwrap();
+    let to = port.local_addr().unwrap();
+    drop(port);
+    let link = Link::new(any(), to).unwrap();
+    let end = Instant::now() + PATIENCE;
+    let refused = |e: std::io::Error| e.kind() == ErrorKind::ConnectionRefused;
+    while !TcpStream::connect(link.address()).is_err_and(refused) {
+        assert!(Instant::now() < end);
+        thread::sleep(Duration::from_millis(1));
+    }
+    let _back = TcpListener::bind(to).unwrap();
+    while TcpStream::connect(link.address()).is_err() {
+        assert!(Instant::now() < end);
+        thread::sleep(Duration::from_millis(1));
+    }
+}
