--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -1,4 +1,4 @@
-//! The body of a caller's request: held whole where it is small, streamed where it is not.
+//! The body of a request: held whole where it is small, passed on as it comes where it is not.
 
 use std::io::{self, Cursor, Read};
 use std::sync::Arc;
@@ -7,15 +7,18 @@
 pub(crate) enum Body {
     /// All of it, so that it can be sent again.
     Whole(Arc<[u8]>),
-    /// A part that was read, and the rest as it comes.
-    Stream(Stream),
+    /// Its beginning; the rest is yet to come.
+    Part(Part),
 }
 
-/// A body that is passed on as it comes.
-pub(crate) struct Stream {
-    reader: Box<dyn Read + Send>,
-    /// Length stated by the caller; none for a chunked body.
+/// A body of which the rest is yet to come.
+pub(crate) struct Part {
+    /// What was read.
+    held: Vec<u8>,
+    /// Length stated by the sender; none for a chunked body.
     pub(crate) length: Option<u64>,
+    /// Most bytes it may have.
+    most: u64,
 }
 
 /// What is wrong with a body; the request did not run.
@@ -38,8 +41,8 @@
 
 impl Body {
     /// Reads a body of `length` bytes (none: chunked), holding it whole up to `hold` bytes.
-    pub(crate) fn new(
-        mut reader: Box<dyn Read + Send>,
+    pub(crate) fn read(
+        reader: &mut dyn Read,
         length: Option<u64>,
         hold: u64,
         most: u64,
@@ -47,26 +50,25 @@
         if length.is_some_and(|length| length > most) {
             return Err(Error::Oversize(most));
         }
+        let mut part = Part {
+            held: Vec::new(),
+            length,
+            most,
+        };
         if length.is_some_and(|length| length > hold) {
-            return Ok(Self::Stream(Stream { reader, length }));
+            return Ok(Self::Part(part));
         }
-        let mut held = Vec::new();
         let limit = length.unwrap_or(hold.min(most) + 1);
         reader
-            .by_ref()
             .take(limit)
-            .read_to_end(&mut held)
+            .read_to_end(&mut part.held)
             .map_err(Error::Short)?;
-        let count = held.len() as u64;
+        let count = part.held.len() as u64;
         match length {
             Some(length) if count < length => Err(Error::Short(missing(count, length))),
-            Some(_) => Ok(Self::Whole(held.into())),
             None if count > most => Err(Error::Oversize(most)),
-            None if count <= hold => Ok(Self::Whole(held.into())),
-            None => Ok(Self::Stream(Stream {
-                reader: Box::new(Limit::new(Cursor::new(held).chain(reader), most)),
-                length: None,
-            })),
+            None if count > hold => Ok(Self::Part(part)),
+            _ => Ok(Self::Whole(part.held.into())),
         }
     }
 }
@@ -76,38 +78,46 @@
     io::Error::new(io::ErrorKind::UnexpectedEof, text)
 }
 
-impl Stream {
-    /// A stream over `reader`.
-    pub(crate) fn new(reader: Box<dyn Read + Send>, length: Option<u64>) -> Self {
-        Self { reader, length }
-    }
-}
-
-impl Read for Stream {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        self.reader.read(buffer)
+impl Part {
+    /// The whole body, when `rest` gives what is yet to come.
+    pub(crate) fn stream<'a>(&'a self, rest: &'a mut dyn Read) -> Stream<'a> {
+        Stream {
+            reader: Box::new(Cursor::new(&self.held[..]).chain(rest)),
+            length: self.length,
+            left: self.length.unwrap_or(self.most),
+            rest: 0,
+            held: self.held.len() as u64,
+        }
     }
 }
 
-/// A reader that fails once its source gives more than it may.
-struct Limit<R> {
-    reader: R,
+/// A body as it is passed on. Fails if it is longer than it may be, or shorter than stated.
+pub(crate) struct Stream<'a> {
+    reader: Box<dyn Read + 'a>,
+    pub(crate) length: Option<u64>,
     left: u64,
+    rest: u64,
+    held: u64,
 }
 
-impl<R: Read> Limit<R> {
-    fn new(reader: R, most: u64) -> Self {
-        Self { reader, left: most }
+impl Stream<'_> {
+    /// Whether any of it is no longer held.
+    pub(crate) fn is_consumed(&self) -> bool {
+        self.rest > self.held
     }
 }
 
-impl<R: Read> Read for Limit<R> {
+impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let count = self.reader.read(buffer)?;
+        self.rest += count as u64;
+        if count == 0 && !buffer.is_empty() && self.length.is_some() && self.left > 0 {
+            return Err(missing(self.rest, self.rest + self.left));
+        }
         self.left = self
             .left
             .checked_sub(count as u64)
-            .ok_or_else(|| io::Error::other("the body is larger than the service allows"))?;
+            .ok_or_else(|| io::Error::other("the body is larger than it may be"))?;
         Ok(count)
     }
 }
--- /dev/null
+++ b/src/entry/front.rs
@@ -0,0 +1,278 @@
+//! What callers may ask, and who answers: look-ups at once, requests by a pool of workers.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
+
+use serde::Serialize;
+use tiny_http::{Method, Request};
+
+use super::body::Body;
+use super::call::{self, Call, Start};
+use super::head::{Head, SERVICES};
+use super::published::State;
+use super::reply::Reply;
+use super::{Error, Shared};
+use crate::catalog::ServiceKey;
+use crate::steer::engine::Origin;
+use crate::steer::lookup::Snapshot;
+
+/// When a caller that found this host full is asked to come back.
+const FULL_RETRY: Duration = Duration::from_secs(1);
+/// Bodies above this size are received by the pool for large ones, in bytes.
+const SMALL_BODY: u64 = 16 << 10;
+
+/// A request that waits for a worker.
+struct Job {
+    request: Request,
+    arrived: Instant,
+}
+
+/// The two pools of workers. Large bodies have their own, so that they cannot keep small requests
+/// waiting.
+pub(crate) struct Front {
+    shared: Arc<Shared>,
+    small: Sender<Job>,
+    large: Sender<Job>,
+}
+
+#[derive(Serialize)]
+struct Entry<'a> {
+    host: &'a str,
+    availability_zone: &'a str,
+    address: String,
+}
+
+#[derive(Serialize)]
+struct Entries<'a> {
+    revision: u64,
+    ttl_ms: u64,
+    ticket: String,
+    entries: Vec<Entry<'a>>,
+}
+
+impl Front {
+    /// Starts the workers.
+    pub(crate) fn new(shared: Arc<Shared>) -> Result<Self, Error> {
+        let workers = shared.settings.pool.workers.get();
+        let large = (workers / 4).max(1);
+        Ok(Self {
+            small: pool(&shared, "call", workers)?,
+            large: pool(&shared, "upload", large)?,
+            shared,
+        })
+    }
+
+    /// Answers a request or hands it to a worker.
+    pub(crate) fn take(&self, request: Request) {
+        let url = request.url();
+        if url.starts_with(SERVICES) {
+            return self.hand_over(request);
+        }
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        let reply = match (request.method(), path) {
+            (Method::Get | Method::Head, "/v1/entries") => self.lookup(&request, query),
+            (Method::Get | Method::Head, "/healthz") => self.health(),
+            (Method::Get | Method::Head, "/metrics") => self.metrics(),
+            (Method::Get | Method::Head, "/v1/status") => self.shared.status(),
+            (_, "/v1/entries" | "/healthz" | "/metrics" | "/v1/status") => {
+                Reply::not_run(405, "only GET is possible here", None)
+            }
+            _ => Reply::not_run(404, &format!("nothing is at {path}"), None),
+        };
+        reply.send(request);
+    }
+
+    fn hand_over(&self, request: Request) {
+        let large = request
+            .body_length()
+            .map_or_else(|| is_chunked(&request), |length| length as u64 > SMALL_BODY);
+        let queue = if large { &self.large } else { &self.small };
+        let job = Job {
+            request,
+            arrived: Instant::now(),
+        };
+        if let Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) = queue.try_send(job)
+        {
+            Reply::not_run(503, "this host is full", Some(FULL_RETRY)).send(job.request);
+        }
+    }
+
+    fn lookup(&self, request: &Request, query: &str) -> Reply {
+        let state = self.shared.published.get();
+        let Some(lookup) = &state.lookup else {
+            return Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
+        };
+        let (service, client) = match parse(query) {
+            Ok(parsed) => parsed,
+            Err(problem) => return Reply::not_run(400, &problem, None),
+        };
+        let Some(service) = service else {
+            return Reply::not_run(400, "service: is missing", None);
+        };
+        let Some(key) = state.catalog.service_key(&service) else {
+            return Reply::not_run(404, &format!("service: no '{service}'"), None);
+        };
+        let client = client.or_else(|| remote(request));
+        let Some(client) = client else {
+            return Reply::not_run(400, "client: is missing", None);
+        };
+        self.shared.metrics.lookup(&state.catalog.service(key).name);
+        Reply::json(200, &self.entries(&state, lookup, key, client))
+    }
+
+    fn entries<'a>(
+        &self,
+        state: &'a State,
+        lookup: &Snapshot,
+        service: ServiceKey,
+        client: IpAddr,
+    ) -> Entries<'a> {
+        let catalog = &state.catalog;
+        let answer = lookup.answer(service, client, 0);
+        let entries = answer
+            .entries()
+            .map(|key| {
+                let host = catalog.host(key);
+                Entry {
+                    host: &host.name,
+                    availability_zone: &catalog.zone(host.zone).name,
+                    address: host.address.to_string(),
+                }
+            })
+            .collect();
+        Entries {
+            revision: catalog.revision,
+            ttl_ms: catalog
+                .limits()
+                .ttl
+                .as_millis()
+                .try_into()
+                .unwrap_or(u64::MAX),
+            ticket: self.shared.issuer.issue(Instant::now()).to_string(),
+            entries,
+        }
+    }
+
+    fn health(&self) -> Reply {
+        if self.shared.published.get().lookup.is_none() {
+            return Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
+        }
+        Reply::whole(200, "text/plain", b"ok\n".to_vec())
+    }
+
+    fn metrics(&self) -> Reply {
+        Reply::whole(200, "text/plain; version=0.0.4", self.shared.metrics.text())
+    }
+}
+
+fn is_chunked(request: &Request) -> bool {
+    request
+        .headers()
+        .iter()
+        .any(|header| header.field.equiv("Transfer-Encoding"))
+}
+
+fn remote(request: &Request) -> Option<IpAddr> {
+    request.remote_addr().map(|address| address.ip())
+}
+
+/// Reads `service=S&client=IP`.
+fn parse(query: &str) -> Result<(Option<Arc<str>>, Option<IpAddr>), String> {
+    let mut service = None;
+    let mut client = None;
+    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+        match pair.split_once('=') {
+            Some(("service", name)) => service = Some(name.into()),
+            Some(("client", text)) => {
+                let ip = text
+                    .parse()
+                    .map_err(|_| format!("client: '{text}' is not an IP address"))?;
+                client = Some(ip);
+            }
+            _ => return Err(format!("unknown parameter '{pair}'")),
+        }
+    }
+    Ok((service, client))
+}
+
+fn pool(shared: &Arc<Shared>, name: &str, workers: u32) -> Result<Sender<Job>, Error> {
+    let backlog = shared.settings.pool.backlog.get() as usize;
+    let (sender, receiver) = bounded::<Job>(backlog);
+    for index in 0..workers {
+        let shared = shared.clone();
+        let receiver: Receiver<Job> = receiver.clone();
+        thread::Builder::new()
+            .name(format!("{name}-{index}"))
+            .spawn(move || {
+                for job in receiver {
+                    serve(&shared, job);
+                }
+            })?;
+    }
+    Ok(sender)
+}
+
+fn serve(shared: &Shared, job: Job) {
+    let request = job.request;
+    match prepare(shared, request, job.arrived) {
+        Ok(call) => call.run(shared),
+        Err((request, reply)) => reply.send(request),
+    }
+}
+
+/// Checks a request and takes its body in.
+fn prepare(
+    shared: &Shared,
+    mut request: Request,
+    arrived: Instant,
+) -> Result<Call, (Request, Reply)> {
+    let Some(client) = remote(&request) else {
+        return Err((request, Reply::not_run(400, "no remote address", None)));
+    };
+    let limit = shared.settings.pool.head_bytes as usize;
+    let head = match Head::new(&request, client, limit) {
+        Ok(head) => head,
+        Err(error) => {
+            let reply = Reply::not_run(error.status(), &error.to_string(), None);
+            return Err((request, reply));
+        }
+    };
+    let state = shared.published.get();
+    let Some(lookup) = &state.lookup else {
+        let reply = Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
+        return Err((request, reply));
+    };
+    let catalog = state.catalog.clone();
+    let Some(service) = catalog.service_key(&head.service) else {
+        let problem = format!("no service '{}'", head.service);
+        return Err((request, Reply::not_run(404, &problem, None)));
+    };
+    let record = catalog.service(service);
+    let hold = u64::from(shared.settings.pool.buffer_bytes);
+    let body = match Body::read(request.as_reader(), head.length, hold, record.max_body) {
+        Ok(body) => body,
+        Err(error) => {
+            let reply = Reply::not_run(error.status(), &error.to_string(), None);
+            return Err((request, reply));
+        }
+    };
+    let place = lookup.place(client, 0);
+    let deadline = arrived + head.deadline.unwrap_or(record.deadline);
+    Ok(Call::new(Start {
+        id: shared.next_id(),
+        head,
+        body,
+        catalog,
+        service,
+        locality: place.locality,
+        block: place.block,
+        origin: Origin::Caller,
+        arrived,
+        deadline,
+        sender: call::Sender::Caller(request),
+    }))
+}
--- a/src/entry/log.rs
+++ b/src/entry/log.rs
@@ -16,9 +16,9 @@
 ///
 /// The logger could not be built.
 pub fn install(log: &border::Log) -> Result<(), Error> {
-    let sink = StdStreamSink::builder()
+    let sink: Arc<dyn Sink> = StdStreamSink::builder()
         .std_stream(StdStream::Stderr)
-        .build()
+        .build_arc()
         .map_err(Error::log)?;
     match log.format {
         border::Format::Json => sink.set_formatter(Box::new(JsonFormatter::new())),
@@ -26,7 +26,6 @@
             "{date} {time}.{millisecond} {level} {payload}{eol}"
         )))),
     }
-    let sink: Arc<dyn Sink> = Arc::new(sink);
     let logger = Logger::builder()
         .sink(sink)
         .flush_level_filter(LevelFilter::All)
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -55,7 +55,6 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
             .without_target_info()
             .build()
             .map_err(Error::metrics)?;
@@ -88,10 +87,7 @@
 
     /// A request ended.
     pub(crate) fn request(&self, sample: &Sample<'_>) {
-        let both = [
-            text("service", sample.service),
-            text("class", sample.class),
-        ];
+        let both = [text("service", sample.service), text("class", sample.class)];
         let outcome = [
             both[0].clone(),
             both[1].clone(),
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -50,9 +50,9 @@
 }
 
 /// A body on its way to a target.
-pub(crate) enum Sending<'a> {
+pub(crate) enum Sending<'a, 'b> {
     Whole(&'a [u8]),
-    Stream(&'a mut Stream),
+    Stream(&'a mut Stream<'b>),
 }
 
 /// The head of a target's answer, with its body yet to be read.
@@ -101,7 +101,7 @@
     }
 
     /// Sends a request and waits for the head of its answer.
-    pub(crate) fn call(&self, ask: &Ask<'_>, body: Sending<'_>) -> Result<Answer, Error> {
+    pub(crate) fn call(&self, ask: &Ask<'_>, body: Sending<'_, '_>) -> Result<Answer, Error> {
         stage::reset();
         self.send(ask, body).map_err(|source| Error {
             stage: stage::get(),
@@ -109,7 +109,7 @@
         })
     }
 
-    fn send(&self, ask: &Ask<'_>, body: Sending<'_>) -> Result<Answer, ureq::Error> {
+    fn send(&self, ask: &Ask<'_>, body: Sending<'_, '_>) -> Result<Answer, ureq::Error> {
         let agent = match ask.connection {
             Connection::Pooled => &self.pooled,
             Connection::Fresh => &self.fresh,
@@ -119,7 +119,8 @@
             Sending::Stream(stream) => {
                 let length = stream.length;
                 let request = request(ask, length)?;
-                let request = configure(agent, request.map(|()| SendBody::from_reader(stream)), ask);
+                let request =
+                    configure(agent, request.map(|()| SendBody::from_reader(stream)), ask);
                 return Ok(answer(agent.run(request)?));
             }
         };
@@ -130,7 +131,11 @@
         }
         let mut reader = Cursor::new(body);
         let request = request(ask, length)?;
-        let request = configure(agent, request.map(|()| SendBody::from_reader(&mut reader)), ask);
+        let request = configure(
+            agent,
+            request.map(|()| SendBody::from_reader(&mut reader)),
+            ask,
+        );
         Ok(answer(agent.run(request)?))
     }
 
--- a/src/steer/attempt.rs
+++ b/src/steer/attempt.rs
@@ -489,6 +489,11 @@
         self.tried.contains(&place)
     }
 
+    /// Where tries went, each place once.
+    pub fn places(&self) -> impl Iterator<Item = Place> + '_ {
+        self.tried.iter().copied()
+    }
+
     /// Tries that are outstanding.
     pub fn outstanding(&self) -> impl Iterator<Item = (Try, Place)> + '_ {
         self.outstanding.iter().map(|(&key, &place)| (key, place))
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod dedupe;
 pub mod eject;
+pub mod engine;
 pub mod goal;
 pub mod group;
 pub mod hedge;
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,318 @@
+//! A small world for tests: a platform and targets in this process, entry hosts as processes.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ragwortfold::border::objects;
+use ragwortfold::store::client::{Client, Condition};
+use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
+use standin::platform::Platform;
+use standin::target::{Settings, Target};
+
+/// How long anything may take before a test gives up.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const SECRET: &str = "a secret of the tests";
+
+/// One entry host that runs as a process.
+pub struct Host {
+    pub name: String,
+    pub address: SocketAddr,
+    pub peer_address: SocketAddr,
+    child: Child,
+}
+
+impl Host {
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by number name, e.g. `TERM`.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for its end and tells the exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("{} does not end", self.name);
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An address that nothing listens on.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// The platform, the targets, and the configuration that names them.
+pub struct World {
+    pub platform: Platform,
+    pub targets: BTreeMap<String, Target>,
+    pub hosts: BTreeMap<String, Host>,
+    pub configuration: Value,
+    pub platform_url: String,
+    dir: PathBuf,
+}
+
+impl World {
+    /// Two services, `lookups` (idempotent) and `bookings`, and no places yet.
+    pub fn new() -> Self {
+        let platform = Platform::new("127.0.0.1:0".parse().unwrap()).unwrap();
+        let dir = std::env::temp_dir().join(format!(
+            "ragwortfold-{}-{}",
+            std::process::id(),
+            platform.address().port()
+        ));
+        std::fs::create_dir_all(&dir).unwrap();
+        Self {
+            platform_url: format!("http://{}", platform.address()),
+            platform,
+            targets: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            configuration: json!({
+                "regions": {}, "availability_zones": {}, "hosts": {}, "targets": {},
+                "services": {
+                    "lookups": {"class": "pass-lookup", "idempotent": true, "deadline_ms": 5000},
+                    "bookings": {"class": "booking", "deadline_ms": 5000},
+                },
+                "limits": {"shift": {"failover": {"share": 1.0, "window_s": 1}}},
+            }),
+            dir,
+        }
+    }
+
+    /// Adds an availability zone.
+    pub fn with_zone(mut self, region: &str, zone: &str) -> Self {
+        self.configuration["regions"][region] = json!({});
+        self.configuration["availability_zones"][zone] = json!({"region": region});
+        self
+    }
+
+    /// Adds a target that runs.
+    pub fn with_target(mut self, zone: &str, service: &str, name: &str, slots: usize) -> Self {
+        let settings = Settings::new(name, slots).with_zone(zone);
+        let target = Target::new("127.0.0.1:0".parse().unwrap(), settings).unwrap();
+        self.configuration["targets"][name] = json!({
+            "service": service, "availability_zone": zone,
+            "address": target.address().to_string(), "slots": slots, "warm_s": 0,
+        });
+        self.targets.insert(name.into(), target);
+        self
+    }
+
+    /// Adds an entry host to the configuration; [`World::start`] starts it.
+    pub fn with_host(mut self, zone: &str, name: &str) -> Self {
+        self.configuration["hosts"][name] = json!({
+            "availability_zone": zone,
+            "address": free_address().to_string(),
+            "peer_address": free_address().to_string(),
+        });
+        self
+    }
+
+    /// Publishes the configuration as `revision`, without the command line.
+    pub fn publish(&self, revision: u64) {
+        let client = Client::new(&self.platform_url);
+        let text = self.configuration.to_string();
+        let hash: String = Sha256::digest(text.as_bytes())
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        let file = objects::File { text };
+        let _ = client.put(&format!("config/file/{hash}"), &file, Condition::Absent);
+        let change = json!({"author": "test", "id": format!("{revision}"), "note": "", "time": 0});
+        let head = json!({
+            "revision": revision, "change": change, "files": {"all.json": hash},
+            "recent": [{"revision": revision, "change": change, "files": ["all.json"]}],
+        });
+        let condition = match client.get("config/head").unwrap() {
+            Some(old) => Condition::Version(old.version),
+            None => Condition::Absent,
+        };
+        client.put("config/head", &head, condition).unwrap();
+    }
+
+    /// Starts a configured host as a process.
+    pub fn start(&mut self, name: &str) {
+        let url = self.platform_url.clone();
+        self.start_with(name, &url, json!({}));
+    }
+
+    /// Starts a configured host with other settings.
+    pub fn start_with(&mut self, name: &str, platform: &str, more: Value) {
+        let record = &self.configuration["hosts"][name];
+        let text = |key: &str| record[key].as_str().unwrap().to_owned();
+        let mut settings = json!({
+            "host": name, "availability_zone": text("availability_zone"),
+            "listen": text("address"), "peer_listen": text("peer_address"),
+            "platform": platform, "peer_secret": SECRET,
+            "pool": {"workers": 32, "relay_workers": 32},
+        });
+        for (key, value) in more.as_object().unwrap() {
+            settings[key] = value.clone();
+        }
+        let file = self.dir.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let log = std::fs::File::create(self.dir.join(format!("{name}.log"))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_ragwortfold"))
+            .args(["entry", "--settings"])
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let host = Host {
+            name: name.into(),
+            address: text("address").parse().unwrap(),
+            peer_address: text("peer_address").parse().unwrap(),
+            child,
+        };
+        self.hosts.insert(name.into(), host);
+    }
+
+    /// Waits until a host serves.
+    pub fn wait_ready(&self, name: &str) {
+        let host = &self.hosts[name];
+        eventually(&format!("{name} serves"), || {
+            ureq::get(host.url("/healthz")).call().is_ok()
+        });
+    }
+
+    /// Publishes, starts all configured hosts and waits until they serve.
+    pub fn run(mut self) -> Self {
+        self.publish(1);
+        let names: Vec<String> = self.configuration["hosts"]
+            .as_object()
+            .unwrap()
+            .keys()
+            .cloned()
+            .collect();
+        for name in &names {
+            self.start(name);
+        }
+        for name in &names {
+            self.wait_ready(name);
+        }
+        self
+    }
+
+    /// What a host logged.
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            for name in self.hosts.keys() {
+                eprintln!("--- log of {name}\n{}", self.log(name));
+            }
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Waits until `check` holds.
+pub fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !check() {
+        assert!(Instant::now() < end, "never: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An answer, whatever its status.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub outcome: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+}
+
+/// Sends a request and reads the whole answer.
+pub fn send(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Result<Answer, ureq::Error> {
+    let agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .allow_non_standard_methods(true)
+        .build()
+        .new_agent();
+    let mut request = ureq::http::Request::builder().method(method).uri(url);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(body.to_vec())?;
+    let mut response = if body.is_empty() && method != "POST" {
+        agent.run(request.map(|_| ()))?
+    } else {
+        agent.run(request)?
+    };
+    let headers = response
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.to_str().unwrap().to_owned()))
+        .collect::<BTreeMap<_, _>>();
+    let mut body = Vec::new();
+    response
+        .body_mut()
+        .as_reader()
+        .read_to_end(&mut body)
+        .map_err(ureq::Error::Io)?;
+    Ok(Answer {
+        status: response.status().as_u16(),
+        outcome: headers
+            .get("ragwortfold-outcome")
+            .cloned()
+            .unwrap_or_default(),
+        headers,
+        body,
+    })
+}
