Generate the border types from the schemas in a test

The test makes the types with the typify library, laid out by prettyplease, and compares them byte for byte; UPDATE_GENERATED=1 writes them. The committed types are written anew in that layout; their code is the same.

--- a/src/border/configuration.rs
+++ b/src/border/configuration.rs
@@ -2,37 +2,39 @@
 #![allow(clippy::needless_lifetimes)]
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
-
-#[doc = "`AvailabilityZone`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`AvailabilityZone`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct AvailabilityZone {
     pub region: ::std::string::String,
     #[serde(default = "defaults::availability_zone_state")]
     pub state: State,
 }
-#[doc = "The largest share of traffic that may move within any window."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The largest share of traffic that may move within any window.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Cap {
     pub share: f64,
     pub window_s: ::std::num::NonZeroU32,
 }
-#[doc = "Where the callers of an address block are."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Where the callers of an address block are.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Client {
     pub region: ::std::string::String,
 }
-#[doc = "The merged configuration of the whole system."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The merged configuration of the whole system.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
     #[serde(
         default,
         skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
     )]
-    pub availability_zones: ::std::collections::BTreeMap<::std::string::String, AvailabilityZone>,
+    pub availability_zones: ::std::collections::BTreeMap<
+        ::std::string::String,
+        AvailabilityZone,
+    >,
     #[serde(
         default,
         skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
@@ -80,38 +82,38 @@
         }
     }
 }
-#[doc = "An entry host."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///An entry host.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Host {
-    #[doc = "Where callers connect, IP:PORT."]
+    ///Where callers connect, IP:PORT.
     pub address: ::std::string::String,
     pub availability_zone: ::std::string::String,
-    #[doc = "Where other entry hosts connect, IP:PORT."]
+    ///Where other entry hosts connect, IP:PORT.
     pub peer_address: ::std::string::String,
     #[serde(default = "defaults::host_state")]
     pub state: State,
 }
-#[doc = "`Limits`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Limits`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
-    #[doc = "Hedged requests allowed, as a share of requests."]
+    ///Hedged requests allowed, as a share of requests.
     #[serde(default = "defaults::limits_hedge_share")]
     pub hedge_share: f64,
-    #[doc = "How long callers may keep a look-up's answer, in milliseconds."]
+    ///How long callers may keep a look-up's answer, in milliseconds.
     #[serde(default = "defaults::default_u64::<u32, 2000>")]
     pub lookup_ttl_ms: u32,
-    #[doc = "Retries allowed, as a share of requests."]
+    ///Retries allowed, as a share of requests.
     #[serde(default = "defaults::limits_retry_share")]
     pub retry_share: f64,
-    #[doc = "Caps by name: 'default', 'failover', or the name of a service."]
+    ///Caps by name: 'default', 'failover', or the name of a service.
     #[serde(
         default,
         skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
     )]
     pub shift: ::std::collections::BTreeMap<::std::string::String, Cap>,
-    #[doc = "The part of a capacity that steering may fill."]
+    ///The part of a capacity that steering may fill.
     #[serde(default = "defaults::limits_utilization")]
     pub utilization: f64,
 }
@@ -126,22 +128,22 @@
         }
     }
 }
-#[doc = "The limits of one direction between two regions."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The limits of one direction between two regions.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Link {
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 1000000000>")]
     pub bytes_per_s: ::std::num::NonZeroU64,
     pub from: ::std::string::String,
-    #[doc = "One way, in milliseconds."]
+    ///One way, in milliseconds.
     #[serde(default = "defaults::link_latency_ms")]
     pub latency_ms: f64,
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 1000000>")]
     pub requests_per_s: ::std::num::NonZeroU64,
     pub to: ::std::string::String,
 }
-#[doc = "`Region`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Region`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Region {
     #[serde(default = "defaults::region_state")]
@@ -154,29 +156,29 @@
         }
     }
 }
-#[doc = "`Service`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Service`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
-    #[doc = "The traffic class in metrics and queues."]
+    ///The traffic class in metrics and queues.
     pub class: ::std::string::String,
-    #[doc = "Time for a request whose caller states none, in milliseconds."]
+    ///Time for a request whose caller states none, in milliseconds.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 1000>")]
     pub deadline_ms: ::std::num::NonZeroU32,
-    #[doc = "Whether a request may be sent again after it may have run."]
+    ///Whether a request may be sent again after it may have run.
     #[serde(default)]
     pub idempotent: bool,
-    #[doc = "Largest request body, in bytes."]
+    ///Largest request body, in bytes.
     #[serde(default = "defaults::default_u64::<u64, 16777216>")]
     pub max_body_bytes: u64,
-    #[doc = "Which class keeps its place when a queue is full; 0 goes last."]
+    ///Which class keeps its place when a queue is full; 0 goes last.
     #[serde(default = "defaults::default_u64::<u8, 5>")]
     pub priority: u8,
 }
-#[doc = "Whether new work may go to a place or a target."]
+///Whether new work may go to a place or a target.
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -184,7 +186,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum State {
     #[serde(rename = "serving")]
@@ -205,7 +207,9 @@
 }
 impl ::std::str::FromStr for State {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "serving" => Ok(Self::Serving),
             "draining" => Ok(Self::Draining),
@@ -216,7 +220,9 @@
 }
 impl ::std::convert::TryFrom<&str> for State {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -233,25 +239,25 @@
         State::Serving
     }
 }
-#[doc = "`Target`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Target`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Target {
     pub address: ::std::string::String,
     pub availability_zone: ::std::string::String,
-    #[doc = "Connections it accepts."]
+    ///Connections it accepts.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 400>")]
     pub connections: ::std::num::NonZeroU32,
     pub service: ::std::string::String,
-    #[doc = "Requests it runs at once."]
+    ///Requests it runs at once.
     pub slots: ::std::num::NonZeroU32,
     #[serde(default = "defaults::target_state")]
     pub state: State,
-    #[doc = "Time over which a cold target is brought to full use, in seconds."]
+    ///Time over which a cold target is brought to full use, in seconds.
     #[serde(default = "defaults::default_u64::<u32, 10>")]
     pub warm_s: u32,
 }
-#[doc = " Generation of default values for serde."]
+/// Generation of default values for serde.
 pub mod defaults {
     pub(super) fn default_i64<T, const V: i64>() -> T
     where
@@ -308,18 +314,24 @@
         super::State::Serving
     }
 }
-#[doc = " Error types."]
+/// Error types.
 pub mod error {
-    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    /// Error from a `TryFrom` or `FromStr` implementation.
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -2,11 +2,10 @@
 #![allow(clippy::needless_lifetimes)]
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
-
-#[doc = "`Format`"]
+///`Format`
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -14,7 +13,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Format {
     #[serde(rename = "text")]
@@ -32,7 +31,9 @@
 }
 impl ::std::str::FromStr for Format {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "text" => Ok(Self::Text),
             "json" => Ok(Self::Json),
@@ -42,7 +43,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Format {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -59,10 +62,10 @@
         Format::Text
     }
 }
-#[doc = "`Level`"]
+///`Level`
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -70,7 +73,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Level {
     #[serde(rename = "error")]
@@ -97,7 +100,9 @@
 }
 impl ::std::str::FromStr for Level {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "error" => Ok(Self::Error),
             "warn" => Ok(Self::Warn),
@@ -110,7 +115,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Level {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -127,8 +134,8 @@
         Level::Info
     }
 }
-#[doc = "`Log`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Log`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     #[serde(default = "defaults::log_format")]
@@ -144,10 +151,10 @@
         }
     }
 }
-#[doc = "`Pick`"]
+///`Pick`
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -155,7 +162,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Pick {
     #[serde(rename = "round_robin")]
@@ -176,7 +183,9 @@
 }
 impl ::std::str::FromStr for Pick {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "round_robin" => Ok(Self::RoundRobin),
             "least_in_flight" => Ok(Self::LeastInFlight),
@@ -187,7 +196,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Pick {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -204,35 +215,35 @@
         Pick::TwoChoices
     }
 }
-#[doc = "Threads, buffers and limits."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Threads, buffers and limits.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Pool {
-    #[doc = "Requests that may wait for a worker."]
+    ///Requests that may wait for a worker.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 256>")]
     pub backlog: ::std::num::NonZeroU32,
-    #[doc = "Largest body kept so that it can be sent again, in bytes."]
+    ///Largest body kept so that it can be sent again, in bytes.
     #[serde(default = "defaults::default_u64::<u32, 1048576>")]
     pub buffer_bytes: u32,
-    #[doc = "Time to open a connection to a target, in milliseconds."]
+    ///Time to open a connection to a target, in milliseconds.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 250>")]
     pub connect_ms: ::std::num::NonZeroU32,
-    #[doc = "Largest sum of a request's header names and values, in bytes."]
+    ///Largest sum of a request's header names and values, in bytes.
     #[serde(default = "defaults::default_u64::<u32, 32768>")]
     pub head_bytes: u32,
-    #[doc = "Silence after which a caller's connection is closed, in milliseconds."]
+    ///Silence after which a caller's connection is closed, in milliseconds.
     #[serde(default = "defaults::default_u64::<u32, 30000>")]
     pub idle_ms: u32,
-    #[doc = "Threads kept for look-ups, health, metrics and status."]
+    ///Threads kept for look-ups, health, metrics and status.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 4>")]
     pub lookup_workers: ::std::num::NonZeroU32,
-    #[doc = "The limit of open files to ask the system for."]
+    ///The limit of open files to ask the system for.
     #[serde(default = "defaults::default_u64::<u32, 8192>")]
     pub open_files: u32,
-    #[doc = "Threads that carry other hosts' requests."]
+    ///Threads that carry other hosts' requests.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 128>")]
     pub relay_workers: ::std::num::NonZeroU32,
-    #[doc = "Threads that carry callers' requests."]
+    ///Threads that carry callers' requests.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 128>")]
     pub workers: ::std::num::NonZeroU32,
 }
@@ -251,30 +262,30 @@
         }
     }
 }
-#[doc = "The settings of one entry host."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The settings of one entry host.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     pub availability_zone: ::std::string::String,
-    #[doc = "The host's name in the configuration."]
+    ///The host's name in the configuration.
     pub host: ::std::string::String,
-    #[doc = "Where callers connect, IP:PORT."]
+    ///Where callers connect, IP:PORT.
     pub listen: ::std::string::String,
     #[serde(default = "defaults::settings_log")]
     pub log: Log,
-    #[doc = "Where other entry hosts connect, IP:PORT."]
+    ///Where other entry hosts connect, IP:PORT.
     pub peer_listen: ::std::string::String,
-    #[doc = "The secret that all entry hosts share."]
+    ///The secret that all entry hosts share.
     pub peer_secret: ::std::string::String,
-    #[doc = "The base URL of the platform's object API."]
+    ///The base URL of the platform's object API.
     pub platform: ::std::string::String,
     #[serde(default = "defaults::settings_pool")]
     pub pool: Pool,
     #[serde(default = "defaults::settings_steer")]
     pub steer: Steer,
 }
-#[doc = "Switches of single mechanisms, for measurement."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Switches of single mechanisms, for measurement.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Steer {
     #[serde(default = "defaults::steer_affinity")]
@@ -302,10 +313,10 @@
         }
     }
 }
-#[doc = "`Switch`"]
+///`Switch`
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -313,7 +324,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Switch {
     #[serde(rename = "on")]
@@ -331,7 +342,9 @@
 }
 impl ::std::str::FromStr for Switch {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "on" => Ok(Self::On),
             "off" => Ok(Self::Off),
@@ -341,7 +354,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Switch {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -358,7 +373,7 @@
         Switch::On
     }
 }
-#[doc = " Generation of default values for serde."]
+/// Generation of default values for serde.
 pub mod defaults {
     pub(super) fn default_u64<T, const V: u64>() -> T
     where
@@ -428,18 +443,24 @@
         super::Switch::On
     }
 }
-#[doc = " Error types."]
+/// Error types.
 pub mod error {
-    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    /// Error from a `TryFrom` or `FromStr` implementation.
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
--- /dev/null
+++ b/tests/generated.rs
@@ -0,0 +1,70 @@
+//! Keeps the types in `src/border/` up to date with the schemas in `schema/`.
+//!
+//! `UPDATE_GENERATED=1 cargo test --test generated` writes them.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::{Path, PathBuf};
+
+use typify::{MapType, TypeSpace, TypeSpaceSettings};
+
+/// Set to write the types instead of comparing them.
+const UPDATE: &str = "UPDATE_GENERATED";
+/// What stands before the types.
+const INTRO: &str = "#![allow(clippy::redundant_closure_call)]
+#![allow(clippy::needless_lifetimes)]
+#![allow(clippy::match_single_binding)]
+#![allow(clippy::clone_on_copy)]
+";
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn schemas() -> Vec<PathBuf> {
+    let dir = std::fs::read_dir(root().join("schema")).unwrap();
+    let paths = dir.map(|entry| entry.unwrap().path());
+    let mut schemas: Vec<PathBuf> = paths
+        .filter(|path| path.extension().is_some_and(|ending| ending == "json"))
+        .collect();
+    schemas.sort();
+    schemas
+}
+
+/// The types that a schema describes, as `cargo typify -B --map-type
+/// '::std::collections::BTreeMap'` makes them.
+fn generated(schema: &Path) -> String {
+    let text = std::fs::read_to_string(schema).unwrap();
+    let schema: schemars::schema::RootSchema = serde_json::from_str(&text).unwrap();
+    let mut settings = TypeSpaceSettings::default();
+    settings
+        .with_struct_builder(false)
+        .with_map_type("::std::collections::BTreeMap".parse::<MapType>().unwrap());
+    let mut types = TypeSpace::new(&settings);
+    types.add_root_schema(schema).unwrap();
+    let code = format!("{INTRO}\n{}", types.to_stream());
+    prettyplease::unparse(&syn::parse_file(&code).unwrap())
+}
+
+#[test]
+fn types_are_up_to_date() {
+    let schemas = schemas();
+    assert!(schemas.len() >= 2, "schemas found: {schemas:?}");
+    let is_update = std::env::var_os(UPDATE).is_some();
+    let mut stale = Vec::new();
+    for schema in schemas {
+        let name = schema.file_stem().unwrap().to_str().unwrap();
+        let file = root().join(format!("src/border/{name}.rs"));
+        let wanted = generated(&schema);
+        let committed = std::fs::read_to_string(&file).unwrap_or_default();
+        if committed == wanted {
+            continue;
+        }
+        if is_update {
+            std::fs::write(&file, wanted).unwrap();
+        } else {
+            stale.push(file);
+        }
+    }
+    assert!(stale.is_empty(), "stale: {stale:?}; run with {UPDATE}=1");
+}
