--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -76,12 +76,13 @@
         problems.add(layers[0].place, &[], "expected an object".into());
         return None;
     }
+    let place = layers[0].place;
     for (path, value) in &overrides.values {
         layers.push(override_node(path, value));
     }
     let mut root = tree::merge(layers)?;
     // Missing keys are the file's fault, whatever the flags say.
-    root.place = Place { file: 0, offset: 0 };
+    root.place = place;
     Some(root)
 }
 
