Drive the real binary in tests

31 cases: broken folders with the faults they tell, show, help, completions, man page and exit codes, status and look-up against a small host. They found that 'config apply' made the parser panic (its folder was both required and required-unless); it is mended here.

--- a/src/bin/ragwortfold/clap_app.rs
+++ b/src/bin/ragwortfold/clap_app.rs
@@ -181,6 +181,7 @@
         )
         .arg(
             dir()
+                .required(false)
                 .required_unless_present("revert")
                 .conflicts_with("revert"),
         )
--- /dev/null
+++ b/tests/integration_tests.rs
@@ -0,0 +1,195 @@
+//! The real binary, as an operator calls it.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::thread::JoinHandle;
+
+use tiny_http::{Response, Server};
+
+/// Runs the binary with these arguments, in the folder of the broken examples.
+fn ragwortfold(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_ragwortfold"))
+        .args(arguments)
+        .current_dir(examples())
+        .output()
+        .unwrap()
+}
+
+fn examples() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/examples")
+}
+
+fn expected(file: &str) -> String {
+    std::fs::read_to_string(examples().join(file)).unwrap()
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+/// Cases of broken folders: each tells the faults in its `faults.txt` and exits with 2.
+macro_rules! broken {
+    ($($name:ident: $folder:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let output = ragwortfold(&["config", "check", $folder]);
+            assert_eq!(stderr(&output), expected(&format!("{}/faults.txt", $folder)));
+            assert_eq!(stdout(&output), "");
+            assert_eq!(output.status.code(), Some(2));
+        }
+    )*};
+}
+
+broken! {
+    check_tells_many_faults: "many-faults";
+    check_tells_syntax_errors: "syntax";
+    check_tells_capacity_that_nothing_reaches: "capacity";
+}
+
+#[test]
+fn check_counts_a_right_folder() {
+    let output = ragwortfold(&["config", "check", "../../examples/quispe"]);
+    assert_eq!(
+        stdout(&output),
+        "../../examples/quispe: 9 files, 3 regions, 6 availability zones, 12 hosts, 3 services, \
+         44 targets, 6 client blocks, 6 links; no faults\n"
+    );
+    assert_eq!(output.status.code(), Some(0));
+}
+
+#[test]
+fn show_says_where_values_come_from() {
+    let output = ragwortfold(&["config", "show", "overridden", "--origin"]);
+    assert_eq!(stdout(&output), expected("overridden/shown.txt"));
+    assert_eq!(output.status.code(), Some(0));
+}
+
+#[test]
+fn show_prints_plain_json() {
+    let output = ragwortfold(&["config", "show", "overridden"]);
+    let shown: serde_json::Value = serde_json::from_str(&stdout(&output)).unwrap();
+    assert_eq!(shown["targets"]["look-1"]["state"], "draining");
+    assert_eq!(shown["targets"].as_object().unwrap().len(), 1);
+}
+
+#[test]
+fn show_prints_a_folder_with_faults_and_tells_them() {
+    let output = ragwortfold(&["config", "show", "many-faults"]);
+    serde_json::from_str::<serde_json::Value>(&stdout(&output)).unwrap();
+    assert_eq!(stderr(&output), expected("many-faults/faults.txt"));
+    assert_eq!(output.status.code(), Some(2));
+}
+
+/// Cases of arguments, the exit code, and a part of what is printed on either stream.
+macro_rules! calls {
+    ($($name:ident: [$($argument:expr),*] => $code:expr, $part:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let output = ragwortfold(&[$($argument),*]);
+            let all = stdout(&output) + &stderr(&output);
+            assert!(all.contains($part), "{all}");
+            assert_eq!(output.status.code(), Some($code));
+        }
+    )*};
+}
+
+calls! {
+    no_arguments: [] => 2, "Usage: ragwortfold";
+    short_help: ["-h"] => 0, "Commands:";
+    long_help: ["--help"] => 0, "Operators keep a folder";
+    help_of_a_subcommand: ["config", "apply", "--help"] => 0, "Revisions only rise";
+    version: ["--version"] => 0, env!("CARGO_PKG_VERSION");
+    unknown_subcommand: ["confg"] => 2, "a similar subcommand exists: 'config'";
+    unknown_flag: ["entry", "--setings", "x"] => 2, "--settings";
+    missing_dir: ["config", "check", "nowhere"] => 2, "nowhere: No such file or directory";
+    empty_dir: ["config", "check", ".."] => 2, "..: no *.json files here";
+    missing_settings: ["entry", "--settings", "nowhere.json"] => 2, "nowhere.json: No such file";
+    apply_needs_a_folder: ["config", "apply", "--platform", "http://127.0.0.1:1"] => 2, "<DIR>";
+    apply_takes_one_source:
+        ["config", "apply", "overridden", "--revert", "3", "--platform", "http://127.0.0.1:1"] =>
+        2, "cannot be used with";
+    drain_knows_its_kinds: ["drain", "city", "lima", "--platform", "http://127.0.0.1:1"] =>
+        2, "possible values: target, zone, region, host";
+    status_asks_one: ["status"] => 2, "--entry <URL>";
+    lookup_needs_an_address: ["lookup", "--entry", "127.0.0.1:1", "s", "--client", "home"] =>
+        2, "invalid IP address";
+    lookup_without_a_host: ["lookup", "--entry", "127.0.0.1:1", "s"] =>
+        1, "http://127.0.0.1:1/v1/entries: ";
+    completions_bash: ["--completions", "bash"] => 0, "complete -F _ragwortfold";
+    completions_zsh: ["--completions", "zsh"] => 0, "#compdef ragwortfold";
+    completions_of_no_shell: ["--completions", "csh"] => 2, "possible values: bash";
+    man_page: ["--man"] => 0, ".TH ragwortfold 1";
+}
+
+/// A host that gives one answer; joining it gives the request's path and query.
+fn host(status: u16, body: &'static str) -> (String, JoinHandle<String>) {
+    let server = Server::http("127.0.0.1:0").unwrap();
+    let address = server.server_addr().to_string();
+    let thread = std::thread::spawn(move || {
+        let request = server.recv().unwrap();
+        let url = request.url().to_owned();
+        let response = Response::from_string(body).with_status_code(status);
+        request.respond(response).unwrap();
+        url
+    });
+    (address, thread)
+}
+
+/// What a host says of entry hosts.
+const ENTRIES: &str = r#"{"revision":3,"ttl_ms":2000,"ticket":"ent-1.7","entries":[
+    {"host":"ent-1","availability_zone":"north-a","address":"127.0.0.1:7001"},
+    {"host":"entry-10","availability_zone":"north-b","address":"127.0.0.1:7010"}]}"#;
+
+#[test]
+fn lookup_prints_a_table() {
+    let (address, asked) = host(200, ENTRIES);
+    let call = ["lookup", "--entry", &address, "a b", "--client", "10.1.0.1"];
+    let output = ragwortfold(&call);
+    assert_eq!(
+        asked.join().unwrap(),
+        "/v1/entries?service=a%20b&client=10.1.0.1"
+    );
+    let wanted = "revision  3\nticket    ent-1.7\nttl_ms    2000\n\nentries:\n\
+                  address         availability_zone  host\n\
+                  127.0.0.1:7001  north-a            ent-1\n\
+                  127.0.0.1:7010  north-b            entry-10\n";
+    assert_eq!(stdout(&output), wanted);
+    assert_eq!(output.status.code(), Some(0));
+}
+
+#[test]
+fn lookup_passes_json_through() {
+    let (address, asked) = host(200, ENTRIES);
+    let output = ragwortfold(&["lookup", "--entry", &address, "lookups", "--json"]);
+    assert_eq!(asked.join().unwrap(), "/v1/entries?service=lookups");
+    let printed: serde_json::Value = serde_json::from_str(&stdout(&output)).unwrap();
+    let sent: serde_json::Value = serde_json::from_str(ENTRIES).unwrap();
+    assert_eq!(printed, sent);
+}
+
+#[test]
+fn lookup_tells_a_refusal() {
+    let (address, asked) = host(404, r#"{"error":"no such service"}"#);
+    let output = ragwortfold(&["lookup", "--entry", &address, "x"]);
+    asked.join().unwrap();
+    assert!(stderr(&output).contains("status 404: {\"error\":\"no such service\"}"));
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn status_prints_a_table() {
+    let (address, asked) = host(
+        200,
+        r#"{"host":"ent-1","queues":{"a":{"n":1},"b":{"n":22}}}"#,
+    );
+    let output = ragwortfold(&["status", "--entry", &address]);
+    assert_eq!(asked.join().unwrap(), "/v1/status");
+    let wanted = "host  ent-1\n\nqueues:\nname  n\na     1\nb     22\n";
+    assert_eq!(stdout(&output), wanted);
+}
