--- /dev/null
+++ b/tests/dedupe.rs
@@ -0,0 +1,606 @@
+//! Tickets, idempotency keys, and clients that send the same key again and again.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use la_arena::{Idx, RawIdx};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use ragwortfold::catalog::{Repeat, ServiceKey};
+use ragwortfold::steer::attempt::{Break, Course, Outcome, Place, Reason, Stage, Step, Try};
+use ragwortfold::steer::dedupe::{
+    Answer, Begin, End, Fingerprint, Keys, Run, MAX_ANSWER, MAX_WAITERS,
+};
+use ragwortfold::steer::ticket::{Error, Generation, Home, Issuer, Rotation, Ticket};
+
+const PERIOD: Duration = Duration::from_secs(10);
+const ACCEPTED: u32 = 2;
+
+macro_rules! bad_ticket {
+    ($($name:ident: $text:expr => $error:expr;)*) => {
+        $(#[test] fn $name() { assert_eq!($text.parse::<Ticket>(), Err($error)); })*
+    };
+}
+
+bad_ticket! {
+    ticket_empty: "" => Error::NoDot;
+    ticket_no_dot: "ent-1" => Error::NoDot;
+    ticket_no_host: ".7-1" => Error::NoHost;
+    ticket_blank_in_host: "en t.7-1" => Error::BadHost(' ');
+    ticket_no_dash: "ent-1.7" => Error::NoDash;
+    ticket_no_incarnation: "ent-1.-1" => Error::BadIncarnation("".into());
+    ticket_plus: "ent-1.+7-1" => Error::BadIncarnation("+7".into());
+    ticket_padded: "ent-1.07-1" => Error::BadIncarnation("07".into());
+    ticket_huge: "ent-1.99999999999999999999-1" => Error::BadIncarnation("99999999999999999999".into());
+    ticket_no_generation: "ent-1.7-" => Error::BadGeneration("".into());
+    ticket_two_dashes: "ent-1.7-1-2" => Error::BadGeneration("1-2".into());
+    ticket_too_long: "x".repeat(301) => Error::TooLong(301);
+}
+
+fn rotation(start: Instant) -> Rotation {
+    Rotation::new(start).with_period(PERIOD, ACCEPTED)
+}
+
+#[test]
+fn last_dot_splits() {
+    let ticket: Ticket = "ent-1.lima.example.7-3".parse().unwrap();
+    assert_eq!(
+        (&*ticket.host, ticket.incarnation),
+        ("ent-1.lima.example", 7)
+    );
+    assert_eq!(ticket.generation, Generation(3));
+    assert_eq!(ticket.to_string(), "ent-1.lima.example.7-3");
+}
+
+#[test]
+fn ticket_is_accepted_for_its_generations_only() {
+    let start = Instant::now();
+    let issuer = Issuer::new("ent-1".into(), 7, rotation(start));
+    let ticket = issuer.issue(start + PERIOD);
+    let home = |seconds| issuer.check(start + Duration::from_secs(seconds), &ticket);
+    let here = Home::Here(Generation(1));
+    assert_eq!(
+        [home(0), home(10), home(29)],
+        [here.clone(), here.clone(), here]
+    );
+    assert_eq!(home(30), Home::Gone);
+    let ahead = Ticket {
+        generation: Generation(2),
+        ..ticket.clone()
+    };
+    assert_eq!(issuer.check(start, &ahead), Home::Gone);
+    let older = Ticket {
+        incarnation: 6,
+        ..ticket.clone()
+    };
+    assert_eq!(issuer.check(start + PERIOD, &older), Home::Gone);
+    let other = Ticket {
+        host: "ent-2".into(),
+        ..ticket
+    };
+    assert_eq!(issuer.check(start, &other), Home::Elsewhere("ent-2".into()));
+}
+
+fn service(n: u32) -> ServiceKey {
+    Idx::from_raw(RawIdx::from_u32(n))
+}
+
+fn print(path: &str) -> Fingerprint {
+    Fingerprint::new("POST", path, Some(2), Some(b"{}"))
+}
+
+fn answer(size: usize) -> Arc<Answer> {
+    Arc::new(Answer {
+        status: 201,
+        headers: Vec::new(),
+        body: vec![0; size],
+    })
+}
+
+/// One table of keys with a shorthand for requests of one service.
+struct Table {
+    start: Instant,
+    keys: Keys<u32>,
+}
+
+impl Table {
+    fn new() -> Self {
+        let start = Instant::now();
+        Self {
+            start,
+            keys: Keys::new(rotation(start)),
+        }
+    }
+
+    fn with_capacity(mut self, records: usize, bytes: usize) -> Self {
+        self.keys = self.keys.with_capacity(records, bytes);
+        self
+    }
+
+    fn begin(&mut self, seconds: u64, key: &str, generation: u32, waiter: u32) -> Begin {
+        let now = self.start + Duration::from_secs(seconds);
+        let generation = Generation(generation);
+        self.keys
+            .begin(now, service(0), key.into(), generation, print("/"), waiter)
+    }
+
+    fn run(&mut self, key: &str) -> Run {
+        match self.begin(0, key, 0, 0) {
+            Begin::Run(run) => run,
+            other => panic!("does not run: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn running_key_is_joined_and_then_replayed() {
+    let mut table = Table::new();
+    let run = table.run("k");
+    assert_eq!(table.begin(0, "k", 0, 1), Begin::Join);
+    let answer = answer(3);
+    assert_eq!(
+        table.keys.end(&run, End::Answered(Some(answer.clone()))),
+        [1]
+    );
+    assert_eq!(table.begin(1, "k", 0, 2), Begin::Replay(answer));
+}
+
+#[test]
+fn waiter_too_many_is_not_told_not_run() {
+    let mut table = Table::new();
+    table.run("k");
+    for waiter in 0..MAX_WAITERS as u32 {
+        assert_eq!(table.begin(0, "k", 0, waiter), Begin::Join);
+    }
+    assert_eq!(table.begin(0, "k", 0, 99), Begin::Unknown);
+}
+
+#[test]
+fn not_run_key_may_run_again_and_its_old_run_has_no_say() {
+    let mut table = Table::new();
+    let old = table.run("k");
+    table.keys.end(&old, End::NotRun);
+    assert!(table.keys.is_empty() && table.keys.bytes() == 0);
+    table.run("k");
+    table.keys.end(&old, End::NotRun);
+    assert_eq!(table.begin(0, "k", 0, 1), Begin::Join);
+}
+
+#[test]
+fn unknown_is_settled_by_a_late_answer() {
+    let mut table = Table::new();
+    let run = table.run("k");
+    table.keys.end(&run, End::Unknown);
+    assert_eq!(table.begin(0, "k", 0, 1), Begin::Unknown);
+    table.keys.end(&run, End::Answered(Some(answer(1))));
+    assert_eq!(table.begin(0, "k", 0, 1), Begin::Replay(answer(1)));
+    table.keys.end(&run, End::NotRun);
+    assert_eq!(table.begin(0, "k", 0, 1), Begin::Replay(answer(1)));
+}
+
+#[test]
+fn large_answer_is_not_kept() {
+    let mut table = Table::new();
+    let run = table.run("k");
+    table
+        .keys
+        .end(&run, End::Answered(Some(answer(MAX_ANSWER + 1))));
+    assert_eq!(table.begin(0, "k", 0, 1), Begin::Unknown);
+}
+
+#[test]
+fn other_request_with_the_key_is_refused() {
+    let mut table = Table::new();
+    table.run("k");
+    let (now, generation) = (table.start, Generation(0));
+    let mut begin = |n, print| {
+        table
+            .keys
+            .begin(now, service(n), "k".into(), generation, print, 1)
+    };
+    assert_eq!(begin(0, print("/other")), Begin::Mismatch);
+    let body = Fingerprint::new("POST", "/", Some(2), Some(b"[]"));
+    assert_eq!(begin(0, body), Begin::Mismatch);
+    assert!(
+        matches!(begin(1, print("/other")), Begin::Run(_)),
+        "keys are scoped by service"
+    );
+}
+
+#[test]
+fn full_table_refuses_until_a_generation_expires() {
+    let mut table = Table::new().with_capacity(2, usize::MAX);
+    for key in ["a", "b"] {
+        let run = table.run(key);
+        table.keys.end(&run, End::Unknown);
+    }
+    let retry_after = Duration::from_secs(15);
+    assert_eq!(table.begin(5, "c", 0, 1), Begin::Full { retry_after });
+    assert_eq!(table.begin(5, "a", 0, 1), Begin::Unknown);
+    assert!(matches!(table.begin(20, "c", 2, 1), Begin::Run(_)));
+    assert_eq!(
+        (table.keys.len(), table.begin(20, "a", 0, 1)),
+        (1, Begin::Unknown)
+    );
+}
+
+#[test]
+fn bytes_are_bounded_and_answers_in_reserve_are_kept() {
+    let mut table = Table::new().with_capacity(usize::MAX, MAX_ANSWER + 1000);
+    let run = table.run("a");
+    assert!(matches!(table.begin(0, "b", 0, 1), Begin::Full { .. }));
+    table
+        .keys
+        .end(&run, End::Answered(Some(answer(MAX_ANSWER))));
+    assert_eq!(table.begin(0, "a", 0, 1), Begin::Replay(answer(MAX_ANSWER)));
+    assert!(table.keys.bytes() <= MAX_ANSWER + 1000);
+}
+
+#[test]
+fn key_is_kept_as_long_as_its_newest_ticket() {
+    let mut table = Table::new();
+    let run = table.run("k");
+    table.keys.end(&run, End::Unknown);
+    assert_eq!(table.begin(15, "k", 1, 1), Begin::Unknown);
+    assert_eq!(table.begin(25, "k", 1, 1), Begin::Unknown);
+    assert_eq!(table.keys.len(), 1);
+}
+
+#[test]
+fn clock_that_steps_back_revives_no_key() {
+    let mut table = Table::new();
+    let run = table.run("k");
+    table.keys.end(&run, End::Unknown);
+    table.begin(25, "other", 2, 1);
+    assert_eq!(table.begin(5, "k", 0, 1), Begin::Unknown);
+}
+
+// Histories: clients send few keys to several hosts while hosts die, restart and lose each other.
+
+const HOSTS: usize = 3;
+const KEYS: usize = 6;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A client takes the ticket of a host for a key, unless it has one already.
+    Take {
+        key: usize,
+        host: usize,
+    },
+    /// It sends the key to a host. A faulty one has changed the request.
+    Send {
+        key: usize,
+        via: usize,
+        faulty: bool,
+    },
+    /// A try at a target ends; `ran` where the break leaves that open.
+    Break {
+        run: usize,
+        cause: Break,
+        ran: bool,
+        budget: bool,
+    },
+    Answer {
+        run: usize,
+        size: usize,
+    },
+    GiveUp {
+        run: usize,
+        ran: bool,
+    },
+    Restart {
+        host: usize,
+        ran: bool,
+    },
+    Cut {
+        a: usize,
+        b: usize,
+    },
+    Heal,
+    Advance {
+        ms: u64,
+    },
+}
+
+fn cause() -> impl Strategy<Value = Break> {
+    let stage = prop::sample::select(&Stage::ALL);
+    prop_oneof![
+        Just(Break::ConnectRefused),
+        Just(Break::Refused),
+        Just(Break::RelayUnknown),
+        Just(Break::Unavailable),
+        stage.clone().prop_map(Break::Cut),
+        stage.prop_map(Break::Timeout),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let (key, host, run) = (0..KEYS, 0..HOSTS, 0..4usize);
+    prop_oneof![
+        4 => (key.clone(), host.clone()).prop_map(|(key, host)| Event::Take { key, host }),
+        12 => (key, host.clone(), prop::bool::weighted(0.1))
+            .prop_map(|(key, via, faulty)| Event::Send { key, via, faulty }),
+        6 => (run.clone(), cause(), any::<bool>(), any::<bool>())
+            .prop_map(|(run, cause, ran, budget)| Event::Break { run, cause, ran, budget }),
+        3 => (run.clone(), 0..2 * MAX_ANSWER).prop_map(|(run, size)| Event::Answer { run, size }),
+        1 => (run, any::<bool>()).prop_map(|(run, ran)| Event::GiveUp { run, ran }),
+        1 => (host.clone(), any::<bool>()).prop_map(|(host, ran)| Event::Restart { host, ran }),
+        1 => (host.clone(), host).prop_map(|(a, b)| Event::Cut { a, b }),
+        1 => Just(Event::Heal),
+        4 => (1..9000u64).prop_map(|ms| Event::Advance { ms }),
+    ]
+}
+
+/// One request of a client, and what it was told.
+struct Request {
+    key: usize,
+    told: Vec<Outcome>,
+}
+
+/// A request that a host dispatches.
+struct Running {
+    host: usize,
+    request: usize,
+    run: Run,
+    course: Course,
+    outstanding: Try,
+}
+
+struct Host {
+    issuer: Issuer,
+    keys: Keys<usize>,
+}
+
+/// All hosts, the clients' requests, and a count of real runs at the targets.
+struct World {
+    now: Instant,
+    incarnation: u64,
+    hosts: Vec<Host>,
+    links: [[bool; HOSTS]; HOSTS],
+    tickets: [Option<Ticket>; KEYS],
+    requests: Vec<Request>,
+    running: Vec<Running>,
+    ran: [u32; KEYS],
+}
+
+fn start_host(n: usize, incarnation: u64, now: Instant) -> Host {
+    let rotation = rotation(now);
+    let name = format!("ent-{n}");
+    Host {
+        issuer: Issuer::new(name.as_str().into(), incarnation, rotation),
+        keys: Keys::new(rotation).with_capacity(3, 3 * (MAX_ANSWER + 300)),
+    }
+}
+
+fn place() -> Place {
+    Place::Target(Idx::from_raw(RawIdx::from_u32(0)))
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            now,
+            incarnation: 1,
+            hosts: (0..HOSTS).map(|n| start_host(n, 1, now)).collect(),
+            links: [[true; HOSTS]; HOSTS],
+            tickets: Default::default(),
+            requests: Vec::new(),
+            running: Vec::new(),
+            ran: [0; KEYS],
+        }
+    }
+
+    fn tell(&mut self, request: usize, outcome: Outcome) {
+        let key = self.requests[request].key;
+        let running = self
+            .running
+            .iter()
+            .any(|r| self.requests[r.request].key == key);
+        let changed = outcome == Outcome::NotRun(Reason::KeyReused);
+        if matches!(outcome, Outcome::NotRun(_)) && !changed {
+            assert_eq!(
+                (self.ran[key], running),
+                (0, false),
+                "told not-run, but it did"
+            );
+        }
+        self.requests[request].told.push(outcome);
+    }
+
+    fn send(&mut self, key: usize, via: usize, faulty: bool) {
+        let Some(ticket) = self.tickets[key].clone() else {
+            return;
+        };
+        let request = self.requests.len();
+        self.requests.push(Request {
+            key,
+            told: Vec::new(),
+        });
+        let home = match self.hosts[via].issuer.check(self.now, &ticket) {
+            Home::Elsewhere(name) => name[4..].parse().expect("a host of the test"),
+            _ => via,
+        };
+        if !self.links[via][home] {
+            return self.tell(request, Outcome::Unknown(Reason::HomeUnreachable));
+        }
+        match self.hosts[home].issuer.check(self.now, &ticket) {
+            Home::Here(generation) => self.begin(home, request, generation, faulty),
+            _ => self.tell(request, Outcome::Unknown(Reason::StaleTicket)),
+        }
+    }
+
+    fn begin(&mut self, host: usize, request: usize, generation: Generation, faulty: bool) {
+        let text = self.requests[request].key.to_string();
+        let print = print(if faulty { "/changed" } else { "/" });
+        let keys = &mut self.hosts[host].keys;
+        let begin = keys.begin(
+            self.now,
+            service(0),
+            text.into(),
+            generation,
+            print,
+            request,
+        );
+        assert!(keys.len() <= 3 && keys.bytes() <= 3 * (MAX_ANSWER + 300));
+        match begin {
+            Begin::Run(run) => self.dispatch(host, request, run),
+            Begin::Join => {}
+            Begin::Replay(_) => {
+                let key = self.requests[request].key;
+                assert_eq!(self.ran[key], 1, "replayed without a run");
+                self.tell(request, Outcome::Answered);
+            }
+            Begin::Mismatch => self.tell(request, Outcome::NotRun(Reason::KeyReused)),
+            Begin::Full { .. } => self.tell(request, Outcome::NotRun(Reason::Crowded)),
+            Begin::Unknown => self.tell(request, Outcome::Unknown(Reason::NotKept)),
+        }
+    }
+
+    fn dispatch(&mut self, host: usize, request: usize, run: Run) {
+        let deadline = self.now + Duration::from_secs(30);
+        let mut course = Course::new(Repeat::Never, deadline);
+        let outstanding = course.start(self.now, place()).expect("a first try");
+        self.running.push(Running {
+            host,
+            request,
+            run,
+            course,
+            outstanding,
+        });
+    }
+
+    fn run_at_target(&mut self, request: usize) {
+        let key = self.requests[request].key;
+        self.ran[key] += 1;
+        assert_eq!(self.ran[key], 1, "key {key} ran twice");
+    }
+
+    fn fail(&mut self, n: usize, cause: Break, ran: bool, budget: bool) {
+        let mut running = self.running.swap_remove(n);
+        // An answered 503 may or may not have run; a proof of not-run is true by definition.
+        let proof = match cause {
+            Break::ConnectRefused | Break::Refused => true,
+            Break::Cut(stage) | Break::Timeout(stage) => stage < Stage::Head,
+            _ => false,
+        };
+        if ran && !proof {
+            self.run_at_target(running.request);
+        }
+        let step = running
+            .course
+            .fail(self.now, running.outstanding, cause, || budget);
+        match step {
+            Step::Retry => match running.course.start(self.now, place()) {
+                Ok(key) => {
+                    running.outstanding = key;
+                    self.running.push(running);
+                }
+                Err(error) => panic!("asked to retry, but {error}"),
+            },
+            Step::Done(end) => self.finish(running, end.outcome, 0),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn answer(&mut self, n: usize, size: usize) {
+        let mut running = self.running.swap_remove(n);
+        self.run_at_target(running.request);
+        let Step::Done(end) = running.course.answer(running.outstanding) else {
+            panic!("no outcome");
+        };
+        self.finish(running, end.outcome, size);
+    }
+
+    fn give_up(&mut self, n: usize, ran: bool) {
+        let mut running = self.running.swap_remove(n);
+        if ran {
+            self.run_at_target(running.request);
+        }
+        let end = running
+            .course
+            .give_up(Reason::Timeout, |_| Stage::Sent)
+            .expect("no outcome before");
+        self.finish(running, end.outcome, 0);
+    }
+
+    fn finish(&mut self, running: Running, outcome: Outcome, size: usize) {
+        let end = match outcome {
+            Outcome::Answered if size > 0 => End::Answered(Some(answer(size))),
+            Outcome::Answered => End::Answered(None),
+            Outcome::NotRun(_) => End::NotRun,
+            Outcome::Unknown(_) => End::Unknown,
+        };
+        let waiters = self.hosts[running.host].keys.end(&running.run, end);
+        for request in waiters.into_iter().chain([running.request]) {
+            self.tell(request, outcome);
+        }
+    }
+
+    /// The process ends: its callers see their connections close.
+    fn restart(&mut self, host: usize, ran: bool) {
+        while let Some(n) = self.running.iter().position(|r| r.host == host) {
+            self.give_up(n, ran);
+        }
+        self.incarnation += 1;
+        self.hosts[host] = start_host(host, self.incarnation, self.now);
+    }
+
+    fn apply(&mut self, event: Event) {
+        let count = self.running.len();
+        match event {
+            Event::Take { key, host } => {
+                let ticket = self.hosts[host].issuer.issue(self.now);
+                self.tickets[key].get_or_insert(ticket);
+            }
+            Event::Send { key, via, faulty } => self.send(key, via, faulty),
+            Event::Break {
+                run,
+                cause,
+                ran,
+                budget,
+            } if run < count => {
+                self.fail(run, cause, ran, budget);
+            }
+            Event::Answer { run, size } if run < count => self.answer(run, size),
+            Event::GiveUp { run, ran } if run < count => self.give_up(run, ran),
+            Event::Restart { host, ran } => self.restart(host, ran),
+            Event::Cut { a, b } if a != b => {
+                self.links[a][b] = false;
+                self.links[b][a] = false;
+            }
+            Event::Heal => self.links = [[true; HOSTS]; HOSTS],
+            Event::Advance { ms } => self.now += Duration::from_millis(ms),
+            _ => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 3000, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Config::default()
+    })]
+
+    /// No key runs twice, "not run" is true, and each request gets one final answer.
+    #[test]
+    fn keys_run_at_most_once(events in prop::collection::vec(event(), 1..150)) {
+        let mut world = World::new();
+        for event in events {
+            world.apply(event);
+        }
+        while !world.running.is_empty() {
+            world.give_up(0, true);
+        }
+        for request in &world.requests {
+            prop_assert_eq!(request.told.len(), 1, "{:?}", request.told);
+        }
+    }
+
+    /// The text of a ticket gives the ticket back.
+    #[test]
+    fn ticket_survives_its_text(host in "[a-z0-9.-]{1,40}", incarnation: u64, generation: u32) {
+        let generation = Generation(generation);
+        let ticket = Ticket { host: host.as_str().into(), incarnation, generation };
+        prop_assert_eq!(ticket.to_string().parse(), Ok(ticket));
+    }
+}
--- /dev/null
+++ b/tests/hedge.rs
@@ -0,0 +1,139 @@
+//! The retry budget and hedging.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use ragwortfold::steer::hedge::{Headroom, Hedge};
+use ragwortfold::steer::retry::{Budget, Switch, DEFAULT_FLOOR};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Extra sends that a budget gives at once.
+fn taken(budget: &mut Budget, now: Instant) -> u32 {
+    (0..1000).map(|_| u32::from(budget.take(now))).sum()
+}
+
+fn budget_after(requests: u32, share: f64, now: Instant) -> Budget {
+    let mut budget = Budget::new(now, share);
+    (0..requests).for_each(|_| budget.request(now));
+    budget
+}
+
+macro_rules! case {
+    ($($name:ident: $requests:expr, $share:expr, after $seconds:expr => $taken:expr;)*) => {
+        $(#[test] fn $name() {
+            let now = Instant::now();
+            let mut budget = budget_after($requests, $share, now);
+            assert_eq!(taken(&mut budget, now + $seconds * SECOND), $taken);
+        })*
+    };
+}
+
+case! {
+    quiet_service_may_retry: 0, 0.1, after 0 => DEFAULT_FLOOR;
+    share_of_requests: 200, 0.1, after 0 => 20 + DEFAULT_FLOOR;
+    requests_count_within_the_window: 200, 0.1, after 9 => 20 + DEFAULT_FLOOR;
+    requests_leave_the_window: 200, 0.1, after 10 => DEFAULT_FLOOR;
+    long_silence: 200, 0.1, after 100_000 => DEFAULT_FLOOR;
+}
+
+#[test]
+fn switched_off_budget_allows_all() {
+    let now = Instant::now();
+    let mut budget = budget_after(0, 0.1, now).with_switch(Switch::Off);
+    assert_eq!(taken(&mut budget, now), 1000);
+}
+
+fn hedge_after(samples: u64, now: Instant) -> Hedge {
+    let mut hedge = Hedge::new(now, 0.05);
+    for n in 1..=samples {
+        hedge.request(now);
+        hedge.record(now, Duration::from_millis(n));
+    }
+    hedge
+}
+
+#[test]
+fn no_hedge_until_enough_samples() {
+    let now = Instant::now();
+    assert_eq!(hedge_after(99, now).delay(now), None);
+    assert!(hedge_after(100, now).delay(now).is_some());
+}
+
+#[test]
+fn delay_is_the_p95() {
+    let now = Instant::now();
+    let delay = hedge_after(1000, now).delay(now).unwrap().as_secs_f64();
+    // 64 samples may be missing, and the histogram keeps two digits.
+    assert!((0.88..=0.96).contains(&delay), "{delay}");
+}
+
+#[test]
+fn old_samples_leave() {
+    let now = Instant::now();
+    let mut hedge = hedge_after(1000, now);
+    assert!(hedge.delay(now + 15 * SECOND).is_some());
+    assert_eq!(hedge.delay(now + 30 * SECOND), None);
+    let mut idle = hedge_after(1000, now);
+    assert_eq!(idle.delay(now + 300 * SECOND), None);
+}
+
+#[test]
+fn fast_class_is_not_hedged_below_the_least_delay() {
+    let now = Instant::now();
+    let mut hedge = Hedge::new(now, 0.05);
+    (0..200).for_each(|_| hedge.record(now, Duration::from_micros(50)));
+    assert_eq!(hedge.delay(now), Some(Duration::from_millis(1)));
+}
+
+#[test]
+fn copies_need_headroom_and_budget() {
+    let now = Instant::now();
+    let mut hedge = hedge_after(1000, now);
+    assert!(!hedge.take(now, Headroom::Lacking));
+    let sent = (0..1000)
+        .filter(|_| hedge.take(now, Headroom::Known))
+        .count();
+    assert_eq!(sent, 51);
+}
+
+#[test]
+fn switched_off_hedge_sends_nothing() {
+    let now = Instant::now();
+    let mut hedge = hedge_after(1000, now).with_switch(Switch::Off);
+    assert_eq!(hedge.delay(now), None);
+    assert!(!hedge.take(now, Headroom::Known));
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 300, rng_seed: RngSeed::Fixed(5), failure_persistence: None, ..Config::default()
+    })]
+
+    /// In any 9 s the extra sends stay within the floor and the share of the last 19 s' requests,
+    /// and whenever one is granted, within that of the last 10 s'.
+    #[test]
+    fn extra_sends_are_bounded(steps in prop::collection::vec((0..900u64, 0..20u32), 1..80)) {
+        let mut now = Instant::now();
+        let mut budget = Budget::new(now, 0.2);
+        let (mut requests, mut extra) = (Vec::new(), Vec::new());
+        for (ms, count) in steps {
+            now += Duration::from_millis(ms);
+            for _ in 0..count {
+                budget.request(now);
+                requests.push(now);
+            }
+            let before = extra.len();
+            extra.extend((0..30).filter(|_| budget.take(now)).map(|_| now));
+            let granted = extra.len() > before;
+            let since = |list: &[Instant], window| {
+                list.iter().filter(|&&at| now - at < window).count() as f64
+            };
+            // The window slides by a second at a time: between 9 s and 10 s of it are counted.
+            let horizon = if granted { 10 } else { 19 };
+            let allowed = f64::from(DEFAULT_FLOOR) + 0.2 * since(&requests, horizon * SECOND);
+            prop_assert!(since(&extra, 9 * SECOND) <= allowed);
+        }
+    }
+}
