Add the caller and the binary of the stand-ins, and tests of target and caller

Cause: tests and the demo need load whose answers are checked, and stand-ins as processes. A target in a crash answered waiting requests 'not-run' before its connections were cut (its test showed it): it now ends them silently.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,7 +4,7 @@
 //! process by the `standin` binary. Faults are switched while they run, by a method or by
 //! `POST /standin/fault`.
 
-//pub mod caller;
+pub mod caller;
 mod error;
 mod http;
 pub mod link;
--- a/standin/src/target/mod.rs
+++ b/standin/src/target/mod.rs
@@ -468,10 +468,8 @@
         } else {
             self.run(request)
         };
-        if let Err(Ended::Early) = ran {
-            if lock(&self.state).fault.mode == Mode::Crash {
-                return Reply::Close;
-            }
+        if ran.is_err() && lock(&self.state).fault.mode == Mode::Crash {
+            return Reply::Close;
         }
         let mut response = match ran {
             Ok(()) => self.answer(request),
--- /dev/null
+++ b/standin/tests/process.rs
@@ -0,0 +1,79 @@
+//! The stand-ins as processes: each says where it listens and takes faults over HTTP.
+
+#![allow(clippy::unwrap_used)]
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+struct Process {
+    child: Child,
+    address: SocketAddr,
+    control: SocketAddr,
+}
+
+impl Process {
+    fn new(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_standin"))
+            .args(args)
+            .args(["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let mut address = |prefix| {
+            lines
+                .next()
+                .unwrap()
+                .unwrap()
+                .strip_prefix(prefix)
+                .unwrap()
+                .parse()
+                .unwrap()
+        };
+        let (address, control) = (address("listening on "), address("control on "));
+        Self {
+            child,
+            address,
+            control,
+        }
+    }
+
+    fn fault(&self, json: &str) {
+        let uri = format!("http://{}/standin/fault", self.control);
+        assert_eq!(ureq::post(uri).send(json).unwrap().status(), 200);
+    }
+
+    fn serves(&self, path: &str) -> bool {
+        ureq::get(format!("http://{}{path}", self.address))
+            .call()
+            .is_ok()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn faults_begin_and_end() {
+    let platform = Process::new(&["platform"]);
+    let target = Process::new(&["target", "--slots", "2"]);
+    let to = target.address.to_string();
+    let link = Process::new(&["link", "--to", &to]);
+    let rows = [
+        (&platform, "/v1/hosts", r#"{"availability":"refused"}"#),
+        (&target, "/health", r#"{"mode":"refuse"}"#),
+        (&link, "/health", r#"{"accept":"reset"}"#),
+    ];
+    for (process, path, fault) in rows {
+        assert!(process.serves(path), "{path}");
+        process.fault(fault);
+        assert!(!process.serves(path), "{fault}");
+        process.fault("{}");
+        assert!(process.serves(path), "{path}");
+    }
+}
