Add the budget, the breaker, settled writes and publication

Cause: a host must not hammer a platform that fails, and a write whose answer was lost has to be told from one that never happened.

Settling reads the identity back, and sends the write again under the same condition while it may still be on its way.

--- a/src/border/objects.rs
+++ b/src/border/objects.rs
@@ -53,7 +53,7 @@
     pub files: ::std::collections::BTreeMap<::std::string::String, ::std::string::String>,
     #[doc = "The latest changes, newest first, beginning with this one."]
     pub recent: ::std::vec::Vec<Step>,
-    pub revision: ::std::num::NonZeroU64,
+    pub revision: u64,
 }
 #[doc = "`HostEntry`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
@@ -169,7 +169,7 @@
     pub change: Change,
     #[doc = "Names of the files that it changed, added or removed."]
     pub files: ::std::vec::Vec<::std::string::String>,
-    pub revision: ::std::num::NonZeroU64,
+    pub revision: u64,
 }
 #[doc = " Error types."]
 pub mod error {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,4 +4,11 @@
 //! breaker before it, [`settle`] finds out what became of a write whose answer was lost, and
 //! [`publication`] keeps the configuration's revisions.
 
+pub mod backoff;
+pub mod breaker;
+pub mod budget;
 pub mod client;
+pub mod guard;
+pub mod patience;
+pub mod publication;
+pub mod settle;
--- /dev/null
+++ b/src/store/publication/history.rs
@@ -0,0 +1,107 @@
+//! Past revisions, kept at `config/history/REVISION-ID`.
+//!
+//! A history object is written before the head that makes its revision, so it may be left over from
+//! a lost race. Those in force are the ones that the head's chain of parents leads to.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{Error, Head, Past, Step};
+use crate::store::client::{self, Condition};
+use crate::store::guard::Guard;
+use crate::store::patience::Patience;
+
+/// Where past revisions are kept.
+const PREFIX: &str = "config/history/";
+
+/// A history object.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) key: Arc<str>,
+    pub(super) version: u64,
+    pub(super) revision: u64,
+    pub(super) past: Past,
+}
+
+fn key(revision: u64, id: &str) -> String {
+    format!("{PREFIX}{revision:010}-{id}")
+}
+
+/// Writes a history object. One that is there already is the same: the key holds the change's
+/// identity and its place.
+pub(super) fn put(guard: &Guard, past: &Past, patience: &mut Patience) -> Result<(), Error> {
+    let key = key(past.step.revision, &past.step.change.id);
+    match patience.insist(|| guard.put(&key, past, Condition::Absent)) {
+        Ok(_) | Err(client::Error::Conflict { .. }) => Ok(()),
+        Err(e) => Err(e.into()),
+    }
+}
+
+/// Lists all history objects, with those left over, in order of revisions. The listing may lag.
+pub(super) fn list(guard: &Guard, patience: &mut Patience) -> Result<Vec<Entry>, Error> {
+    let listing = patience.insist(|| guard.list(PREFIX))?;
+    let mut entries = Vec::with_capacity(listing.objects.len());
+    for object in listing.objects {
+        let object = object.typed::<Past>()?;
+        entries.push(Entry {
+            key: object.key,
+            version: object.version,
+            revision: object.value.step.revision,
+            past: object.value,
+        });
+    }
+    Ok(entries)
+}
+
+/// The past of one change.
+fn get(
+    guard: &Guard,
+    revision: u64,
+    id: &str,
+    patience: &mut Patience,
+) -> Result<Option<Past>, Error> {
+    let key = key(revision, id);
+    let Some(found) = patience.insist(|| guard.get(&key))? else {
+        return Ok(None);
+    };
+    Ok(Some(found.typed::<Past>()?.value))
+}
+
+/// The revision `revision` in the chain that `head` ends.
+pub(super) fn find(
+    guard: &Guard,
+    head: &Head,
+    revision: u64,
+    patience: &mut Patience,
+) -> Result<Past, Error> {
+    let gone = || Error::NoRevision(revision);
+    let mut recent = head.recent.iter().filter(|step| step.revision >= revision);
+    // The nearest to the wanted one among the recent ones; the way on is from parent to parent.
+    let start = recent.next_back().ok_or_else(gone)?;
+    let (mut at, mut id) = (start.revision, start.change.id.clone());
+    loop {
+        let past = get(guard, at, &id, patience)?.ok_or_else(gone)?;
+        if at == revision {
+            return Ok(past);
+        }
+        (at, id) = (at - 1, past.parent.ok_or_else(gone)?);
+    }
+}
+
+/// The steps that lead to `newest`, newest first, as far as they are in `entries`; `newest` too.
+pub(super) fn chain(newest: &Step, entries: &[Entry]) -> Vec<Step> {
+    let by_id: BTreeMap<(u64, &str), &Past> = entries
+        .iter()
+        .map(|entry| ((entry.revision, &*entry.past.step.change.id), &entry.past))
+        .collect();
+    let mut steps = Vec::new();
+    let mut next = Some((newest.revision, &*newest.change.id));
+    while let Some(past) = next.and_then(|at| by_id.get(&at)) {
+        steps.push(past.step.clone());
+        next = past
+            .parent
+            .as_deref()
+            .map(|id| (past.step.revision - 1, id));
+    }
+    steps
+}
--- /dev/null
+++ b/src/store/publication/mod.rs
@@ -0,0 +1,543 @@
+//! The configuration on the platform: revisions of a folder of files.
+//!
+//! `config/head` names the revision in force, its change and the hash of each file; it alone is
+//! updated, on condition of its version, so that one update is one revision. Texts are kept by
+//! their hashes at `config/file/SHA256`, past revisions at `config/history/REVISION-ID`; both are
+//! written before the head that needs them and harm nothing when they are left over.
+//!
+//! An operator's changes are found against a [`Base`]: what the folder was derived from. Changes by
+//! others since then stay, unless they are to the same files, which is a conflict.
+
+pub mod error;
+pub mod fetch;
+pub mod garbage;
+mod history;
+pub mod marker;
+pub mod merge;
+pub mod text;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde_json::Value;
+
+use super::client::{Condition, Versioned};
+use super::guard::Guard;
+use super::patience::Patience;
+use super::settle::{self, Evidence, Identity, Outcome};
+use crate::border::objects::{Head, Past};
+use merge::Hashes;
+
+pub use crate::border::objects::{Base as Marker, Change, Step};
+pub use error::{Clash, Error};
+pub use fetch::{fetch, Fetched};
+
+/// Texts of a folder's files, by their names.
+pub type Files = BTreeMap<Arc<str>, Arc<str>>;
+
+/// The key of the head.
+pub const HEAD: &str = "config/head";
+/// Changes that the head tells of.
+const RECENT: usize = 32;
+/// File names that the head's recent changes list together, beyond which the oldest are left out.
+const RECENT_NAMES: usize = 2_000;
+/// Longest author or note in the head, in characters; the rest is cut off.
+const MAX_NOTE: usize = 500;
+/// Lost races after which a publication gives up.
+const MAX_RACES: u32 = 200;
+/// Garbage is collected after each such number of revisions.
+const COLLECT_EVERY: u64 = 16;
+
+/// Whether a folder that was never pulled may undo what it does not know of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Undo {
+    /// Files that it lacks, or holds in a text that an earlier revision had, are an error.
+    Refuse,
+    /// The folder is the whole truth: files that it lacks are removed, older texts come back.
+    Allow,
+}
+
+/// What a folder was derived from.
+#[derive(Clone, Debug)]
+pub enum Base {
+    /// What its marker says, see [`marker`].
+    Pulled(Marker),
+    /// It has no marker: the revision in force when the publication begins.
+    Head(Undo),
+}
+
+/// Who publishes, and why.
+#[derive(Clone, Debug)]
+pub struct Signature {
+    /// The operator.
+    pub author: Arc<str>,
+    /// The reason.
+    pub note: Arc<str>,
+    /// The operator's clock.
+    pub time: SystemTime,
+}
+
+/// Whether a publication made a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It did.
+    New,
+    /// The revision in force has this content already.
+    Unchanged,
+}
+
+/// A publication that is in force.
+#[derive(Clone, Debug)]
+pub struct Applied {
+    /// The revision it made, or the one in force.
+    pub revision: u64,
+    /// Whether it made a revision.
+    pub effect: Effect,
+    /// The files that it changed.
+    pub files: Vec<Arc<str>>,
+    /// What the folder is now derived from: to be written as its marker.
+    pub marker: Marker,
+}
+
+/// How a file differs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The platform has no such file.
+    Added,
+    /// The folder has no such file.
+    Removed,
+    /// The texts differ.
+    Changed,
+}
+
+/// A file in which a folder differs from the revision in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Difference {
+    /// The file.
+    pub file: Arc<str>,
+    /// How it differs.
+    pub kind: Kind,
+    /// The lines that differ, as a unified diff from the platform's text to the folder's.
+    pub text: Arc<str>,
+}
+
+/// The operators' side: publishes and reads revisions.
+#[derive(Clone, Debug)]
+pub struct Publication {
+    guard: Guard,
+    patience: Patience,
+}
+
+/// What a publication wants the folder to be, and from what it changed it.
+struct Wanted {
+    files: Files,
+    hashes: Hashes,
+    base: Hashes,
+}
+
+impl Publication {
+    /// Publishes through `guard`.
+    pub fn new(guard: Guard) -> Self {
+        Self {
+            guard,
+            patience: Patience::default(),
+        }
+    }
+
+    /// Sets how long each operation tries while the platform fails.
+    pub fn with_patience(mut self, patience: Patience) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// Publishes `files` as one revision. Changes of others to other files stay, and `check` judges
+    /// the merged whole before each try.
+    ///
+    /// # Errors
+    ///
+    /// After any error but [`Error::Unsettled`] nothing was published.
+    pub fn apply<E: std::fmt::Display>(
+        &self,
+        files: &Files,
+        base: &Base,
+        signature: &Signature,
+        check: impl Fn(&Files) -> Result<(), E>,
+    ) -> Result<Applied, Error> {
+        files.keys().try_for_each(|name| text::check_name(name))?;
+        let patience = &mut self.patience.clone();
+        let hashes = text::hashes(files);
+        let base = match base {
+            Base::Pulled(marker) => marker.files.clone(),
+            Base::Head(undo) => self.head_base(&hashes, *undo, patience)?,
+        };
+        let wanted = Wanted {
+            files: files.clone(),
+            hashes,
+            base,
+        };
+        self.publish(&wanted, signature, check, patience)
+    }
+
+    /// Publishes the content of an earlier revision as a new one. What others publish meanwhile
+    /// to other files stays.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NoRevision`], or as [`Publication::apply`].
+    pub fn revert<E: std::fmt::Display>(
+        &self,
+        revision: u64,
+        signature: &Signature,
+        check: impl Fn(&Files) -> Result<(), E>,
+    ) -> Result<Applied, Error> {
+        let patience = &mut self.patience.clone();
+        let head = self.head(patience)?.ok_or(Error::NoRevision(revision))?;
+        let past = history::find(&self.guard, &head.value, revision, patience)?;
+        let wanted = Wanted {
+            files: self.texts(&past.files, &Files::new(), patience)?,
+            hashes: past.files,
+            base: head.value.files,
+        };
+        self.publish(&wanted, signature, check, patience)
+    }
+
+    /// Reads the revision in force; none before the first.
+    ///
+    /// # Errors
+    ///
+    /// As [`fetch()`].
+    pub fn pull(&self) -> Result<Option<Fetched>, Error> {
+        let mut tries = self.patience.clone();
+        loop {
+            match fetch::with_patience(&self.guard, &Fetched::default(), &mut tries) {
+                // The revision went out of use between the reading of the head and of its texts.
+                Err(e @ Error::Missing(_)) => tries.spend(e)?,
+                other => return other,
+            }
+        }
+    }
+
+    /// The changes in force, newest first, as far as they are kept.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`].
+    pub fn history(&self) -> Result<Vec<Step>, Error> {
+        let patience = &mut self.patience.clone();
+        let Some(head) = self.head(patience)? else {
+            return Ok(Vec::new());
+        };
+        let entries = history::list(&self.guard, patience)?;
+        let mut steps = head.value.recent;
+        if let Some(oldest) = steps.last() {
+            let older = history::chain(oldest, &entries);
+            steps.extend(older.into_iter().skip(1));
+        }
+        Ok(steps)
+    }
+
+    /// Where `files` differ from the revision in force.
+    ///
+    /// # Errors
+    ///
+    /// As [`Publication::pull`].
+    pub fn diff(&self, files: &Files) -> Result<Vec<Difference>, Error> {
+        let head = self.pull()?.unwrap_or_default();
+        Ok(differences(&head.files, files))
+    }
+
+    /// Removes revisions beyond [`garbage::KEPT`] and texts that nothing needs. Publications do so
+    /// now and then by themselves. Returns the number of objects removed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`].
+    pub fn collect(&self) -> Result<usize, Error> {
+        let patience = &mut self.patience.clone();
+        match self.head(patience)? {
+            Some(head) => garbage::collect(&self.guard, &head, patience),
+            None => Ok(0),
+        }
+    }
+
+    fn head(&self, patience: &mut Patience) -> Result<Option<Versioned<Head>>, Error> {
+        let found = patience.insist(|| self.guard.get(HEAD))?;
+        Ok(found.map(Versioned::typed).transpose()?)
+    }
+
+    /// The base of a folder without a marker.
+    fn head_base(
+        &self,
+        ours: &Hashes,
+        undo: Undo,
+        patience: &mut Patience,
+    ) -> Result<Hashes, Error> {
+        let Some(head) = self.head(patience)? else {
+            return Ok(Hashes::new());
+        };
+        let base = head.value.files;
+        if undo == Undo::Allow || base == *ours {
+            return Ok(base);
+        }
+        let entries = history::list(&self.guard, patience)?;
+        let undone: Vec<String> = merge::differing(&base, ours)
+            .into_iter()
+            .filter(|name| base.contains_key(*name) && is_past(name, ours, &entries))
+            .map(str::to_owned)
+            .collect();
+        if undone.is_empty() {
+            return Ok(base);
+        }
+        Err(Error::Unpulled(undone))
+    }
+
+    fn publish<E: std::fmt::Display>(
+        &self,
+        wanted: &Wanted,
+        signature: &Signature,
+        check: impl Fn(&Files) -> Result<(), E>,
+        patience: &mut Patience,
+    ) -> Result<Applied, Error> {
+        let id = Identity::new(&mut rand::rng());
+        let change = change(&id, signature);
+        let marker = |revision| Marker {
+            revision,
+            files: wanted.hashes.clone(),
+        };
+        for _ in 0..MAX_RACES {
+            let head = self.head(patience)?;
+            let theirs = head.as_ref().map(|head| &head.value);
+            let files = rebase(wanted, theirs)?;
+            if let Some(same) = theirs.filter(|head| head.files == files) {
+                return Ok(Applied {
+                    revision: same.revision,
+                    effect: Effect::Unchanged,
+                    files: Vec::new(),
+                    marker: marker(same.revision),
+                });
+            }
+            let texts = self.texts(&files, &wanted.files, patience)?;
+            check(&texts).map_err(|e| Error::Check(e.to_string().into()))?;
+            let next = next_head(theirs, change.clone(), files);
+            if !self.replace(head.as_ref(), &next, &texts, &id, patience)? {
+                continue;
+            }
+            self.collect_sometimes(next.revision);
+            let changed = next.recent.first().map(|step| &step.files[..]);
+            return Ok(Applied {
+                revision: next.revision,
+                effect: Effect::New,
+                files: changed
+                    .unwrap_or_default()
+                    .iter()
+                    .map(|name| name.as_str().into())
+                    .collect(),
+                marker: marker(next.revision),
+            });
+        }
+        Err(Error::Crowded(MAX_RACES))
+    }
+
+    /// Writes what `next` needs, and then `next` in place of `head`. Tells whether it did: not,
+    /// if another writer was faster.
+    fn replace(
+        &self,
+        head: Option<&Versioned<Head>>,
+        next: &Head,
+        texts: &Files,
+        id: &Identity,
+        patience: &mut Patience,
+    ) -> Result<bool, Error> {
+        history::put(&self.guard, &past(head, next), patience)?;
+        let old = head.map(|head| &head.value.files);
+        let fence = head.map_or(0, |head| head.version);
+        for (name, hash) in &next.files {
+            let is_held = old.is_some_and(|old| old.values().any(|held| held == hash));
+            if let (false, Some(text)) = (is_held, texts.get(name.as_str())) {
+                text::touch(&self.guard, name, text, fence, patience)?;
+            }
+        }
+        let condition = head.map_or(Condition::Absent, |head| Condition::Version(head.version));
+        let evidence = |value: &Value| evidence(value, id, next.revision);
+        let outcome = settle::put(&self.guard, HEAD, next, condition, evidence, patience)?;
+        match outcome {
+            Outcome::Mine(_) => Ok(true),
+            Outcome::Lost(_) => Ok(false),
+            Outcome::Unclear(found) => self.is_in_chain(found, id, next.revision, patience),
+            Outcome::Unknown(cause) => Err(unsettled(id, &cause)),
+        }
+    }
+
+    /// Whether `revision` was made by the change `id`, told by the history.
+    fn is_in_chain(
+        &self,
+        found: Option<Versioned<Value>>,
+        id: &Identity,
+        revision: u64,
+        patience: &mut Patience,
+    ) -> Result<bool, Error> {
+        let Some(found) = found else {
+            return Ok(false);
+        };
+        let head = found.typed::<Head>()?.value;
+        match history::find(&self.guard, &head, revision, patience) {
+            Ok(past) => Ok(past.step.change.id == id.as_str()),
+            Err(e) => Err(unsettled(id, &e)),
+        }
+    }
+
+    /// Collects garbage after some revisions. The publication is in force whatever comes of it.
+    fn collect_sometimes(&self, revision: u64) {
+        if !revision.is_multiple_of(COLLECT_EVERY) {
+            return;
+        }
+        if let Err(e) = self.collect() {
+            spdlog::warn!("store: garbage is left: {e}");
+        }
+    }
+
+    /// The texts of `hashes`, from `at_hand` where they are the same.
+    fn texts(
+        &self,
+        hashes: &Hashes,
+        at_hand: &Files,
+        patience: &mut Patience,
+    ) -> Result<Files, Error> {
+        fetch::texts(&self.guard, hashes, at_hand, patience)
+    }
+}
+
+fn unsettled(id: &Identity, cause: &dyn std::fmt::Display) -> Error {
+    Error::Unsettled {
+        id: id.clone(),
+        cause: cause.to_string().into(),
+    }
+}
+
+/// Whether `ours` lacks a file, or holds it in a text that it had in a past revision.
+fn is_past(name: &str, ours: &Hashes, entries: &[history::Entry]) -> bool {
+    let Some(hash) = ours.get(name) else {
+        return true;
+    };
+    entries
+        .iter()
+        .any(|entry| entry.past.files.get(name) == Some(hash))
+}
+
+fn rebase(wanted: &Wanted, head: Option<&Head>) -> Result<Hashes, Error> {
+    let none = Hashes::new();
+    let theirs = head.map_or(&none, |head| &head.files);
+    merge::merge(&wanted.base, &wanted.hashes, theirs).map_err(|names| {
+        let clashes = names.into_iter().map(|file| clash(&file, head)).collect();
+        Error::Conflict(clashes)
+    })
+}
+
+fn clash(file: &str, head: Option<&Head>) -> Clash {
+    let is_other = |step: &&Step| step.files.iter().any(|name| name == file);
+    Clash {
+        file: file.into(),
+        other: head.and_then(|head| head.recent.iter().find(is_other).cloned()),
+    }
+}
+
+fn change(id: &Identity, signature: &Signature) -> Change {
+    let since = signature.time.duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    Change {
+        id: id.to_string(),
+        author: signature.author.chars().take(MAX_NOTE).collect(),
+        time: u64::try_from(millis).unwrap_or(u64::MAX),
+        note: signature.note.chars().take(MAX_NOTE).collect(),
+    }
+}
+
+fn next_head(head: Option<&Head>, change: Change, files: Hashes) -> Head {
+    let none = Hashes::new();
+    let old = head.map_or(&none, |head| &head.files);
+    let step = Step {
+        revision: head.map_or(0, |head| head.revision) + 1,
+        change: change.clone(),
+        files: merge::differing(old, &files)
+            .into_iter()
+            .map(str::to_owned)
+            .collect(),
+    };
+    let revision = step.revision;
+    let older = head.map_or(&[][..], |head| &head.recent);
+    let mut recent: Vec<Step> = std::iter::once(&step).chain(older).cloned().collect();
+    recent.truncate(RECENT);
+    while recent.len() > 1 && names(&recent) > RECENT_NAMES {
+        recent.pop();
+    }
+    Head {
+        revision,
+        change,
+        files,
+        recent,
+    }
+}
+
+fn names(steps: &[Step]) -> usize {
+    steps.iter().map(|step| step.files.len()).sum()
+}
+
+fn past(head: Option<&Versioned<Head>>, next: &Head) -> Past {
+    let step = next.recent.first().cloned().unwrap_or_else(|| Step {
+        revision: next.revision,
+        change: next.change.clone(),
+        files: Vec::new(),
+    });
+    Past {
+        step,
+        parent: head.map(|head| head.value.change.id.clone()),
+        files: next.files.clone(),
+    }
+}
+
+/// What a head tells of the change `id`, which would have made `revision`.
+fn evidence(value: &Value, id: &Identity, revision: u64) -> Evidence {
+    let Ok(head) = serde_json::from_value::<Head>(value.clone()) else {
+        return Evidence::Unclear;
+    };
+    let steps = &head.recent;
+    if steps.iter().any(|step| step.change.id == id.as_str()) {
+        return Evidence::Mine;
+    }
+    let is_told = steps.iter().any(|step| step.revision == revision);
+    if is_told || head.revision < revision {
+        return Evidence::Other;
+    }
+    Evidence::Unclear
+}
+
+fn differences(old: &Files, new: &Files) -> Vec<Difference> {
+    let names = old
+        .keys()
+        .chain(new.keys().filter(|n| !old.contains_key(*n)));
+    let mut found: Vec<_> = names
+        .filter(|name| old.get(*name) != new.get(*name))
+        .map(|name| difference(name, old.get(name), new.get(name)))
+        .collect();
+    found.sort_by(|a, b| a.file.cmp(&b.file));
+    found
+}
+
+fn difference(name: &Arc<str>, old: Option<&Arc<str>>, new: Option<&Arc<str>>) -> Difference {
+    let kind = match (old, new) {
+        (None, _) => Kind::Added,
+        (_, None) => Kind::Removed,
+        _ => Kind::Changed,
+    };
+    let (old, new) = (old.map_or("", |t| t), new.map_or("", |t| t));
+    let text = similar::TextDiff::from_lines(old, new)
+        .unified_diff()
+        .header(&format!("platform/{name}"), &format!("folder/{name}"))
+        .to_string();
+    Difference {
+        file: name.clone(),
+        kind,
+        text: text.into(),
+    }
+}
