--- /dev/null
+++ b/tests/places/mod.rs
@@ -0,0 +1,93 @@
+//! Catalogs for tests and benches.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use ragwortfold::catalog::{Catalog, HostKey, RegionKey, ServiceKey, ZoneKey};
+use serde_json::{json, Value};
+
+/// Sizes of a catalog: so many of each in the one before.
+#[derive(Clone, Copy)]
+pub struct Size {
+    pub regions: usize,
+    pub zones: usize,
+    pub hosts: usize,
+    pub services: usize,
+    pub targets: usize,
+}
+
+/// Two zones in each of three regions, two hosts a zone.
+pub const SMALL: Size = Size {
+    regions: 3,
+    zones: 2,
+    hosts: 2,
+    services: 1,
+    targets: 2,
+};
+
+/// The configuration: regions `r0`.., zones `r0-z0`.., hosts `r0-z0-h0`.., services `s0`..; links take 10 ms a
+/// step from one region to the next.
+pub fn configuration(size: Size) -> Value {
+    let mut value = json!({"regions": {}, "availability_zones": {}, "hosts": {}, "services": {},
+        "targets": {}, "links": {}, "limits": {"shift": {
+            "default": {"share": 0.05, "window_s": 60}, "failover": {"share": 0.25, "window_s": 10}}}});
+    for s in 0..size.services {
+        value["services"][format!("s{s}")] = json!({"class": "c"});
+    }
+    let mut port = 0;
+    for r in 0..size.regions {
+        value["regions"][format!("r{r}")] = json!({});
+        for to in (0..size.regions).filter(|&to| to != r) {
+            value["links"][format!("r{r}-r{to}")] = json!({"from": format!("r{r}"), "to": format!("r{to}"),
+                "latency_ms": 10 * r.abs_diff(to)});
+        }
+        for z in 0..size.zones {
+            let zone = format!("r{r}-z{z}");
+            value["availability_zones"][&zone] = json!({"region": format!("r{r}")});
+            for h in 0..size.hosts {
+                port += 1;
+                let address = format!("10.0.{}.{}:80", port >> 8, port & 255);
+                value["hosts"][format!("{zone}-h{h}")] = json!({"availability_zone": zone,
+                    "address": address, "peer_address": address});
+            }
+            for s in 0..size.services {
+                for t in 0..size.targets {
+                    value["targets"][format!("{zone}-s{s}-t{t}")] = json!({"service": format!("s{s}"),
+                        "availability_zone": zone, "address": "10.9.0.1:80", "slots": 4});
+                }
+            }
+        }
+    }
+    value
+}
+
+/// Lays a configuration out after `before`.
+pub fn lay(before: &Catalog, value: Value) -> Catalog {
+    let configuration = serde_json::from_value(value).unwrap();
+    before
+        .with_revision(before.revision + 1, &configuration)
+        .unwrap()
+}
+
+pub fn catalog(size: Size) -> Catalog {
+    lay(&Catalog::default(), configuration(size))
+}
+
+pub fn zone(catalog: &Catalog, name: &str) -> ZoneKey {
+    catalog.zone_key(name).unwrap()
+}
+
+pub fn region(catalog: &Catalog, name: &str) -> RegionKey {
+    catalog.region_key(name).unwrap()
+}
+
+pub fn service(catalog: &Catalog) -> ServiceKey {
+    catalog.service_key("s0").unwrap()
+}
+
+pub fn hosts(catalog: &Catalog) -> BTreeMap<String, HostKey> {
+    catalog
+        .hosts()
+        .map(|(key, host)| (host.name.to_string(), key))
+        .collect()
+}
