--- a/src/steer/shift.rs
+++ b/src/steer/shift.rs
@@ -14,6 +14,8 @@
 const GRAIN: Duration = Duration::from_millis(20);
 /// Buckets are merged until they span the age of the younger one divided by this.
 const RESOLUTION: u32 = 16;
+/// Buckets are merged whenever this many were added.
+const BATCH: usize = 64;
 /// How long a bucket is kept; no cap has a longer window.
 const HORIZON: Duration = Duration::from_secs(86_400);
 /// A smaller move is made only if it reaches the goal.
@@ -85,6 +87,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     buckets: VecDeque<Bucket>,
+    added: usize,
     started: Option<Instant>,
 }
 
@@ -190,7 +193,10 @@
         let now = self.buckets.back().map_or(now, |last| last.last.max(now));
         let fits = |last: &Bucket| now.duration_since(last.first) < GRAIN;
         if !self.buckets.back().is_some_and(fits) {
-            self.merge(now);
+            self.added += 1;
+            if self.added >= BATCH {
+                self.merge(now);
+            }
             self.buckets.push_back(Bucket {
                 first: now,
                 last: now,
@@ -226,6 +232,7 @@
             }
         }
         self.buckets = merged;
+        self.added = 0;
     }
 }
 
