--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -368,14 +368,12 @@
 
     /// Gives the stream up at this end. None if it had ended already.
     pub(crate) fn abandon(&self, failure: StreamError) -> Option<Dispatch> {
-        let mut state = lock(&self.state);
+        let state = lock(&self.state);
         if state.failure.is_some() || state.is_over(self.end) {
             return None;
         }
         let dispatch = state.dispatch();
-        state.sending.stop();
-        state.fail(failure);
-        self.wake.notify_all();
+        self.fail(state, failure);
         Some(dispatch)
     }
 
@@ -457,16 +455,10 @@
         receiving.ended = is_end;
         if let Some(error) = receiving.wrong_length() {
             receiving.ended = false;
-            state.sending.stop();
-            state.fail(error);
-            self.wake.notify_all();
+            self.fail(state, error);
             return Ok(Arrival::Wrong);
         }
-        self.wake.notify_all();
-        Ok(match is_end && self.end == End::Caller {
-            true => Arrival::End,
-            false => Arrival::More,
-        })
+        Ok(self.arrival(&mut state))
     }
 
     /// A reply came in.
@@ -479,16 +471,12 @@
             state.receiving.declared = *length;
         }
         state.reply = Some(reply);
-        self.wake.notify_all();
-        Ok(match state.is_reply_over() {
-            true => Arrival::End,
-            false => Arrival::More,
-        })
+        Ok(self.arrival(&mut state))
     }
 
     /// The other end gave the stream up, or the link ended.
     pub(crate) fn on_cut(&self) {
-        let mut state = lock(&self.state);
+        let state = lock(&self.state);
         if state.is_over(self.end) {
             return;
         }
@@ -498,8 +486,22 @@
             (End::Caller, None, Dispatch::Sent) => StreamError::Uncertain,
             (End::Caller, None, Dispatch::NotSent) => StreamError::NotSent,
         };
+        self.fail(state, failure);
+    }
+
+    /// Tells the stream's user of an arrival. After a whole reply the rest of the request is dropped.
+    fn arrival(&self, state: &mut State) -> Arrival {
+        self.wake.notify_all();
+        if self.end == End::Server || !state.is_reply_over() {
+            return Arrival::More;
+        }
         state.sending.stop();
-        state.fail(failure);
+        Arrival::End
+    }
+
+    fn fail(&self, mut state: MutexGuard<'_, State>, failure: StreamError) {
+        state.sending.stop();
+        state.failure.get_or_insert(failure);
         let hook = state.hook.take();
         self.wake.notify_all();
         drop(state);
@@ -577,10 +579,6 @@
         }
     }
 
-    fn fail(&mut self, failure: StreamError) {
-        self.failure.get_or_insert(failure);
-    }
-
     /// Asks for a turn if there is something to send and none was asked for.
     fn wish(&mut self) -> Wish {
         if self.queued || !self.sending.is_ready() {
--- a/src/peer/connect.rs
+++ b/src/peer/connect.rs
@@ -44,6 +44,8 @@
     Proof,
     #[error("an older incarnation")]
     Incarnation,
+    #[error("the mesh is closing")]
+    Closing,
 }
 
 impl Failure {
@@ -61,6 +63,7 @@
             Failure::Host => &tally.refused_host,
             Failure::Proof => &tally.refused_proof,
             Failure::Incarnation => &tally.refused_incarnation,
+            Failure::Closing => &tally.refused_closing,
         }
     }
 }
@@ -138,10 +141,8 @@
 
 fn register(core: &Arc<Core>, link: Link, socket: Socket) -> Result<(Arc<Link>, Socket), Failure> {
     let link = Arc::new(link);
-    match core.on_linked(&link) {
-        true => Ok((link, socket)),
-        false => Err(Failure::Incarnation),
-    }
+    core.on_linked(&link)?;
+    Ok((link, socket))
 }
 
 /// The dialling side of the handshake.
@@ -152,7 +153,7 @@
 ) -> Result<(Link, Socket), Failure> {
     tune(&stream).map_err(|_| Failure::Connection)?;
     let upgrade = tokio_tungstenite::client_async_with_config(
-        format!("ws://{host}.invalid/"),
+        "ws://peer.invalid/",
         stream,
         Some(limits(core)),
     );
--- a/src/peer/count.rs
+++ b/src/peer/count.rs
@@ -65,7 +65,9 @@
     refused_proof,
     /// Links refused because a later incarnation of the host is linked.
     refused_incarnation,
-    /// Frames above the size limit.
+    /// Links refused because the mesh is closing.
+    refused_closing,
+    /// Frames and messages above the size limit.
     oversize,
     /// Frames that could not be decoded.
     malformed,
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -15,8 +15,9 @@
 
 use super::auth::Side;
 use super::channel::{Arrival, Channel, End, Permit, Violation, Windows, Wish};
+use super::count::Tally;
 use super::error::{Dispatch, OpenError, Reason, StreamError, ROOM_RETRY};
-use super::frame::{self, Decoded, Frame, Hello};
+use super::frame::{self, Decoded, Frame, Hello, Malformed};
 use super::lock;
 use super::mesh::{Core, Event};
 use super::outbox::{Next, Outbox, Phase};
@@ -69,6 +70,38 @@
     heard: bool,
 }
 
+/// What a peer may not send; it ends the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Malformed,
+    Oversize,
+    UnknownStream,
+    Violation,
+}
+
+impl From<Violation> for Fault {
+    fn from(_: Violation) -> Fault {
+        Fault::Violation
+    }
+}
+
+impl From<Malformed> for Fault {
+    fn from(_: Malformed) -> Fault {
+        Fault::Malformed
+    }
+}
+
+impl Fault {
+    fn count(self, tally: &Tally) {
+        match self {
+            Fault::Malformed => tally.malformed.one(),
+            Fault::Oversize => tally.oversize.one(),
+            Fault::UnknownStream => tally.unknown_stream.one(),
+            Fault::Violation => tally.violation.one(),
+        }
+    }
+}
+
 impl Link {
     pub(crate) fn new(core: Arc<Core>, side: Side, hello: &Hello) -> Link {
         let config = &core.config;
@@ -113,9 +146,13 @@
         lock(&self.outbox).phase() == Phase::Open
     }
 
-    /// Opens a stream. None if the link takes no new ones.
-    pub(crate) fn open(self: &Arc<Link>, open: &Open) -> Option<Result<Stream, OpenError>> {
-        let bytes = frame::encode(&open.to_frame());
+    /// Opens a stream for a request with some time left. None if the link takes no new ones.
+    pub(crate) fn open(
+        self: &Arc<Link>,
+        open: &Open,
+        left: Duration,
+    ) -> Option<Result<Stream, OpenError>> {
+        let bytes = frame::encode(&open.to_frame(left));
         if bytes.len() > self.peer_frame {
             return Some(Err(OpenError::Oversize(bytes.len())));
         }
@@ -134,7 +171,7 @@
         }
         self.wake.notify_one();
         self.core.tally.streams_out.one();
-        let stream = Stream::new(self.clone(), channel, open.deadline);
+        let stream = Stream::new(self.clone(), channel, left);
         Some(Ok(stream))
     }
 
@@ -397,7 +434,12 @@
                 }
             };
             self.core.tally.bytes_in.add(bytes.len() as u64);
-            if self.on_bytes(&bytes, &mut parts).is_err() {
+            if let Err(fault) = self.on_bytes(&bytes, &mut parts) {
+                fault.count(&self.core.tally);
+                spdlog::warn!(
+                    "peer: {} sent a frame that it may not: {fault:?}",
+                    self.host
+                );
                 return Reason::Fault;
             }
         }
@@ -410,24 +452,13 @@
         }
     }
 
-    fn on_bytes(self: &Arc<Link>, bytes: &[u8], parts: &mut BytesMut) -> Result<(), Violation> {
-        let tally = &self.core.tally;
-        match frame::decode(bytes) {
-            Ok(Decoded::Known(frame, payload)) => {
-                let handled = self.on_frame(frame, payload, parts);
-                if handled.is_err() {
-                    tally.violation.one();
-                }
-                handled
-            }
-            Ok(Decoded::Unknown) => {
-                tally.unknown_kind.one();
+    fn on_bytes(self: &Arc<Link>, bytes: &[u8], parts: &mut BytesMut) -> Result<(), Fault> {
+        match frame::decode(bytes)? {
+            Decoded::Known(frame, payload) => self.on_frame(frame, payload, parts),
+            Decoded::Unknown => {
+                self.core.tally.unknown_kind.one();
                 Ok(())
             }
-            Err(_) => {
-                tally.malformed.one();
-                Err(Violation)
-            }
         }
     }
 
@@ -436,7 +467,7 @@
         frame: Frame,
         payload: Bytes,
         parts: &mut BytesMut,
-    ) -> Result<(), Violation> {
+    ) -> Result<(), Fault> {
         match frame {
             Frame::Message(message) => {
                 self.on_message(message);
@@ -458,7 +489,7 @@
                 self.core.on_draining(&self.host);
                 Ok(())
             }
-            Frame::Hello(_) | Frame::Proof(_) => Err(Violation),
+            Frame::Hello(_) | Frame::Proof(_) => Err(Fault::Violation),
         }
     }
 
@@ -471,29 +502,24 @@
         });
     }
 
-    fn on_part(&self, end: bool, bytes: &[u8], parts: &mut BytesMut) -> Result<(), Violation> {
+    fn on_part(&self, end: bool, bytes: &[u8], parts: &mut BytesMut) -> Result<(), Fault> {
         if parts.len() + bytes.len() > self.core.config.message {
-            self.core.tally.oversize.one();
-            return Err(Violation);
+            return Err(Fault::Oversize);
         }
         parts.extend_from_slice(bytes);
         if !end {
             return Ok(());
         }
-        match frame::decode_message(&std::mem::take(parts)) {
-            Ok(Decoded::Known(message, _)) => self.on_message(message),
-            Ok(Decoded::Unknown) => self.core.tally.unknown_kind.one(),
-            Err(_) => {
-                self.core.tally.malformed.one();
-                return Err(Violation);
-            }
+        match frame::decode_message(&std::mem::take(parts))? {
+            Decoded::Known(message, _) => self.on_message(message),
+            Decoded::Unknown => self.core.tally.unknown_kind.one(),
         }
         Ok(())
     }
 
-    fn on_open(self: &Arc<Link>, open: frame::Open) -> Result<(), Violation> {
+    fn on_open(self: &Arc<Link>, open: frame::Open) -> Result<(), Fault> {
         if lock(&self.goodbyes).heard {
-            return Err(Violation);
+            return Err(Fault::Violation);
         }
         let count = self.accepted.fetch_add(1, Ordering::Relaxed);
         let stream = number(other(self.side), count);
@@ -517,11 +543,11 @@
     }
 
     /// The stream of a frame; none if it has ended, an error if there never was one.
-    fn find(&self, stream: u64, end: End) -> Result<Option<Arc<Channel>>, Violation> {
+    fn find(&self, stream: u64, end: End) -> Result<Option<Arc<Channel>>, Fault> {
         if let Some(channel) = lock(&self.streams).get(&stream) {
             return match channel.end == end {
                 true => Ok(Some(channel.clone())),
-                false => Err(Violation),
+                false => Err(Fault::Violation),
             };
         }
         let own = stream % 2 == number(self.side, 0) % 2;
@@ -531,21 +557,20 @@
         };
         let side = if own { self.side } else { other(self.side) };
         if stream == 0 || stream >= number(side, count) {
-            self.core.tally.unknown_stream.one();
-            return Err(Violation);
+            return Err(Fault::UnknownStream);
         }
         self.core.tally.late.one();
         Ok(None)
     }
 
     /// The stream of a frame that either end may get.
-    fn find_any(&self, stream: u64) -> Result<Option<Arc<Channel>>, Violation> {
+    fn find_any(&self, stream: u64) -> Result<Option<Arc<Channel>>, Fault> {
         let own = stream % 2 == number(self.side, 0) % 2;
         let end = if own { End::Caller } else { End::Server };
         self.find(stream, end)
     }
 
-    fn on_reply(&self, stream: u64, reply: Reply) -> Result<(), Violation> {
+    fn on_reply(&self, stream: u64, reply: Reply) -> Result<(), Fault> {
         let Some(channel) = self.find(stream, End::Caller)? else {
             return Ok(());
         };
@@ -555,7 +580,7 @@
         Ok(())
     }
 
-    fn on_data(&self, stream: u64, bytes: Bytes, end: bool) -> Result<(), Violation> {
+    fn on_data(&self, stream: u64, bytes: Bytes, end: bool) -> Result<(), Fault> {
         let Some(channel) = self.find_any(stream)? else {
             return Ok(());
         };
@@ -570,7 +595,7 @@
         Ok(())
     }
 
-    fn on_credit(&self, stream: u64, bytes: u64) -> Result<(), Violation> {
+    fn on_credit(&self, stream: u64, bytes: u64) -> Result<(), Fault> {
         if let Some(channel) = self.find_any(stream)? {
             let wish = channel.on_credit(bytes);
             self.grant(&channel, wish);
@@ -578,7 +603,7 @@
         Ok(())
     }
 
-    fn on_given_up(&self, stream: u64, end: End) -> Result<(), Violation> {
+    fn on_given_up(&self, stream: u64, end: End) -> Result<(), Fault> {
         if let Some(channel) = self.find(stream, end)? {
             self.remove(stream);
             channel.on_cut();
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -11,7 +11,7 @@
 use super::auth::Side;
 use super::channel::Pool;
 use super::config::{Config, Listen};
-use super::connect::{self, Step};
+use super::connect::{self, Failure, Step};
 use super::count::{Counters, Tally};
 use super::error::{Error, OpenError, Reason, SendError};
 use super::frame::{self, Frame, Message, CHUNK};
@@ -185,10 +185,12 @@
     ///
     /// It returns once the request is queued. The stream's own errors tell whether it was sent.
     pub fn open(&self, host: &str, open: &Open, timeout: Duration) -> Result<Stream, OpenError> {
-        let until = Instant::now() + timeout.min(open.deadline);
+        let start = Instant::now();
+        let until = start + timeout.min(open.deadline);
         loop {
             let link = self.core.link(host, until)?;
-            if let Some(opened) = link.open(open) {
+            let left = open.deadline.saturating_sub(start.elapsed());
+            if let Some(opened) = link.open(open, left) {
                 return opened;
             }
         }
@@ -377,16 +379,16 @@
         self.changed.notify_all();
     }
 
-    /// A link is authenticated. False if it must not be used.
-    pub(crate) fn on_linked(&self, link: &Arc<Link>) -> bool {
+    /// A link is authenticated.
+    pub(crate) fn on_linked(&self, link: &Arc<Link>) -> Result<(), Failure> {
         let mut book = lock(&self.book);
         if book.closing {
-            return false;
+            return Err(Failure::Closing);
         }
         let peer = book.peers.entry(link.host.clone()).or_default();
         let current = peer.links.first().map(|first| first.incarnation);
         if current.is_some_and(|current| current > link.incarnation) {
-            return false;
+            return Err(Failure::Incarnation);
         }
         self.tally.links.one();
         let mut reports = lock(&self.reports);
@@ -414,7 +416,7 @@
         self.changed.notify_all();
         drop(book);
         self.report();
-        true
+        Ok(())
     }
 
     /// The other side opens no more streams on a link.
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -74,7 +74,7 @@
         self
     }
 
-    pub(crate) fn to_frame(&self) -> Frame {
+    pub(crate) fn to_frame(&self, left: Duration) -> Frame {
         let text = |text: &Option<Arc<str>>| text.as_deref().map(str::to_owned);
         Frame::Open(frame::Open {
             request: self.request.to_string(),
@@ -84,7 +84,7 @@
             path: self.path.to_string(),
             headers: headers_to_frame(&self.headers),
             length: self.length,
-            deadline_ms: millis(self.deadline),
+            deadline_ms: millis(left),
             priority: self.priority,
             key: text(&self.key),
             ticket: text(&self.ticket),
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -38,7 +38,7 @@
             let _ = report.send(event);
         });
         Node {
-            mesh: mesh.unwrap(),
+            mesh: mesh.expect("a mesh"),
             events,
         }
     }
@@ -46,7 +46,7 @@
     /// The first event that `pick` takes; others are dropped.
     fn wait<T>(&self, mut pick: impl FnMut(Event) -> Option<T>) -> T {
         loop {
-            if let Some(found) = pick(self.events.recv_timeout(PATIENCE).unwrap()) {
+            if let Some(found) = pick(self.events.recv_timeout(PATIENCE).expect("an event")) {
                 return found;
             }
         }
