Add the planner lease, membership, delegates and fenced plan writes

Cause: the hosts need one planner at a time without a coordination service, and must know who is alive.

Change: lease::Lease and publish::Publish are state machines over conditional writes; membership::Membership detects failures by heartbeats; delegates come from rendezvous hashing. The plan itself is still only its stamp and gate.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,9 @@
 //! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
 
 pub mod delegate;
+pub mod detector;
 pub mod lease;
 pub mod membership;
 pub mod plan;
+pub mod publish;
 pub mod summary;
--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,632 @@
+//! The planner lease and the fenced plan, on a modelled store that delays, loses and lies.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use ragwortfold::control::lease::{self, Candidacy, Condition, Lease, Version};
+use ragwortfold::control::plan::{Gate, Stamp};
+use ragwortfold::control::publish::{self, Publish};
+
+/// Step of the virtual clock, in milliseconds.
+const STEP: u64 = 25;
+
+/// One object of the store with its history.
+struct Object<T> {
+    history: Vec<(Version, T)>,
+}
+
+impl<T: Clone> Object<T> {
+    fn new() -> Self {
+        Self {
+            history: Vec::new(),
+        }
+    }
+
+    fn now(&self) -> Option<(Version, T)> {
+        self.history.last().cloned()
+    }
+
+    /// What a read gives: the newest value, or sometimes the one before.
+    fn read(&self, stale: bool) -> Option<(Version, T)> {
+        match (stale, self.history.len()) {
+            (true, n) if n >= 2 => self.history.get(n - 2).cloned(),
+            _ => self.now(),
+        }
+    }
+
+    fn write(&mut self, condition: &Condition, value: T) -> Option<Version> {
+        let holds = match (condition, self.now()) {
+            (Condition::Absent, None) => true,
+            (Condition::Version(wanted), Some((version, _))) => *wanted == version,
+            _ => false,
+        };
+        if !holds {
+            return None;
+        }
+        let version: Version = format!("v{}", self.history.len() + 1).into();
+        self.history.push((version.clone(), value));
+        Some(version)
+    }
+}
+
+#[derive(Clone)]
+enum Call {
+    Lease(lease::Command),
+    Plan(publish::Command),
+}
+
+enum Answer {
+    Lease(lease::Event),
+    Plan(publish::Event),
+}
+
+/// Something the world does at a time, in milliseconds.
+enum Due {
+    Effect(usize, Call, Fate),
+    Answer(usize, Answer),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Answered,
+    AnswerLost,
+}
+
+struct Host {
+    lease: Lease,
+    publish: Option<(u64, Publish)>,
+    gate: Gate,
+    /// Rate of its clock.
+    rate: f64,
+    paused_until: u64,
+    dead: bool,
+}
+
+/// How unkind the world is: probabilities of each call, and the longest delays.
+#[derive(Clone, Copy)]
+struct Faults {
+    lost: f64,
+    down: f64,
+    stale: f64,
+    slow: f64,
+}
+
+const NONE: Faults = Faults {
+    lost: 0.0,
+    down: 0.0,
+    stale: 0.0,
+    slow: 0.0,
+};
+const MANY: Faults = Faults {
+    lost: 0.15,
+    down: 0.05,
+    stale: 0.15,
+    slow: 0.10,
+};
+
+struct World {
+    base: Instant,
+    time: u64,
+    rng: Pcg64,
+    faults: Faults,
+    hosts: Vec<Host>,
+    lease: Object<lease::Value>,
+    plan: Object<(Stamp, usize)>,
+    due: BTreeMap<(u64, u64), Due>,
+    serial: u64,
+    /// Plan writes by a host whose epoch was no longer the highest: tried, and taken.
+    stale_tried: usize,
+    stale_taken: usize,
+    epochs: BTreeMap<u64, usize>,
+    calls: usize,
+    /// Calls reach the store only after this delay: their sender is paused as it sends them.
+    stuck: Option<u64>,
+}
+
+impl World {
+    fn new(seed: u64, hosts: usize, faults: Faults) -> Self {
+        let base = Instant::now();
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let hosts = (0..hosts)
+            .map(|n| {
+                let mut lease = Lease::new(base, format!("host-{n}.1").into());
+                lease.stand(base, Candidacy::Stands);
+                Host {
+                    lease,
+                    publish: None,
+                    gate: Gate::default(),
+                    rate: rng.random_range(0.995..1.005),
+                    paused_until: 0,
+                    dead: false,
+                }
+            })
+            .collect();
+        Self {
+            base,
+            time: 0,
+            rng,
+            faults,
+            hosts,
+            lease: Object::new(),
+            plan: Object::new(),
+            due: BTreeMap::new(),
+            serial: 0,
+            stale_tried: 0,
+            stale_taken: 0,
+            epochs: BTreeMap::new(),
+            calls: 0,
+            stuck: None,
+        }
+    }
+
+    fn clock(&self, host: usize) -> Instant {
+        let millis = self.time as f64 * self.hosts[host].rate;
+        self.base + Duration::from_secs_f64(millis / 1000.0)
+    }
+
+    fn at(&mut self, time: u64, due: Due) {
+        self.serial += 1;
+        self.due.insert((time, self.serial), due);
+    }
+
+    fn send(&mut self, host: usize, call: Call) {
+        self.calls += 1;
+        if let Some(delay) = self.stuck {
+            return self.at(self.time + delay, Due::Effect(host, call, Fate::Answered));
+        }
+        if self.rng.random_bool(self.faults.down) {
+            let answer = match call {
+                Call::Lease(_) => Answer::Lease(lease::Event::Down),
+                Call::Plan(_) => Answer::Plan(publish::Event::Down),
+            };
+            return self.at(self.time + 10, Due::Answer(host, answer));
+        }
+        let slow = self.rng.random_bool(self.faults.slow);
+        let longest = if slow { 12_000 } else { 10 };
+        let delay = self.rng.random_range(2..=longest);
+        let lost = self.rng.random_bool(self.faults.lost) || delay > 2_000;
+        let fate = if lost {
+            Fate::AnswerLost
+        } else {
+            Fate::Answered
+        };
+        if lost {
+            let answer = match &call {
+                Call::Lease(lease::Command::Write { .. }) => Answer::Lease(lease::Event::Uncertain),
+                Call::Lease(lease::Command::Read) => Answer::Lease(lease::Event::Down),
+                Call::Plan(publish::Command::Write { .. }) => {
+                    Answer::Plan(publish::Event::Uncertain)
+                }
+                Call::Plan(publish::Command::Read) => Answer::Plan(publish::Event::Down),
+            };
+            self.at(
+                self.time + 2_000.min(delay + 500),
+                Due::Answer(host, answer),
+            );
+        }
+        self.at(self.time + delay, Due::Effect(host, call, fate));
+    }
+
+    /// The store runs a call; its answer follows unless it is lost.
+    fn run(&mut self, host: usize, call: Call, fate: Fate) {
+        let stale = self.rng.random_bool(self.faults.stale);
+        let answer = match call {
+            Call::Lease(lease::Command::Read) => {
+                Answer::Lease(lease::Event::Read(self.lease.read(stale)))
+            }
+            Call::Lease(lease::Command::Write { value, condition }) => {
+                let epoch = value.epoch;
+                match self.lease.write(&condition, value) {
+                    Some(version) => {
+                        let holder = *self.epochs.entry(epoch).or_insert(host);
+                        assert_eq!(holder, host, "epoch {epoch} has two holders");
+                        Answer::Lease(lease::Event::Written(version))
+                    }
+                    None => Answer::Lease(lease::Event::Conflict),
+                }
+            }
+            Call::Plan(publish::Command::Read) => {
+                let read = self.plan.read(stale);
+                let read = read.map(|(version, (stamp, _))| (version, stamp));
+                Answer::Plan(publish::Event::Read(read))
+            }
+            Call::Plan(publish::Command::Write { stamp, condition }) => {
+                let fence = self.plan.now().map_or(0, |(_, (stamp, _))| stamp.epoch);
+                let written = self.plan.write(&condition, (stamp, host));
+                let stale = stamp.epoch < fence;
+                self.stale_tried += usize::from(stale);
+                self.stale_taken += usize::from(stale && written.is_some());
+                match written {
+                    Some(version) => Answer::Plan(publish::Event::Written(version)),
+                    None => Answer::Plan(publish::Event::Conflict),
+                }
+            }
+        };
+        if fate == Fate::Answered {
+            self.at(self.time + 2, Due::Answer(host, answer));
+        }
+    }
+
+    fn answer(&mut self, host: usize, answer: Answer) {
+        if self.hosts[host].dead {
+            return;
+        }
+        let paused = self.hosts[host].paused_until;
+        if paused > self.time {
+            return self.at(paused, Due::Answer(host, answer));
+        }
+        let now = self.clock(host);
+        let rng = &mut self.rng;
+        let host = &mut self.hosts[host];
+        match answer {
+            Answer::Lease(event) => host.lease.event(now, event, rng),
+            Answer::Plan(event) => {
+                let Some((_, publish)) = &mut host.publish else {
+                    return;
+                };
+                if let Some(publish::Outcome::Fenced(epoch)) = publish.event(now, event, rng) {
+                    host.lease.learn(epoch);
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, host: usize) {
+        if self.hosts[host].dead || self.hosts[host].paused_until > self.time {
+            return;
+        }
+        let now = self.clock(host);
+        let Self { hosts, rng, .. } = self;
+        let it = &mut hosts[host];
+        let command = it.lease.tick(now, rng);
+        let held = it.lease.held(now);
+        let current = it.publish.as_ref().map(|(epoch, _)| *epoch);
+        if let (Some(epoch), true) = (held, held != current) {
+            it.publish = Some((epoch, Publish::new(now, epoch)));
+        }
+        let mut plan = None;
+        if let Some((_, publish)) = &mut it.publish {
+            if rng.random_bool(0.02) {
+                publish.want();
+            }
+            plan = publish.tick(now, held);
+        }
+        if let Some(command) = command {
+            self.send(host, Call::Lease(command));
+        }
+        if let Some(command) = plan {
+            self.send(host, Call::Plan(command));
+        }
+    }
+
+    /// A host takes in the plan, sometimes an old one.
+    fn fetch(&mut self, host: usize) {
+        let stale = self.rng.random_bool(0.5);
+        let Some((_, (stamp, _))) = self.plan.read(stale) else {
+            return;
+        };
+        let before = self.hosts[host].gate.newest();
+        let taken = self.hosts[host].gate.accept(stamp);
+        assert_eq!(taken, stamp > before);
+    }
+
+    fn step(&mut self) {
+        self.time += STEP;
+        while let Some((&key, _)) = self.due.first_key_value() {
+            if key.0 > self.time {
+                break;
+            }
+            match self.due.remove(&key) {
+                Some(Due::Effect(host, call, fate)) => self.run(host, call, fate),
+                Some(Due::Answer(host, answer)) => self.answer(host, answer),
+                None => {}
+            }
+        }
+        for host in 0..self.hosts.len() {
+            self.act(host);
+        }
+        let host = self.rng.random_range(0..self.hosts.len());
+        self.fetch(host);
+        let holders = self.holders();
+        assert!(holders.len() <= 1, "{holders:?} hold the lease at once");
+    }
+
+    /// Pauses a host, just as it sends what it has to send.
+    fn pause(&mut self, host: usize, pause: u64) {
+        if let Some((_, publish)) = &mut self.hosts[host].publish {
+            publish.want();
+        }
+        self.stuck = Some(pause);
+        self.act(host);
+        self.stuck = None;
+        self.hosts[host].paused_until = self.time + pause;
+    }
+
+    fn holders(&self) -> BTreeSet<usize> {
+        (0..self.hosts.len())
+            .filter(|&n| !self.hosts[n].dead)
+            .filter(|&n| self.hosts[n].lease.held(self.clock(n)).is_some())
+            .collect()
+    }
+
+    fn check_plans(&self) {
+        let stamps: Vec<Stamp> = self.plan.history.iter().map(|(_, (s, _))| *s).collect();
+        assert!(
+            stamps.windows(2).all(|pair| pair[0] < pair[1]),
+            "{stamps:?}"
+        );
+    }
+
+    fn run_until(&mut self, limit: u64, done: impl Fn(&Self) -> bool) -> Option<u64> {
+        let start = self.time;
+        while self.time < start + limit {
+            self.step();
+            if done(self) {
+                return Some(self.time - start);
+            }
+        }
+        None
+    }
+}
+
+/// Random pauses of the holder and of others under all faults.
+fn pauses(seed: u64, count: usize, faults: Faults) -> (usize, usize, usize) {
+    let mut world = World::new(seed, 5, faults);
+    for _ in 0..count {
+        let rest = world.rng.random_range(500..8_000);
+        world.run_until(rest, |_| false);
+        let holder = world.holders().first().copied();
+        let any = world.rng.random_range(0..5);
+        let host = holder.filter(|_| world.rng.random_bool(0.8)).unwrap_or(any);
+        let pause = world.rng.random_range(200..20_000);
+        world.pause(host, pause);
+    }
+    world.run_until(30_000, |_| false);
+    world.check_plans();
+    assert_eq!(world.stale_taken, 0, "seed {seed}: a stale plan was taken");
+    assert!(
+        world.epochs.len() > count / 20,
+        "the lease hardly ever moved"
+    );
+    (
+        world.stale_tried,
+        world.epochs.len(),
+        world.plan.history.len(),
+    )
+}
+
+#[test]
+fn no_act_of_a_stale_holder_is_taken_over_a_thousand_pauses() {
+    let (mut tried, mut epochs, mut plans) = (0, 0, 0);
+    for seed in 0..20 {
+        let (t, e, p) = pauses(seed, 50, MANY);
+        tried += t;
+        epochs += e;
+        plans += p;
+    }
+    println!("1000 pauses: {epochs} epochs, {plans} plans, {tried} stale writes refused");
+    assert!(tried > 0, "no stale write was tried, so nothing was shown");
+}
+
+/// Time from the holder's death to the first plan of the next one, in milliseconds.
+fn hand_over(seed: u64, hosts: usize) -> u64 {
+    let mut world = World::new(seed, hosts, NONE);
+    let published = |world: &World| world.plan.now().is_some();
+    assert!(world.run_until(20_000, published).is_some());
+    let more = world.rng.random_range(0..6_000);
+    world.run_until(more, |_| false);
+    let holder = *world.holders().first().expect("a holder");
+    let (_, (stamp, _)) = world.plan.now().expect("a plan");
+    world.hosts[holder].dead = true;
+    let next = move |world: &World| {
+        let (_, (newest, _)) = world.plan.now().expect("a plan");
+        newest.epoch > stamp.epoch
+    };
+    world.run_until(30_000, next).expect("a hand-over")
+}
+
+#[test]
+fn the_lease_is_handed_over_within_ten_seconds_of_a_death() {
+    for hosts in [2, 12, 30] {
+        let mut times: Vec<u64> = (0..100).map(|seed| hand_over(seed, hosts)).collect();
+        times.sort_unstable();
+        println!(
+            "{hosts} candidates: p50 {} ms, max {} ms",
+            times[50], times[99]
+        );
+        assert!(times[99] < 10_000, "{hosts} candidates: {} ms", times[99]);
+    }
+}
+
+#[test]
+fn the_store_is_asked_at_a_bounded_rate() {
+    let mut world = World::new(7, 30, NONE);
+    world.run_until(60_000, |_| false);
+    let rate = world.calls as f64 / 60.0;
+    println!("30 candidates: {rate:.1} calls a second");
+    assert!(rate < 30.0, "{rate} calls a second");
+}
+
+/// A host whose commands and events a table gives.
+struct Script {
+    base: Instant,
+    rng: Pcg64,
+    lease: Lease,
+}
+
+impl Script {
+    fn new() -> Self {
+        let base = Instant::now();
+        let mut lease = Lease::new(base, "a.1".into());
+        lease.stand(base, Candidacy::Stands);
+        Self {
+            base,
+            rng: Pcg64::seed_from_u64(1),
+            lease,
+        }
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.base + Duration::from_millis(millis)
+    }
+
+    fn tick(&mut self, millis: u64) -> Option<lease::Command> {
+        let now = self.at(millis);
+        self.lease.tick(now, &mut self.rng)
+    }
+
+    fn event(&mut self, millis: u64, event: lease::Event) {
+        let now = self.at(millis);
+        self.lease.event(now, event, &mut self.rng);
+    }
+
+    /// The value of the write that is due by `millis`.
+    fn write(&mut self, millis: u64) -> lease::Value {
+        match self.tick(millis) {
+            Some(lease::Command::Write { value, .. }) => value,
+            other => panic!("{other:?} at {millis}"),
+        }
+    }
+
+    fn held(&self, millis: u64) -> Option<u64> {
+        self.lease.held(self.at(millis))
+    }
+
+    /// Takes a free lease by a write sent at 1,000 ms.
+    fn take(&mut self) -> lease::Value {
+        assert_eq!(self.tick(0), Some(lease::Command::Read));
+        self.event(1, lease::Event::Read(None));
+        self.write(1_000)
+    }
+}
+
+fn other(epoch: u64, ttl: Duration) -> (Version, lease::Value) {
+    let value = lease::Value {
+        holder: "b.1".into(),
+        epoch,
+        identity: 1,
+        ttl,
+    };
+    ("x".into(), value)
+}
+
+macro_rules! case {
+    ($($name:ident: $body:expr),* $(,)?) => {
+        $(#[test] fn $name() { let body: fn(&mut Script) = $body; body(&mut Script::new()); })*
+    };
+}
+
+case! {
+    validity_counts_from_before_the_write: |it| {
+        it.take();
+        it.event(3_000, lease::Event::Written("v1".into()));
+        assert_eq!(it.held(5_800), Some(1));
+        assert_eq!(it.held(6_000), None);
+    },
+    a_lost_answer_is_settled_by_its_identity: |it| {
+        let value = it.take();
+        it.event(2_000, lease::Event::Uncertain);
+        assert_eq!(it.held(2_000), None);
+        assert_eq!(it.tick(2_500), Some(lease::Command::Read));
+        it.event(2_600, lease::Event::Read(Some(("v1".into(), value))));
+        assert_eq!(it.held(5_800), Some(1));
+        assert_eq!(it.held(6_000), None);
+    },
+    a_lost_write_that_lands_after_the_next_is_still_known: |it| {
+        let value = it.take();
+        it.event(2_000, lease::Event::Uncertain);
+        assert_eq!(it.tick(2_500), Some(lease::Command::Read));
+        it.event(2_510, lease::Event::Read(None));
+        it.write(3_200);
+        it.event(3_300, lease::Event::Conflict);
+        assert_eq!(it.tick(3_300), Some(lease::Command::Read));
+        it.event(3_400, lease::Event::Read(Some(("v1".into(), value))));
+        assert_eq!(it.held(5_800), Some(1));
+        assert_eq!(it.held(6_000), None);
+    },
+    another_holder_is_waited_for_on_the_own_clock: |it| {
+        it.tick(0);
+        it.event(100, lease::Event::Read(Some(other(7, lease::TTL))));
+        let mut now = 100;
+        let value = loop {
+            now += 50;
+            match it.tick(now) {
+                Some(lease::Command::Read) => {
+                    it.event(now, lease::Event::Read(Some(other(7, lease::TTL))));
+                }
+                Some(lease::Command::Write { value, .. }) => break value,
+                None => {}
+            }
+        };
+        assert!((5_100..5_800).contains(&now), "{now}");
+        assert_eq!(value.epoch, 8);
+    },
+    a_renewal_by_the_other_starts_the_wait_anew: |it| {
+        it.tick(0);
+        it.event(100, lease::Event::Read(Some(other(7, lease::TTL))));
+        let mut now = 100;
+        while now < 10_000 {
+            now += 50;
+            let found = (Arc::from(format!("x{}", now / 1_500)), other(7, lease::TTL).1);
+            match it.tick(now) {
+                Some(lease::Command::Read) => it.event(now, lease::Event::Read(Some(found))),
+                Some(command) => panic!("{command:?} at {now}"),
+                None => {}
+            }
+        }
+    },
+    a_lease_given_up_is_taken_without_a_wait: |it| {
+        it.tick(0);
+        it.event(100, lease::Event::Read(Some(other(7, Duration::ZERO))));
+        assert_eq!(it.write(800).epoch, 8);
+    },
+    a_leaving_holder_gives_it_up_at_once: |it| {
+        it.take();
+        it.event(1_010, lease::Event::Written("v1".into()));
+        let now = it.at(1_200);
+        it.lease.stand(now, Candidacy::Abstains);
+        assert_eq!(it.write(1_200).ttl, Duration::ZERO);
+        assert_eq!(it.held(1_200), None);
+    },
+    a_lapsed_holder_takes_a_new_epoch: |it| {
+        it.take();
+        it.event(1_010, lease::Event::Written("v1".into()));
+        assert_eq!(it.held(20_000), None);
+        assert_eq!(it.write(20_000).epoch, 2);
+    },
+    an_epoch_of_a_plan_is_never_gone_below: |it| {
+        it.lease.learn(41);
+        assert_eq!(it.take().epoch, 42);
+    },
+    an_outage_is_met_with_back_off: |it| {
+        let mut calls = 0;
+        for now in 0..60_000 {
+            if it.tick(now).is_some() {
+                calls += 1;
+                it.event(now, lease::Event::Down);
+            }
+        }
+        assert!((20..=45).contains(&calls), "{calls}");
+    },
+}
+
+#[test]
+fn the_gate_only_rises() {
+    let stamp = |epoch, sequence| Stamp { epoch, sequence };
+    let mut gate = Gate::default();
+    let table = [
+        (stamp(1, 1), true),
+        (stamp(1, 1), false),
+        (stamp(1, 3), true),
+        (stamp(1, 2), false),
+        (stamp(2, 1), true),
+        (stamp(1, 9), false),
+    ];
+    for (stamp, taken) in table {
+        assert_eq!(gate.accept(stamp), taken, "{stamp:?}");
+    }
+}
