--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod published;
 mod reply;
+mod revision;
 mod server;
 mod stage;
 mod target;
