--- a/src/steer/quota.rs
+++ b/src/steer/quota.rs
@@ -68,6 +68,26 @@
     pub retry_after: Duration,
 }
 
+/// The number of a question or a request, never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Serial {
+    /// The incarnation or epoch that issued it.
+    pub issuer: u64,
+    /// Counts up from 1.
+    pub count: u64,
+}
+
+impl Serial {
+    fn new(issuer: u64) -> Self {
+        Self { issuer, count: 0 }
+    }
+
+    fn next(&mut self) -> Self {
+        self.count += 1;
+        *self
+    }
+}
+
 /// A rate that is gained or missed until some time.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -84,13 +104,13 @@
     started: Option<Instant>,
     given: Vec<Term>,
     bonus: Vec<Term>,
-    asked: BTreeMap<u64, Instant>,
-    next: u64,
+    asked: BTreeMap<Serial, Instant>,
+    serial: Serial,
 }
 
 impl Quota {
-    /// A quota of a host that has no predecessor.
-    pub fn new(part: f64, now: Instant) -> Self {
+    /// A quota of a host that has no predecessor. No two processes may have the same incarnation.
+    pub fn new(part: f64, now: Instant, incarnation: u64) -> Self {
         Self {
             part,
             tokens: 0.0,
@@ -99,15 +119,15 @@
             given: Vec::new(),
             bonus: Vec::new(),
             asked: BTreeMap::new(),
-            next: 0,
+            serial: Serial::new(incarnation),
         }
     }
 
     /// A quota of a host that may have replaced one of the same name.
-    pub fn with_start(part: f64, now: Instant) -> Self {
+    pub fn with_start(part: f64, now: Instant, incarnation: u64) -> Self {
         Self {
             started: Some(now),
-            ..Self::new(part, now)
+            ..Self::new(part, now, incarnation)
         }
     }
 
@@ -152,18 +172,13 @@
     }
 
     /// Starts a request for a bonus, and gives the number under which it may be granted.
-    pub fn request(&mut self, now: Instant) -> u64 {
-        self.next += 1;
-        self.asked.insert(self.next, now);
-        if self.asked.len() > MAX_KEPT {
-            self.asked.pop_first();
-        }
-        self.next
+    pub fn request(&mut self, now: Instant) -> Serial {
+        ask(&mut self.asked, &mut self.serial, now)
     }
 
     /// Takes a bonus for a time that counts from before the request. Tells whether it is of use: the
     /// request is known, was not answered before, and the time has not passed.
-    pub fn grant(&mut self, now: Instant, request: u64, loan: Loan) -> bool {
+    pub fn grant(&mut self, now: Instant, request: Serial, loan: Loan) -> bool {
         self.refill(now);
         let Some(asked) = self.asked.remove(&request) else {
             return false;
@@ -272,29 +287,29 @@
 ///
 /// Pools of several processes that each take themselves for the planner do no harm: a holder gives each
 /// unit to one of them only.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pool {
-    asked: BTreeMap<u64, Instant>,
-    answered: BTreeSet<(u64, HostKey)>,
+    asked: BTreeMap<Serial, Instant>,
+    answered: BTreeSet<(Serial, HostKey)>,
     offers: Vec<Offer>,
-    next: u64,
+    serial: Serial,
 }
 
 impl Pool {
-    /// An empty pool.
-    pub fn new() -> Self {
-        Self::default()
+    /// An empty pool of the planner that holds the lease of an epoch.
+    pub fn new(epoch: u64) -> Self {
+        Self {
+            asked: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            offers: Vec::new(),
+            serial: Serial::new(epoch),
+        }
     }
 
     /// Starts a round of questions to holders, and gives the number under which they answer.
-    pub fn ask(&mut self, now: Instant) -> u64 {
+    pub fn ask(&mut self, now: Instant) -> Serial {
         self.prune(now);
-        self.next += 1;
-        self.asked.insert(self.next, now);
-        if self.asked.len() > MAX_KEPT {
-            self.asked.pop_first();
-        }
-        self.next
+        ask(&mut self.asked, &mut self.serial, now)
     }
 
     /// Takes a holder's answer: it gave `rate` up for `lifetime` on its own clock, from a time after the
@@ -302,7 +317,7 @@
     pub fn give(
         &mut self,
         now: Instant,
-        question: u64,
+        question: Serial,
         holder: HostKey,
         rate: f64,
         lifetime: Duration,
@@ -357,9 +372,20 @@
             offer.debts.retain(|debt| debt.until > now);
         }
         self.asked.retain(|_, asked| now < *asked + MAX_GIVEN);
-        let oldest = self.asked.keys().next().copied().unwrap_or(u64::MAX);
-        self.answered.retain(|&(question, _)| question >= oldest);
+        let asked = &self.asked;
+        self.answered
+            .retain(|(question, _)| asked.contains_key(question));
+    }
+}
+
+/// Notes the time of a new question, and forgets the oldest when there are too many.
+fn ask(asked: &mut BTreeMap<Serial, Instant>, serial: &mut Serial, now: Instant) -> Serial {
+    let number = serial.next();
+    asked.insert(number, now);
+    if asked.len() > MAX_KEPT {
+        asked.pop_first();
     }
+    number
 }
 
 /// When a loan made now has ended on any clock.
