Test membership and delegates

Cause: the detector's claims need a run.

Change: tests/membership.rs drives whole memberships over a net with loss, jitter, cuts in one direction and pauses. It found that a host which is heard only through others was not reported as missed, so the other side did not learn that it is not heard; it is now. Only evidence younger than 750 ms is told to those who ask.

--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -276,6 +276,10 @@
         }
     }
 
+    fn alive(&self) -> bool {
+        matches!(self.status, Status::Alive | Status::Suspect)
+    }
+
     fn leaving(&self) -> bool {
         self.state == State::Leaving || self.listing == Listing::Leaving
     }
@@ -511,14 +515,23 @@
         }
     }
 
+    /// The hosts that ought to be heard over their links and are not, whether others hear them
+    /// or not.
     fn missed(&self) -> Vec<Arc<str>> {
         self.records
             .values()
-            .filter(|record| record.linked() && record.status == Status::Suspect)
+            .filter(|record| record.linked() && record.alive())
+            .filter(|record| !self.direct_within(record, record.detector.suspect()))
             .map(|record| record.name.clone())
             .collect()
     }
 
+    fn direct_within(&self, record: &Record, silence: Duration) -> bool {
+        let whole = !matches!(record.link, Link::Down(_));
+        let silent = |at| self.ticked.saturating_duration_since(at);
+        whole && record.direct.is_some_and(|at| silent(at) < silence)
+    }
+
     /// Takes in a heartbeat that came over the link from its sender. If it asks for hosts that
     /// are heard here, an answer is returned to be sent back at once.
     pub fn receive(&mut self, now: Instant, beat: &Beat) -> Option<Beat> {
@@ -562,10 +575,11 @@
         }
     }
 
+    /// Whether a host was heard over a link so lately that it is worth telling others.
     fn hears(&self, host: HostKey) -> bool {
         self.records
             .get(&host)
-            .is_some_and(|record| record.direct.is_some() && record.status == Status::Alive)
+            .is_some_and(|record| self.direct_within(record, INTERVAL.mul_f64(1.5)))
     }
 
     /// Takes in what others know of hosts, `delay` after they said it.
@@ -801,7 +815,7 @@
 
     /// Whether a host is alive, taking new work or not. A suspect is alive until it is dead.
     pub fn alive(&self, host: HostKey) -> bool {
-        matches!(self.status(host), Status::Alive | Status::Suspect)
+        host == self.own || self.records.get(&host).is_some_and(Record::alive)
     }
 
     /// Whether a host is alive and can be spoken with both ways over a link.
@@ -809,10 +823,7 @@
         let Some(record) = self.records.get(&host) else {
             return host == self.own;
         };
-        let (suspect, _) = record.limits();
-        let direct = record
-            .direct
-            .is_some_and(|at| self.ticked.saturating_duration_since(at) < suspect);
+        let direct = self.direct_within(record, record.detector.suspect());
         record.link == Link::Up && direct && !record.unheard
     }
 
@@ -830,7 +841,7 @@
         let others = self
             .records
             .iter()
-            .filter(|(&host, record)| self.alive(host) && !record.leaving())
+            .filter(|(_, record)| record.alive() && !record.leaving())
             .map(|(&host, _)| host);
         let own = (self.state == State::Serving).then_some(self.own);
         others.chain(own).collect()
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,651 @@
+//! Membership and delegates: who is alive, seen by hosts that are cut, paused and restarted.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use ragwortfold::border::configuration::Configuration;
+use ragwortfold::catalog::{Catalog, HostKey, ZoneKey};
+use ragwortfold::control::delegate;
+use ragwortfold::control::detector::INTERVAL;
+use ragwortfold::control::membership::{
+    Beat, Change, Listing, Membership, Sight, State, Status, Via,
+};
+
+/// A catalog of `zones` zones in regions of two, with `hosts` hosts each.
+fn catalog(zones: usize, hosts: usize) -> Catalog {
+    catalog_without(zones, hosts, &[])
+}
+
+fn catalog_without(zones: usize, hosts: usize, gone: &[&str]) -> Catalog {
+    let mut regions = serde_json::Map::new();
+    let mut places = serde_json::Map::new();
+    let mut all = serde_json::Map::new();
+    for zone in 0..zones {
+        let region = format!("region-{}", zone / 2);
+        let name = format!("zone-{zone:02}");
+        regions.insert(region.clone(), serde_json::json!({}));
+        places.insert(name.clone(), serde_json::json!({ "region": region }));
+        for host in 0..hosts {
+            let id = format!("ent-{zone:02}-{host:02}");
+            let port = 1_000 + 100 * zone + host;
+            let record = serde_json::json!({
+                "availability_zone": name,
+                "address": format!("127.0.0.1:{port}"),
+                "peer_address": format!("127.0.0.2:{port}"),
+            });
+            if !gone.contains(&id.as_str()) {
+                all.insert(id, record);
+            }
+        }
+    }
+    let folder = serde_json::json!({
+        "regions": regions, "availability_zones": places, "hosts": all,
+    });
+    let configuration: Configuration = serde_json::from_value(folder).expect("a configuration");
+    Catalog::default()
+        .with_revision(1, &configuration)
+        .expect("a catalog")
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A few hosts in one process, whose links may be cut in one direction.
+struct Net {
+    base: Instant,
+    time: u64,
+    catalog: Catalog,
+    nodes: BTreeMap<HostKey, Membership>,
+    /// Directions in which nothing passes.
+    cut: BTreeSet<(HostKey, HostKey)>,
+    /// Hosts that are stopped until a time.
+    paused: BTreeMap<HostKey, u64>,
+    died: Vec<(u64, HostKey, HostKey)>,
+    loss: f64,
+    jitter: u64,
+    rng: Pcg64,
+    due: BTreeMap<(u64, u64), (HostKey, HostKey, Beat)>,
+    serial: u64,
+}
+
+impl Net {
+    fn new(zones: usize, hosts: usize) -> Self {
+        let base = Instant::now();
+        let catalog = catalog(zones, hosts);
+        let keys: Vec<HostKey> = catalog.hosts().map(|(key, _)| key).collect();
+        let mut nodes: BTreeMap<HostKey, Membership> = keys
+            .iter()
+            .map(|&key| (key, Membership::new(base, key, 1, &catalog)))
+            .collect();
+        for (&own, node) in &mut nodes {
+            for &other in keys.iter().filter(|&&other| other != own) {
+                node.link_up(base, other);
+            }
+        }
+        Self {
+            base,
+            time: 0,
+            catalog,
+            nodes,
+            cut: BTreeSet::new(),
+            paused: BTreeMap::new(),
+            died: Vec::new(),
+            loss: 0.0,
+            jitter: 5,
+            rng: Pcg64::seed_from_u64(11),
+            due: BTreeMap::new(),
+            serial: 0,
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.base + ms(self.time)
+    }
+
+    fn host(&self, name: &str) -> HostKey {
+        self.catalog.host_key(name).expect("a host")
+    }
+
+    fn zone(&self, name: &str) -> ZoneKey {
+        self.catalog.zone_key(name).expect("a zone")
+    }
+
+    fn stopped(&self, host: HostKey) -> bool {
+        self.paused
+            .get(&host)
+            .is_some_and(|&until| until > self.time)
+    }
+
+    fn post(&mut self, from: HostKey, to: HostKey, beat: Beat) {
+        let lost = self.rng.random_bool(self.loss);
+        if lost || self.cut.contains(&(from, to)) {
+            return;
+        }
+        self.serial += 1;
+        let at = self.time + self.rng.random_range(1..=self.jitter);
+        self.due.insert((at, self.serial), (from, to, beat));
+    }
+
+    fn spread(&mut self, from: HostKey) {
+        let beat = self.nodes[&from].beat(INTERVAL);
+        let others: Vec<HostKey> = self.nodes.keys().copied().collect();
+        for to in others.into_iter().filter(|&to| to != from) {
+            self.post(from, to, beat.clone());
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some((&key, _)) = self.due.first_key_value() {
+            if key.0 > self.time {
+                break;
+            }
+            let Some((from, to, beat)) = self.due.remove(&key) else {
+                break;
+            };
+            if let Some(&until) = self.paused.get(&to) {
+                if until > self.time {
+                    self.due.insert((until, key.1), (from, to, beat));
+                    continue;
+                }
+            }
+            let now = self.now();
+            let answer = self.nodes.get_mut(&to).and_then(|n| n.receive(now, &beat));
+            if let Some(answer) = answer {
+                self.post(to, from, answer);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.time += 10;
+        self.deliver();
+        let hosts: Vec<HostKey> = self.nodes.keys().copied().collect();
+        for (n, host) in hosts.into_iter().enumerate() {
+            if self.stopped(host) {
+                continue;
+            }
+            let now = self.now();
+            let beat = (self.time + 70 * n as u64) % 500 < 10;
+            let node = self.nodes.get_mut(&host).expect("a node");
+            if beat {
+                node.advance();
+            }
+            let mut ask = beat;
+            if self.time.is_multiple_of(100) {
+                for change in node.tick(now) {
+                    match change {
+                        Change::Died(dead) => self.died.push((self.time, host, dead)),
+                        Change::Suspected(_) => ask = true,
+                        _ => {}
+                    }
+                }
+            }
+            if ask {
+                self.spread(host);
+            }
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        let end = self.time + millis;
+        while self.time < end {
+            self.step();
+        }
+    }
+
+    fn kill(&mut self, host: HostKey) {
+        self.nodes.remove(&host);
+    }
+
+    fn cut_both(&mut self, a: HostKey, b: HostKey) {
+        self.cut.insert((a, b));
+        self.cut.insert((b, a));
+    }
+
+    fn down(&mut self, at: HostKey, link: HostKey) {
+        let now = self.now();
+        if let Some(node) = self.nodes.get_mut(&at) {
+            node.link_down(now, link);
+        }
+    }
+
+    fn status(&self, at: HostKey, of: HostKey) -> Status {
+        self.nodes[&at].status(of)
+    }
+
+    /// Cuts a set of zones from all others.
+    fn part(&mut self, zones: &[&str]) {
+        let side: BTreeSet<ZoneKey> = zones.iter().map(|name| self.zone(name)).collect();
+        let place = |catalog: &Catalog, host| side.contains(&catalog.host(host).zone);
+        let hosts: Vec<HostKey> = self.nodes.keys().copied().collect();
+        for &a in &hosts {
+            for &b in &hosts {
+                if place(&self.catalog, a) != place(&self.catalog, b) {
+                    self.cut_both(a, b);
+                }
+            }
+        }
+    }
+}
+
+macro_rules! case {
+    ($($name:ident: $zones:literal x $hosts:literal, $body:expr),* $(,)?) => {
+        $(#[test] fn $name() {
+            let body: fn(&mut Net) = $body;
+            let mut net = Net::new($zones, $hosts);
+            net.run(5_000);
+            body(&mut net);
+        })*
+    };
+}
+
+case! {
+    all_are_alive_in_quiet_times: 3 x 4, |net| {
+        net.run(60_000);
+        assert_eq!(net.died, []);
+        assert!(net.nodes.values().all(|node| node.live_hosts().len() == 12));
+    },
+    a_silent_host_is_dead_within_two_seconds: 1 x 12, |net| {
+        let mut last = 0;
+        for n in 0..8 {
+            let dead = net.host(&format!("ent-00-{n:02}"));
+            net.run(3_000 + 70 * n);
+            let start = net.time;
+            net.kill(dead);
+            net.run(2_000);
+            let deaths: Vec<u64> = net
+                .died
+                .iter()
+                .filter(|&&(_, _, host)| host == dead)
+                .map(|(at, ..)| at - start)
+                .collect();
+            assert_eq!(deaths.len() as u64, 11 - n, "{deaths:?}");
+            last = last.max(deaths.into_iter().max().unwrap_or(0));
+        }
+        println!("8 deaths, each known to all others after at most {last} ms");
+    },
+    a_broken_link_shortens_it: 1 x 6, |net| {
+        let dead = net.host("ent-00-03");
+        net.kill(dead);
+        let others: Vec<HostKey> = net.nodes.keys().copied().collect();
+        others.iter().for_each(|&other| net.down(other, dead));
+        net.run(100);
+        assert_eq!(net.status(others[0], dead), Status::Suspect);
+        net.run(700);
+        assert_eq!(net.died.len(), 5, "{:?}", net.died);
+    },
+    a_broken_link_alone_kills_nobody: 1 x 4, |net| {
+        let (a, b) = (net.host("ent-00-00"), net.host("ent-00-01"));
+        net.cut_both(a, b);
+        net.down(a, b);
+        net.down(b, a);
+        net.run(30_000);
+        assert_eq!(net.died, []);
+        assert!(net.nodes[&a].alive(b) && net.nodes[&a].live_hosts().contains(&b));
+        assert!(!net.nodes[&a].reachable(b));
+    },
+    one_deaf_direction_kills_nobody: 1 x 4, |net| {
+        let (a, b) = (net.host("ent-00-00"), net.host("ent-00-01"));
+        net.cut.insert((b, a));
+        net.run(30_000);
+        assert_eq!(net.died, []);
+        assert!(!net.nodes[&a].reachable(b), "it is not heard");
+        assert!(!net.nodes[&b].reachable(a), "it says that it does not hear");
+        assert!(net.nodes[&a].alive(b) && net.nodes[&b].alive(a));
+        net.cut.clear();
+        net.run(1_500);
+        assert!(net.nodes[&a].reachable(b) && net.nodes[&b].reachable(a));
+    },
+    an_observer_that_was_paused_declares_nobody_dead: 2 x 3, |net| {
+        let a = net.host("ent-00-00");
+        net.paused.insert(a, net.time + 20_000);
+        net.run(25_000);
+        assert!(net.died.iter().all(|&(_, observer, _)| observer != a));
+        assert!(net.died.iter().any(|&(_, _, dead)| dead == a));
+        assert_eq!(net.status(net.host("ent-00-01"), a), Status::Alive);
+        assert!(net.nodes[&a].zone(net.zone("zone-01")) == Sight::Alive);
+    },
+    a_pause_hides_no_death: 1 x 4, |net| {
+        let (a, b) = (net.host("ent-00-00"), net.host("ent-00-01"));
+        net.paused.insert(a, net.time + 20_000);
+        net.kill(b);
+        net.run(22_500);
+        assert_eq!(net.status(a, b), Status::Dead);
+    },
+    a_leaving_host_is_alive_and_gets_no_new_work: 1 x 4, |net| {
+        let (a, b) = (net.host("ent-00-00"), net.host("ent-00-01"));
+        net.nodes.get_mut(&b).expect("b").leave();
+        net.run(600);
+        assert!(net.nodes[&a].alive(b));
+        assert!(!net.nodes[&a].live_hosts().contains(&b));
+        assert!(!net.nodes[&b].live_hosts().contains(&b));
+    },
+    a_lost_zone_is_lost_to_the_others: 6 x 2, |net| {
+        net.part(&["zone-03"]);
+        net.run(2_500);
+        let a = net.host("ent-00-00");
+        assert_eq!(net.nodes[&a].zone(net.zone("zone-03")), Sight::Lost);
+        assert_eq!(net.nodes[&a].zone(net.zone("zone-02")), Sight::Alive);
+        let b = net.host("ent-03-00");
+        let cut = net.nodes[&b].zone(net.zone("zone-00"));
+        assert!(matches!(cut, Sight::Unknown(Some(_))), "{cut:?}");
+        assert_eq!(net.nodes[&b].zone(net.zone("zone-03")), Sight::Alive);
+        net.cut.clear();
+        net.run(1_000);
+        assert_eq!(net.nodes[&a].zone(net.zone("zone-03")), Sight::Alive);
+    },
+    a_lost_region_is_lost_to_the_others: 6 x 2, |net| {
+        net.part(&["zone-02", "zone-03"]);
+        net.run(2_500);
+        let (a, b) = (net.host("ent-00-00"), net.host("ent-02-00"));
+        for zone in ["zone-02", "zone-03"] {
+            assert_eq!(net.nodes[&a].zone(net.zone(zone)), Sight::Lost);
+        }
+        assert_eq!(net.nodes[&b].zone(net.zone("zone-03")), Sight::Alive);
+        for zone in ["zone-00", "zone-01", "zone-04", "zone-05"] {
+            assert!(matches!(net.nodes[&b].zone(net.zone(zone)), Sight::Unknown(_)));
+        }
+    },
+    half_the_zones_never_call_the_other_half_lost: 6 x 2, |net| {
+        net.part(&["zone-00", "zone-01", "zone-02"]);
+        net.run(60_000);
+        for node in net.nodes.values() {
+            for zone in 0..6 {
+                let zone = net.zone(&format!("zone-{zone:02}"));
+                assert_ne!(node.zone(zone), Sight::Lost);
+            }
+        }
+    },
+}
+
+/// Feeds one membership by hand.
+struct Script {
+    base: Instant,
+    node: Membership,
+    peer: HostKey,
+    remote: HostKey,
+    catalog: Catalog,
+}
+
+impl Script {
+    fn new() -> Self {
+        let base = Instant::now();
+        let catalog = catalog(3, 3);
+        let own = catalog.host_key("ent-00-00").expect("a host");
+        Self {
+            base,
+            node: Membership::new(base, own, 1, &catalog),
+            peer: catalog.host_key("ent-00-01").expect("a host"),
+            remote: catalog.host_key("ent-01-00").expect("a host"),
+            catalog,
+        }
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.base + ms(millis)
+    }
+
+    fn hear(&mut self, at: u64, host: HostKey, incarnation: u64, sequence: u64, state: State) {
+        let now = self.at(at);
+        let via = Via::Direct;
+        self.node
+            .heard(now, host, incarnation, sequence, state, via);
+    }
+
+    /// Ticks every 100 ms up to and with `to`.
+    fn ticks(&mut self, from: u64, to: u64) -> Vec<Change> {
+        (from..=to)
+            .step_by(100)
+            .flat_map(|at| self.node.tick(self.base + ms(at)))
+            .filter(|change| !matches!(change, Change::Zone(..)))
+            .collect()
+    }
+}
+
+macro_rules! script {
+    ($($name:ident: $body:expr),* $(,)?) => {
+        $(#[test] fn $name() { let body: fn(&mut Script) = $body; body(&mut Script::new()); })*
+    };
+}
+
+script! {
+    an_older_incarnation_is_ignored: |it| {
+        it.hear(0, it.peer, 5, 1, State::Serving);
+        it.ticks(100, 1_000);
+        it.hear(1_000, it.peer, 4, 900, State::Leaving);
+        assert!(it.node.live_hosts().contains(&it.peer));
+        assert_eq!(it.node.incarnation(it.peer), Some(5));
+        let changes = it.ticks(1_100, 1_800);
+        assert_eq!(changes.last(), Some(&Change::Died(it.peer)));
+    },
+    a_newer_incarnation_is_a_restart: |it| {
+        it.hear(0, it.peer, 5, 70, State::Leaving);
+        it.ticks(100, 200);
+        it.hear(300, it.peer, 6, 1, State::Serving);
+        assert_eq!(it.ticks(300, 400), [Change::Restarted(it.peer)]);
+        assert!(it.node.live_hosts().contains(&it.peer));
+    },
+    leaving_is_not_taken_back: |it| {
+        it.hear(0, it.peer, 5, 1, State::Leaving);
+        it.hear(500, it.peer, 5, 2, State::Serving);
+        assert!(!it.node.live_hosts().contains(&it.peer));
+    },
+    an_old_sequence_is_no_evidence: |it| {
+        it.hear(0, it.peer, 5, 10, State::Serving);
+        it.ticks(100, 1_000);
+        it.hear(1_000, it.peer, 5, 9, State::Serving);
+        assert_eq!(it.ticks(1_100, 1_800).last(), Some(&Change::Died(it.peer)));
+    },
+    the_list_never_kills_who_is_heard: |it| {
+        let now = it.at(0);
+        it.node.listed(now, it.peer, Listing::Absent);
+        for beat in 0..20 {
+            it.hear(500 * beat, it.peer, 5, beat, State::Serving);
+            assert!(!it.ticks(500 * beat, 500 * beat + 400).contains(&Change::Died(it.peer)));
+        }
+    },
+    the_list_confirms_a_suspicion: |it| {
+        it.hear(0, it.peer, 5, 1, State::Serving);
+        let now = it.at(0);
+        it.node.listed(now, it.peer, Listing::Absent);
+        assert_eq!(it.ticks(100, 1_300).last(), Some(&Change::Died(it.peer)));
+    },
+    the_list_gives_notice_of_leaving: |it| {
+        it.hear(0, it.peer, 5, 1, State::Serving);
+        let now = it.at(0);
+        it.node.listed(now, it.peer, Listing::Leaving);
+        assert!(!it.node.live_hosts().contains(&it.peer));
+        it.hear(100, it.peer, 6, 1, State::Serving);
+        assert!(it.node.live_hosts().contains(&it.peer));
+    },
+    the_list_makes_nobody_alive: |it| {
+        let now = it.at(0);
+        it.node.listed(now, it.peer, Listing::Live);
+        assert_eq!(it.node.status(it.peer), Status::Unknown);
+    },
+    a_relayed_host_lasts_as_long_as_it_is_spoken_of: |it| {
+        let now = it.at(0);
+        let via = Via::Relayed(ms(400));
+        it.node.heard(now, it.remote, 3, 8, State::Serving, via);
+        assert_eq!(it.ticks(100, 7_900), [Change::Joined(it.remote)]);
+        let changes = it.ticks(8_000, 12_000);
+        assert_eq!(changes, [Change::Suspected(it.remote), Change::Died(it.remote)]);
+    },
+    a_roster_brings_life_and_death: |it| {
+        let remote = it.catalog.host_key("ent-01-00").expect("a host");
+        let other = it.catalog.host_key("ent-01-01").expect("a host");
+        let mut sender = Membership::new(it.base, remote, 1, &it.catalog);
+        sender.link_up(it.base, other);
+        sender.heard(it.base, other, 1, 1, State::Serving, Via::Direct);
+        let roster = sender.roster(it.base);
+        let now = it.at(50);
+        it.node.know(now, &roster.hosts, ms(50));
+        assert!(it.node.alive(remote) && it.node.alive(other));
+        (100..=2_000).step_by(100).for_each(|at| drop(sender.tick(it.base + ms(at))));
+        it.ticks(100, 2_000);
+        let now = it.at(2_050);
+        it.node.know(now, &sender.roster(it.base + ms(2_000)).hosts, ms(50));
+        assert!(it.node.alive(remote) && !it.node.alive(other));
+    },
+    reports_of_a_delegate_tell_of_a_lost_zone: |it| {
+        let zone = it.catalog.zone_key("zone-01").expect("a zone");
+        let now = it.at(0);
+        it.node.heard(now, it.remote, 3, 8, State::Serving, Via::Relayed(ms(0)));
+        it.ticks(100, 2_500);
+        assert_eq!(it.node.zone(zone), Sight::Alive);
+        let report = ragwortfold::control::membership::Report {
+            zone: "zone-01".into(), age_ms: 2_400, lost: true,
+        };
+        let now = it.at(2_500);
+        it.node.report(now, &[report], ms(1));
+        it.ticks(2_600, 2_600);
+        assert_eq!(it.node.zone(zone), Sight::Lost);
+        it.ticks(2_700, 20_000);
+        assert!(matches!(it.node.zone(zone), Sight::Unknown(_)));
+    },
+    the_first_tick_after_a_pause_kills_nobody: |it| {
+        it.hear(0, it.peer, 5, 1, State::Serving);
+        it.ticks(100, 500);
+        assert_eq!(it.ticks(20_000, 21_000), []);
+        it.hear(21_000, it.peer, 5, 2, State::Serving);
+        assert_eq!(it.ticks(21_100, 22_000), []);
+        assert_eq!(it.ticks(22_100, 23_000).last(), Some(&Change::Died(it.peer)));
+    },
+    a_link_found_broken_after_a_pause_gets_the_whole_time: |it| {
+        it.hear(0, it.peer, 5, 1, State::Serving);
+        it.ticks(100, 500);
+        let now = it.at(20_000);
+        it.node.link_down(now, it.peer);
+        assert_eq!(it.ticks(20_000, 21_500), [Change::Suspected(it.peer)]);
+        assert_eq!(it.ticks(21_600, 22_000), [Change::Died(it.peer)]);
+    },
+    a_removed_host_is_forgotten: |it| {
+        it.hear(0, it.peer, 5, 1, State::Serving);
+        let folder = serde_json::json!({});
+        let empty: Configuration = serde_json::from_value(folder).expect("a configuration");
+        let next = it.catalog.with_revision(2, &empty).expect("a catalog");
+        it.node.configured(&next);
+        assert_eq!(it.node.status(it.peer), Status::Unknown);
+    },
+}
+
+/// Deaths that were none, over a day of host pairs: one observer of one live host in a zone of
+/// `hosts`, with beats lost at random and delayed by a jitter.
+fn false_deaths(seed: u64, hosts: usize, loss: f64, jitter: u64, millis: u64) -> (usize, f64) {
+    let mut net = Net::new(1, hosts);
+    net.rng = Pcg64::seed_from_u64(seed);
+    net.run(2_000);
+    net.loss = loss;
+    net.jitter = jitter;
+    net.run(millis);
+    let pairs = (hosts * (hosts - 1)) as f64;
+    (net.died.len(), pairs * millis as f64 / 3_600_000.0)
+}
+
+#[test]
+fn false_deaths_are_rare() {
+    let table = [
+        (0.0, 100, 0),
+        (0.01, 20, 0),
+        (0.05, 100, 0),
+        (0.05, 400, 0),
+        (0.20, 100, 5),
+    ];
+    for (loss, jitter, most) in table {
+        let (mut deaths, mut hours) = (0, 0.0);
+        for seed in 0..4 {
+            let (d, h) = false_deaths(seed, 6, loss, jitter, 150_000);
+            deaths += d;
+            hours += h;
+        }
+        println!("loss {loss}, jitter {jitter} ms: {deaths} false deaths in {hours:.0} pair-hours");
+        assert!(deaths <= most, "loss {loss}, jitter {jitter} ms: {deaths}");
+    }
+}
+
+#[test]
+fn few_delegates_change_as_hosts_come_and_go() {
+    let catalog = catalog(1, 45);
+    let zone = catalog.zone_key("zone-00").expect("a zone");
+    let mut live: BTreeSet<HostKey> = catalog.hosts().map(|(key, _)| key).collect();
+    let all: Vec<HostKey> = live.iter().copied().collect();
+    let mut rng = Pcg64::seed_from_u64(3);
+    let mut before = delegate::choose(zone, &live, &catalog);
+    let (mut events, mut changed) = (0, 0);
+    for _ in 0..2_000 {
+        let host = all[rng.random_range(0..all.len())];
+        if !live.remove(&host) {
+            live.insert(host);
+        }
+        if live.len() < 2 {
+            continue;
+        }
+        let after = delegate::choose(zone, &live, &catalog);
+        let gone = before.iter().filter(|host| !after.contains(host)).count();
+        let need = before.iter().filter(|host| !live.contains(host)).count();
+        assert!(gone <= need.max(1) && gone <= 1, "one event, one delegate");
+        events += 1;
+        changed += gone;
+        before = after;
+    }
+    println!("{events} comings and goings changed {changed} delegates");
+    assert!(changed * 10 < events);
+}
+
+/// Everybody hears everybody.
+fn known(catalog: &Catalog, own: HostKey) -> Membership {
+    let now = Instant::now();
+    let mut membership = Membership::new(now, own, 1, catalog);
+    for (key, _) in catalog.hosts().filter(|&(key, _)| key != own) {
+        membership.heard(now, key, 1, 1, State::Serving, Via::Relayed(ms(0)));
+    }
+    membership
+}
+
+#[test]
+fn degrees_are_bounded() {
+    for (zones, hosts, most) in [(6, 2, 12), (15, 45, 72), (15, 48, 75), (4, 100, 107)] {
+        let catalog = catalog(zones, hosts);
+        let mut links: BTreeMap<HostKey, BTreeSet<HostKey>> = BTreeMap::new();
+        for (key, _) in catalog.hosts() {
+            let membership = known(&catalog, key);
+            links.insert(key, delegate::links(key, &membership, &catalog));
+        }
+        for (from, others) in &links {
+            assert!(
+                others.iter().all(|to| links[to].contains(from)),
+                "one-sided"
+            );
+        }
+        let mut degrees: Vec<usize> = links.values().map(BTreeSet::len).collect();
+        degrees.sort_unstable();
+        let largest = degrees[degrees.len() - 1];
+        println!(
+            "{zones} x {hosts}: median {}, most {largest}",
+            degrees[degrees.len() / 2]
+        );
+        assert!(largest <= most, "{zones} x {hosts}: {largest}");
+    }
+}
+
+#[test]
+fn candidates_of_an_unknown_zone_take_turns() {
+    let catalog = catalog(2, 4);
+    let now = Instant::now();
+    let own = catalog.host_key("ent-00-00").expect("a host");
+    let zone = catalog.zone_key("zone-01").expect("a zone");
+    let mut membership = Membership::new(now, own, 1, &catalog);
+    let mut tried = BTreeSet::new();
+    for round in 0..2 {
+        for host in delegate::of(zone, &membership, &catalog) {
+            membership.link_down(now + ms(round), host);
+            tried.insert(host);
+        }
+    }
+    assert_eq!(tried.len(), 4);
+    assert!(delegate::is_delegate(own, &membership, &catalog));
+}
