--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -8,23 +8,29 @@
 use super::body::Body;
 use super::core::Event;
 use super::head::{self, Head, Header};
+use super::keyed;
+use super::later::Later;
 use super::metrics::Sample;
+use super::relay;
 use super::reply::{self, Reply};
-use super::stage::Stage as Wire;
 use super::target::{self, Answer, Connection, Sending};
+use super::verdict::{broken, end_of, refused, to_load, to_state};
 use super::Shared;
-use crate::catalog::{Catalog, RegionKey, Repeat, ServiceKey, TargetKey};
-use crate::steer::attempt::{Break, Course, Final, Outcome, Place, Reason, Stage, Step, Try};
+use crate::catalog::{Catalog, HostKey, RegionKey, Repeat, ServiceKey, TargetKey};
+use crate::peer::stream::Incoming;
+use crate::steer::attempt::{self, Break, Course, Final, Outcome, Place, Reason, Stage, Step, Try};
+use crate::steer::dedupe;
 use crate::steer::engine::{Ask, Id, Kind, Origin, Refusal, Verdict};
-use crate::steer::{group, limit};
+use crate::steer::group;
+use crate::steer::pass::{Back, Pass};
 
 /// Answers up to this size are held whole before any of them is passed on, in bytes.
-const HOLD_ANSWER: u64 = 8 << 20;
-/// Time for telling a target that a request is cancelled.
-const CANCEL_TIME: Duration = Duration::from_millis(500);
+pub(crate) const HOLD_ANSWER: u64 = 8 << 20;
+/// When a caller is asked to come back if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A request on its way.
-pub(crate) struct Call {
+/// What is known of a request before it has a place in this host.
+pub(crate) struct Start {
     pub(crate) id: Id,
     pub(crate) head: Head,
     pub(crate) body: Body,
@@ -35,71 +41,67 @@
     pub(crate) origin: Origin,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+}
+
+/// A request on its way.
+pub(crate) struct Call {
+    pub(crate) start: Start,
     course: Mutex<Course>,
     sender: Mutex<Option<Sender>>,
     answered: AtomicBool,
     timing: Mutex<Timing>,
+    key: Mutex<Option<dedupe::Run>>,
 }
 
 /// Where the answer goes, and where the rest of the body comes from.
 pub(crate) enum Sender {
     /// A caller.
     Caller(tiny_http::Request),
+    /// Another entry host.
+    Host(Incoming),
 }
 
 /// Where the time went.
 #[derive(Clone, Copy, Debug, Default)]
 struct Timing {
     waited: Duration,
-    target: Duration,
-}
-
-/// What is known of a request before it has a place in this host.
-pub(crate) struct Start {
-    pub(crate) id: Id,
-    pub(crate) head: Head,
-    pub(crate) body: Body,
-    pub(crate) catalog: Arc<Catalog>,
-    pub(crate) service: ServiceKey,
-    pub(crate) locality: RegionKey,
-    pub(crate) block: u64,
-    pub(crate) origin: Origin,
-    pub(crate) arrived: Instant,
-    pub(crate) deadline: Instant,
-    pub(crate) sender: Sender,
+    elsewhere: Duration,
 }
 
 impl Call {
-    pub(crate) fn new(start: Start) -> Self {
+    pub(crate) fn new(start: Start, sender: Sender) -> Self {
         let repeat = start.catalog.service(start.service).repeat;
         Self {
-            id: start.id,
-            head: start.head,
-            body: start.body,
-            service: start.service,
-            locality: start.locality,
-            block: start.block,
-            origin: start.origin,
-            arrived: start.arrived,
-            deadline: start.deadline,
             course: Mutex::new(Course::new(repeat, start.deadline)),
-            sender: Mutex::new(Some(start.sender)),
+            sender: Mutex::new(Some(sender)),
             answered: AtomicBool::new(false),
             timing: Mutex::default(),
-            catalog: start.catalog,
+            key: Mutex::default(),
+            start,
         }
     }
 
+    /// Notes that this request runs an idempotency key, whose end must be told.
+    pub(crate) fn with_key(self, run: dedupe::Run) -> Self {
+        *lock(&self.key) = Some(run);
+        self
+    }
+
+    /// Whether the request has its answer.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.answered.load(Ordering::Relaxed)
+    }
+
     fn repeat(&self) -> Repeat {
-        self.catalog.service(self.service).repeat
+        self.start.catalog.service(self.start.service).repeat
     }
 
-    fn course(&self) -> MutexGuard<'_, Course> {
+    pub(crate) fn course(&self) -> MutexGuard<'_, Course> {
         lock(&self.course)
     }
 
-    /// Carries the request until it has its answer.
-    pub(crate) fn run(&self, shared: &Shared) {
+    /// Carries the request until it has its answer, or leaves it to another copy.
+    pub(crate) fn run(self: &Arc<Self>, shared: &Arc<Shared>) {
         let mut kind = Kind::First;
         loop {
             let asked = Instant::now();
@@ -107,7 +109,11 @@
             lock(&self.timing).waited += asked.elapsed();
             let step = match verdict {
                 Verdict::Refused(refusal) => return self.refuse(shared, refusal),
-                Verdict::Target(grant) => self.try_target(shared, grant),
+                Verdict::Host(pass) => self.try_host(shared, pass),
+                Verdict::Target { grant, hedge } => {
+                    self.plan_hedge(shared, hedge);
+                    self.try_target(shared, grant)
+                }
             };
             match step {
                 Step::Retry => kind = Kind::Retry,
@@ -116,25 +122,55 @@
         }
     }
 
-    fn ask(&self, kind: Kind) -> Ask {
+    /// Sends the second copy that the core granted.
+    pub(crate) fn hedge(self: &Arc<Self>, shared: &Arc<Shared>, grant: group::Grant) {
+        if self.try_target(shared, grant) == Step::Retry {
+            self.run(shared);
+        }
+    }
+
+    fn plan_hedge(self: &Arc<Self>, shared: &Shared, after: Option<Duration>) {
+        let whole = matches!(self.start.body, Body::Whole(_));
+        if let Some(after) = after.filter(|_| whole) {
+            shared.core.send(Event::Hedge(Arc::downgrade(self), after));
+        }
+    }
+
+    /// Ends the request should the host that relays it give it up.
+    pub(crate) fn watch(self: &Arc<Self>, shared: &Arc<Shared>) {
+        if let Some(Sender::Host(incoming)) = lock(&self.sender).as_ref() {
+            let call = Arc::downgrade(self);
+            let shared = Arc::downgrade(shared);
+            incoming.on_cancel(move || {
+                if let (Some(call), Some(shared)) = (call.upgrade(), shared.upgrade()) {
+                    shared.later(Later::Abandon(call));
+                }
+            });
+        }
+    }
+
+    /// What the core is asked.
+    pub(crate) fn ask(&self, kind: Kind) -> Ask {
         let mut targets = Vec::new();
-        let course = self.course();
-        for place in course.places() {
+        let mut hosts = Vec::new();
+        for place in self.course().places() {
             match place {
                 Place::Target(target) => targets.push(target),
-                Place::Host(_) => {}
+                Place::Host(host) => hosts.push(host),
             }
         }
+        let start = &self.start;
         Ask {
-            id: self.id,
+            id: start.id,
             kind,
-            origin: self.origin,
-            service: self.service,
-            locality: self.locality,
-            block: self.block,
-            deadline: self.deadline,
+            origin: start.origin,
+            service: start.service,
+            locality: start.locality,
+            block: start.block,
+            bytes: start.head.length.unwrap_or_default(),
+            deadline: start.deadline,
             targets,
-            hosts: Vec::new(),
+            hosts,
         }
     }
 
@@ -142,7 +178,7 @@
     fn refuse(&self, shared: &Shared, refusal: Refusal) {
         shared
             .metrics
-            .refusal(&self.head.service, refusal.reason.as_str());
+            .refusal(&self.start.head.service, refusal.reason.as_str());
         let end = self.course().give_up(refusal.reason, |_| Stage::Sent);
         if let Some(end) = end {
             self.give(shared, &end, refusal.retry_after, None);
@@ -157,13 +193,15 @@
             Ok(key) => key,
             Err(error) => {
                 spdlog::debug!("call: no further try: {error}");
-                shared.core.send(Event::Finish(grant, idle_report()));
+                shared
+                    .core
+                    .send(Event::Finish(grant, group::Report::idle()));
                 return Step::Late;
             }
         };
         let result = self.call_target(shared, target);
         let latency = started.elapsed();
-        lock(&self.timing).target += latency;
+        lock(&self.timing).elsewhere += latency;
         match result {
             Ok(answer) => self.take_answer(shared, key, grant, answer, started),
             Err(error) => {
@@ -175,45 +213,131 @@
                     state: None,
                 };
                 shared.core.send(Event::Finish(grant, report));
-                spdlog::debug!("call: {} at {}: {error}", self.id, self.name(target));
-                self.fail(shared, key, cause, None)
+                spdlog::debug!("call: {} at {}: {error}", self.start.id, self.name(target));
+                self.fail(shared, key, cause, RETRY_AFTER, None)
             }
         }
     }
 
     fn name(&self, target: TargetKey) -> &str {
-        &self.catalog.target(target).name
+        &self.start.catalog.target(target).name
     }
 
     fn call_target(&self, shared: &Shared, target: TargetKey) -> Result<Answer, target::Error> {
-        let id = shared.request_id(self.id);
+        let id = shared.request_id(self.start.id);
+        let head = &self.start.head;
         let ask = target::Ask {
-            address: self.catalog.target(target).address,
+            address: self.start.catalog.target(target).address,
             id: &id,
-            method: &self.head.method,
-            path: &self.head.path,
-            headers: &self.head.headers,
+            method: &head.method,
+            path: &head.path,
+            headers: &head.headers,
             deadline: self.course().left(Instant::now()),
             connection: match self.repeat() {
                 Repeat::Safe => Connection::Pooled,
                 Repeat::Never => Connection::Fresh,
             },
         };
-        match &self.body {
-            Body::Whole(bytes) => shared.targets.call(&ask, Sending::Whole(bytes)),
-            Body::Part(part) => {
-                let mut sender = lock(&self.sender);
-                let mut rest: Box<dyn Read + '_> = match sender.as_mut() {
-                    Some(Sender::Caller(request)) => Box::new(request.as_reader()),
-                    None => Box::new(io::empty()),
+        self.with_body(|sending| shared.targets.call(&ask, sending))
+    }
+
+    /// Gives the body to `send`, and notes whether it can be sent again.
+    fn with_body<T>(&self, send: impl FnOnce(Sending<'_, '_>) -> T) -> T {
+        let part = match &self.start.body {
+            Body::Whole(bytes) => return send(Sending::Whole(bytes)),
+            Body::Part(part) => part,
+        };
+        let mut sender = lock(&self.sender);
+        let mut rest: Box<dyn Read + '_> = match sender.as_mut() {
+            Some(Sender::Caller(request)) => Box::new(request.as_reader()),
+            Some(Sender::Host(incoming)) => Box::new(relay::Reader(incoming)),
+            None => Box::new(io::empty()),
+        };
+        let mut stream = part.stream(&mut *rest);
+        let result = send(Sending::Stream(&mut stream));
+        if stream.is_consumed() {
+            self.course().consume();
+        }
+        result
+    }
+
+    /// One try at an entry host of another zone.
+    fn try_host(&self, shared: &Shared, pass: Pass) -> Step {
+        let started = Instant::now();
+        let key = match self.course().start(started, Place::Host(pass.host)) {
+            Ok(key) => key,
+            Err(error) => {
+                spdlog::debug!("call: no further try: {error}");
+                shared.core.send(Event::Passed(pass, Back::All));
+                return Step::Late;
+            }
+        };
+        let (result, bytes) = self.call_host(shared, pass.host, relay::Purpose::Place);
+        lock(&self.timing).elsewhere += started.elapsed();
+        let back = match &result {
+            Err(relay::Failure { cause, .. }) if relay::is_unsent(*cause) => Back::All,
+            _ => Back::Nothing { bytes },
+        };
+        shared.core.send(Event::Passed(pass, back));
+        self.settle_host(shared, key, result)
+    }
+
+    fn settle_host(
+        &self,
+        shared: &Shared,
+        key: Try,
+        result: Result<relay::Answer, relay::Failure>,
+    ) -> Step {
+        match result {
+            Ok(relay::Answer::Whole(reply)) => {
+                let step = self.course().answer(key);
+                self.conclude(shared, step, RETRY_AFTER, Some(reply))
+            }
+            Ok(relay::Answer::Stream(reply)) => {
+                let Some(cancel) = self.course().pass(key) else {
+                    shared.metrics.late();
+                    return Step::Late;
                 };
-                let mut stream = part.stream(&mut *rest);
-                let result = shared.targets.call(&ask, Sending::Stream(&mut stream));
-                if stream.is_consumed() {
-                    self.course().consume();
-                }
-                result
+                self.cancel(shared, &cancel);
+                let step = self.course().answer(key);
+                self.conclude(shared, step, RETRY_AFTER, Some(reply))
             }
+            Err(failure) => self.fail(shared, key, failure.cause, failure.retry_after, None),
+        }
+    }
+
+    /// Sends the request to a host. Tells how many bytes of bodies went either way.
+    fn call_host(
+        &self,
+        shared: &Shared,
+        host: HostKey,
+        purpose: relay::Purpose,
+    ) -> (Result<relay::Answer, relay::Failure>, u64) {
+        let name = &self.start.catalog.host(host).name;
+        let left = self.course().left(Instant::now());
+        let id = shared.request_id(self.start.id);
+        let open = relay::open(&self.start, &id, left, purpose);
+        self.with_body(|sending| relay::call(&shared.mesh, name, &open, sending))
+    }
+
+    /// Lets the home host of the request's ticket run it.
+    pub(crate) fn run_at_home(&self, shared: &Shared, host: HostKey) {
+        let Ok(key) = self.course().start(Instant::now(), Place::Host(host)) else {
+            return;
+        };
+        let started = Instant::now();
+        let (result, _) = self.call_host(shared, host, relay::Purpose::Home);
+        lock(&self.timing).elsewhere += started.elapsed();
+        // That this host did not reach the home proves nothing of an earlier copy of the request.
+        let result = result.map_err(|failure| match failure.cause {
+            cause if relay::is_unsent(cause) => relay::Failure {
+                cause: Break::RelayUnknown,
+                retry_after: failure.retry_after,
+            },
+            _ => failure,
+        });
+        if self.settle_host(shared, key, result) == Step::Retry {
+            self.refuse(shared, Refusal::new(Reason::HomeUnreachable));
         }
     }
 
@@ -227,10 +351,10 @@
         started: Instant,
     ) -> Step {
         let large = answer.length.is_some_and(|length| length > HOLD_ANSWER);
-        if large && &*self.head.method != "HEAD" {
+        if large && &*self.start.head.method != "HEAD" {
             return self.pass_answer(shared, key, grant, answer, started);
         }
-        let held = hold(&mut answer, &self.head.method);
+        let held = hold(&mut answer, &self.start.head.method);
         let cause = match &held {
             Err(cause) => Some(*cause),
             Ok(_) => refused(&answer),
@@ -243,10 +367,13 @@
         match (held, cause) {
             (Ok(body), None) => {
                 let step = self.course().answer(key);
-                self.conclude(shared, step, Some(to_reply(answer, body)))
+                self.conclude(shared, step, RETRY_AFTER, Some(to_reply(answer, body)))
+            }
+            (Ok(body), Some(cause)) => {
+                let reply = to_reply(answer, body);
+                self.fail(shared, key, cause, RETRY_AFTER, Some(reply))
             }
-            (Ok(body), Some(cause)) => self.fail(shared, key, cause, Some(to_reply(answer, body))),
-            (Err(cause), _) => self.fail(shared, key, cause, None),
+            (Err(cause), _) => self.fail(shared, key, cause, RETRY_AFTER, None),
         }
     }
 
@@ -275,7 +402,7 @@
         let load = (answer.load, answer.state.clone());
         let reply = to_reply(answer, reply::Body::Stream(body, length));
         let step = self.course().answer(key);
-        let step = self.conclude(shared, step, Some(reply));
+        let step = self.conclude(shared, step, RETRY_AFTER, Some(reply));
         let report = group::Report {
             end: if broke.load(Ordering::Relaxed) {
                 group::End::Broken
@@ -290,21 +417,43 @@
         step
     }
 
-    fn fail(&self, shared: &Shared, key: Try, cause: Break, last: Option<Reply>) -> Step {
+    fn fail(
+        &self,
+        shared: &Shared,
+        key: Try,
+        cause: Break,
+        retry_after: Duration,
+        last: Option<Reply>,
+    ) -> Step {
+        // Whether there is budget for another try is asked of the core with the try itself.
         let step = self.course().fail(Instant::now(), key, cause, || true);
-        self.conclude(shared, step, last)
+        self.conclude(shared, step, retry_after, last)
     }
 
     /// Answers the caller if the request has its outcome.
-    fn conclude(&self, shared: &Shared, step: Step, reply: Option<Reply>) -> Step {
+    fn conclude(
+        &self,
+        shared: &Shared,
+        step: Step,
+        retry_after: Duration,
+        reply: Option<Reply>,
+    ) -> Step {
         match &step {
-            Step::Done(end) => self.give(shared, end, Duration::from_secs(1), reply),
+            Step::Done(end) => self.give(shared, end, retry_after, reply),
             Step::Late => shared.metrics.late(),
             Step::Retry | Step::Wait => {}
         }
         step
     }
 
+    /// Ends the request: nobody waits for it any more.
+    pub(crate) fn abandon(&self, shared: &Shared) {
+        let end = self.course().give_up(Reason::CallerGone, |_| Stage::Sent);
+        if let Some(end) = end {
+            self.give(shared, &end, RETRY_AFTER, None);
+        }
+    }
+
     /// Gives the one answer.
     fn give(&self, shared: &Shared, end: &Final, retry_after: Duration, answer: Option<Reply>) {
         self.cancel(shared, &end.cancel);
@@ -312,17 +461,18 @@
             return;
         }
         let outcome = end.outcome;
-        let reply = match (outcome, answer) {
-            (Outcome::Answered, Some(mut reply)) => {
-                reply.add(head::OUTCOME, outcome.as_str());
-                reply
-            }
-            _ => own_reply(outcome, retry_after),
-        };
+        let reply = answer.filter(|_| outcome == Outcome::Answered);
+        if let Some(run) = lock(&self.key).take() {
+            shared
+                .core
+                .send(Event::End(run, keyed::end(outcome, reply.as_ref())));
+        }
         self.record(shared, outcome);
-        let sender = lock(&self.sender).take();
-        match sender {
-            Some(Sender::Caller(request)) => reply.send(request),
+        match lock(&self.sender).take() {
+            Some(Sender::Caller(request)) => {
+                to_caller(outcome, retry_after, reply).send(request);
+            }
+            Some(Sender::Host(incoming)) => relay::reply(incoming, outcome, retry_after, reply),
             None => {}
         }
     }
@@ -330,22 +480,21 @@
     fn cancel(&self, shared: &Shared, tries: &[(Try, Place)]) {
         for (_, place) in tries {
             if let Place::Target(target) = place {
-                let address = self.catalog.target(*target).address;
-                let id = shared.request_id(self.id);
-                shared.targets.cancel(address, &id, CANCEL_TIME);
+                let address = self.start.catalog.target(*target).address;
+                shared.cancel(address, shared.request_id(self.start.id));
             }
         }
     }
 
     fn record(&self, shared: &Shared, outcome: Outcome) {
-        let total = self.arrived.elapsed();
+        let total = self.start.arrived.elapsed();
         let timing = *lock(&self.timing);
         shared.metrics.request(&Sample {
-            service: &self.head.service,
-            class: &self.catalog.service(self.service).class,
+            service: &self.start.head.service,
+            class: &self.start.catalog.service(self.start.service).class,
             outcome: outcome.as_str(),
             total,
-            added: total.saturating_sub(timing.target),
+            added: total.saturating_sub(timing.elsewhere),
             waited: timing.waited,
             attempts: self.course().tries(),
         });
@@ -371,29 +520,26 @@
     }
 }
 
-fn own_reply(outcome: Outcome, retry_after: Duration) -> Reply {
+/// The answer to a caller: the target's, or one of this host's own.
+pub(crate) fn to_caller(outcome: Outcome, retry_after: Duration, reply: Option<Reply>) -> Reply {
+    if let Some(mut reply) = reply {
+        reply.add(head::OUTCOME, outcome.as_str());
+        return reply;
+    }
     let reason = outcome.reason().map_or("", Reason::as_str);
-    match outcome.reply(retry_after) {
-        crate::steer::attempt::Reply::Local {
-            status,
-            retry_after,
-        } => match outcome {
-            Outcome::NotRun(_) => Reply::not_run(status, reason, retry_after),
-            _ => Reply::unknown(status, reason),
-        },
+    match (outcome, outcome.reply(retry_after)) {
+        (
+            Outcome::NotRun(_),
+            attempt::Reply::Local {
+                status,
+                retry_after,
+            },
+        ) => Reply::not_run(status, reason, retry_after),
+        (_, attempt::Reply::Local { status, .. }) => Reply::unknown(status, reason),
         _ => Reply::unknown(502, reason),
     }
 }
 
-fn idle_report() -> group::Report {
-    group::Report {
-        end: group::End::Cancelled,
-        latency: Duration::ZERO,
-        load: None,
-        state: None,
-    }
-}
-
 fn finish(
     shared: &Shared,
     grant: group::Grant,
@@ -410,29 +556,6 @@
     shared.core.send(Event::Finish(grant, report));
 }
 
-fn to_load((in_flight, slots): (u32, u32)) -> limit::Load {
-    limit::Load { in_flight, slots }
-}
-
-fn to_state(text: &str) -> Option<group::State> {
-    match text.trim() {
-        "serving" => Some(group::State::Serving),
-        "cold" => Some(group::State::Cold),
-        "draining" => Some(group::State::Draining),
-        _ => None,
-    }
-}
-
-/// What an answer's status says of the try, if it is not simply an answer.
-fn refused(answer: &Answer) -> Option<Break> {
-    match answer.status {
-        503 if answer.refused => Some(Break::Refused),
-        503 => Some(Break::Unavailable),
-        500..=599 => Some(Break::ServerError),
-        _ => None,
-    }
-}
-
 /// Reads an answer's body whole.
 fn hold(answer: &mut Answer, method: &str) -> Result<reply::Body, Break> {
     if method == "HEAD" {
@@ -459,48 +582,3 @@
         body,
     }
 }
-
-/// What a call that got no answer's head means.
-fn broken(error: &target::Error) -> Break {
-    let stage = stage_of(&error.stage);
-    if error.is_timeout() {
-        return Break::Timeout(stage);
-    }
-    if error.is_garbage() && error.stage.read {
-        return Break::Garbage;
-    }
-    if stage == Stage::Connecting {
-        return Break::ConnectRefused;
-    }
-    if error.stage.dialled {
-        Break::Cut(stage)
-    } else {
-        Break::Stale(stage)
-    }
-}
-
-fn stage_of(wire: &Wire) -> Stage {
-    if wire.read {
-        return Stage::AnswerHead;
-    }
-    if wire.written > 0 {
-        // How much of it left is not known; "sent" claims the most.
-        return Stage::Sent;
-    }
-    if wire.dialled && !wire.connected {
-        return Stage::Connecting;
-    }
-    Stage::Connected
-}
-
-fn end_of(cause: Break) -> group::End {
-    match cause {
-        Break::ConnectRefused => group::End::ConnectFailed,
-        Break::Timeout(Stage::Connecting) => group::End::ConnectFailed,
-        Break::Timeout(_) => group::End::TimedOut,
-        Break::Refused | Break::Unavailable => group::End::Refused,
-        Break::ServerError => group::End::Answered,
-        Break::Cancelled(_) | Break::CallerGone(_) => group::End::Cancelled,
-        _ => group::End::Broken,
-    }
-}
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -4,8 +4,9 @@
 //! beyond a bound they are refused here, without waiting for the core.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,13 +15,19 @@
 use rand_pcg::Pcg64Mcg;
 use stakker::{actor, after, call, ret_nop, ActorOwn, Stakker, CX};
 
+use super::call::Call;
+use super::later::{self, Later, Queue};
 use super::{Error, Published};
 use crate::border::settings::Settings;
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, ServiceKey, State, ZoneKey};
+use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
-use crate::steer::engine::{Ask, Decision, Engine, Id, Refusal, Verdict};
+use crate::steer::dedupe::{Begin, End, Fingerprint, Keys, Run};
+use crate::steer::engine::{Ask, Decision, Engine, Id, Kind, Refusal, Verdict};
 use crate::steer::goal::{Standing, View};
 use crate::steer::group;
+use crate::steer::pass::{Back, Pass};
+use crate::steer::ticket::{Generation, Rotation};
 
 /// Requests that may wait for a verdict at once.
 const MAX_ASKING: usize = 8192;
@@ -39,8 +46,33 @@
     Ask(Ask, Sender<Verdict>),
     /// A request left a target.
     Finish(group::Grant, group::Report),
+    /// A request left an entry host of another zone.
+    Passed(Pass, Back),
     /// A waiting request is no longer wanted.
     Cancel(Id),
+    /// A request wants a second copy after a while, if it has no answer by then.
+    Hedge(Weak<Call>, Duration),
+    /// A request with an idempotency key asks whether it may run.
+    Begin {
+        /// Its service.
+        service: ServiceKey,
+        /// Its key.
+        key: Arc<str>,
+        /// The generation of its ticket.
+        generation: Generation,
+        /// What tells it from another request with that key.
+        fingerprint: Fingerprint,
+        /// Gets the answer.
+        reply: Sender<Begin>,
+        /// Gets the end of the run that it joins.
+        waiter: Sender<End>,
+    },
+    /// The run of a key ended.
+    End(Run, End),
+    /// The links to other hosts are there.
+    Mesh(Arc<Mesh>),
+    /// A link to another host changed, or a message came over it.
+    Peer(mesh::Event),
     /// A configuration comes into force.
     Catalog(Arc<Catalog>),
     /// The thread ends.
@@ -87,50 +119,46 @@
 }
 
 fn drop_grant(handle: &Handle, receiver: &Receiver<Verdict>) {
-    if let Ok(Verdict::Target(grant)) = receiver.recv_timeout(MAX_SLEEP) {
-        handle.send(Event::Finish(
-            grant,
-            group::Report {
-                end: group::End::Cancelled,
-                latency: Duration::ZERO,
-                load: None,
-                state: None,
-            },
-        ));
+    match receiver.recv_timeout(MAX_SLEEP) {
+        Ok(Verdict::Target { grant, .. }) => {
+            handle.send(Event::Finish(grant, group::Report::idle()));
+        }
+        Ok(Verdict::Host(pass)) => handle.send(Event::Passed(pass, Back::All)),
+        _ => {}
     }
 }
 
 fn refused(reason: Reason) -> Verdict {
-    Verdict::Refused(Refusal {
-        reason,
-        retry_after: Duration::from_secs(1),
-    })
+    Verdict::Refused(Refusal::new(reason))
+}
+
+/// What the core is made from.
+pub(crate) struct Parts {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) published: Arc<Published>,
+    pub(crate) later: Queue,
+    pub(crate) rotation: Rotation,
+    pub(crate) incarnation: u64,
 }
 
 /// Starts the core's thread.
-pub(crate) fn start(
-    settings: &Arc<Settings>,
-    published: &Arc<Published>,
-    seed: u64,
-) -> Result<Handle, Error> {
+pub(crate) fn start(parts: Parts) -> Result<Handle, Error> {
     let (sender, receiver) = unbounded();
-    let settings = settings.clone();
-    let published = published.clone();
-    thread::Builder::new()
-        .name("core".into())
-        .spawn(move || run(&settings, &published, seed, &receiver))?;
-    Ok(Handle {
+    let handle = Handle {
         events: sender,
         asking: Arc::default(),
-    })
+    };
+    let own = handle.clone();
+    thread::Builder::new()
+        .name("core".into())
+        .spawn(move || run(parts, own, &receiver))?;
+    Ok(handle)
 }
 
-fn run(settings: &Arc<Settings>, published: &Arc<Published>, seed: u64, events: &Receiver<Event>) {
+fn run(parts: Parts, handle: Handle, events: &Receiver<Event>) {
     let mut stakker = Stakker::new(Instant::now());
     let stakker = &mut stakker;
-    let settings = settings.clone();
-    let published = published.clone();
-    let core = actor!(stakker, Core::init(settings, published, seed), ret_nop!());
+    let core = actor!(stakker, Core::init(parts, handle), ret_nop!());
     loop {
         let now = Instant::now();
         stakker.run(now, false);
@@ -155,27 +183,26 @@
 
 /// The actor.
 struct Core {
-    settings: Arc<Settings>,
-    published: Arc<Published>,
+    parts: Parts,
+    handle: Handle,
     engine: Engine,
+    keys: Keys<Sender<End>>,
+    mesh: Option<Arc<Mesh>>,
     rng: Pcg64Mcg,
     asking: BTreeMap<Id, Sender<Verdict>>,
 }
 
 impl Core {
-    fn init(
-        cx: CX![],
-        settings: Arc<Settings>,
-        published: Arc<Published>,
-        seed: u64,
-    ) -> Option<Self> {
+    fn init(cx: CX![], parts: Parts, handle: Handle) -> Option<Self> {
         after!(TICK, [cx], tick());
         Some(Self {
-            engine: Engine::new(&settings.steer),
-            settings,
-            published,
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            engine: Engine::new(&parts.settings.steer, parts.incarnation),
+            keys: Keys::new(parts.rotation),
+            rng: Pcg64Mcg::seed_from_u64(parts.incarnation),
             asking: BTreeMap::new(),
+            mesh: None,
+            handle,
+            parts,
         })
     }
 
@@ -187,6 +214,28 @@
                 let decisions = self.engine.finish(now, grant, report, &mut self.rng);
                 self.tell(decisions);
             }
+            Event::Passed(pass, back) => self.engine.finish_pass(now, &pass, back),
+            Event::Hedge(call, after) => {
+                after!(after, [cx], hedge(call));
+            }
+            Event::Begin {
+                service,
+                key,
+                generation,
+                fingerprint,
+                reply,
+                waiter,
+            } => {
+                let begin = self
+                    .keys
+                    .begin(now, service, key, generation, fingerprint, waiter);
+                let _ = reply.send(begin);
+            }
+            Event::End(run, end) => {
+                for waiter in self.keys.end(&run, end.clone()) {
+                    let _ = waiter.send(end.clone());
+                }
+            }
             Event::Cancel(id) => {
                 self.engine.cancel(id);
                 self.asking.remove(&id);
@@ -194,7 +243,8 @@
             Event::Catalog(catalog) => {
                 self.configure(now, catalog);
             }
-            Event::Stop => {}
+            Event::Mesh(mesh) => self.mesh = Some(mesh),
+            Event::Peer(_) | Event::Stop => {}
         }
     }
 
@@ -212,12 +262,13 @@
     }
 
     fn configure(&mut self, now: Instant, catalog: Arc<Catalog>) {
-        let settings = &self.settings;
+        let settings = &self.parts.settings;
         let view = View {
             zones: catalog
                 .zones()
                 .map(|(key, _)| (key, Standing::Alive))
                 .collect(),
+            slots: configured_slots(&catalog),
             ..View::default()
         };
         let live = catalog.hosts().map(|(key, _)| key).collect();
@@ -227,9 +278,33 @@
             &settings.host,
             &settings.availability_zone,
         );
+        if let Some(mesh) = &self.mesh {
+            mesh.set_directory(directory(&catalog));
+        }
         self.engine.set_live(now, live);
         self.engine.set_view(now, view);
-        self.published.put(catalog, self.engine.snapshot());
+        self.parts.published.put(catalog, self.engine.snapshot());
+    }
+
+    /// Sends a second copy of a request that still has no answer, if budget and room allow it.
+    fn hedge(&mut self, cx: CX![], call: Weak<Call>) {
+        let Some(call) = call.upgrade().filter(|call| !call.is_answered()) else {
+            return;
+        };
+        let ask = call.ask(Kind::Hedge);
+        let id = ask.id;
+        match self.engine.ask(cx.now(), ask, &mut self.rng) {
+            Some(Verdict::Target { grant, .. }) => {
+                if let Err(full) = self.parts.later.try_send(Later::Hedge(call, grant)) {
+                    later::give_back(&self.handle, full.into_inner());
+                }
+            }
+            Some(Verdict::Host(pass)) => {
+                self.engine.finish_pass(cx.now(), &pass, Back::All);
+            }
+            Some(Verdict::Refused(_)) => {}
+            None => self.engine.cancel(id),
+        }
     }
 
     fn tell(&mut self, decisions: Vec<Decision>) {
@@ -249,3 +324,23 @@
         after!(pause, [cx], tick());
     }
 }
+
+/// Where the hosts of a configuration accept links.
+fn directory(catalog: &Catalog) -> BTreeMap<Arc<str>, SocketAddr> {
+    catalog
+        .hosts()
+        .filter(|(_, host)| host.state != State::Off)
+        .map(|(_, host)| (host.name.clone(), host.peer_address))
+        .collect()
+}
+
+/// The slots of all sites, as configured: what is assumed where nothing was measured yet.
+fn configured_slots(catalog: &Catalog) -> BTreeMap<(ServiceKey, ZoneKey), u32> {
+    let mut slots = BTreeMap::new();
+    for (service, _) in catalog.services() {
+        for (zone, site) in catalog.sites(service) {
+            slots.insert((service, zone), site.slots);
+        }
+    }
+    slots
+}
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -11,12 +11,16 @@
 use tiny_http::{Method, Request};
 
 use super::body::Body;
-use super::call::{self, Call, Start};
+use super::call::{Sender as Answerer, Start};
 use super::head::{Head, SERVICES};
+use super::keyed;
 use super::published::State;
+use super::relay;
 use super::reply::Reply;
 use super::{Error, Shared};
-use crate::catalog::ServiceKey;
+use crate::catalog::{Catalog, ServiceKey};
+use crate::peer::stream::Incoming;
+use crate::steer::attempt::{Outcome, Reason};
 use crate::steer::engine::Origin;
 use crate::steer::lookup::Snapshot;
 
@@ -216,63 +220,147 @@
     Ok(sender)
 }
 
-fn serve(shared: &Shared, job: Job) {
-    let request = job.request;
-    match prepare(shared, request, job.arrived) {
-        Ok(call) => call.run(shared),
-        Err((request, reply)) => reply.send(request),
+fn serve(shared: &Arc<Shared>, job: Job) {
+    let mut request = job.request;
+    let Some(client) = remote(&request) else {
+        return Reply::not_run(400, "no remote address", None).send(request);
+    };
+    match prepare(shared, &mut request, client, job.arrived) {
+        Ok(start) => keyed::run(shared, start, Answerer::Caller(request)),
+        Err(reply) => reply.send(request),
     }
 }
 
 /// Checks a request and takes its body in.
 fn prepare(
     shared: &Shared,
-    mut request: Request,
+    request: &mut Request,
+    client: IpAddr,
     arrived: Instant,
-) -> Result<Call, (Request, Reply)> {
-    let Some(client) = remote(&request) else {
-        return Err((request, Reply::not_run(400, "no remote address", None)));
-    };
+) -> Result<Start, Reply> {
     let limit = shared.settings.pool.head_bytes as usize;
-    let head = match Head::new(&request, client, limit) {
-        Ok(head) => head,
-        Err(error) => {
-            let reply = Reply::not_run(error.status(), &error.to_string(), None);
-            return Err((request, reply));
-        }
-    };
+    let head = Head::new(request, limit)
+        .map_err(|error| Reply::not_run(error.status(), &error.to_string(), None))?;
     let state = shared.published.get();
-    let Some(lookup) = &state.lookup else {
-        let reply = Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
-        return Err((request, reply));
-    };
-    let catalog = state.catalog.clone();
-    let Some(service) = catalog.service_key(&head.service) else {
-        let problem = format!("no service '{}'", head.service);
-        return Err((request, Reply::not_run(404, &problem, None)));
-    };
+    let (catalog, service, lookup) = find(&state, &head)?;
     let record = catalog.service(service);
     let hold = u64::from(shared.settings.pool.buffer_bytes);
-    let body = match Body::read(request.as_reader(), head.length, hold, record.max_body) {
-        Ok(body) => body,
-        Err(error) => {
-            let reply = Reply::not_run(error.status(), &error.to_string(), None);
-            return Err((request, reply));
-        }
-    };
+    let body = Body::read(request.as_reader(), head.length, hold, record.max_body)
+        .map_err(|error| Reply::not_run(error.status(), &error.to_string(), None))?;
     let place = lookup.place(client, 0);
     let deadline = arrived + head.deadline.unwrap_or(record.deadline);
-    Ok(Call::new(Start {
+    Ok(Start {
         id: shared.next_id(),
         head,
         body,
-        catalog,
+        catalog: catalog.clone(),
         service,
         locality: place.locality,
         block: place.block,
         origin: Origin::Caller,
         arrived,
         deadline,
-        sender: call::Sender::Caller(request),
-    }))
+    })
+}
+
+fn find<'a>(
+    state: &'a State,
+    head: &Head,
+) -> Result<(&'a Arc<Catalog>, ServiceKey, &'a Snapshot), Reply> {
+    let lookup = state
+        .lookup
+        .as_ref()
+        .ok_or_else(|| Reply::not_run(503, "no configuration yet", Some(FULL_RETRY)))?;
+    let service = state
+        .catalog
+        .service_key(&head.service)
+        .ok_or_else(|| Reply::not_run(404, &format!("no service '{}'", head.service), None))?;
+    Ok((&state.catalog, service, lookup))
+}
+
+/// The pool that carries what other entry hosts relay.
+pub(crate) struct Relays {
+    queue: Sender<Incoming>,
+}
+
+impl Relays {
+    /// The pool's queue; [`Relays::start`] starts its threads.
+    pub(crate) fn new(backlog: usize) -> (Self, Receiver<Incoming>) {
+        let (queue, receiver) = bounded(backlog);
+        (Self { queue }, receiver)
+    }
+
+    /// Hands a relayed request to a thread, or refuses it. Does not block.
+    pub(crate) fn take(&self, incoming: Incoming) {
+        if let Err(full) = self.queue.try_send(incoming) {
+            let _ = full
+                .into_inner()
+                .refuse(Reason::Crowded.as_str(), FULL_RETRY);
+        }
+    }
+
+    /// Starts the threads.
+    pub(crate) fn start(shared: &Arc<Shared>, queue: &Receiver<Incoming>) -> Result<(), Error> {
+        for index in 0..shared.settings.pool.relay_workers.get() {
+            let shared = shared.clone();
+            let queue = queue.clone();
+            thread::Builder::new()
+                .name(format!("relay-{index}"))
+                .spawn(move || {
+                    for incoming in queue {
+                        serve_relayed(&shared, incoming);
+                    }
+                })?;
+        }
+        Ok(())
+    }
+}
+
+fn serve_relayed(shared: &Arc<Shared>, mut incoming: Incoming) {
+    match prepare_relayed(shared, &mut incoming) {
+        Ok(start) => keyed::run(shared, start, Answerer::Host(incoming)),
+        Err(outcome) => relay::reply(incoming, outcome, FULL_RETRY, None),
+    }
+}
+
+/// Checks a relayed request and takes its body in.
+fn prepare_relayed(shared: &Shared, incoming: &mut Incoming) -> Result<Start, Outcome> {
+    let arrived = Instant::now();
+    let head = Head::with_open(&incoming.open).map_err(|_| Outcome::NotRun(Reason::BadRequest))?;
+    let state = shared.published.get();
+    let unknown = Outcome::NotRun(Reason::UnknownService);
+    let (catalog, service, _) = find(&state, &head).map_err(|_| unknown)?;
+    let record = catalog.service(service);
+    let locality = incoming
+        .open
+        .locality
+        .as_deref()
+        .and_then(|name| catalog.region_key(name))
+        .ok_or(Outcome::NotRun(Reason::BadRequest))?;
+    let block = incoming
+        .open
+        .block
+        .as_deref()
+        .and_then(|text| text.parse().ok());
+    let hold = u64::from(shared.settings.pool.buffer_bytes);
+    let deadline = incoming.deadline();
+    let origin = match head.ticket {
+        Some(_) => Origin::Caller,
+        None => Origin::Host,
+    };
+    let mut reader = relay::Reader(incoming);
+    let body = Body::read(&mut reader, head.length, hold, record.max_body)
+        .map_err(|_| Outcome::NotRun(Reason::BadRequest))?;
+    Ok(Start {
+        id: shared.next_id(),
+        head,
+        body,
+        catalog: catalog.clone(),
+        service,
+        locality,
+        block: block.unwrap_or_default(),
+        origin,
+        arrived,
+        deadline,
+    })
 }
--- a/src/entry/head.rs
+++ b/src/entry/head.rs
@@ -1,9 +1,9 @@
 //! The head of a caller's request, checked.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::peer::stream::Open;
 use crate::steer::ticket;
 
 /// Time left, in milliseconds.
@@ -66,8 +66,6 @@
     pub(crate) ticket: Option<ticket::Ticket>,
     /// Length of the body; none for a chunked one.
     pub(crate) length: Option<u64>,
-    /// The caller's address.
-    pub(crate) client: IpAddr,
 }
 
 /// What is wrong with a head; the request did not run.
@@ -114,11 +112,7 @@
 
 impl Head {
     /// Checks the head of `request`, whose headers may take `limit` bytes.
-    pub(crate) fn new(
-        request: &tiny_http::Request,
-        client: IpAddr,
-        limit: usize,
-    ) -> Result<Self, Error> {
+    pub(crate) fn new(request: &tiny_http::Request, limit: usize) -> Result<Self, Error> {
         let url = request.url();
         let size = url.len()
             + request
@@ -139,12 +133,27 @@
             key: None,
             ticket: None,
             length: None,
-            client,
         };
         head.take_headers(request)?;
         Ok(head)
     }
 
+    /// The head of a request that another entry host relays.
+    pub(crate) fn with_open(open: &Open) -> Result<Self, Error> {
+        let ticket = open.ticket.as_deref().map(str::parse).transpose()?;
+        Ok(Self {
+            service: open.service.clone(),
+            method: open.method.clone(),
+            path: open.path.clone(),
+            headers: open.headers.clone(),
+            deadline: Some(open.deadline),
+            // Only the home of a ticket minds the key; towards a target it is a header like others.
+            key: open.key.clone().filter(|_| ticket.is_some()),
+            ticket,
+            length: open.length,
+        })
+    }
+
     fn take_headers(&mut self, request: &tiny_http::Request) -> Result<(), Error> {
         let connection = find(request, "connection").unwrap_or_default();
         let chunked = find(request, "transfer-encoding").is_some();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,15 +7,19 @@
 mod error;
 mod front;
 mod head;
+mod keyed;
+mod later;
 mod log;
 mod metrics;
 mod platform;
 mod published;
+mod relay;
 mod reply;
 mod revision;
 mod server;
 mod stage;
 mod target;
+mod verdict;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -28,11 +32,16 @@
 use signal_hook::iterator::Signals;
 
 use crate::border::settings::Settings;
+use crate::peer;
+use crate::peer::config::Listen;
+use crate::peer::mesh::Mesh;
 use crate::steer::ticket::{Issuer, Rotation};
 
 pub use error::Error;
 
-use front::Front;
+use self::core::Parts;
+use front::{Front, Relays};
+use later::{Later, Queue};
 use metrics::Metrics;
 use published::Published;
 use reply::Reply;
@@ -46,6 +55,8 @@
     pub(crate) targets: target::Client,
     pub(crate) metrics: Metrics,
     pub(crate) issuer: Issuer,
+    pub(crate) mesh: Arc<Mesh>,
+    later: Queue,
     incarnation: u64,
     ids: AtomicU64,
 }
@@ -61,6 +72,18 @@
         format!("{}-{}-{id}", self.settings.host, self.incarnation)
     }
 
+    /// Leaves work to the pool for it; drops it if there is too much.
+    pub(crate) fn later(&self, piece: Later) {
+        if let Err(full) = self.later.try_send(piece) {
+            later::give_back(&self.core, full.into_inner());
+        }
+    }
+
+    /// Tells a target that a request is no longer waited for.
+    pub(crate) fn cancel(&self, target: SocketAddr, id: String) {
+        self.later(Later::Cancel(target, id));
+    }
+
     /// What this host says of itself.
     pub(crate) fn status(&self) -> Reply {
         let state = self.published.get();
@@ -106,8 +129,19 @@
             source,
         })?;
         let incarnation = incarnation();
+        let rotation = Rotation::new(Instant::now());
         let published = Arc::new(Published::new());
-        let core = core::start(&settings, &published, incarnation)?;
+        let (later, work) = later::queue();
+        let core = core::start(Parts {
+            settings: settings.clone(),
+            published: published.clone(),
+            later: later.clone(),
+            rotation,
+            incarnation,
+        })?;
+        let (relays, relayed) = Relays::new(settings.pool.backlog.get() as usize);
+        let mesh = Arc::new(mesh(&settings, incarnation, core.clone(), relays)?);
+        core.send(core::Event::Mesh(mesh.clone()));
         let stop = Arc::new(AtomicBool::new(false));
         let connect = Duration::from_millis(settings.pool.connect_ms.get().into());
         let shared = Arc::new(Shared {
@@ -115,15 +149,15 @@
             published,
             targets: target::Client::new(connect),
             metrics: Metrics::new()?,
-            issuer: Issuer::new(
-                settings.host.as_str().into(),
-                incarnation,
-                Rotation::new(Instant::now()),
-            ),
+            issuer: Issuer::new(settings.host.as_str().into(), incarnation, rotation),
+            mesh,
+            later,
             incarnation,
             ids: AtomicU64::new(0),
             settings,
         });
+        later::start(&shared, &work)?;
+        Relays::start(&shared, &relayed)?;
         let front = Front::new(shared.clone())?;
         platform::start(&shared.settings.platform, core.clone(), stop.clone())?;
         let threads = shared.settings.pool.lookup_workers.get() as usize;
@@ -150,6 +184,28 @@
     }
 }
 
+/// Opens the links to other hosts.
+fn mesh(
+    settings: &Settings,
+    incarnation: u64,
+    core: core::Handle,
+    relays: Relays,
+) -> Result<Mesh, Error> {
+    let listen = address("peer_listen", &settings.peer_listen)?;
+    let config = peer::config::Config::new(
+        settings.host.as_str(),
+        incarnation,
+        settings.availability_zone.as_str(),
+        settings.peer_secret.as_str(),
+        Listen::Address(listen),
+    );
+    Mesh::new(config, move |event| match event {
+        peer::mesh::Event::Open(incoming) => relays.take(incoming),
+        event => core.send(core::Event::Peer(event)),
+    })
+    .map_err(|error| Error::Peer(error.to_string().into()))
+}
+
 /// Runs an entry host until it is told to stop.
 ///
 /// # Errors
--- /dev/null
+++ b/src/steer/budgets.rs
@@ -0,0 +1,48 @@
+//! The retry and hedge budgets of one service, and the switches of a host.
+
+use std::time::Instant;
+
+use super::hedge::Hedge;
+use super::retry;
+use crate::border::settings::{Steer, Switch};
+use crate::catalog::Limits;
+
+/// Mechanisms that can be switched off for measurement.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Switches {
+    pub(crate) hedge: Switch,
+    pub(crate) retry: Switch,
+    pub(crate) quota: Switch,
+}
+
+impl Switches {
+    pub(crate) fn new(steer: &Steer) -> Self {
+        Self {
+            hedge: steer.hedge,
+            retry: steer.retry_budget,
+            quota: steer.quota,
+        }
+    }
+}
+
+/// The budgets of one service.
+#[derive(Debug)]
+pub(crate) struct Budgets {
+    pub(crate) retry: retry::Budget,
+    pub(crate) hedge: Hedge,
+}
+
+impl Budgets {
+    pub(crate) fn new(now: Instant, limits: &Limits, switches: Switches) -> Self {
+        Self {
+            retry: retry::Budget::new(now, limits.retry).with_switch(switches.retry.into()),
+            hedge: Hedge::new(now, limits.hedge).with_switch(switches.hedge.into()),
+        }
+    }
+
+    /// Counts a request of the service.
+    pub(crate) fn request(&mut self, now: Instant) {
+        self.retry.request(now);
+        self.hedge.request(now);
+    }
+}
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -10,13 +10,16 @@
 use rand::Rng;
 
 use super::attempt::Reason;
-use super::goal::{goal, Hold, View};
+use super::budgets::{Budgets, Switches};
+use super::goal::{goal, Hold, Standing, View};
 use super::group::{self, Group};
+use super::hedge;
 use super::lookup::Snapshot;
-use super::shift::{Caps, Shift};
+use super::pass::{Back, Pass, Quotas};
+use super::shift::{self, Caps, Kind as Kindred, Shift};
 use super::split::Split;
-use crate::border::settings as border;
-use crate::catalog::{Catalog, HostKey, RegionKey, ServiceKey, State, TargetKey, ZoneKey};
+use crate::border::settings::{self as border, Switch};
+use crate::catalog::{Catalog, HostKey, RegionKey, Repeat, ServiceKey, State, TargetKey, ZoneKey};
 
 /// Identifies a request on this host.
 pub type Id = u64;
@@ -56,6 +59,8 @@
     pub locality: RegionKey,
     /// Hash of the caller's block.
     pub block: u64,
+    /// Length of its body in bytes, as far as it is known.
+    pub bytes: u64,
     /// When its answer is of no more use.
     pub deadline: Instant,
     /// Targets that were tried.
@@ -68,7 +73,14 @@
 #[derive(Debug)]
 pub enum Verdict {
     /// To a target of this zone.
-    Target(group::Grant),
+    Target {
+        /// Leave to send it there.
+        grant: group::Grant,
+        /// When to ask for a second copy, if no answer came.
+        hedge: Option<Duration>,
+    },
+    /// To an entry host of another zone.
+    Host(Pass),
     /// It did not run.
     Refused(Refusal),
 }
@@ -94,17 +106,34 @@
     live: BTreeSet<HostKey>,
     groups: BTreeMap<ServiceKey, Group>,
     waiting: BTreeMap<Id, ServiceKey>,
+    /// Callers' requests that wait for a target of this zone, should they have to go elsewhere.
+    spare: BTreeMap<Id, Ask>,
+    switches: Switches,
+    budgets: BTreeMap<ServiceKey, Budgets>,
+    quotas: Quotas,
+    passes: BTreeMap<HostKey, u32>,
+    /// Mean time that a request of a service holds a slot, in seconds.
+    work: BTreeMap<ServiceKey, f64>,
+    /// Free slots of other zones, as last heard.
+    free: BTreeMap<(ServiceKey, ZoneKey), u32>,
     shifts: BTreeMap<(ServiceKey, RegionKey), Shift>,
     view: View,
     hold: Hold,
 }
 
+/// Latency assumed where no link is configured.
+const FAR: Duration = Duration::from_secs(1);
+/// Time that a request is assumed to hold a slot before any was measured, in seconds.
+const DEFAULT_WORK: f64 = 0.05;
+/// Weight of one measurement in the mean hold time.
+const WORK_GAIN: f64 = 0.05;
+
 /// How long a zone that came back must stay good before traffic returns to it.
 const HOLD: Duration = Duration::from_secs(5);
 
 impl Engine {
     /// An engine without a configuration.
-    pub fn new(steer: &border::Steer) -> Self {
+    pub fn new(steer: &border::Steer, incarnation: u64) -> Self {
         Self {
             catalog: Arc::default(),
             config: group::Config::new(steer),
@@ -113,6 +142,13 @@
             live: BTreeSet::new(),
             groups: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            spare: BTreeMap::new(),
+            switches: Switches::new(steer),
+            budgets: BTreeMap::new(),
+            quotas: Quotas::new(incarnation),
+            passes: BTreeMap::new(),
+            work: BTreeMap::new(),
+            free: BTreeMap::new(),
             shifts: BTreeMap::new(),
             view: View::default(),
             hold: Hold::new(HOLD),
@@ -129,10 +165,19 @@
         self.host = catalog.host_key(host);
         self.zone = catalog.zone_key(zone);
         self.catalog = catalog;
+        if let Some(zone) = self.zone {
+            let own = self.catalog.region_of(zone);
+            self.quotas.configure(now, &self.catalog, own);
+        }
         self.update_groups(now);
         self.advance(now);
     }
 
+    /// Takes the free slots of other zones, as last heard.
+    pub fn set_free(&mut self, free: BTreeMap<(ServiceKey, ZoneKey), u32>) {
+        self.free = free;
+    }
+
     /// Takes what is known of the zones.
     pub fn set_view(&mut self, now: Instant, mut view: View) {
         for (&zone, standing) in &mut view.zones {
@@ -203,19 +248,95 @@
 
     /// Asks where a request goes. No verdict: it waits.
     pub fn ask(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
+        if let Some(refusal) = self.count(now, &ask) {
+            return Some(Verdict::Refused(refusal));
+        }
+        match ask.origin {
+            Origin::Host => self.admit(now, ask, rng),
+            Origin::Caller => self.route(now, ask, rng),
+        }
+    }
+
+    /// Counts a request in its budgets; refuses a retry or a copy that is over them.
+    fn count(&mut self, now: Instant, ask: &Ask) -> Option<Refusal> {
+        let limits = *self.catalog.limits();
+        let switches = self.switches;
+        let budgets = self
+            .budgets
+            .entry(ask.service)
+            .or_insert_with(|| Budgets::new(now, &limits, switches));
+        let headroom = match self.groups.get(&ask.service).map(Group::headroom) {
+            Some(free) if free.queued == 0 && free.in_flight < free.limit => hedge::Headroom::Known,
+            _ => hedge::Headroom::Lacking,
+        };
+        let allowed = match ask.kind {
+            Kind::First => {
+                budgets.request(now);
+                true
+            }
+            Kind::Retry => budgets.retry.take(now),
+            Kind::Hedge => budgets.hedge.take(now, headroom),
+        };
+        (!allowed).then(|| Refusal::new(Reason::Limited))
+    }
+
+    /// Own zone first, else where the split says; then where there is room.
+    fn route(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
+        let home = self.home(now, &ask);
+        if home == self.zone {
+            let (id, spare) = (ask.id, ask.clone());
+            return match self.admit(now, ask, rng) {
+                Some(Verdict::Refused(refusal)) => Some(self.spill(now, &spare, refusal)),
+                verdict => {
+                    if verdict.is_none() {
+                        self.spare.insert(id, spare);
+                    }
+                    verdict
+                }
+            };
+        }
+        if ask.kind == Kind::Hedge {
+            return Some(Verdict::refused(Reason::Limited));
+        }
+        let verdict = match home {
+            Some(zone) => self.pass(now, &ask, zone),
+            None => Err(Refusal::new(Reason::NoTarget)),
+        };
+        Some(match verdict {
+            Ok(pass) => Verdict::Host(pass),
+            Err(refusal) => self.spill(now, &ask, refusal),
+        })
+    }
+
+    /// The zone that a request belongs to.
+    fn home(&mut self, now: Instant, ask: &Ask) -> Option<ZoneKey> {
+        let shift = self.shifts.get_mut(&(ask.service, ask.locality))?;
+        if ask.kind == Kind::First {
+            shift.ledger().request(now);
+        }
+        let split = shift.current();
+        let own = self
+            .zone
+            .filter(|&zone| self.catalog.region_of(zone) == ask.locality);
+        own.filter(|&zone| split.share(zone) > 0.0)
+            .or_else(|| split.choose(ask.block, |_| true))
+    }
+
+    /// Asks the targets of this zone.
+    fn admit(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
         let Some(group) = self.groups.get_mut(&ask.service) else {
             return Some(Verdict::refused(Reason::NoTarget));
         };
-        let priority = self.catalog.service(ask.service).priority;
+        let service = self.catalog.service(ask.service);
         let request = group::Ask {
             id: ask.id,
             deadline: ask.deadline,
-            priority,
+            priority: service.priority,
             affinity: ask.block,
             exclude: ask.targets,
         };
         match group.admit(now, request, rng) {
-            group::Verdict::Go(grant) => Some(Verdict::Target(grant)),
+            group::Verdict::Go(grant) => Some(self.go(now, grant)),
             group::Verdict::Wait => {
                 self.waiting.insert(ask.id, ask.service);
                 None
@@ -224,6 +345,158 @@
         }
     }
 
+    fn go(&mut self, now: Instant, grant: group::Grant) -> Verdict {
+        let service = self.catalog.target(grant.target()).service;
+        let hedge = match self.catalog.service(service).repeat {
+            Repeat::Safe => self
+                .budgets
+                .get_mut(&service)
+                .and_then(|budgets| budgets.hedge.delay(now)),
+            Repeat::Never => None,
+        };
+        Verdict::Target { grant, hedge }
+    }
+
+    /// Looks for another zone for a request that its own cannot take.
+    fn spill(&mut self, now: Instant, ask: &Ask, refusal: Refusal) -> Verdict {
+        if ask.origin == Origin::Host || ask.kind == Kind::Hedge {
+            return Verdict::Refused(refusal);
+        }
+        let caps = Caps::new(&self.catalog, ask.service);
+        let kind = match refusal.reason {
+            Reason::NoTarget => Kindred::Failover,
+            _ => Kindred::Planned,
+        };
+        for zone in self.others(ask) {
+            let Some(shift) = self.shifts.get_mut(&(ask.service, ask.locality)) else {
+                break;
+            };
+            if shift.ledger().room(now, caps.cap(kind)) <= 0.0 {
+                break;
+            }
+            let Ok(pass) = self.pass(now, ask, zone) else {
+                continue;
+            };
+            let decision = self
+                .shifts
+                .get_mut(&(ask.service, ask.locality))
+                .map(|shift| shift.ledger().spill(now, caps.cap(kind)));
+            if decision == Some(shift::Decision::Spill) {
+                return Verdict::Host(pass);
+            }
+            self.release_pass(now, &pass, Back::All);
+            break;
+        }
+        Verdict::Refused(refusal)
+    }
+
+    /// Other zones that may have room, nearest first.
+    fn others(&self, ask: &Ask) -> Vec<ZoneKey> {
+        let Some(own) = self.zone else {
+            return Vec::new();
+        };
+        let region = self.catalog.region_of(own);
+        let mut zones: Vec<(Duration, ZoneKey)> = self
+            .catalog
+            .sites(ask.service)
+            .filter(|&(zone, site)| zone != own && site.slots > 0)
+            .filter(|&(zone, _)| self.has_room(ask.service, zone, region))
+            .map(|(zone, _)| (self.distance(region, zone), zone))
+            .collect();
+        zones.sort();
+        zones.into_iter().map(|(_, zone)| zone).collect()
+    }
+
+    /// Whether a zone is not known to be full. Of another region, room must be known.
+    fn has_room(&self, service: ServiceKey, zone: ZoneKey, region: RegionKey) -> bool {
+        if self.view.zones.get(&zone) == Some(&Standing::Lost) {
+            return false;
+        }
+        match self.free.get(&(service, zone)) {
+            Some(&free) => free > 0,
+            None => self.catalog.region_of(zone) == region,
+        }
+    }
+
+    fn distance(&self, from: RegionKey, zone: ZoneKey) -> Duration {
+        let to = self.catalog.region_of(zone);
+        if from == to {
+            return Duration::ZERO;
+        }
+        self.catalog.link(from, to).map_or(FAR, |link| link.latency)
+    }
+
+    /// Chooses a host of another zone and takes what it costs to send a request there.
+    fn pass(&mut self, now: Instant, ask: &Ask, zone: ZoneKey) -> Result<Pass, Refusal> {
+        let host = self
+            .host_in(ask, zone)
+            .ok_or(Refusal::new(Reason::Unreachable))?;
+        let region = self.catalog.region_of(zone);
+        let own = self.zone.map(|zone| self.catalog.region_of(zone));
+        let work = self.hold_time(ask.service);
+        if own != Some(region) && self.switches.quota == Switch::On {
+            let bytes = ask.bytes as f64;
+            self.quotas
+                .take(now, own, (ask.service, region), work, bytes)
+                .map_err(|refused| Refusal {
+                    reason: Reason::Limited,
+                    retry_after: refused.retry_after,
+                })?;
+        }
+        *self.passes.entry(host).or_default() += 1;
+        Ok(Pass {
+            host,
+            service: ask.service,
+            region,
+            work,
+            bytes: ask.bytes,
+            at: now,
+        })
+    }
+
+    /// The live host of a zone with the fewest requests of this host.
+    fn host_in(&self, ask: &Ask, zone: ZoneKey) -> Option<HostKey> {
+        self.live
+            .iter()
+            .filter(|&&host| self.catalog.host(host).zone == zone)
+            .filter(|host| !ask.hosts.contains(host))
+            .min_by_key(|&host| {
+                let load = self.passes.get(host).copied().unwrap_or_default();
+                (load, (ask.id ^ u64::from(host.into_raw().into_u32())) % 7)
+            })
+            .copied()
+    }
+
+    fn hold_time(&self, service: ServiceKey) -> f64 {
+        self.work.get(&service).copied().unwrap_or(DEFAULT_WORK)
+    }
+
+    /// Takes back a pass.
+    pub fn finish_pass(&mut self, now: Instant, pass: &Pass, back: Back) {
+        self.release_pass(now, pass, back);
+    }
+
+    fn release_pass(&mut self, now: Instant, pass: &Pass, back: Back) {
+        if let Some(count) = self.passes.get_mut(&pass.host) {
+            *count = count.saturating_sub(1);
+        }
+        let own = self.zone.map(|zone| self.catalog.region_of(zone));
+        if own == Some(pass.region) || self.switches.quota == Switch::Off {
+            return;
+        }
+        let site = (pass.service, pass.region);
+        match back {
+            Back::All => {
+                let bytes = pass.bytes as f64;
+                self.quotas.put_back(now, own, site, pass.work, bytes);
+            }
+            Back::Nothing { bytes } => {
+                let more = bytes.saturating_sub(pass.bytes) as f64;
+                self.quotas.charge(now, own, site, more);
+            }
+        }
+    }
+
     /// Takes back a target's grant.
     pub fn finish(
         &mut self,
@@ -233,15 +506,27 @@
         rng: &mut impl Rng,
     ) -> Vec<Decision> {
         let service = self.catalog.target(grant.target()).service;
+        if report.end == group::End::Answered {
+            self.learn(now, service, report.latency);
+        }
         let Some(group) = self.groups.get_mut(&service) else {
             return Vec::new();
         };
         let ready = group.finish(now, grant, report, rng);
-        self.release(ready)
+        self.release(now, ready)
+    }
+
+    fn learn(&mut self, now: Instant, service: ServiceKey, latency: Duration) {
+        if let Some(budgets) = self.budgets.get_mut(&service) {
+            budgets.hedge.record(now, latency);
+        }
+        let work = self.work.entry(service).or_insert(DEFAULT_WORK);
+        *work += (latency.as_secs_f64() - *work) * WORK_GAIN;
     }
 
     /// A request that waits is no longer wanted.
     pub fn cancel(&mut self, id: Id) {
+        self.spare.remove(&id);
         if let Some(service) = self.waiting.remove(&id) {
             if let Some(group) = self.groups.get_mut(&service) {
                 group.cancel(id);
@@ -257,10 +542,14 @@
             refused.extend(group.expire(now));
             ready.extend(group.ready(now, rng));
         }
-        let mut decisions = self.release(ready);
+        let mut decisions = self.release(now, ready);
         for (id, refusal) in refused {
             self.waiting.remove(&id);
-            decisions.push((id, Verdict::Refused(refusal.into())));
+            let verdict = match self.spare.remove(&id) {
+                Some(ask) => self.spill(now, &ask, refusal.into()),
+                None => Verdict::Refused(refusal.into()),
+            };
+            decisions.push((id, verdict));
         }
         decisions
     }
@@ -273,23 +562,30 @@
             .min()
     }
 
-    fn release(&mut self, ready: Vec<(Id, group::Grant)>) -> Vec<Decision> {
-        ready
-            .into_iter()
-            .map(|(id, grant)| {
-                self.waiting.remove(&id);
-                (id, Verdict::Target(grant))
-            })
-            .collect()
+    fn release(&mut self, now: Instant, ready: Vec<(Id, group::Grant)>) -> Vec<Decision> {
+        let mut decisions = Vec::with_capacity(ready.len());
+        for (id, grant) in ready {
+            self.waiting.remove(&id);
+            self.spare.remove(&id);
+            decisions.push((id, self.go(now, grant)));
+        }
+        decisions
     }
 }
 
 impl Verdict {
     fn refused(reason: Reason) -> Self {
-        Self::Refused(Refusal {
+        Self::Refused(Refusal::new(reason))
+    }
+}
+
+impl Refusal {
+    /// A refusal for `reason`, when nothing better is known of when to come back.
+    pub fn new(reason: Reason) -> Self {
+        Self {
             reason,
             retry_after: RETRY_AFTER,
-        })
+        }
     }
 }
 
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -239,6 +239,18 @@
     pub state: Option<State>,
 }
 
+impl Report {
+    /// Of a grant that was not used.
+    pub fn idle() -> Self {
+        Self {
+            end: End::Cancelled,
+            latency: Duration::ZERO,
+            load: None,
+            state: None,
+        }
+    }
+}
+
 /// A summary of the group, for other hosts and for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Headroom {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions: where a request goes, and whether it goes at all. Pure: no I/O, no clock, no randomness of its own.
 
 pub mod attempt;
+mod budgets;
 pub mod dedupe;
 pub mod eject;
 pub mod engine;
@@ -9,6 +10,7 @@
 pub mod hedge;
 pub mod limit;
 pub mod lookup;
+pub mod pass;
 pub mod pick;
 pub mod queue;
 pub mod quota;
--- /dev/null
+++ b/src/steer/pass.rs
@@ -0,0 +1,175 @@
+//! Requests sent to other zones, and the quotas they are charged to.
+//!
+//! A request to another region is charged to the region, in slot-seconds, and to the link, in
+//! requests and bytes. The quotas' static parts add up over all configured hosts to what the region
+//! and the link may carry.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::quota::{self, Quota, Refusal};
+use crate::catalog::{Catalog, HostKey, RegionKey, ServiceKey, State};
+
+/// Leave to send one request to an entry host of another zone. To be handed back.
+#[derive(Clone, Debug)]
+pub struct Pass {
+    /// The host.
+    pub host: HostKey,
+    pub(crate) service: ServiceKey,
+    pub(crate) region: RegionKey,
+    /// Charged to the region, in slot-seconds.
+    pub(crate) work: f64,
+    /// Charged to the link, in bytes.
+    pub(crate) bytes: u64,
+    /// When it was given.
+    pub(crate) at: Instant,
+}
+
+impl Pass {
+    /// When it was given.
+    pub fn at(&self) -> Instant {
+        self.at
+    }
+}
+
+/// What is handed back with a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Back {
+    /// All of it: the request certainly did not run, and nothing was sent.
+    All,
+    /// Nothing: the request was carried, with this many bytes both ways.
+    Nothing {
+        /// Bytes of both bodies.
+        bytes: u64,
+    },
+}
+
+/// A service in a region.
+pub(crate) type Site = (ServiceKey, RegionKey);
+
+/// One direction of a link between regions.
+type Way = (RegionKey, RegionKey);
+
+/// The quotas of one host.
+#[derive(Debug)]
+pub(crate) struct Quotas {
+    incarnation: u64,
+    sites: BTreeMap<Site, Quota>,
+    requests: BTreeMap<Way, Quota>,
+    bytes: BTreeMap<Way, Quota>,
+}
+
+impl Quotas {
+    pub(crate) fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            sites: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            bytes: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the static parts by a new configuration; bonuses stay.
+    pub(crate) fn configure(&mut self, now: Instant, catalog: &Catalog, own: RegionKey) {
+        let incarnation = self.incarnation;
+        let utilization = catalog.limits().utilization;
+        let regions: Vec<RegionKey> = catalog.regions().map(|(key, _)| key).collect();
+        for (service, _) in catalog.services() {
+            for &region in regions.iter().filter(|&&region| region != own) {
+                let hosts = quota::outside(catalog, region);
+                let part = quota::part(slots(catalog, service, region), utilization, hosts);
+                set(&mut self.sites, (service, region), now, part, incarnation);
+            }
+        }
+        let hosts = quota::inside(catalog, own);
+        for (_, link) in catalog.links().filter(|(_, link)| link.from == own) {
+            let way = (link.from, link.to);
+            let requests = quota::part(link.requests as f64, utilization, hosts);
+            set(&mut self.requests, way, now, requests, incarnation);
+            let bytes = quota::part(link.bytes as f64, utilization, hosts);
+            set(&mut self.bytes, way, now, bytes, incarnation);
+        }
+    }
+
+    /// Takes what one request costs, or nothing.
+    pub(crate) fn take(
+        &mut self,
+        now: Instant,
+        own: Option<RegionKey>,
+        site: Site,
+        work: f64,
+        bytes: f64,
+    ) -> Result<(), Refusal> {
+        let none = Refusal {
+            retry_after: Duration::from_secs(1),
+        };
+        let way = (own.ok_or(none)?, site.1);
+        let region = self.sites.get_mut(&site).ok_or(none)?;
+        region.take(now, work)?;
+        if let Some(link) = self.requests.get_mut(&way) {
+            if let Err(refusal) = link.take(now, 1.0) {
+                region.put_back(now, work);
+                return Err(refusal);
+            }
+        }
+        if let Some(link) = self.bytes.get_mut(&way) {
+            if let Err(refusal) = link.take(now, bytes) {
+                region.put_back(now, work);
+                if let Some(link) = self.requests.get_mut(&way) {
+                    link.put_back(now, 1.0);
+                }
+                return Err(refusal);
+            }
+        }
+        Ok(())
+    }
+
+    /// Gives back what [`Quotas::take`] took.
+    pub(crate) fn put_back(
+        &mut self,
+        now: Instant,
+        own: Option<RegionKey>,
+        site: Site,
+        work: f64,
+        bytes: f64,
+    ) {
+        if let Some(region) = self.sites.get_mut(&site) {
+            region.put_back(now, work);
+        }
+        let Some(own) = own else {
+            return;
+        };
+        let way = (own, site.1);
+        if let Some(link) = self.requests.get_mut(&way) {
+            link.put_back(now, 1.0);
+        }
+        if let Some(link) = self.bytes.get_mut(&way) {
+            link.put_back(now, bytes);
+        }
+    }
+
+    /// Charges bytes that were not known before; a debt delays later requests.
+    pub(crate) fn charge(&mut self, now: Instant, own: Option<RegionKey>, site: Site, bytes: f64) {
+        if let Some(link) = own.and_then(|own| self.bytes.get_mut(&(own, site.1))) {
+            link.put_back(now, -bytes);
+        }
+    }
+}
+
+fn set<K: Ord>(quotas: &mut BTreeMap<K, Quota>, key: K, now: Instant, part: f64, incarnation: u64) {
+    quotas
+        .entry(key)
+        .or_insert_with(|| Quota::new(part, now, incarnation))
+        .set_part(now, part);
+}
+
+/// The slots of a service in a region that serve.
+fn slots(catalog: &Catalog, service: ServiceKey, region: RegionKey) -> f64 {
+    let slots: u32 = catalog
+        .sites(service)
+        .filter(|&(zone, _)| catalog.region_of(zone) == region)
+        .filter(|&(zone, _)| catalog.zone_state(zone) == State::Serving)
+        .map(|(_, site)| site.slots)
+        .sum();
+    f64::from(slots)
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -53,7 +53,8 @@
         assert_eq!(
             (answer.status, &*answer.outcome),
             (200, "answered"),
-            "{size}"
+            "{size}: {}",
+            answer.text()
         );
         assert_eq!(answer.json()["body_length"], size as u64, "{size}");
     }
@@ -64,3 +65,96 @@
         assert_eq!(answer.body.len().to_string(), size);
     }
 }
+
+fn two_zones() -> World {
+    World::new()
+        .with_zone("lima", "lima-a")
+        .with_zone("lima", "lima-b")
+        .with_target("lima-b", "lookups", "look-1", 4)
+        .with_target("lima-b", "bookings", "book-1", 4)
+        .with_host("lima-a", "ent-1")
+        .with_host("lima-b", "ent-2")
+        .run()
+}
+
+#[test]
+fn a_request_for_another_zone_is_relayed_to_a_host_there() {
+    let world = two_zones();
+    let url = world.hosts["ent-1"].url("/v1/services/lookups/upload");
+    for size in [0, 1, 70_000, 9 << 20] {
+        let body: Vec<u8> = (0..size).map(|at: usize| (at % 251) as u8).collect();
+        let answer = send("POST", &url, &[], &body).unwrap();
+        assert_eq!(
+            (answer.status, &*answer.outcome),
+            (200, "answered"),
+            "{size}: {}",
+            answer.text()
+        );
+        assert_eq!(answer.json()["body_length"], size as u64, "{size}");
+    }
+    for size in ["0", "65536", "9000000"] {
+        let answer = send("GET", &url, &[("Standin-Answer-Bytes", size)], b"").unwrap();
+        assert_eq!(answer.outcome, "answered", "{size}");
+        assert_eq!(answer.body.len().to_string(), size);
+    }
+    let direct = send(
+        "HEAD",
+        &world.hosts["ent-2"].url("/v1/services/lookups/x"),
+        &[],
+        b"",
+    );
+    let relayed = send("HEAD", &url.replace("upload", "x"), &[], b"");
+    let length = |answer: Result<world::Answer, ureq::Error>| {
+        answer.unwrap().headers["content-length"].clone()
+    };
+    assert_eq!(length(relayed), length(direct));
+}
+
+#[test]
+fn a_keyed_request_runs_once_whichever_host_gets_it() {
+    let world = two_zones();
+    let look_up = world.hosts["ent-1"].url("/v1/entries?service=bookings&client=10.0.0.1");
+    let ticket = send("GET", &look_up, &[], b"").unwrap().json()["ticket"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    let headers = [("Idempotency-Key", "k-1"), ("Ragwortfold-Ticket", &*ticket)];
+    for host in ["ent-1", "ent-1", "ent-2"] {
+        let url = world.hosts[host].url("/v1/services/bookings/reserve");
+        let answer = send("POST", &url, &headers, b"pass 7").unwrap();
+        assert_eq!(
+            (answer.status, &*answer.outcome),
+            (200, "answered"),
+            "{host}"
+        );
+    }
+    assert_eq!(world.targets["book-1"].journal().entries.len(), 1);
+
+    let url = world.hosts["ent-1"].url("/v1/services/bookings/reserve");
+    let other = send("POST", &url, &headers, b"pass 8").unwrap();
+    assert_eq!((other.status, &*other.outcome), (422, "not-run"));
+    let bare = send("POST", &url, &headers[..1], b"pass 7").unwrap();
+    assert_eq!((bare.status, &*bare.outcome), (428, "not-run"));
+    assert_eq!(world.targets["book-1"].journal().entries.len(), 1);
+}
+
+#[test]
+fn a_key_whose_home_restarted_is_unknown() {
+    let mut world = two_zones();
+    let look_up = world.hosts["ent-1"].url("/v1/entries?service=bookings&client=10.0.0.1");
+    let ticket = send("GET", &look_up, &[], b"").unwrap().json()["ticket"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    let headers = [("Idempotency-Key", "k-1"), ("Ragwortfold-Ticket", &*ticket)];
+    world.hosts.get_mut("ent-1").unwrap().kill();
+    let url = world.hosts["ent-2"].url("/v1/services/bookings/reserve");
+    let dead = send("POST", &url, &headers, b"pass 7").unwrap();
+    assert_eq!((dead.status, &*dead.outcome), (502, "unknown"));
+    world.start("ent-1");
+    world.wait_ready("ent-1");
+    let url = world.hosts["ent-1"].url("/v1/services/bookings/reserve");
+    let restarted = send("POST", &url, &headers, b"pass 7").unwrap();
+    assert_eq!((restarted.status, &*restarted.outcome), (502, "unknown"));
+    assert!(world.targets["book-1"].journal().entries.is_empty());
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -181,7 +181,7 @@
             "host": name, "availability_zone": text("availability_zone"),
             "listen": text("address"), "peer_listen": text("peer_address"),
             "platform": platform, "peer_secret": SECRET,
-            "pool": {"workers": 32, "relay_workers": 32},
+            "pool": {"workers": 32, "relay_workers": 32}, "log": {"level": "debug"},
         });
         for (key, value) in more.as_object().unwrap() {
             settings[key] = value.clone();
@@ -267,6 +267,10 @@
 }
 
 impl Answer {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
     pub fn json(&self) -> Value {
         serde_json::from_slice(&self.body).unwrap()
     }
