--- a/tests/config.rs
+++ b/tests/config.rs
@@ -138,6 +138,9 @@
         ["a.json:8:16: services.lookups: cannot be reached from 'south': no targets there and no link"];
     service_without_targets: r#"{"services": {"bookings": {"class": "booking"}}}"# =>
         ["b.json:1:15: services.bookings: has no targets"];
+    an_overridden_record_stands_where_it_was_last_named:
+        r#"{"services": {"lookups": {"priority": 1}}, "targets": null}"# =>
+        ["b.json:1:15: services.lookups: has no targets"];
     unknown_cap: r#"{"limits": {"shift": {"lookup": {"share": 0.1, "window_s": 1}}}}"# =>
         ["b.json:1:23: limits.shift.lookup: is neither 'default', 'failover' nor a service; did you mean 'lookups'?"];
     cap_of_a_service: r#"{"limits": {"shift": {"lookups": {"share": 0.1, "window_s": 1}}}}"# => [];
