--- a/src/bin/ragwortfold/config.rs
+++ b/src/bin/ragwortfold/config.rs
@@ -1,9 +1,10 @@
 //! `ragwortfold config check` and `show`.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use ragwortfold::border::configuration::Configuration;
-use ragwortfold::config::{self, Folder, Origin};
+use ragwortfold::config::{self, Clients, Folder, Origin};
 
 use crate::{print, Error};
 
@@ -24,9 +25,9 @@
 /// Checks a folder and says what is in it.
 pub(crate) fn check(config: &Check) -> Result<(), Error> {
     let folder = config::read(&config.dir)?;
-    let configuration = checked(&folder)?;
-    let dir = config.dir.display();
-    print(&format!("{dir}: {}\n", summary(&folder, &configuration)))
+    let (configuration, clients) = checked(&folder)?;
+    let summary = summary(&folder, &configuration, &clients);
+    print(&format!("{}: {summary}\n", config.dir.display()))
 }
 
 /// Prints the merged folder, then its faults if it has any.
@@ -38,11 +39,11 @@
     Ok(())
 }
 
-fn checked(folder: &Folder) -> Result<Configuration, Error> {
-    Ok(config::check(folder).map_err(config::Error::from)?)
+fn checked(folder: &Folder) -> Result<(Configuration, Arc<Clients>), Error> {
+    Ok(folder.parts().map_err(config::Error::from)?)
 }
 
-fn summary(folder: &Folder, configuration: &Configuration) -> String {
+fn summary(folder: &Folder, configuration: &Configuration, clients: &Clients) -> String {
     let counts = [
         (folder.files().len(), "files"),
         (configuration.regions.len(), "regions"),
@@ -50,7 +51,7 @@
         (configuration.hosts.len(), "hosts"),
         (configuration.services.len(), "services"),
         (configuration.targets.len(), "targets"),
-        (configuration.clients.len(), "client blocks"),
+        (clients.len(), "client blocks"),
         (configuration.links.len(), "links"),
     ];
     let parts = counts.map(|(count, noun)| format!("{count} {noun}"));
--- a/src/border/frame.rs
+++ b/src/border/frame.rs
@@ -2,55 +2,57 @@
 #![allow(clippy::needless_lifetimes)]
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
-
-#[doc = "The side that opened the stream gives it up."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The side that opened the stream gives it up.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Cancel {
     pub stream: u64,
 }
-#[doc = "Lets the receiver of this frame send more bytes on a stream."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Lets the receiver of this frame send more bytes on a stream.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Credit {
     pub bytes: u64,
     pub stream: u64,
 }
-#[doc = "Bytes of a body."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Bytes of a body.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Data {
-    #[doc = "Whether the body ends here."]
+    ///Whether the body ends here.
     pub end: bool,
     pub stream: u64,
 }
-#[doc = "Requests per second for one service from one locality."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Requests per second for one service from one locality.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Demand {
     pub age_ms: u32,
-    #[doc = "The region of the callers."]
+    ///The region of the callers.
     pub locality: ::std::string::String,
-    #[doc = "Requests per second."]
+    ///Requests per second.
     pub requests: f64,
     pub service: ::std::string::String,
-    #[doc = "The availability zone whose hosts saw them."]
+    ///The availability zone whose hosts saw them.
     pub zone: ::std::string::String,
 }
-#[doc = "Asks for a revision, for files, or for both."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default)]
+///Asks for a revision, for files, or for both.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default)]
 pub struct Fetch {
-    #[doc = "SHA-256 of the files asked for, in hexadecimal."]
+    ///SHA-256 of the files asked for, in hexadecimal.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub files: ::std::vec::Vec<::std::string::String>,
-    #[doc = "Asks for the head if it is at least this revision."]
+    ///Asks for the head if it is at least this revision.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub revision: ::std::option::Option<u64>,
 }
-#[doc = "Texts of files of the configuration."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Texts of files of the configuration.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Files {
-    #[doc = "Text by SHA-256."]
-    pub files: ::std::collections::BTreeMap<::std::string::String, ::std::string::String>,
-}
-#[doc = "One frame between entry hosts: one WebSocket binary message that holds this item in CBOR. Frames of kind `data` and `part` are followed, in the same message, by a CBOR byte string."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+    ///Text by SHA-256.
+    pub files: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::string::String,
+    >,
+}
+///One frame between entry hosts: one WebSocket binary message that holds this item in CBOR. Frames of kind `data` and `part` are followed, in the same message, by a CBOR byte string.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub enum Frame {
     #[serde(rename = "hello")]
     Hello(Hello),
@@ -144,23 +146,23 @@
         Self::Goodbye(value)
     }
 }
-#[doc = "The sender opens no more streams on this link."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The sender opens no more streams on this link.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Goodbye {
     pub reason: ::std::string::String,
 }
-#[doc = "The start of a reply."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The start of a reply.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Head {
     pub headers: ::std::vec::Vec<Header>,
-    #[doc = "Length of the body, if known."]
+    ///Length of the body, if known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub length: ::std::option::Option<u64>,
     pub status: u16,
     pub stream: u64,
 }
-#[doc = "Name and value of a header."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Name and value of a header.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(transparent)]
 pub struct Header(pub (::std::string::String, ::std::string::String));
 impl ::std::ops::Deref for Header {
@@ -179,42 +181,42 @@
         Self(value)
     }
 }
-#[doc = "A sign of life."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///A sign of life.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Heartbeat {
-    #[doc = "The epoch of the plan in force."]
+    ///The epoch of the plan in force.
     pub epoch: u64,
-    #[doc = "Requests in flight."]
+    ///Requests in flight.
     pub load: u32,
-    #[doc = "The configuration in force."]
+    ///The configuration in force.
     pub revision: u64,
-    #[doc = "Rises by one with each heartbeat of an incarnation."]
+    ///Rises by one with each heartbeat of an incarnation.
     pub sequence: u64,
     pub state: State,
 }
-#[doc = "The first frame of each side."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The first frame of each side.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Hello {
-    #[doc = "The largest frame that is accepted, in bytes."]
+    ///The largest frame that is accepted, in bytes.
     pub frame: u64,
-    #[doc = "The sender's name."]
+    ///The sender's name.
     pub host: ::std::string::String,
-    #[doc = "The sender's incarnation."]
+    ///The sender's incarnation.
     pub incarnation: u64,
-    #[doc = "32 random bytes in hexadecimal."]
+    ///32 random bytes in hexadecimal.
     pub nonce: ::std::string::String,
-    #[doc = "The host that the dialling side means to reach."]
+    ///The host that the dialling side means to reach.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub to: ::std::option::Option<::std::string::String>,
-    #[doc = "The highest protocol version spoken."]
+    ///The highest protocol version spoken.
     pub version: u32,
-    #[doc = "Bytes that may be sent on each new stream before credit is granted."]
+    ///Bytes that may be sent on each new stream before credit is granted.
     pub window: u64,
-    #[doc = "The sender's availability zone."]
+    ///The sender's availability zone.
     pub zone: ::std::string::String,
 }
-#[doc = "A control message."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///A control message.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub enum Message {
     #[serde(rename = "heartbeat")]
     Heartbeat(Heartbeat),
@@ -266,107 +268,107 @@
         Self::Splits(value)
     }
 }
-#[doc = "Opens a stream that carries one request. Streams are numbered in the order of their open frames on a link: 1, 3, 5.. those of the dialling side, 2, 4, 6.. those of the other."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Opens a stream that carries one request. Streams are numbered in the order of their open frames on a link: 1, 3, 5.. those of the dialling side, 2, 4, 6.. those of the other.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Open {
-    #[doc = "The caller's client block."]
+    ///The caller's client block.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub block: ::std::option::Option<::std::string::String>,
-    #[doc = "The traffic class."]
+    ///The traffic class.
     pub class: ::std::string::String,
-    #[doc = "Time left, in milliseconds."]
+    ///Time left, in milliseconds.
     pub deadline_ms: u64,
     pub headers: ::std::vec::Vec<Header>,
-    #[doc = "The caller's idempotency key."]
+    ///The caller's idempotency key.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub key: ::std::option::Option<::std::string::String>,
-    #[doc = "Length of the body, if known."]
+    ///Length of the body, if known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub length: ::std::option::Option<u64>,
-    #[doc = "The region that the caller is in."]
+    ///The region that the caller is in.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub locality: ::std::option::Option<::std::string::String>,
     pub method: ::std::string::String,
-    #[doc = "Path and query as the target gets them."]
+    ///Path and query as the target gets them.
     pub path: ::std::string::String,
-    #[doc = "Rank in a full queue, 0 (dropped first) to 9."]
+    ///Rank in a full queue, 0 (dropped first) to 9.
     pub priority: u8,
-    #[doc = "The request's identifier."]
+    ///The request's identifier.
     pub request: ::std::string::String,
     pub service: ::std::string::String,
-    #[doc = "The ticket that binds the key to a host, HOST.INCARNATION."]
+    ///The ticket that binds the key to a host, HOST.INCARNATION.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub ticket: ::std::option::Option<::std::string::String>,
 }
-#[doc = "A piece of a message that does not fit a frame; the pieces of one message come in order."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///A piece of a message that does not fit a frame; the pieces of one message come in order.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Part {
-    #[doc = "Whether this is the last piece."]
+    ///Whether this is the last piece.
     pub end: bool,
 }
-#[doc = "A plan."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///A plan.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Plan {
     pub epoch: u64,
-    #[doc = "The platform object of the plan, JSON text."]
+    ///The platform object of the plan, JSON text.
     pub plan: ::std::string::String,
 }
-#[doc = "Proves knowledge of the shared secret."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Proves knowledge of the shared secret.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Proof {
-    #[doc = "HMAC-SHA256 over the direction and both hello frames, in hexadecimal."]
+    ///HMAC-SHA256 over the direction and both hello frames, in hexadecimal.
     pub mac: ::std::string::String,
 }
-#[doc = "Ends a stream: the request did not run."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Ends a stream: the request did not run.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Refused {
     pub reason: ::std::string::String,
     pub retry_after_ms: u64,
     pub stream: u64,
 }
-#[doc = "The side that replies gives the stream up; the reply is not whole."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The side that replies gives the stream up; the reply is not whole.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Reset {
     pub stream: u64,
 }
-#[doc = "A revision of the configuration."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///A revision of the configuration.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Revision {
-    #[doc = "The platform object of the revision, JSON text."]
+    ///The platform object of the revision, JSON text.
     pub head: ::std::string::String,
     pub revision: u64,
 }
-#[doc = "Measurement of one service in one availability zone."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Measurement of one service in one availability zone.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Site {
-    #[doc = "Time since the sample was taken, when this was sent."]
+    ///Time since the sample was taken, when this was sent.
     pub age_ms: u32,
     pub in_flight: u32,
     pub queued: u32,
-    #[doc = "Requests refused per second."]
+    ///Requests refused per second.
     pub refused: f64,
     pub service: ::std::string::String,
-    #[doc = "Slots of targets that take new work."]
+    ///Slots of targets that take new work.
     pub slots: u32,
     pub zone: ::std::string::String,
 }
-#[doc = "`Split`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Split`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Split {
     pub locality: ::std::string::String,
     pub service: ::std::string::String,
-    #[doc = "Share by availability zone; they sum to 1."]
+    ///Share by availability zone; they sum to 1.
     pub shares: ::std::collections::BTreeMap<::std::string::String, f64>,
 }
-#[doc = "The sender's splits."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The sender's splits.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Splits {
     pub splits: ::std::vec::Vec<Split>,
 }
-#[doc = "Whether a host takes new work."]
+///Whether a host takes new work.
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -374,7 +376,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum State {
     #[serde(rename = "serving")]
@@ -392,7 +394,9 @@
 }
 impl ::std::str::FromStr for State {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "serving" => Ok(Self::Serving),
             "leaving" => Ok(Self::Leaving),
@@ -402,7 +406,9 @@
 }
 impl ::std::convert::TryFrom<&str> for State {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -414,30 +420,36 @@
         value.parse()
     }
 }
-#[doc = "Measurements of sites and of demand."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Measurements of sites and of demand.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Summary {
     pub demand: ::std::vec::Vec<Demand>,
     pub sites: ::std::vec::Vec<Site>,
 }
-#[doc = "Ends a stream: whether the request ran is unknown."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Ends a stream: whether the request ran is unknown.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Unknown {
     pub reason: ::std::string::String,
     pub stream: u64,
 }
-#[doc = " Error types."]
+/// Error types.
 pub mod error {
-    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    /// Error from a `TryFrom` or `FromStr` implementation.
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
--- a/src/border/objects.rs
+++ b/src/border/objects.rs
@@ -2,69 +2,74 @@
 #![allow(clippy::needless_lifetimes)]
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
-
-#[doc = "What an operator's folder was derived from; kept in the folder as .ragwortfold-base."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///What an operator's folder was derived from; kept in the folder as .ragwortfold-base.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Base {
-    #[doc = "SHA-256 of each file's text, by the file's name."]
-    pub files: ::std::collections::BTreeMap<::std::string::String, ::std::string::String>,
+    ///SHA-256 of each file's text, by the file's name.
+    pub files: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::string::String,
+    >,
     pub revision: u64,
 }
-#[doc = "Who changed the configuration, when and why."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///Who changed the configuration, when and why.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     pub author: ::std::string::String,
-    #[doc = "The identity of this one change: 128 random bits in hexadecimal."]
+    ///The identity of this one change: 128 random bits in hexadecimal.
     pub id: ::std::string::String,
     pub note: ::std::string::String,
-    #[doc = "Milliseconds since 1970 on the author's clock; not for ordering."]
+    ///Milliseconds since 1970 on the author's clock; not for ordering.
     pub time: u64,
 }
-#[doc = "`Event`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Event`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Event {
     pub key: ::std::string::String,
-    #[doc = "null when the object was deleted."]
+    ///null when the object was deleted.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub value: ::std::option::Option<::serde_json::Value>,
     pub version: u64,
 }
-#[doc = "The answer to a watch; no events after a time-out."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The answer to a watch; no events after a time-out.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Events {
     pub events: ::std::vec::Vec<Event>,
-    #[doc = "Where the next watch goes on from."]
+    ///Where the next watch goes on from.
     pub version: u64,
 }
-#[doc = "The text of one file, at config/file/SHA256."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The text of one file, at config/file/SHA256.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct File {
     pub text: ::std::string::String,
 }
-#[doc = "The configuration in force, at config/head: one conditional update of it is one revision."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The configuration in force, at config/head: one conditional update of it is one revision.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Head {
     pub change: Change,
-    #[doc = "SHA-256 of each file's text, by the file's name."]
-    pub files: ::std::collections::BTreeMap<::std::string::String, ::std::string::String>,
-    #[doc = "The latest changes, newest first, beginning with this one."]
+    ///SHA-256 of each file's text, by the file's name.
+    pub files: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::string::String,
+    >,
+    ///The latest changes, newest first, beginning with this one.
     pub recent: ::std::vec::Vec<Step>,
     pub revision: u64,
 }
-#[doc = "`HostEntry`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`HostEntry`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct HostEntry {
     pub host: ::std::string::String,
     pub state: HostState,
 }
-#[doc = "`HostState`"]
+///`HostState`
 #[derive(
-    :: serde :: Deserialize,
-    :: serde :: Serialize,
+    ::serde::Deserialize,
+    ::serde::Serialize,
     Clone,
     Copy,
     Debug,
@@ -72,7 +77,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum HostState {
     #[serde(rename = "live")]
@@ -90,7 +95,9 @@
 }
 impl ::std::str::FromStr for HostState {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "live" => Ok(Self::Live),
             "leaving" => Ok(Self::Leaving),
@@ -100,7 +107,9 @@
 }
 impl ::std::convert::TryFrom<&str> for HostState {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -112,27 +121,27 @@
         value.parse()
     }
 }
-#[doc = "The lagging list of hosts."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The lagging list of hosts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Hosts {
     pub hosts: ::std::vec::Vec<HostEntry>,
 }
-#[doc = "The answer to a listing by prefix."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///The answer to a listing by prefix.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Listing {
     pub objects: ::std::vec::Vec<Object>,
-    #[doc = "The platform's version as of the listing."]
+    ///The platform's version as of the listing.
     pub version: u64,
 }
-#[doc = "`Object`"]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///`Object`
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 pub struct Object {
     pub key: ::std::string::String,
     pub value: ::serde_json::Value,
     pub version: u64,
 }
-#[doc = "What the platform's object API answers, and the values that ragwortfold keeps there."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///What the platform's object API answers, and the values that ragwortfold keeps there.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(transparent)]
 pub struct Objects(pub ::serde_json::Value);
 impl ::std::ops::Deref for Objects {
@@ -151,38 +160,47 @@
         Self(value)
     }
 }
-#[doc = "One revision kept at config/history/REVISION-ID. Written before the head; in force only if the head's chain of parents leads to it."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///One revision kept at config/history/REVISION-ID. Written before the head; in force only if the head's chain of parents leads to it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Past {
-    #[doc = "SHA-256 of each file's text, by the file's name."]
-    pub files: ::std::collections::BTreeMap<::std::string::String, ::std::string::String>,
-    #[doc = "The identity of the change of the revision before; none for the first."]
+    ///SHA-256 of each file's text, by the file's name.
+    pub files: ::std::collections::BTreeMap<
+        ::std::string::String,
+        ::std::string::String,
+    >,
+    ///The identity of the change of the revision before; none for the first.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub parent: ::std::option::Option<::std::string::String>,
     pub step: Step,
 }
-#[doc = "One revision in the order of revisions."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
+///One revision in the order of revisions.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Step {
     pub change: Change,
-    #[doc = "Names of the files that it changed, added or removed."]
+    ///Names of the files that it changed, added or removed.
     pub files: ::std::vec::Vec<::std::string::String>,
     pub revision: u64,
 }
-#[doc = " Error types."]
+/// Error types.
 pub mod error {
-    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    /// Error from a `TryFrom` or `FromStr` implementation.
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -352,6 +352,63 @@
     assert_eq!(settings.pool.lookup_workers.get(), 4);
 }
 
+/// The right configuration with client blocks in a file of their own, and another small file.
+fn split_folder(blocks: &str, small: &str) -> Folder {
+    let places = BASE.replace("\"clients\"", "\"x\"").replace(
+        r#""x": {"10.1.0.0/16": {"region": "north"}, "10.2.0.0/16": {"region": "south"}},"#,
+        "",
+    );
+    folder(&[("a.json", &places), ("b.json", blocks), ("c.json", small)])
+}
+
+const BLOCKS: &str =
+    r#"{"clients": {"10.2.0.0/16": {"region": "south"}, "10.1.0.0/16": {"region": "north"}}}"#;
+
+/// Cases of a folder's next files, and whether its checked client blocks are used again. Whatever
+/// is used again, the result is that of a folder made afresh.
+macro_rules! updates {
+    ($($name:ident: $blocks:expr, $small:expr => $same:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let first = split_folder(BLOCKS, "{}");
+            let (_, before) = first.parts().unwrap();
+            let fresh = split_folder($blocks, $small);
+            let next = first.updated(fresh.files().clone());
+            let faults = (lines(next.parts().map(|_| ())), lines(fresh.parts().map(|_| ())));
+            assert_eq!(faults.0, faults.1);
+            if let Ok((configuration, clients)) = next.parts() {
+                let (wanted, wanted_clients) = fresh.parts().unwrap();
+                let json = |value| serde_json::to_value(value).unwrap();
+                assert_eq!(json(&configuration), json(&wanted));
+                assert_eq!(clients, wanted_clients);
+                assert_eq!(Arc::ptr_eq(&before, &clients), $same);
+            }
+        }
+    )*};
+}
+
+updates! {
+    update_of_nothing: BLOCKS, "{}" => true;
+    update_of_a_target: BLOCKS, r#"{"targets": {"look-1": {"state": "draining"}}}"# => true;
+    update_with_a_fault: BLOCKS, r#"{"targets": {"look-1": {"state": "x"}}}"# => true;
+    update_that_removes_a_region_of_blocks: BLOCKS, r#"{"regions": {"south": null}}"# => true;
+    update_that_removes_a_link_of_callers: BLOCKS, r#"{"links": null}"# => true;
+    update_of_blocks: r#"{"clients": {"10.1.0.0/16": {"region": "north"}}}"#, "{}" => false;
+    update_of_blocks_in_another_file: BLOCKS, r#"{"clients": {"10.2.0.0/16": null}}"# => false;
+    update_with_a_syntax_error: BLOCKS, "{" => true;
+}
+
+#[test]
+fn client_blocks_are_in_rising_order_with_their_regions() {
+    let (configuration, clients) = split_folder(BLOCKS, "{}").parts().unwrap();
+    let blocks = clients
+        .iter()
+        .map(|(block, region)| format!("{block} {region}"));
+    let blocks: Vec<String> = blocks.collect();
+    assert_eq!(blocks, ["10.1.0.0/16 north", "10.2.0.0/16 south"]);
+    assert!(configuration.clients.is_empty());
+}
+
 #[test]
 fn a_folder_without_files_is_an_error() {
     let dir = tempfile::tempdir().unwrap();
