Have stand-ins gate their own server, and callers leave failed entries

Cause: a fault posted to the main address closed no listener; a client asked a dead entry host first on each look-up and kept a look-up that had failed. Change: platform and target hold their server weakly and apply a fault in one place; a client moves on to the next entry for look-ups and looks up anew after an attempt without an answer.

--- a/standin/src/caller/client.rs
+++ b/standin/src/caller/client.rs
@@ -1,6 +1,7 @@
 //! One client address: its cached look-up, its connections, and its attempts of a call.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -38,6 +39,7 @@
 }
 
 /// What a client knows from its latest look-up.
+#[derive(Clone)]
 struct Known {
     ticket: Option<Arc<str>>,
     entries: Vec<Entry>,
@@ -58,6 +60,8 @@
     address: IpAddr,
     agent: Agent,
     known: Mutex<Option<Arc<Known>>>,
+    /// Which entry it asks first; moves on from one that fails.
+    first: AtomicUsize,
 }
 
 /// What an attempt came to, and the wait that its answer asks for.
@@ -71,7 +75,7 @@
 }
 
 impl Client {
-    pub(super) fn new(address: IpAddr, settings: &Settings) -> Self {
+    pub(super) fn new(address: IpAddr, number: usize, settings: &Settings) -> Self {
         // A call that must not run twice never goes on a connection that may be stale.
         let idle = if settings.keyed { 0 } else { 16 };
         let config = Agent::config_builder()
@@ -88,6 +92,7 @@
             address,
             agent,
             known: Mutex::new(None),
+            first: AtomicUsize::new(number),
         }
     }
 
@@ -106,6 +111,9 @@
             let entry = &known.entries[next % known.entries.len()];
             let step = self.attempt(settings, call, &record, entry, left);
             let outcome = step.attempt.outcome;
+            if step.attempt.status == 0 {
+                self.distrust();
+            }
             record.attempts.push(step.attempt);
             if outcome == Outcome::Answered || outcome == Outcome::Wrong {
                 record.outcome = outcome;
@@ -165,10 +173,7 @@
                 until: now,
             });
         }
-        let found = settings
-            .entries
-            .iter()
-            .find_map(|entry| self.look_up(settings, entry, end));
+        let found = self.look_up_anywhere(settings, end);
         if let Some(found) = &found {
             *lock(&self.known) = Some(Arc::clone(found));
         }
@@ -182,6 +187,26 @@
         found.or(old).unwrap_or_else(none)
     }
 
+    fn look_up_anywhere(&self, settings: &Settings, end: Instant) -> Option<Arc<Known>> {
+        let count = settings.entries.len();
+        for _ in 0..count {
+            let first = self.first.load(Ordering::Relaxed);
+            let found = self.look_up(settings, &settings.entries[first % count], end);
+            if found.is_some() {
+                return found;
+            }
+            self.first.store(first.wrapping_add(1), Ordering::Relaxed);
+        }
+        None
+    }
+
+    /// Has the next call look its entries up again.
+    fn distrust(&self) {
+        if let Some(known) = lock(&self.known).as_mut() {
+            Arc::make_mut(known).until = Instant::now();
+        }
+    }
+
     fn look_up(&self, settings: &Settings, entry: &Entry, end: Instant) -> Option<Arc<Known>> {
         let left = end.checked_duration_since(Instant::now())?;
         let (to, service, client) = (entry.address, &settings.service, self.address);
--- a/standin/src/caller/mod.rs
+++ b/standin/src/caller/mod.rs
@@ -234,10 +234,9 @@
             histogram,
             records: Vec::new(),
         };
-        let clients = settings
-            .clients
-            .iter()
-            .map(|a| Client::new(*a, &settings))
+        let addresses = settings.clients.iter().enumerate();
+        let clients = addresses
+            .map(|(i, a)| Client::new(*a, i, &settings))
             .collect();
         let threads = settings.threads;
         let shared = Shared {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -13,11 +13,12 @@
 //!
 //! The test's side: `POST /standin/fault` takes a [`Fault`], `GET /standin/calls` answers
 //! [`Calls`], `PUT /standin/hosts` takes the list of hosts (`{"hosts":[..]}`). While connections
-//! are refused these are reachable at the control address only.
+//! are refused these are reachable at the control address only, and the call that sets such a
+//! fault is answered there only.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -157,6 +158,7 @@
 struct Shared {
     state: Mutex<State>,
     changed: Condvar,
+    server: OnceLock<Weak<Server>>,
 }
 
 /// A running platform; it stops when dropped.
@@ -174,9 +176,11 @@
         let server = Server::new(listen, MAX_CONNECTIONS, move |request| {
             inner.serve(&request)
         })?;
+        let server = Arc::new(server);
+        let _ = shared.server.set(Arc::downgrade(&server));
         Ok(Self {
             shared,
-            server: Arc::new(server),
+            server,
             control: None,
         })
     }
@@ -184,12 +188,7 @@
     /// Serves `/standin/` at a second address as well, which no fault reaches.
     pub fn with_control(mut self, listen: SocketAddr) -> Result<Self, Error> {
         let shared = Arc::clone(&self.shared);
-        let server = Arc::clone(&self.server);
-        let handler = move |request: Request| {
-            let answer = shared.control(&request);
-            shared.gate(&server);
-            Reply::from(answer)
-        };
+        let handler = move |request: Request| Reply::from(shared.control(&request));
         self.control = Some(Server::new(listen, MAX_CONNECTIONS, handler)?);
         Ok(self)
     }
@@ -207,7 +206,6 @@
     /// Replaces the faults shown.
     pub fn fault(&self, fault: Fault) {
         self.shared.set_fault(fault);
-        self.shared.gate(&self.server);
     }
 
     /// Calls since the start.
@@ -243,12 +241,12 @@
             state.stale_hosts = state.hosts.clone();
         }
         state.fault = fault;
+        let refused = state.fault.availability == Availability::Refused;
         drop(state);
         self.changed.notify_all();
-    }
-
-    fn gate(&self, server: &Server) {
-        let refused = lock(&self.state).fault.availability == Availability::Refused;
+        let Some(server) = self.server.get().and_then(Weak::upgrade) else {
+            return;
+        };
         server.set(if refused { Gate::Closed } else { Gate::Open });
         if refused {
             server.close_connections();
--- a/standin/src/target/mod.rs
+++ b/standin/src/target/mod.rs
@@ -13,14 +13,14 @@
 //! answers `{"in_flight","slots","state"}`, as late as configured. The test's side:
 //! `POST /standin/fault` takes a [`Fault`], `GET /standin/journal` answers the [`Journal`],
 //! `GET /standin/counts` the [`Counts`]; while connections are refused they are reachable at the
-//! control address only.
+//! control address only, and the call that sets such a fault may be answered there only.
 
 mod journal;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::mpsc::{self, RecvTimeoutError};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 use rand::{RngExt, SeedableRng};
@@ -225,6 +225,7 @@
     settings: Settings,
     state: Mutex<State>,
     changed: Condvar,
+    server: OnceLock<Weak<Server>>,
 }
 
 /// A running target; it stops when dropped.
@@ -257,12 +258,15 @@
             settings,
             state: Mutex::new(state),
             changed: Condvar::new(),
+            server: OnceLock::new(),
         });
         let inner = Arc::clone(&shared);
         let server = Server::new(listen, connections, move |request| inner.serve(&request))?;
+        let server = Arc::new(server);
+        let _ = shared.server.set(Arc::downgrade(&server));
         Ok(Self {
             shared,
-            server: Arc::new(server),
+            server,
             control: None,
         })
     }
@@ -270,12 +274,7 @@
     /// Serves `/standin/` at a second address as well, which no fault reaches.
     pub fn with_control(mut self, listen: SocketAddr) -> Result<Self, Error> {
         let shared = Arc::clone(&self.shared);
-        let server = Arc::clone(&self.server);
-        let handler = move |request: Request| {
-            let answer = shared.control(&request, Some(&server));
-            shared.gate(&server);
-            Reply::from(answer)
-        };
+        let handler = move |request: Request| Reply::from(shared.control(&request));
         self.control = Some(Server::new(listen, CONTROL_CONNECTIONS, handler)?);
         Ok(self)
     }
@@ -293,7 +292,6 @@
     /// Replaces the faults shown.
     pub fn fault(&self, fault: Fault) {
         self.shared.set_fault(fault);
-        self.shared.gate(&self.server);
     }
 
     /// What began to run so far.
@@ -303,7 +301,7 @@
 
     /// What was counted so far.
     pub fn counts(&self) -> Counts {
-        self.shared.counts(Some(&self.server))
+        self.shared.counts()
     }
 }
 
@@ -313,7 +311,6 @@
             mode: Mode::Crash,
             ..Fault::default()
         });
-        self.shared.gate(&self.server);
     }
 }
 
@@ -333,13 +330,13 @@
             state.queue.clear();
             state.pending.clear();
         }
+        let mode = fault.mode;
         state.fault = fault;
         drop(state);
         self.changed.notify_all();
-    }
-
-    fn gate(&self, server: &Server) {
-        let mode = lock(&self.state).fault.mode;
+        let Some(server) = self.server() else {
+            return;
+        };
         let closed = matches!(mode, Mode::Refuse | Mode::Crash);
         server.set(if closed { Gate::Closed } else { Gate::Open });
         if mode == Mode::Crash {
@@ -347,9 +344,13 @@
         }
     }
 
-    fn counts(&self, server: Option<&Server>) -> Counts {
+    fn server(&self) -> Option<Arc<Server>> {
+        self.server.get().and_then(Weak::upgrade)
+    }
+
+    fn counts(&self) -> Counts {
         let mut counts = lock(&self.state).counts;
-        if let Some(server) = server {
+        if let Some(server) = self.server() {
             let (open, peak, over) = server.connections();
             counts.connections = open;
             counts.max_connections = peak;
@@ -360,7 +361,7 @@
 
     fn serve(&self, request: &Request) -> Reply {
         if request.path.starts_with("/standin/") {
-            return self.control(request, None).into();
+            return self.control(request).into();
         }
         let (fault, mode) = self.arrival();
         match mode {
@@ -390,7 +391,7 @@
         (fault, mode)
     }
 
-    fn control(&self, request: &Request, server: Option<&Server>) -> Response {
+    fn control(&self, request: &Request) -> Response {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/standin/fault") => match serde_json::from_slice(&request.body) {
                 Ok(fault) => {
@@ -400,7 +401,7 @@
                 Err(error) => Response::error(400, &error.to_string()),
             },
             ("GET", "/standin/journal") => Response::json(200, &lock(&self.state).journal),
-            ("GET", "/standin/counts") => Response::json(200, &self.counts(server)),
+            ("GET", "/standin/counts") => Response::json(200, &self.counts()),
             _ => Response::error(404, "no such call"),
         }
     }
