--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,287 @@
+//! What one decision costs: splits, client blocks, look-ups, budgets and quotas, over sizes.
+
+#[path = "../tests/places/mod.rs"]
+mod places;
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::time::{Duration, Instant};
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use places::{configuration, Size};
+use prefix_trie::PrefixMap;
+use ragwortfold::border::configuration::{Client, Configuration};
+use ragwortfold::catalog::{Cap, Catalog, HostKey, RegionKey, ServiceKey, Table, ZoneKey};
+use ragwortfold::steer::lookup::Snapshot;
+use ragwortfold::steer::quota::Quota;
+use ragwortfold::steer::shift::Ledger;
+use ragwortfold::steer::split::Split;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// 688 hosts in 16 zones of 4 regions, 144 sites, 54 targets a zone.
+const LARGE: Size = Size {
+    regions: 4,
+    zones: 4,
+    hosts: 43,
+    services: 9,
+    targets: 6,
+};
+const BLOCKS: [usize; 3] = [20_000, 200_000, 2_200_000];
+/// Addresses that a bench asks for in turn.
+const CALLERS: usize = 1 << 16;
+
+/// Random blocks of one family, some within others.
+fn blocks(family: u8, count: usize) -> BTreeSet<IpNet> {
+    let mut rng = Pcg64::seed_from_u64(7);
+    let mut blocks = BTreeSet::new();
+    while blocks.len() < count {
+        blocks.insert(if family == 4 {
+            let ip = Ipv4Addr::from(rng.random::<u32>());
+            IpNet::V4(Ipv4Net::new_assert(ip, rng.random_range(14..=28)).trunc())
+        } else {
+            let ip = Ipv6Addr::from(0x2000u128 << 112 | rng.random::<u128>() >> 6);
+            IpNet::V6(Ipv6Net::new_assert(ip, rng.random_range(28..=56)).trunc())
+        });
+    }
+    blocks
+}
+
+/// Addresses within blocks taken at random.
+fn callers(blocks: &[(IpNet, RegionKey)]) -> Vec<IpAddr> {
+    let mut rng = Pcg64::seed_from_u64(8);
+    (0..CALLERS)
+        .map(|_| match blocks[rng.random_range(0..blocks.len())].0 {
+            IpNet::V4(net) => {
+                let host = rng.random::<u32>() & u32::from(net.hostmask());
+                IpAddr::V4(Ipv4Addr::from(u32::from(net.network()) | host))
+            }
+            IpNet::V6(net) => {
+                let host = rng.random::<u128>() & u128::from(net.hostmask());
+                IpAddr::V6(Ipv6Addr::from(u128::from(net.network()) | host))
+            }
+        })
+        .collect()
+}
+
+fn with_regions(catalog: &Catalog, blocks: &BTreeSet<IpNet>) -> Vec<(IpNet, RegionKey)> {
+    let regions: Vec<RegionKey> = catalog.regions().map(|(key, _)| key).collect();
+    blocks
+        .iter()
+        .copied()
+        .zip(regions.into_iter().cycle())
+        .collect()
+}
+
+/// Memory of this process, in bytes.
+fn resident() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+/// Calls `decide` with one of the callers after the other.
+fn in_turn<'a, T>(
+    callers: &'a [IpAddr],
+    decide: impl Fn(IpAddr) -> T + 'a,
+) -> impl FnMut() -> T + 'a {
+    let mut at = 0;
+    move || {
+        at = (at + 1) % callers.len();
+        decide(callers[at])
+    }
+}
+
+fn choose(criterion: &mut Criterion) {
+    let catalog = places::catalog(LARGE);
+    let mut group = criterion.benchmark_group("split");
+    for count in [2, 4, 16] {
+        let zones = catalog.zones().take(count).zip(1..);
+        let split = Split::new(
+            &catalog,
+            zones.map(|((zone, _), weight)| (zone, f64::from(weight))),
+        );
+        let mut block = 0u64;
+        group.bench_function(BenchmarkId::new("choose", count), |bencher| {
+            bencher.iter(|| {
+                block += 1;
+                split.choose(black_box(block), |_| true)
+            });
+        });
+        let goal = Split::new(
+            &catalog,
+            split.shares().map(|(zone, share)| (zone, share * share)),
+        );
+        group.bench_function(BenchmarkId::new("toward", count), |bencher| {
+            bencher.iter(|| split.toward(black_box(&goal), 0.01));
+        });
+    }
+    group.finish();
+}
+
+fn tables(criterion: &mut Criterion) {
+    let catalog = places::catalog(LARGE);
+    let mut group = criterion.benchmark_group("table");
+    for (family, count) in [4, 6]
+        .into_iter()
+        .flat_map(|family| BLOCKS.map(|count| (family, count)))
+    {
+        let name = |what: &str| BenchmarkId::new(format!("{what}_v{family}"), count);
+        let blocks = with_regions(&catalog, &blocks(family, count));
+        let callers = callers(&blocks);
+        let before = resident();
+        let table = Table::default().with_blocks(&blocks);
+        let (bytes, grown) = (table.bytes(), resident().saturating_sub(before));
+        println!(
+            "table_v{family}/{count}: {bytes} bytes of records, resident memory grew by {grown}"
+        );
+        group.bench_function(name("find"), |bencher| {
+            bencher.iter(in_turn(&callers, |client| table.find(client)));
+        });
+        group.bench_function(name("change_10"), |bencher| {
+            let put: Vec<_> = blocks.iter().step_by(count / 10).copied().collect();
+            let put: Vec<_> = put.iter().map(|&(net, _)| (net, blocks[1].1)).collect();
+            bencher.iter(|| table.with_changes(black_box(&put), &[]));
+        });
+        group.bench_function(name("all_again"), |bencher| {
+            bencher.iter(|| table.with_blocks(black_box(&blocks)));
+        });
+        group.bench_function(name("from_nothing"), |bencher| {
+            bencher.iter(|| Table::default().with_blocks(black_box(&blocks)));
+        });
+    }
+    group.finish();
+}
+
+/// The library's trie, to compare with.
+fn tries(criterion: &mut Criterion) {
+    let catalog = places::catalog(LARGE);
+    let mut group = criterion.benchmark_group("prefix_trie");
+    for family in [4, 6] {
+        let count = BLOCKS[2];
+        let blocks = with_regions(&catalog, &blocks(family, count));
+        let callers = callers(&blocks);
+        let before = resident();
+        let (mut v4, mut v6) = (PrefixMap::new(), PrefixMap::new());
+        for &(net, region) in &blocks {
+            match net {
+                IpNet::V4(net) => v4.insert(net, region),
+                IpNet::V6(net) => v6.insert(net, region),
+            };
+        }
+        let grown = resident().saturating_sub(before);
+        println!("prefix_trie_v{family}/{count}: resident memory grew by {grown}");
+        group.bench_function(
+            BenchmarkId::new(format!("find_v{family}"), count),
+            |bencher| {
+                bencher.iter(in_turn(&callers, |client| match client {
+                    IpAddr::V4(ip) => v4.get_lpm(&Ipv4Net::from(ip)).map(|(_, region)| *region),
+                    IpAddr::V6(ip) => v6.get_lpm(&Ipv6Net::from(ip)).map(|(_, region)| *region),
+                }));
+            },
+        );
+    }
+    group.finish();
+}
+
+/// A catalog with client blocks, half of each family.
+fn with_clients(count: usize) -> Catalog {
+    let mut configuration: Configuration =
+        serde_json::from_value(configuration(LARGE)).expect("a configuration");
+    let both = [4, 6]
+        .into_iter()
+        .flat_map(|family| blocks(family, count / 2));
+    configuration.clients = both
+        .enumerate()
+        .map(|(at, net)| {
+            let region = format!("r{}", at % LARGE.regions);
+            (net.to_string(), Client { region })
+        })
+        .collect();
+    let catalog = Catalog::default().with_revision(1, &configuration);
+    catalog.expect("a catalog")
+}
+
+fn lookups(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("lookup");
+    for count in BLOCKS {
+        let catalog = with_clients(count);
+        let live: BTreeSet<HostKey> = catalog.hosts().map(|(key, _)| key).collect();
+        let own = |locality| {
+            let zones = catalog
+                .zones()
+                .filter(move |(_, zone)| zone.region == locality);
+            Split::new(&catalog, zones.map(|(key, _)| (key, 1.0)))
+        };
+        let splits: Vec<Split> = catalog.regions().map(|(key, _)| own(key)).collect();
+        let split = |_: ServiceKey, locality: RegionKey| {
+            let at = locality.into_raw().into_u32() as usize;
+            Some(splits[at].clone())
+        };
+        let zone: ZoneKey = catalog.zone_key("r0-z0").expect("a zone");
+        let service = catalog.service_key("s4").expect("a service");
+        let make = || Snapshot::new(&catalog, &live, split, zone);
+        let snapshot = make();
+        let blocks: Vec<_> = [4, 6]
+            .into_iter()
+            .flat_map(|family| with_regions(&catalog, &blocks(family, count / 2)))
+            .collect();
+        let callers = callers(&blocks);
+        group.bench_function(BenchmarkId::new("answer", count), |bencher| {
+            bencher.iter(in_turn(&callers, |client| {
+                snapshot.answer(service, client, 0)
+            }));
+        });
+        group.bench_function(BenchmarkId::new("snapshot", count), |bencher| {
+            bencher.iter(make)
+        });
+    }
+    group.finish();
+}
+
+fn budgets(criterion: &mut Criterion) {
+    let cap = Cap {
+        share: 0.05,
+        window: Duration::from_secs(60),
+    };
+    let base = Instant::now();
+    let busy = || {
+        let mut ledger = Ledger::new();
+        for ms in 0..120_000 {
+            ledger.request(base + Duration::from_millis(ms));
+        }
+        ledger
+    };
+    let end = base + Duration::from_secs(120);
+    criterion.bench_function("ledger/request", |bencher| {
+        let mut ledger = busy();
+        let mut now = end;
+        bencher.iter(|| {
+            now += Duration::from_millis(1);
+            ledger.request(now);
+        });
+    });
+    criterion.bench_function("ledger/spill", |bencher| {
+        bencher.iter_batched_ref(busy, |ledger| ledger.spill(end, cap), BatchSize::LargeInput);
+    });
+    criterion.bench_function("quota/take", |bencher| {
+        let mut quota = Quota::new(100.0, base, 1);
+        let mut now = base;
+        bencher.iter(|| {
+            now += Duration::from_millis(1);
+            quota.take(now, 1.0)
+        });
+    });
+}
+
+criterion_group! {
+    name = decisions;
+    config = Criterion::default()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(500))
+        .measurement_time(Duration::from_secs(1));
+    targets = choose, budgets, lookups, tables, tries
+}
+criterion_main!(decisions);
--- a/tests/lookup.rs
+++ b/tests/lookup.rs
@@ -66,6 +66,9 @@
 /// A block to set, or an existing one to remove.
 type Change = (IpNet, Option<usize>, prop::sample::Index);
 
+/// Whether the whole list is given anew, and the changes.
+type Round = (bool, Vec<Change>);
+
 /// Addresses at the edges of blocks.
 fn edges(net: &IpNet) -> [IpAddr; 2] {
     [net.network(), net.broadcast()]
@@ -109,7 +112,7 @@
         0..60,
     );
     let strategy = (first, prop::collection::vec((any::<bool>(), change), 0..6));
-    let test = |(first, rounds): (Vec<(IpNet, usize)>, Vec<(bool, Vec<Change>)>)| {
+    let test = |(first, rounds): (Vec<(IpNet, usize)>, Vec<Round>)| {
         let mut blocks: BTreeMap<IpNet, RegionKey> = first
             .into_iter()
             .map(|(net, region)| (net, regions[region]))
@@ -141,7 +144,9 @@
         }
         Ok(())
     };
-    TestRunner::new(config).run(&strategy, test).unwrap();
+    TestRunner::new(config)
+        .run(&strategy, test)
+        .expect("no counterexample");
 }
 
 #[test]
@@ -163,19 +168,27 @@
     let next = table.with_blocks(&blocks);
     assert!(next.shared(&table).1 >= chunks - 2);
     assert_eq!(table.with_blocks(&blocks[..0]).len(), 0);
+    let net = net(false, 9 << 8, 24);
+    let twice = [(net, one), (net, other)];
+    let next = table.with_changes(&twice, &[net]);
+    assert_eq!(
+        next.find(net.addr()),
+        Some((net, other)),
+        "the last of equal blocks counts"
+    );
 }
 
 #[test]
 fn a_wide_block_is_steered_by_parts() {
     let catalog = catalog(SMALL);
     let home = region(&catalog, "r0");
-    let ip: IpAddr = "10.1.2.3".parse().unwrap();
-    let found = |text: &str| Some((text.parse().unwrap(), home));
+    let ip: IpAddr = "10.1.2.3".parse().expect("an address");
+    let found = |text: &str| Some((text.parse().expect("an address"), home));
     let block = |found| Table::block(ip, found).to_string();
     assert_eq!(block(found("10.1.0.0/16")), "10.1.2.0/24");
     assert_eq!(block(found("10.1.2.0/28")), "10.1.2.0/28");
     assert_eq!(block(None), "10.1.2.0/24");
-    let ip: IpAddr = "2001:db8::1".parse().unwrap();
+    let ip: IpAddr = "2001:db8::1".parse().expect("an address");
     assert_eq!(Table::block(ip, None).to_string(), "2001:db8::/56");
 }
 
@@ -210,7 +223,7 @@
 
 /// The zones of the hosts in an answer.
 fn zones(catalog: &Catalog, snapshot: &Snapshot) -> Vec<String> {
-    let answer = snapshot.answer(service(catalog), "10.1.2.3".parse().unwrap(), 0);
+    let answer = snapshot.answer(service(catalog), "10.1.2.3".parse().expect("an address"), 0);
     names(catalog, &answer)
         .iter()
         .map(|name| name[..5].to_string())
@@ -288,7 +301,7 @@
     let catalog = catalog(SMALL);
     let shares = [("r0-z0", 0.5), ("r0-z1", 0.5)];
     let snapshot = snapshot(&catalog, &shares, &[], "r1-z0");
-    let client = "192.0.2.1".parse().unwrap();
+    let client = "192.0.2.1".parse().expect("an address");
     let first = |spread| snapshot.answer(service(&catalog), client, spread);
     assert_eq!(first(0).locality, region(&catalog, "r1"));
     let chosen: BTreeSet<_> = (0..50).map(|spread| first(spread).zone).collect();
--- a/tests/places/mod.rs
+++ b/tests/places/mod.rs
@@ -63,10 +63,10 @@
 
 /// Lays a configuration out after `before`.
 pub fn lay(before: &Catalog, value: Value) -> Catalog {
-    let configuration = serde_json::from_value(value).unwrap();
+    let configuration = serde_json::from_value(value).expect("a configuration");
     before
         .with_revision(before.revision + 1, &configuration)
-        .unwrap()
+        .expect("a catalog")
 }
 
 pub fn catalog(size: Size) -> Catalog {
@@ -74,15 +74,15 @@
 }
 
 pub fn zone(catalog: &Catalog, name: &str) -> ZoneKey {
-    catalog.zone_key(name).unwrap()
+    catalog.zone_key(name).expect("a name")
 }
 
 pub fn region(catalog: &Catalog, name: &str) -> RegionKey {
-    catalog.region_key(name).unwrap()
+    catalog.region_key(name).expect("a name")
 }
 
 pub fn service(catalog: &Catalog) -> ServiceKey {
-    catalog.service_key("s0").unwrap()
+    catalog.service_key("s0").expect("a name")
 }
 
 pub fn hosts(catalog: &Catalog) -> BTreeMap<String, HostKey> {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -350,7 +350,9 @@
         lent.set(lent.get() + fleet.lent);
         Ok(())
     };
-    TestRunner::new(config).run(&strategy, test).unwrap();
+    TestRunner::new(config)
+        .run(&strategy, test)
+        .expect("no counterexample");
     assert!(
         lent.get() > 1000.0,
         "only {} were lent, so nothing was tried",
--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -43,7 +43,9 @@
         failure_persistence: None,
         ..ProptestConfig::default()
     };
-    TestRunner::new(config).run(&strategy, test).unwrap();
+    TestRunner::new(config)
+        .run(&strategy, test)
+        .expect("no counterexample");
 }
 
 /// The largest sum in any window, ends included, of amounts in order of time.
--- a/tests/split.rs
+++ b/tests/split.rs
@@ -46,7 +46,9 @@
         failure_persistence: None,
         ..ProptestConfig::default()
     };
-    TestRunner::new(config).run(&strategy, test).unwrap();
+    TestRunner::new(config)
+        .run(&strategy, test)
+        .expect("no counterexample");
 }
 
 #[test]
