Plan from zone summaries, with steps that wait for their effect

Cause: a planner that acts again before its last step shows in the summaries moves too much, and then back.

A sample counts only if it was taken strictly after the last step was in force.

Ruled out: comparing splits to find changes (rounding made a plan every beat).

--- /dev/null
+++ b/tests/plan.rs
@@ -0,0 +1,372 @@
+//! Plans and summaries: steps from lagging samples, and what they are made from.
+
+mod model;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use model::{burst, catalog, catalog_with, Course, World};
+use ragwortfold::catalog::{Catalog, HostKey, ServiceKey};
+use ragwortfold::control::membership::Sight;
+use ragwortfold::control::plan::{wanted, Bonus, Causality, Plan, Record, Shares, Stamp, View};
+use ragwortfold::control::summary::{Load, Message, Sample, Sender, Table, Taken};
+
+#[test]
+fn samples_taken_after_the_last_step_keep_the_split_from_overshooting() {
+    for cap in [(0.05, 60), (0.25, 10), (0.5, 10)] {
+        for lag in [5, 60] {
+            let (_, strict) = burst(cap, Causality::Strict, lag, 900);
+            let (_, ignored) = burst(cap, Causality::Ignored, lag, 900);
+            assert!(strict.overshoot <= 0.02, "{cap:?} {lag}: {strict:?}");
+            assert!(strict.crossings <= 1, "{cap:?} {lag}: {strict:?}");
+            assert!(ignored.overshoot > 0.1, "{cap:?} {lag}: {ignored:?}");
+        }
+    }
+}
+
+#[test]
+fn a_split_comes_home_after_the_burst() {
+    for cap in [(0.05, 60), (0.25, 10)] {
+        let (mut world, _) = burst(cap, Causality::Strict, 30, 600);
+        assert!(world.away() > 0.2);
+        world.demand = [60.0, 40.0];
+        let course = Course::new(&mut world, 1_500);
+        println!("cap {cap:?}: back home, {course:?}");
+        assert!(world.away() < 0.02, "{}", world.away());
+        assert!(
+            course.crossings <= 1 && course.overshoot < 0.02,
+            "{course:?}"
+        );
+    }
+}
+
+#[test]
+fn no_steady_demand_makes_a_split_swing() {
+    for demand in (100..=240).step_by(10) {
+        let mut world = World::new(catalog(0.25, 10), Causality::Strict, 30);
+        world.run(30);
+        world.demand = [f64::from(demand), 50.0];
+        let course = Course::new(&mut world, 900);
+        let later = Course::new(&mut world, 600);
+        println!("demand {demand}: {course:?}, later {} steps", later.steps);
+        assert!(course.crossings <= 1, "{demand}: {course:?}");
+        assert!(later.steps <= 4, "{demand}: {later:?}");
+    }
+}
+
+/// A world after a minute of quiet.
+fn quiet(cap: (f64, u32)) -> World {
+    let mut world = World::new(catalog(cap.0, cap.1), Causality::Strict, 10);
+    world.run(60);
+    world
+}
+
+macro_rules! case {
+    ($($name:ident: $body:expr),* $(,)?) => {
+        $(#[test] fn $name() {
+            let body: fn(&mut World) = $body;
+            body(&mut quiet((0.25, 10)));
+        })*
+    };
+}
+
+case! {
+    a_zone_whose_samples_stop_is_left_alone: |world| {
+        world.muted = vec![world.zones[2]];
+        world.run(15);
+        let kept = world.share(world.regions[1], world.zones[2]);
+        world.demand = [220.0, 100.0];
+        world.run(300);
+        assert_eq!(world.share(world.regions[0], world.zones[2]), 0.0);
+        assert!(world.share(world.regions[0], world.zones[3]) > 0.1);
+        assert_eq!(world.share(world.regions[1], world.zones[2]), kept);
+    },
+    with_no_samples_nothing_moves: |world| {
+        world.muted = world.zones.clone();
+        world.run(15);
+        let before = world.sequence;
+        world.demand = [300.0, 10.0];
+        world.run(300);
+        assert_eq!(world.sequence, before);
+    },
+    samples_that_got_old_since_the_last_step_move_nothing: |world| {
+        world.demand = [180.0, 20.0];
+        world.run(120);
+        assert!(world.away() > 0.05);
+        world.muted = world.zones.clone();
+        world.run(15);
+        let before = world.sequence;
+        let late = serde_json::json!({"limits": {"utilization": 0.3}});
+        world.catalog = catalog_with(0.25, 10, late);
+        world.run(60);
+        assert_eq!(world.sequence, before);
+    },
+    an_incomplete_summary_gives_and_does_not_take: |world| {
+        world.reported = BTreeMap::from([(world.zones[2], 1), (world.zones[0], 1)]);
+        world.demand = [220.0, 40.0];
+        world.run(300);
+        assert_eq!(world.share(world.regions[0], world.zones[2]), 0.0);
+        assert!(world.share(world.regions[0], world.zones[0]) < 0.4);
+    },
+    the_sibling_zone_is_filled_first: |world| {
+        world.demand = [60.0, 60.0];
+        let [a, _] = world.regions;
+        world.splits.insert(a, Shares::from([(world.zones[0], 1.0)]));
+        world.demand = [90.0, 60.0];
+        world.run(300);
+        assert_eq!(world.away(), 0.0);
+    },
+    a_lost_zone_gives_all_to_its_sibling: |world| {
+        world.sights.insert(world.zones[0], Sight::Lost);
+        world.muted = vec![world.zones[0]];
+        world.run(120);
+        let share = |n: usize| world.share(world.regions[0], world.zones[n]);
+        assert!(share(0) < 0.002, "{}", share(0));
+        assert!(share(1) > 0.5, "{}", share(1));
+        world.sights.clear();
+        world.muted.clear();
+        let course = Course::new(world, 300);
+        assert!((world.share(world.regions[0], world.zones[0]) - 0.5).abs() < 0.02);
+        assert!(course.crossings <= 1, "{course:?}");
+    },
+    a_draining_zone_is_emptied_and_not_filled: |world| {
+        let late = serde_json::json!({"availability_zones": {
+            "a0": {"region": "a", "state": "draining"},
+        }});
+        world.catalog = catalog_with(0.25, 10, late);
+        world.run(120);
+        assert!(world.share(world.regions[0], world.zones[0]) < 0.002);
+        assert!(world.share(world.regions[0], world.zones[1]) > 0.99);
+    },
+    cold_slots_count_for_half: |world| {
+        world.cold = 1.0;
+        world.demand = [120.0, 20.0];
+        world.run(300);
+        assert!(world.away() > 0.2, "{}", world.away());
+    },
+}
+
+/// One step of a planner never moves more than the cap, whatever the loads.
+fn within_cap(before: &Plan, after: &Plan, cap: f64) {
+    for (key, shares) in &after.splits {
+        let total: f64 = shares.values().sum();
+        assert!((total - 1.0).abs() < 1e-6, "{shares:?}");
+        assert!(shares.values().all(|share| *share >= 0.0), "{shares:?}");
+        let Some(old) = before.splits.get(key) else {
+            continue;
+        };
+        let moved: f64 = shares
+            .iter()
+            .map(|(zone, share)| (share - old.get(zone).copied().unwrap_or(0.0)).max(0.0))
+            .sum();
+        assert!(moved <= cap + 1e-3, "{moved}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_step_is_whole_and_within_the_cap(
+        demands in prop::collection::vec((0.0..400.0_f64, 0.0..400.0_f64, any::<bool>()), 1..12),
+    ) {
+        let mut world = quiet((0.1, 20));
+        let mut before = world.plan.clone();
+        for (a, b, mute) in demands {
+            world.demand = [a, b];
+            world.muted = if mute { vec![world.zones[1]] } else { Vec::new() };
+            for _ in 0..200 {
+                world.step();
+                if world.plan.stamp != before.stamp {
+                    within_cap(&before, &world.plan, 0.1);
+                    before = world.plan.clone();
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn a_plan_survives_its_names(parts in prop::collection::vec(0.01..1.0_f64, 4)) {
+        let world = quiet((0.1, 20));
+        let total: f64 = parts.iter().sum();
+        let shares: Shares = world.zones.iter().copied()
+            .zip(parts.iter().map(|part| part / total))
+            .collect();
+        let host = world.catalog.host_key("ent-a0-0").expect("a host");
+        let bonus = Bonus { amount: 2.5, ttl: Duration::from_secs(3) };
+        let plan = Plan {
+            stamp: Stamp { epoch: 3, sequence: 9 },
+            splits: BTreeMap::from([((world.service, world.regions[0]), shares.clone())]),
+            bonuses: BTreeMap::from([((host, world.regions[1]), bonus)]),
+            ages: BTreeMap::from([(world.zones[0], Duration::from_millis(1_200))]),
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&plan.record(&world.catalog), &mut bytes).expect("bytes");
+        let record: Record = ciborium::from_reader(bytes.as_slice()).expect("a record");
+        let back = record.plan(&world.catalog);
+        prop_assert_eq!(&back.bonuses, &plan.bonuses);
+        prop_assert_eq!(back.stamp, plan.stamp);
+        let shares_back = &back.splits[&(world.service, world.regions[0])];
+        prop_assert!((shares_back.values().sum::<f64>() - 1.0).abs() < 1e-9);
+        for (zone, share) in &shares {
+            prop_assert!((shares_back[zone] - share).abs() < 3e-4);
+        }
+    }
+}
+
+/// Two hosts of a zone and a delegate of it, with reports given by hand.
+struct Zone {
+    base: Instant,
+    catalog: Catalog,
+    service: ServiceKey,
+    hosts: [HostKey; 2],
+    senders: [Sender; 2],
+    table: Table,
+}
+
+impl Zone {
+    fn new() -> Self {
+        let catalog = catalog(0.1, 20);
+        let key = |name: &str| catalog.host_key(name).expect("a host");
+        let hosts = [key("ent-a0-0"), key("ent-a0-1")];
+        Self {
+            base: Instant::now() + Duration::from_secs(100),
+            service: catalog.service_key("lookups").expect("a service"),
+            hosts,
+            senders: hosts.map(|host| Sender::new(host, 1).with_hosts(2)),
+            table: Table::new(),
+            catalog,
+        }
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.base + Duration::from_millis(millis)
+    }
+
+    fn message(&mut self, at: u64, host: usize, in_flight: f32, age: u64) -> Message {
+        let load = Load {
+            live: 10.0,
+            in_flight,
+            ..Load::default()
+        };
+        let sample = Sample {
+            age: Duration::from_millis(age),
+            applied: Stamp {
+                epoch: 1,
+                sequence: 5 - host as u64,
+            },
+            hosts: (1, 1),
+            loads: BTreeMap::from([(self.service, load)]),
+            needs: BTreeMap::new(),
+        };
+        let now = self.at(at);
+        self.senders[host].message(now, &sample, &self.catalog)
+    }
+
+    fn take(&mut self, at: u64, message: &Message) -> Taken {
+        let now = self.at(at);
+        self.table.take(now, message, Duration::ZERO, &self.catalog)
+    }
+
+    fn merged(&self, at: u64) -> Option<Sample> {
+        self.table.merge(self.at(at), self.hosts)
+    }
+
+    fn in_flight(&self, at: u64) -> f32 {
+        self.merged(at).expect("a sample").loads[&self.service].in_flight
+    }
+}
+
+macro_rules! zone {
+    ($($name:ident: $body:expr),* $(,)?) => {
+        $(#[test] fn $name() { let body: fn(&mut Zone) = $body; body(&mut Zone::new()); })*
+    };
+}
+
+zone! {
+    reports_add_up_and_targets_do_not: |it| {
+        let (a, b) = (it.message(0, 0, 3.0, 100), it.message(0, 1, 4.0, 700));
+        it.take(0, &a);
+        assert_eq!(it.merged(0).expect("a sample").hosts, (2, 1));
+        it.take(0, &b);
+        let sample = it.merged(300).expect("a sample");
+        assert_eq!(sample.hosts, (2, 2));
+        assert_eq!(sample.age, Duration::from_millis(1_000));
+        assert_eq!(sample.applied, Stamp { epoch: 1, sequence: 4 });
+        assert_eq!(sample.loads[&it.service].in_flight, 7.0);
+        assert_eq!(sample.loads[&it.service].live, 10.0);
+    },
+    old_reports_are_left_out: |it| {
+        let a = it.message(0, 0, 3.0, 0);
+        it.take(0, &a);
+        assert!(it.merged(4_900).is_some());
+        assert_eq!(it.merged(5_100), None);
+    },
+    what_did_not_change_is_not_sent_and_stays_fresh: |it| {
+        let first = it.message(0, 0, 3.0, 0);
+        let second = it.message(2_000, 0, 3.1, 0);
+        assert!(first.head.full && !second.head.full && second.loads.is_empty());
+        it.take(0, &first);
+        assert_eq!(it.take(2_000, &second), Taken::Newer);
+        assert_eq!(it.in_flight(6_000), 3.0);
+        let entry = it.table.source(it.hosts[0]).and_then(|source| source.load(it.service));
+        assert_eq!(entry.map(|entry| entry.sampled), Some(it.at(2_000)));
+    },
+    a_gap_leaves_the_rest_as_old_as_it_was: |it| {
+        let first = it.message(0, 0, 3.0, 0);
+        it.message(2_000, 0, 9.0, 0);
+        let third = it.message(4_000, 0, 9.0, 0);
+        let fourth = it.message(6_000, 0, 9.0, 0);
+        it.take(0, &first);
+        assert_eq!(it.take(4_000, &third), Taken::Gap);
+        assert_eq!(it.take(6_000, &fourth), Taken::Gap);
+        let entry = it.table.source(it.hosts[0]).and_then(|source| source.load(it.service));
+        assert_eq!(entry.map(|entry| entry.sampled), Some(it.at(0)));
+        it.senders[0].refill();
+        let full = it.message(8_000, 0, 9.0, 0);
+        assert_eq!(it.take(8_000, &full), Taken::Newer);
+        assert_eq!(it.in_flight(8_000), 9.0);
+    },
+    older_messages_are_ignored: |it| {
+        let first = it.message(0, 0, 3.0, 0);
+        it.senders[0].refill();
+        let second = it.message(2_000, 0, 5.0, 0);
+        assert_eq!(it.take(2_000, &second), Taken::Newer);
+        assert_eq!(it.take(2_000, &first), Taken::Ignored);
+        assert_eq!(it.take(2_000, &second), Taken::Ignored);
+        it.senders[0] = Sender::new(it.hosts[0], 2);
+        let restarted = it.message(2_500, 0, 1.0, 0);
+        assert_eq!(it.take(2_500, &restarted), Taken::Newer);
+        assert_eq!(it.take(2_600, &second), Taken::Ignored);
+        assert_eq!(it.in_flight(2_600), 1.0);
+    },
+    a_host_that_is_not_configured_is_ignored: |it| {
+        let mut message = it.message(0, 0, 3.0, 0);
+        message.head.host = "nobody".into();
+        assert_eq!(it.take(0, &message), Taken::Ignored);
+    },
+    wants_are_passed_on: |it| {
+        let region = it.catalog.region_key("b").expect("a region");
+        let key = (it.hosts[1], region);
+        let sample = Sample {
+            hosts: (1, 1),
+            needs: BTreeMap::from([(key, 12.5), ((it.hosts[0], region), 0.0)]),
+            ..Sample::default()
+        };
+        let now = it.at(0);
+        let message = it.senders[1].message(now, &sample, &it.catalog);
+        it.take(0, &message);
+        let sights = BTreeMap::new();
+        let view = View { catalog: &it.catalog, summaries: &it.table, sights: &sights };
+        assert_eq!(wanted(now, &view), BTreeMap::from([(key, 12.5)]));
+        assert_eq!(wanted(it.at(11_000), &view), BTreeMap::new());
+    },
+}
