Part surplus links only when the better one is in use, with tests of the peer contract

Change: a link is confirmed by the first thing heard on it; the goodbye is written after the open frames that wait.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,7 +1,7 @@
 //! One authenticated connection: a task that reads and writes it, and the streams on it.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -57,19 +57,13 @@
     accepted: AtomicU64,
     places_out: Arc<AtomicUsize>,
     places_in: Arc<AtomicUsize>,
-    goodbyes: Mutex<Goodbyes>,
+    has_goodbye: AtomicBool,
+    confirmed: AtomicBool,
     wake: Notify,
     killed: Notify,
     kill: Mutex<Option<Reason>>,
 }
 
-/// Which sides said that they open no more streams.
-#[derive(Default)]
-struct Goodbyes {
-    said: bool,
-    heard: bool,
-}
-
 /// What a peer may not send; it ends the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -125,7 +119,8 @@
             accepted: AtomicU64::new(0),
             places_out: Arc::default(),
             places_in: Arc::default(),
-            goodbyes: Mutex::default(),
+            has_goodbye: AtomicBool::new(false),
+            confirmed: AtomicBool::new(side == Side::Dialling),
             wake: Notify::new(),
             killed: Notify::new(),
             kill: Mutex::new(None),
@@ -242,23 +237,10 @@
 
     /// Opens no more streams, and tells the peer.
     pub(crate) fn say_goodbye(&self, reason: &str) {
-        {
-            let mut goodbyes = lock(&self.goodbyes);
-            if std::mem::replace(&mut goodbyes.said, true) {
-                return;
-            }
-        }
         let goodbye = frame::Goodbye {
             reason: reason.to_owned(),
         };
-        let unsent = {
-            let mut outbox = lock(&self.outbox);
-            outbox.push_frame(&Frame::Goodbye(goodbye));
-            outbox.drain()
-        };
-        for channel in unsent {
-            channel.on_cut();
-        }
+        lock(&self.outbox).drain(&Frame::Goodbye(goodbye));
         self.wake.notify_one();
     }
 
@@ -300,6 +282,9 @@
 
     async fn write(&self, sink: &mut SplitSink<Socket, Packet>) -> Reason {
         let pause = self.core.config.silence / BEATS;
+        if self.beat(sink).await.is_err() {
+            return self.lost();
+        }
         loop {
             let mut batch = 0;
             while batch < BATCH {
@@ -328,13 +313,18 @@
                 continue;
             }
             self.check_idle();
-            self.core.tally.control_bytes_out.add(self.header() as u64);
-            if sink.send(Packet::Pong(Bytes::new())).await.is_err() {
+            if self.beat(sink).await.is_err() {
                 return self.lost();
             }
         }
     }
 
+    /// Sends a sign of life.
+    async fn beat(&self, sink: &mut SplitSink<Socket, Packet>) -> Result<(), tungstenite::Error> {
+        self.core.tally.control_bytes_out.add(self.header() as u64);
+        sink.send(Packet::Pong(Bytes::new())).await
+    }
+
     /// Bytes of the WebSocket header of a small frame.
     pub(crate) fn header(&self) -> usize {
         HEADER[usize::from(self.side == Side::Accepting)]
@@ -383,12 +373,29 @@
         }
     }
 
+    /// Whether the peer said that it opens no more streams.
+    fn has_goodbye(&self) -> bool {
+        self.has_goodbye.load(Ordering::Relaxed)
+    }
+
+    /// Whether the peer is known to use the link. The dialling side learns it from the handshake, the
+    /// accepting side from the first thing that comes after it.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.confirmed.load(Ordering::Relaxed)
+    }
+
+    fn confirm(&self) {
+        if !self.confirmed.swap(true, Ordering::Relaxed) {
+            self.core.on_confirmed(&self.host);
+        }
+    }
+
     fn is_drained(&self) -> bool {
-        let goodbyes = lock(&self.goodbyes);
-        goodbyes.said
-            && goodbyes.heard
-            && lock(&self.streams).is_empty()
-            && lock(&self.outbox).is_empty()
+        if !self.has_goodbye() || !lock(&self.streams).is_empty() {
+            return false;
+        }
+        let outbox = lock(&self.outbox);
+        outbox.phase() == Phase::Draining && outbox.is_empty()
     }
 
     /// Closes a link that was made on demand and is no longer used.
@@ -407,8 +414,7 @@
 
     /// How the loss of the connection counts: after both goodbyes it is none.
     fn lost(&self) -> Reason {
-        let goodbyes = lock(&self.goodbyes);
-        match goodbyes.heard && lock(&self.streams).is_empty() {
+        match self.has_goodbye() && lock(&self.streams).is_empty() {
             true => Reason::Goodbye,
             false => Reason::Lost,
         }
@@ -424,6 +430,7 @@
                 Ok(Some(Err(error))) => return self.broken(&error),
                 Ok(Some(Ok(packet))) => packet,
             };
+            self.confirm();
             let bytes = match packet {
                 Packet::Binary(bytes) => bytes,
                 Packet::Ping(_) | Packet::Pong(_) => continue,
@@ -483,7 +490,7 @@
             Frame::Cancel(cancel) => self.on_given_up(cancel.stream, End::Server),
             Frame::Reset(reset) => self.on_given_up(reset.stream, End::Caller),
             Frame::Goodbye(_) => {
-                lock(&self.goodbyes).heard = true;
+                self.has_goodbye.store(true, Ordering::Relaxed);
                 self.say_goodbye("answer");
                 self.wake.notify_one();
                 self.core.on_draining(&self.host);
@@ -518,7 +525,7 @@
     }
 
     fn on_open(self: &Arc<Link>, open: frame::Open) -> Result<(), Fault> {
-        if lock(&self.goodbyes).heard {
+        if self.has_goodbye() {
             return Err(Fault::Violation);
         }
         let count = self.accepted.fetch_add(1, Ordering::Relaxed);
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -419,6 +419,13 @@
         Ok(())
     }
 
+    /// The other side is known to use a link.
+    pub(crate) fn on_confirmed(&self, host: &Arc<str>) {
+        if let Some(peer) = lock(&self.book).peers.get(host) {
+            peer.part();
+        }
+    }
+
     /// The other side opens no more streams on a link.
     pub(crate) fn on_draining(&self, host: &Arc<str>) {
         if let Some(peer) = lock(&self.book).peers.get(host) {
@@ -522,20 +529,28 @@
         }
     }
 
-    /// Adds a link and resolves what it makes superfluous.
+    /// Adds a link. One that the same side made earlier was given up by it.
     fn add(&mut self, link: &Arc<Link>) {
-        for old in self.links.iter().filter(|old| old.is_open()) {
-            if old.side == link.side {
-                // The dialler made a new link, so it has given the old one up.
-                old.kill(Reason::Replaced);
-                continue;
-            }
-            let surplus = std::cmp::max_by_key(old, link, |link| link.dialler().clone());
-            if surplus.side == Side::Dialling {
-                surplus.say_goodbye("surplus");
-            }
+        let earlier = self.links.iter().filter(|old| old.side == link.side);
+        for old in earlier.filter(|old| old.is_open()) {
+            old.kill(Reason::Replaced);
         }
         self.links.push(link.clone());
+        self.part();
+    }
+
+    /// Closes a superfluous link if it was made from here: only its maker does, and only once the
+    /// other side is known to use the better one.
+    fn part(&self) {
+        let Some(best) = self.open_link().filter(|best| best.is_confirmed()) else {
+            return;
+        };
+        let surplus = |link: &&Arc<Link>| link.is_open() && !Arc::ptr_eq(link, best);
+        for link in self.links.iter().filter(surplus) {
+            if link.side == Side::Dialling {
+                link.say_goodbye("surplus");
+            }
+        }
     }
 }
 
--- a/src/peer/outbox.rs
+++ b/src/peer/outbox.rs
@@ -43,6 +43,7 @@
     small: VecDeque<Arc<Channel>>,
     bulk: VecDeque<Turn>,
     messages: VecDeque<Bytes>,
+    goodbye: Option<Bytes>,
     waiting: usize,
     backlog: usize,
     small_turns: u32,
@@ -58,6 +59,7 @@
             small: VecDeque::new(),
             bulk: VecDeque::new(),
             messages: VecDeque::new(),
+            goodbye: None,
             waiting: 0,
             backlog,
             small_turns: 0,
@@ -83,7 +85,10 @@
 
     /// Whether nothing waits.
     pub(crate) fn is_empty(&self) -> bool {
-        self.control.is_empty() && self.small.is_empty() && self.bulk.is_empty()
+        self.control.is_empty()
+            && self.small.is_empty()
+            && self.bulk.is_empty()
+            && self.goodbye.is_none()
     }
 
     /// Queues a frame of the link itself. False when a peer that asks for many does not take them.
@@ -143,6 +148,9 @@
             self.waiting -= frame.len();
             return Some(Next::Frame(frame));
         }
+        if self.goodbye.is_some() && !self.small.iter().any(is_unsent) {
+            return self.goodbye.take().map(Next::Frame);
+        }
         let is_bulk_due = self.small_turns >= SMALL_PER_BULK && !self.bulk.is_empty();
         if !is_bulk_due {
             if let Some(channel) = self.small.pop_front() {
@@ -172,17 +180,13 @@
         Some(frame::encode_with(&Frame::Part(Part { end }), &bytes))
     }
 
-    /// Takes no more new streams. Returns those whose open frame was not taken yet.
-    pub(crate) fn drain(&mut self) -> Vec<Arc<Channel>> {
-        self.phase = self.phase.max(Phase::Draining);
-        let (unsent, rest) =
-            std::mem::take(&mut self.small)
-                .into_iter()
-                .partition(|channel: &Arc<Channel>| {
-                    channel.end == End::Caller && channel.number() == 0
-                });
-        self.small = rest;
-        unsent.into_iter().collect()
+    /// Takes no more new streams. The goodbye is written after the open frames that wait.
+    pub(crate) fn drain(&mut self, goodbye: &Frame) {
+        if self.phase != Phase::Open {
+            return;
+        }
+        self.phase = Phase::Draining;
+        self.goodbye = Some(frame::encode(goodbye));
     }
 
     /// Takes nothing more. Returns the streams that wait.
@@ -190,6 +194,7 @@
         self.phase = Phase::Closed;
         self.control.clear();
         self.messages.clear();
+        self.goodbye = None;
         self.waiting = 0;
         let bulk = std::mem::take(&mut self.bulk)
             .into_iter()
@@ -201,3 +206,8 @@
         small.into_iter().chain(bulk).collect()
     }
 }
+
+/// Whether a stream's open frame is still to be written.
+fn is_unsent(channel: &Arc<Channel>) -> bool {
+    channel.end == End::Caller && channel.number() == 0 && !channel.is_failed()
+}
--- /dev/null
+++ b/tests/peer/auth.rs
@@ -0,0 +1,367 @@
+//! What opens a link and what does not, and what an authenticated peer may not send.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use ragwortfold::peer::auth::Side;
+use ragwortfold::peer::error::Reason;
+use ragwortfold::peer::frame::{self, Cancel, Credit, Frame, Goodbye, Hello, Proof};
+use ragwortfold::peer::mesh::Event;
+use tokio_tungstenite::tungstenite::Message as Packet;
+
+use super::node::{eventually, heartbeat, Node, PATIENCE, SECRET};
+use super::raw::{hello, tcp, Raw, NAME};
+
+/// Counters of refusals before a link is up.
+const REFUSALS: [&str; 8] = [
+    "refused_pending",
+    "refused_handshake",
+    "refused_slow",
+    "refused_version",
+    "refused_host",
+    "refused_proof",
+    "refused_incarnation",
+    "connect_failed",
+];
+
+/// Exactly this refusal was counted, once, and there is no link.
+fn assert_refused(node: &Node, counter: &str) {
+    eventually(counter, || node.count(counter) == 1);
+    for other in REFUSALS.iter().filter(|&&other| other != counter) {
+        assert_eq!(node.count(other), 0, "{other}");
+    }
+    assert_eq!(node.count("links"), 0);
+    assert!(node.mesh.linked().is_empty());
+}
+
+/// Cases of a dialling peer that is refused: what it does, and the counter that rises.
+macro_rules! refused {
+    ($($name:ident: $counter:literal, $peer:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let node = Node::with("ent-a", |config| {
+                let is_slow = $counter == "refused_slow";
+                config.handshake = if is_slow { Duration::from_millis(200) } else { PATIENCE };
+            });
+            let peer: fn(SocketAddr) -> Raw = $peer;
+            let mut raw = peer(node.mesh.address());
+            while let Some(bytes) = raw.next_bytes() {
+                let frame = frame::decode(&bytes);
+                assert!(!format!("{frame:?}").contains("Proof"), "proved itself: {frame:?}");
+            }
+            assert_refused(&node, $counter);
+            // A proper peer is still accepted.
+            Raw::join(node.mesh.address());
+            node.wait_up(NAME);
+        })+
+    };
+}
+
+refused! {
+    a_wrong_secret: "refused_proof", |address| {
+        let mut raw = Raw::connect(address);
+        let transcript = raw.greet(hello(), "another secret");
+        raw.prove(&transcript, Side::Dialling);
+        raw
+    };
+    a_replayed_handshake: "refused_proof", |address| {
+        // The proof is right for an earlier connection with the very same hello.
+        let mut first = Raw::connect(address);
+        let earlier = first.greet(hello(), SECRET);
+        let mut raw = Raw::connect(address);
+        raw.greet(hello(), SECRET);
+        raw.prove(&earlier, Side::Dialling);
+        std::mem::forget(first);
+        raw
+    };
+    a_proof_of_the_other_direction: "refused_proof", |address| {
+        let mut raw = Raw::connect(address);
+        let transcript = raw.greet(hello(), SECRET);
+        raw.prove(&transcript, Side::Accepting);
+        raw
+    };
+    a_proof_that_is_no_mac: "refused_proof", |address| {
+        let mut raw = Raw::connect(address);
+        raw.greet(hello(), SECRET);
+        raw.send(&Frame::Proof(Proof { mac: "zz".to_owned() }));
+        raw
+    };
+    a_version_no_longer_spoken: "refused_version", |address| {
+        greeted(address, Hello { version: 0, ..hello() })
+    };
+    a_hello_for_another_host: "refused_host", |address| {
+        greeted(address, Hello { to: Some("ent-c".to_owned()), ..hello() })
+    };
+    a_hello_in_the_own_name: "refused_host", |address| {
+        greeted(address, Hello { host: "ent-a".to_owned(), ..hello() })
+    };
+    a_short_nonce: "refused_handshake", |address| {
+        greeted(address, Hello { nonce: "07".to_owned(), ..hello() })
+    };
+    a_message_before_the_proof: "refused_handshake", |address| {
+        let mut raw = Raw::connect(address);
+        raw.greet(hello(), SECRET);
+        raw.send(&Frame::Message(heartbeat(1)));
+        raw
+    };
+    a_message_before_the_hello: "refused_handshake", |address| {
+        let mut raw = Raw::connect(address);
+        raw.send(&Frame::Message(heartbeat(1)));
+        raw
+    };
+    garbage_for_a_hello: "refused_handshake", |address| {
+        let mut raw = Raw::connect(address);
+        raw.send_bytes(vec![0xff; 100]);
+        raw
+    };
+    text_for_a_hello: "refused_handshake", |address| {
+        let mut raw = Raw::connect(address);
+        raw.socket.send(Packet::text("hello")).unwrap();
+        raw
+    };
+    an_oversize_hello: "refused_handshake", |address| {
+        let mut raw = Raw::connect(address);
+        raw.send_bytes(vec![0; 100 << 10]);
+        raw
+    };
+    a_hello_without_a_proof: "refused_slow", |address| {
+        let mut raw = Raw::connect(address);
+        raw.greet(hello(), SECRET);
+        raw
+    };
+    an_upgrade_without_a_hello: "refused_slow", Raw::connect;
+}
+
+fn greeted(address: SocketAddr, hello: Hello) -> Raw {
+    let mut raw = Raw::connect(address);
+    raw.send(&Frame::Hello(hello));
+    raw
+}
+
+/// Cases of bytes that are no WebSocket upgrade.
+macro_rules! no_upgrade {
+    ($($name:ident: $counter:literal, $bytes:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let node = Node::with("ent-a", |config| {
+                config.handshake = Duration::from_millis(200);
+            });
+            let mut stream = tcp(node.mesh.address());
+            stream.write_all($bytes).unwrap();
+            let _ = stream.read_to_end(&mut Vec::new());
+            assert_refused(&node, $counter);
+        })+
+    };
+}
+
+no_upgrade! {
+    half_a_head_held_open: "refused_slow", b"GET / HTTP/1.1\r\nHost: x\r\n";
+    nothing_held_open: "refused_slow", b"";
+    bytes_of_another_protocol: "refused_handshake", &[0x16; 600];
+    a_request_that_is_no_upgrade: "refused_handshake", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+#[test]
+fn connections_in_their_handshake_are_bounded() {
+    let node = Node::with("ent-a", |config| {
+        config.pending = 2;
+        config.handshake = PATIENCE;
+    });
+    let held: Vec<_> = (0..2).map(|_| tcp(node.mesh.address())).collect();
+    let mut third = tcp(node.mesh.address());
+    assert_eq!(third.read(&mut [0; 1]).unwrap(), 0);
+    assert_eq!(node.count("refused_pending"), 1);
+    drop(held);
+    let b = Node::new("ent-b");
+    b.link_to("ent-a", node.mesh.address());
+    node.wait_up("ent-b");
+}
+
+/// Cases of a host that is dialled and is not what it should be.
+macro_rules! impostor {
+    ($($name:ident: $counter:literal, $peer:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let node = Node::with("ent-a", |config| {
+                config.handshake = PATIENCE;
+                config.backoff = (PATIENCE, PATIENCE);
+            });
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            node.link_to(NAME, listener.local_addr().unwrap());
+            let mut raw = Raw::accept(&listener);
+            let theirs = raw.next_bytes().unwrap();
+            let peer: fn(&mut Raw, &[u8]) = $peer;
+            peer(&mut raw, &theirs);
+            while raw.next_bytes().is_some() {}
+            assert_refused(&node, $counter);
+        })+
+    };
+}
+
+impostor! {
+    another_host_at_the_address: "refused_host", |raw, _| {
+        raw.send(&Frame::Hello(Hello { host: "ent-c".to_owned(), ..hello() }));
+    };
+    a_host_without_the_secret: "refused_proof", |raw, _| {
+        raw.send(&Frame::Hello(hello()));
+        let Some(Frame::Proof(proof)) = raw.next() else { panic!("no proof") };
+        // The best it can do is to send the proof back.
+        raw.send(&Frame::Proof(proof));
+    };
+    a_host_of_an_old_version: "refused_version", |raw, _| {
+        raw.send(&Frame::Hello(Hello { version: 0, ..hello() }));
+    };
+    the_own_hello_sent_back: "refused_host", |raw, theirs| {
+        raw.send_bytes(theirs.to_vec());
+    };
+}
+
+#[test]
+fn a_dialled_host_that_says_nothing_is_given_up() {
+    let node = Node::with("ent-a", |config| {
+        config.handshake = Duration::from_millis(200);
+        config.backoff = (PATIENCE, PATIENCE);
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    node.link_to(NAME, listener.local_addr().unwrap());
+    let _held = listener.accept().unwrap();
+    assert_refused(&node, "refused_slow");
+}
+
+/// Cases of what an authenticated peer may not send: the counter rises and the link ends.
+macro_rules! fault {
+    ($($name:ident: $counter:literal, $peer:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let node = Node::patient("ent-a");
+            let mut raw = Raw::join(node.mesh.address());
+            node.wait_up(NAME);
+            let peer: fn(&mut Raw) = $peer;
+            peer(&mut raw);
+            // Streams that are let go would be ended, and further frames for them only late.
+            let mut held = Vec::new();
+            let reason = node.wait(|event| match event {
+                Event::Down { reason, .. } => Some(reason),
+                other => {
+                    held.push(other);
+                    None
+                }
+            });
+            assert_eq!(reason, Reason::Fault);
+            assert_eq!(node.count($counter), 1);
+            while raw.next_bytes().is_some() {}
+        })+
+    };
+}
+
+fault! {
+    a_frame_of_garbage: "malformed", |raw| raw.send_bytes(vec![0xff; 8]);
+    a_frame_with_a_field_missing: "malformed", |raw| {
+        // {"cancel": {}}
+        raw.send_bytes(b"\xa1\x66cancel\xa0".to_vec());
+    };
+    data_without_its_bytes: "malformed", |raw| {
+        raw.send(&Frame::Data(frame::Data { stream: 1, end: true }));
+    };
+    a_frame_with_more_behind: "malformed", |raw| {
+        let mut bytes = frame::encode(&Frame::Message(heartbeat(1))).to_vec();
+        bytes.push(0);
+        raw.send_bytes(bytes);
+    };
+    text: "malformed", |raw| raw.socket.send(Packet::text("x")).unwrap();
+    an_oversize_frame: "oversize", |raw| raw.send_bytes(vec![0; 100 << 10]);
+    an_oversize_message: "oversize", |raw| {
+        let part = Frame::Part(frame::Part { end: false });
+        for _ in 0..300 {
+            raw.send_bytes(frame::encode_with(&part, &vec![0; 16 << 10].into()));
+        }
+    };
+    data_for_a_stream_never_opened: "unknown_stream", |raw| raw.send_data(1, b"x", false);
+    a_cancel_for_a_stream_never_opened: "unknown_stream", |raw| {
+        raw.send(&Frame::Cancel(Cancel { stream: 7 }));
+    };
+    credit_for_stream_zero: "unknown_stream", |raw| {
+        raw.send(&Frame::Credit(Credit { stream: 0, bytes: 1 }));
+    };
+    a_reply_to_an_own_stream: "violation", |raw| {
+        raw.send(&open_frame());
+        raw.send_head(1, None);
+    };
+    data_beyond_the_credit: "violation", |raw| {
+        raw.send(&open_frame());
+        for _ in 0..5 {
+            raw.send_data(1, &[0; 16 << 10], false);
+        }
+    };
+    data_after_its_end: "violation", |raw| {
+        raw.send(&open_frame());
+        raw.send_data(1, b"x", true);
+        raw.send_data(1, b"x", true);
+    };
+    a_stream_after_the_goodbye: "violation", |raw| {
+        raw.send(&open_frame());
+        raw.send(&Frame::Goodbye(Goodbye { reason: "test".to_owned() }));
+        raw.send(&open_frame());
+    };
+    a_second_hello: "violation", |raw| raw.send(&Frame::Hello(hello()));
+}
+
+fn open_frame() -> Frame {
+    Frame::Open(frame::Open {
+        request: "r".to_owned(),
+        service: "s".to_owned(),
+        class: "c".to_owned(),
+        method: "PUT".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        length: None,
+        deadline_ms: 30_000,
+        priority: 5,
+        key: None,
+        ticket: None,
+        locality: None,
+        block: None,
+    })
+}
+
+#[test]
+fn unknown_kinds_of_a_newer_version_are_ignored() {
+    let node = Node::patient("ent-a");
+    let newer = Hello {
+        version: 9,
+        ..hello()
+    };
+    let mut raw = Raw::join_with(node.mesh.address(), newer);
+    // {"novelty": 1}, {"message": {"novelty": {}}}, and {"novelty": {}} with bytes behind.
+    raw.send_bytes(b"\xa1\x67novelty\x01".to_vec());
+    raw.send_bytes(b"\xa1\x67message\xa1\x67novelty\xa0".to_vec());
+    raw.send_bytes(b"\xa1\x67novelty\xa0\x42ab".to_vec());
+    raw.send(&Frame::Message(heartbeat(5)));
+    assert_eq!(
+        format!("{:?}", node.wait_message()),
+        format!("{:?}", heartbeat(5))
+    );
+    assert_eq!(node.count("unknown_kind"), 3);
+    assert_eq!(node.count("malformed"), 0);
+}
+
+#[test]
+fn a_later_incarnation_replaces_and_an_earlier_one_is_refused() {
+    let node = Node::patient("ent-a");
+    let with = |incarnation| Hello {
+        incarnation,
+        ..hello()
+    };
+    let mut first = Raw::join_with(node.mesh.address(), with(4));
+    assert_eq!(node.wait_up(NAME), 4);
+    let mut later = Raw::join_with(node.mesh.address(), with(5));
+    assert_eq!(node.wait_down(NAME), Reason::Replaced);
+    assert_eq!(node.wait_up(NAME), 5);
+    while first.next_bytes().is_some() {}
+    let mut earlier = Raw::join_with(node.mesh.address(), with(4));
+    while earlier.next_bytes().is_some() {}
+    eventually("refusal", || node.count("refused_incarnation") == 1);
+    later.send(&Frame::Message(heartbeat(1)));
+    node.wait_message();
+}
--- /dev/null
+++ b/tests/peer/links.rs
@@ -0,0 +1,233 @@
+//! Links as such: control messages, duplicates, silence, demand and the end.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use ragwortfold::peer::error::{OpenError, Reason, SendError};
+use ragwortfold::peer::frame::{Files, Message};
+use ragwortfold::peer::mesh::Event;
+use standin::link::{Fault, Link};
+
+use super::node::*;
+
+#[test]
+fn control_messages_arrive_in_order() {
+    let (a, b) = pair();
+    for sequence in 0..100 {
+        a.mesh.send("ent-b", &heartbeat(sequence)).unwrap();
+    }
+    for sequence in 0..100 {
+        let expected = format!("{:?}", heartbeat(sequence));
+        assert_eq!(format!("{:?}", b.wait_message()), expected);
+    }
+}
+
+#[test]
+fn large_messages_arrive_whole() {
+    let (a, b) = pair();
+    let files = (0..3)
+        .map(|i| (format!("sum-{i}"), "x\u{e9}".repeat(300_000 + i)))
+        .collect();
+    let message = Message::Files(Files { files });
+    a.mesh.send("ent-b", &message).unwrap();
+    a.mesh.send("ent-b", &message).unwrap();
+    for _ in 0..2 {
+        let Message::Files(got) = b.wait(|event| match event {
+            Event::Control { message, .. } => Some(message),
+            _ => None,
+        }) else {
+            panic!("no files");
+        };
+        let Message::Files(sent) = &message else {
+            unreachable!()
+        };
+        assert!(got.files == sent.files);
+    }
+}
+
+#[test]
+fn what_cannot_be_sent_is_said() {
+    let (a, b) = pair_of(
+        Node::with("ent-a", |config| config.message = 1 << 20),
+        Node::new("ent-b"),
+    );
+    let files = [("sum".to_owned(), "x".repeat(2 << 20))];
+    let large = Message::Files(Files {
+        files: files.into_iter().collect(),
+    });
+    assert!(matches!(
+        a.mesh.send("ent-b", &large),
+        Err(SendError::Oversize(_))
+    ));
+    let unlinked = a.mesh.send("ent-c", &heartbeat(1));
+    assert_eq!(unlinked, Err(SendError::Unlinked("ent-c".into())));
+    let sent = a.mesh.broadcast(["ent-b", "ent-c"], &heartbeat(1));
+    assert_eq!(sent, Ok(1));
+    b.wait_message();
+}
+
+#[test]
+fn both_sides_dialling_leaves_one_link() {
+    for _ in 0..20 {
+        let (a, b) = (Node::new("ent-a"), Node::new("ent-b"));
+        a.link_to("ent-b", b.mesh.address());
+        b.link_to("ent-a", a.mesh.address());
+        a.wait_up("ent-b");
+        b.wait_up("ent-a");
+        // Whatever is surplus goes away without anybody being reported down.
+        for _ in 0..20 {
+            exchange(&a, &b, "ent-b");
+            exchange(&b, &a, "ent-a");
+        }
+        assert!(!a.has_down());
+        assert!(!b.has_down());
+        assert_eq!(a.count("lost") + b.count("lost"), 0);
+    }
+}
+
+/// Sends an empty request one way and its reply back.
+fn exchange(from: &Node, to: &Node, name: &str) {
+    let mut stream = from.mesh.open(name, &request(), PATIENCE).unwrap();
+    stream.finish_body().unwrap();
+    let incoming = loop {
+        match to.next() {
+            Event::Open(incoming) => break incoming,
+            Event::Down { .. } => panic!("down"),
+            _ => {}
+        }
+    };
+    echo(incoming).unwrap();
+    stream.read_head(PATIENCE).unwrap();
+    assert_eq!(read_all(|buffer| stream.read_body(buffer)).1, Ok(()));
+}
+
+#[test]
+fn a_silent_link_ends_on_both_sides_and_comes_back() {
+    let quick = Duration::from_millis(300);
+    let b = Node::with("ent-b", |config| config.silence = quick);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = Link::new(any, b.mesh.address()).unwrap();
+    let a = Node::with("ent-a", |config| {
+        config.silence = quick;
+        config.handshake = quick;
+    });
+    a.link_to("ent-b", link.address());
+    a.wait_up("ent-b");
+    b.wait_up("ent-a");
+    link.fault(Fault::default().with_black_hole());
+    assert_eq!(a.wait_down("ent-b"), Reason::Silent);
+    assert_eq!(b.wait_down("ent-a"), Reason::Silent);
+    link.fault(Fault::default());
+    a.wait_up("ent-b");
+    b.wait_up("ent-a");
+    exchange(&a, &b, "ent-b");
+}
+
+#[test]
+fn one_direction_lost_ends_the_link_on_both_sides() {
+    let quick = Duration::from_millis(300);
+    for is_forth in [true, false] {
+        let b = Node::with("ent-b", |config| config.silence = quick);
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let link = Link::new(any, b.mesh.address()).unwrap();
+        let a = Node::with("ent-a", |config| config.silence = quick);
+        a.link_to("ent-b", link.address());
+        a.wait_up("ent-b");
+        b.wait_up("ent-a");
+        let mut fault = Fault::default();
+        fault.forth.black_hole = is_forth;
+        fault.back.black_hole = !is_forth;
+        link.fault(fault);
+        a.wait_down("ent-b");
+        b.wait_down("ent-a");
+    }
+}
+
+#[test]
+fn a_link_on_demand_closes_when_idle() {
+    let b = Node::new("ent-b");
+    let a = Node::with("ent-a", |config| {
+        config.idle = Duration::from_millis(100);
+        config.silence = Duration::from_millis(300);
+    });
+    a.mesh.set_directory(peers([("ent-b", b.mesh.address())]));
+    for _ in 0..2 {
+        exchange(&a, &b, "ent-b");
+        assert_eq!(a.wait_down("ent-b"), Reason::Goodbye);
+        assert_eq!(b.wait_down("ent-a"), Reason::Goodbye);
+    }
+}
+
+#[test]
+fn a_link_no_longer_kept_closes_when_idle() {
+    let a = Node::with("ent-a", |config| {
+        config.idle = Duration::from_millis(100);
+        config.silence = Duration::from_millis(300);
+    });
+    let (a, b) = pair_of(a, Node::new("ent-b"));
+    exchange(&a, &b, "ent-b");
+    a.mesh.set_peers(peers([]));
+    assert_eq!(a.wait_down("ent-b"), Reason::Goodbye);
+    assert_eq!(b.wait_down("ent-a"), Reason::Goodbye);
+}
+
+#[test]
+fn what_cannot_be_reached_is_said_at_once() {
+    let a = Node::with("ent-a", |config| config.backoff = (PATIENCE, PATIENCE));
+    let open = |host: &str| a.mesh.open(host, &request(), PATIENCE).err();
+    assert_eq!(open("ent-b"), Some(OpenError::Host("ent-b".into())));
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let nobody = free.local_addr().unwrap();
+    drop(free);
+    a.mesh.set_directory(peers([("ent-b", nobody)]));
+    let unreachable = Some(OpenError::Unreachable("ent-b".into()));
+    assert_eq!(open("ent-b"), unreachable);
+    // The second time nobody is dialled.
+    assert_eq!(open("ent-b"), unreachable);
+    assert_eq!(a.count("connect_failed"), 1);
+}
+
+#[test]
+fn closing_lets_streams_finish() {
+    let (a, b) = pair();
+    let mut stream = a.mesh.open("ent-b", &upload(), PATIENCE).unwrap();
+    let incoming = b.incoming();
+    let mesh = b.mesh;
+    thread::scope(|scope| {
+        let closing = scope.spawn(move || mesh.close(PATIENCE));
+        eventually("goodbye", || {
+            a.mesh
+                .open("ent-b", &request(), Duration::from_millis(1))
+                .is_err()
+        });
+        assert!(!closing.is_finished());
+        let server = scope.spawn(|| echo(incoming));
+        let body = pattern(1 << 20);
+        stream.write_body(&body).unwrap();
+        stream.finish_body().unwrap();
+        stream.read_head(PATIENCE).unwrap();
+        let (got, end) = read_all(|buffer| stream.read_body(buffer));
+        assert!(end == Ok(()) && got == body);
+        server.join().unwrap().unwrap();
+        assert_eq!(a.wait_down("ent-b"), Reason::Goodbye);
+        closing.join().unwrap();
+    });
+}
+
+#[test]
+fn hosts_find_each_other_in_any_order() {
+    let nodes: Vec<Node> = (0..6).map(|i| Node::new(&format!("ent-{i}"))).collect();
+    let names: Vec<String> = (0..6).map(|i| format!("ent-{i}")).collect();
+    for node in &nodes {
+        let all = names
+            .iter()
+            .zip(&nodes)
+            .map(|(name, node)| (name.as_str().into(), node.mesh.address()))
+            .collect();
+        node.mesh.set_peers(all);
+    }
+    for node in &nodes {
+        eventually("a full mesh", || node.mesh.linked().len() == 5);
+    }
+}
--- /dev/null
+++ b/tests/peer/raw.rs
@@ -0,0 +1,135 @@
+//! A peer that speaks the protocol by hand, so that it can break it.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use bytes::Bytes;
+use tokio_tungstenite::tungstenite::{self, Message as Packet, WebSocket};
+
+use ragwortfold::peer::auth::{self, Side, Transcript};
+use ragwortfold::peer::frame::{self, Data, Decoded, Frame, Head, Hello, Proof};
+
+use super::node::{PATIENCE, SECRET};
+
+/// The name that raw peers go by.
+pub const NAME: &str = "ent-x";
+
+/// A connection to a mesh.
+pub struct Raw {
+    pub socket: WebSocket<TcpStream>,
+}
+
+impl Raw {
+    /// Connects and upgrades, no more.
+    pub fn connect(address: SocketAddr) -> Raw {
+        let stream = tcp(address);
+        let (socket, _) = tungstenite::client("ws://peer.invalid/", stream).expect("an upgrade");
+        Raw { socket }
+    }
+
+    /// Accepts and upgrades, no more.
+    pub fn accept(listener: &TcpListener) -> Raw {
+        let (stream, _) = listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let socket = tungstenite::accept(stream).expect("an upgrade");
+        Raw { socket }
+    }
+
+    /// Connects to `ent-a` and authenticates.
+    pub fn join(address: SocketAddr) -> Raw {
+        Raw::join_with(address, hello())
+    }
+
+    pub fn join_with(address: SocketAddr, hello: Hello) -> Raw {
+        let mut raw = Raw::connect(address);
+        let transcript = raw.greet(hello, SECRET);
+        raw.prove(&transcript, Side::Dialling);
+        let Some(Frame::Proof(proof)) = raw.next() else {
+            panic!("no proof");
+        };
+        assert!(transcript.is_proven(Side::Accepting, &proof.mac));
+        raw
+    }
+
+    /// Exchanges hellos.
+    pub fn greet(&mut self, hello: Hello, secret: &str) -> Transcript {
+        let own = frame::encode(&Frame::Hello(hello));
+        self.send_bytes(own.clone());
+        let theirs = self.next_bytes().expect("a hello");
+        Transcript::new(secret.into(), &own, &theirs)
+    }
+
+    pub fn prove(&mut self, transcript: &Transcript, side: Side) {
+        let mac = transcript.proof(side).expect("a proof");
+        self.send(&Frame::Proof(Proof { mac }));
+    }
+
+    pub fn send(&mut self, frame: &Frame) {
+        self.send_bytes(frame::encode(frame));
+    }
+
+    pub fn send_bytes(&mut self, bytes: impl Into<Bytes>) {
+        // The other side may have closed already, which the test then sees.
+        let _ = self.socket.send(Packet::Binary(bytes.into()));
+    }
+
+    pub fn send_data(&mut self, stream: u64, bytes: &[u8], end: bool) {
+        let data = Frame::Data(Data { stream, end });
+        self.send_bytes(frame::encode_with(&data, &Bytes::copy_from_slice(bytes)));
+    }
+
+    pub fn send_head(&mut self, stream: u64, length: Option<u64>) {
+        self.send(&Frame::Head(Head {
+            stream,
+            status: 200,
+            headers: Vec::new(),
+            length,
+        }));
+    }
+
+    /// The next message; none once the connection is closed.
+    pub fn next_bytes(&mut self) -> Option<Bytes> {
+        loop {
+            match self.socket.read() {
+                Ok(Packet::Binary(bytes)) => return Some(bytes),
+                Ok(Packet::Close(_)) | Err(_) => return None,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    pub fn next(&mut self) -> Option<Frame> {
+        match frame::decode(&self.next_bytes()?) {
+            Ok(Decoded::Known(frame, _)) => Some(frame),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Reads until the open frame of a stream.
+    pub fn next_open(&mut self) -> frame::Open {
+        loop {
+            if let Frame::Open(open) = self.next().expect("an open frame") {
+                return open;
+            }
+        }
+    }
+}
+
+pub fn tcp(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream
+}
+
+/// The hello of a raw peer to `ent-a`.
+pub fn hello() -> Hello {
+    Hello {
+        version: auth::VERSION,
+        host: NAME.to_owned(),
+        incarnation: 1,
+        zone: "zone-b".to_owned(),
+        to: Some("ent-a".to_owned()),
+        nonce: auth::hex(&[7; auth::NONCE_BYTES]),
+        window: 1 << 40,
+        frame: 64 << 10,
+    }
+}
