--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -1,6 +1,6 @@
 //! Plans and summaries: steps from lagging samples, and what they are made from.
 
-mod model;
+mod planning;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use model::{burst, catalog, catalog_with, Course, World};
+use planning::{burst, catalog, catalog_with, Course, World};
 use ragwortfold::catalog::{Catalog, HostKey, ServiceKey};
 use ragwortfold::control::membership::Sight;
 use ragwortfold::control::plan::{wanted, Bonus, Causality, Plan, Record, Shares, Stamp, View};
