Vouch for rosters by digest, send plans as differences, spread by trees

Cause: rosters of 45 hosts and plans of hundreds of splits, repeated to every host, would by themselves pass the 15 KB/s that a host may use.

Change: a summary bears the digest of its zone's roster and keeps it fresh; a plan is sent as the difference to the one before; delegate::branches spreads what a delegate has to say over its zone by a tree of four branches.

--- a/src/control/delegate.rs
+++ b/src/control/delegate.rs
@@ -19,6 +19,8 @@
 pub const MESH: usize = 48;
 /// Links of a host to others of its zone when the zone is larger than that, besides its delegates.
 pub const NEIGHBOURS: usize = 12;
+/// Hosts to which each passes on what its delegate sends to its zone.
+pub const FAN: usize = 4;
 /// Links to other zones up to which heartbeats between zones are as frequent as within one.
 const FREQUENT: usize = 24;
 /// Time between heartbeats to other zones above that.
@@ -130,3 +132,23 @@
         SLOW
     }
 }
+
+/// The hosts of its zone to which `host` passes on what `root` sends to all of them: a tree of
+/// [`FAN`] branches over the live hosts. Hosts that see the membership otherwise may be left out
+/// for a while; they ask when they notice.
+pub fn branches(
+    root: HostKey,
+    host: HostKey,
+    live: &BTreeSet<HostKey>,
+    catalog: &Catalog,
+) -> Vec<HostKey> {
+    let others = live.iter().copied().filter(|&other| other != root);
+    let mut order = rank(catalog, &catalog.host(root).name, others, usize::MAX);
+    order.insert(0, root);
+    let Some(place) = order.iter().position(|&other| other == host) else {
+        return Vec::new();
+    };
+    let first = (FAN * place + 1).min(order.len());
+    let end = (first + FAN).min(order.len());
+    order[first..end].to_vec()
+}
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::detector::{Detector, INTERVAL};
 use crate::catalog::{self, Catalog, HostKey, ZoneKey};
@@ -157,6 +158,20 @@
     pub hosts: Vec<Known>,
 }
 
+impl Roster {
+    /// A digest of who is there, without the times at which they were heard. Those who have a
+    /// roster with the same digest need not be sent it again, see [`Membership::vouch`].
+    pub fn digest(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        for known in &self.hosts {
+            hash.update(known.host.as_bytes());
+            hash.update(&known.incarnation.to_le_bytes());
+            hash.update(&[known.state as u8, u8::from(known.dead)]);
+        }
+        hash.digest()
+    }
+}
+
 /// What a delegate tells the hosts of its zone about another zone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -318,6 +333,7 @@
     names: BTreeMap<Arc<str>, HostKey>,
     zones: BTreeMap<ZoneKey, Arc<str>>,
     words: BTreeMap<ZoneKey, Word>,
+    rosters: BTreeMap<ZoneKey, Roster>,
     sights: BTreeMap<ZoneKey, Sight>,
     ticked: Instant,
     resumed: Instant,
@@ -338,6 +354,7 @@
             names: BTreeMap::new(),
             zones: BTreeMap::new(),
             words: BTreeMap::new(),
+            rosters: BTreeMap::new(),
             sights: BTreeMap::new(),
             ticked: now,
             resumed: now,
@@ -368,6 +385,7 @@
         }
         self.records = records;
         self.words.retain(|zone, _| self.zones.contains_key(zone));
+        self.rosters.retain(|zone, _| self.zones.contains_key(zone));
     }
 
     /// From now on this host tells the others that it is leaving.
@@ -605,6 +623,36 @@
         }
     }
 
+    /// Takes in the roster of another zone, `delay` after it was made.
+    pub fn enroll(&mut self, now: Instant, roster: Roster, delay: Duration) {
+        let found = self.zones.iter().find(|(_, name)| **name == roster.zone);
+        let Some((&zone, _)) = found else {
+            return;
+        };
+        self.know(now, &roster.hosts, delay);
+        self.rosters.insert(zone, roster);
+    }
+
+    /// A delegate of a zone says that the roster with this digest held `age` ago. Returns false if
+    /// another one is known here, so that the roster must be asked for.
+    pub fn vouch(&mut self, now: Instant, zone: ZoneKey, digest: u64, age: Duration) -> bool {
+        let Some(roster) = self.rosters.remove(&zone) else {
+            return false;
+        };
+        let same = roster.digest() == digest;
+        if same {
+            for known in roster.hosts.iter().filter(|known| !known.dead) {
+                if let Some(&host) = self.names.get(&known.host) {
+                    let (incarnation, state) = (known.incarnation, known.state);
+                    let via = Via::Relayed(age);
+                    self.heard(now, host, incarnation, known.sequence, state, via);
+                }
+            }
+        }
+        self.rosters.insert(zone, roster);
+        same
+    }
+
     /// Others hold a host to be dead that they last heard `age` ago. It counts unless the host
     /// was heard later than that, or is watched from here.
     fn told_dead(&mut self, now: Instant, host: HostKey, incarnation: u64, age: Duration) {
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -109,11 +109,15 @@
 /// Shares in ten-thousandths, by locality and zone.
 pub type Localities = BTreeMap<Arc<str>, BTreeMap<Arc<str>, u16>>;
 
-/// A plan as it is stored and sent, by names.
+/// A plan as it is stored and sent, by names. The store has it whole; between hosts only what
+/// changed since a plan before it may be sent.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Record {
     /// Its place in the order of plans.
     pub stamp: Stamp,
+    /// The plan to which this is the difference; none if it is whole.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<Stamp>,
     /// Shares by service.
     pub splits: BTreeMap<Arc<str>, Localities>,
     /// Bonuses by host and region.
@@ -193,6 +197,51 @@
 }
 
 impl Record {
+    /// The difference of a whole plan to an older whole one; itself if something was removed.
+    pub fn since(&self, old: &Self) -> Self {
+        let removed = |new: &Localities, old: &Localities| {
+            old.keys().any(|locality| !new.contains_key(locality))
+        };
+        let gone = old.splits.iter().any(|(service, localities)| {
+            let new = self.splits.get(service);
+            new.is_none_or(|new| removed(new, localities))
+        });
+        if gone || old.base.is_some() {
+            return self.clone();
+        }
+        let mut difference = self.clone();
+        difference.base = Some(old.stamp);
+        difference.splits.retain(|service, localities| {
+            if let Some(old) = old.splits.get(service) {
+                localities.retain(|locality, shares| old.get(locality) != Some(shares));
+            }
+            !localities.is_empty()
+        });
+        difference
+    }
+
+    /// The whole plan, from this and the whole plan that was known before. None if this is the
+    /// difference to another one, so that the whole must be asked for.
+    pub fn onto(&self, known: &Self) -> Option<Self> {
+        let Some(base) = self.base else {
+            return Some(self.clone());
+        };
+        if base != known.stamp {
+            return None;
+        }
+        let mut whole = self.clone();
+        whole.base = None;
+        for (service, localities) in &known.splits {
+            let entry = whole.splits.entry(service.clone()).or_default();
+            for (locality, shares) in localities {
+                entry
+                    .entry(locality.clone())
+                    .or_insert_with(|| shares.clone());
+            }
+        }
+        Some(whole)
+    }
+
     /// The plan by keys. Names that the catalog lacks are left out; a split that loses a zone by
     /// that is left out whole.
     pub fn plan(&self, catalog: &Catalog) -> Plan {
--- a/src/control/summary.rs
+++ b/src/control/summary.rs
@@ -166,6 +166,9 @@
     /// Live hosts of the zone, and those of them whose reports are in it.
     #[serde(rename = "n")]
     pub hosts: (u32, u32),
+    /// Digest of the zone's roster, in the summary of a zone.
+    #[serde(rename = "r", default)]
+    pub roster: u64,
     /// Loads by service; without those that are as they were.
     #[serde(rename = "l")]
     pub loads: BTreeMap<Arc<str>, Load>,
@@ -183,6 +186,8 @@
     pub applied: Stamp,
     /// Live hosts of the zone, and those of them whose reports are in it; 1 of 1 for a host.
     pub hosts: (u32, u32),
+    /// Digest of the zone's roster; to be set by the delegate that sends the summary.
+    pub roster: u64,
     /// Loads by service.
     pub loads: BTreeMap<ServiceKey, Load>,
     /// Quotas wanted, by host and region.
@@ -254,6 +259,7 @@
             },
             zone: catalog.zone(zone).name.clone(),
             hosts: sample.hosts,
+            roster: sample.roster,
             loads,
             needs: needs(&sample.needs, catalog),
         }
@@ -495,6 +501,7 @@
             age: self.age,
             applied: self.applied?,
             hosts: (self.live, self.reported),
+            roster: 0,
             loads: self.loads,
             needs: self.needs,
         })
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -491,6 +491,24 @@
         it.node.know(now, &sender.roster(it.base + ms(2_000)).hosts, ms(50));
         assert!(it.node.alive(remote) && !it.node.alive(other));
     },
+    a_digest_vouches_for_a_known_roster_only: |it| {
+        let zone = it.catalog.zone_key("zone-01").expect("a zone");
+        let sender = Membership::new(it.base, it.remote, 1, &it.catalog);
+        let roster = sender.roster(it.base);
+        let digest = roster.digest();
+        assert!(!it.node.vouch(it.base, zone, digest, ms(0)));
+        it.node.enroll(it.base, roster, ms(0));
+        for at in (1_000..=60_000).step_by(1_000) {
+            let now = it.at(at);
+            assert!(it.node.vouch(now, zone, digest, ms(1)));
+            assert!(!it.node.vouch(now, zone, digest + 1, ms(1)));
+            it.ticks(at, at + 900);
+        }
+        assert!(it.node.alive(it.remote));
+        assert_eq!(it.node.zone(zone), Sight::Alive);
+        it.ticks(61_000, 75_000);
+        assert!(!it.node.alive(it.remote));
+    },
     reports_of_a_delegate_tell_of_a_lost_zone: |it| {
         let zone = it.catalog.zone_key("zone-01").expect("a zone");
         let now = it.at(0);
@@ -632,6 +650,24 @@
     }
 }
 
+#[test]
+fn branches_reach_every_host_once() {
+    let catalog = catalog(1, 45);
+    let live: BTreeSet<HostKey> = catalog.hosts().map(|(key, _)| key).collect();
+    for &root in &live {
+        let mut reached = vec![root];
+        let mut next = 0;
+        while next < reached.len() {
+            let branches = delegate::branches(root, reached[next], &live, &catalog);
+            assert!(branches.len() <= delegate::FAN);
+            reached.extend(branches);
+            next += 1;
+        }
+        assert_eq!(reached.len(), 45);
+        assert_eq!(reached.into_iter().collect::<BTreeSet<_>>(), live);
+    }
+}
+
 #[test]
 fn candidates_of_an_unknown_zone_take_turns() {
     let catalog = catalog(2, 4);
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -222,7 +222,7 @@
                 applied: self.applied,
                 hosts: (2, self.reported.get(&zone).copied().unwrap_or(2)),
                 loads: BTreeMap::from([(self.service, load(sum / BEAT as f64, self.cold))]),
-                needs: BTreeMap::new(),
+                ..Sample::default()
             };
             let now = self.now();
             let sender = self.senders.get_mut(&zone).expect("a sender");
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -222,6 +222,24 @@
     }
 }
 
+#[test]
+fn a_difference_makes_the_plan_whole_again() {
+    let mut world = quiet((0.25, 10));
+    let old = world.plan.record(&world.catalog);
+    world.demand = [220.0, 40.0];
+    world.run(60);
+    let new = world.plan.record(&world.catalog);
+    let difference = new.since(&old);
+    assert_eq!(difference.base, Some(old.stamp));
+    assert_eq!(difference.splits["lookups"].len(), 1, "one locality moved");
+    assert_eq!(difference.onto(&old), Some(new.clone()));
+    assert_eq!(difference.onto(&new), None);
+    let mut less = new.clone();
+    less.splits.clear();
+    assert_eq!(less.since(&new), less);
+    assert_eq!(new.onto(&Record::default()), Some(new.clone()));
+}
+
 /// Two hosts of a zone and a delegate of it, with reports given by hand.
 struct Zone {
     base: Instant,
@@ -265,7 +283,7 @@
             },
             hosts: (1, 1),
             loads: BTreeMap::from([(self.service, load)]),
-            needs: BTreeMap::new(),
+            ..Sample::default()
         };
         let now = self.at(at);
         self.senders[host].message(now, &sample, &self.catalog)
