Put membership, summaries, lease and plan together in one agent

Change: control/agent.rs, pure, with control/wire.rs as its messages. Not wired into the daemon yet.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
 
+pub mod agent;
 pub mod delegate;
 pub mod detector;
 pub mod lease;
@@ -7,3 +8,4 @@
 pub mod plan;
 pub mod publish;
 pub mod summary;
+pub mod wire;
