Wire control into the daemon: membership, lease, plan, configuration from peers

Cause: hosts did not know of each other. Change: entry/control.rs carries out what the agent wants; entry/feed.rs takes a revision from the platform or any host that has a newer one; entry/platform.rs watches as a delegate or asks now and then; SIGTERM leaves in an orderly way; /v1/status tells hosts, zones, targets and splits.

--- a/src/border/frame.rs
+++ b/src/border/frame.rs
@@ -222,6 +222,8 @@
     Heartbeat(Heartbeat),
     #[serde(rename = "summary")]
     Summary(Summary),
+    #[serde(rename = "control")]
+    Control(crate::control::wire::Frame),
     #[serde(rename = "revision")]
     Revision(Revision),
     #[serde(rename = "fetch")]
@@ -243,6 +245,11 @@
         Self::Summary(value)
     }
 }
+impl ::std::convert::From<crate::control::wire::Frame> for Message {
+    fn from(value: crate::control::wire::Frame) -> Self {
+        Self::Control(value)
+    }
+}
 impl ::std::convert::From<Revision> for Message {
     fn from(value: Revision) -> Self {
         Self::Revision(value)
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -533,7 +533,12 @@
     }
 
     /// What each zone told last of a service, with its age.
-    pub fn load(&self, now: Instant, service: ServiceKey, zone: ZoneKey) -> Option<(Load, Duration)> {
+    pub fn load(
+        &self,
+        now: Instant,
+        service: ServiceKey,
+        zone: ZoneKey,
+    ) -> Option<(Load, Duration)> {
         let source = self.summaries.zone(now, zone, &self.catalog)?;
         let entry = source.load(service)?;
         Some((entry.load, now.saturating_duration_since(entry.sampled)))
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -4,7 +4,7 @@
 //! beyond a bound they are refused here, without waiting for the core.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
@@ -16,18 +16,23 @@
 use stakker::{actor, after, call, ret_nop, ActorOwn, Stakker, CX};
 
 use super::call::Call;
+use super::control::{Change, Control};
+use super::feed;
 use super::later::{self, Later, Queue};
+use super::platform;
+use super::status::Status;
 use super::{Error, Published};
 use crate::border::settings::Settings;
-use crate::catalog::{Catalog, ServiceKey, State, ZoneKey};
+use crate::catalog::{Catalog, ServiceKey};
+use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
 use crate::steer::dedupe::{Begin, End, Fingerprint, Keys, Run};
 use crate::steer::engine::{Ask, Decision, Engine, Id, Kind, Refusal, Verdict};
-use crate::steer::goal::{Standing, View};
 use crate::steer::group;
 use crate::steer::pass::{Back, Pass};
 use crate::steer::ticket::{Generation, Rotation};
+use crate::store::client::Host;
 
 /// Requests that may wait for a verdict at once.
 const MAX_ASKING: usize = 8192;
@@ -37,6 +42,12 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two wake-ups by the engine.
 const MIN_TICK: Duration = Duration::from_millis(1);
+/// How often what is known is acted on if nothing changed.
+const REFRESH: Duration = Duration::from_millis(500);
+/// Shortest time between two such acts.
+const MIN_REFRESH: Duration = Duration::from_millis(100);
+/// Time between measurements of this host's own targets.
+const MEASURE: Duration = Duration::from_secs(1);
 /// Longest sleep of the core's thread.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -69,6 +80,16 @@
     },
     /// The run of a key ended.
     End(Run, End),
+    /// The outcome of a question about the planner lease.
+    Leased(lease::Event),
+    /// The outcome of a question about the plan.
+    Published(publish::Event),
+    /// The platform's list of hosts.
+    Listed(Vec<Host>),
+    /// This host takes no new work any more.
+    Leave,
+    /// What this host knows and does, for operators.
+    Status(Sender<Status>),
     /// The links to other hosts are there.
     Mesh(Arc<Mesh>),
     /// A link to another host changed, or a message came over it.
@@ -139,6 +160,10 @@
     pub(crate) later: Queue,
     pub(crate) rotation: Rotation,
     pub(crate) incarnation: u64,
+    pub(crate) platform: Sender<platform::Ask>,
+    pub(crate) feed: feed::Queue,
+    /// Set while this host is a delegate of its zone.
+    pub(crate) delegate: Arc<AtomicBool>,
 }
 
 /// Starts the core's thread.
@@ -187,7 +212,10 @@
     handle: Handle,
     engine: Engine,
     keys: Keys<Sender<End>>,
-    mesh: Option<Arc<Mesh>>,
+    control: Control,
+    dirty: bool,
+    refresh: Instant,
+    measure: Instant,
     rng: Pcg64Mcg,
     asking: BTreeMap<Id, Sender<Verdict>>,
 }
@@ -200,7 +228,16 @@
             keys: Keys::new(parts.rotation),
             rng: Pcg64Mcg::seed_from_u64(parts.incarnation),
             asking: BTreeMap::new(),
-            mesh: None,
+            control: Control::new(
+                &parts.settings.host,
+                parts.incarnation,
+                parts.platform.clone(),
+                parts.feed.clone(),
+                parts.delegate.clone(),
+            ),
+            dirty: false,
+            refresh: cx.now(),
+            measure: cx.now(),
             handle,
             parts,
         })
@@ -243,8 +280,19 @@
             Event::Catalog(catalog) => {
                 self.configure(now, catalog);
             }
-            Event::Mesh(mesh) => self.mesh = Some(mesh),
-            Event::Peer(_) | Event::Stop => {}
+            Event::Leased(event) => self.control.leased(now, event, &mut self.rng),
+            Event::Published(event) => self.control.published(now, event, &mut self.rng),
+            Event::Listed(hosts) => self.control.listed(now, &hosts),
+            Event::Leave => self.control.leave(now),
+            Event::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+            Event::Mesh(mesh) => self.control.set_mesh(mesh),
+            Event::Peer(event) => {
+                let change = self.control.peer(now, event);
+                self.take(now, change);
+            }
+            Event::Stop => {}
         }
     }
 
@@ -263,29 +311,49 @@
 
     fn configure(&mut self, now: Instant, catalog: Arc<Catalog>) {
         let settings = &self.parts.settings;
-        let view = View {
-            zones: catalog
-                .zones()
-                .map(|(key, _)| (key, Standing::Alive))
-                .collect(),
-            slots: configured_slots(&catalog),
-            ..View::default()
-        };
-        let live = catalog.hosts().map(|(key, _)| key).collect();
-        self.engine.configure(
-            now,
-            catalog.clone(),
-            &settings.host,
-            &settings.availability_zone,
-        );
-        if let Some(mesh) = &self.mesh {
-            mesh.set_directory(directory(&catalog));
+        self.control.configure(now, &catalog);
+        self.engine
+            .configure(now, catalog, &settings.host, &settings.availability_zone);
+        self.refresh(now);
+    }
+
+    /// Takes in what came of control.
+    fn take(&mut self, now: Instant, change: Change) {
+        if let Some(splits) = change.splits {
+            self.engine.adopt(now, splits);
+            self.dirty = true;
         }
-        self.engine.set_live(now, live);
+        if !change.joined.is_empty() {
+            self.control
+                .send_splits(&change.joined, &self.engine.splits());
+        }
+        self.dirty |= change.picture;
+    }
+
+    /// Acts on what is known of hosts and zones now, and publishes what look-ups are answered from.
+    fn refresh(&mut self, now: Instant) {
+        self.dirty = false;
+        self.refresh = now + REFRESH;
+        let (view, free) = self.control.view(now);
+        if let Some(agent) = self.control.agent() {
+            self.engine.set_live(now, agent.live());
+        }
+        self.engine.set_free(free);
         self.engine.set_view(now, view);
+        let catalog = self.engine.catalog().clone();
         self.parts.published.put(catalog, self.engine.snapshot());
     }
 
+    fn status(&self, now: Instant) -> Status {
+        Status::new(
+            now,
+            &self.parts.settings,
+            self.parts.incarnation,
+            &self.engine,
+            self.control.agent(),
+        )
+    }
+
     /// Sends a second copy of a request that still has no answer, if budget and room allow it.
     fn hedge(&mut self, cx: CX![], call: Weak<Call>) {
         let Some(call) = call.upgrade().filter(|call| !call.is_answered()) else {
@@ -319,28 +387,17 @@
         let now = cx.now();
         let decisions = self.engine.tick(now, &mut self.rng);
         self.tell(decisions);
+        if now >= self.measure {
+            self.measure = now + MEASURE;
+            self.control.measure(self.engine.measure(now));
+        }
+        let change = self.control.tick(now, &mut self.rng);
+        self.take(now, change);
+        if now >= self.refresh || (self.dirty && now + REFRESH >= self.refresh + MIN_REFRESH) {
+            self.refresh(now);
+        }
         let wake = self.engine.next_wake(now).unwrap_or(now + TICK);
         let pause = wake.saturating_duration_since(now).clamp(MIN_TICK, TICK);
         after!(pause, [cx], tick());
     }
 }
-
-/// Where the hosts of a configuration accept links.
-fn directory(catalog: &Catalog) -> BTreeMap<Arc<str>, SocketAddr> {
-    catalog
-        .hosts()
-        .filter(|(_, host)| host.state != State::Off)
-        .map(|(_, host)| (host.name.clone(), host.peer_address))
-        .collect()
-}
-
-/// The slots of all sites, as configured: what is assumed where nothing was measured yet.
-fn configured_slots(catalog: &Catalog) -> BTreeMap<(ServiceKey, ZoneKey), u32> {
-    let mut slots = BTreeMap::new();
-    for (service, _) in catalog.services() {
-        for (zone, site) in catalog.sites(service) {
-            slots.insert((service, zone), site.slots);
-        }
-    }
-    slots
-}
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -221,6 +221,7 @@
 }
 
 fn serve(shared: &Arc<Shared>, job: Job) {
+    let _in_flight = shared.enter();
     let mut request = job.request;
     let Some(client) = remote(&request) else {
         return Reply::not_run(400, "no remote address", None).send(request);
@@ -317,6 +318,7 @@
 }
 
 fn serve_relayed(shared: &Arc<Shared>, mut incoming: Incoming) {
+    let _in_flight = shared.enter();
     match prepare_relayed(shared, &mut incoming) {
         Ok(start) => keyed::run(shared, start, Answerer::Host(incoming)),
         Err(outcome) => relay::reply(incoming, outcome, FULL_RETRY, None),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,9 +2,11 @@
 
 mod body;
 mod call;
+mod control;
 mod core;
 mod cut;
 mod error;
+mod feed;
 mod front;
 mod head;
 mod keyed;
@@ -18,16 +20,17 @@
 mod revision;
 mod server;
 mod stage;
+mod status;
 mod target;
 mod verdict;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use serde::Serialize;
+use crossbeam_channel::{bounded, unbounded};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -47,6 +50,17 @@
 use reply::Reply;
 use server::Server;
 
+/// How long the core may take to tell its status.
+const STATUS_TIME: Duration = Duration::from_secs(1);
+/// How much longer than callers keep its address a leaving host serves.
+const LEAVE_MARGIN: Duration = Duration::from_millis(500);
+/// Longest time that a leaving host waits for work to end.
+const LONGEST_WORK: Duration = Duration::from_secs(3600);
+/// Time without work after which a leaving host ends.
+const QUIET: Duration = Duration::from_millis(200);
+/// How often a leaving host looks.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
 /// What the threads of one host share.
 pub(crate) struct Shared {
     pub(crate) settings: Arc<Settings>,
@@ -59,6 +73,7 @@
     later: Queue,
     incarnation: u64,
     ids: AtomicU64,
+    in_flight: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -86,31 +101,35 @@
 
     /// What this host says of itself.
     pub(crate) fn status(&self) -> Reply {
-        let state = self.published.get();
-        Reply::json(
-            200,
-            &Status {
-                host: &self.settings.host,
-                availability_zone: &self.settings.availability_zone,
-                incarnation: self.incarnation,
-                revision: state.catalog.revision,
-            },
-        )
+        let (sender, receiver) = bounded(1);
+        self.core.send(core::Event::Status(sender));
+        match receiver.recv_timeout(STATUS_TIME) {
+            Ok(status) => Reply::json(200, &status),
+            Err(_) => Reply::not_run(503, "the core is busy", Some(STATUS_TIME)),
+        }
+    }
+
+    /// Counts a request as in flight until what is returned is dropped.
+    pub(crate) fn enter(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.in_flight.clone())
     }
 }
 
-#[derive(Serialize)]
-struct Status<'a> {
-    host: &'a str,
-    availability_zone: &'a str,
-    incarnation: u64,
-    revision: u64,
+/// A request that is in flight.
+pub(crate) struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A running entry host.
 pub struct Host {
     server: Server,
-    core: core::Handle,
+    shared: Arc<Shared>,
+    feed: feed::Queue,
     stop: Arc<AtomicBool>,
 }
 
@@ -132,13 +151,21 @@
         let rotation = Rotation::new(Instant::now());
         let published = Arc::new(Published::new());
         let (later, work) = later::queue();
+        let (asks, asked) = unbounded();
+        let (feed, news) = unbounded();
+        let delegate = Arc::new(AtomicBool::new(false));
         let core = core::start(Parts {
             settings: settings.clone(),
             published: published.clone(),
             later: later.clone(),
             rotation,
             incarnation,
+            platform: asks,
+            feed: feed.clone(),
+            delegate: delegate.clone(),
         })?;
+        let known = Arc::new(feed::Known::default());
+        feed::start(core.clone(), known.clone(), news)?;
         let (relays, relayed) = Relays::new(settings.pool.backlog.get() as usize);
         let mesh = Arc::new(mesh(&settings, incarnation, core.clone(), relays)?);
         core.send(core::Event::Mesh(mesh.clone()));
@@ -154,12 +181,22 @@
             later,
             incarnation,
             ids: AtomicU64::new(0),
+            in_flight: Arc::default(),
             settings,
         });
         later::start(&shared, &work)?;
         Relays::start(&shared, &relayed)?;
         let front = Front::new(shared.clone())?;
-        platform::start(&shared.settings.platform, core.clone(), stop.clone())?;
+        let platform = platform::Parts {
+            url: shared.settings.platform.as_str().into(),
+            core: core.clone(),
+            feed: feed.clone(),
+            known,
+            delegate,
+            stop: stop.clone(),
+            seed: incarnation,
+        };
+        platform::start(&platform, asked)?;
         let threads = shared.settings.pool.lookup_workers.get() as usize;
         let handler = Arc::new(move |request| front.take(request));
         let server = Server::new(listener, threads, idle, handler)?;
@@ -168,7 +205,12 @@
             shared.settings.host,
             server.address()
         );
-        Ok(Self { server, core, stop })
+        Ok(Self {
+            server,
+            shared,
+            feed,
+            stop,
+        })
     }
 
     /// Where callers connect.
@@ -176,11 +218,31 @@
         self.server.address()
     }
 
-    /// Ends the host's threads.
+    /// Leaves in an orderly way: takes itself out of look-ups, serves until callers no longer keep its
+    /// address and all work is done, and ends. Returns how long that took.
+    pub fn drain(self) -> Duration {
+        let started = Instant::now();
+        self.shared.core.send(core::Event::Leave);
+        let ttl = self.shared.published.get().catalog.limits().ttl;
+        thread::sleep(ttl + LEAVE_MARGIN);
+        let end = Instant::now() + LONGEST_WORK;
+        let mut quiet = Instant::now();
+        while Instant::now() < end && quiet.elapsed() < QUIET {
+            if self.shared.in_flight.load(Ordering::Relaxed) > 0 {
+                quiet = Instant::now();
+            }
+            thread::sleep(DRAIN_LOOK);
+        }
+        self.stop();
+        started.elapsed()
+    }
+
+    /// Ends the host's threads at once, as if the process died.
     pub fn stop(&self) {
         self.stop.store(true, Ordering::Relaxed);
         self.server.stop();
-        self.core.send(core::Event::Stop);
+        let _ = self.feed.send(feed::News::Stop);
+        self.shared.core.send(core::Event::Stop);
     }
 }
 
@@ -220,9 +282,9 @@
             break;
         }
     }
-    spdlog::info!("entry: stopping");
-    host.stop();
-    thread::sleep(Duration::from_millis(100));
+    spdlog::info!("entry: leaving");
+    let took = host.drain();
+    spdlog::info!("entry: left after {} ms", took.as_millis());
     Ok(())
 }
 
--- /dev/null
+++ b/src/entry/status.rs
@@ -0,0 +1,176 @@
+//! What a host says of itself to operators.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::border::settings::Settings;
+use crate::control::agent::Agent;
+use crate::control::membership::{Sight, Status as Liveness};
+use crate::steer::engine::Engine;
+
+/// The answer to `/v1/status`.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    host: Arc<str>,
+    availability_zone: Arc<str>,
+    incarnation: u64,
+    revision: u64,
+    /// Epoch and sequence of the plan in force.
+    plan: (u64, u64),
+    /// The epoch of the planner lease, if this host holds it.
+    planner_epoch: Option<u64>,
+    delegate: bool,
+    hosts: BTreeMap<Arc<str>, Host>,
+    zones: BTreeMap<Arc<str>, &'static str>,
+    services: BTreeMap<Arc<str>, Service>,
+    splits: BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Host {
+    availability_zone: Arc<str>,
+    state: &'static str,
+    linked: bool,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+struct Service {
+    slots: u32,
+    in_flight: u32,
+    limit: u32,
+    queued: usize,
+    cold: f64,
+    ejected: f64,
+    targets: BTreeMap<Arc<str>, Target>,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Target {
+    state: String,
+    in_flight: u32,
+    limit: u32,
+    ejected: bool,
+}
+
+impl Status {
+    pub(crate) fn new(
+        now: Instant,
+        settings: &Settings,
+        incarnation: u64,
+        engine: &Engine,
+        agent: Option<&Agent>,
+    ) -> Self {
+        let stamp = agent.map(Agent::stamp).unwrap_or_default();
+        Self {
+            host: settings.host.as_str().into(),
+            availability_zone: settings.availability_zone.as_str().into(),
+            incarnation,
+            revision: engine.catalog().revision,
+            plan: (stamp.epoch, stamp.sequence),
+            planner_epoch: agent.and_then(|agent| agent.held(now)),
+            delegate: agent.is_some_and(Agent::is_delegate),
+            hosts: agent.map(|agent| hosts(engine, agent)).unwrap_or_default(),
+            zones: agent.map(|agent| zones(engine, agent)).unwrap_or_default(),
+            services: services(engine, &settings.availability_zone),
+            splits: splits(engine),
+        }
+    }
+}
+
+fn hosts(engine: &Engine, agent: &Agent) -> BTreeMap<Arc<str>, Host> {
+    let catalog = engine.catalog();
+    let linked = agent.linked();
+    let live = agent.live();
+    catalog
+        .hosts()
+        .map(|(key, host)| {
+            let state = match agent.membership().status(key) {
+                Liveness::Unknown => "unknown",
+                Liveness::Dead => "dead",
+                Liveness::Suspect => "suspect",
+                Liveness::Alive if live.contains(&key) => "alive",
+                Liveness::Alive => "leaving",
+            };
+            let record = Host {
+                availability_zone: catalog.zone(host.zone).name.clone(),
+                state,
+                linked: linked.contains(&key),
+            };
+            (host.name.clone(), record)
+        })
+        .collect()
+}
+
+fn zones(engine: &Engine, agent: &Agent) -> BTreeMap<Arc<str>, &'static str> {
+    let catalog = engine.catalog();
+    agent
+        .sights()
+        .into_iter()
+        .map(|(zone, sight)| {
+            let sight = match sight {
+                Sight::Alive => "alive",
+                Sight::Lost => "lost",
+                Sight::Unknown(_) => "unknown",
+            };
+            (catalog.zone(zone).name.clone(), sight)
+        })
+        .collect()
+}
+
+fn services(engine: &Engine, zone: &str) -> BTreeMap<Arc<str>, Service> {
+    let catalog = engine.catalog();
+    let mut services = BTreeMap::new();
+    let Some(zone) = catalog.zone_key(zone) else {
+        return services;
+    };
+    for (key, service) in catalog.services() {
+        let (Some(group), Some(site)) = (engine.group(key), catalog.site(key, zone)) else {
+            continue;
+        };
+        let free = group.headroom();
+        let targets = site
+            .targets
+            .iter()
+            .map(|&target| {
+                let record = Target {
+                    state: catalog.target_state(target).to_string(),
+                    in_flight: group.in_flight(target),
+                    limit: group.limit(target),
+                    ejected: group.is_ejected(target),
+                };
+                (catalog.target(target).name.clone(), record)
+            })
+            .collect();
+        let record = Service {
+            slots: free.slots,
+            in_flight: free.in_flight,
+            limit: free.limit,
+            queued: free.queued,
+            cold: free.cold,
+            ejected: free.ejected,
+            targets,
+        };
+        services.insert(service.name.clone(), record);
+    }
+    services
+}
+
+fn splits(engine: &Engine) -> BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>> {
+    let catalog = engine.catalog();
+    let mut splits: BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>> =
+        BTreeMap::new();
+    for ((service, locality), split) in engine.splits() {
+        let shares = split
+            .shares()
+            .map(|(zone, share)| (catalog.zone(zone).name.clone(), share))
+            .collect();
+        splits
+            .entry(catalog.service(service).name.clone())
+            .or_default()
+            .insert(catalog.region(locality).name.clone(), shares);
+    }
+    splits
+}
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -18,8 +18,10 @@
 use super::pass::{Back, Pass, Quotas};
 use super::shift::{self, Caps, Kind as Kindred, Shift};
 use super::split::Split;
+use super::tally::Tally;
 use crate::border::settings::{self as border, Switch};
 use crate::catalog::{Catalog, HostKey, RegionKey, Repeat, ServiceKey, State, TargetKey, ZoneKey};
+use crate::control::summary::Load;
 
 /// Identifies a request on this host.
 pub type Id = u64;
@@ -116,11 +118,16 @@
     work: BTreeMap<ServiceKey, f64>,
     /// Free slots of other zones, as last heard.
     free: BTreeMap<(ServiceKey, ZoneKey), u32>,
+    /// When the first configuration came.
+    started: Option<Instant>,
+    tallies: BTreeMap<ServiceKey, Tally>,
     shifts: BTreeMap<(ServiceKey, RegionKey), Shift>,
     view: View,
     hold: Hold,
 }
 
+/// Time after the start in which other hosts may tell their splits.
+const SETTLE: Duration = Duration::from_millis(1500);
 /// Latency assumed where no link is configured.
 const FAR: Duration = Duration::from_secs(1);
 /// Time that a request is assumed to hold a slot before any was measured, in seconds.
@@ -149,6 +156,8 @@
             passes: BTreeMap::new(),
             work: BTreeMap::new(),
             free: BTreeMap::new(),
+            started: None,
+            tallies: BTreeMap::new(),
             shifts: BTreeMap::new(),
             view: View::default(),
             hold: Hold::new(HOLD),
@@ -160,9 +169,37 @@
         &self.catalog
     }
 
+    /// What each group of this host's targets is loaded with, for other hosts.
+    pub fn measure(&mut self, now: Instant) -> BTreeMap<ServiceKey, Load> {
+        let mut loads = BTreeMap::new();
+        for (&service, group) in &self.groups {
+            let free = group.headroom();
+            let tally = self.tallies.entry(service).or_insert(Tally::new(now));
+            let (admitted, refused) = tally.rates(now);
+            loads.insert(
+                service,
+                Load {
+                    live: (f64::from(free.slots) * (1.0 - free.ejected)) as f32,
+                    cold: free.cold as f32,
+                    in_flight: free.in_flight as f32,
+                    queued: free.queued as f32,
+                    admitted,
+                    refused,
+                },
+            );
+        }
+        loads
+    }
+
+    /// A group of this host's targets.
+    pub fn group(&self, service: ServiceKey) -> Option<&Group> {
+        self.groups.get(&service)
+    }
+
     /// Puts a configuration in force, for the host `host` in the zone `zone`.
     pub fn configure(&mut self, now: Instant, catalog: Arc<Catalog>, host: &str, zone: &str) {
         self.host = catalog.host_key(host);
+        self.started.get_or_insert(now);
         self.zone = catalog.zone_key(zone);
         self.catalog = catalog;
         if let Some(zone) = self.zone {
@@ -178,8 +215,31 @@
         self.free = free;
     }
 
+    /// This host's splits.
+    pub fn splits(&self) -> BTreeMap<(ServiceKey, RegionKey), Split> {
+        self.shifts
+            .iter()
+            .filter(|(_, shift)| !shift.current().is_empty())
+            .map(|(&key, shift)| (key, shift.current().clone()))
+            .collect()
+    }
+
+    /// Takes the splits of another host, where this one has none yet.
+    pub fn adopt(&mut self, now: Instant, splits: BTreeMap<(ServiceKey, RegionKey), Split>) {
+        for (key, split) in splits {
+            let is_new = self
+                .shifts
+                .get(&key)
+                .is_none_or(|shift| shift.current().is_empty());
+            if is_new && !split.is_empty() {
+                self.shifts.insert(key, Shift::with_current(split, now));
+            }
+        }
+    }
+
     /// Takes what is known of the zones.
     pub fn set_view(&mut self, now: Instant, mut view: View) {
+        self.add_own(&mut view);
         for (&zone, standing) in &mut view.zones {
             *standing = self.hold.observe(now, zone, *standing);
         }
@@ -187,8 +247,45 @@
         self.advance(now);
     }
 
+    /// Adds what this host sees of its own zone.
+    fn add_own(&self, view: &mut View) {
+        let Some(zone) = self.zone else {
+            return;
+        };
+        view.zones.insert(zone, Standing::Alive);
+        for (&service, group) in &self.groups {
+            view.slots.insert((service, zone), group.headroom().slots);
+        }
+    }
+
+    /// Whether it is too early to tell where traffic goes: others may still tell their splits.
+    fn is_settling(&self, now: Instant) -> bool {
+        self.started
+            .is_none_or(|started| now.saturating_duration_since(started) < SETTLE)
+    }
+
+    /// Assumes the configured slots where nothing was measured and nothing bad is known, for a first
+    /// split. Later splits move on measurements alone.
+    fn assume(&self, view: &View) -> View {
+        let mut view = view.clone();
+        for (service, _) in self.catalog.services() {
+            for (zone, site) in self.catalog.sites(service) {
+                let standing = view.zones.entry(zone).or_insert(Standing::Unknown);
+                if *standing == Standing::Unknown {
+                    *standing = Standing::Alive;
+                }
+                view.slots.entry((service, zone)).or_insert(site.slots);
+            }
+        }
+        view
+    }
+
     /// Moves each split towards its goal, as far as its budget goes.
     fn advance(&mut self, now: Instant) {
+        if self.is_settling(now) {
+            return;
+        }
+        let assumed = self.assume(&self.view);
         let catalog = self.catalog.clone();
         let regions: Vec<RegionKey> = catalog.regions().map(|(key, _)| key).collect();
         for (service, _) in catalog.services() {
@@ -198,7 +295,12 @@
                     .shifts
                     .entry((service, locality))
                     .or_insert_with(|| Shift::new(Split::default()));
-                let goal = goal(&catalog, service, locality, &self.view, shift.current());
+                let view = if shift.current().is_empty() {
+                    &assumed
+                } else {
+                    &self.view
+                };
+                let goal = goal(&catalog, service, locality, view, shift.current());
                 shift.advance(now, &goal.split, goal.kind, &caps);
             }
         }
@@ -310,11 +412,16 @@
 
     /// The zone that a request belongs to.
     fn home(&mut self, now: Instant, ask: &Ask) -> Option<ZoneKey> {
-        let shift = self.shifts.get_mut(&(ask.service, ask.locality))?;
+        let Some(shift) = self.shifts.get_mut(&(ask.service, ask.locality)) else {
+            return self.zone;
+        };
         if ask.kind == Kind::First {
             shift.ledger().request(now);
         }
         let split = shift.current();
+        if split.is_empty() {
+            return self.zone;
+        }
         let own = self
             .zone
             .filter(|&zone| self.catalog.region_of(zone) == ask.locality);
@@ -336,15 +443,25 @@
             exclude: ask.targets,
         };
         match group.admit(now, request, rng) {
-            group::Verdict::Go(grant) => Some(self.go(now, grant)),
+            group::Verdict::Go(grant) => {
+                self.tally(now, ask.service).admitted += 1;
+                Some(self.go(now, grant))
+            }
             group::Verdict::Wait => {
                 self.waiting.insert(ask.id, ask.service);
                 None
             }
-            group::Verdict::Refuse(refusal) => Some(Verdict::Refused(refusal.into())),
+            group::Verdict::Refuse(refusal) => {
+                self.tally(now, ask.service).refused += 1;
+                Some(Verdict::Refused(refusal.into()))
+            }
         }
     }
 
+    fn tally(&mut self, now: Instant, service: ServiceKey) -> &mut Tally {
+        self.tallies.entry(service).or_insert(Tally::new(now))
+    }
+
     fn go(&mut self, now: Instant, grant: group::Grant) -> Verdict {
         let service = self.catalog.target(grant.target()).service;
         let hedge = match self.catalog.service(service).repeat {
@@ -567,6 +684,8 @@
         for (id, grant) in ready {
             self.waiting.remove(&id);
             self.spare.remove(&id);
+            let service = self.catalog.target(grant.target()).service;
+            self.tally(now, service).admitted += 1;
             decisions.push((id, self.go(now, grant)));
         }
         decisions
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -17,5 +17,6 @@
 pub mod retry;
 pub mod shift;
 pub mod split;
+mod tally;
 pub mod ticket;
 pub mod warm;
--- a/tests/generated.rs
+++ b/tests/generated.rs
@@ -40,6 +40,8 @@
     settings
         .with_struct_builder(false)
         .with_map_type("::std::collections::BTreeMap".parse::<MapType>().unwrap());
+    // Sent twice a second to each peer: short names and no generated copy of the core's own types.
+    settings.with_replacement("Control", "crate::control::wire::Frame", std::iter::empty());
     let mut types = TypeSpace::new(&settings);
     types.add_root_schema(schema).unwrap();
     let code = format!("{INTRO}\n{}", types.to_stream());
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,5 +1,7 @@
 //! The whole path with real processes: configuration, platform, entry host, target, answer.
 
+#![allow(clippy::unwrap_used)]
+
 mod world;
 
 use world::{send, World};
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,12 +1,14 @@
 //! A small world for tests: a platform and targets in this process, entry hosts as processes.
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -71,12 +73,18 @@
     }
 }
 
-/// An address that nothing listens on.
+/// An address that nothing listens on, and that the system does not give out by itself: below the
+/// range of ports for outgoing connections.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let count = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + (std::process::id() * 101 + count) % 20_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The platform, the targets, and the configuration that names them.
