--- a/src/config/clients.rs
+++ b/src/config/clients.rs
@@ -10,7 +10,7 @@
 use crate::border::configuration::Client;
 
 use super::fault::Problems;
-use super::tree::View;
+use super::tree::{Place, View};
 
 /// The section that they stand in.
 pub(super) const SECTION: &str = "clients";
@@ -75,22 +75,33 @@
                 clients.regions.push(region.as_ref().into());
                 clients.regions.len() as u16 - 1
             });
-            found.push((block, number, entry));
-        }
-        found.sort_by_key(|&(block, _, entry)| (block, entry.key_place()));
-        for pair in found.windows(2) {
-            let ((block, _, first), (next, _, entry)) = (pair[0], pair[1]);
-            if block == next {
-                let problem = format!("is the same block as '{}'", first.key());
-                problems.add(entry.key_place(), &[SECTION, &entry.key()], problem);
-            }
+            found.push((block, number, entry.key_place()));
         }
+        found.sort_unstable_by_key(|&(block, _, place)| (block, place));
         let blocks = found.iter().map(|&(block, number, _)| (block, number));
         clients.blocks = blocks.collect();
+        note_twice(root, &found, problems);
         clients
     }
 }
 
+/// Notes blocks that are the same as the one before them.
+fn note_twice(root: View<'_>, found: &[(IpNet, u16, Place)], problems: &mut Problems) {
+    let pairs = found.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+    let twice: BTreeMap<Place, Place> = pairs.map(|pair| (pair[1].2, pair[0].2)).collect();
+    if twice.is_empty() {
+        return;
+    }
+    let entries = root.section(SECTION);
+    let keys: BTreeMap<Place, Cow<'_, str>> = entries
+        .map(|entry| (entry.key_place(), entry.key()))
+        .collect();
+    for (place, first) in twice {
+        let problem = format!("is the same block as '{}'", keys[&first]);
+        problems.add(place, &[SECTION, &keys[&place]], problem);
+    }
+}
+
 /// A block of clients' addresses without host bits.
 fn block(text: &str) -> Result<IpNet, String> {
     let net: IpNet = text
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -398,6 +398,24 @@
     update_with_a_syntax_error: BLOCKS, "{" => true;
 }
 
+#[test]
+fn update_that_removes_a_region_that_only_blocks_name() {
+    let blocks = r#"{"clients": {"10.3.0.0/16": {"region": "west"}}}"#;
+    let first = folder(&[
+        ("a.json", r#"{"regions": {"west": {}}}"#),
+        ("b.json", blocks),
+    ]);
+    first.parts().unwrap();
+    let fresh = folder(&[
+        ("a.json", r#"{"regions": {"east": {}}}"#),
+        ("b.json", blocks),
+    ]);
+    let next = first.updated(fresh.files().clone());
+    let wanted = "b.json:1:40: clients.10.3.0.0/16.region: no 'west' in regions";
+    let told = lines(next.parts().map(|_| ()));
+    assert!(told[0].starts_with(wanted), "{told:?}");
+}
+
 #[test]
 fn client_blocks_are_in_rising_order_with_their_regions() {
     let (configuration, clients) = split_folder(BLOCKS, "{}").parts().unwrap();
