Choose by own load first, with ties in turn

Latency noise of some 10 % and reports that lag by several service times outweighed the difference of one request in flight, and drawing two left targets idle beside full ones. Change: latencies within 1.3 of the median count as equal, reports weigh 0.3, all targets are compared, and equals take turns.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -573,7 +573,7 @@
         self.picker.choose(members.len(), rng, |place| {
             let member = &members[place];
             let usable = is_free(config, member, now) && !member.has_tried(ask);
-            usable.then(|| score(config, tally, member, now))
+            usable.then(|| cost(config, tally, member, now))
         })
     }
 
@@ -644,7 +644,7 @@
                 member.rest = None;
                 member.estimate.record(report.latency);
                 member.warm.answer(now);
-                let ratio = member.estimate.likely(tally.median) / tally.median;
+                let ratio = member.estimate.ratio(tally.median);
                 member.limit.answer(now, full, ratio, report.load);
                 self.hold += (seconds - self.hold) * HOLD_WEIGHT;
             }
@@ -692,7 +692,7 @@
         }
         member.eject.record(sign);
         let standing = Standing {
-            ratio: member.estimate.likely(tally.median) / tally.median,
+            ratio: member.estimate.ratio(tally.median),
             samples: member.estimate.samples(),
             success: tally.success,
             down: member.health == Health::Down,
@@ -896,14 +896,14 @@
 }
 
 /// The cost of sending one more request to a target; lower is better.
-fn score(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
+fn cost(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
     if config.pick != Pick::TwoChoices {
         return f64::from(member.in_flight);
     }
     let foreign = member.estimate.foreign(now, tally.others);
     let load = 1.0 + f64::from(member.in_flight) + foreign;
-    let speed = member.estimate.likely(tally.median);
-    load * speed / (f64::from(member.slots) * fraction(config, member))
+    let slowness = member.estimate.slowness(tally.median);
+    load * slowness / (f64::from(member.slots) * fraction(config, member))
 }
 
 /// What a request's end shows of its target, if anything.
--- a/src/steer/pick.rs
+++ b/src/steer/pick.rs
@@ -11,10 +11,14 @@
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Answers that the group's latency counts for in the estimate of a little known target.
 const PRIOR: f64 = 2.0;
-/// Age at which a load report counts for a third.
+/// How far a latency may lie from the group's, as a factor, and still count as equal. Within it
+/// differences are mostly noise, which would outweigh the load.
+const NOISE: f64 = 1.3;
+/// Weight of a fresh load report against this host's own requests. Reports lag by a time that
+/// they do not state.
+const REPORT_WEIGHT: f64 = 0.3;
+/// Age at which a load report counts for a third of that.
 const REPORT_AGE: Duration = Duration::from_millis(100);
-/// Draws before the choice goes through all targets in turn.
-const DRAWS: usize = 4;
 
 /// What a host knows of one target's speed and load.
 #[derive(Clone, Debug, Default)]
@@ -60,10 +64,19 @@
         (self.samples > 0).then_some(self.latency)
     }
 
-    /// The latency to reckon with, in seconds: few answers are weighed with the group's `typical`.
-    pub fn likely(&self, typical: f64) -> f64 {
+    /// The latency over the group's `typical` one; few answers are weighed with that.
+    pub fn ratio(&self, typical: f64) -> f64 {
         let samples = f64::from(self.samples);
-        (self.latency * samples + typical * PRIOR) / (samples + PRIOR)
+        (self.latency / typical * samples + PRIOR) / (samples + PRIOR)
+    }
+
+    /// The latency ratio to choose by, free of noise.
+    pub fn slowness(&self, typical: f64) -> f64 {
+        let ratio = self.ratio(typical);
+        if (1.0 / NOISE..NOISE).contains(&ratio) {
+            return 1.0;
+        }
+        ratio
     }
 
     /// The last reported load of other hosts, in requests.
@@ -78,12 +91,12 @@
             return mean;
         };
         let age = now.saturating_duration_since(at).as_secs_f64();
-        let weight = (-age / REPORT_AGE.as_secs_f64()).exp();
+        let weight = REPORT_WEIGHT * (-age / REPORT_AGE.as_secs_f64()).exp();
         mean + weight * (self.others - mean).max(0.0)
     }
 }
 
-/// Chooses among targets by a score; holds the place of round robin.
+/// Chooses among targets by their cost; holds the place of the last choice.
 #[derive(Clone, Debug)]
 pub struct Picker {
     mode: Pick,
@@ -96,40 +109,41 @@
         Self { mode, cursor: 0 }
     }
 
-    /// Chooses one of `count` targets. `score` gives none for one that must not be used; lower is
-    /// better.
+    /// Chooses one of `count` targets. `cost` gives none for one that must not be used; lower is
+    /// better. Equals take turns, but for least in-flight, where they are drawn.
+    ///
+    /// All targets are compared rather than two drawn ones: most of the cost is this host's own
+    /// requests, which do not lag, so hosts do not flock to the same target.
     pub fn choose(
         &mut self,
         count: usize,
         rng: &mut impl Rng,
-        score: impl Fn(usize) -> Option<f64>,
+        cost: impl Fn(usize) -> Option<f64>,
     ) -> Option<usize> {
         if count == 0 {
             return None;
         }
-        match self.mode {
-            Pick::RoundRobin => self.next(count, score),
-            Pick::LeastInFlight => least(count, rng, score),
-            Pick::TwoChoices => two(count, rng, score),
-        }
-    }
-
-    fn next(&mut self, count: usize, score: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-        let found = (1..=count)
-            .map(|step| (self.cursor + step) % count)
-            .find(|&index| score(index).is_some())?;
+        let next = (self.cursor + 1) % count;
+        let found = match self.mode {
+            Pick::RoundRobin => first(count, next, cost),
+            Pick::LeastInFlight => least(count, rng.random_range(0..count), cost),
+            Pick::TwoChoices => least(count, next, cost),
+        }?;
         self.cursor = found;
         Some(found)
     }
 }
 
-/// The lowest score; the search starts anywhere, so that equals take turns.
-fn least(count: usize, rng: &mut impl Rng, score: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-    let start = rng.random_range(0..count);
+/// The first usable target from `start` on.
+fn first(count: usize, start: usize, cost: impl Fn(usize) -> Option<f64>) -> Option<usize> {
+    turn(count, start).find(|&index| cost(index).is_some())
+}
+
+/// The first target of the lowest cost from `start` on.
+fn least(count: usize, start: usize, cost: impl Fn(usize) -> Option<f64>) -> Option<usize> {
     let mut best: Option<(usize, f64)> = None;
-    for step in 0..count {
-        let index = (start + step) % count;
-        let Some(value) = score(index) else {
+    for index in turn(count, start) {
+        let Some(value) = cost(index) else {
             continue;
         };
         if best.is_none_or(|(_, least)| value < least) {
@@ -139,33 +153,7 @@
     best.map(|(index, _)| index)
 }
 
-/// The better of two usable targets drawn at random.
-fn two(count: usize, rng: &mut impl Rng, score: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-    let (first, one) = draw(count, rng, None, &score)?;
-    let Some((second, other)) = draw(count, rng, Some(first), &score) else {
-        return Some(first);
-    };
-    Some(if other < one { second } else { first })
-}
-
-/// A usable target at random, other than `taken`.
-fn draw(
-    count: usize,
-    rng: &mut impl Rng,
-    taken: Option<usize>,
-    score: &impl Fn(usize) -> Option<f64>,
-) -> Option<(usize, f64)> {
-    let usable = |index: usize| {
-        if Some(index) == taken {
-            return None;
-        }
-        score(index).map(|value| (index, value))
-    };
-    for _ in 0..DRAWS {
-        if let Some(found) = usable(rng.random_range(0..count)) {
-            return Some(found);
-        }
-    }
-    let start = rng.random_range(0..count);
-    (0..count).find_map(|step| usable((start + step) % count))
+/// All places, from `start` round to the one before.
+fn turn(count: usize, start: usize) -> impl Iterator<Item = usize> {
+    (start..count).chain(0..start)
 }
