Call a queue overloaded after one mean time to hold a target

Cause: for the first 100 ms of a burst beyond capacity every request was queued; the wait built up there (some 50 ms) reached the p99. Change: the grace is one mean time to hold a target, measured, rather than 100 ms.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -46,8 +46,9 @@
 const PROBE_SLACK: f64 = 4.0;
 /// Waiting requests that are looked at for a target that came free.
 const TRIES: usize = 8;
-/// Time after which a queue that never emptied shows overload rather than a spike.
-const SPIKE: Duration = Duration::from_millis(100);
+/// Time after which a queue that never emptied shows overload rather than a spike, in mean times
+/// to hold a target.
+const SPIKE: f64 = 1.0;
 /// The wait allowed under overload, in mean times to hold a target.
 const PATIENCE: f64 = 0.5;
 
@@ -549,9 +550,9 @@
     }
 
     fn is_overloaded(&self, now: Instant) -> bool {
-        self.queue
-            .busy_since()
-            .is_some_and(|since| now.saturating_duration_since(since) > SPIKE)
+        self.queue.busy_since().is_some_and(|since| {
+            now.saturating_duration_since(since).as_secs_f64() > self.hold * SPIKE
+        })
     }
 
     fn refusal(&self, reason: Reason) -> Refusal {
