--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -82,6 +82,16 @@
         platform
     }
 
+    pub fn with_objects_of(self, other: &Self) -> Self {
+        let (version, objects) = {
+            let other = other.state();
+            (other.version, other.objects.clone())
+        };
+        self.state().version = version;
+        self.state().objects = objects;
+        self
+    }
+
     /// The plan is called without any lock held, so it may call the platform itself.
     pub fn set_plan(&self, plan: impl Fn(&Call) -> Fault + Send + Sync + 'static) {
         *self.plan.lock().unwrap() = Arc::new(plan);
