--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -897,16 +897,12 @@
 
     /// The hosts of a zone to which new work may be sent.
     pub fn zone_hosts(&self, zone: ZoneKey) -> BTreeSet<HostKey> {
-        let mut hosts = self.live_hosts();
-        hosts.retain(|&host| self.zone_of(host) == Some(zone));
-        hosts
-    }
-
-    fn zone_of(&self, host: HostKey) -> Option<ZoneKey> {
-        if host == self.own {
-            return Some(self.zone);
-        }
-        self.records.get(&host).map(|record| record.zone)
+        let others = self
+            .zone_records(zone)
+            .filter(|(_, record)| record.alive() && !record.leaving())
+            .map(|(host, _)| host);
+        let own = zone == self.zone && self.state == State::Serving;
+        others.chain(own.then_some(self.own)).collect()
     }
 
     /// What is believed of a zone, as of the last tick.
