--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod delegate;
 pub mod detector;
+pub mod digest;
 pub mod lease;
 pub mod membership;
 pub mod plan;
