End reads of a body that a refusal has none of

Cause: read_body after a refused or unknown reply waited for the deadline; seen as a test of 30 s in one of three runs. Change: it is an error of order.

--- a/src/peer/channel.rs
+++ b/src/peer/channel.rs
@@ -337,6 +337,12 @@
             if state.receiving.ended {
                 return Ok((0, None));
             }
+            if matches!(
+                state.reply,
+                Some(Reply::Refused { .. } | Reply::Unknown { .. })
+            ) {
+                return Err(StreamError::Order);
+            }
             if let Some(failure) = &state.failure {
                 return Err(failure.clone());
             }
--- a/tests/peer/relay.rs
+++ b/tests/peer/relay.rs
@@ -233,6 +233,9 @@
             let kept = peer(raw);
             let head = stream.read_head(PATIENCE);
             assert!(matches!(head, $head), "{head:?}");
+            if let Ok(Reply::Refused { .. } | Reply::Unknown { .. }) = head {
+                assert_eq!(stream.read_body(&mut [0; 1]), Err(StreamError::Order));
+            }
             if let Ok(Reply::Head { .. }) = head {
                 let (body, end) = read_all(|buffer| stream.read_body(buffer));
                 let body = String::from_utf8(body).unwrap();
@@ -368,7 +371,10 @@
         request: "stop".into(),
         ..request()
     };
-    let _ = exchange_open(&a, &stop);
+    eventually("stop", || {
+        let _ = exchange_open(&a, &stop);
+        server.is_finished()
+    });
     server.join().unwrap();
     let arrived: Vec<String> = arrived.iter().collect();
     assert!(whole.iter().all(|name| arrived.contains(name)));
