Run a whole system in the demo, judged by an observer of records and journals

The demo said that it was not built. It now starts a customer's platform, hosts, targets, links and callers in one process, injects faults and judges the run in standin::observer. Links tell connections apart by source address, and hosts dial peers from the address they accept links at, so that every pair of zones has its own delay and can be cut.

--- a/src/bin/ragwortfold/clap_app.rs
+++ b/src/bin/ragwortfold/clap_app.rs
@@ -285,7 +285,7 @@
                 .long("rate")
                 .value_name("R")
                 .value_parser(value_parser!(f64))
-                .help("Requests a second of all callers together"),
+                .help("A factor on the customer's own rates of requests"),
         )
         .arg(
             Arg::new("seed")
--- a/src/peer/connect.rs
+++ b/src/peer/connect.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{self, Message as Packet};
 
 use super::auth::{self, Side, Transcript};
+use super::config::Listen;
 use super::count::Count;
 use super::frame::{self, Decoded, Frame, Hello};
 use super::link::{self, Link, Socket};
@@ -123,7 +124,8 @@
     host: &Arc<str>,
     address: SocketAddr,
 ) -> Result<(Arc<Link>, Socket), Failure> {
-    let connecting = tokio::time::timeout(core.config.connect, TcpStream::connect(address));
+    let opening = open(&core.config.listen, address);
+    let connecting = tokio::time::timeout(core.config.connect, opening);
     let stream = connecting
         .await
         .map_err(|_| Failure::Slow)?
@@ -133,6 +135,22 @@
     register(core, link, socket)
 }
 
+/// Opens a connection, from the IP address that links are accepted at if that is a single one.
+async fn open(listen: &Listen, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Listen::Address(own) = listen else {
+        return TcpStream::connect(address).await;
+    };
+    if own.ip().is_unspecified() || own.is_ipv4() != address.is_ipv4() {
+        return TcpStream::connect(address).await;
+    }
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(own.ip(), 0))?;
+    socket.connect(address).await
+}
+
 async fn accept(core: &Arc<Core>, stream: TcpStream) -> Result<(Arc<Link>, Socket), Failure> {
     let handshake = tokio::time::timeout(core.config.handshake, answer(core, stream));
     let (link, socket) = handshake.await.map_err(|_| Failure::Slow)??;
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -562,5 +562,6 @@
         Listen::Bound(listener) => listener,
     };
     listener.set_nonblocking(true)?;
+    config.listen = Listen::Address(listener.local_addr()?);
     Ok(listener)
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod http;
 pub mod link;
 mod listen;
+pub mod observer;
 pub mod pattern;
 pub mod platform;
 pub mod target;
--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -6,10 +6,13 @@
 //! after it ends, as retransmission would have it; a new connection is accepted all the same,
 //! since the kernel does that. When the far end refuses, the link refuses as well, until the far
 //! end is back; the connection that finds it out is reset.
+//!
+//! Connections from one source address can have a fault and a count of bytes of their own, so that
+//! one link shows the distances from many places.
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{self, Receiver, SyncSender};
 use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
@@ -17,6 +20,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use socket2::{Domain, Socket, Type};
 
 use crate::http::{Reply, Request, Response, Server};
 use crate::listen::{self, Gate, Listener};
@@ -156,14 +160,19 @@
 
 struct Shared {
     to: SocketAddr,
+    keep_source: AtomicBool,
     state: Mutex<State>,
     changed: Condvar,
     gate: OnceLock<Box<dyn Fn(Gate) + Send + Sync>>,
 }
 
+/// What the connections from some source addresses meet, in place of the link's own fault.
+type Paths = Arc<Mutex<BTreeMap<IpAddr, Arc<Shared>>>>;
+
 /// A running link; it stops when dropped.
 pub struct Link {
     shared: Arc<Shared>,
+    paths: Paths,
     listener: Listener,
     control: Option<Server>,
 }
@@ -171,35 +180,32 @@
 impl Link {
     /// Starts a sound link from `listen` (port 0 takes a free one) to `to`.
     pub fn new(listen: SocketAddr, to: SocketAddr) -> Result<Self, Error> {
-        let state = State {
-            fault: Fault::default(),
-            generation: 0,
-            free: [None; 2],
-            connections: BTreeMap::new(),
-            far_refuses: false,
-            bytes: [0; 2],
-            stopped: false,
-        };
-        let shared = Arc::new(Shared {
-            to,
-            state: Mutex::new(state),
-            changed: Condvar::new(),
-            gate: OnceLock::new(),
-        });
-        let inner = Arc::clone(&shared);
+        let shared = Arc::new(Shared::new(to));
+        let paths = Paths::default();
+        let (inner, known) = (Arc::clone(&shared), Arc::clone(&paths));
         let mut next = 0;
         let listener = Listener::new(listen, move |stream| {
             next += 1;
-            open(&inner, next, stream);
+            let path = stream.peer_addr().ok();
+            let path = path.and_then(|from| lock(&known).get(&from.ip()).cloned());
+            open(path.as_ref().unwrap_or(&inner), next, stream);
         })?;
         let _ = shared.gate.set(Box::new(listener.setter()));
         Ok(Self {
             shared,
+            paths,
             listener,
             control: None,
         })
     }
 
+    /// Connects to the far end from the source address of the connecting side (of this machine),
+    /// so that the far end sees who calls.
+    pub fn with_source(self) -> Self {
+        self.shared.keep_source.store(true, Ordering::Relaxed);
+        self
+    }
+
     /// Takes `POST /standin/fault` at a second address, which no fault reaches.
     pub fn with_control(mut self, listen: SocketAddr) -> Result<Self, Error> {
         let shared = Arc::clone(&self.shared);
@@ -234,26 +240,67 @@
         self.shared.set_fault(fault);
     }
 
-    /// Bytes passed on so far, forth and back.
+    /// Replaces the faults shown to connections from `source`, which from now on meet these and
+    /// not the link's own. Refusal is the link's alone; [`Accept::Reset`] works here as well.
+    pub fn fault_from(&self, source: IpAddr, fault: Fault) {
+        let mut paths = lock(&self.paths);
+        let path = paths
+            .entry(source)
+            .or_insert_with(|| Arc::new(Shared::new(self.shared.to)));
+        path.set_fault(fault);
+    }
+
+    /// Bytes passed on so far, forth and back; those of sources with faults of their own are not
+    /// among them.
     pub fn bytes(&self) -> [u64; 2] {
         lock(&self.shared.state).bytes
     }
+
+    /// Bytes passed on so far, forth and back, for a source that has faults of its own.
+    pub fn bytes_from(&self, source: IpAddr) -> [u64; 2] {
+        let path = lock(&self.paths).get(&source).cloned();
+        path.map_or([0; 2], |path| lock(&path.state).bytes)
+    }
 }
 
 impl Drop for Link {
     fn drop(&mut self) {
-        let mut state = lock(&self.shared.state);
+        self.shared.stop();
+        lock(&self.paths).values().for_each(|path| path.stop());
+    }
+}
+
+impl Shared {
+    fn new(to: SocketAddr) -> Self {
+        let state = State {
+            fault: Fault::default(),
+            generation: 0,
+            free: [None; 2],
+            connections: BTreeMap::new(),
+            far_refuses: false,
+            bytes: [0; 2],
+            stopped: false,
+        };
+        Self {
+            to,
+            keep_source: AtomicBool::new(false),
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            gate: OnceLock::new(),
+        }
+    }
+
+    fn stop(&self) {
+        let mut state = lock(&self.state);
         state.stopped = true;
         state
             .connections
             .values()
             .for_each(|connection| connection.cut());
         drop(state);
-        self.shared.changed.notify_all();
+        self.changed.notify_all();
     }
-}
 
-impl Shared {
     fn set_fault(&self, fault: Fault) {
         let mut state = lock(&self.state);
         state.fault = fault;
@@ -279,8 +326,12 @@
     }
 
     /// Connects to the far end; if it refuses, refuses too until it is back.
-    fn connect(&self) -> io::Result<TcpStream> {
-        let result = TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT);
+    fn connect(&self, near: &TcpStream) -> io::Result<TcpStream> {
+        let result = if self.keep_source.load(Ordering::Relaxed) {
+            connect_from(near.peer_addr()?.ip(), self.to)
+        } else {
+            TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT)
+        };
         let refused = |r: &io::Result<TcpStream>| {
             r.as_ref()
                 .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
@@ -346,6 +397,13 @@
     }
 }
 
+fn connect_from(source: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    socket.connect_timeout(&to.into(), CONNECT_TIMEOUT)?;
+    Ok(socket.into())
+}
+
 /// Takes a new connection on the accepting thread.
 fn open(shared: &Arc<Shared>, id: u64, near: TcpStream) {
     let state = lock(&shared.state);
@@ -371,7 +429,7 @@
 
 /// Joins a connection to the far end until both directions have ended.
 fn join(shared: &Arc<Shared>, id: u64, near: TcpStream) -> io::Result<()> {
-    let far = match shared.connect() {
+    let far = match shared.connect(&near) {
         Ok(far) => far,
         Err(error) => {
             listen::reset(&near);
--- /dev/null
+++ b/standin/src/observer/shift.rs
@@ -0,0 +1,161 @@
+//! Whether traffic moved faster than its cap.
+//!
+//! The calls of one service from one region are counted in buckets by the zone that answered. What
+//! moved from one bucket to a later one is the sum over zones of the rise of their shares of the
+//! calls *offered*: a call that was refused left its zone without going to another. Any two buckets
+//! that lie wholly within the cap's window may differ by the cap's share and no more, beyond an
+//! allowance for chance: the mean of the sum of rises and [`DEVIATIONS`] of its standard deviations,
+//! were each call's zone drawn anew from the same shares. The failover cap applies to two buckets between which, or within
+//! [`AFTERMATH`] windows of failover before them, a place had failed; else the planned cap does.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{violation, Cap, Evidence, Promise, Span, Violation, World, SECOND};
+use crate::caller::{Outcome, Record};
+
+/// Lengths of buckets: short ones show sudden moves, long ones small moves.
+const LENGTHS_US: [u64; 2] = [SECOND, 4 * SECOND];
+/// Fewest calls in a bucket that is judged; fewer are joined with the next one's.
+const MIN_CALLS: u64 = 100;
+/// Standard deviations that are put down to chance.
+pub const DEVIATIONS: f64 = 4.0;
+/// How long a failure's end still counts as failure, in windows of the failover cap: traffic that
+/// was moved returns after it.
+pub const AFTERMATH: u64 = 1;
+
+/// The calls of a time span.
+#[derive(Clone, Debug, Default)]
+struct Bucket {
+    span: Span,
+    offered: u64,
+    zones: BTreeMap<Arc<str>, u64>,
+}
+
+pub(super) fn violations(world: &World, evidence: &Evidence) -> Vec<Violation> {
+    let mut flows: BTreeMap<(&str, &str), Vec<&Record>> = BTreeMap::new();
+    for record in &evidence.records {
+        let flow = (&*record.service, &*record.region);
+        flows.entry(flow).or_default().push(record);
+    }
+    let mut found = Vec::new();
+    for ((service, region), records) in flows {
+        for worst in LENGTHS_US
+            .iter()
+            .flat_map(|l| worst(world, evidence, &records, *l))
+        {
+            let what = format!("{service} from {region}: {}", worst.text());
+            found.push(violation(Promise::ShiftCap, what));
+        }
+    }
+    found
+}
+
+/// For each bucket into which too much moved, the worst move.
+fn worst(world: &World, evidence: &Evidence, records: &[&Record], length: u64) -> Vec<Move> {
+    let buckets = buckets(records.to_vec(), length);
+    let each = buckets.iter().enumerate().filter_map(|(at, later)| {
+        buckets[..at]
+            .iter()
+            .filter_map(|earlier| excess(world, evidence, earlier, later))
+            .max_by(|a, b| a.excess().total_cmp(&b.excess()))
+    });
+    each.collect()
+}
+
+/// A move beyond its cap.
+struct Move {
+    moved: f64,
+    allowance: f64,
+    cap: Cap,
+    apart_us: u64,
+}
+
+impl Move {
+    fn excess(&self) -> f64 {
+        self.moved - self.allowance - self.cap.share
+    }
+
+    fn text(&self) -> String {
+        format!(
+            "{:.0} % moved in {:.1} s, cap {:.0} % in {} s, allowance {:.0} %",
+            self.moved * 100.0,
+            self.apart_us as f64 / SECOND as f64,
+            self.cap.share * 100.0,
+            self.cap.window_us / SECOND,
+            self.allowance * 100.0
+        )
+    }
+}
+
+fn excess(world: &World, evidence: &Evidence, earlier: &Bucket, later: &Bucket) -> Option<Move> {
+    let aftermath = AFTERMATH * world.failover.window_us;
+    let from = earlier.span.start.saturating_sub(aftermath);
+    let cap = if evidence.has_failure(&(from..later.span.end)) {
+        world.failover
+    } else {
+        world.planned
+    };
+    let apart_us = later.span.end - earlier.span.start;
+    if apart_us > cap.window_us {
+        return None;
+    }
+    let (moved, allowance) = moved(earlier, later);
+    let found = Move {
+        moved,
+        allowance,
+        cap,
+        apart_us,
+    };
+    (found.excess() > 0.0).then_some(found)
+}
+
+/// The share of calls that moved, and how much of it chance explains.
+fn moved(earlier: &Bucket, later: &Bucket) -> (f64, f64) {
+    let (n, m) = (earlier.offered as f64, later.offered as f64);
+    let share = |bucket: &Bucket, zone: &Arc<str>, count: f64| {
+        bucket.zones.get(zone).copied().unwrap_or(0) as f64 / count
+    };
+    let zones = earlier.zones.keys().chain(later.zones.keys());
+    let zones: std::collections::BTreeSet<_> = zones.collect();
+    let (mut moved, mut variance, mut mean) = (0.0, 0.0, 0.0);
+    for zone in zones {
+        let (before, after) = (share(earlier, zone, n), share(later, zone, m));
+        moved += (after - before).max(0.0);
+        let pooled = (before * n + after * m) / (n + m);
+        let change = pooled * (1.0 - pooled) * (1.0 / n + 1.0 / m);
+        variance += change;
+        mean += (change * std::f64::consts::FRAC_2_PI).sqrt();
+    }
+    // The sum of rises is half the sum of changes, and so are its mean and its deviation at most.
+    (moved, 0.5 * (mean + DEVIATIONS * variance.sqrt()))
+}
+
+fn buckets(mut records: Vec<&Record>, length: u64) -> Vec<Bucket> {
+    records.sort_by_key(|record| record.start_us);
+    let Some(first) = records.first().map(|record| record.start_us) else {
+        return Vec::new();
+    };
+    let mut buckets = Vec::new();
+    let mut bucket = Bucket::default();
+    bucket.span = first..first + length;
+    for record in records {
+        while record.start_us >= bucket.span.end {
+            let end = bucket.span.end;
+            if bucket.offered >= MIN_CALLS {
+                buckets.push(std::mem::take(&mut bucket));
+                bucket.span = end..end + length;
+            } else {
+                bucket.span.end = end + length;
+            }
+        }
+        bucket.offered += 1;
+        if let (Outcome::Answered, Some(zone)) = (record.outcome, &record.zone) {
+            *bucket.zones.entry(Arc::clone(zone)).or_default() += 1;
+        }
+    }
+    if bucket.offered >= MIN_CALLS {
+        buckets.push(bucket);
+    }
+    buckets
+}
