Be healthy only once settled, and route without a split to the nearest zone

Cause: tests/path.rs failed right after start (503 no-target, unreachable): a host answered /healthz before others had told it anything.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -20,6 +20,7 @@
 use super::feed;
 use super::later::{self, Later, Queue};
 use super::platform;
+use super::published::{Readiness, State};
 use super::status::Status;
 use super::{Error, Published};
 use crate::border::settings::Settings;
@@ -340,8 +341,15 @@
         }
         self.engine.set_free(free);
         self.engine.set_view(now, view);
-        let catalog = self.engine.catalog().clone();
-        self.parts.published.put(catalog, self.engine.snapshot());
+        self.parts.published.put(State {
+            catalog: self.engine.catalog().clone(),
+            lookup: self.engine.snapshot(),
+            readiness: if self.engine.is_settling(now) {
+                Readiness::Starting
+            } else {
+                Readiness::Ready
+            },
+        });
     }
 
     fn status(&self, now: Instant) -> Status {
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -14,7 +14,7 @@
 use super::call::{Sender as Answerer, Start};
 use super::head::{Head, SERVICES};
 use super::keyed;
-use super::published::State;
+use super::published::{Readiness, State};
 use super::relay;
 use super::reply::Reply;
 use super::{Error, Shared};
@@ -162,8 +162,8 @@
     }
 
     fn health(&self) -> Reply {
-        if self.shared.published.get().lookup.is_none() {
-            return Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
+        if self.shared.published.get().readiness == Readiness::Starting {
+            return Reply::not_run(503, "starting", Some(FULL_RETRY));
         }
         Reply::whole(200, "text/plain", b"ok\n".to_vec())
     }
--- a/src/entry/published.rs
+++ b/src/entry/published.rs
@@ -13,6 +13,17 @@
     pub(crate) catalog: Arc<Catalog>,
     /// What look-ups are answered from; none before the first configuration.
     pub(crate) lookup: Option<Snapshot>,
+    /// Whether this host knows enough of the others to serve well.
+    pub(crate) readiness: Readiness,
+}
+
+/// Whether a host serves as well as it will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    /// It has no configuration, or other hosts may still tell it where traffic goes.
+    Starting,
+    /// It serves.
+    Ready,
 }
 
 /// The place of the latest state.
@@ -27,13 +38,14 @@
             state: ArcSwap::from_pointee(State {
                 catalog: Arc::default(),
                 lookup: None,
+                readiness: Readiness::Starting,
             }),
         }
     }
 
     /// Publishes a state.
-    pub(crate) fn put(&self, catalog: Arc<Catalog>, lookup: Option<Snapshot>) {
-        self.state.store(Arc::new(State { catalog, lookup }));
+    pub(crate) fn put(&self, state: State) {
+        self.state.store(Arc::new(state));
     }
 
     /// The latest state.
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -259,7 +259,7 @@
     }
 
     /// Whether it is too early to tell where traffic goes: others may still tell their splits.
-    fn is_settling(&self, now: Instant) -> bool {
+    pub fn is_settling(&self, now: Instant) -> bool {
         self.started
             .is_none_or(|started| now.saturating_duration_since(started) < SETTLE)
     }
@@ -413,14 +413,14 @@
     /// The zone that a request belongs to.
     fn home(&mut self, now: Instant, ask: &Ask) -> Option<ZoneKey> {
         let Some(shift) = self.shifts.get_mut(&(ask.service, ask.locality)) else {
-            return self.zone;
+            return self.nearest(ask);
         };
         if ask.kind == Kind::First {
             shift.ledger().request(now);
         }
         let split = shift.current();
         if split.is_empty() {
-            return self.zone;
+            return self.nearest(ask);
         }
         let own = self
             .zone
@@ -429,6 +429,14 @@
             .or_else(|| split.choose(ask.block, |_| true))
     }
 
+    /// The own zone if it has targets of the service, else the nearest that may have room.
+    fn nearest(&self, ask: &Ask) -> Option<ZoneKey> {
+        if self.groups.contains_key(&ask.service) {
+            return self.zone;
+        }
+        self.others(ask).first().copied()
+    }
+
     /// Asks the targets of this zone.
     fn admit(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
         let Some(group) = self.groups.get_mut(&ask.service) else {
