Prove the contract with targets in a table, and mend what it found

Cause, each found by a row of tests/target.rs that failed before: - a target's second answer that comes late on a pooled connection was taken for the answer to the next request (answered_twice_late). Ruled out: input that is there before the next request, which ureq sees by itself. - an idempotent request that met stale pooled connections at two targets ended as unknown (closed_at_second_request, lost_at_second_request). - a 503 of the last target that could be tried was turned into a 502 (unavailable).

Change: an answer that names another Ragwortfold-Request-Id is refused; a pooled connection that proves stale is replaced by a new one at once, and what the first copy may have done is remembered; the answer of an unavailable target is kept in case no other try does better (entry::call).

Targets that neither name the request nor speak HTTP in order can't be told apart on a reused connection.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -51,6 +51,8 @@
     answered: AtomicBool,
     timing: Mutex<Timing>,
     key: Mutex<Option<dedupe::Run>>,
+    /// The answer of a target that was unavailable, should no other try do better.
+    fallback: Mutex<Option<Reply>>,
 }
 
 /// Where the answer goes, and where the rest of the body comes from.
@@ -77,6 +79,7 @@
             answered: AtomicBool::new(false),
             timing: Mutex::default(),
             key: Mutex::default(),
+            fallback: Mutex::default(),
             start,
         }
     }
@@ -180,9 +183,12 @@
             .metrics
             .refusal(&self.start.head.service, refusal.reason.as_str());
         let end = self.course().give_up(refusal.reason, |_| Stage::Sent);
-        if let Some(end) = end {
-            self.give(shared, &end, refusal.retry_after, None);
+        let Some(mut end) = end else { return };
+        let fallback = lock(&self.fallback).take();
+        if fallback.is_some() && end.outcome == Outcome::Unknown(Reason::Unavailable) {
+            end.outcome = Outcome::Answered;
         }
+        self.give(shared, &end, refusal.retry_after, fallback);
     }
 
     /// One try at one target.
@@ -441,7 +447,8 @@
         match &step {
             Step::Done(end) => self.give(shared, end, retry_after, reply),
             Step::Late => shared.metrics.late(),
-            Step::Retry | Step::Wait => {}
+            Step::Retry => *lock(&self.fallback) = reply,
+            Step::Wait => {}
         }
         step
     }
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -72,22 +72,50 @@
 
 /// A call that got no answer's head.
 #[derive(Debug, thiserror::Error)]
-#[error("{source}")]
+#[error("{cause}")]
 pub(crate) struct Error {
     /// How far it came.
     pub(crate) stage: Stage,
-    pub(crate) source: ureq::Error,
+    cause: Cause,
+}
+
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+enum Cause {
+    #[error("{0}")]
+    Http(#[from] ureq::Error),
+    /// A target sent an answer twice, or one to a request that was given up.
+    #[error("the answer is to request '{0}'")]
+    OtherRequest(Arc<str>),
 }
 
 impl Error {
     /// Whether time ran out.
     pub(crate) fn is_timeout(&self) -> bool {
-        matches!(self.source, ureq::Error::Timeout(_))
+        matches!(self.cause, Cause::Http(ureq::Error::Timeout(_)))
     }
 
     /// Whether the answer was not HTTP.
     pub(crate) fn is_garbage(&self) -> bool {
-        matches!(self.source, ureq::Error::Protocol(_) | ureq::Error::Http(_))
+        matches!(
+            self.cause,
+            Cause::OtherRequest(_) | Cause::Http(ureq::Error::Protocol(_) | ureq::Error::Http(_))
+        )
+    }
+
+    /// Whether a pooled connection turned out to be closed, or to bear another request's answer.
+    fn is_stale(&self) -> bool {
+        let other = matches!(self.cause, Cause::OtherRequest(_));
+        !self.stage.dialled && (other || !self.stage.read) && !self.is_timeout()
+    }
+}
+
+impl Error {
+    /// The same for a request of which an earlier copy came as far as `earlier`.
+    fn with_earlier(mut self, earlier: Stage) -> Self {
+        self.stage.connected |= earlier.written > 0;
+        self.stage.written += earlier.written;
+        self
     }
 }
 
@@ -100,20 +128,35 @@
         }
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. What found its pooled connection stale
+    /// is sent once more on a new one.
     pub(crate) fn call(&self, ask: &Ask<'_>, body: Sending<'_, '_>) -> Result<Answer, Error> {
-        stage::reset();
-        self.send(ask, body).map_err(|source| Error {
-            stage: stage::get(),
-            source,
-        })
-    }
-
-    fn send(&self, ask: &Ask<'_>, body: Sending<'_, '_>) -> Result<Answer, ureq::Error> {
+        let whole = match &body {
+            Sending::Whole(bytes) => Some(*bytes),
+            Sending::Stream(_) => None,
+        };
         let agent = match ask.connection {
             Connection::Pooled => &self.pooled,
             Connection::Fresh => &self.fresh,
         };
+        let result = attempt(agent, ask, body);
+        match (result, whole) {
+            (Err(error), Some(bytes))
+                if ask.connection == Connection::Pooled && error.is_stale() =>
+            {
+                let again = attempt(&self.fresh, ask, Sending::Whole(bytes));
+                // The first copy may have run, whatever becomes of the second.
+                again.map_err(|again| again.with_earlier(error.stage))
+            }
+            (result, _) => result,
+        }
+    }
+
+    fn send(
+        agent: &Agent,
+        ask: &Ask<'_>,
+        body: Sending<'_, '_>,
+    ) -> Result<http::Response<ureq::Body>, ureq::Error> {
         let (length, body) = match body {
             Sending::Whole(bytes) => (Some(bytes.len() as u64), bytes),
             Sending::Stream(stream) => {
@@ -121,13 +164,13 @@
                 let request = request(ask, length)?;
                 let request =
                     configure(agent, request.map(|()| SendBody::from_reader(stream)), ask);
-                return Ok(answer(agent.run(request)?));
+                return agent.run(request);
             }
         };
         if body.is_empty() && is_bodiless(ask.method) {
             let request = request(ask, None)?;
             let request = configure(agent, request.map(|()| SendBody::none()), ask);
-            return Ok(answer(agent.run(request)?));
+            return agent.run(request);
         }
         let mut reader = Cursor::new(body);
         let request = request(ask, length)?;
@@ -136,7 +179,7 @@
             request.map(|()| SendBody::from_reader(&mut reader)),
             ask,
         );
-        Ok(answer(agent.run(request)?))
+        agent.run(request)
     }
 
     /// Tells a target that a request is no longer waited for.
@@ -154,6 +197,17 @@
     }
 }
 
+fn attempt(agent: &Agent, ask: &Ask<'_>, body: Sending<'_, '_>) -> Result<Answer, Error> {
+    stage::reset();
+    let result = Client::send(agent, ask, body).map_err(Cause::from);
+    result
+        .and_then(|response| answer(ask, response))
+        .map_err(|cause| Error {
+            stage: stage::get(),
+            cause,
+        })
+}
+
 fn is_bodiless(method: &str) -> bool {
     matches!(method, "GET" | "HEAD" | "OPTIONS" | "DELETE" | "TRACE")
 }
@@ -206,12 +260,15 @@
         .build()
 }
 
-fn answer(response: http::Response<ureq::Body>) -> Answer {
+fn answer(ask: &Ask<'_>, response: http::Response<ureq::Body>) -> Result<Answer, Cause> {
     let (parts, body) = response.into_parts();
     let text = |name: &str| -> Option<Arc<str>> {
         let value = parts.headers.get(name)?;
         value.to_str().ok().map(Into::into)
     };
+    if let Some(id) = text(head::REQUEST_ID).filter(|id| **id != *ask.id) {
+        return Err(Cause::OtherRequest(id));
+    }
     let connection = text("connection").unwrap_or_default();
     let headers = parts
         .headers
@@ -221,7 +278,7 @@
         .collect();
     let status = parts.status.as_u16();
     let refused = status == 503 && text(head::OUTCOME).as_deref() == Some("not-run");
-    Answer {
+    Ok(Answer {
         status,
         headers,
         length: text("content-length").and_then(|text| text.parse().ok()),
@@ -229,7 +286,7 @@
         state: text(head::STATE),
         refused,
         reader: Box::new(body.into_reader()),
-    }
+    })
 }
 
 /// Headers of a target that are not the caller's business or are written anew.
--- /dev/null
+++ b/tests/target.rs
@@ -0,0 +1,356 @@
+//! The contract with targets: a table of what a target can do wrong, each for a service whose
+//! requests may run twice and for one whose requests must not.
+//!
+//! A row's two targets share one script and one count of runs. A request counts as run once the
+//! target has read all of it, unless the target then says that it did not run it.
+
+#![allow(clippy::unwrap_used)]
+
+mod scripted;
+mod world;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, Weak};
+
+use scripted::{Act, Pair, Times};
+use serde_json::json;
+use world::{send, Answer, World};
+
+const ZONE: &str = "lima-a";
+/// A deadline longer than the patience of `send`: what is given up must be answered at once.
+const LONG: &str = "60000";
+const SHORT: &str = "400";
+
+/// What a caller must be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Expect {
+    /// The target's whole answer to this very request.
+    Good,
+    /// The target's answer of that status.
+    Status(u16),
+    /// 503 with `Retry-After`, and no run.
+    NotRun,
+    /// That status, and nothing said of whether it ran.
+    Unknown(u16),
+}
+
+use Expect::{Good, NotRun, Status, Unknown};
+
+/// One fault.
+#[derive(Clone, Copy)]
+struct Row {
+    name: &'static str,
+    act: Act,
+    times: Times,
+    method: &'static str,
+    body: usize,
+    deadline: &'static str,
+    requests: usize,
+    idempotent: Expect,
+    once: Expect,
+}
+
+const fn row(act: Act, times: Times, idempotent: Expect, once: Expect) -> Row {
+    Row {
+        name: "",
+        act,
+        times,
+        method: "POST",
+        body: 10,
+        deadline: LONG,
+        requests: 1,
+        idempotent,
+        once,
+    }
+}
+
+const fn always(act: Act, idempotent: Expect, once: Expect) -> Row {
+    row(act, Times::Always, idempotent, once)
+}
+
+const fn first(act: Act, idempotent: Expect, once: Expect) -> Row {
+    row(act, Times::First, idempotent, once)
+}
+
+impl Row {
+    const fn method(mut self, method: &'static str) -> Self {
+        self.method = method;
+        self.body = 0;
+        self
+    }
+
+    const fn body(mut self, body: usize) -> Self {
+        self.body = body;
+        self
+    }
+
+    const fn short(mut self) -> Self {
+        self.deadline = SHORT;
+        self
+    }
+
+    const fn requests(mut self, requests: usize) -> Self {
+        self.requests = requests;
+        self
+    }
+}
+
+/// One entry host and the targets of all rows; it ends with the last test that uses it.
+struct Bench {
+    world: World,
+    pairs: BTreeMap<String, Pair>,
+}
+
+fn bench() -> Arc<Bench> {
+    static BENCH: Mutex<Weak<Bench>> = Mutex::new(Weak::new());
+    let mut kept = BENCH.lock().unwrap_or_else(|poison| poison.into_inner());
+    if let Some(bench) = kept.upgrade() {
+        return bench;
+    }
+    let bench = Arc::new(Bench::new());
+    *kept = Arc::downgrade(&bench);
+    bench
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut world = World::new()
+            .without_services()
+            .with_zone("lima", ZONE)
+            .with_host(ZONE, "ent-1");
+        let mut pairs = BTreeMap::new();
+        for row in ROWS {
+            for idempotent in [true, false] {
+                let service = service(row, idempotent);
+                let pair = Pair::new(row.act, row.times);
+                let record = json!({"class": "c", "idempotent": idempotent, "deadline_ms": 5000});
+                world = world.with_service(&service, record);
+                for (index, address) in pair.addresses.iter().enumerate() {
+                    let name = format!("{service}-{index}");
+                    world = world.with_target_at(ZONE, &service, &name, *address);
+                }
+                pairs.insert(service, pair);
+            }
+        }
+        Self {
+            world: world.run(),
+            pairs,
+        }
+    }
+}
+
+fn service(row: &Row, idempotent: bool) -> String {
+    let kind = if idempotent { "idempotent" } else { "once" };
+    format!("{}-{kind}", row.name.replace('_', "-"))
+}
+
+fn check(name: &str) {
+    let row = ROWS.iter().find(|row| row.name == name).unwrap();
+    let bench = bench();
+    for (idempotent, expect) in [(true, row.idempotent), (false, row.once)] {
+        let service = service(row, idempotent);
+        let pair = &bench.pairs[&service];
+        let url = bench.world.hosts["ent-1"].url(&format!("/v1/services/{service}/x"));
+        for number in 0..row.requests {
+            let call = format!("{service}-{number}");
+            let body = vec![b'b'; row.body];
+            let headers = [
+                ("Standin-Call", &*call),
+                ("Ragwortfold-Deadline-Ms", row.deadline),
+            ];
+            let answer = send(row.method, &url, &headers, &body)
+                .unwrap_or_else(|error| panic!("{call}: no answer: {error}"));
+            check_answer(&call, row, expect, &answer);
+            check_runs(&call, expect, idempotent, pair.runs(&call));
+        }
+    }
+}
+
+fn check_answer(call: &str, row: &Row, expect: Expect, answer: &Answer) {
+    let (status, outcome) = match expect {
+        Good => (200, "answered"),
+        Status(status) => (status, "answered"),
+        NotRun => (503, "not-run"),
+        Unknown(status) => (status, "unknown"),
+    };
+    let told = (answer.status, &*answer.outcome);
+    assert_eq!(told, (status, outcome), "{call}: {}", answer.text());
+    let whole = scripted::body(call);
+    match expect {
+        Good if row.method == "HEAD" => assert!(answer.body.is_empty(), "{call}"),
+        Good => assert_eq!(answer.text(), whole, "{call}"),
+        NotRun => {
+            let wait = answer.headers.get("retry-after").map(|text| text.parse());
+            assert!(matches!(wait, Some(Ok(1u64..))), "{call}: {answer:?}");
+        }
+        Status(_) | Unknown(_) => {}
+    }
+    if matches!(expect, NotRun | Unknown(_)) {
+        let problem = answer.json();
+        assert_eq!(problem["outcome"], outcome, "{call}");
+        assert!(problem["error"].is_string(), "{call}");
+    }
+}
+
+fn check_runs(call: &str, expect: Expect, idempotent: bool, runs: usize) {
+    if !idempotent {
+        assert!(runs <= 1, "{call} ran {runs} times");
+    }
+    match expect {
+        Good => assert!(runs >= 1, "{call} did not run"),
+        NotRun => assert_eq!(runs, 0, "{call} was told not to have run"),
+        Status(_) | Unknown(_) => {}
+    }
+}
+
+/// Names each row of the table and makes it a test.
+macro_rules! cases {
+    ($($name:ident: $row:expr;)*) => {
+        const ROWS: &[Row] = &[$(Row { name: stringify!($name), ..$row }),*];
+        $(
+            #[test]
+            fn $name() {
+                check(stringify!($name));
+            }
+        )*
+    };
+}
+
+cases! {
+    sound: always(Act::Serve, Good, Good);
+    sound_head: always(Act::Serve, Good, Good).method("HEAD");
+    sound_get: always(Act::Serve, Good, Good).method("GET");
+    sound_chunked: always(Act::Chunked, Good, Good);
+    sound_until_close: always(Act::Raw("HTTP/1.0 200 OK\r\n\r\n{body}"), Good, Good);
+    sound_after_continue: always(
+        Act::Raw("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"),
+        Good, Good);
+    slow: always(Act::Slow(300), Good, Good);
+
+    refused: always(Act::Refuse, NotRun, NotRun);
+    connect_black_hole: always(Act::BlackHole, NotRun, NotRun);
+    reset_on_accept: always(Act::ResetOnAccept, Unknown(502), Unknown(502));
+    reset_on_accept_once: first(Act::ResetOnAccept, Good, Unknown(502));
+    closed_on_accept: always(Act::CloseOnAccept, Unknown(502), Unknown(502));
+    closed_on_accept_once: first(Act::CloseOnAccept, Good, Unknown(502));
+    request_cut_at_1: first(Act::CutForth(1), Good, Unknown(502));
+    request_cut_at_40: first(Act::CutForth(40), Good, Unknown(502));
+    request_cut_in_small_body: first(Act::CutForth(400), Good, Unknown(502)).body(2000);
+    request_cut_in_large_body: first(Act::CutForth(400_000), Good, Unknown(502)).body(1_000_000);
+    request_always_cut: always(Act::CutForth(40), Unknown(502), Unknown(502));
+
+    answer_lost: always(Act::LoseAnswer, Unknown(502), Unknown(502));
+    answer_lost_once: first(Act::LoseAnswer, Good, Unknown(502));
+    answer_reset: always(Act::ResetAnswer, Unknown(502), Unknown(502));
+    answer_reset_once: first(Act::ResetAnswer, Good, Unknown(502));
+    answer_cut_at_1: always(Act::CutBack(1), Unknown(502), Unknown(502));
+    answer_cut_at_17: always(Act::CutBack(17), Unknown(502), Unknown(502));
+    answer_cut_at_40: always(Act::CutBack(40), Unknown(502), Unknown(502));
+    answer_cut_in_body: always(Act::CutBack(105), Unknown(502), Unknown(502));
+    answer_cut_in_body_once: first(Act::CutBack(105), Good, Unknown(502));
+    chunked_cut: always(Act::CutChunked, Unknown(502), Unknown(502));
+    chunked_cut_once: first(Act::CutChunked, Good, Unknown(502));
+    chunk_of_no_size: always(
+        Act::Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n{body}\r\n0\r\n\r\n"),
+        Unknown(502), Unknown(502));
+    garbage: always(Act::Raw("\u{1}\u{2}\u{3} no answer at all \r\n\r\n"), Unknown(502), Unknown(502));
+    garbage_once: first(Act::Raw("\u{1}\u{2} no answer at all \r\n\r\n"), Good, Unknown(502));
+    lengths_in_conflict: always(
+        Act::Raw("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 300\r\n\r\n{body}"),
+        Unknown(502), Unknown(502));
+    length_no_number: always(
+        Act::Raw("HTTP/1.1 200 OK\r\nContent-Length: three\r\n\r\n{body}"),
+        Unknown(502), Unknown(502));
+    length_too_large: always(
+        Act::Raw("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{body}"),
+        Unknown(502), Unknown(502));
+    hang: always(Act::Hang, Unknown(504), Unknown(504)).short();
+
+    refusal: always(Act::Refusal, NotRun, NotRun);
+    refusal_once: first(Act::Refusal, Good, Good);
+    unavailable_once: first(
+        Act::Raw("HTTP/1.1 503 Gone\r\nContent-Length: 2\r\n\r\nno"), Good, Status(503));
+    unavailable: always(
+        Act::Raw("HTTP/1.1 503 Gone\r\nContent-Length: 2\r\n\r\nno"), Status(503), Status(503));
+    server_error: always(
+        Act::Raw("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno"), Status(500), Status(500));
+    gateway_error: always(
+        Act::Raw("HTTP/1.1 504 Late\r\nContent-Length: 2\r\n\r\nno"), Status(504), Status(504));
+    not_found: always(
+        Act::Raw("HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno"), Status(404), Status(404));
+    conflict: always(
+        Act::Raw("HTTP/1.1 409 No\r\nContent-Length: 2\r\n\r\nno"), Status(409), Status(409));
+    redirect: always(
+        Act::Raw("HTTP/1.1 302 Found\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n"),
+        Status(302), Status(302));
+    no_content: always(Act::Raw("HTTP/1.1 204 No\r\n\r\n"), Status(204), Status(204));
+    not_modified: always(
+        Act::Raw("HTTP/1.1 304 No\r\nETag: \"1\"\r\n\r\n"), Status(304), Status(304)).method("GET");
+    large_head: always(Act::Header(30_000), Good, Good);
+    huge_head: always(Act::Header(300_000), Unknown(502), Unknown(502));
+
+    closed_between_requests: always(Act::CloseAfterAnswer, Good, Good).requests(4);
+    closed_at_second_request: always(Act::CloseAtSecond, Good, Good).requests(4);
+    lost_at_second_request: always(Act::LoseAtSecond, Good, Good).requests(4);
+    // The test below this table makes this row's requests.
+    lost_at_second_request_and_gone: always(Act::GoneAtSecond, Good, Good).requests(0);
+    answered_twice: always(Act::Twice(0), Good, Good).requests(4);
+    answered_twice_late: always(Act::Twice(30), Good, Good).requests(4);
+    answer_before_its_request: always(Act::Early, Good, Good).requests(4);
+}
+
+/// A late answer is dropped: those that ask after it get their own.
+#[test]
+fn a_late_answer_is_never_taken_for_another() {
+    let bench = bench();
+    for idempotent in [true, false] {
+        let kind = if idempotent { "idempotent" } else { "once" };
+        let url = bench.world.hosts["ent-1"].url(&format!("/v1/services/slow-{kind}/x"));
+        for number in 0..5 {
+            let call = format!("late-{kind}-{number}");
+            // The slow targets take 300 ms: the even ones are given up, the odd ones are not.
+            let given_up = number % 2 == 0;
+            let deadline = if given_up { "100" } else { LONG };
+            let headers = [
+                ("Standin-Call", &*call),
+                ("Ragwortfold-Deadline-Ms", deadline),
+            ];
+            let answer = send("POST", &url, &headers, b"body").unwrap();
+            if given_up {
+                assert_eq!(
+                    (answer.status, &*answer.outcome),
+                    (504, "unknown"),
+                    "{call}"
+                );
+            } else {
+                assert_eq!(
+                    (answer.status, &*answer.outcome),
+                    (200, "answered"),
+                    "{call}"
+                );
+                assert_eq!(answer.text(), scripted::body(&call));
+            }
+        }
+    }
+}
+
+/// A pooled connection breaks after the request ran, and a new one is refused: that proves nothing.
+#[test]
+fn a_refused_second_copy_is_no_proof_that_the_first_did_not_run() {
+    let bench = bench();
+    let service = "lost-at-second-request-and-gone-idempotent";
+    let url = bench.world.hosts["ent-1"].url(&format!("/v1/services/{service}/x"));
+    let mut lost = 0;
+    for number in 0..8 {
+        let call = format!("gone-{number}");
+        let headers = [("Standin-Call", &*call), ("Ragwortfold-Deadline-Ms", LONG)];
+        let answer = send("POST", &url, &headers, b"body").unwrap();
+        let runs = bench.pairs[service].runs(&call);
+        match &*answer.outcome {
+            "answered" => assert_eq!(answer.text(), scripted::body(&call)),
+            "unknown" => lost += 1,
+            _ => assert_eq!(runs, 0, "{call} was told not to have run"),
+        }
+    }
+    assert!(lost > 0, "no request was lost");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -295,6 +295,8 @@
         .http_status_as_error(false)
         .timeout_global(Some(PATIENCE))
         .allow_non_standard_methods(true)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
         .build()
         .new_agent();
     let mut request = ureq::http::Request::builder().method(method).uri(url);
@@ -328,3 +330,32 @@
         body,
     })
 }
+
+impl World {
+    /// Drops the services of [`World::new`].
+    pub fn without_services(mut self) -> Self {
+        self.configuration["services"] = json!({});
+        self
+    }
+
+    /// Adds a service.
+    pub fn with_service(mut self, name: &str, service: Value) -> Self {
+        self.configuration["services"][name] = service;
+        self
+    }
+
+    /// Adds a target that something else answers for.
+    pub fn with_target_at(
+        mut self,
+        zone: &str,
+        service: &str,
+        name: &str,
+        address: SocketAddr,
+    ) -> Self {
+        self.configuration["targets"][name] = json!({
+            "service": service, "availability_zone": zone,
+            "address": address.to_string(), "slots": 4, "warm_s": 0,
+        });
+        self
+    }
+}
