--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -38,7 +38,7 @@
 const PROBES_PER_TIMEOUT: u32 = 3;
 /// How long a thread that receives requests may take to answer one itself. A caller that does not
 /// read would else keep it.
-const LONGEST_ANSWER: Duration = Duration::from_secs(1);
+const LONGEST_ANSWER: Duration = Duration::from_secs(2);
 
 /// What a request is handed to.
 pub(crate) type Handler = Arc<dyn Fn(Request) + Send + Sync>;
