Count failures in a row against an operation's patience

Change: a call that goes through renews the patience; a settled write counts its sendings apart, so that readings in between cannot keep it going for ever. Re-putting a text is bounded too.

--- a/src/store/patience.rs
+++ b/src/store/patience.rs
@@ -9,13 +9,13 @@
 const DEFAULT_FIRST: Duration = Duration::from_millis(50);
 /// Longest wait between two tries.
 const DEFAULT_MOST: Duration = Duration::from_secs(2);
-/// Tries that may fail, unless [`Patience::new`] sets another number.
+/// Failures in a row that are let pass, unless [`Patience::new`] sets another number.
 const DEFAULT_TRIES: u32 = 8;
 
-/// Tries that are left, with the waits between them. Blocks the calling thread.
+/// Failures in a row that are let pass, with the waits after them. Blocks the calling thread.
 #[derive(Clone, Debug)]
 pub struct Patience {
-    left: u32,
+    tries: u32,
     backoff: Backoff,
 }
 
@@ -26,12 +26,9 @@
 }
 
 impl Patience {
-    /// Lets `tries` failures pass and waits after each as long as `backoff` says.
+    /// Lets `tries` failures in a row pass and waits after each as long as `backoff` says.
     pub fn new(tries: u32, backoff: Backoff) -> Self {
-        Self {
-            left: tries,
-            backoff,
-        }
+        Self { tries, backoff }
     }
 
     /// Lets no failure pass.
@@ -41,14 +38,20 @@
 
     /// Waits after a failure, or hands it back when no try is left.
     pub fn spend<E>(&mut self, error: E) -> Result<(), E> {
-        let Some(left) = self.left.checked_sub(1) else {
+        if self.backoff.failures() >= self.tries {
             return Err(error);
-        };
-        self.left = left;
+        }
         std::thread::sleep(self.backoff.fail(&mut rand::rng()));
         Ok(())
     }
 
+    /// As patient as at first.
+    pub fn renewed(&self) -> Self {
+        let mut renewed = self.clone();
+        renewed.backoff.reset();
+        renewed
+    }
+
     /// Makes a call that may be made twice, again and again while the platform fails.
     ///
     /// # Errors
@@ -58,7 +61,10 @@
         loop {
             match call() {
                 Err(e) if e.is_outage() => self.spend(e)?,
-                other => return other,
+                other => {
+                    self.backoff.reset();
+                    return other;
+                }
             }
         }
     }
--- a/src/store/publication/mod.rs
+++ b/src/store/publication/mod.rs
@@ -210,7 +210,8 @@
     pub fn pull(&self) -> Result<Option<Fetched>, Error> {
         let mut tries = self.patience.clone();
         loop {
-            match fetch::with_patience(&self.guard, &Fetched::default(), &mut tries) {
+            let patience = &mut self.patience.clone();
+            match fetch::with_patience(&self.guard, &Fetched::default(), patience) {
                 // The revision went out of use between the reading of the head and of its texts.
                 Err(e @ Error::Missing(_)) => tries.spend(e)?,
                 other => return other,
--- a/src/store/publication/text.rs
+++ b/src/store/publication/text.rs
@@ -5,7 +5,7 @@
 use sha2::{Digest, Sha256};
 
 use super::merge::Hashes;
-use super::{Error, Files};
+use super::{Error, Files, MAX_RACES};
 use crate::border::objects as border;
 use crate::store::client::{self, Condition};
 use crate::store::guard::Guard;
@@ -72,7 +72,7 @@
     let key = key(&hash(text));
     let value = border::File { text: text.into() };
     let mut condition = Condition::Absent;
-    loop {
+    for _ in 0..MAX_RACES {
         match patience.insist(|| guard.put(&key, &value, condition)) {
             Ok(_) => return Ok(()),
             Err(client::Error::Conflict { .. }) => {}
@@ -90,4 +90,5 @@
             None => Condition::Absent,
         };
     }
+    Err(Error::Crowded(MAX_RACES))
 }
--- a/src/store/settle.rs
+++ b/src/store/settle.rs
@@ -111,6 +111,8 @@
     patience: &mut Patience,
 ) -> Result<Outcome, Error> {
     let mut doubt = false;
+    // Readings that work in between must not make the number of writes unbounded.
+    let mut writes = patience.renewed();
     loop {
         let failure = match guard.put(key, value, condition) {
             Ok(written) => return Ok(Outcome::Mine(written)),
@@ -119,7 +121,7 @@
         doubt |= matches!(failure, Error::Uncertain { .. });
         match failure {
             Error::Unsent { .. } if !doubt => {
-                patience.spend(failure)?;
+                writes.spend(failure)?;
                 continue;
             }
             Error::Conflict { .. } => {}
@@ -142,7 +144,7 @@
             Verdict::Lost => return Ok(Outcome::Lost(found)),
             Verdict::Unclear => return Ok(Outcome::Unclear(found)),
             Verdict::Open => {
-                if let Err(e) = patience.spend(failure) {
+                if let Err(e) = writes.spend(failure) {
                     return unknown(doubt, e);
                 }
             }
