--- a/src/steer/lookup.rs
+++ b/src/steer/lookup.rs
@@ -151,6 +151,11 @@
         answer
     }
 
+    /// The split for callers of a service in a locality.
+    pub fn split(&self, service: ServiceKey, locality: RegionKey) -> Option<&Split> {
+        Some(&self.route(service, locality)?.split)
+    }
+
     fn route(&self, service: ServiceKey, locality: RegionKey) -> Option<&Route> {
         let routes = self.routes.get(index(service))?.as_ref()?;
         routes.get(index(locality))
