Let targets hold two requests above their slots

Change: a report counts as queueing from two above the slots on; the limit may rise up to the slots; it rises half as fast.

--- a/src/steer/limit.rs
+++ b/src/steer/limit.rs
@@ -8,13 +8,16 @@
 use std::time::{Duration, Instant};
 
 /// Rise of the limit over one full round of answers at the limit.
-const RISE: f64 = 0.5;
+const RISE: f64 = 0.25;
 /// Factor on the excess over the share after a refusal.
 const CUT: f64 = 0.5;
 /// Factor on the excess over the share after a sign of queueing.
 const EASE: f64 = 0.8;
 /// Latency over that of the group from which a target is taken to queue.
 const TOLERANCE: f64 = 1.5;
+/// Requests above its slots that a target may report before it counts as queueing. They fill the
+/// time in which answers and requests are on the wire.
+const QUEUED: u32 = 2;
 /// Least time between two cuts, so that one congestion counts once.
 const REST: Duration = Duration::from_millis(20);
 
@@ -85,12 +88,12 @@
     /// Takes in an answer. `full` says that the limit was reached, `ratio` is the target's
     /// latency over that of the group.
     pub fn answer(&mut self, now: Instant, full: bool, ratio: f64, load: Option<Load>) {
-        let queues = load.is_some_and(|load| load.in_flight > load.slots);
+        let queues = load.is_some_and(|load| load.in_flight > load.slots.saturating_add(QUEUED));
         if queues || ratio > TOLERANCE {
             self.reduce(now, EASE);
             return;
         }
-        let room = load.is_none_or(|load| load.in_flight < load.slots);
+        let room = load.is_none_or(|load| load.in_flight <= load.slots);
         if full && room {
             let risen = self.value + RISE / self.value.max(1.0);
             self.value = risen.min(f64::from(self.hard));
