Limit concurrency by the latency without queueing

Cause: a target was compared with the group's median only, so queueing at all targets alike went unseen without load reports, and the limits rose: p50 60.4 ms beyond capacity, p99 95.4 ms. Change: the group keeps a baseline, the lowest median, which rises over a minute to the present one; a target 1.7 times over it is taken to queue, 2.0 times where it reports its load.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -40,6 +40,8 @@
 const REST: Duration = Duration::from_millis(5);
 /// Doublings of the rest at most.
 const REST_DOUBLINGS: u32 = 7;
+/// Time over which a lasting rise of the latency is taken for the latency without queueing.
+const BASELINE_AGE: Duration = Duration::from_secs(60);
 /// The part of the slots that may be ejected.
 const EJECT_SHARE: f64 = 0.5;
 /// A probe is a request that has time for the wait and as many latencies again.
@@ -356,6 +358,7 @@
     tally: Tally,
     in_flight: u32,
     hold: f64,
+    baseline: f64,
     known: bool,
 }
 
@@ -371,6 +374,7 @@
             tally: Tally::default(),
             in_flight: 0,
             hold: UNKNOWN_LATENCY,
+            baseline: f64::INFINITY,
             known: false,
             config,
         }
@@ -645,7 +649,7 @@
                 member.rest = None;
                 member.estimate.record(report.latency);
                 member.warm.answer(now);
-                let ratio = member.estimate.ratio(tally.median);
+                let ratio = member.estimate.ratio(self.baseline);
                 member.limit.answer(now, full, ratio, report.load);
                 self.hold += (seconds - self.hold) * HOLD_WEIGHT;
             }
@@ -813,12 +817,31 @@
         }
     }
 
+    /// Follows the latency without queueing: at once downwards, slowly upwards, so that a change
+    /// of the work itself is accepted in time.
+    fn follow_baseline(&mut self, now: Instant, median: f64) {
+        let age = self
+            .tally
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let part = (age.as_secs_f64() / BASELINE_AGE.as_secs_f64()).min(1.0);
+        let risen = self.baseline + (median - self.baseline) * part;
+        self.baseline = if median < self.baseline {
+            median
+        } else {
+            risen
+        };
+    }
+
     /// Works out the figures of the whole group anew.
     fn refresh(&mut self, now: Instant) {
         self.restore_excess(now);
-        let serving = || self.members.iter().filter(|member| member.is_serving());
-        let used = || serving().filter(|member| member.eject.is_in());
-        let slots: u32 = serving().map(|member| member.slots).sum();
+        let median = median(used(&self.members));
+        if let Some(median) = median {
+            self.follow_baseline(now, median);
+        }
+        let used = || used(&self.members);
+        let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
         let inside: u32 = used().map(|member| member.slots).sum();
         let cold: u32 = used()
             .filter(|member| self.config.warm == Switch::On && member.warm.is_cold())
@@ -831,22 +854,19 @@
             ejected: slots - inside,
             cold: f64::from(cold) / f64::from(slots.max(1)),
             limit: used().map(|member| fair(&self.config, member)).sum(),
-            median: median(used()).unwrap_or(self.tally.median),
+            median: median.unwrap_or(self.tally.median),
             others: used().map(|member| member.estimate.others()).sum::<f64>() / count,
             success: used().map(|member| member.eject.success()).sum::<f64>() / count,
-            probes: serving().any(|member| member.eject.is_due(now)),
+            probes: serving(&self.members).any(|member| member.eject.is_due(now)),
         };
     }
 
     /// Brings ejected targets back while more than the allowed part is out, as when others drain.
     fn restore_excess(&mut self, now: Instant) {
         loop {
-            let serving = || self.members.iter().filter(|member| member.is_serving());
-            let slots: u32 = serving().map(|member| member.slots).sum();
-            let out: u32 = serving()
-                .filter(|member| !member.eject.is_in())
-                .map(|member| member.slots)
-                .sum();
+            let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
+            let inside: u32 = used(&self.members).map(|member| member.slots).sum();
+            let out = slots - inside;
             if f64::from(out) <= f64::from(slots) * EJECT_SHARE {
                 return;
             }
@@ -863,6 +883,16 @@
     }
 }
 
+/// Targets that take work, also those ejected.
+fn serving(members: &[Member]) -> impl Iterator<Item = &Member> {
+    members.iter().filter(|member| member.is_serving())
+}
+
+/// Targets that take work in the ordinary way.
+fn used(members: &[Member]) -> impl Iterator<Item = &Member> {
+    serving(members).filter(|member| member.eject.is_in())
+}
+
 /// The part of a target's limit in use while it warms up.
 fn fraction(config: &Config, member: &Member) -> f64 {
     match config.warm {
--- a/src/steer/limit.rs
+++ b/src/steer/limit.rs
@@ -13,8 +13,10 @@
 const CUT: f64 = 0.5;
 /// Factor on the excess over the share after a sign of queueing.
 const EASE: f64 = 0.8;
-/// Latency over that of the group from which a target is taken to queue.
-const TOLERANCE: f64 = 1.5;
+/// Latency over the one without queueing from which a target is taken to queue.
+const TOLERANCE: f64 = 1.7;
+/// The same for a target that reports its load, which tells more; but the report may be false.
+const TOLERANCE_REPORTED: f64 = 2.0;
 /// Requests above its slots that a target may report before it counts as queueing. They fill the
 /// time in which answers and requests are on the wire.
 const QUEUED: u32 = 2;
@@ -85,11 +87,15 @@
         whole.max(1).min(self.hard)
     }
 
-    /// Takes in an answer. `full` says that the limit was reached, `ratio` is the target's
-    /// latency over that of the group.
+    /// Takes in an answer. `full` says that the limit was reached, `ratio` is the target's mean
+    /// latency over the one without queueing.
     pub fn answer(&mut self, now: Instant, full: bool, ratio: f64, load: Option<Load>) {
         let queues = load.is_some_and(|load| load.in_flight > load.slots.saturating_add(QUEUED));
-        if queues || ratio > TOLERANCE {
+        let tolerance = match load {
+            Some(_) => TOLERANCE_REPORTED,
+            None => TOLERANCE,
+        };
+        if queues || ratio > tolerance {
             self.reduce(now, EASE);
             return;
         }
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -32,6 +32,13 @@
     mean
 }
 
+fn silent(offer: Offer) -> Offer {
+    Offer {
+        report: false,
+        ..offer
+    }
+}
+
 #[test]
 fn burst() {
     let lying = Offer {
@@ -42,6 +49,8 @@
         ("within", Offer::within()),
         ("beyond", Offer::beyond()),
         ("lying", lying),
+        ("silent within", silent(Offer::within())),
+        ("silent beyond", silent(Offer::beyond())),
         ("many within", Offer::within().many()),
         ("many beyond", Offer::beyond().many()),
     ] {
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -59,6 +59,8 @@
     pub lag: u64,
     /// Whether the slow targets report that they are idle.
     pub lie: bool,
+    /// Whether targets report their load at all.
+    pub report: bool,
     /// Answers until a target's caches are full; until then it takes four times as long.
     pub cold: u32,
 }
@@ -75,6 +77,7 @@
             backlog: 64,
             lag: 50_000,
             lie: false,
+            report: true,
             cold: 0,
         }
     }
@@ -403,7 +406,7 @@
         let report = Report {
             end,
             latency: Duration::from_micros(self.now - request.sent),
-            load: (end == End::Answered).then_some(Reported {
+            load: (end == End::Answered && self.load.report).then_some(Reported {
                 in_flight: self.targets[place].reported,
                 slots: SLOTS as u32,
             }),
