--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use rand::Rng;
+use rand::{Rng, RngExt};
 
 use super::eject::{Eject, Sign, Standing, LATENCY_RATIO};
 use super::limit::Limit;
@@ -469,10 +469,11 @@
             member.word = state;
         }
         let back = !was && member.is_serving();
-        if back || (fresh && source == Source::Header) {
+        let cools = back || (fresh && source == Source::Header);
+        if cools {
             member.warm.start(now);
         }
-        if was != member.is_serving() {
+        if cools || was != member.is_serving() {
             self.refresh(now);
         }
     }
@@ -574,10 +575,22 @@
         if let Some(place) = self.probe(now, ask) {
             return Some(place);
         }
+        let place = self.choose(now, ask, rng, true)?;
+        let part = fraction(&self.config, &self.members[place]);
+        if part < 1.0 && rng.random::<f64>() >= part {
+            return self.choose(now, ask, rng, false).or(Some(place));
+        }
+        Some(place)
+    }
+
+    /// The best free target; `cold` says whether one that warms up will do.
+    fn choose(&mut self, now: Instant, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
         let (members, config, tally) = (&self.members, &self.config, &self.tally);
         self.picker.choose(members.len(), rng, |place| {
             let member = &members[place];
-            let usable = is_free(config, member, now) && !member.has_tried(ask);
+            let usable = is_free(config, member, now)
+                && !member.has_tried(ask)
+                && (cold || fraction(config, member) >= 1.0);
             usable.then(|| cost(config, tally, member, now))
         })
     }
@@ -634,7 +647,6 @@
         report: &Report,
         rng: &mut impl Rng,
     ) {
-        let tally = self.tally;
         let member = &mut self.members[place];
         let full = member.in_flight >= member.limit.whole(member.warm.fraction());
         if let Some(load) = report.load {
@@ -647,7 +659,7 @@
             End::Answered => {
                 member.refusals = 0;
                 member.rest = None;
-                member.estimate.record(report.latency);
+                member.estimate.record(now, report.latency);
                 member.warm.answer(now);
                 let ratio = member.estimate.ratio(self.baseline);
                 member.limit.answer(now, full, ratio, report.load);
@@ -664,7 +676,7 @@
                     .latency()
                     .is_some_and(|known| seconds > known)
                 {
-                    member.estimate.record(report.latency);
+                    member.estimate.record(now, report.latency);
                 }
             }
         }
@@ -933,8 +945,8 @@
     }
     let foreign = member.estimate.foreign(now, tally.others);
     let load = 1.0 + f64::from(member.in_flight) + foreign;
-    let slowness = member.estimate.slowness(tally.median);
-    load * slowness / (f64::from(member.slots) * fraction(config, member))
+    let slowness = member.estimate.slowness(now, tally.median);
+    load * slowness / f64::from(member.slots)
 }
 
 /// What a request's end shows of its target, if anything.
--- a/src/steer/pick.rs
+++ b/src/steer/pick.rs
@@ -14,6 +14,8 @@
 /// How far a latency may lie from the group's, as a factor, and still count as equal. Within it
 /// differences are mostly noise, which would outweigh the load.
 const NOISE: f64 = 1.3;
+/// Time in which a latency that differs from the group's fades, without new answers.
+const MEMORY: Duration = Duration::from_secs(5);
 /// Weight of a fresh load report against this host's own requests. Reports lag by a time that
 /// they do not state.
 const REPORT_WEIGHT: f64 = 0.3;
@@ -25,6 +27,7 @@
 pub struct Estimate {
     latency: f64,
     samples: u32,
+    recorded: Option<Instant>,
     others: f64,
     reported: Option<Instant>,
 }
@@ -42,7 +45,8 @@
     }
 
     /// Takes in the latency of one answer.
-    pub fn record(&mut self, latency: Duration) {
+    pub fn record(&mut self, now: Instant, latency: Duration) {
+        self.recorded = Some(now);
         self.samples = self.samples.saturating_add(1);
         let weight = LATENCY_WEIGHT.max(1.0 / f64::from(self.samples));
         self.latency += (latency.as_secs_f64() - self.latency) * weight;
@@ -70,13 +74,21 @@
         (self.latency / typical * samples + PRIOR) / (samples + PRIOR)
     }
 
-    /// The latency ratio to choose by, free of noise.
-    pub fn slowness(&self, typical: f64) -> f64 {
+    /// The latency ratio to choose by, free of noise. It fades without answers, so that a target
+    /// which was slow once is tried again.
+    pub fn slowness(&self, now: Instant, typical: f64) -> f64 {
         let ratio = self.ratio(typical);
-        if (1.0 / NOISE..NOISE).contains(&ratio) {
+        if is_noise(ratio) {
             return 1.0;
         }
-        ratio
+        let age = self
+            .recorded
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let faded = ratio.powf((-age.as_secs_f64() / MEMORY.as_secs_f64()).exp());
+        if is_noise(faded) {
+            return 1.0;
+        }
+        faded
     }
 
     /// The last reported load of other hosts, in requests.
@@ -96,6 +108,11 @@
     }
 }
 
+/// Whether a latency ratio may come from the spread of single answers alone.
+fn is_noise(ratio: f64) -> bool {
+    (1.0 / NOISE..NOISE).contains(&ratio)
+}
+
 /// Chooses among targets by their cost; holds the place of the last choice.
 #[derive(Clone, Debug)]
 pub struct Picker {
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -19,11 +19,25 @@
 
 /// A site of `count` targets with `slots` slots and `connections` connections each.
 pub fn catalog(count: usize, slots: u32, connections: u32, warm: u32) -> Catalog {
-    let targets: serde_json::Map<_, _> = (0..count)
-        .map(|n| {
+    let catalog = Catalog::default();
+    revise(&catalog, &vec!["serving"; count], slots, connections, warm)
+}
+
+/// The next revision, with these states of the targets.
+pub fn revise(
+    catalog: &Catalog,
+    states: &[&str],
+    slots: u32,
+    connections: u32,
+    warm: u32,
+) -> Catalog {
+    let targets: serde_json::Map<_, _> = states
+        .iter()
+        .enumerate()
+        .map(|(n, state)| {
             let target = serde_json::json!({
                 "service": "s", "availability_zone": "z", "address": format!("127.0.0.1:{}", 9000 + n),
-                "slots": slots, "connections": connections, "warm_s": warm,
+                "slots": slots, "connections": connections, "warm_s": warm, "state": state,
             });
             (format!("t{n:02}"), target)
         })
@@ -35,8 +49,8 @@
         "targets": targets,
     }))
     .expect("a valid model");
-    Catalog::default()
-        .with_revision(1, &configuration)
+    catalog
+        .with_revision(catalog.revision + 1, &configuration)
         .expect("a valid model")
 }
 
@@ -67,7 +81,7 @@
 
 impl Load {
     /// A burst to three quarters of the capacity.
-    pub fn within() -> Self {
+    pub const fn within() -> Self {
         Self {
             hosts: 2,
             targets: 10,
@@ -83,7 +97,7 @@
     }
 
     /// A burst to one and a half of the capacity.
-    pub fn beyond() -> Self {
+    pub const fn beyond() -> Self {
         Self {
             rate: 1820.0,
             ..Self::within()
