--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use rand::Rng;
+use rand::{Rng, RngExt};
 
 use super::eject::{Eject, Sign, Standing, LATENCY_RATIO};
 use super::limit::Limit;
@@ -40,6 +40,8 @@
 const REST: Duration = Duration::from_millis(5);
 /// Doublings of the rest at most.
 const REST_DOUBLINGS: u32 = 7;
+/// Time over which a lasting rise of the latency is taken for the latency without queueing.
+const BASELINE_AGE: Duration = Duration::from_secs(60);
 /// The part of the slots that may be ejected.
 const EJECT_SHARE: f64 = 0.5;
 /// A probe is a request that has time for the wait and as many latencies again.
@@ -368,6 +370,7 @@
     tally: Tally,
     in_flight: u32,
     hold: f64,
+    baseline: f64,
     known: bool,
 }
 
@@ -383,6 +386,7 @@
             tally: Tally::default(),
             in_flight: 0,
             hold: UNKNOWN_LATENCY,
+            baseline: f64::INFINITY,
             known: false,
             config,
         }
@@ -477,10 +481,11 @@
             member.word = state;
         }
         let back = !was && member.is_serving();
-        if back || (fresh && source == Source::Header) {
+        let cools = back || (fresh && source == Source::Header);
+        if cools {
             member.warm.start(now);
         }
-        if was != member.is_serving() {
+        if cools || was != member.is_serving() {
             self.refresh(now);
         }
     }
@@ -582,10 +587,22 @@
         if let Some(place) = self.probe(now, ask) {
             return Some(place);
         }
+        let place = self.choose(now, ask, rng, true)?;
+        let part = fraction(&self.config, &self.members[place]);
+        if part < 1.0 && rng.random::<f64>() >= part {
+            return self.choose(now, ask, rng, false).or(Some(place));
+        }
+        Some(place)
+    }
+
+    /// The best free target; `cold` says whether one that warms up will do.
+    fn choose(&mut self, now: Instant, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
         let (members, config, tally) = (&self.members, &self.config, &self.tally);
         self.picker.choose(members.len(), rng, |place| {
             let member = &members[place];
-            let usable = is_free(config, member, now) && !member.has_tried(ask);
+            let usable = is_free(config, member, now)
+                && !member.has_tried(ask)
+                && (cold || fraction(config, member) >= 1.0);
             usable.then(|| cost(config, tally, member, now))
         })
     }
@@ -642,7 +659,6 @@
         report: &Report,
         rng: &mut impl Rng,
     ) {
-        let tally = self.tally;
         let member = &mut self.members[place];
         let full = member.in_flight >= member.limit.whole(member.warm.fraction());
         if let Some(load) = report.load {
@@ -655,9 +671,9 @@
             End::Answered => {
                 member.refusals = 0;
                 member.rest = None;
-                member.estimate.record(report.latency);
+                member.estimate.record(now, report.latency);
                 member.warm.answer(now);
-                let ratio = member.estimate.ratio(tally.median);
+                let ratio = member.estimate.ratio(self.baseline);
                 member.limit.answer(now, full, ratio, report.load);
                 self.hold += (seconds - self.hold) * HOLD_WEIGHT;
             }
@@ -672,7 +688,7 @@
                     .latency()
                     .is_some_and(|known| seconds > known)
                 {
-                    member.estimate.record(report.latency);
+                    member.estimate.record(now, report.latency);
                 }
             }
         }
@@ -825,12 +841,31 @@
         }
     }
 
+    /// Follows the latency without queueing: at once downwards, slowly upwards, so that a change
+    /// of the work itself is accepted in time.
+    fn follow_baseline(&mut self, now: Instant, median: f64) {
+        let age = self
+            .tally
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let part = (age.as_secs_f64() / BASELINE_AGE.as_secs_f64()).min(1.0);
+        let risen = self.baseline + (median - self.baseline) * part;
+        self.baseline = if median < self.baseline {
+            median
+        } else {
+            risen
+        };
+    }
+
     /// Works out the figures of the whole group anew.
     fn refresh(&mut self, now: Instant) {
         self.restore_excess(now);
-        let serving = || self.members.iter().filter(|member| member.is_serving());
-        let used = || serving().filter(|member| member.eject.is_in());
-        let slots: u32 = serving().map(|member| member.slots).sum();
+        let median = median(used(&self.members));
+        if let Some(median) = median {
+            self.follow_baseline(now, median);
+        }
+        let used = || used(&self.members);
+        let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
         let inside: u32 = used().map(|member| member.slots).sum();
         let cold: u32 = used()
             .filter(|member| self.config.warm == Switch::On && member.warm.is_cold())
@@ -843,22 +878,19 @@
             ejected: slots - inside,
             cold: f64::from(cold) / f64::from(slots.max(1)),
             limit: used().map(|member| fair(&self.config, member)).sum(),
-            median: median(used()).unwrap_or(self.tally.median),
+            median: median.unwrap_or(self.tally.median),
             others: used().map(|member| member.estimate.others()).sum::<f64>() / count,
             success: used().map(|member| member.eject.success()).sum::<f64>() / count,
-            probes: serving().any(|member| member.eject.is_due(now)),
+            probes: serving(&self.members).any(|member| member.eject.is_due(now)),
         };
     }
 
     /// Brings ejected targets back while more than the allowed part is out, as when others drain.
     fn restore_excess(&mut self, now: Instant) {
         loop {
-            let serving = || self.members.iter().filter(|member| member.is_serving());
-            let slots: u32 = serving().map(|member| member.slots).sum();
-            let out: u32 = serving()
-                .filter(|member| !member.eject.is_in())
-                .map(|member| member.slots)
-                .sum();
+            let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
+            let inside: u32 = used(&self.members).map(|member| member.slots).sum();
+            let out = slots - inside;
             if f64::from(out) <= f64::from(slots) * EJECT_SHARE {
                 return;
             }
@@ -875,6 +907,16 @@
     }
 }
 
+/// Targets that take work, also those ejected.
+fn serving(members: &[Member]) -> impl Iterator<Item = &Member> {
+    members.iter().filter(|member| member.is_serving())
+}
+
+/// Targets that take work in the ordinary way.
+fn used(members: &[Member]) -> impl Iterator<Item = &Member> {
+    serving(members).filter(|member| member.eject.is_in())
+}
+
 /// The part of a target's limit in use while it warms up.
 fn fraction(config: &Config, member: &Member) -> f64 {
     match config.warm {
@@ -915,8 +957,8 @@
     }
     let foreign = member.estimate.foreign(now, tally.others);
     let load = 1.0 + f64::from(member.in_flight) + foreign;
-    let slowness = member.estimate.slowness(tally.median);
-    load * slowness / (f64::from(member.slots) * fraction(config, member))
+    let slowness = member.estimate.slowness(now, tally.median);
+    load * slowness / f64::from(member.slots)
 }
 
 /// What a request's end shows of its target, if anything.
