--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,12 +1,18 @@
 //! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
 
+<<<<<<< HEAD
 pub mod agent;
+=======
+pub mod beat;
+>>>>>>> part/control
 pub mod delegate;
 pub mod detector;
 pub mod digest;
 pub mod lease;
+mod member;
 pub mod membership;
 pub mod plan;
+pub mod planner;
 pub mod publish;
 pub mod summary;
 pub mod wire;
