--- a/standin/src/observer/shift.rs
+++ b/standin/src/observer/shift.rs
@@ -137,8 +137,10 @@
         return Vec::new();
     };
     let mut buckets = Vec::new();
-    let mut bucket = Bucket::default();
-    bucket.span = first..first + length;
+    let mut bucket = Bucket {
+        span: first..first + length,
+        ..Bucket::default()
+    };
     for record in records {
         while record.start_us >= bucket.span.end {
             let end = bucket.span.end;
