--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,9 +1,12 @@
 //! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
 
+pub mod agent;
 pub mod delegate;
 pub mod detector;
+pub mod digest;
 pub mod lease;
 pub mod membership;
 pub mod plan;
 pub mod publish;
 pub mod summary;
+pub mod wire;
--- a/src/control/summary.rs
+++ b/src/control/summary.rs
@@ -166,6 +166,9 @@
     /// Live hosts of the zone, and those of them whose reports are in it.
     #[serde(rename = "n")]
     pub hosts: (u32, u32),
+    /// Digest of the zone's roster, in the summary of a zone.
+    #[serde(rename = "r", default)]
+    pub roster: u64,
     /// Loads by service; without those that are as they were.
     #[serde(rename = "l")]
     pub loads: BTreeMap<Arc<str>, Load>,
@@ -183,6 +186,8 @@
     pub applied: Stamp,
     /// Live hosts of the zone, and those of them whose reports are in it; 1 of 1 for a host.
     pub hosts: (u32, u32),
+    /// Digest of the zone's roster; to be set by the delegate that sends the summary.
+    pub roster: u64,
     /// Loads by service.
     pub loads: BTreeMap<ServiceKey, Load>,
     /// Quotas wanted, by host and region.
@@ -254,6 +259,7 @@
             },
             zone: catalog.zone(zone).name.clone(),
             hosts: sample.hosts,
+            roster: sample.roster,
             loads,
             needs: needs(&sample.needs, catalog),
         }
@@ -293,6 +299,8 @@
     pub applied: Stamp,
     /// Live hosts of the zone, and those of them whose reports are in it.
     pub hosts: (u32, u32),
+    /// Digest of the zone's roster.
+    pub roster: u64,
     /// Loads by service.
     pub loads: BTreeMap<ServiceKey, Entry>,
     /// Quotas wanted.
@@ -309,6 +317,7 @@
             sampled,
             applied: Stamp::default(),
             hosts: (0, 0),
+            roster: 0,
             loads: BTreeMap::new(),
             needs: BTreeMap::new(),
         }
@@ -327,6 +336,7 @@
         self.sampled = sampled;
         self.applied = message.head.applied;
         self.hosts = message.hosts;
+        self.roster = message.roster;
         for (name, &load) in &message.loads {
             if let Some(service) = catalog.service_key(name) {
                 self.loads.insert(service, Entry { load, sampled });
@@ -495,6 +505,7 @@
             age: self.age,
             applied: self.applied?,
             hosts: (self.live, self.reported),
+            roster: 0,
             loads: self.loads,
             needs: self.needs,
         })
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -14,7 +14,7 @@
 use super::call::{Sender as Answerer, Start};
 use super::head::{Head, SERVICES};
 use super::keyed;
-use super::published::State;
+use super::published::{Readiness, State};
 use super::relay;
 use super::reply::Reply;
 use super::{Error, Shared};
@@ -162,8 +162,8 @@
     }
 
     fn health(&self) -> Reply {
-        if self.shared.published.get().lookup.is_none() {
-            return Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
+        if self.shared.published.get().readiness == Readiness::Starting {
+            return Reply::not_run(503, "starting", Some(FULL_RETRY));
         }
         Reply::whole(200, "text/plain", b"ok\n".to_vec())
     }
@@ -221,6 +221,7 @@
 }
 
 fn serve(shared: &Arc<Shared>, job: Job) {
+    let _in_flight = shared.enter();
     let mut request = job.request;
     let Some(client) = remote(&request) else {
         return Reply::not_run(400, "no remote address", None).send(request);
@@ -317,6 +318,7 @@
 }
 
 fn serve_relayed(shared: &Arc<Shared>, mut incoming: Incoming) {
+    let _in_flight = shared.enter();
     match prepare_relayed(shared, &mut incoming) {
         Ok(start) => keyed::run(shared, start, Answerer::Host(incoming)),
         Err(outcome) => relay::reply(incoming, outcome, FULL_RETRY, None),
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -46,8 +46,9 @@
 const PROBE_SLACK: f64 = 4.0;
 /// Waiting requests that are looked at for a target that came free.
 const TRIES: usize = 8;
-/// Time after which a queue that never emptied shows overload rather than a spike.
-const SPIKE: Duration = Duration::from_millis(100);
+/// Time after which a queue that never emptied shows overload rather than a spike, in mean times
+/// to hold a target.
+const SPIKE: f64 = 1.0;
 /// The wait allowed under overload, in mean times to hold a target.
 const PATIENCE: f64 = 0.5;
 
@@ -561,9 +562,9 @@
     }
 
     fn is_overloaded(&self, now: Instant) -> bool {
-        self.queue
-            .busy_since()
-            .is_some_and(|since| now.saturating_duration_since(since) > SPIKE)
+        self.queue.busy_since().is_some_and(|since| {
+            now.saturating_duration_since(since).as_secs_f64() > self.hold * SPIKE
+        })
     }
 
     fn refusal(&self, reason: Reason) -> Refusal {
@@ -585,7 +586,7 @@
         self.picker.choose(members.len(), rng, |place| {
             let member = &members[place];
             let usable = is_free(config, member, now) && !member.has_tried(ask);
-            usable.then(|| score(config, tally, member, now))
+            usable.then(|| cost(config, tally, member, now))
         })
     }
 
@@ -656,7 +657,7 @@
                 member.rest = None;
                 member.estimate.record(report.latency);
                 member.warm.answer(now);
-                let ratio = member.estimate.likely(tally.median) / tally.median;
+                let ratio = member.estimate.ratio(tally.median);
                 member.limit.answer(now, full, ratio, report.load);
                 self.hold += (seconds - self.hold) * HOLD_WEIGHT;
             }
@@ -704,7 +705,7 @@
         }
         member.eject.record(sign);
         let standing = Standing {
-            ratio: member.estimate.likely(tally.median) / tally.median,
+            ratio: member.estimate.ratio(tally.median),
             samples: member.estimate.samples(),
             success: tally.success,
             down: member.health == Health::Down,
@@ -908,14 +909,14 @@
 }
 
 /// The cost of sending one more request to a target; lower is better.
-fn score(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
+fn cost(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
     if config.pick != Pick::TwoChoices {
         return f64::from(member.in_flight);
     }
     let foreign = member.estimate.foreign(now, tally.others);
     let load = 1.0 + f64::from(member.in_flight) + foreign;
-    let speed = member.estimate.likely(tally.median);
-    load * speed / (f64::from(member.slots) * fraction(config, member))
+    let slowness = member.estimate.slowness(tally.median);
+    load * slowness / (f64::from(member.slots) * fraction(config, member))
 }
 
 /// What a request's end shows of its target, if anything.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,236 +1,18 @@
 //! Membership and delegates: who is alive, seen by hosts that are cut, paused and restarted.
 
+mod net;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use net::{catalog, false_deaths, ms, Net};
 use ragwortfold::border::configuration::Configuration;
-use ragwortfold::catalog::{Catalog, HostKey, ZoneKey};
+use ragwortfold::catalog::{Catalog, HostKey};
 use ragwortfold::control::delegate;
-use ragwortfold::control::detector::INTERVAL;
-use ragwortfold::control::membership::{
-    Beat, Change, Listing, Membership, Sight, State, Status, Via,
-};
-
-/// A catalog of `zones` zones in regions of two, with `hosts` hosts each.
-fn catalog(zones: usize, hosts: usize) -> Catalog {
-    catalog_without(zones, hosts, &[])
-}
-
-fn catalog_without(zones: usize, hosts: usize, gone: &[&str]) -> Catalog {
-    let mut regions = serde_json::Map::new();
-    let mut places = serde_json::Map::new();
-    let mut all = serde_json::Map::new();
-    for zone in 0..zones {
-        let region = format!("region-{}", zone / 2);
-        let name = format!("zone-{zone:02}");
-        regions.insert(region.clone(), serde_json::json!({}));
-        places.insert(name.clone(), serde_json::json!({ "region": region }));
-        for host in 0..hosts {
-            let id = format!("ent-{zone:02}-{host:02}");
-            let port = 1_000 + 100 * zone + host;
-            let record = serde_json::json!({
-                "availability_zone": name,
-                "address": format!("127.0.0.1:{port}"),
-                "peer_address": format!("127.0.0.2:{port}"),
-            });
-            if !gone.contains(&id.as_str()) {
-                all.insert(id, record);
-            }
-        }
-    }
-    let folder = serde_json::json!({
-        "regions": regions, "availability_zones": places, "hosts": all,
-    });
-    let configuration: Configuration = serde_json::from_value(folder).expect("a configuration");
-    Catalog::default()
-        .with_revision(1, &configuration)
-        .expect("a catalog")
-}
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-/// A few hosts in one process, whose links may be cut in one direction.
-struct Net {
-    base: Instant,
-    time: u64,
-    catalog: Catalog,
-    nodes: BTreeMap<HostKey, Membership>,
-    /// Directions in which nothing passes.
-    cut: BTreeSet<(HostKey, HostKey)>,
-    /// Hosts that are stopped until a time.
-    paused: BTreeMap<HostKey, u64>,
-    died: Vec<(u64, HostKey, HostKey)>,
-    loss: f64,
-    jitter: u64,
-    rng: Pcg64,
-    due: BTreeMap<(u64, u64), (HostKey, HostKey, Beat)>,
-    serial: u64,
-}
-
-impl Net {
-    fn new(zones: usize, hosts: usize) -> Self {
-        let base = Instant::now();
-        let catalog = catalog(zones, hosts);
-        let keys: Vec<HostKey> = catalog.hosts().map(|(key, _)| key).collect();
-        let mut nodes: BTreeMap<HostKey, Membership> = keys
-            .iter()
-            .map(|&key| (key, Membership::new(base, key, 1, &catalog)))
-            .collect();
-        for (&own, node) in &mut nodes {
-            for &other in keys.iter().filter(|&&other| other != own) {
-                node.link_up(base, other);
-            }
-        }
-        Self {
-            base,
-            time: 0,
-            catalog,
-            nodes,
-            cut: BTreeSet::new(),
-            paused: BTreeMap::new(),
-            died: Vec::new(),
-            loss: 0.0,
-            jitter: 5,
-            rng: Pcg64::seed_from_u64(11),
-            due: BTreeMap::new(),
-            serial: 0,
-        }
-    }
-
-    fn now(&self) -> Instant {
-        self.base + ms(self.time)
-    }
-
-    fn host(&self, name: &str) -> HostKey {
-        self.catalog.host_key(name).expect("a host")
-    }
-
-    fn zone(&self, name: &str) -> ZoneKey {
-        self.catalog.zone_key(name).expect("a zone")
-    }
-
-    fn stopped(&self, host: HostKey) -> bool {
-        self.paused
-            .get(&host)
-            .is_some_and(|&until| until > self.time)
-    }
-
-    fn post(&mut self, from: HostKey, to: HostKey, beat: Beat) {
-        let lost = self.rng.random_bool(self.loss);
-        if lost || self.cut.contains(&(from, to)) {
-            return;
-        }
-        self.serial += 1;
-        let at = self.time + self.rng.random_range(1..=self.jitter);
-        self.due.insert((at, self.serial), (from, to, beat));
-    }
-
-    fn spread(&mut self, from: HostKey) {
-        let beat = self.nodes[&from].beat(INTERVAL);
-        let others: Vec<HostKey> = self.nodes.keys().copied().collect();
-        for to in others.into_iter().filter(|&to| to != from) {
-            self.post(from, to, beat.clone());
-        }
-    }
-
-    fn deliver(&mut self) {
-        while let Some((&key, _)) = self.due.first_key_value() {
-            if key.0 > self.time {
-                break;
-            }
-            let Some((from, to, beat)) = self.due.remove(&key) else {
-                break;
-            };
-            if let Some(&until) = self.paused.get(&to) {
-                if until > self.time {
-                    self.due.insert((until, key.1), (from, to, beat));
-                    continue;
-                }
-            }
-            let now = self.now();
-            let answer = self.nodes.get_mut(&to).and_then(|n| n.receive(now, &beat));
-            if let Some(answer) = answer {
-                self.post(to, from, answer);
-            }
-        }
-    }
-
-    fn step(&mut self) {
-        self.time += 10;
-        self.deliver();
-        let hosts: Vec<HostKey> = self.nodes.keys().copied().collect();
-        for (n, host) in hosts.into_iter().enumerate() {
-            if self.stopped(host) {
-                continue;
-            }
-            let now = self.now();
-            let beat = (self.time + 70 * n as u64) % 500 < 10;
-            let node = self.nodes.get_mut(&host).expect("a node");
-            if beat {
-                node.advance();
-            }
-            let mut ask = beat;
-            if self.time.is_multiple_of(100) {
-                for change in node.tick(now) {
-                    match change {
-                        Change::Died(dead) => self.died.push((self.time, host, dead)),
-                        Change::Suspected(_) => ask = true,
-                        _ => {}
-                    }
-                }
-            }
-            if ask {
-                self.spread(host);
-            }
-        }
-    }
-
-    fn run(&mut self, millis: u64) {
-        let end = self.time + millis;
-        while self.time < end {
-            self.step();
-        }
-    }
-
-    fn kill(&mut self, host: HostKey) {
-        self.nodes.remove(&host);
-    }
-
-    fn cut_both(&mut self, a: HostKey, b: HostKey) {
-        self.cut.insert((a, b));
-        self.cut.insert((b, a));
-    }
-
-    fn down(&mut self, at: HostKey, link: HostKey) {
-        let now = self.now();
-        if let Some(node) = self.nodes.get_mut(&at) {
-            node.link_down(now, link);
-        }
-    }
-
-    fn status(&self, at: HostKey, of: HostKey) -> Status {
-        self.nodes[&at].status(of)
-    }
-
-    /// Cuts a set of zones from all others.
-    fn part(&mut self, zones: &[&str]) {
-        let side: BTreeSet<ZoneKey> = zones.iter().map(|name| self.zone(name)).collect();
-        let place = |catalog: &Catalog, host| side.contains(&catalog.host(host).zone);
-        let hosts: Vec<HostKey> = self.nodes.keys().copied().collect();
-        for &a in &hosts {
-            for &b in &hosts {
-                if place(&self.catalog, a) != place(&self.catalog, b) {
-                    self.cut_both(a, b);
-                }
-            }
-        }
-    }
-}
+use ragwortfold::control::membership::{Change, Listing, Membership, Sight, State, Status, Via};
 
 macro_rules! case {
     ($($name:ident: $zones:literal x $hosts:literal, $body:expr),* $(,)?) => {
@@ -491,6 +273,24 @@
         it.node.know(now, &sender.roster(it.base + ms(2_000)).hosts, ms(50));
         assert!(it.node.alive(remote) && !it.node.alive(other));
     },
+    a_digest_vouches_for_a_known_roster_only: |it| {
+        let zone = it.catalog.zone_key("zone-01").expect("a zone");
+        let sender = Membership::new(it.base, it.remote, 1, &it.catalog);
+        let roster = sender.roster(it.base);
+        let digest = roster.digest();
+        assert!(!it.node.vouch(it.base, zone, digest, ms(0)));
+        it.node.enroll(it.base, roster, ms(0));
+        for at in (1_000..=60_000).step_by(1_000) {
+            let now = it.at(at);
+            assert!(it.node.vouch(now, zone, digest, ms(1)));
+            assert!(!it.node.vouch(now, zone, digest + 1, ms(1)));
+            it.ticks(at, at + 900);
+        }
+        assert!(it.node.alive(it.remote));
+        assert_eq!(it.node.zone(zone), Sight::Alive);
+        it.ticks(61_000, 75_000);
+        assert!(!it.node.alive(it.remote));
+    },
     reports_of_a_delegate_tell_of_a_lost_zone: |it| {
         let zone = it.catalog.zone_key("zone-01").expect("a zone");
         let now = it.at(0);
@@ -533,19 +333,6 @@
     },
 }
 
-/// Deaths that were none, over a day of host pairs: one observer of one live host in a zone of
-/// `hosts`, with beats lost at random and delayed by a jitter.
-fn false_deaths(seed: u64, hosts: usize, loss: f64, jitter: u64, millis: u64) -> (usize, f64) {
-    let mut net = Net::new(1, hosts);
-    net.rng = Pcg64::seed_from_u64(seed);
-    net.run(2_000);
-    net.loss = loss;
-    net.jitter = jitter;
-    net.run(millis);
-    let pairs = (hosts * (hosts - 1)) as f64;
-    (net.died.len(), pairs * millis as f64 / 3_600_000.0)
-}
-
 #[test]
 fn false_deaths_are_rare() {
     let table = [
@@ -632,6 +419,24 @@
     }
 }
 
+#[test]
+fn branches_reach_every_host_once() {
+    let catalog = catalog(1, 45);
+    let live: BTreeSet<HostKey> = catalog.hosts().map(|(key, _)| key).collect();
+    for &root in &live {
+        let mut reached = vec![root];
+        let mut next = 0;
+        while next < reached.len() {
+            let branches = delegate::branches(root, reached[next], &live, &catalog);
+            assert!(branches.len() <= delegate::FAN);
+            reached.extend(branches);
+            next += 1;
+        }
+        assert_eq!(reached.len(), 45);
+        assert_eq!(reached.into_iter().collect::<BTreeSet<_>>(), live);
+    }
+}
+
 #[test]
 fn candidates_of_an_unknown_zone_take_turns() {
     let catalog = catalog(2, 4);
