Let the replaced host of the demo drain itself; count orphaned keys as cut

Host::drain is there now, so host-replace uses it in place of a bare stop. A keyed call of unknown outcome whose ticket names the stopped host counts as cut by the stop.

--- a/src/bin/ragwortfold/app.rs
+++ b/src/bin/ragwortfold/app.rs
@@ -37,6 +37,9 @@
     /// Run the demo.
     #[cfg(feature = "demo")]
     Demo(crate::demo::Config),
+    /// The demo is not in this build.
+    #[cfg(not(feature = "demo"))]
+    Demo,
 }
 
 /// The parsed arguments.
@@ -66,6 +69,8 @@
             Some(("lookup", matches)) => Config::Lookup(lookup_config(matches)),
             #[cfg(feature = "demo")]
             Some(("demo", matches)) => Config::Demo(demo_config(matches)),
+            #[cfg(not(feature = "demo"))]
+            Some(("demo", _)) => Config::Demo,
             // The parser allows nothing else but `--man`.
             _ => Config::Man,
         }
--- a/src/bin/ragwortfold/clap_app.rs
+++ b/src/bin/ragwortfold/clap_app.rs
@@ -46,7 +46,7 @@
 
 /// The whole command line.
 pub(crate) fn build() -> Command {
-    let command = Command::new(NAME)
+    Command::new(NAME)
         .version(env!("CARGO_PKG_VERSION"))
         .about("Global traffic steering for small operators")
         .long_about(
@@ -71,10 +71,8 @@
             "Gives a target, zone, region or host work again",
         ))
         .subcommand(status())
-        .subcommand(lookup());
-    #[cfg(feature = "demo")]
-    let command = command.subcommand(demo());
-    command
+        .subcommand(lookup())
+        .subcommand(demo())
 }
 
 fn completions() -> Arg {
@@ -306,6 +304,20 @@
         .arg(json())
 }
 
+/// The subcommand of a build without it, which says so.
+#[cfg(not(feature = "demo"))]
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Is not in this build")
+        .hide(true)
+        .arg(
+            Arg::new("rest")
+                .num_args(0..)
+                .trailing_var_arg(true)
+                .allow_hyphen_values(true),
+        )
+}
+
 fn path(name: &'static str, value: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .value_name(value)
--- a/src/bin/ragwortfold/demo/fault.rs
+++ b/src/bin/ragwortfold/demo/fault.rs
@@ -142,6 +142,8 @@
     pub(crate) evidence: Evidence,
     /// When each fault was in force.
     pub(crate) spans: BTreeMap<Kind, Span>,
+    /// How long hosts took to leave, by their own word.
+    pub(crate) host_drains: Vec<Duration>,
 }
 
 /// Does what a plan says.
@@ -153,6 +155,7 @@
     notes: Notes,
     began: BTreeMap<Kind, u64>,
     racers: Vec<JoinHandle<Vec<Accepted>>>,
+    leaving: Option<JoinHandle<(Duration, u64)>>,
 }
 
 /// A change that the platform took, told by its file and text.
@@ -174,6 +177,7 @@
             notes: Notes::default(),
             began: BTreeMap::new(),
             racers: Vec::new(),
+            leaving: None,
         }
     }
 
@@ -221,7 +225,7 @@
                 self.set_platform(Availability::Up, LOSE + 1);
                 self.race(RACERS);
             }
-            Kind::HostReplace => return self.announce_stop(),
+            Kind::HostReplace => self.announce_stop(),
             Kind::Burst => self.callers.burst(&self.region(), true),
         }
         Ok(())
@@ -421,32 +425,32 @@
         Ok(())
     }
 
-    /// Announces a planned stop as the platform and an operator do.
-    fn announce_stop(&mut self) -> Result<(), Error> {
+    /// Announces a planned stop as the platform does, and has the host drain itself.
+    fn announce_stop(&mut self) {
         let name = self.world.replaced.clone();
         self.world.tell_hosts(&[&name]);
-        let text = json!({"hosts": {&*name: {"state": "draining"}}}).to_string();
-        self.world.operator.apply(DRAIN, Some(text))?;
-        Ok(())
+        let machine = self.world.machines.get_mut(&name);
+        let host = machine.and_then(|machine| machine.host.take());
+        self.leaving = host.map(|host| std::thread::spawn(move || (host.drain(), unix_us())));
     }
 
-    /// Stops the host and starts another one with its name at another address.
+    /// Waits until the host has left, and starts another one with its name at another address.
     fn replace(&mut self, start: u64) -> Result<(), Error> {
         let name = self.world.replaced.clone();
         self.watch.set_host(&name, None);
-        let machine = self.world.machines.get_mut(&name);
-        let listen = machine.as_ref().map(|machine| machine.seats[1].listen);
-        if let Some(host) = machine.and_then(|machine| machine.host.take()) {
-            host.stop();
-        }
+        let left = self.leaving.take().and_then(|thread| thread.join().ok());
+        let (drained, end) = left.unwrap_or((Duration::ZERO, unix_us()));
+        self.notes.host_drains.push(drained);
+        let ttl = Duration::from_millis(self.world.configuration.limits.lookup_ttl_ms.into());
         self.notes.evidence.stops.push(Stop {
             host: name.clone(),
-            span: start..unix_us() + 1_000_000,
+            span: start..end + ttl.as_micros() as u64,
         });
         self.world.start(&name, 1)?;
         self.world.publish_seat(&name)?;
-        self.world.operator.apply(DRAIN, None)?;
         self.world.tell_hosts(&[]);
+        let machine = self.world.machines.get(&name);
+        let listen = machine.map(|machine| machine.seats[1].listen);
         self.watch.set_host(&name, listen);
         Ok(())
     }
@@ -468,18 +472,16 @@
 
 /// The figures that belong to faults: the callers' error window of lost places, and the goodput of
 /// idempotent services.
-pub(crate) fn figures(
-    world: &World,
-    evidence: &Evidence,
-    spans: &BTreeMap<Kind, Span>,
-) -> BTreeMap<String, f64> {
+pub(crate) fn figures(world: &World, evidence: &Evidence, notes: &Notes) -> BTreeMap<String, f64> {
     let mut figures = BTreeMap::new();
     let queries = |r: &&standin::caller::Record| world.shape(&r.service) == Shape::Query;
-    for (kind, span) in spans {
+    for (kind, span) in &notes.spans {
         let records = evidence.records.iter().filter(queries);
         let window = figure::error_window_ms(records.clone(), span);
         let name = |what| format!("{}.{what}", kind.name());
         figures.insert(name("error_window_ms"), window as f64);
+        let attempts = figure::attempts(records.clone(), span);
+        figures.insert(name("attempts_per_call"), attempts);
         let capacity = surviving(world, evidence, span);
         if let Some(goodput) = figure::goodput(records, span, capacity) {
             figures.insert(name("goodput"), goodput);
@@ -491,6 +493,10 @@
             figure::longest_ms(evidence),
         );
     }
+    for drained in &notes.host_drains {
+        let time = drained.as_secs_f64() * 1000.0;
+        figures.insert("host-replace.host_drain_ms".into(), time);
+    }
     figures
 }
 
--- a/src/bin/ragwortfold/demo/load.rs
+++ b/src/bin/ragwortfold/demo/load.rs
@@ -17,7 +17,7 @@
 /// Client addresses in each region, each in a /24 block of its own.
 const CLIENTS: u8 = 24;
 /// Calls that a class of a region may have under way.
-const THREADS: usize = 48;
+const THREADS: usize = 96;
 /// Sizes of uploads and of bookings, in bytes.
 const UPLOAD: (usize, usize) = (64 << 10, 1 << 20);
 const BOOKING: (usize, usize) = (64, 512);
--- a/src/bin/ragwortfold/demo/watch.rs
+++ b/src/bin/ragwortfold/demo/watch.rs
@@ -125,7 +125,7 @@
         }
         let state = std::mem::take(&mut *lock(&self.shared));
         let targets = world.targets.iter();
-        let mut evidence = notes.evidence;
+        let mut evidence = notes.evidence.clone();
         evidence.records = calls.records;
         evidence.sheds = targets
             .clone()
@@ -133,7 +133,7 @@
             .collect();
         evidence.journals = targets.map(|(n, t)| (n.clone(), t.journal())).collect();
         evidence.revisions = state.samples;
-        let figures = super::fault::figures(world, &evidence, &notes.spans);
+        let figures = super::fault::figures(world, &evidence, &notes);
         Run {
             world: world.facts.clone(),
             evidence,
@@ -226,6 +226,13 @@
     totals
 }
 
+/// Whether a host says that it is ready.
+pub(crate) fn is_healthy(address: SocketAddr) -> bool {
+    let request = ureq::get(format!("http://{address}/healthz"));
+    let request = request.config().timeout_global(Some(PATIENCE)).build();
+    request.call().is_ok()
+}
+
 /// The incarnation and the revision that a host says it has.
 pub(crate) fn status(address: SocketAddr) -> Option<(u64, u64)> {
     #[derive(Deserialize)]
--- a/src/bin/ragwortfold/demo/world.rs
+++ b/src/bin/ragwortfold/demo/world.rs
@@ -3,7 +3,8 @@
 //! Every entry host listens behind links: one for the callers of each region, with their delay, and
 //! one for its peers, which tells them apart by source address (each host has an address of its own
 //! for peers) and so has the delay of every pair of zones. Each zone reaches the platform over a link.
-//! Not modelled: delay between a host and its zone's targets, and to the platform.
+//! A lost zone is lost to all others: its targets crash, its links reset and refuse; its hosts are not
+//! started anew when it returns. Not modelled: delay between a host and its zone's targets, and to the platform.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -295,7 +296,7 @@
         self.platform.set_hosts(hosts.collect());
     }
 
-    /// Waits until every host says that a configuration is in force.
+    /// Waits until every host says that it is ready and that a configuration is in force.
     pub(crate) fn wait(&self, patience: Duration) -> Result<(), Error> {
         let end = Instant::now() + patience;
         loop {
@@ -303,8 +304,10 @@
                 .machines
                 .iter()
                 .filter(|(_, machine)| {
-                    let status = super::watch::status(machine.seats[0].listen);
-                    status.is_none_or(|(_, revision)| revision == 0)
+                    let listen = machine.seats[0].listen;
+                    let status = super::watch::status(listen);
+                    let has_none = status.is_none_or(|(_, revision)| revision == 0);
+                    has_none || !super::watch::is_healthy(listen)
                 })
                 .map(|(name, _)| &**name)
                 .collect();
--- a/src/bin/ragwortfold/main.rs
+++ b/src/bin/ragwortfold/main.rs
@@ -43,6 +43,10 @@
     #[cfg(feature = "demo")]
     #[error(transparent)]
     Demo(#[from] demo::Error),
+    /// The demo is not in this build.
+    #[cfg(not(feature = "demo"))]
+    #[error("demo: not in this build, which lacks the feature 'demo'")]
+    Demo,
     /// Standard output cannot be written.
     #[error("standard output: {0}")]
     Output(#[from] io::Error),
@@ -80,6 +84,8 @@
         Config::Lookup(config) => lookup::run(&config),
         #[cfg(feature = "demo")]
         Config::Demo(config) => demo::run(&config),
+        #[cfg(not(feature = "demo"))]
+        Config::Demo => Err(Error::Demo),
     }
 }
 
--- a/standin/src/observer/figure.rs
+++ b/standin/src/observer/figure.rs
@@ -142,3 +142,13 @@
     let possible = (offered as f64).min(capacity * seconds);
     (offered > 0 && possible > 0.0).then(|| answered as f64 / possible)
 }
+
+/// Mean attempts of the calls of a span.
+pub fn attempts<'a>(records: impl Iterator<Item = &'a Record>, span: &Span) -> f64 {
+    let (mut calls, mut attempts) = (0_u64, 0);
+    for record in records.filter(|record| span.contains(&record.start_us)) {
+        calls += 1;
+        attempts += record.attempts.len() as u64;
+    }
+    attempts as f64 / calls.max(1) as f64
+}
--- a/standin/src/observer/promise.rs
+++ b/standin/src/observer/promise.rs
@@ -111,14 +111,16 @@
     found
 }
 
-/// Calls whose connection broke at a host that was told to stop.
+/// Calls whose connection broke at a host that was told to stop, and keyed calls that only this host
+/// could run and of which no other host can say what became of them.
 fn cut_by_stop(evidence: &Evidence) -> Vec<Violation> {
     let mut found = Vec::new();
     for stop in &evidence.stops {
         for record in &evidence.records {
             let span = record.start_us..record.start_us + record.latency_us + 1;
             let is_cut = |a: &Attempt| a.host == stop.host && is_cut(a);
-            if overlap(&span, &stop.span) && record.attempts.iter().any(is_cut) {
+            let is_cut = record.attempts.iter().any(is_cut) || is_orphan(record, &stop.host);
+            if overlap(&span, &stop.span) && is_cut {
                 let what = format!("{}: cut at {}", record.call, stop.host);
                 found.push(violation(Promise::CutRequest, what));
             }
@@ -127,6 +129,12 @@
     found
 }
 
+/// Whether a call of unknown outcome bears the ticket of a host.
+fn is_orphan(record: &Record, host: &str) -> bool {
+    let ticket = record.ticket.as_deref().and_then(|t| t.strip_prefix(host));
+    record.outcome == Outcome::Unknown && ticket.is_some_and(|rest| rest.starts_with('.'))
+}
+
 /// Whether an attempt ended without a word on what became of it.
 fn is_cut(attempt: &Attempt) -> bool {
     attempt.outcome == Outcome::Unknown && !attempt.told
