--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -13,7 +13,8 @@
 use super::detector::INTERVAL;
 use super::lease::{self, Candidacy, Lease};
 use super::membership::{Change, Listing, Membership, Report, Sight};
-use super::plan::{Gate, Plan, Planner, Record, Stamp, View};
+use super::plan::{Gate, Plan, Record, Stamp};
+use super::planner::{self, Planner, View};
 use super::publish::{self, Outcome, Publish};
 use super::summary::{self, Load, Message, Sample, Sender, Table, Taken};
 use super::wire::Frame;
@@ -331,7 +332,7 @@
             (Some(epoch), None) => {
                 let previous = self.record.plan(&self.catalog);
                 self.reign = Some(Reign {
-                    planner: Planner::new(Some(&previous)),
+                    planner: Planner::new(now, Some(&previous), &self.catalog),
                     publish: Publish::new(now, epoch),
                     plan: previous,
                 });
@@ -493,7 +494,7 @@
             return;
         };
         if now >= self.due.plan {
-            self.due.plan = now + super::plan::INTERVAL;
+            self.due.plan = now + planner::INTERVAL;
             let sights = sights(&self.catalog, &self.membership);
             let view = View {
                 catalog: &self.catalog,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,10 +1,7 @@
 //! Control: the planner lease, the plan and the membership of entry hosts. Pure, like [`crate::steer`].
 
-<<<<<<< HEAD
 pub mod agent;
-=======
 pub mod beat;
->>>>>>> part/control
 pub mod delegate;
 pub mod detector;
 pub mod digest;
