Publish, drain and show the configuration from the command line

Change: they use store::publication. apply and drain follow the change on /v1/status of the configuration's hosts. drain writes zz-drain.json, so that operators' files keep their text. A drain that the room or the cap on shifts forbids is refused with exit code 3. Applied says whether an answer was lost and settled; /v1/status tells the host's own requests in flight. Not run yet: tests with real hosts.

--- a/src/bin/ragwortfold/app.rs
+++ b/src/bin/ragwortfold/app.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::ArgMatches;
 use clap_complete::Shell;
@@ -9,8 +10,10 @@
 use ragwortfold::border::configuration::State;
 use ragwortfold::config::settings::Overrides;
 use ragwortfold::config::Origin;
+use ragwortfold::store::publication::Undo;
 
-use crate::drain::Kind;
+use crate::drain::{Kind, Limits};
+use crate::publish::Edits;
 use crate::table::Format;
 use crate::{clap_app, config, drain, entry, lookup, publish, status};
 
@@ -100,6 +103,7 @@
         "apply" => apply_action(matches),
         "pull" => publish::Action::Pull {
             dir: path(matches, "dir"),
+            edits: flagged(matches, "discard-edits", Edits::Keep, Edits::Discard),
         },
         // The parser allows nothing else.
         _ => publish::Action::History,
@@ -107,6 +111,7 @@
     Config::Publish(publish::Config {
         platform: text(matches, "platform"),
         action,
+        format: format(matches),
     })
 }
 
@@ -125,10 +130,14 @@
     publish::Action::Apply {
         source: match matches.get_one::<u64>("revert") {
             Some(&revision) => publish::Source::Revision(revision),
-            None => publish::Source::Folder(path(matches, "dir")),
+            None => publish::Source::Folder(
+                path(matches, "dir"),
+                flagged(matches, "remove-missing", Undo::Refuse, Undo::Allow),
+            ),
         },
         note: matches.get_one("note").cloned(),
         author: matches.get_one("author").cloned(),
+        wait: wait(matches),
     }
 }
 
@@ -138,8 +147,14 @@
         kind: choice(matches, "kind", &Kind::ALL),
         name: text(matches, "name"),
         state,
+        limits: match state {
+            State::Draining => flagged(matches, "force", Limits::Keep, Limits::Force),
+            _ => Limits::Force,
+        },
+        wait: wait(matches),
         note: matches.get_one("note").cloned(),
         author: matches.get_one("author").cloned(),
+        format: format(matches),
     }
 }
 
@@ -192,6 +207,19 @@
     found.unwrap_or(&all[0]).1
 }
 
+/// What a flag chooses.
+fn flagged<T>(matches: &ArgMatches, flag: &str, without: T, with: T) -> T {
+    if matches.get_flag(flag) {
+        with
+    } else {
+        without
+    }
+}
+
+fn wait(matches: &ArgMatches) -> Duration {
+    Duration::from_secs(matches.get_one("wait").copied().unwrap_or_default())
+}
+
 fn format(matches: &ArgMatches) -> Format {
     if matches.get_flag("json") {
         Format::Json
--- a/src/bin/ragwortfold/clap_app.rs
+++ b/src/bin/ragwortfold/clap_app.rs
@@ -55,18 +55,34 @@
              requests to targets. Operators keep a folder of small configuration files and put it \
              in force with 'ragwortfold config apply'.",
         )
-        .after_help("Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or configuration.")
+        .after_help(
+            "Exit codes: 0 done, 1 failed, 2 wrong arguments, settings or configuration, 3 a \
+             drain that limits forbid.",
+        )
         .arg_required_else_help(true)
         .args_conflicts_with_subcommands(true)
         .arg(completions())
         .arg(man())
         .subcommand(entry())
         .subcommand(config())
-        .subcommand(drain(
-            "drain",
-            "Takes new work away from a target, zone, region or host",
-        ))
-        .subcommand(drain(
+        .subcommand(
+            place(
+                "drain",
+                "Takes new work away from a target, zone, region or host",
+            )
+            .long_about(
+                "Takes new work away from a target, zone, region or host and waits until its work \
+                 in flight is done. The change goes into the file 'zz-drain.json' of the \
+                 configuration.\n\n\
+                 Exits with 3, before anything is changed, if what stays could not carry the work \
+                 or the cap on shifts makes it take more than one window.",
+            )
+            .arg(flag(
+                "force",
+                "Begin even if it cannot be met within limits",
+            )),
+        )
+        .subcommand(place(
             "undrain",
             "Gives a target, zone, region or host work again",
         ))
@@ -155,19 +171,29 @@
             Command::new("diff")
                 .about("Shows how a folder differs from the platform's configuration")
                 .arg(dir())
-                .arg(platform()),
+                .arg(platform())
+                .arg(json()),
         )
         .subcommand(apply())
         .subcommand(
             Command::new("pull")
                 .about("Writes the platform's configuration to a folder")
+                .long_about(
+                    "Writes the platform's configuration to a folder: afterwards it holds just \
+                     the files of the revision in force, and a marker '.ragwortfold-base' that \
+                     says which revision that was. Files that were edited since the folder was \
+                     pulled keep it from being written.",
+                )
                 .arg(dir())
-                .arg(platform()),
+                .arg(platform())
+                .arg(flag("discard-edits", "Overwrite and remove edited files"))
+                .arg(json()),
         )
         .subcommand(
             Command::new("history")
                 .about("Lists the revisions of the platform's configuration")
-                .arg(platform()),
+                .arg(platform())
+                .arg(json()),
         )
 }
 
@@ -177,7 +203,10 @@
         .long_about(
             "Makes a folder, or with --revert an earlier revision, the next revision of the \
              platform's configuration. Revisions only rise. Racing changes of other files are \
-             taken in; a racing change of the same file is a conflict.",
+             taken in; a racing change of the same file is a conflict. Then waits until the \
+             entry hosts have it in force and says which are behind.\n\n\
+             Exits with 0 when the revision is published, even if hosts are behind, with 1 when \
+             it is not, and with 2 when the configuration has faults.",
         )
         .arg(
             dir()
@@ -195,9 +224,31 @@
                 .value_parser(value_parser!(u64))
                 .help("Take the files of revision N instead of a folder's"),
         )
+        .arg(
+            flag("remove-missing", "Take the folder as the whole truth")
+                .long_help(
+                    "Take the folder as the whole truth: files that it lacks are removed, and \
+                     older texts come back, whatever others changed meanwhile",
+                )
+                .conflicts_with("revert"),
+        )
+        .arg(wait(
+            "10",
+            "How long to wait until hosts have it in force; 0 is not at all",
+        ))
+        .arg(json())
 }
 
-fn drain(name: &'static str, about: &'static str) -> Command {
+fn wait(default: &'static str, help: &'static str) -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .value_name("SECONDS")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+fn place(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .about(about)
         .arg(
@@ -216,6 +267,11 @@
         .arg(platform())
         .arg(note())
         .arg(author())
+        .arg(wait(
+            "60",
+            "How long to wait until it is done; 0 is not at all",
+        ))
+        .arg(json())
 }
 
 fn status() -> Command {
@@ -228,7 +284,7 @@
         )
         .arg(url(
             "platform",
-            "Ask the platform for its list of entry hosts",
+            "Read the configuration there and ask all its entry hosts",
         ))
         .arg(json())
 }
--- a/src/bin/ragwortfold/fetch.rs
+++ b/src/bin/ragwortfold/fetch.rs
@@ -38,15 +38,30 @@
     },
 }
 
+/// A base URL that may lack its `http://`, made whole.
+pub(crate) fn base(url: &str) -> String {
+    let url = url.trim_end_matches('/');
+    if url.contains("://") {
+        url.into()
+    } else {
+        format!("http://{url}")
+    }
+}
+
 /// Gets `path` under `base` as JSON. The base may lack its `http://`.
 pub(crate) fn get(base: &str, path: &str, query: &[(&str, &str)]) -> Result<Value, Error> {
-    let base = base.trim_end_matches('/');
-    let url = if base.contains("://") {
-        format!("{base}{path}")
-    } else {
-        format!("http://{base}{path}")
-    };
-    let (status, text) = ask(&url, query).map_err(|source| Error::Silent {
+    get_within(base, path, query, PATIENCE)
+}
+
+/// Gets like [`get`], in no more than `time`.
+pub(crate) fn get_within(
+    base: &str,
+    path: &str,
+    query: &[(&str, &str)],
+    time: Duration,
+) -> Result<Value, Error> {
+    let url = format!("{}{path}", self::base(base));
+    let (status, text) = ask(&url, query, time).map_err(|source| Error::Silent {
         url: url.clone(),
         source: Box::new(source),
     })?;
@@ -57,9 +72,9 @@
     serde_json::from_str(&text).map_err(|source| Error::Garbage { url, source })
 }
 
-fn ask(url: &str, query: &[(&str, &str)]) -> Result<(u16, String), ureq::Error> {
+fn ask(url: &str, query: &[(&str, &str)], time: Duration) -> Result<(u16, String), ureq::Error> {
     let agent: ureq::Agent = ureq::Agent::config_builder()
-        .timeout_global(Some(PATIENCE))
+        .timeout_global(Some(time))
         .http_status_as_error(false)
         .build()
         .into();
--- a/src/bin/ragwortfold/main.rs
+++ b/src/bin/ragwortfold/main.rs
@@ -8,9 +8,12 @@
 mod drain;
 mod entry;
 mod fetch;
+mod fleet;
 mod help;
 mod lookup;
+mod overrides;
 mod publish;
+mod room;
 mod status;
 mod table;
 
@@ -23,6 +26,8 @@
 const FAILED: u8 = 1;
 /// Exit code when the arguments, the settings or the configuration are wrong.
 const WRONG: u8 = 2;
+/// Exit code when a drain is refused because it cannot be met within limits.
+const REFUSED: u8 = 3;
 
 /// What ends the program early.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +44,12 @@
     /// The platform's configuration could not be read or changed.
     #[error(transparent)]
     Publish(#[from] publish::Error),
+    /// A place could not be drained.
+    #[error(transparent)]
+    Drain(#[from] drain::Error),
+    /// The configuration cannot be laid out.
+    #[error(transparent)]
+    Catalog(#[from] ragwortfold::catalog::Error),
     /// The demo failed.
     #[cfg(feature = "demo")]
     #[error(transparent)]
@@ -51,7 +62,10 @@
 impl Error {
     fn code(&self) -> u8 {
         match self {
-            Error::Config(_) => WRONG,
+            Error::Config(_) | Error::Catalog(_) => WRONG,
+            Error::Publish(error) if error.is_fault() => WRONG,
+            Error::Drain(drain::Error::Limits { .. }) => REFUSED,
+            Error::Drain(error) if error.is_wrong() => WRONG,
             _ => FAILED,
         }
     }
--- a/src/bin/ragwortfold/table.rs
+++ b/src/bin/ragwortfold/table.rs
@@ -30,7 +30,9 @@
     match value {
         Value::Object(map) if is_table(map.values()) => {
             let rows = map.iter().map(|(key, row)| (Some(key.as_str()), row));
-            titled(name, &grid(rows.collect()))
+            let own = titled(name, &grid(rows.collect()));
+            map.iter()
+                .fold(own, |text, (key, row)| inner(text, &join(name, key), row))
         }
         Value::Object(map) => object(name, map),
         Value::Array(rows) => titled(name, &grid(rows.iter().map(|row| (None, row)).collect())),
@@ -47,27 +49,46 @@
 }
 
 fn object(name: &str, map: &Map<String, Value>) -> String {
-    let (inner, scalars): (Vec<_>, Vec<_>) = map
+    let (inner_tables, scalars): (Vec<_>, Vec<_>) = map
         .iter()
         .partition(|(_, value)| value.is_object() || value.is_array());
     let lines: Vec<Vec<String>> = scalars
         .iter()
         .map(|(key, value)| vec![(*key).clone(), cell(value)])
         .collect();
-    let mut text = titled(name, &aligned(&lines));
-    for (key, value) in inner {
-        let path = if name.is_empty() {
-            key.clone()
-        } else {
-            format!("{name}.{key}")
-        };
-        let table = tables(&path, value);
-        if !text.is_empty() && !table.is_empty() {
-            text.push('\n');
-        }
-        text.push_str(&table);
+    let text = titled(name, &aligned(&lines));
+    inner_tables.into_iter().fold(text, |text, (key, value)| {
+        append(text, &tables(&join(name, key), value))
+    })
+}
+
+fn join(name: &str, key: &str) -> String {
+    if name.is_empty() {
+        key.into()
+    } else {
+        format!("{name}.{key}")
     }
-    text
+}
+
+/// Text with the tables in a row after it.
+fn inner(text: String, name: &str, row: &Value) -> String {
+    let Value::Object(row) = row else {
+        return text;
+    };
+    if is_table(row.values()) {
+        return append(text, &tables(name, &Value::Object(row.clone())));
+    }
+    let nested = row.iter().filter(|(_, value)| value.is_object());
+    nested.fold(text, |text, (key, value)| {
+        append(text, &tables(&join(name, key), value))
+    })
+}
+
+fn append(mut text: String, table: &str) -> String {
+    if !text.is_empty() && !table.is_empty() {
+        text.push('\n');
+    }
+    text + table
 }
 
 fn titled(name: &str, body: &str) -> String {
@@ -83,8 +104,12 @@
     let heads: BTreeSet<&str> = rows
         .iter()
         .filter_map(|(_, row)| row.as_object())
-        .flat_map(|row| row.keys().map(String::as_str))
+        .flat_map(|row| row.iter().filter(|(_, value)| !value.is_object()))
+        .map(|(key, _)| key.as_str())
         .collect();
+    if heads.is_empty() && rows.iter().any(|(_, row)| row.is_object()) {
+        return String::new();
+    }
     let has_names = rows.iter().any(|(name, _)| name.is_some());
     let mut lines = Vec::with_capacity(rows.len() + 1);
     if !heads.is_empty() {
@@ -109,12 +134,21 @@
 fn cell(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        Value::Number(number) if number.is_f64() => float(number.as_f64().unwrap_or_default()),
         other => other.to_string(),
     }
 }
 
+/// A number with no more decimals than people read.
+fn float(number: f64) -> String {
+    let text = format!("{number:.3}");
+    let text = text.trim_end_matches('0').trim_end_matches('.');
+    text.to_owned()
+}
+
 /// Lines of cells, each column as wide as its widest cell.
-fn aligned(lines: &[Vec<String>]) -> String {
+pub(crate) fn aligned(lines: &[Vec<String>]) -> String {
     let columns = lines.iter().map(Vec::len).max().unwrap_or(0);
     let width = |column: usize| {
         let cells = lines.iter().filter_map(|line| line.get(column));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -104,7 +104,10 @@
         let (sender, receiver) = bounded(1);
         self.core.send(core::Event::Status(sender));
         match receiver.recv_timeout(STATUS_TIME) {
-            Ok(status) => Reply::json(200, &status),
+            Ok(status) => {
+                let in_flight = self.in_flight.load(Ordering::Relaxed);
+                Reply::json(200, &status.with_in_flight(in_flight))
+            }
             Err(_) => Reply::not_run(503, "the core is busy", Some(STATUS_TIME)),
         }
     }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -23,6 +23,8 @@
     /// The epoch of the planner lease, if this host holds it.
     planner_epoch: Option<u64>,
     delegate: bool,
+    /// Requests that this host has not answered yet, whoever works on them.
+    in_flight: usize,
     hosts: BTreeMap<Arc<str>, Host>,
     zones: BTreeMap<Arc<str>, &'static str>,
     services: BTreeMap<Arc<str>, Service>,
@@ -72,12 +74,19 @@
             plan: (stamp.epoch, stamp.sequence),
             planner_epoch: agent.and_then(|agent| agent.held(now)),
             delegate: agent.is_some_and(Agent::is_delegate),
+            in_flight: 0,
             hosts: agent.map(|agent| hosts(engine, agent)).unwrap_or_default(),
             zones: agent.map(|agent| zones(engine, agent)).unwrap_or_default(),
             services: services(engine, &settings.availability_zone),
             splits: splits(engine),
         }
     }
+
+    /// Sets the number of requests that are not answered yet, which the core does not know.
+    pub(crate) fn with_in_flight(mut self, in_flight: usize) -> Self {
+        self.in_flight = in_flight;
+        self
+    }
 }
 
 fn hosts(engine: &Engine, agent: &Agent) -> BTreeMap<Arc<str>, Host> {
--- a/src/store/publication/mod.rs
+++ b/src/store/publication/mod.rs
@@ -16,6 +16,7 @@
 pub mod merge;
 pub mod text;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -87,6 +88,15 @@
     Unchanged,
 }
 
+/// How a publication learned that it is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The platform said so.
+    Received,
+    /// The platform's answer was lost; its identity was found in what the platform holds.
+    Settled,
+}
+
 /// A publication that is in force.
 #[derive(Clone, Debug)]
 pub struct Applied {
@@ -94,6 +104,8 @@
     pub revision: u64,
     /// Whether it made a revision.
     pub effect: Effect,
+    /// How it learned of that.
+    pub answer: Answer,
     /// The files that it changed.
     pub files: Vec<Arc<str>>,
     /// What the folder is now derived from: to be written as its marker.
@@ -313,6 +325,7 @@
                 return Ok(Applied {
                     revision: same.revision,
                     effect: Effect::Unchanged,
+                    answer: Answer::Received,
                     files: Vec::new(),
                     marker: marker(same.revision),
                 });
@@ -320,14 +333,16 @@
             let texts = self.texts(&files, &wanted.files, patience)?;
             check(&texts).map_err(|e| Error::Check(e.to_string().into()))?;
             let next = next_head(theirs, change.clone(), files);
-            if !self.replace(head.as_ref(), &next, &texts, &id, patience)? {
+            let replaced = self.replace(head.as_ref(), &next, &texts, &id, patience)?;
+            let Some(answer) = replaced else {
                 continue;
-            }
+            };
             self.collect_sometimes(next.revision);
             let changed = next.recent.first().map(|step| &step.files[..]);
             return Ok(Applied {
                 revision: next.revision,
                 effect: Effect::New,
+                answer,
                 files: changed
                     .unwrap_or_default()
                     .iter()
@@ -339,8 +354,8 @@
         Err(Error::Crowded(MAX_RACES))
     }
 
-    /// Writes what `next` needs, and then `next` in place of `head`. Tells whether it did: not,
-    /// if another writer was faster.
+    /// Writes what `next` needs, and then `next` in place of `head`. Tells how it learned that it
+    /// did; none if another writer was faster.
     fn replace(
         &self,
         head: Option<&Versioned<Head>>,
@@ -348,7 +363,7 @@
         texts: &Files,
         id: &Identity,
         patience: &mut Patience,
-    ) -> Result<bool, Error> {
+    ) -> Result<Option<Answer>, Error> {
         history::put(&self.guard, &past(head, next), patience)?;
         let old = head.map(|head| &head.value.files);
         let fence = head.map_or(0, |head| head.version);
@@ -359,12 +374,20 @@
             }
         }
         let condition = head.map_or(Condition::Absent, |head| Condition::Version(head.version));
-        let evidence = |value: &Value| evidence(value, id, next.revision);
+        let answer = Cell::new(Answer::Received);
+        let evidence = |value: &Value| {
+            // Only a write without an answer looks for evidence.
+            answer.set(Answer::Settled);
+            evidence(value, id, next.revision)
+        };
         let outcome = settle::put(&self.guard, HEAD, next, condition, evidence, patience)?;
         match outcome {
-            Outcome::Mine(_) => Ok(true),
-            Outcome::Lost(_) => Ok(false),
-            Outcome::Unclear(found) => self.is_in_chain(found, id, next.revision, patience),
+            Outcome::Mine(_) => Ok(Some(answer.get())),
+            Outcome::Lost(_) => Ok(None),
+            Outcome::Unclear(found) => {
+                let is_mine = self.is_in_chain(found, id, next.revision, patience)?;
+                Ok(is_mine.then_some(Answer::Settled))
+            }
             Outcome::Unknown(cause) => Err(unsettled(id, &cause)),
         }
     }
