--- a/src/bin/ragwortfold/demo/world.rs
+++ b/src/bin/ragwortfold/demo/world.rs
@@ -151,8 +151,6 @@
     pub(crate) machines: BTreeMap<Arc<str>, Machine>,
     /// The operator whose folder it is.
     pub(crate) operator: Operator,
-    /// The platform's URL past all links.
-    pub(crate) url: String,
     /// The host that is replaced when that is the fault.
     pub(crate) replaced: Arc<str>,
     uplinks: BTreeMap<Arc<str>, Link>,
@@ -189,7 +187,6 @@
             machines: BTreeMap::new(),
             operator: Operator::new("operator", &url, files),
             platform,
-            url,
             replaced,
             uplinks,
             delays: customer.delays(),
