Ask targets for their state, gauge headroom, and keep the client table over revisions

Cause: a target's own health was not heard, gauges had no source, and each revision built the client table anew. Change: entry/health.rs; headroom of regions from zones' loads, of links from quotas; Folder::updated and Catalog::with_parts.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ipnet::IpNet;
 use la_arena::{Arena, Idx};
 
 use crate::border::configuration as border;
@@ -265,6 +266,28 @@
         &self,
         revision: u64,
         configuration: &border::Configuration,
+    ) -> Result<Self, Error> {
+        let mut blocks = Vec::with_capacity(configuration.clients.len());
+        for (block, client) in &configuration.clients {
+            let net = block.parse().map_err(|_| Error::Block {
+                text: block.as_str().into(),
+            })?;
+            blocks.push((net, &*client.region));
+        }
+        self.with_parts(revision, configuration, Some(blocks))
+    }
+
+    /// Lays out `configuration` as `revision`, with the client blocks apart; without any, those of
+    /// this catalog stay. What the configuration itself says of them is not looked at.
+    ///
+    /// # Errors
+    ///
+    /// A name that nothing defines, or an address that cannot be read.
+    pub fn with_parts<'a>(
+        &self,
+        revision: u64,
+        configuration: &border::Configuration,
+        clients: Option<impl IntoIterator<Item = (IpNet, &'a str)>>,
     ) -> Result<Self, Error> {
         let mut next = self.clone();
         next.revision = revision;
@@ -274,7 +297,9 @@
         next.put_services(configuration);
         next.put_targets(configuration)?;
         next.put_links(configuration)?;
-        next.put_clients(configuration)?;
+        if let Some(clients) = clients {
+            next.put_clients(clients)?;
+        }
         next.sites = next.lay_sites();
         Ok(next)
     }
@@ -389,14 +414,14 @@
         Ok(())
     }
 
-    fn put_clients(&mut self, configuration: &border::Configuration) -> Result<(), Error> {
-        let mut blocks = Vec::with_capacity(configuration.clients.len());
-        for (block, client) in &configuration.clients {
-            let net = block.parse().map_err(|_| Error::Block {
-                text: block.as_str().into(),
-            })?;
-            blocks.push((net, self.need_region(&client.region)?));
-        }
+    fn put_clients<'a>(
+        &mut self,
+        clients: impl IntoIterator<Item = (IpNet, &'a str)>,
+    ) -> Result<(), Error> {
+        let blocks = clients
+            .into_iter()
+            .map(|(block, region)| Ok((block, self.need_region(region)?)))
+            .collect::<Result<Vec<_>, Error>>()?;
         self.clients = Arc::new(self.clients.with_blocks(&blocks));
         Ok(())
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -303,6 +303,31 @@
         shares
     }
 
+    /// The free part of each region's slots, as far as its zones were measured lately.
+    pub(crate) fn region_rooms(&self, now: Instant) -> BTreeMap<RegionKey, f64> {
+        let mut sums: BTreeMap<RegionKey, (f64, f64)> = BTreeMap::new();
+        let Some(agent) = &self.agent else {
+            return BTreeMap::new();
+        };
+        for (service, _) in self.catalog.services() {
+            for (zone, _) in self.catalog.sites(service) {
+                let Some((load, _)) = agent
+                    .load(now, service, zone)
+                    .filter(|&(_, age)| age < FRESH)
+                else {
+                    continue;
+                };
+                let sum = sums.entry(self.catalog.region_of(zone)).or_default();
+                sum.0 += f64::from(load.in_flight + load.queued);
+                sum.1 += f64::from(load.live);
+            }
+        }
+        sums.into_iter()
+            .filter(|(_, (_, slots))| *slots > 0.0)
+            .map(|(region, (used, slots))| (region, (1.0 - used / slots).clamp(0.0, 1.0)))
+            .collect()
+    }
+
     /// What is known of the zones, and the free slots of their sites within `utilization`.
     pub(crate) fn view(&self, now: Instant) -> (View, BTreeMap<(ServiceKey, ZoneKey), u32>) {
         let mut view = View::default();
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -19,12 +19,13 @@
 use super::control::{Change, Control};
 use super::feed;
 use super::later::{self, Later, Queue};
+use super::metrics::Metrics;
 use super::platform;
 use super::published::{Readiness, State};
 use super::status::Status;
 use super::{Error, Published};
 use crate::border::settings::Settings;
-use crate::catalog::{Catalog, ServiceKey};
+use crate::catalog::{Catalog, ServiceKey, TargetKey};
 use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
@@ -87,6 +88,8 @@
     Published(publish::Event),
     /// The platform's list of hosts.
     Listed(Vec<Host>),
+    /// What a target says of itself when asked.
+    Health(TargetKey, group::Health, Option<group::State>),
     /// This host takes no new work any more.
     Leave,
     /// What this host knows and does, for operators.
@@ -163,6 +166,7 @@
     pub(crate) incarnation: u64,
     pub(crate) platform: Sender<platform::Ask>,
     pub(crate) feed: feed::Queue,
+    pub(crate) metrics: Arc<Metrics>,
     /// Set while this host is a delegate of its zone.
     pub(crate) delegate: Arc<AtomicBool>,
 }
@@ -284,6 +288,9 @@
             Event::Leased(event) => self.control.leased(now, event, &mut self.rng),
             Event::Published(event) => self.control.published(now, event, &mut self.rng),
             Event::Listed(hosts) => self.control.listed(now, &hosts),
+            Event::Health(target, health, state) => {
+                self.engine.health(now, target, health, state);
+            }
             Event::Leave => self.control.leave(now),
             Event::Status(reply) => {
                 let _ = reply.send(self.status(now));
@@ -352,6 +359,21 @@
         });
     }
 
+    /// Shows what is left of regions and links.
+    fn show(&mut self, now: Instant) {
+        let metrics = &self.parts.metrics;
+        let catalog = self.engine.catalog().clone();
+        metrics.revision(catalog.revision);
+        for (region, free) in self.control.region_rooms(now) {
+            metrics.headroom("region", &catalog.region(region).name, free);
+        }
+        for ((from, to), free) in self.engine.link_rooms(now) {
+            if let Some(link) = catalog.link(from, to) {
+                metrics.headroom("link", &link.name, free);
+            }
+        }
+    }
+
     fn status(&self, now: Instant) -> Status {
         Status::new(
             now,
@@ -398,6 +420,7 @@
         if now >= self.measure {
             self.measure = now + MEASURE;
             self.control.measure(self.engine.measure(now));
+            self.show(now);
         }
         let change = self.control.tick(now, &mut self.rng);
         self.take(now, change);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod front;
 mod head;
+mod health;
 mod keyed;
 mod later;
 mod log;
@@ -67,7 +68,7 @@
     pub(crate) core: core::Handle,
     pub(crate) published: Arc<Published>,
     pub(crate) targets: target::Client,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
     pub(crate) issuer: Issuer,
     pub(crate) mesh: Arc<Mesh>,
     later: Queue,
@@ -154,6 +155,7 @@
         let rotation = Rotation::new(Instant::now());
         let published = Arc::new(Published::new());
         let (later, work) = later::queue();
+        let metrics = Arc::new(Metrics::new()?);
         let (asks, asked) = unbounded();
         let (feed, news) = unbounded();
         let delegate = Arc::new(AtomicBool::new(false));
@@ -165,6 +167,7 @@
             incarnation,
             platform: asks,
             feed: feed.clone(),
+            metrics: metrics.clone(),
             delegate: delegate.clone(),
         })?;
         let known = Arc::new(feed::Known::default());
@@ -178,7 +181,7 @@
             core: core.clone(),
             published,
             targets: target::Client::new(connect),
-            metrics: Metrics::new()?,
+            metrics,
             issuer: Issuer::new(settings.host.as_str().into(), incarnation, rotation),
             mesh,
             later,
@@ -200,6 +203,8 @@
             seed: incarnation,
         };
         platform::start(&platform, asked)?;
+        let zone = &shared.settings.availability_zone;
+        health::start(zone, &shared.published, &core, &stop)?;
         let threads = shared.settings.pool.lookup_workers.get() as usize;
         let handler = Arc::new(move |request| front.take(request));
         let server = Server::new(listener, threads, idle, handler)?;
--- a/src/entry/revision.rs
+++ b/src/entry/revision.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use crate::catalog::Catalog;
-use crate::config::{check, Folder};
+use crate::config::{Clients, Folder};
 use crate::store::publication::Fetched;
 
 /// The last good revision.
 #[derive(Default)]
 pub(crate) struct Revision {
     fetched: Arc<Fetched>,
+    /// Its files as they were parsed and checked, of which later ones are made.
+    folder: Folder,
+    clients: Arc<Clients>,
     catalog: Arc<Catalog>,
 }
 
@@ -39,12 +42,19 @@
             revision: offered,
             problem: problem.into(),
         };
-        let folder = Folder::with_files(fetched.files.clone());
-        let configuration = check(&folder).map_err(|faults| faulty(faults.to_string()))?;
+        let folder = self.folder.updated(fetched.files.clone());
+        let (configuration, clients) = folder
+            .parts()
+            .map_err(|faults| faulty(faults.to_string()))?;
+        // Client blocks are many and change seldom: the table is made anew only if they did.
+        let changed = !Arc::ptr_eq(&clients, &self.clients);
+        let blocks = changed.then(|| clients.iter().map(|(block, region)| (block, &**region)));
         let catalog = self
             .catalog
-            .with_revision(offered, &configuration)
+            .with_parts(offered, &configuration, blocks)
             .map_err(|error| faulty(error.to_string()))?;
+        self.folder = folder;
+        self.clients = clients;
         self.fetched = Arc::new(fetched);
         self.catalog = Arc::new(catalog);
         Ok(self.catalog.clone())
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -191,6 +191,12 @@
         loads
     }
 
+    /// The part of this host's quota of each link, from one region to another, that was free since the
+    /// last call.
+    pub fn link_rooms(&mut self, now: Instant) -> BTreeMap<(RegionKey, RegionKey), f64> {
+        self.quotas.rooms(now)
+    }
+
     /// A group of this host's targets.
     pub fn group(&self, service: ServiceKey) -> Option<&Group> {
         self.groups.get(&service)
@@ -210,6 +216,23 @@
         self.advance(now);
     }
 
+    /// Takes what a target says of itself when asked.
+    pub fn health(
+        &mut self,
+        now: Instant,
+        target: TargetKey,
+        health: group::Health,
+        state: Option<group::State>,
+    ) {
+        let service = self.catalog.target(target).service;
+        if let Some(group) = self.groups.get_mut(&service) {
+            group.health(target, health);
+            if let Some(state) = state {
+                group.set_state(now, target, group::Source::Health, state);
+            }
+        }
+    }
+
     /// Takes the free slots of other zones, as last heard.
     pub fn set_free(&mut self, free: BTreeMap<(ServiceKey, ZoneKey), u32>) {
         self.free = free;
--- a/src/steer/pass.rs
+++ b/src/steer/pass.rs
@@ -48,7 +48,7 @@
 pub(crate) type Site = (ServiceKey, RegionKey);
 
 /// One direction of a link between regions.
-type Way = (RegionKey, RegionKey);
+pub(crate) type Way = (RegionKey, RegionKey);
 
 /// The quotas of one host.
 #[derive(Debug)]
@@ -57,6 +57,9 @@
     sites: BTreeMap<Site, Quota>,
     requests: BTreeMap<Way, Quota>,
     bytes: BTreeMap<Way, Quota>,
+    /// Requests sent over each link since [`Quotas::rooms`] was last asked.
+    sent: BTreeMap<Way, u32>,
+    asked: Option<Instant>,
 }
 
 impl Quotas {
@@ -66,9 +69,31 @@
             sites: BTreeMap::new(),
             requests: BTreeMap::new(),
             bytes: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            asked: None,
         }
     }
 
+    /// The part of this host's quota of each link that was left free since the last call, 0 to 1.
+    pub(crate) fn rooms(&mut self, now: Instant) -> BTreeMap<Way, f64> {
+        let since = self.asked.replace(now).unwrap_or(now);
+        let time = now.saturating_duration_since(since).as_secs_f64();
+        let sent = std::mem::take(&mut self.sent);
+        let room = |way: &Way, quota: &Quota| {
+            let most = quota.rate(now) * time;
+            let used = f64::from(sent.get(way).copied().unwrap_or_default());
+            if most > 0.0 {
+                (1.0 - used / most).clamp(0.0, 1.0)
+            } else {
+                1.0
+            }
+        };
+        self.requests
+            .iter()
+            .map(|(way, quota)| (*way, room(way, quota)))
+            .collect()
+    }
+
     /// Sets the static parts by a new configuration; bonuses stay.
     pub(crate) fn configure(&mut self, now: Instant, catalog: &Catalog, own: RegionKey) {
         let incarnation = self.incarnation;
@@ -121,6 +146,7 @@
                 return Err(refusal);
             }
         }
+        *self.sent.entry(way).or_default() += 1;
         Ok(())
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -32,20 +32,27 @@
     world.hosts.keys().cloned().collect()
 }
 
-fn alive(world: &World, host: &str) -> usize {
+/// Whether a host knows that all others are alive.
+fn knows_all(world: &World, host: &str) -> Result<(), String> {
     let status = status(world, host);
     let hosts = status["hosts"].as_object().unwrap();
-    hosts.values().filter(|h| h["state"] == "alive").count()
+    let alive = hosts.values().filter(|h| h["state"] == "alive").count();
+    if alive == names(world).len() {
+        return Ok(());
+    }
+    Err(format!("{host} knows {hosts:?}"))
+}
+
+fn wait_known(world: &World) {
+    for host in names(world) {
+        world::settles(|| knows_all(world, &host));
+    }
 }
 
 #[test]
 fn hosts_find_each_other_and_one_plans() {
     let world = fleet();
-    for host in names(&world) {
-        eventually(&format!("{host} knows all hosts"), || {
-            alive(&world, &host) == 6
-        });
-    }
+    wait_known(&world);
     eventually("one host plans", || {
         let planners = names(&world)
             .iter()
@@ -58,11 +65,7 @@
 #[test]
 fn a_change_comes_into_force_everywhere_and_a_new_host_gets_it_from_peers() {
     let mut world = fleet();
-    for host in names(&world) {
-        eventually(&format!("{host} knows all hosts"), || {
-            alive(&world, &host) == 6
-        });
-    }
+    wait_known(&world);
     world.configuration["services"]["lookups"]["deadline_ms"] = json!(4000);
     world.publish(2);
     let start = Instant::now();
@@ -87,11 +90,7 @@
 #[test]
 fn a_dead_host_vanishes_from_look_ups() {
     let mut world = fleet();
-    for host in names(&world) {
-        eventually(&format!("{host} knows all hosts"), || {
-            alive(&world, &host) == 6
-        });
-    }
+    wait_known(&world);
     let asked = world.hosts["ent-lima-a-1"].url("/v1/entries?service=lookups&client=10.0.0.1");
     let named = || {
         let entries = send("GET", &asked, &[], b"").unwrap().json();
@@ -111,11 +110,7 @@
 #[test]
 fn a_host_told_to_stop_leaves_and_ends_with_zero() {
     let mut world = fleet();
-    for host in names(&world) {
-        eventually(&format!("{host} knows all hosts"), || {
-            alive(&world, &host) == 6
-        });
-    }
+    wait_known(&world);
     let host = world.hosts.get_mut("ent-lima-b-1").unwrap();
     host.signal("TERM");
     assert_eq!(host.wait(), Some(0));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -265,6 +265,15 @@
     }
 }
 
+/// Waits until `check` finds nothing amiss.
+pub fn settles(mut check: impl FnMut() -> Result<(), String>) {
+    let end = Instant::now() + PATIENCE;
+    while let Err(problem) = check() {
+        assert!(Instant::now() < end, "still: {problem}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// An answer, whatever its status.
 #[derive(Debug)]
 pub struct Answer {
