Interleave the collector with a writer call by call

Cause: mutants that removed the version fence of the collector or of the writer survived the race test, as it ran the collector only as a whole.

--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -31,6 +31,8 @@
 /// A call as it came.
 #[allow(dead_code)]
 pub struct Call {
+    /// Who calls: what the client's URL holds after the address, if anything.
+    pub caller: String,
     pub method: String,
     pub path: String,
     pub query: String,
@@ -233,8 +235,10 @@
     let mut words = line.split(' ');
     let method = words.next()?.to_owned();
     let target = words.next()?.to_owned();
-    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    let (caller, target) = target.split_at(target.find("/v1/").unwrap_or(0));
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let mut call = Call {
+        caller: caller.to_owned(),
         method,
         path: path.to_owned(),
         query: query.to_owned(),
--- a/tests/publication.rs
+++ b/tests/publication.rs
@@ -5,7 +5,7 @@
 mod fake;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, SystemTime};
 
 use fake::{Call, Fault, Platform};
@@ -527,6 +527,88 @@
     }
 }
 
+/// How far an interleaving is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    CollectorBegins,
+    WriterRuns,
+    WriterWaits,
+    WriterDone,
+    CollectorDone,
+}
+
+/// The stage, and the wait for others.
+#[derive(Clone, Default)]
+struct Stages(Arc<(Mutex<Option<Stage>>, Condvar)>);
+
+impl Stages {
+    /// Enters a stage, unless the last one was reached.
+    fn enter(&self, stage: Stage) {
+        let mut current = self.0 .0.lock().unwrap();
+        if *current != Some(Stage::CollectorDone) {
+            *current = Some(stage);
+        }
+        drop(current);
+        self.0 .1.notify_all();
+    }
+
+    fn wait(&self, stages: &[Stage]) {
+        let stage = self.0 .0.lock().unwrap();
+        let is_other = |stage: &mut Option<Stage>| !stage.is_some_and(|s| stages.contains(&s));
+        drop(self.0 .1.wait_while(stage, is_other).unwrap());
+    }
+}
+
+/// The collector stops before its call `first`, the writer runs up to its call `second`, the
+/// collector runs to its end, and so does the writer.
+fn interleave(before: &Platform, first: usize, second: usize) {
+    let platform = Platform::new().with_objects_of(before);
+    let collector = publication(&format!("{}/collector", platform.url));
+    let mut writer = Operator::pulled(&platform);
+    writer.publication = publication(&format!("{}/writer", platform.url));
+    let (stages, calls) = (
+        Stages::default(),
+        [AtomicUsize::new(0), AtomicUsize::new(0)],
+    );
+    let shared = stages.clone();
+    platform.set_plan(move |call: &Call| {
+        let number = |n: usize| calls[n].fetch_add(1, Ordering::SeqCst);
+        if call.caller == "/collector" && number(0) == first {
+            shared.enter(Stage::WriterRuns);
+            shared.wait(&[Stage::WriterWaits, Stage::WriterDone]);
+        }
+        if call.caller == "/writer" && number(1) == second {
+            shared.enter(Stage::WriterWaits);
+            shared.wait(&[Stage::CollectorDone]);
+        }
+        Fault::None
+    });
+    stages.enter(Stage::CollectorBegins);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            stages.wait(&[Stage::WriterRuns, Stage::CollectorDone]);
+            let applied = writer.set("b", "b10").apply("ana");
+            stages.enter(Stage::WriterDone);
+            applied.unwrap();
+        });
+        let collected = collector.collect();
+        stages.enter(Stage::CollectorDone);
+        collected.unwrap();
+    });
+    platform.set_plan(|_| Fault::None);
+    assert_whole(&platform);
+    assert_eq!(in_force(&platform)["b"], "b10".into(), "{first} {second}");
+}
+
+fn collection_interleaves_with_a_writer() {
+    let before = Platform::new();
+    // Revisions 9 and 10 are to be removed; only the latter refers to the text that comes back.
+    publish_many(&mut Operator::new(&before, &[("o", "0")]), 210);
+    for (first, second) in (0..9).flat_map(|first| (0..8).map(move |second| (first, second))) {
+        interleave(&before, first, second);
+    }
+}
+
 fn host_reads_only_what_is_new() {
     let platform = Platform::new();
     let guard = guard(&platform.url);
@@ -699,6 +781,7 @@
     garbage: garbage_goes_and_nothing_else();
     garbage_stale: stale_listing_removes_nothing_needed();
     garbage_race: collection_races_with_a_writer();
+    garbage_interleaved: collection_interleaves_with_a_writer();
     host_delta: host_reads_only_what_is_new();
     host_rejects: host_rejects_what_it_must_not_use();
     marker_file: marker_in_a_folder();
