--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -316,6 +316,48 @@
     }
 }
 
+/// What the choice needs of one target, close together as every decision reads it of all.
+#[derive(Clone, Copy, Debug)]
+struct Seat {
+    in_flight: u32,
+    /// Requests allowed in flight; 0 if it must not be used.
+    allowed: u32,
+    /// Load of other hosts, in requests.
+    foreign: f64,
+    /// Slowness over slots.
+    weight: f64,
+    /// The part it may be used to while it warms up.
+    fraction: f64,
+}
+
+impl Seat {
+    fn new(config: &Config, tally: &Tally, member: &Member, now: Instant) -> Self {
+        Self {
+            in_flight: member.in_flight,
+            allowed: if is_usable(config, member, now) {
+                allowed(config, member)
+            } else {
+                0
+            },
+            foreign: member.estimate.foreign(now, tally.others),
+            weight: member.estimate.slowness(now, tally.median) / f64::from(member.slots),
+            fraction: fraction(config, member),
+        }
+    }
+
+    fn is_free(&self) -> bool {
+        self.in_flight < self.allowed
+    }
+
+    /// The cost of sending one more request; lower is better.
+    fn cost(&self, pick: Pick) -> f64 {
+        match pick {
+            Pick::TwoChoices => (1.0 + f64::from(self.in_flight) + self.foreign) * self.weight,
+            Pick::LeastInFlight | Pick::RoundRobin => f64::from(self.in_flight),
+        }
+    }
+}
+
 /// Figures of the whole group, kept for a short time.
 #[derive(Clone, Copy, Debug)]
 struct Tally {
@@ -351,6 +393,7 @@
 pub struct Group {
     config: Config,
     members: Vec<Member>,
+    seats: Vec<Seat>,
     index: BTreeMap<TargetKey, usize>,
     picker: Picker,
     queue: Queue<Ask>,
@@ -367,6 +410,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             members: Vec::new(),
+            seats: Vec::new(),
             index: BTreeMap::new(),
             picker: Picker::new(config.pick),
             queue: Queue::new(config.order, config.queue),
@@ -575,23 +619,22 @@
         if let Some(place) = self.probe(now, ask) {
             return Some(place);
         }
-        let place = self.choose(now, ask, rng, true)?;
-        let part = fraction(&self.config, &self.members[place]);
+        let place = self.choose(ask, rng, true)?;
+        let part = self.seats[place].fraction;
         if part < 1.0 && rng.random::<f64>() >= part {
-            return self.choose(now, ask, rng, false).or(Some(place));
+            return self.choose(ask, rng, false).or(Some(place));
         }
         Some(place)
     }
 
     /// The best free target; `cold` says whether one that warms up will do.
-    fn choose(&mut self, now: Instant, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
-        let (members, config, tally) = (&self.members, &self.config, &self.tally);
-        self.picker.choose(members.len(), rng, |place| {
-            let member = &members[place];
-            let usable = is_free(config, member, now)
-                && !member.has_tried(ask)
-                && (cold || fraction(config, member) >= 1.0);
-            usable.then(|| cost(config, tally, member, now))
+    fn choose(&mut self, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
+        let (members, pick) = (&self.members, self.config.pick);
+        self.picker.choose(&self.seats, rng, |place, seat| {
+            let usable = seat.is_free()
+                && (cold || seat.fraction >= 1.0)
+                && (ask.exclude.is_empty() || !members[place].has_tried(ask));
+            usable.then(|| seat.cost(pick))
         })
     }
 
@@ -614,6 +657,7 @@
     fn grant(&mut self, now: Instant, place: usize) -> Grant {
         let member = &mut self.members[place];
         member.in_flight += 1;
+        self.seats[place].in_flight = member.in_flight;
         self.in_flight += 1;
         Grant {
             target: member.key,
@@ -634,19 +678,14 @@
             self.set_state(now, grant.target, Source::Header, state);
         }
         if let Some(&place) = self.index.get(&grant.target) {
-            self.learn(now, place, &grant, &report, rng);
+            self.learn(now, place, &report);
+            self.judge(now, place, &grant, &report, rng);
+            self.seats[place] = Seat::new(&self.config, &self.tally, &self.members[place], now);
         }
         self.ready(now, rng)
     }
 
-    fn learn(
-        &mut self,
-        now: Instant,
-        place: usize,
-        grant: &Grant,
-        report: &Report,
-        rng: &mut impl Rng,
-    ) {
+    fn learn(&mut self, now: Instant, place: usize, report: &Report) {
         let member = &mut self.members[place];
         let full = member.in_flight >= member.limit.whole(member.warm.fraction());
         if let Some(load) = report.load {
@@ -680,7 +719,6 @@
                 }
             }
         }
-        self.judge(now, place, grant, report, rng);
     }
 
     /// Ejects a target or takes in a probe.
@@ -848,9 +886,10 @@
     /// Works out the figures of the whole group anew.
     fn refresh(&mut self, now: Instant) {
         self.restore_excess(now);
-        let median = median(used(&self.members));
-        if let Some(median) = median {
-            self.follow_baseline(now, median);
+        let latencies = used(&self.members).filter_map(|member| member.estimate.latency());
+        let typical = median(latencies).map(|found| found.max(f64::MIN_POSITIVE));
+        if let Some(typical) = typical {
+            self.follow_baseline(now, typical);
         }
         let used = || used(&self.members);
         let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
@@ -866,11 +905,14 @@
             ejected: slots - inside,
             cold: f64::from(cold) / f64::from(slots.max(1)),
             limit: used().map(|member| fair(&self.config, member)).sum(),
-            median: median.unwrap_or(self.tally.median),
-            others: used().map(|member| member.estimate.others()).sum::<f64>() / count,
+            median: typical.unwrap_or(self.tally.median),
+            others: median(used().map(|member| member.estimate.others())).unwrap_or(0.0),
             success: used().map(|member| member.eject.success()).sum::<f64>() / count,
             probes: serving(&self.members).any(|member| member.eject.is_due(now)),
         };
+        let seat = |member| Seat::new(&self.config, &self.tally, member, now);
+        self.seats.clear();
+        self.seats.extend(self.members.iter().map(seat));
     }
 
     /// Brings ejected targets back while more than the allowed part is out, as when others drain.
@@ -929,24 +971,10 @@
     }
 }
 
-/// Whether a target can take one more request now.
-fn is_free(config: &Config, member: &Member, now: Instant) -> bool {
+/// Whether a target may be used at all, up to its limit.
+fn is_usable(config: &Config, member: &Member, now: Instant) -> bool {
     let rests = config.eject == Switch::On && member.rests(now);
-    member.is_serving()
-        && member.eject.is_in()
-        && !rests
-        && member.in_flight < allowed(config, member)
-}
-
-/// The cost of sending one more request to a target; lower is better.
-fn cost(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
-    if config.pick != Pick::TwoChoices {
-        return f64::from(member.in_flight);
-    }
-    let foreign = member.estimate.foreign(now, tally.others);
-    let load = 1.0 + f64::from(member.in_flight) + foreign;
-    let slowness = member.estimate.slowness(now, tally.median);
-    load * slowness / f64::from(member.slots)
+    member.is_serving() && member.eject.is_in() && !rests
 }
 
 /// What a request's end shows of its target, if anything.
@@ -961,15 +989,13 @@
     }
 }
 
-/// The median latency over targets of which it is known, in seconds.
-fn median<'a>(members: impl Iterator<Item = &'a Member>) -> Option<f64> {
-    let mut known: Vec<f64> = members
-        .filter_map(|member| member.estimate.latency())
-        .collect();
-    if known.is_empty() {
+/// The upper median, if there are any values.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    if values.is_empty() {
         return None;
     }
-    let middle = known.len() / 2;
-    let (_, &mut found, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
-    Some(found.max(f64::MIN_POSITIVE))
+    let middle = values.len() / 2;
+    let (_, &mut found, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(found)
 }
--- a/src/steer/pick.rs
+++ b/src/steer/pick.rs
@@ -97,14 +97,14 @@
     }
 
     /// The load of other hosts to reckon with. A report may only make a target look busier than
-    /// the group's `mean`, never idler, so that a false one does not attract traffic.
-    pub fn foreign(&self, now: Instant, mean: f64) -> f64 {
+    /// the group's median, never idler, so that a false one does not attract traffic.
+    pub fn foreign(&self, now: Instant, median: f64) -> f64 {
         let Some(at) = self.reported else {
-            return mean;
+            return median;
         };
         let age = now.saturating_duration_since(at).as_secs_f64();
         let weight = REPORT_WEIGHT * (-age / REPORT_AGE.as_secs_f64()).exp();
-        mean + weight * (self.others - mean).max(0.0)
+        median + weight * (self.others - median).max(0.0)
     }
 }
 
@@ -126,25 +126,25 @@
         Self { mode, cursor: 0 }
     }
 
-    /// Chooses one of `count` targets. `cost` gives none for one that must not be used; lower is
-    /// better. Equals take turns, but for least in-flight, where they are drawn.
+    /// Chooses the place of one of `targets`. `cost` gives none for one that must not be used;
+    /// lower is better. Equals take turns, but for least in-flight, where they are drawn.
     ///
     /// All targets are compared rather than two drawn ones: most of the cost is this host's own
     /// requests, which do not lag, so hosts do not flock to the same target.
-    pub fn choose(
+    pub fn choose<T>(
         &mut self,
-        count: usize,
+        targets: &[T],
         rng: &mut impl Rng,
-        cost: impl Fn(usize) -> Option<f64>,
+        cost: impl Fn(usize, &T) -> Option<f64>,
     ) -> Option<usize> {
-        if count == 0 {
+        if targets.is_empty() {
             return None;
         }
-        let next = (self.cursor + 1) % count;
+        let next = (self.cursor + 1) % targets.len();
         let found = match self.mode {
-            Pick::RoundRobin => first(count, next, cost),
-            Pick::LeastInFlight => least(count, rng.random_range(0..count), cost),
-            Pick::TwoChoices => least(count, next, cost),
+            Pick::RoundRobin => first(targets, next, cost),
+            Pick::LeastInFlight => least(targets, rng.random_range(0..targets.len()), cost),
+            Pick::TwoChoices => least(targets, next, cost),
         }?;
         self.cursor = found;
         Some(found)
@@ -152,25 +152,27 @@
 }
 
 /// The first usable target from `start` on.
-fn first(count: usize, start: usize, cost: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-    turn(count, start).find(|&index| cost(index).is_some())
+fn first<T>(targets: &[T], start: usize, cost: impl Fn(usize, &T) -> Option<f64>) -> Option<usize> {
+    turn(targets, start)
+        .find(|&(place, target)| cost(place, target).is_some())
+        .map(|(place, _)| place)
 }
 
 /// The first target of the lowest cost from `start` on.
-fn least(count: usize, start: usize, cost: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-    let mut best: Option<(usize, f64)> = None;
-    for index in turn(count, start) {
-        let Some(value) = cost(index) else {
-            continue;
-        };
-        if best.is_none_or(|(_, least)| value < least) {
-            best = Some((index, value));
+fn least<T>(targets: &[T], start: usize, cost: impl Fn(usize, &T) -> Option<f64>) -> Option<usize> {
+    let mut best = None;
+    let mut lowest = f64::INFINITY;
+    for (place, target) in turn(targets, start) {
+        match cost(place, target) {
+            Some(value) if value < lowest => (best, lowest) = (Some(place), value),
+            _ => {}
         }
     }
-    best.map(|(index, _)| index)
+    best
 }
 
-/// All places, from `start` round to the one before.
-fn turn(count: usize, start: usize) -> impl Iterator<Item = usize> {
-    (start..count).chain(0..start)
+/// All targets with their places, from `start` round to the one before.
+fn turn<T>(targets: &[T], start: usize) -> impl Iterator<Item = (usize, &T)> {
+    let (before, after) = targets.split_at(start);
+    (start..).zip(after).chain((0..).zip(before))
 }
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -162,6 +162,30 @@
         assert_eq!(out.len(), 1);
         assert!(out[0].1.retry_after > Duration::ZERO);
     };
+    past_its_time_does_not_go: {
+        let mut rig = Rig::new(1);
+        let mut grants = rig.load();
+        rig.pass(999);
+        assert!(rig.finish(grants.remove(0), report(End::Answered, 5)).is_empty());
+    };
+    busy_target_is_left: {
+        let mut rig = Rig::new(3);
+        let Verdict::Go(grant) = rig.ask(1000, 5, vec![]) else { panic!("nothing goes") };
+        assert!(!rig.serve(20, &BTreeMap::new()).contains(&grant.target()));
+    };
+    slow_target_is_left: {
+        let mut rig = Rig::new(3);
+        let slow = rig.keys[0];
+        let served = rig.serve(60, &BTreeMap::from([(slow, report(End::Answered, 30))]));
+        assert!(served.iter().filter(|&&key| key == slow).count() < 5);
+    };
+    false_report_attracts_nothing: {
+        let mut rig = Rig::new(3);
+        let load = |in_flight| Report { load: Some(Load { in_flight, slots: 4 }), ..report(End::Answered, 10) };
+        let ends = BTreeMap::from([(rig.keys[0], load(0)), (rig.keys[1], load(3)), (rig.keys[2], load(3))]);
+        let served = rig.serve(90, &ends);
+        assert!(served.iter().filter(|&&key| key == rig.keys[0]).count() <= 45);
+    };
     cancelled_does_not_go: {
         let mut rig = Rig::new(1);
         let mut grants = rig.load();
