Start cold targets at a quarter, and prefer one target per content

Change: a cold target starts at 0.25 of its limit. Requests of one affinity go to one target by rendezvous hashing while it has no more in flight than others.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use rand::{Rng, RngExt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::eject::{Eject, Sign, Standing, LATENCY_RATIO};
 use super::limit::Limit;
@@ -40,6 +41,9 @@
 const REST: Duration = Duration::from_millis(5);
 /// Doublings of the rest at most.
 const REST_DOUBLINGS: u32 = 7;
+/// Factor on the cost of the target that holds the content; a target with one request more in
+/// flight costs as much again.
+const NEAR: f64 = 0.6;
 /// Time over which a lasting rise of the latency is taken for the latency without queueing.
 const BASELINE_AGE: Duration = Duration::from_secs(60);
 /// The part of the slots that may be ejected.
@@ -630,14 +634,31 @@
     /// The best free target; `cold` says whether one that warms up will do.
     fn choose(&mut self, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
         let (members, pick) = (&self.members, self.config.pick);
+        let near = self.preferred(ask);
         self.picker.choose(&self.seats, rng, |place, seat| {
             let usable = seat.is_free()
                 && (cold || seat.fraction >= 1.0)
                 && (ask.exclude.is_empty() || !members[place].has_tried(ask));
-            usable.then(|| seat.cost(pick))
+            let factor = if near == Some(place) { NEAR } else { 1.0 };
+            usable.then(|| seat.cost(pick) * factor)
         })
     }
 
+    /// The target that requests of the same content go to while it is not busy, by rendezvous
+    /// hashing.
+    fn preferred(&self, ask: &Ask) -> Option<usize> {
+        if self.config.affinity == Switch::Off || ask.affinity == 0 {
+            return None;
+        }
+        let hash = |place: usize| {
+            let key = self.members[place].key.into_raw().into_u32();
+            xxh3_64_with_seed(&key.to_le_bytes(), ask.affinity)
+        };
+        (0..self.seats.len())
+            .filter(|&place| self.seats[place].allowed > 0)
+            .max_by_key(|&place| hash(place))
+    }
+
     /// An ejected target that is due for a probe, if the request can afford it.
     fn probe(&mut self, now: Instant, ask: &Ask) -> Option<usize> {
         if !self.tally.probes {
--- a/src/steer/warm.rs
+++ b/src/steer/warm.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 /// The part of its limit that a cold target starts with.
-const START: f64 = 0.1;
+const START: f64 = 0.25;
 /// The longest gap between two answers that counts as use, as a part of the ramp.
 const GAP: f64 = 0.05;
 
