--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -374,6 +374,8 @@
     others: f64,
     success: f64,
     probes: bool,
+    /// When a rest or an ejection ends next.
+    change: Option<Instant>,
 }
 
 impl Default for Tally {
@@ -388,6 +390,7 @@
             others: 0.0,
             success: 1.0,
             probes: false,
+            change: None,
         }
     }
 }
@@ -701,7 +704,9 @@
         if let Some(&place) = self.index.get(&grant.target) {
             self.learn(now, place, &report);
             self.judge(now, place, &grant, &report, rng);
-            self.seats[place] = Seat::new(&self.config, &self.tally, &self.members[place], now);
+            let member = &self.members[place];
+            self.seats[place] = Seat::new(&self.config, &self.tally, member, now);
+            self.tally.change = self.tally.change.into_iter().chain(member.rest).min();
         }
         self.ready(now, rng)
     }
@@ -840,13 +845,18 @@
         if !self.members.iter().any(Member::is_serving) {
             return Some(now);
         }
+        let change = self.next_change(now);
+        self.queue.next_due().into_iter().chain(change).min()
+    }
+
+    /// When a target's rest or ejection ends next.
+    fn next_change(&self, now: Instant) -> Option<Instant> {
         let rests = self.members.iter().filter_map(|member| member.rest);
-        let probes = self
+        let ejections = self
             .members
             .iter()
             .filter_map(|member| member.eject.until());
-        let later = rests.chain(probes).filter(|&at| at > now).min();
-        self.queue.next_due().into_iter().chain(later).min()
+        rests.chain(ejections).filter(|&at| at > now).min()
     }
 
     /// The group's summary.
@@ -883,7 +893,9 @@
     }
 
     fn refresh_if_old(&mut self, now: Instant) {
-        if self.tally.at.is_none_or(|at| now >= at + TALLY_AGE) {
+        let old = self.tally.at.is_none_or(|at| now >= at + TALLY_AGE);
+        let changed = self.tally.change.is_some_and(|at| now >= at);
+        if old || changed {
             self.refresh(now);
         }
     }
@@ -930,6 +942,7 @@
             others: median(used().map(|member| member.estimate.others())).unwrap_or(0.0),
             success: used().map(|member| member.eject.success()).sum::<f64>() / count,
             probes: serving(&self.members).any(|member| member.eject.is_due(now)),
+            change: self.next_change(now),
         };
         let seat = |member| Seat::new(&self.config, &self.tally, member, now);
         self.seats.clear();
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -271,6 +271,17 @@
         }
         assert_eq!(rig.group.headroom().ejected, 0.5);
     };
+    rest_ends_on_time: {
+        let mut rig = Rig::new(1);
+        let grant = rig.load().remove(0);
+        assert!(rig.group.cancel(3));
+        rig.finish(grant, report(End::Refused, 0));
+        rig.ask(1000, 5, vec![]);
+        let wake = rig.group.next_wake(rig.now).expect("a time to wake");
+        rig.now = wake - Duration::from_millis(1);
+        assert!(rig.group.ready(rig.now, &mut rig.rng).is_empty());
+        assert_eq!(rig.group.ready(wake, &mut rig.rng).len(), 1);
+    };
     refusing_target_attracts_nothing: {
         let mut rig = Rig::new(2);
         let full = rig.keys[0];
