Allow for whole blocks and a crowded machine in the demo's figures

Callers had 24 client blocks a region: whole blocks moved 65 % of calls under a cap of 50 %, by chance of the hash. Now 120 blocks, and their number goes into the allowance. Callers open up within a second, and the report tells how late threads of this machine wake.

--- a/src/bin/ragwortfold/demo/fault.rs
+++ b/src/bin/ragwortfold/demo/fault.rs
@@ -482,6 +482,8 @@
         figures.insert(name("error_window_ms"), window as f64);
         let attempts = figure::attempts(records.clone(), span);
         figures.insert(name("attempts_per_call"), attempts);
+        let resent = figure::resent(records.clone(), span);
+        figures.insert(name("answered_after_not_run"), resent);
         let capacity = surviving(world, evidence, span);
         if let Some(goodput) = figure::goodput(records, span, capacity) {
             figures.insert(name("goodput"), goodput);
--- a/src/bin/ragwortfold/demo/load.rs
+++ b/src/bin/ragwortfold/demo/load.rs
@@ -12,10 +12,12 @@
 
 /// Share of a service's whole capacity that its callers ask for.
 const LOAD: f64 = 0.25;
+/// Factor on all rates in the first second, while connections open.
+const START: f64 = 0.2;
 /// Factor on a region's rate in a burst.
 const BURST: f64 = 3.0;
 /// Client addresses in each region, each in a /24 block of its own.
-const CLIENTS: u8 = 24;
+pub(crate) const CLIENTS: u8 = 120;
 /// Calls that a class of a region may have under way.
 const THREADS: usize = 96;
 /// Sizes of uploads and of bookings, in bytes.
@@ -49,7 +51,7 @@
                 let rate = capacity(world, service) * LOAD * factor / regions.len() as f64;
                 let seed = seed.wrapping_mul(1000).wrapping_add(groups.len() as u64);
                 let settings = settings(world, service, region)
-                    .with_rate(rate, seed)
+                    .with_rate(rate * START, seed)
                     .with_end(u64::MAX, duration);
                 groups.push(Group {
                     region: region.as_str().into(),
@@ -61,6 +63,13 @@
         Ok(Self { groups })
     }
 
+    /// Goes on with the full rates.
+    pub(crate) fn open_up(&self) {
+        for group in &self.groups {
+            group.caller.set_rate(group.rate);
+        }
+    }
+
     /// Begins or ends a burst in a region.
     pub(crate) fn burst(&self, region: &str, on: bool) {
         for group in self.groups.iter().filter(|g| &*g.region == region) {
--- a/src/bin/ragwortfold/demo/mod.rs
+++ b/src/bin/ragwortfold/demo/mod.rs
@@ -5,6 +5,7 @@
 //! [`standin::observer`] from the callers' records and the targets' journals.
 
 mod fault;
+mod lag;
 mod load;
 mod operator;
 mod report;
@@ -88,6 +89,9 @@
 /// How long the running system is left alone before callers start.
 const SETTLE: Duration = Duration::from_millis(1500);
 
+/// How long callers start slowly.
+const WARM_UP: Duration = Duration::from_secs(1);
+
 /// Runs the demo and prints its results.
 pub(crate) fn run(config: &Config) -> Result<(), Failure> {
     let kind = Kind::with_name(&config.fault).ok_or_else(|| Error::Fault(config.fault.clone()))?;
@@ -100,6 +104,9 @@
     let watch = watch::Watch::new(&world)?;
     let start = Instant::now();
     let plan = fault::plan(kind, duration);
+    progress(start, start + WARM_UP.min(duration), &callers, &watch);
+    callers.open_up();
+    let lag = lag::Lag::new()?;
     let mut injector = fault::Injector::new(&mut world, &callers, &watch, config.seed);
     for (at, step) in plan {
         progress(start, start + at, &callers, &watch);
@@ -108,7 +115,8 @@
     progress(start, start + duration, &callers, &watch);
     let notes = injector.finish();
     let records = callers.wait();
-    let run = watch.finish(&world, records, notes);
+    let mut run = watch.finish(&world, records, notes);
+    run.figures.extend(lag.figures());
     let verdict = observer::judge(&run.world, &run.evidence);
     let summary = report::Summary::new(&run, &verdict);
     crate::print(&summary.text(config.format))?;
--- a/src/bin/ragwortfold/demo/world.rs
+++ b/src/bin/ragwortfold/demo/world.rs
@@ -439,6 +439,7 @@
         planned: cap(configuration, "default"),
         failover: cap(configuration, "failover"),
         utilization: configuration.limits.utilization,
+        blocks: super::load::CLIENTS.into(),
     }
 }
 
--- a/standin/src/observer/figure.rs
+++ b/standin/src/observer/figure.rs
@@ -152,3 +152,15 @@
     }
     attempts as f64 / calls.max(1) as f64
 }
+
+/// The share of a span's answered calls that another attempt had been told did not run.
+pub fn resent<'a>(records: impl Iterator<Item = &'a Record>, span: &Span) -> f64 {
+    let in_span = records.filter(|record| span.contains(&record.start_us));
+    let (mut answered, mut resent) = (0_u64, 0_u64);
+    for record in in_span.filter(|record| record.outcome == Outcome::Answered) {
+        let is_refused = |a: &crate::caller::Attempt| a.told && a.outcome == Outcome::NotRun;
+        answered += 1;
+        resent += u64::from(record.attempts.iter().any(is_refused));
+    }
+    resent as f64 / answered.max(1) as f64
+}
--- a/standin/src/observer/mod.rs
+++ b/standin/src/observer/mod.rs
@@ -52,6 +52,8 @@
     pub failover: Cap,
     /// The part of a capacity that steering may fill.
     pub utilization: f64,
+    /// Blocks of client addresses in each region, by which traffic is steered.
+    pub blocks: u32,
 }
 
 /// A time span in microseconds since the Unix epoch.
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -37,6 +37,7 @@
         planned: cap(0.05, 60),
         failover: cap(0.5, 10),
         utilization: 0.8,
+        blocks: 1_000,
     }
 }
 
