--- a/src/bin/ragwortfold/demo/load.rs
+++ b/src/bin/ragwortfold/demo/load.rs
@@ -135,10 +135,11 @@
 
 fn settings(world: &World, service: &str, region: &str) -> Settings {
     let configured = &world.configuration.services[service];
-    let (entries, via) = addresses(world, region);
+    let (entries, near, via) = addresses(world, region);
     let settings = Settings::new(&format!("{service}-{region}"), service, entries)
         .with_names(&configured.class, region)
         .with_clients(clients(world, region))
+        .with_near(near)
         .with_via(via)
         .with_threads(THREADS)
         .with_deadline(Duration::from_millis(configured.deadline_ms.get().into()));
@@ -149,9 +150,11 @@
     }
 }
 
-/// The entries that callers of a region know: those of the region first, as often as there are
-/// clients, so that each client begins with one of them; and the links to all.
-fn addresses(world: &World, region: &str) -> (Vec<SocketAddr>, BTreeMap<SocketAddr, SocketAddr>) {
+/// Entries that callers know, how many of them are in their region, and the links to all hosts.
+type Addresses = (Vec<SocketAddr>, usize, BTreeMap<SocketAddr, SocketAddr>);
+
+/// The entries that callers of a region know, those of the region first.
+fn addresses(world: &World, region: &str) -> Addresses {
     let mut via = BTreeMap::new();
     let (mut near, mut far) = (Vec::new(), Vec::new());
     for machine in world.machines.values() {
@@ -170,8 +173,9 @@
             }
         }
     }
-    let own = near.iter().copied().cycle().take(usize::from(CLIENTS));
-    (own.chain(far).collect(), via)
+    let count = near.len();
+    near.extend(far);
+    (near, count, via)
 }
 
 /// Addresses in the region's block of this machine.
--- a/standin/src/caller/client.rs
+++ b/standin/src/caller/client.rs
@@ -92,7 +92,7 @@
             address,
             agent,
             known: Mutex::new(None),
-            first: AtomicUsize::new(number),
+            first: AtomicUsize::new(number % settings.near.max(1)),
         }
     }
 
--- a/standin/src/caller/mod.rs
+++ b/standin/src/caller/mod.rs
@@ -50,6 +50,7 @@
     service: Arc<str>,
     region: Arc<str>,
     entries: Vec<Entry>,
+    near: usize,
     via: BTreeMap<SocketAddr, SocketAddr>,
     clients: Vec<IpAddr>,
     rate: f64,
@@ -81,6 +82,7 @@
             class: service.into(),
             service: service.into(),
             region: "".into(),
+            near: entries.len(),
             entries: entries.into_iter().map(entry).collect(),
             via: BTreeMap::new(),
             clients: vec![Ipv4Addr::LOCALHOST.into()],
@@ -114,6 +116,12 @@
         self
     }
 
+    /// Has each client begin with one of the first `near` entries.
+    pub fn with_near(mut self, near: usize) -> Self {
+        self.near = near;
+        self
+    }
+
     /// Connects to the second address where a look-up names the first, for links between.
     pub fn with_via(mut self, via: BTreeMap<SocketAddr, SocketAddr>) -> Self {
         self.via = via;
--- a/standin/src/observer/shift.rs
+++ b/standin/src/observer/shift.rs
@@ -39,13 +39,15 @@
         let flow = (&*record.service, &*record.region);
         flows.entry(flow).or_default().push(record);
     }
+    let starts = evidence.records.iter().map(|record| record.start_us);
+    let start = starts.min().unwrap_or(0);
     let mut found = Vec::new();
     for ((service, region), records) in flows {
         for worst in LENGTHS_US
             .iter()
             .flat_map(|l| worst(world, evidence, &records, *l))
         {
-            let what = format!("{service} from {region}: {}", worst.text());
+            let what = format!("{service} from {region}: {}", worst.text(start));
             found.push(violation(Promise::ShiftCap, what));
         }
     }
@@ -69,7 +71,8 @@
     moved: f64,
     allowance: f64,
     cap: Cap,
-    apart_us: u64,
+    /// From the beginning of the earlier bucket to the end of the later one.
+    span: Span,
 }
 
 impl Move {
@@ -77,11 +80,14 @@
         self.moved - self.allowance - self.cap.share
     }
 
-    fn text(&self) -> String {
+    /// The move in words, with times since `start`.
+    fn text(&self, start: u64) -> String {
+        let seconds = |at: u64| at.saturating_sub(start) as f64 / SECOND as f64;
         format!(
-            "{:.0} % moved in {:.1} s, cap {:.0} % in {} s, allowance {:.0} %",
+            "{:.0} % moved from {:.1} s to {:.1} s, cap {:.0} % in {} s, allowance {:.0} %",
             self.moved * 100.0,
-            self.apart_us as f64 / SECOND as f64,
+            seconds(self.span.start),
+            seconds(self.span.end),
             self.cap.share * 100.0,
             self.cap.window_us / SECOND,
             self.allowance * 100.0
@@ -97,8 +103,8 @@
     } else {
         world.planned
     };
-    let apart_us = later.span.end - earlier.span.start;
-    if apart_us > cap.window_us {
+    let span = earlier.span.start..later.span.end;
+    if span.end - span.start > cap.window_us {
         return None;
     }
     let blocks = cap.share * (1.0 - cap.share) / f64::from(world.blocks.max(1));
@@ -107,7 +113,7 @@
         moved,
         allowance,
         cap,
-        apart_us,
+        span,
     };
     (found.excess() > 0.0).then_some(found)
 }
--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -147,3 +147,37 @@
         thread::sleep(Duration::from_millis(1));
     }
 }
+
+#[test]
+fn a_source_has_a_fault_and_a_count_of_its_own() {
+    let link = Link::new(any(), echo()).unwrap();
+    let fault = Fault {
+        accept: Accept::Reset,
+        ..Fault::default()
+    };
+    link.fault_from("127.0.0.9".parse().unwrap(), fault);
+    link.fault_from("127.0.0.1".parse().unwrap(), Fault::default());
+    assert_eq!(exchange(connect(&link), &[7; 1_000]), (1_000, None));
+    assert_eq!(link.bytes_from("127.0.0.1".parse().unwrap()), [1_000; 2]);
+    assert_eq!(link.bytes(), [0; 2]);
+    let other = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let from: SocketAddr = "127.0.0.9:0".parse().unwrap();
+    other.bind(&from.into()).unwrap();
+    other.connect(&link.address().into()).unwrap();
+    let (count, end) = exchange(other.into(), &[7; 1_000]);
+    assert_eq!((count, end), (0, Some(ErrorKind::ConnectionReset)));
+}
+
+#[test]
+fn the_far_end_sees_the_source() {
+    let listener = TcpListener::bind(any()).unwrap();
+    let link = Link::new(any(), listener.local_addr().unwrap())
+        .unwrap()
+        .with_source();
+    let near = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let from: SocketAddr = "127.0.0.9:0".parse().unwrap();
+    near.bind(&from.into()).unwrap();
+    near.connect(&link.address().into()).unwrap();
+    let (_, seen) = listener.accept().unwrap();
+    assert_eq!(seen.ip(), from.ip());
+}
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -136,8 +136,9 @@
 }
 
 fn with_failure(evidence: Evidence) -> Evidence {
+    let failure = START + 3 * SECOND..START + 20 * SECOND;
     Evidence {
-        failures: vec![START + 3 * SECOND..START + 20 * SECOND],
+        failures: Vec::from([failure]),
         ..evidence
     }
 }
