--- a/src/bin/ragwortfold/demo/lag.rs
+++ b/src/bin/ragwortfold/demo/lag.rs
@@ -45,14 +45,25 @@
             histogram.saturating_record(sample);
         }
         let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
-        BTreeMap::from([
+        let mut figures = BTreeMap::from([
             ("machine.lag_p50_ms".into(), ms(0.5)),
             ("machine.lag_p99_ms".into(), ms(0.99)),
             ("machine.lag_max_ms".into(), ms(1.0)),
-        ])
+        ]);
+        figures.extend(load().map(|load| ("machine.load_per_core".into(), load)));
+        figures
     }
 }
 
+/// Threads of the whole machine that ran or waited in the last minute, for each core; above 1, some
+/// waited. None where the system does not tell.
+fn load() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg").ok()?;
+    let load: f64 = text.split(' ').next()?.parse().ok()?;
+    let cores = std::thread::available_parallelism().ok()?;
+    Some(load / cores.get() as f64)
+}
+
 /// Sleeps until told to stop; each sleep's excess in microseconds.
 fn measure(stopped: &AtomicBool) -> Vec<u64> {
     let mut samples = Vec::new();
