Take a dialled link as up only once the other side speaks on it

Cause: a host that was closing, or that refused an older incarnation, gave its proof before it refused; the dialling side reported the host up and then lost (1 of 12 runs of closing_lets_streams_finish). Change: the dialling side waits for the first sign of life, which the accepting side sends once the link is entered. A link that ends by goodbye reads until the other side closes, so that nothing under way is lost. Seen: tests/peer, 85 passed, 12 times in a row.

--- a/src/peer/connect.rs
+++ b/src/peer/connect.rs
@@ -185,6 +185,7 @@
     let transcript = Transcript::new(core.config.secret.clone(), &own, &theirs);
     send_proof(&mut socket, &transcript, Side::Dialling).await?;
     check_proof(core, &mut socket, &transcript, Side::Accepting).await?;
+    receive_welcome(core, &mut socket).await?;
     Ok((Link::new(core.clone(), Side::Dialling, &hello), socket))
 }
 
@@ -276,6 +277,17 @@
     Ok((bytes, hello))
 }
 
+/// Waits for the first sign of life: until then the other side may still refuse the link, as it does
+/// while it closes.
+async fn receive_welcome(core: &Core, socket: &mut Socket) -> Result<(), Failure> {
+    match socket.next().await {
+        Some(Ok(Packet::Pong(_))) => Ok(()),
+        Some(Ok(Packet::Close(_))) | None => Err(Failure::Connection),
+        Some(Ok(_)) => Err(Failure::Handshake),
+        Some(Err(error)) => Err(refused(core, &error)),
+    }
+}
+
 async fn check_proof(
     core: &Core,
     socket: &mut Socket,
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -229,8 +229,14 @@
         };
         let reason = lock(&self.kill).unwrap_or(ended);
         self.end(reason);
+        let closing = async {
+            let _ = sink.close().await;
+            if reason == Reason::Goodbye {
+                while let Some(Ok(_)) = stream.next().await {}
+            }
+        };
         if reason != Reason::Silent {
-            let _ = tokio::time::timeout(CLOSING, sink.close()).await;
+            let _ = tokio::time::timeout(CLOSING, closing).await;
         }
         reason
     }
