--- a/src/bin/ragwortfold/demo/load.rs
+++ b/src/bin/ragwortfold/demo/load.rs
@@ -12,12 +12,14 @@
 
 /// Share of a service's whole capacity that its callers ask for.
 const LOAD: f64 = 0.25;
+/// Factor on all rates in the first second, while connections open.
+const START: f64 = 0.2;
 /// Factor on a region's rate in a burst.
 const BURST: f64 = 3.0;
 /// Client addresses in each region, each in a /24 block of its own.
-const CLIENTS: u8 = 24;
+pub(crate) const CLIENTS: u8 = 120;
 /// Calls that a class of a region may have under way.
-const THREADS: usize = 48;
+const THREADS: usize = 96;
 /// Sizes of uploads and of bookings, in bytes.
 const UPLOAD: (usize, usize) = (64 << 10, 1 << 20);
 const BOOKING: (usize, usize) = (64, 512);
@@ -49,7 +51,7 @@
                 let rate = capacity(world, service) * LOAD * factor / regions.len() as f64;
                 let seed = seed.wrapping_mul(1000).wrapping_add(groups.len() as u64);
                 let settings = settings(world, service, region)
-                    .with_rate(rate, seed)
+                    .with_rate(rate * START, seed)
                     .with_end(u64::MAX, duration);
                 groups.push(Group {
                     region: region.as_str().into(),
@@ -61,6 +63,13 @@
         Ok(Self { groups })
     }
 
+    /// Goes on with the full rates.
+    pub(crate) fn open_up(&self) {
+        for group in &self.groups {
+            group.caller.set_rate(group.rate);
+        }
+    }
+
     /// Begins or ends a burst in a region.
     pub(crate) fn burst(&self, region: &str, on: bool) {
         for group in self.groups.iter().filter(|g| &*g.region == region) {
@@ -126,10 +135,11 @@
 
 fn settings(world: &World, service: &str, region: &str) -> Settings {
     let configured = &world.configuration.services[service];
-    let (entries, via) = addresses(world, region);
+    let (entries, near, via) = addresses(world, region);
     let settings = Settings::new(&format!("{service}-{region}"), service, entries)
         .with_names(&configured.class, region)
         .with_clients(clients(world, region))
+        .with_near(near)
         .with_via(via)
         .with_threads(THREADS)
         .with_deadline(Duration::from_millis(configured.deadline_ms.get().into()));
@@ -140,9 +150,11 @@
     }
 }
 
-/// The entries that callers of a region know: those of the region first, as often as there are
-/// clients, so that each client begins with one of them; and the links to all.
-fn addresses(world: &World, region: &str) -> (Vec<SocketAddr>, BTreeMap<SocketAddr, SocketAddr>) {
+/// Entries that callers know, how many of them are in their region, and the links to all hosts.
+type Addresses = (Vec<SocketAddr>, usize, BTreeMap<SocketAddr, SocketAddr>);
+
+/// The entries that callers of a region know, those of the region first.
+fn addresses(world: &World, region: &str) -> Addresses {
     let mut via = BTreeMap::new();
     let (mut near, mut far) = (Vec::new(), Vec::new());
     for machine in world.machines.values() {
@@ -161,8 +173,9 @@
             }
         }
     }
-    let own = near.iter().copied().cycle().take(usize::from(CLIENTS));
-    (own.chain(far).collect(), via)
+    let count = near.len();
+    near.extend(far);
+    (near, count, via)
 }
 
 /// Addresses in the region's block of this machine.
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -10,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use rand::Rng;
+use rand::{Rng, RngExt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::eject::{Eject, Sign, Standing, LATENCY_RATIO};
 use super::limit::Limit;
@@ -40,6 +41,11 @@
 const REST: Duration = Duration::from_millis(5);
 /// Doublings of the rest at most.
 const REST_DOUBLINGS: u32 = 7;
+/// Factor on the cost of the target that holds the content; a target with one request more in
+/// flight costs as much again.
+const NEAR: f64 = 0.6;
+/// Time over which a lasting rise of the latency is taken for the latency without queueing.
+const BASELINE_AGE: Duration = Duration::from_secs(60);
 /// The part of the slots that may be ejected.
 const EJECT_SHARE: f64 = 0.5;
 /// A probe is a request that has time for the wait and as many latencies again.
@@ -326,6 +332,48 @@
     }
 }
 
+/// What the choice needs of one target, close together as every decision reads it of all.
+#[derive(Clone, Copy, Debug)]
+struct Seat {
+    in_flight: u32,
+    /// Requests allowed in flight; 0 if it must not be used.
+    allowed: u32,
+    /// Load of other hosts, in requests.
+    foreign: f64,
+    /// Slowness over slots.
+    weight: f64,
+    /// The part it may be used to while it warms up.
+    fraction: f64,
+}
+
+impl Seat {
+    fn new(config: &Config, tally: &Tally, member: &Member, now: Instant) -> Self {
+        Self {
+            in_flight: member.in_flight,
+            allowed: if is_usable(config, member, now) {
+                allowed(config, member)
+            } else {
+                0
+            },
+            foreign: member.estimate.foreign(now, tally.others),
+            weight: member.estimate.slowness(now, tally.median) / f64::from(member.slots),
+            fraction: fraction(config, member),
+        }
+    }
+
+    fn is_free(&self) -> bool {
+        self.in_flight < self.allowed
+    }
+
+    /// The cost of sending one more request; lower is better.
+    fn cost(&self, pick: Pick) -> f64 {
+        match pick {
+            Pick::TwoChoices => (1.0 + f64::from(self.in_flight) + self.foreign) * self.weight,
+            Pick::LeastInFlight | Pick::RoundRobin => f64::from(self.in_flight),
+        }
+    }
+}
+
 /// Figures of the whole group, kept for a short time.
 #[derive(Clone, Copy, Debug)]
 struct Tally {
@@ -338,6 +386,8 @@
     others: f64,
     success: f64,
     probes: bool,
+    /// When a rest or an ejection ends next.
+    change: Option<Instant>,
 }
 
 impl Default for Tally {
@@ -352,6 +402,7 @@
             others: 0.0,
             success: 1.0,
             probes: false,
+            change: None,
         }
     }
 }
@@ -361,6 +412,7 @@
 pub struct Group {
     config: Config,
     members: Vec<Member>,
+    seats: Vec<Seat>,
     index: BTreeMap<TargetKey, usize>,
     picker: Picker,
     queue: Queue<Ask>,
@@ -368,6 +420,7 @@
     tally: Tally,
     in_flight: u32,
     hold: f64,
+    baseline: f64,
     known: bool,
 }
 
@@ -376,6 +429,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             members: Vec::new(),
+            seats: Vec::new(),
             index: BTreeMap::new(),
             picker: Picker::new(config.pick),
             queue: Queue::new(config.order, config.queue),
@@ -383,6 +437,7 @@
             tally: Tally::default(),
             in_flight: 0,
             hold: UNKNOWN_LATENCY,
+            baseline: f64::INFINITY,
             known: false,
             config,
         }
@@ -477,10 +532,11 @@
             member.word = state;
         }
         let back = !was && member.is_serving();
-        if back || (fresh && source == Source::Header) {
+        let cools = back || (fresh && source == Source::Header);
+        if cools {
             member.warm.start(now);
         }
-        if was != member.is_serving() {
+        if cools || was != member.is_serving() {
             self.refresh(now);
         }
     }
@@ -582,14 +638,42 @@
         if let Some(place) = self.probe(now, ask) {
             return Some(place);
         }
-        let (members, config, tally) = (&self.members, &self.config, &self.tally);
-        self.picker.choose(members.len(), rng, |place| {
-            let member = &members[place];
-            let usable = is_free(config, member, now) && !member.has_tried(ask);
-            usable.then(|| cost(config, tally, member, now))
+        let place = self.choose(ask, rng, true)?;
+        let part = self.seats[place].fraction;
+        if part < 1.0 && rng.random::<f64>() >= part {
+            return self.choose(ask, rng, false).or(Some(place));
+        }
+        Some(place)
+    }
+
+    /// The best free target; `cold` says whether one that warms up will do.
+    fn choose(&mut self, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
+        let (members, pick) = (&self.members, self.config.pick);
+        let near = self.preferred(ask);
+        self.picker.choose(&self.seats, rng, |place, seat| {
+            let usable = seat.is_free()
+                && (cold || seat.fraction >= 1.0)
+                && (ask.exclude.is_empty() || !members[place].has_tried(ask));
+            let factor = if near == Some(place) { NEAR } else { 1.0 };
+            usable.then(|| seat.cost(pick) * factor)
         })
     }
 
+    /// The target that requests of the same content go to while it is not busy, by rendezvous
+    /// hashing.
+    fn preferred(&self, ask: &Ask) -> Option<usize> {
+        if self.config.affinity == Switch::Off || ask.affinity == 0 {
+            return None;
+        }
+        let hash = |place: usize| {
+            let key = self.members[place].key.into_raw().into_u32();
+            xxh3_64_with_seed(&key.to_le_bytes(), ask.affinity)
+        };
+        (0..self.seats.len())
+            .filter(|&place| self.seats[place].allowed > 0)
+            .max_by_key(|&place| hash(place))
+    }
+
     /// An ejected target that is due for a probe, if the request can afford it.
     fn probe(&mut self, now: Instant, ask: &Ask) -> Option<usize> {
         if !self.tally.probes {
@@ -609,6 +693,7 @@
     fn grant(&mut self, now: Instant, place: usize) -> Grant {
         let member = &mut self.members[place];
         member.in_flight += 1;
+        self.seats[place].in_flight = member.in_flight;
         self.in_flight += 1;
         Grant {
             target: member.key,
@@ -629,20 +714,16 @@
             self.set_state(now, grant.target, Source::Header, state);
         }
         if let Some(&place) = self.index.get(&grant.target) {
-            self.learn(now, place, &grant, &report, rng);
+            self.learn(now, place, &report);
+            self.judge(now, place, &grant, &report, rng);
+            let member = &self.members[place];
+            self.seats[place] = Seat::new(&self.config, &self.tally, member, now);
+            self.tally.change = self.tally.change.into_iter().chain(member.rest).min();
         }
         self.ready(now, rng)
     }
 
-    fn learn(
-        &mut self,
-        now: Instant,
-        place: usize,
-        grant: &Grant,
-        report: &Report,
-        rng: &mut impl Rng,
-    ) {
-        let tally = self.tally;
+    fn learn(&mut self, now: Instant, place: usize, report: &Report) {
         let member = &mut self.members[place];
         let full = member.in_flight >= member.limit.whole(member.warm.fraction());
         if let Some(load) = report.load {
@@ -655,9 +736,9 @@
             End::Answered => {
                 member.refusals = 0;
                 member.rest = None;
-                member.estimate.record(report.latency);
+                member.estimate.record(now, report.latency);
                 member.warm.answer(now);
-                let ratio = member.estimate.ratio(tally.median);
+                let ratio = member.estimate.ratio(self.baseline);
                 member.limit.answer(now, full, ratio, report.load);
                 self.hold += (seconds - self.hold) * HOLD_WEIGHT;
             }
@@ -672,11 +753,10 @@
                     .latency()
                     .is_some_and(|known| seconds > known)
                 {
-                    member.estimate.record(report.latency);
+                    member.estimate.record(now, report.latency);
                 }
             }
         }
-        self.judge(now, place, grant, report, rng);
     }
 
     /// Ejects a target or takes in a probe.
@@ -777,13 +857,18 @@
         if !self.members.iter().any(Member::is_serving) {
             return Some(now);
         }
+        let change = self.next_change(now);
+        self.queue.next_due().into_iter().chain(change).min()
+    }
+
+    /// When a target's rest or ejection ends next.
+    fn next_change(&self, now: Instant) -> Option<Instant> {
         let rests = self.members.iter().filter_map(|member| member.rest);
-        let probes = self
+        let ejections = self
             .members
             .iter()
             .filter_map(|member| member.eject.until());
-        let later = rests.chain(probes).filter(|&at| at > now).min();
-        self.queue.next_due().into_iter().chain(later).min()
+        rests.chain(ejections).filter(|&at| at > now).min()
     }
 
     /// The group's summary.
@@ -820,17 +905,39 @@
     }
 
     fn refresh_if_old(&mut self, now: Instant) {
-        if self.tally.at.is_none_or(|at| now >= at + TALLY_AGE) {
+        let old = self.tally.at.is_none_or(|at| now >= at + TALLY_AGE);
+        let changed = self.tally.change.is_some_and(|at| now >= at);
+        if old || changed {
             self.refresh(now);
         }
     }
 
+    /// Follows the latency without queueing: at once downwards, slowly upwards, so that a change
+    /// of the work itself is accepted in time.
+    fn follow_baseline(&mut self, now: Instant, median: f64) {
+        let age = self
+            .tally
+            .at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let part = (age.as_secs_f64() / BASELINE_AGE.as_secs_f64()).min(1.0);
+        let risen = self.baseline + (median - self.baseline) * part;
+        self.baseline = if median < self.baseline {
+            median
+        } else {
+            risen
+        };
+    }
+
     /// Works out the figures of the whole group anew.
     fn refresh(&mut self, now: Instant) {
         self.restore_excess(now);
-        let serving = || self.members.iter().filter(|member| member.is_serving());
-        let used = || serving().filter(|member| member.eject.is_in());
-        let slots: u32 = serving().map(|member| member.slots).sum();
+        let latencies = used(&self.members).filter_map(|member| member.estimate.latency());
+        let typical = median(latencies).map(|found| found.max(f64::MIN_POSITIVE));
+        if let Some(typical) = typical {
+            self.follow_baseline(now, typical);
+        }
+        let used = || used(&self.members);
+        let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
         let inside: u32 = used().map(|member| member.slots).sum();
         let cold: u32 = used()
             .filter(|member| self.config.warm == Switch::On && member.warm.is_cold())
@@ -843,22 +950,23 @@
             ejected: slots - inside,
             cold: f64::from(cold) / f64::from(slots.max(1)),
             limit: used().map(|member| fair(&self.config, member)).sum(),
-            median: median(used()).unwrap_or(self.tally.median),
-            others: used().map(|member| member.estimate.others()).sum::<f64>() / count,
+            median: typical.unwrap_or(self.tally.median),
+            others: median(used().map(|member| member.estimate.others())).unwrap_or(0.0),
             success: used().map(|member| member.eject.success()).sum::<f64>() / count,
-            probes: serving().any(|member| member.eject.is_due(now)),
+            probes: serving(&self.members).any(|member| member.eject.is_due(now)),
+            change: self.next_change(now),
         };
+        let seat = |member| Seat::new(&self.config, &self.tally, member, now);
+        self.seats.clear();
+        self.seats.extend(self.members.iter().map(seat));
     }
 
     /// Brings ejected targets back while more than the allowed part is out, as when others drain.
     fn restore_excess(&mut self, now: Instant) {
         loop {
-            let serving = || self.members.iter().filter(|member| member.is_serving());
-            let slots: u32 = serving().map(|member| member.slots).sum();
-            let out: u32 = serving()
-                .filter(|member| !member.eject.is_in())
-                .map(|member| member.slots)
-                .sum();
+            let slots: u32 = serving(&self.members).map(|member| member.slots).sum();
+            let inside: u32 = used(&self.members).map(|member| member.slots).sum();
+            let out = slots - inside;
             if f64::from(out) <= f64::from(slots) * EJECT_SHARE {
                 return;
             }
@@ -875,6 +983,16 @@
     }
 }
 
+/// Targets that take work, also those ejected.
+fn serving(members: &[Member]) -> impl Iterator<Item = &Member> {
+    members.iter().filter(|member| member.is_serving())
+}
+
+/// Targets that take work in the ordinary way.
+fn used(members: &[Member]) -> impl Iterator<Item = &Member> {
+    serving(members).filter(|member| member.eject.is_in())
+}
+
 /// The part of a target's limit in use while it warms up.
 fn fraction(config: &Config, member: &Member) -> f64 {
     match config.warm {
@@ -899,24 +1017,10 @@
     }
 }
 
-/// Whether a target can take one more request now.
-fn is_free(config: &Config, member: &Member, now: Instant) -> bool {
+/// Whether a target may be used at all, up to its limit.
+fn is_usable(config: &Config, member: &Member, now: Instant) -> bool {
     let rests = config.eject == Switch::On && member.rests(now);
-    member.is_serving()
-        && member.eject.is_in()
-        && !rests
-        && member.in_flight < allowed(config, member)
-}
-
-/// The cost of sending one more request to a target; lower is better.
-fn cost(config: &Config, tally: &Tally, member: &Member, now: Instant) -> f64 {
-    if config.pick != Pick::TwoChoices {
-        return f64::from(member.in_flight);
-    }
-    let foreign = member.estimate.foreign(now, tally.others);
-    let load = 1.0 + f64::from(member.in_flight) + foreign;
-    let slowness = member.estimate.slowness(tally.median);
-    load * slowness / (f64::from(member.slots) * fraction(config, member))
+    member.is_serving() && member.eject.is_in() && !rests
 }
 
 /// What a request's end shows of its target, if anything.
@@ -931,15 +1035,13 @@
     }
 }
 
-/// The median latency over targets of which it is known, in seconds.
-fn median<'a>(members: impl Iterator<Item = &'a Member>) -> Option<f64> {
-    let mut known: Vec<f64> = members
-        .filter_map(|member| member.estimate.latency())
-        .collect();
-    if known.is_empty() {
+/// The upper median, if there are any values.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    if values.is_empty() {
         return None;
     }
-    let middle = known.len() / 2;
-    let (_, &mut found, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
-    Some(found.max(f64::MIN_POSITIVE))
+    let middle = values.len() / 2;
+    let (_, &mut found, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(found)
 }
--- a/src/steer/pick.rs
+++ b/src/steer/pick.rs
@@ -14,6 +14,8 @@
 /// How far a latency may lie from the group's, as a factor, and still count as equal. Within it
 /// differences are mostly noise, which would outweigh the load.
 const NOISE: f64 = 1.3;
+/// Time in which a latency that differs from the group's fades, without new answers.
+const MEMORY: Duration = Duration::from_secs(5);
 /// Weight of a fresh load report against this host's own requests. Reports lag by a time that
 /// they do not state.
 const REPORT_WEIGHT: f64 = 0.3;
@@ -25,6 +27,7 @@
 pub struct Estimate {
     latency: f64,
     samples: u32,
+    recorded: Option<Instant>,
     others: f64,
     reported: Option<Instant>,
 }
@@ -42,7 +45,8 @@
     }
 
     /// Takes in the latency of one answer.
-    pub fn record(&mut self, latency: Duration) {
+    pub fn record(&mut self, now: Instant, latency: Duration) {
+        self.recorded = Some(now);
         self.samples = self.samples.saturating_add(1);
         let weight = LATENCY_WEIGHT.max(1.0 / f64::from(self.samples));
         self.latency += (latency.as_secs_f64() - self.latency) * weight;
@@ -70,13 +74,21 @@
         (self.latency / typical * samples + PRIOR) / (samples + PRIOR)
     }
 
-    /// The latency ratio to choose by, free of noise.
-    pub fn slowness(&self, typical: f64) -> f64 {
+    /// The latency ratio to choose by, free of noise. It fades without answers, so that a target
+    /// which was slow once is tried again.
+    pub fn slowness(&self, now: Instant, typical: f64) -> f64 {
         let ratio = self.ratio(typical);
-        if (1.0 / NOISE..NOISE).contains(&ratio) {
+        if is_noise(ratio) {
             return 1.0;
         }
-        ratio
+        let age = self
+            .recorded
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let faded = ratio.powf((-age.as_secs_f64() / MEMORY.as_secs_f64()).exp());
+        if is_noise(faded) {
+            return 1.0;
+        }
+        faded
     }
 
     /// The last reported load of other hosts, in requests.
@@ -85,17 +97,22 @@
     }
 
     /// The load of other hosts to reckon with. A report may only make a target look busier than
-    /// the group's `mean`, never idler, so that a false one does not attract traffic.
-    pub fn foreign(&self, now: Instant, mean: f64) -> f64 {
+    /// the group's median, never idler, so that a false one does not attract traffic.
+    pub fn foreign(&self, now: Instant, median: f64) -> f64 {
         let Some(at) = self.reported else {
-            return mean;
+            return median;
         };
         let age = now.saturating_duration_since(at).as_secs_f64();
         let weight = REPORT_WEIGHT * (-age / REPORT_AGE.as_secs_f64()).exp();
-        mean + weight * (self.others - mean).max(0.0)
+        median + weight * (self.others - median).max(0.0)
     }
 }
 
+/// Whether a latency ratio may come from the spread of single answers alone.
+fn is_noise(ratio: f64) -> bool {
+    (1.0 / NOISE..NOISE).contains(&ratio)
+}
+
 /// Chooses among targets by their cost; holds the place of the last choice.
 #[derive(Clone, Debug)]
 pub struct Picker {
@@ -109,25 +126,25 @@
         Self { mode, cursor: 0 }
     }
 
-    /// Chooses one of `count` targets. `cost` gives none for one that must not be used; lower is
-    /// better. Equals take turns, but for least in-flight, where they are drawn.
+    /// Chooses the place of one of `targets`. `cost` gives none for one that must not be used;
+    /// lower is better. Equals take turns, but for least in-flight, where they are drawn.
     ///
     /// All targets are compared rather than two drawn ones: most of the cost is this host's own
     /// requests, which do not lag, so hosts do not flock to the same target.
-    pub fn choose(
+    pub fn choose<T>(
         &mut self,
-        count: usize,
+        targets: &[T],
         rng: &mut impl Rng,
-        cost: impl Fn(usize) -> Option<f64>,
+        cost: impl Fn(usize, &T) -> Option<f64>,
     ) -> Option<usize> {
-        if count == 0 {
+        if targets.is_empty() {
             return None;
         }
-        let next = (self.cursor + 1) % count;
+        let next = (self.cursor + 1) % targets.len();
         let found = match self.mode {
-            Pick::RoundRobin => first(count, next, cost),
-            Pick::LeastInFlight => least(count, rng.random_range(0..count), cost),
-            Pick::TwoChoices => least(count, next, cost),
+            Pick::RoundRobin => first(targets, next, cost),
+            Pick::LeastInFlight => least(targets, rng.random_range(0..targets.len()), cost),
+            Pick::TwoChoices => least(targets, next, cost),
         }?;
         self.cursor = found;
         Some(found)
@@ -135,25 +152,27 @@
 }
 
 /// The first usable target from `start` on.
-fn first(count: usize, start: usize, cost: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-    turn(count, start).find(|&index| cost(index).is_some())
+fn first<T>(targets: &[T], start: usize, cost: impl Fn(usize, &T) -> Option<f64>) -> Option<usize> {
+    turn(targets, start)
+        .find(|&(place, target)| cost(place, target).is_some())
+        .map(|(place, _)| place)
 }
 
 /// The first target of the lowest cost from `start` on.
-fn least(count: usize, start: usize, cost: impl Fn(usize) -> Option<f64>) -> Option<usize> {
-    let mut best: Option<(usize, f64)> = None;
-    for index in turn(count, start) {
-        let Some(value) = cost(index) else {
-            continue;
-        };
-        if best.is_none_or(|(_, least)| value < least) {
-            best = Some((index, value));
+fn least<T>(targets: &[T], start: usize, cost: impl Fn(usize, &T) -> Option<f64>) -> Option<usize> {
+    let mut best = None;
+    let mut lowest = f64::INFINITY;
+    for (place, target) in turn(targets, start) {
+        match cost(place, target) {
+            Some(value) if value < lowest => (best, lowest) = (Some(place), value),
+            _ => {}
         }
     }
-    best.map(|(index, _)| index)
+    best
 }
 
-/// All places, from `start` round to the one before.
-fn turn(count: usize, start: usize) -> impl Iterator<Item = usize> {
-    (start..count).chain(0..start)
+/// All targets with their places, from `start` round to the one before.
+fn turn<T>(targets: &[T], start: usize) -> impl Iterator<Item = (usize, &T)> {
+    let (before, after) = targets.split_at(start);
+    (start..).zip(after).chain((0..).zip(before))
 }
