Read a revision that has faults once, not with each watch

Cause: a refused revision never becomes the known one, so each watcher read its head and all its texts again after each watch of 10 s, and logged its faults. Change: the watcher keeps what it read last, in force or not.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -23,7 +23,7 @@
 use crate::control::{lease, publish};
 use crate::store::client::{Client, Condition, Error as StoreError, Versioned, Written};
 use crate::store::guard::Guard;
-use crate::store::publication;
+use crate::store::publication::{self, Fetched};
 
 /// How long one watch waits.
 const WATCH: Duration = Duration::from_secs(10);
@@ -97,8 +97,9 @@
         let guard = Guard::new(Client::new(&self.url));
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
         let mut after = 0;
+        let mut seen = Arc::new(Fetched::default());
         while self.is_running() {
-            let mut failed = !self.refresh(&guard);
+            let mut failed = !self.refresh(&guard, &mut seen);
             if self.is_watcher() && !failed {
                 match guard.watch(publication::HEAD, after, WATCH) {
                     Ok(events) => after = events.version,
@@ -124,11 +125,17 @@
         }
     }
 
-    /// Reads a newer revision, if there is one. Tells whether the platform could be asked.
-    fn refresh(&self, guard: &Guard) -> bool {
-        match publication::fetch(guard, &self.known.fetched()) {
+    /// Reads a newer revision, if there is one. Tells whether the platform could be asked. What was
+    /// `seen` before is not read again, even if it has faults and never came into force.
+    fn refresh(&self, guard: &Guard, seen: &mut Arc<Fetched>) -> bool {
+        let known = self.known.fetched();
+        if known.revision >= seen.revision {
+            *seen = known;
+        }
+        match publication::fetch(guard, seen) {
             Ok(Some(fetched)) => {
                 let revision = fetched.revision;
+                *seen = Arc::new(fetched.clone());
                 let _ = self.feed.send(News::Fetched(fetched));
                 self.wait_known(revision);
                 true
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -383,6 +383,12 @@
     let url = &world.platform_url;
     let ran = ragwortfold(&["status", "--platform", url]);
     ran.exits(2).tells(&["targets.look-lima-a-1.slots"]);
+    // It is read once, not with each watch, which waits for 10 s.
+    thread::sleep(Duration::from_secs(11));
+    for host in names(&world) {
+        let times = world.log(&host).matches("revision 2 is not used").count();
+        assert_eq!(times, 1, "{host} read it {times} times");
+    }
     // The next good one comes into force.
     world.configuration = good;
     drop(operator);
