--- a/tests/store.rs
+++ b/tests/store.rs
@@ -19,6 +19,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use serde_json::{json, Value};
+use standin::platform;
 
 /// Names each test case.
 macro_rules! case {
@@ -397,7 +398,110 @@
     }
 }
 
+/// The stand-in of the platform with a fault, and a client of it.
+fn stand_in(fault: platform::Fault) -> (platform::Platform, Client) {
+    let platform = platform::Platform::new(([127, 0, 0, 1], 0).into()).unwrap();
+    platform.set_hosts(vec![platform::Host {
+        host: "a".into(),
+        state: platform::HostState::Live,
+    }]);
+    platform.fault(fault);
+    let client = Client::new(&format!("http://{}", platform.address()));
+    (platform, client.with_timeout(Duration::from_secs(20)))
+}
+
+/// The variants of errors of a read, of a write and of a later watch from version 0, with its
+/// number of events.
+fn contract() {
+    use platform::{Availability, Fault};
+    let down = |availability| Fault {
+        availability,
+        ..Fault::default()
+    };
+    let table = [
+        (Fault::default(), ["ok", "ok", "1"]),
+        (
+            Fault {
+                slow_ms: 20,
+                ..Fault::default()
+            },
+            ["ok", "ok", "1"],
+        ),
+        (
+            Fault {
+                lose_answers: 1,
+                ..Fault::default()
+            },
+            ["ok", "uncertain", "1"],
+        ),
+        (
+            Fault {
+                skip_events: 1,
+                ..Fault::default()
+            },
+            ["ok", "ok", "0"],
+        ),
+        (
+            Fault {
+                repeat_events: true,
+                ..Fault::default()
+            },
+            ["ok", "ok", "1"],
+        ),
+        (
+            down(Availability::Unavailable),
+            ["status", "uncertain", "status"],
+        ),
+        (down(Availability::Closed), ["down", "uncertain", "down"]),
+        (down(Availability::Refused), ["unsent", "unsent", "unsent"]),
+    ];
+    for (fault, expected) in table {
+        let (platform, client) = stand_in(fault.clone());
+        let read = kind(client.get("a/b"));
+        let write = kind(client.put("a/b", &json!({"x": 1}), Condition::Absent));
+        let watch = match client.watch("a/", 0, Duration::ZERO) {
+            Ok(seen) => seen.events.len().to_string(),
+            Err(e) => kind::<()>(Err(e)).to_owned(),
+        };
+        assert_eq!([read, write, &watch], expected, "{fault:?}");
+        platform.fault(Fault::default());
+        let effect = fault.availability == Availability::Up;
+        let found = client.get("a/b").unwrap().map(|object| object.value);
+        assert_eq!(found, effect.then(|| json!({"x": 1})), "{fault:?}");
+    }
+}
+
+fn stand_in_objects() {
+    let (platform, client) = stand_in(platform::Fault::default());
+    let first = client.put("a/b", &1, Condition::Absent).unwrap();
+    let second = client
+        .put("a/b", &2, Condition::Version(first.version))
+        .unwrap();
+    client
+        .put("a/c", &"x".repeat(1_000_000 - 2), Condition::Absent)
+        .unwrap();
+    assert_eq!(kind(client.put("a/b", &3, Condition::Absent)), "conflict");
+    assert_eq!(kind(client.delete("a/b", first.version)), "conflict");
+    assert_eq!(client.list("a/").unwrap().objects.len(), 2);
+    client.delete("a/b", second.version).unwrap();
+    client.watch("a/", second.version, Duration::ZERO).unwrap();
+    let gone = client.watch("a/b", second.version, Duration::ZERO).unwrap();
+    assert_eq!((gone.events.len(), &gone.events[0].value), (1, &None));
+    assert!(client.get("a/b").unwrap().is_none());
+    let stale = platform::Fault {
+        stale_hosts: true,
+        ..platform::Fault::default()
+    };
+    platform.fault(stale);
+    platform.set_hosts(Vec::new());
+    assert_eq!(client.hosts().unwrap().len(), 1);
+    platform.fault(platform::Fault::default());
+    assert!(client.hosts().unwrap().is_empty());
+}
+
 case! {
+    stand_in_table: contract();
+    stand_in_calls: stand_in_objects();
     breaker: breaker_opens_tries_and_closes();
     guard_breaker: guard_stops_calling_a_dead_platform();
     guard_budget: guard_keeps_to_its_budget();
