Send digests within zones, summaries only between first delegates

Change: digests down the tree of the first delegate, summaries and rosters between first delegates, frames that ask for what was missed; beats at once on a suspicion and digests and rosters at once on a change; only first delegates stand for the lease; a plan is made only when the one before is stored, what was written is announced as written, and a plan that a new holder finds in the store goes before an older one known here. The word of a zone's first delegate that a host died counts although it vouched for it lately. While links to other hosts of a zone whose delegates died are opened, the zone is not taken for lost.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -11,19 +11,22 @@
 
 use super::delegate;
 use super::detector::INTERVAL;
+use super::digest::{self, Digest, Levels};
 use super::lease::{self, Candidacy, Lease};
-use super::membership::{Change, Listing, Membership, Report, Sight};
+use super::membership::{Change, Listing, Membership, Sight};
 use super::plan::{Gate, Plan, Record, Stamp};
 use super::planner::{self, Planner, View};
 use super::publish::{self, Outcome, Publish};
 use super::summary::{self, Load, Message, Sample, Sender, Table, Taken};
-use super::wire::Frame;
+use super::wire::{Ask, Frame};
 use crate::catalog::{Catalog, HostKey, RegionKey, ServiceKey, ZoneKey};
 
 /// Time between looks at who fell silent.
 const LOOK: Duration = Duration::from_millis(100);
-/// Time between reports on other zones when nothing changes.
-const REPORTS: Duration = Duration::from_secs(5);
+/// Hosts of a zone up to which they report their loads every [`summary::INTERVAL`].
+const FREQUENT: usize = 24;
+/// Time between the reports of a host in a larger zone.
+const SLOW: Duration = Duration::from_secs(4);
 /// Time between looks at which hosts to be linked with when nothing changes.
 const RELINK: Duration = Duration::from_secs(5);
 
@@ -55,7 +58,8 @@
     beat: Instant,
     far: Instant,
     load: Instant,
-    reports: Instant,
+    summary: Instant,
+    digest: Instant,
     relink: Instant,
     plan: Instant,
 }
@@ -64,22 +68,35 @@
     fn new(now: Instant, phase: Duration) -> Self {
         Self {
             look: now,
-            beat: now,
+            beat: now + phase / 4,
             far: now,
             load: now + phase,
-            reports: now + phase,
+            summary: now + phase,
+            digest: now + phase,
             relink: now,
             plan: now + phase,
         }
     }
 }
 
+/// When work that is due every `interval` is due next; what was missed is not made up for.
+fn next(due: Instant, interval: Duration, now: Instant) -> Instant {
+    let next = due + interval;
+    if next > now {
+        next
+    } else {
+        now + interval
+    }
+}
+
 /// Planning, while the lease is held.
 #[derive(Debug)]
 struct Reign {
     planner: Planner,
     publish: Publish,
     plan: Plan,
+    /// What was written last, with its stamp.
+    written: Record,
 }
 
 /// One host's part in control.
@@ -94,16 +111,30 @@
     far: BTreeSet<HostKey>,
     /// First delegates of all zones.
     heads: BTreeMap<ZoneKey, HostKey>,
+    /// Hosts configured in the own zone.
+    size: usize,
     reports: Sender,
     summary: Sender,
+    digest: digest::Sender,
+    /// What the host measured of its own targets, and when.
     loads: BTreeMap<ServiceKey, Load>,
+    measured: Instant,
+    moving: BTreeSet<ServiceKey>,
+    needs: BTreeMap<(HostKey, RegionKey), f32>,
+    /// Reports of the hosts of the own zone.
     table: Table,
+    /// Summaries of all zones, at a first delegate.
     summaries: Table,
+    /// How full the sites of other zones are, at other hosts.
+    levels: Levels,
     record: Record,
     gate: Gate,
     lease: Lease,
     reign: Option<Reign>,
-    digest: u64,
+    /// The epoch for which the store was asked about the plan, until it answers.
+    asked: Option<u64>,
+    /// Digest of the roster that other zones were told last.
+    roster: u64,
     due: Due,
     outputs: Vec<Output>,
 }
@@ -112,11 +143,8 @@
     /// The part of the host `own`, which starts now.
     pub fn new(now: Instant, own: HostKey, incarnation: u64, catalog: Arc<Catalog>) -> Self {
         let host = catalog.host(own);
-        let phase = INTERVAL.mul_f64((incarnation % 16) as f64 / 16.0);
-        let hosts = catalog
-            .hosts()
-            .filter(|(_, other)| other.zone == host.zone)
-            .count();
+        let phase = phase(&host.name, incarnation);
+        let size = size(host.zone, &catalog);
         Self {
             own,
             name: host.name.clone(),
@@ -125,16 +153,23 @@
             near: BTreeSet::new(),
             far: BTreeSet::new(),
             heads: BTreeMap::new(),
-            reports: Sender::new(own, incarnation).with_hosts(hosts),
+            size,
+            reports: Sender::new(own, incarnation).with_hosts(size),
             summary: Sender::new(own, incarnation),
+            digest: digest::Sender::new(own, incarnation),
             loads: BTreeMap::new(),
+            measured: now,
+            moving: BTreeSet::new(),
+            needs: BTreeMap::new(),
             table: Table::new(),
             summaries: Table::new(),
+            levels: Levels::new(),
             record: Record::default(),
             gate: Gate::default(),
             lease: Lease::new(now, format!("{}.{incarnation}", host.name).into()),
             reign: None,
-            digest: 0,
+            asked: None,
+            roster: 0,
             due: Due::new(now, phase),
             outputs: Vec::new(),
             catalog,
@@ -144,6 +179,7 @@
     /// Takes in a configuration.
     pub fn configure(&mut self, now: Instant, catalog: Arc<Catalog>) {
         self.membership.configured(&catalog);
+        self.size = size(self.zone, &catalog);
         self.catalog = catalog;
         self.due.relink = now;
         self.outputs.push(Output::Changed);
@@ -152,31 +188,81 @@
     /// This host takes no new work from now on, and says so at once.
     pub fn leave(&mut self, now: Instant) {
         self.membership.leave();
-        self.due.beat = now;
-        self.due.far = now;
+        self.call();
         self.lease.stand(now, Candidacy::Abstains);
         self.outputs.push(Output::Changed);
     }
 
-    /// What the host measured of its own targets.
-    pub fn measure(&mut self, loads: BTreeMap<ServiceKey, Load>) {
+    /// What the host measured of its own targets, and the services whose splits here have yet to
+    /// reach the plan.
+    pub fn measure(
+        &mut self,
+        now: Instant,
+        loads: BTreeMap<ServiceKey, Load>,
+        moving: BTreeSet<ServiceKey>,
+    ) {
         self.loads = loads;
+        self.measured = now;
+        self.moving = moving;
+    }
+
+    /// What the host wants to send to other regions above its static parts, by region and in the
+    /// unit of the quota.
+    pub fn need(&mut self, needs: BTreeMap<RegionKey, f32>) {
+        let own = self.own;
+        self.needs = needs
+            .into_iter()
+            .map(|(region, wanted)| ((own, region), wanted))
+            .collect();
     }
 
     /// A link to a host is open.
     pub fn link_up(&mut self, now: Instant, host: HostKey) {
         self.membership.link_up(now, host);
-        self.reports.refill();
-        self.summary.refill();
-        self.due.beat = now;
-        self.due.far = now;
         self.outputs.push(Output::Joined(host));
+        self.hail(host);
+        if self.catalog.host(host).zone != self.zone {
+            self.summary.refill();
+            return;
+        }
+        self.reports.refill();
+        self.digest.refill();
+        if self.is_head() {
+            self.send_plan(host);
+        }
+    }
+
+    /// Sends a sign of life to one host, out of turn.
+    fn hail(&mut self, host: HostKey) {
+        let interval = match self.far.contains(&host) {
+            true => delegate::interval(self.far.len()),
+            false => INTERVAL,
+        };
+        let beat = Frame::Beat(self.membership.beat(interval), self.catalog.revision);
+        self.outputs.push(Output::Send(vec![host], beat));
+    }
+
+    /// Sends a sign of life to all that are linked with this host, out of turn.
+    fn call(&mut self) {
+        let slow = delegate::interval(self.far.len());
+        for (hosts, interval) in [(&self.near, INTERVAL), (&self.far, slow)] {
+            let beat = Frame::Beat(self.membership.beat(interval), self.catalog.revision);
+            let hosts = hosts.iter().copied().collect();
+            self.outputs.push(Output::Send(hosts, beat));
+        }
+    }
+
+    fn send_plan(&mut self, host: HostKey) {
         if self.record.stamp > Stamp::default() {
             let plan = Frame::Plan(self.record.clone(), None);
             self.outputs.push(Output::Send(vec![host], plan));
         }
     }
 
+    fn ask(&mut self, host: HostKey, ask: Ask) {
+        self.outputs.push(Output::Send(vec![host], Frame::Ask(ask)));
+    }
+
     /// The link to a host broke.
     pub fn link_down(&mut self, now: Instant, host: HostKey) {
         self.membership.link_down(now, host);
@@ -204,37 +290,109 @@
                     .table
                     .take(now, &message, Duration::ZERO, &self.catalog);
                 if taken == Taken::Gap {
-                    // The sender fills its next message up once it hears of a new listener.
-                    self.outputs.push(Output::Joined(from));
+                    self.ask(from, Ask::Load);
                 }
             }
-            Frame::Summary(message, root) => self.hear_summary(now, message, root),
-            Frame::Reports(reports, root) => {
-                self.membership.report(now, &reports, Duration::ZERO);
-                self.spread(&root, Frame::Reports(reports, root.clone()));
+            Frame::Summary(message, stamp) => {
+                self.hear_summary(now, from, &message);
+                self.compare(from, stamp);
+            }
+            Frame::Digest(digest, stamp) => {
+                self.hear_digest(now, &digest);
+                self.compare(from, stamp);
+                let root = digest.host.clone();
+                self.spread(&root, Frame::Digest(digest, stamp));
             }
             Frame::Roster(roster, root) => {
                 self.membership.enroll(now, roster.clone(), Duration::ZERO);
+                self.outputs.push(Output::Changed);
                 self.pass_on(root, |root| Frame::Roster(roster, root));
             }
-            Frame::Plan(record, root) => self.hear_plan(record, root),
+            Frame::Plan(record, root) => self.hear_plan(from, record, root),
+            Frame::Ask(ask) => self.answer(now, from, &ask),
         }
     }
 
-    fn hear_summary(&mut self, now: Instant, message: Message, root: Option<Arc<str>>) {
-        self.summaries
-            .take(now, &message, Duration::ZERO, &self.catalog);
-        let Some(zone) = self.catalog.zone_key(&message.zone) else {
+    fn hear_summary(&mut self, now: Instant, from: HostKey, message: &Message) {
+        let taken = self
+            .summaries
+            .take(now, message, Duration::ZERO, &self.catalog);
+        if taken == Taken::Gap {
+            self.ask(from, Ask::Summary);
+        }
+        if taken == Taken::Ignored {
             return;
-        };
+        }
         let age = Duration::from_millis(message.head.age_ms.into());
-        self.membership.vouch(now, zone, message.roster, age);
+        self.vouch(now, from, &message.zone, message.roster, age);
+        self.outputs.push(Output::Changed);
+    }
+
+    fn hear_digest(&mut self, now: Instant, digest: &Digest) {
+        let Some(teller) = self.catalog.host_key(&digest.host) else {
+            return;
+        };
+        match self.levels.take(now, digest, Duration::ZERO, &self.catalog) {
+            Taken::Ignored => return,
+            Taken::Gap => self.ask(teller, Ask::Digest),
+            Taken::Newer => {}
+        }
+        let reports: Vec<_> = digest
+            .zones
+            .iter()
+            .map(|zone| zone.report.clone())
+            .collect();
+        self.membership.report(now, &reports, Duration::ZERO);
+        for zone in digest.zones.iter().filter(|zone| zone.roster != 0) {
+            let age = Duration::from_millis(zone.age_ms.into());
+            self.vouch(now, teller, &zone.report.zone, zone.roster, age);
+        }
         self.outputs.push(Output::Changed);
-        self.pass_on(root, |root| Frame::Summary(message, root));
     }
 
-    fn hear_plan(&mut self, record: Record, root: Option<Arc<str>>) {
+    /// Takes in that the hosts of a zone are as they were, or asks who they are.
+    fn vouch(&mut self, now: Instant, from: HostKey, zone: &Arc<str>, roster: u64, age: Duration) {
+        let Some(key) = self.catalog.zone_key(zone) else {
+            return;
+        };
+        if key != self.zone && !self.membership.vouch(now, key, roster, age) {
+            self.ask(from, Ask::Roster(zone.clone()));
+        }
+    }
+
+    /// Asks for the plan of a host if it is newer.
+    fn compare(&mut self, from: HostKey, stamp: Stamp) {
+        if stamp > self.record.stamp {
+            self.ask(from, Ask::Plan);
+        }
+    }
+
+    fn answer(&mut self, now: Instant, from: HostKey, ask: &Ask) {
+        match ask {
+            Ask::Load => self.reports.refill(),
+            Ask::Summary => self.summary.refill(),
+            Ask::Digest => self.digest.refill(),
+            Ask::Plan => self.send_plan(from),
+            Ask::Roster(zone) => {
+                let roster = match self.catalog.zone_key(zone) {
+                    Some(zone) if zone == self.zone => Some(self.membership.roster(now)),
+                    Some(zone) => self.membership.kept(now, zone),
+                    None => None,
+                };
+                if let Some(roster) = roster {
+                    let frame = Frame::Roster(roster, None);
+                    self.outputs.push(Output::Send(vec![from], frame));
+                }
+            }
+        }
+    }
+
+    fn hear_plan(&mut self, from: HostKey, record: Record, root: Option<Arc<str>>) {
+        if record.stamp <= self.gate.newest() {
+            return;
+        }
         let Some(whole) = record.onto(&self.record) else {
+            self.ask(from, Ask::Plan);
             return;
         };
         if !self.gate.accept(whole.stamp) {
@@ -286,20 +444,48 @@
 
     /// The outcome of a command on the plan.
     pub fn published(&mut self, now: Instant, event: publish::Event, rng: &mut impl Rng) {
+        let asked = self.asked.take();
         let Some(reign) = &mut self.reign else {
             return;
         };
+        if asked != Some(reign.publish.epoch()) {
+            return;
+        }
         match reign.publish.event(now, event, rng) {
-            Some(Outcome::Published(stamp)) => {
+            Some(Outcome::Published(stamp)) if stamp == reign.written.stamp => {
                 reign.plan.stamp = stamp;
-                let record = reign.plan.record(&self.catalog);
+                let record = reign.written.clone();
                 self.take_own(record);
             }
+            Some(Outcome::Published(_)) | None => {}
             Some(Outcome::Fenced(epoch)) => {
                 self.lease.learn(epoch);
                 self.reign = None;
             }
-            None => {}
+        }
+    }
+
+    /// The plan that was found in the store. It counts if it is newer than what is known here, and a
+    /// planner goes on from it.
+    pub fn stored(&mut self, now: Instant, record: Record) {
+        let stamp = record.stamp;
+        if record.base.is_some() || !self.gate.accept(stamp) {
+            return;
+        }
+        self.lease.learn(stamp.epoch);
+        self.record = record;
+        self.outputs.push(Output::Planned);
+        let heads = self.other_heads();
+        let frame = Frame::Plan(self.record.clone(), None);
+        self.outputs.push(Output::Send(heads, frame));
+        let name = self.name.clone();
+        let frame = Frame::Plan(self.record.clone(), Some(name.clone()));
+        self.spread(&name, frame);
+        let previous = self.record.plan(&self.catalog);
+        let others = |reign: &&mut Reign| reign.written.stamp != stamp;
+        if let Some(reign) = self.reign.as_mut().filter(others) {
+            reign.planner = Planner::new(now, Some(&previous), &self.catalog);
+            reign.plan = previous;
         }
     }
 
@@ -335,6 +521,7 @@
                     planner: Planner::new(now, Some(&previous), &self.catalog),
                     publish: Publish::new(now, epoch),
                     plan: previous,
+                    written: Record::default(),
                 });
                 self.due.plan = now;
             }
@@ -355,32 +542,46 @@
         }
         self.beat(now, revision);
         if now >= self.due.load {
-            self.due.load = now + summary::INTERVAL;
+            self.due.load = next(self.due.load, self.interval(), now);
             self.report(now);
+        }
+        if now >= self.due.summary {
+            self.due.summary = next(self.due.summary, summary::INTERVAL, now);
             self.summarize(now);
         }
-        if now >= self.due.reports {
-            self.due.reports = now + REPORTS;
+        if now >= self.due.digest {
+            self.due.digest = next(self.due.digest, digest::INTERVAL, now);
             self.tell_zones(now);
         }
         self.govern(now, rng);
         std::mem::take(&mut self.outputs)
     }
 
+    /// Time between the reports of the hosts of the own zone. The first delegate of a large one
+    /// would receive too much otherwise.
+    fn interval(&self) -> Duration {
+        if self.size <= FREQUENT {
+            summary::INTERVAL
+        } else {
+            SLOW
+        }
+    }
+
     fn look(&mut self, now: Instant) {
         let changes = self.membership.tick(now);
-        for change in &changes {
-            if matches!(change, Change::Suspected(_)) {
-                // Asks the others at once whether they hear it.
-                self.due.beat = now;
-            }
-            self.due.relink = now;
+        if changes.is_empty() {
+            return;
+        }
+        self.outputs.push(Output::Changed);
+        if changes.iter().any(|c| matches!(c, Change::Suspected(_))) {
+            self.call();
         }
         if changes.iter().any(|c| matches!(c, Change::Zone(..))) {
-            self.due.reports = now;
+            self.due.digest = now;
         }
-        if !changes.is_empty() {
-            self.outputs.push(Output::Changed);
+        self.relink(now);
+        if self.is_head() {
+            self.tell_roster(now);
         }
     }
 
@@ -391,6 +592,9 @@
         for &gone in before.difference(&links) {
             self.membership.unlinked(gone);
         }
+        for &new in links.difference(&before) {
+            self.membership.linking(now, new);
+        }
         let zone = self.zone;
         let near = |other: &HostKey| catalog.host(*other).zone == zone;
         (self.near, self.far) = links.iter().copied().partition(near);
@@ -401,7 +605,8 @@
                 Some((zone, *delegates.first()?))
             })
             .collect();
-        let candidacy = if delegate::is_delegate(self.own, &self.membership, catalog) {
+        // Only first delegates have the summaries of all zones.
+        let candidacy = if self.is_head() {
             Candidacy::Stands
         } else {
             Candidacy::Abstains
@@ -416,7 +621,7 @@
         if now < self.due.beat {
             return;
         }
-        self.due.beat = now + INTERVAL;
+        self.due.beat = next(self.due.beat, INTERVAL, now);
         self.membership.advance();
         let near = Frame::Beat(self.membership.beat(INTERVAL), revision);
         self.outputs
@@ -433,9 +638,12 @@
 
     fn report(&mut self, now: Instant) {
         let sample = Sample {
+            age: now.saturating_duration_since(self.measured),
             hosts: (1, 1),
             applied: self.record.stamp,
+            moving: self.moving.clone(),
             loads: self.loads.clone(),
+            needs: self.needs.clone(),
             ..Sample::default()
         };
         let message = self.reports.message(now, &sample, &self.catalog);
@@ -450,37 +658,49 @@
         }
     }
 
-    /// What the first delegate of a zone tells the others and its own zone.
+    /// What the first delegate of a zone tells those of the others.
     fn summarize(&mut self, now: Instant) {
         if !self.is_head() {
             return;
         }
+        self.tell_roster(now);
         let hosts = self.membership.zone_hosts(self.zone);
-        let Some(mut sample) = self.table.merge(now, hosts) else {
+        let fresh = self.interval() + summary::FRESH.saturating_sub(summary::INTERVAL);
+        let Some(mut sample) = self.table.merge_within(now, fresh, hosts) else {
             return;
         };
-        let roster = self.membership.roster(now);
-        sample.roster = roster.digest();
+        sample.roster = self.roster;
         let message = self.summary.message(now, &sample, &self.catalog);
         self.summaries
             .take(now, &message, Duration::ZERO, &self.catalog);
         let heads = self.other_heads();
-        if self.digest != sample.roster || message.head.full {
-            self.digest = sample.roster;
+        let summary = Frame::Summary(message, self.record.stamp);
+        self.outputs.push(Output::Send(heads, summary));
+    }
+
+    /// Tells the other zones who is here, if that is not what they were told last.
+    fn tell_roster(&mut self, now: Instant) {
+        let roster = self.membership.roster(now);
+        let digest = roster.digest();
+        if self.roster != digest {
+            self.roster = digest;
+            let heads = self.other_heads();
             self.outputs
-                .push(Output::Send(heads.clone(), Frame::Roster(roster, None)));
+                .push(Output::Send(heads, Frame::Roster(roster, None)));
         }
-        self.outputs
-            .push(Output::Send(heads, Frame::Summary(message.clone(), None)));
-        self.pass_on(None, |root| Frame::Summary(message, root));
     }
 
+    /// What the first delegate of a zone tells its hosts of the other zones.
     fn tell_zones(&mut self, now: Instant) {
-        if self.is_head() {
-            let reports: Vec<Report> = self.membership.reports(now);
-            let name = self.name.clone();
-            self.spread(&name, Frame::Reports(reports, name.clone()));
+        if !self.is_head() {
+            return;
         }
+        let digest = self
+            .digest
+            .digest(now, &self.summaries, &self.membership, &self.catalog);
+        let name = self.name.clone();
+        let stamp = self.record.stamp;
+        self.spread(&name, Frame::Digest(digest, stamp));
     }
 
     /// Seeks the lease, and plans while it is held.
@@ -493,7 +713,9 @@
         let Some(reign) = &mut self.reign else {
             return;
         };
-        if now >= self.due.plan {
+        // The first act of an epoch writes the plan as it was. After that a plan is made only when
+        // the one before it is in the store.
+        if now >= self.due.plan && reign.publish.is_idle() {
             self.due.plan = now + planner::INTERVAL;
             let sights = sights(&self.catalog, &self.membership);
             let view = View {
@@ -501,28 +723,26 @@
                 summaries: &self.summaries,
                 sights: &sights,
             };
-            let (plan, changed) = reign.planner.make(now, reign.plan.stamp, &view);
+            let (plan, changed) = reign.planner.make(now, reign.publish.next(), &view);
             if changed {
                 reign.plan = plan;
                 reign.publish.want();
             }
         }
+        if self.asked.is_some() {
+            return;
+        }
         if let Some(command) = reign.publish.tick(now, held) {
-            let mut plan = reign.plan.clone();
+            self.asked = Some(reign.publish.epoch());
             if let publish::Command::Write { stamp, .. } = &command {
-                plan.stamp = *stamp;
+                reign.plan.stamp = *stamp;
+                reign.written = reign.plan.record(&self.catalog);
             }
-            let record = Box::new(plan.record(&self.catalog));
+            let record = Box::new(reign.written.clone());
             self.outputs.push(Output::Plan(command, record));
         }
     }
 
-    /// A host sent a plan's difference to one that is not known here, or missed summaries.
-    pub fn refill(&mut self) {
-        self.reports.refill();
-        self.summary.refill();
-    }
-
     /// The hosts to which new work may be sent.
     pub fn live(&self) -> BTreeSet<HostKey> {
         self.membership.live_hosts()
@@ -533,16 +753,39 @@
         sights(&self.catalog, &self.membership)
     }
 
-    /// What each zone told last of a service, with its age.
+    /// What is known of a service in a zone, with its age.
+    ///
+    /// First delegates know the summaries of all zones. To other hosts the figures of another zone
+    /// are its configured slots and the requests that run or wait on them, in steps of a twentieth
+    /// of the slots and up to five times these; no slot is live if none is there. Rates and the
+    /// part that is cold are not known to them. Of the own zone they know the live slots, and of the
+    /// requests only their own.
     pub fn load(
         &self,
         now: Instant,
         service: ServiceKey,
         zone: ZoneKey,
     ) -> Option<(Load, Duration)> {
-        let source = self.summaries.zone(now, zone, &self.catalog)?;
-        let entry = source.load(service)?;
-        Some((entry.load, now.saturating_duration_since(entry.sampled)))
+        if self.is_head() {
+            let source = self.summaries.zone(now, zone, &self.catalog)?;
+            let entry = source.load(service)?;
+            return Some((entry.load, now.saturating_duration_since(entry.sampled)));
+        }
+        if zone == self.zone {
+            let load = *self.loads.get(&service)?;
+            return Some((load, now.saturating_duration_since(self.measured)));
+        }
+        let level = self.levels.level(service, zone)?;
+        let slots = self.catalog.site(service, zone)?.slots as f32;
+        let load = match level.filled.is_finite() {
+            true => Load {
+                live: slots,
+                in_flight: slots * level.filled as f32,
+                ..Load::default()
+            },
+            false => Load::default(),
+        };
+        Some((load, now.saturating_duration_since(level.sampled)))
     }
 
     /// The splits of the plan in force.
@@ -582,3 +825,17 @@
         .map(|(zone, _)| (zone, membership.zone(zone)))
         .collect()
 }
+
+/// Hosts configured in a zone.
+fn size(zone: ZoneKey, catalog: &Catalog) -> usize {
+    catalog
+        .hosts()
+        .filter(|(_, host)| host.zone == zone)
+        .count()
+}
+
+/// Delay of the first reports of a host, so that they do not all come at once.
+fn phase(name: &str, incarnation: u64) -> Duration {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), incarnation);
+    summary::INTERVAL.mul_f64((hash % 64) as f64 / 64.0)
+}
--- a/src/control/digest.rs
+++ b/src/control/digest.rs
@@ -60,6 +60,18 @@
     pub levels: BTreeMap<Arc<str>, u8>,
 }
 
+impl Zone {
+    /// A zone that told nothing of its load yet.
+    fn unmeasured(report: Report) -> Self {
+        Self {
+            report,
+            roster: 0,
+            age_ms: u32::MAX,
+            levels: BTreeMap::new(),
+        }
+    }
+}
+
 fn level(load: &Load) -> u8 {
     if load.live <= 0.0 {
         return CLOSED;
@@ -115,8 +127,9 @@
             let Some(zone) = catalog.zone_key(&report.zone) else {
                 continue;
             };
-            if let Some(source) = summaries.zone(now, zone, catalog) {
-                zones.push(self.zone(now, report, zone, source, catalog));
+            match summaries.zone(now, zone, catalog) {
+                Some(source) => zones.push(self.zone(now, report, zone, source, catalog)),
+                None => zones.push(Zone::unmeasured(report)),
             }
         }
         Digest {
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Link {
     Absent,
+    /// It is to be opened since then.
+    Opening(Instant),
     Up,
     Down(Instant),
 }
@@ -58,6 +60,8 @@
     pub(super) direct: Option<Instant>,
     /// Last heard at all.
     pub(super) heard: Option<Instant>,
+    /// Whether it was last heard only in that its zone vouched for it.
+    pub(super) vouched: bool,
     pub(super) link: Link,
     pub(super) detector: Detector,
     pub(super) listing: Listing,
@@ -76,6 +80,7 @@
             state: State::Serving,
             direct: None,
             heard: None,
+            vouched: false,
             link: Link::Absent,
             detector: Detector::default(),
             listing: Listing::Live,
@@ -86,7 +91,12 @@
 
     /// Whether there is, or was until now, a link to the host.
     pub(super) fn linked(&self) -> bool {
-        self.link != Link::Absent || self.direct.is_some()
+        matches!(self.link, Link::Up | Link::Down(_)) || self.direct.is_some()
+    }
+
+    /// Whether the link is still to be opened.
+    pub(super) fn opening(&self) -> bool {
+        matches!(self.link, Link::Opening(_))
     }
 
     /// Silences after which the host is suspected, and dead.
@@ -102,7 +112,7 @@
     fn broken(&self) -> Option<Instant> {
         match self.link {
             Link::Down(at) if self.heard.is_none_or(|heard| heard <= at) => Some(at),
-            Link::Down(_) | Link::Up | Link::Absent => None,
+            Link::Down(_) | Link::Up | Link::Opening(_) | Link::Absent => None,
         }
     }
 
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -22,6 +22,8 @@
 
 /// Least silence of a whole zone before it counts as lost.
 const ZONE_SILENCE: Duration = Duration::from_secs(2);
+/// Additional silence while links to other hosts of the zone are still to be opened.
+const TRY: Duration = Duration::from_secs(2);
 /// A gap between ticks that means that this process was paused.
 pub const PAUSE: Duration = Duration::from_millis(700);
 
@@ -210,6 +212,7 @@
         let fresh = record.heard.is_none_or(|heard| at > heard);
         if fresh {
             record.heard = Some(at);
+            record.vouched = false;
         }
         let (_, dead) = record.limits();
         let lately = now.saturating_duration_since(at) < dead;
@@ -234,6 +237,15 @@
         }
     }
 
+    /// From now on a link to a host is to be opened.
+    pub fn linking(&mut self, now: Instant, host: HostKey) {
+        if let Some(record) = self.records.get_mut(&host) {
+            if record.link == Link::Absent {
+                record.link = Link::Opening(now);
+            }
+        }
+    }
+
     /// The link to a host broke or could not be opened.
     pub fn link_down(&mut self, now: Instant, host: HostKey) {
         self.notice_pause(now);
@@ -396,6 +408,7 @@
                     let (incarnation, state) = (known.incarnation, known.state);
                     let via = Via::Relayed(age);
                     self.heard(now, host, incarnation, known.sequence, state, via);
+                    self.note_vouched(now, host, age);
                 }
             }
         }
@@ -403,6 +416,27 @@
         same
     }
 
+    /// Notes that a host was last heard only in that its zone vouched for it.
+    fn note_vouched(&mut self, now: Instant, host: HostKey, age: Duration) {
+        if let Some(record) = self.records.get_mut(&host) {
+            record.vouched |= record.heard == now.checked_sub(age);
+        }
+    }
+
+    /// The last roster of another zone, with the times at which its hosts were heard brought up to
+    /// date, to be passed on.
+    pub fn kept(&self, now: Instant, zone: ZoneKey) -> Option<Roster> {
+        let mut roster = self.rosters.get(&zone)?.clone();
+        for known in &mut roster.hosts {
+            let record = self.names.get(&known.host);
+            let record = record.and_then(|host| self.records.get(host));
+            if let Some(heard) = record.and_then(|record| record.heard) {
+                known.age_ms = millis(now.saturating_duration_since(heard));
+            }
+        }
+        Some(roster)
+    }
+
     /// Others hold a host to be dead that they last heard `age` ago. It counts unless the host
     /// was heard later than that, or is watched from here.
     fn told_dead(&mut self, now: Instant, host: HostKey, incarnation: u64, age: Duration) {
@@ -411,6 +445,8 @@
             return;
         };
         let later = match (record.heard, now.checked_sub(age)) {
+            // Its zone vouched for it while the silence had begun, and does not any more.
+            _ if record.vouched => false,
             (Some(heard), Some(theirs)) => heard > theirs + CONFIRM,
             (Some(_), None) => true,
             (None, _) => true,
@@ -561,7 +597,8 @@
     }
 
     fn zone_linked(&self, zone: ZoneKey) -> bool {
-        self.zone_records(zone).any(|(_, record)| record.linked())
+        self.zone_records(zone)
+            .any(|(_, record)| record.linked() || record.opening())
     }
 
     fn zone_records(&self, zone: ZoneKey) -> impl Iterator<Item = (HostKey, &Record)> {
@@ -595,7 +632,15 @@
             .zone_records(zone)
             .filter(|(_, record)| record.linked())
             .all(|(_, record)| matches!(record.status, Status::Dead | Status::Unknown));
-        dead && silence >= ZONE_SILENCE
+        // Others of the zone may answer once there are links to them.
+        let untried = self
+            .zone_records(zone)
+            .any(|(_, record)| record.alive() && !record.linked());
+        let limit = match untried {
+            true => ZONE_SILENCE + TRY,
+            false => ZONE_SILENCE,
+        };
+        dead && silence >= limit
     }
 
     /// This host.
@@ -672,7 +717,7 @@
     pub(crate) fn link_failed(&self, host: HostKey) -> Option<Instant> {
         match self.records.get(&host)?.link {
             Link::Down(at) => Some(at),
-            Link::Up | Link::Absent => None,
+            Link::Up | Link::Opening(_) | Link::Absent => None,
         }
     }
 }
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -80,6 +80,24 @@
         }
     }
 
+    /// The epoch for which it writes.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Whether nothing is to be written and no outcome is awaited.
+    pub fn is_idle(&self) -> bool {
+        !self.wanted && self.pending.is_none()
+    }
+
+    /// The stamp of the next plan, or a lower one if plans before it are lost.
+    pub fn next(&self) -> Stamp {
+        Stamp {
+            epoch: self.epoch,
+            sequence: self.sequence + 1,
+        }
+    }
+
     /// There is a new plan to write.
     pub fn want(&mut self) {
         self.wanted = true;
--- a/src/control/summary.rs
+++ b/src/control/summary.rs
@@ -467,11 +467,21 @@
 
     /// Merges the reports of the live hosts of a zone. None if no host reported lately.
     pub fn merge(&self, now: Instant, hosts: impl IntoIterator<Item = HostKey>) -> Option<Sample> {
+        self.merge_within(now, FRESH, hosts)
+    }
+
+    /// The same, with another age up to which a report counts.
+    pub fn merge_within(
+        &self,
+        now: Instant,
+        fresh: Duration,
+        hosts: impl IntoIterator<Item = HostKey>,
+    ) -> Option<Sample> {
         let mut merge = Merge::default();
         for host in hosts {
             merge.live += 1;
             if let Some(source) = self.sources.get(&host) {
-                merge.add(now, source);
+                merge.add(now, fresh, source);
             }
         }
         merge.sample()
@@ -493,9 +503,9 @@
 }
 
 impl Merge {
-    fn add(&mut self, now: Instant, source: &Source) {
+    fn add(&mut self, now: Instant, fresh: Duration, source: &Source) {
         let age = now.saturating_duration_since(source.sampled);
-        if age >= FRESH {
+        if age >= fresh {
             return;
         }
         self.reported += 1;
--- a/src/control/wire.rs
+++ b/src/control/wire.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::membership::{Beat, Report, Roster};
-use super::plan::Record;
+use super::digest::Digest;
+use super::membership::{Beat, Roster};
+use super::plan::{Record, Stamp};
 use super::summary::Message;
 
 /// One control message. The root, where there is one, is the host from which it spreads over a zone.
@@ -13,15 +14,34 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Frame {
     /// A sign of life, with the revision of the configuration in force.
+    #[serde(rename = "b")]
     Beat(Beat, u64),
-    /// A host's load, to a delegate of its zone.
+    /// A host's load, to the first delegate of its zone.
     Load(Message),
-    /// A zone's load.
-    Summary(Message, Option<Arc<str>>),
-    /// What a delegate knows of other zones.
-    Reports(Vec<Report>, Arc<str>),
+    /// A zone's load, to the first delegates of the others, with the newest plan known there.
+    Summary(Message, Stamp),
+    /// What the first delegate of a zone tells its hosts of the others, with the newest plan.
+    Digest(Digest, Stamp),
     /// The hosts of a zone.
     Roster(Roster, Option<Arc<str>>),
     /// A plan.
     Plan(Record, Option<Arc<str>>),
+    /// Something was missed: it is to be sent again in full.
+    Ask(Ask),
+}
+
+/// What is to be sent in full.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ask {
+    /// The load of a host.
+    Load,
+    /// The summary of a zone.
+    Summary,
+    /// The levels of all zones.
+    Digest,
+    /// The hosts of a zone.
+    Roster(Arc<str>),
+    /// The newest plan.
+    Plan,
 }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -14,6 +14,7 @@
 use crate::catalog::{Catalog, HostKey, RegionKey, ServiceKey, State, ZoneKey};
 use crate::control::agent::{Agent, Output};
 use crate::control::membership::{Listing, Sight};
+use crate::control::plan::Record;
 use crate::control::summary::Load;
 use crate::control::{lease, publish};
 use crate::peer::frame::{Fetch, Message, Split as Share, Splits};
@@ -23,7 +24,10 @@
 use crate::store::client::{Host, HostState};
 
 /// Age up to which a zone's measurement is used.
-const FRESH: Duration = Duration::from_secs(8);
+const FRESH: Duration = Duration::from_secs(16);
+
+/// Distance to the split of the plan up to which it counts as reached.
+const REACHED: f64 = 0.01;
 
 /// The splits of services by locality.
 pub(crate) type Shares = BTreeMap<(ServiceKey, RegionKey), Split>;
@@ -194,10 +198,33 @@
         }
     }
 
+    /// The plan that was found in the store.
+    pub(crate) fn stored(&mut self, now: Instant, record: Record) {
+        if let Some(agent) = &mut self.agent {
+            agent.stored(now, record);
+        }
+    }
+
     /// Tells the agent what was measured here.
-    pub(crate) fn measure(&mut self, loads: BTreeMap<ServiceKey, Load>) {
+    pub(crate) fn measure(
+        &mut self,
+        now: Instant,
+        loads: BTreeMap<ServiceKey, Load>,
+        shares: &Shares,
+    ) {
         if let Some(agent) = &mut self.agent {
-            agent.measure(loads);
+            let moving = agent
+                .splits()
+                .into_iter()
+                .filter(|(key, goal)| {
+                    let goal = Split::new(&self.catalog, goal.clone());
+                    shares
+                        .get(key)
+                        .is_some_and(|split| split.distance(&goal) > REACHED)
+                })
+                .map(|((service, _), _)| service)
+                .collect();
+            agent.measure(now, loads, moving);
         }
     }
 
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -25,6 +25,7 @@
 use super::{Error, Published};
 use crate::border::settings::Settings;
 use crate::catalog::{Catalog, ServiceKey};
+use crate::control::plan::Record;
 use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
@@ -83,6 +84,8 @@
     End(Run, End),
     /// The outcome of a question about the planner lease.
     Leased(lease::Event),
+    /// The plan that was found in the store.
+    Stored(Box<Record>),
     /// The outcome of a question about the plan.
     Published(publish::Event),
     /// The platform's list of hosts.
@@ -282,6 +285,7 @@
                 self.configure(now, catalog);
             }
             Event::Leased(event) => self.control.leased(now, event, &mut self.rng),
+            Event::Stored(record) => self.control.stored(now, *record),
             Event::Published(event) => self.control.published(now, event, &mut self.rng),
             Event::Listed(hosts) => self.control.listed(now, &hosts),
             Event::Leave => self.control.leave(now),
@@ -397,7 +401,9 @@
         self.tell(decisions);
         if now >= self.measure {
             self.measure = now + MEASURE;
-            self.control.measure(self.engine.measure(now));
+            let loads = self.engine.measure(now);
+            let splits = self.engine.splits();
+            self.control.measure(now, loads, &splits);
         }
         let change = self.control.tick(now, &mut self.rng);
         self.take(now, change);
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -19,7 +19,7 @@
 use super::core::{Event, Handle};
 use super::feed::{Known, News, Queue};
 use super::Error;
-use crate::control::plan::{Record, Stamp};
+use crate::control::plan::Record;
 use crate::control::{lease, publish};
 use crate::store::client::{Client, Condition, Error as StoreError, Versioned, Written};
 use crate::store::guard::Guard;
@@ -160,7 +160,10 @@
                     self.core.send(Event::Leased(event));
                 }
                 Ok(Ask::Plan(command, record)) => {
-                    let event = plan(&guard, command, &record);
+                    let (event, found) = plan(&guard, command, &record);
+                    if let Some(found) = found {
+                        self.core.send(Event::Stored(Box::new(found)));
+                    }
                     self.core.send(Event::Published(event));
                 }
                 Err(RecvTimeoutError::Timeout) => {}
@@ -200,25 +203,34 @@
     }
 }
 
-fn plan(guard: &Guard, command: publish::Command, record: &Record) -> publish::Event {
-    match command {
-        publish::Command::Read => match read::<Record>(guard, PLAN) {
-            Ok(found) => publish::Event::Read(found.map(|found| {
-                let stamp: Stamp = found.value.stamp;
-                (version(found.version), stamp)
-            })),
-            Err(error) => {
-                spdlog::debug!("plan: {error}");
-                publish::Event::Down
-            }
-        },
-        publish::Command::Write { condition, .. } => {
-            match guard.put(PLAN, record, to_condition(&condition)) {
-                Ok(Written { version: number }) => publish::Event::Written(version(number)),
-                Err(StoreError::Conflict { .. }) => publish::Event::Conflict,
-                Err(StoreError::Uncertain { .. }) => publish::Event::Uncertain,
-                Err(_) => publish::Event::Down,
-            }
+/// Carries out a command on the plan. Returns what came of it, and the plan that was read.
+fn plan(
+    guard: &Guard,
+    command: publish::Command,
+    record: &Record,
+) -> (publish::Event, Option<Record>) {
+    let publish::Command::Write { condition, .. } = command else {
+        return read_plan(guard);
+    };
+    let event = match guard.put(PLAN, record, to_condition(&condition)) {
+        Ok(Written { version: number }) => publish::Event::Written(version(number)),
+        Err(StoreError::Conflict { .. }) => publish::Event::Conflict,
+        Err(StoreError::Uncertain { .. }) => publish::Event::Uncertain,
+        Err(_) => publish::Event::Down,
+    };
+    (event, None)
+}
+
+fn read_plan(guard: &Guard) -> (publish::Event, Option<Record>) {
+    match read::<Record>(guard, PLAN) {
+        Ok(Some(found)) => {
+            let seen = (version(found.version), found.value.stamp);
+            (publish::Event::Read(Some(seen)), Some(found.value))
+        }
+        Ok(None) => (publish::Event::Read(None), None),
+        Err(error) => {
+            spdlog::debug!("plan: {error}");
+            (publish::Event::Down, None)
         }
     }
 }
