--- a/src/steer/budgets.rs
+++ b/src/steer/budgets.rs
@@ -35,11 +35,17 @@
 impl Budgets {
     pub(crate) fn new(now: Instant, limits: &Limits, switches: Switches) -> Self {
         Self {
-            retry: retry::Budget::new(now, limits.retry).with_switch(switches.retry.into()),
-            hedge: Hedge::new(now, limits.hedge).with_switch(switches.hedge.into()),
+            retry: retry::Budget::new(now, limits.retry).with_switch(switches.retry),
+            hedge: Hedge::new(now, limits.hedge).with_switch(switches.hedge),
         }
     }
 
+    /// Takes the limits of a new configuration.
+    pub(crate) fn set_limits(&mut self, limits: &Limits) {
+        self.retry.set_share(limits.retry);
+        self.hedge.set_share(limits.hedge);
+    }
+
     /// Counts a request of the service.
     pub(crate) fn request(&mut self, now: Instant) {
         self.retry.request(now);
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -106,6 +106,8 @@
     zone: Option<ZoneKey>,
     host: Option<HostKey>,
     live: BTreeSet<HostKey>,
+    /// Live hosts that take requests from other zones.
+    hosts: BTreeMap<ZoneKey, Vec<HostKey>>,
     groups: BTreeMap<ServiceKey, Group>,
     waiting: BTreeMap<Id, ServiceKey>,
     /// Callers' requests that wait for a target of this zone, should they have to go elsewhere.
@@ -122,6 +124,8 @@
     started: Option<Instant>,
     tallies: BTreeMap<ServiceKey, Tally>,
     shifts: BTreeMap<(ServiceKey, RegionKey), Shift>,
+    /// The split of the own region's callers while this zone last had targets.
+    served: BTreeMap<ServiceKey, Split>,
     view: View,
     hold: Hold,
 }
@@ -132,6 +136,8 @@
 const FAR: Duration = Duration::from_secs(1);
 /// Time that a request is assumed to hold a slot before any was measured, in seconds.
 const DEFAULT_WORK: f64 = 0.05;
+/// Hosts of one zone that a request is sent to at most.
+const MAX_HOSTS: usize = 2;
 /// Weight of one measurement in the mean hold time.
 const WORK_GAIN: f64 = 0.05;
 
@@ -147,6 +153,7 @@
             zone: None,
             host: None,
             live: BTreeSet::new(),
+            hosts: BTreeMap::new(),
             groups: BTreeMap::new(),
             waiting: BTreeMap::new(),
             spare: BTreeMap::new(),
@@ -159,6 +166,7 @@
             started: None,
             tallies: BTreeMap::new(),
             shifts: BTreeMap::new(),
+            served: BTreeMap::new(),
             view: View::default(),
             hold: Hold::new(HOLD),
         }
@@ -212,6 +220,11 @@
             let own = self.catalog.region_of(zone);
             self.quotas.configure(now, &self.catalog, own);
         }
+        let limits = *self.catalog.limits();
+        for budgets in self.budgets.values_mut() {
+            budgets.set_limits(&limits);
+        }
+        self.sort_hosts();
         self.update_groups(now);
         self.advance(now);
     }
@@ -327,6 +340,21 @@
                 shift.advance(now, &goal.split, goal.kind, &caps);
             }
         }
+        self.note_served();
+    }
+
+    /// Notes the splits under which this zone's targets are in use.
+    fn note_served(&mut self) {
+        let Some(own) = self.zone.map(|zone| self.catalog.region_of(zone)) else {
+            return;
+        };
+        for (&service, group) in &self.groups {
+            if let Some(shift) = self.shifts.get(&(service, own)) {
+                if group.headroom().slots > 0 {
+                    self.served.insert(service, shift.current().clone());
+                }
+            }
+        }
     }
 
     /// What look-ups are answered from until the next change.
@@ -341,9 +369,20 @@
     /// The hosts that are alive.
     pub fn set_live(&mut self, now: Instant, live: BTreeSet<HostKey>) {
         self.live = live;
+        self.sort_hosts();
         self.update_groups(now);
     }
 
+    fn sort_hosts(&mut self) {
+        self.hosts.clear();
+        for &key in &self.live {
+            let host = self.catalog.host(key);
+            if host.state == State::Serving {
+                self.hosts.entry(host.zone).or_default().push(key);
+            }
+        }
+    }
+
     fn update_groups(&mut self, now: Instant) {
         let Some(zone) = self.zone else {
             return;
@@ -407,11 +446,14 @@
 
     /// Own zone first, else where the split says; then where there is room.
     fn route(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
+        if ask.kind == Kind::Hedge {
+            return Some(self.admit_now(now, ask, rng));
+        }
         let home = self.home(now, &ask);
         if home == self.zone {
             let (id, spare) = (ask.id, ask.clone());
             return match self.admit(now, ask, rng) {
-                Some(Verdict::Refused(refusal)) => Some(self.spill(now, &spare, refusal)),
+                Some(Verdict::Refused(refusal)) => Some(self.leave(now, &spare, refusal)),
                 verdict => {
                     if verdict.is_none() {
                         self.spare.insert(id, spare);
@@ -420,9 +462,6 @@
                 }
             };
         }
-        if ask.kind == Kind::Hedge {
-            return Some(Verdict::refused(Reason::Limited));
-        }
         let verdict = match home {
             Some(zone) => self.pass(now, &ask, zone),
             None => Err(Refusal::new(Reason::NoTarget)),
@@ -433,6 +472,54 @@
         })
     }
 
+    /// Asks the targets of this zone for a copy, which does not wait. It is asked only while nothing
+    /// waits, so that its number belongs to no other request in the queue.
+    fn admit_now(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Verdict {
+        let id = ask.id;
+        match self.admit(now, ask, rng) {
+            Some(verdict) => verdict,
+            None => {
+                self.cancel(id);
+                Verdict::refused(Reason::Limited)
+            }
+        }
+    }
+
+    /// Sends a request on that this zone refused: where the split has moved it, else where there is
+    /// room.
+    fn leave(&mut self, now: Instant, ask: &Ask, refusal: Refusal) -> Verdict {
+        let pass = self.moved(ask).map(|zone| self.pass(now, ask, zone));
+        match pass {
+            Some(Ok(pass)) => Verdict::Host(pass),
+            _ => self.spill(now, ask, refusal),
+        }
+    }
+
+    /// Where a request went that was this zone's before its targets were lost. That move was counted
+    /// when the split made it. Others that come here only by habit are not among those moved.
+    fn moved(&self, ask: &Ask) -> Option<ZoneKey> {
+        if ask.origin == Origin::Host || !self.is_bare(ask.service) {
+            return None;
+        }
+        let before = self.served.get(&ask.service)?;
+        let now = self.shifts.get(&(ask.service, ask.locality))?.current();
+        let own = self
+            .zone
+            .filter(|&zone| self.catalog.region_of(zone) == ask.locality);
+        if before.choose(ask.block, |_| true) != Some(own?) {
+            return None;
+        }
+        now.choose(ask.block, |_| true)
+            .filter(|&zone| Some(zone) != own)
+    }
+
+    /// Whether no target of this zone takes work.
+    fn is_bare(&self, service: ServiceKey) -> bool {
+        self.groups
+            .get(&service)
+            .is_none_or(|group| group.headroom().slots == 0)
+    }
+
     /// The zone that a request belongs to.
     fn home(&mut self, now: Instant, ask: &Ask) -> Option<ZoneKey> {
         let Some(shift) = self.shifts.get_mut(&(ask.service, ask.locality)) else {
@@ -483,7 +570,9 @@
                 None
             }
             group::Verdict::Refuse(refusal) => {
-                self.tally(now, ask.service).refused += 1;
+                if ask.kind != Kind::Hedge {
+                    self.tally(now, ask.service).refused += 1;
+                }
                 Some(Verdict::Refused(refusal.into()))
             }
         }
@@ -511,10 +600,7 @@
             return Verdict::Refused(refusal);
         }
         let caps = Caps::new(&self.catalog, ask.service);
-        let kind = match refusal.reason {
-            Reason::NoTarget => Kindred::Failover,
-            _ => Kindred::Planned,
-        };
+        let kind = self.kind(ask, refusal.reason);
         for zone in self.others(ask) {
             let Some(shift) = self.shifts.get_mut(&(ask.service, ask.locality)) else {
                 break;
@@ -538,6 +624,22 @@
         Verdict::Refused(refusal)
     }
 
+    /// Whether a request leaves something that is lost. What the configuration took out is not lost,
+    /// and neither are targets that only this request tried in vain.
+    fn kind(&self, ask: &Ask, reason: Reason) -> Kindred {
+        let serves = |zone| {
+            let site = self.catalog.site(ask.service, zone);
+            site.is_some_and(|site| site.slots > 0)
+        };
+        match reason {
+            Reason::Unreachable => Kindred::Failover,
+            Reason::NoTarget if self.is_bare(ask.service) && self.zone.is_some_and(serves) => {
+                Kindred::Failover
+            }
+            _ => Kindred::Planned,
+        }
+    }
+
     /// Other zones that may have room, nearest first.
     fn others(&self, ask: &Ask) -> Vec<ZoneKey> {
         let Some(own) = self.zone else {
@@ -588,7 +690,7 @@
                 .take(now, own, (ask.service, region), work, bytes)
                 .map_err(|refused| Refusal {
                     reason: Reason::Limited,
-                    retry_after: refused.retry_after,
+                    retry_after: refused.retry_after.max(MIN_RETRY_AFTER),
                 })?;
         }
         *self.passes.entry(host).or_default() += 1;
@@ -602,11 +704,16 @@
         })
     }
 
-    /// The live host of a zone with the fewest requests of this host.
+    /// The live host of a zone with the fewest requests of this host. No more than [`MAX_HOSTS`] of a
+    /// zone get one request.
     fn host_in(&self, ask: &Ask, zone: ZoneKey) -> Option<HostKey> {
-        self.live
+        let hosts = self.hosts.get(&zone)?;
+        let tried = |host: &&HostKey| self.catalog.host(**host).zone == zone;
+        if ask.hosts.iter().filter(tried).count() >= MAX_HOSTS {
+            return None;
+        }
+        hosts
             .iter()
-            .filter(|&&host| self.catalog.host(host).zone == zone)
             .filter(|host| !ask.hosts.contains(host))
             .min_by_key(|&host| {
                 let load = self.passes.get(host).copied().unwrap_or_default();
@@ -619,6 +726,11 @@
         self.work.get(&service).copied().unwrap_or(DEFAULT_WORK)
     }
 
+    /// Passes that were given and not handed back.
+    pub fn passes(&self) -> u32 {
+        self.passes.values().sum()
+    }
+
     /// Takes back a pass.
     pub fn finish_pass(&mut self, now: Instant, pass: &Pass, back: Back) {
         self.release_pass(now, pass, back);
@@ -640,11 +752,25 @@
             }
             Back::Nothing { bytes } => {
                 let more = bytes.saturating_sub(pass.bytes) as f64;
-                self.quotas.charge(now, own, site, more);
+                let held = self.held(now, pass);
+                if !self.groups.contains_key(&pass.service) {
+                    self.learn_work(pass.service, held);
+                }
+                self.quotas.charge(now, own, site, held - pass.work, more);
             }
         }
     }
 
+    /// The longest time that a request sent to another region may have held a slot there, in seconds.
+    fn held(&self, now: Instant, pass: &Pass) -> f64 {
+        let time = now.saturating_duration_since(pass.at);
+        let link = self
+            .zone
+            .and_then(|zone| self.catalog.link(self.catalog.region_of(zone), pass.region));
+        let way = link.map_or(Duration::ZERO, |link| link.latency);
+        time.saturating_sub(2 * way).as_secs_f64()
+    }
+
     /// Takes back a target's grant.
     pub fn finish(
         &mut self,
@@ -668,8 +794,12 @@
         if let Some(budgets) = self.budgets.get_mut(&service) {
             budgets.hedge.record(now, latency);
         }
+        self.learn_work(service, latency.as_secs_f64());
+    }
+
+    fn learn_work(&mut self, service: ServiceKey, seconds: f64) {
         let work = self.work.entry(service).or_insert(DEFAULT_WORK);
-        *work += (latency.as_secs_f64() - *work) * WORK_GAIN;
+        *work += (seconds - *work) * WORK_GAIN;
     }
 
     /// A request that waits is no longer wanted.
@@ -694,7 +824,7 @@
         for (id, refusal) in refused {
             self.waiting.remove(&id);
             let verdict = match self.spare.remove(&id) {
-                Some(ask) => self.spill(now, &ask, refusal.into()),
+                Some(ask) => self.leave(now, &ask, refusal.into()),
                 None => Verdict::Refused(refusal.into()),
             };
             decisions.push((id, verdict));
@@ -741,16 +871,19 @@
 
 /// When a caller is asked to come back if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The least advice on when to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 impl From<group::Refusal> for Refusal {
     fn from(refusal: group::Refusal) -> Self {
+        let (reason, least) = match refusal.reason {
+            group::Reason::NoTarget | group::Reason::Tried => (Reason::NoTarget, RETRY_AFTER),
+            group::Reason::Deadline => (Reason::Timeout, MIN_RETRY_AFTER),
+            group::Reason::Overload | group::Reason::Full => (Reason::Crowded, MIN_RETRY_AFTER),
+        };
         Self {
-            reason: match refusal.reason {
-                group::Reason::NoTarget | group::Reason::Tried => Reason::NoTarget,
-                group::Reason::Deadline => Reason::Timeout,
-                group::Reason::Overload | group::Reason::Full => Reason::Crowded,
-            },
-            retry_after: refusal.retry_after,
+            reason,
+            retry_after: refusal.retry_after.max(least),
         }
     }
 }
--- a/src/steer/pass.rs
+++ b/src/steer/pass.rs
@@ -106,6 +106,7 @@
                 set(&mut self.sites, (service, region), now, part, incarnation);
             }
         }
+        self.retain_links(catalog, own);
         let hosts = quota::inside(catalog, own);
         for (_, link) in catalog.links().filter(|(_, link)| link.from == own) {
             let way = (link.from, link.to);
@@ -116,6 +117,13 @@
         }
     }
 
+    /// Drops the quotas of links that are no longer configured.
+    fn retain_links(&mut self, catalog: &Catalog, own: RegionKey) {
+        let is_there = |way: &Way| way.0 == own && catalog.link(way.0, way.1).is_some();
+        self.requests.retain(|way, _| is_there(way));
+        self.bytes.retain(|way, _| is_there(way));
+    }
+
     /// Takes what one request costs, or nothing.
     pub(crate) fn take(
         &mut self,
@@ -166,6 +174,9 @@
             return;
         };
         let way = (own, site.1);
+        if let Some(sent) = self.sent.get_mut(&way) {
+            *sent = sent.saturating_sub(1);
+        }
         if let Some(link) = self.requests.get_mut(&way) {
             link.put_back(now, 1.0);
         }
@@ -174,18 +185,29 @@
         }
     }
 
-    /// Charges bytes that were not known before; a debt delays later requests.
-    pub(crate) fn charge(&mut self, now: Instant, own: Option<RegionKey>, site: Site, bytes: f64) {
+    /// Charges slot-seconds and bytes that were not known before; a debt delays later requests.
+    pub(crate) fn charge(
+        &mut self,
+        now: Instant,
+        own: Option<RegionKey>,
+        site: Site,
+        work: f64,
+        bytes: f64,
+    ) {
+        if let Some(region) = self.sites.get_mut(&site).filter(|_| work > 0.0) {
+            region.put_back(now, -work);
+        }
         if let Some(link) = own.and_then(|own| self.bytes.get_mut(&(own, site.1))) {
             link.put_back(now, -bytes);
         }
     }
 }
 
+/// Sets a static part. A predecessor of the same name may have given up some of a new quota's.
 fn set<K: Ord>(quotas: &mut BTreeMap<K, Quota>, key: K, now: Instant, part: f64, incarnation: u64) {
     quotas
         .entry(key)
-        .or_insert_with(|| Quota::new(part, now, incarnation))
+        .or_insert_with(|| Quota::with_start(part, now, incarnation))
         .set_part(now, part);
 }
 
