--- a/benches/publish.rs
+++ b/benches/publish.rs
@@ -6,7 +6,6 @@
 
 #![allow(clippy::unwrap_used)]
 
-#[allow(dead_code)]
 #[path = "../tests/world/mod.rs"]
 mod world;
 
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -11,6 +11,9 @@
 use crate::control::membership::{Sight, Status as Liveness};
 use crate::steer::engine::Engine;
 
+/// Shares of availability zones, by service and locality.
+type Splits = BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>>;
+
 /// The answer to `/v1/status`.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Status {
@@ -28,7 +31,7 @@
     hosts: BTreeMap<Arc<str>, Host>,
     zones: BTreeMap<Arc<str>, &'static str>,
     services: BTreeMap<Arc<str>, Service>,
-    splits: BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>>,
+    splits: Splits,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -167,10 +170,9 @@
     services
 }
 
-fn splits(engine: &Engine) -> BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>> {
+fn splits(engine: &Engine) -> Splits {
     let catalog = engine.catalog();
-    let mut splits: BTreeMap<Arc<str>, BTreeMap<Arc<str>, BTreeMap<Arc<str>, f64>>> =
-        BTreeMap::new();
+    let mut splits = Splits::new();
     for ((service, locality), split) in engine.splits() {
         let shares = split
             .shares()
