--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -37,6 +37,7 @@
         planned: cap(0.05, 60),
         failover: cap(0.5, 10),
         utilization: 0.8,
+        blocks: 1_000,
     }
 }
 
@@ -135,8 +136,9 @@
 }
 
 fn with_failure(evidence: Evidence) -> Evidence {
+    let failure = START + 3 * SECOND..START + 20 * SECOND;
     Evidence {
-        failures: vec![START + 3 * SECOND..START + 20 * SECOND],
+        failures: Vec::from([failure]),
         ..evidence
     }
 }
