--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -222,6 +222,7 @@
     keys: Keys<Sender<End>>,
     control: Control,
     dirty: bool,
+    leaving: bool,
     refresh: Instant,
     measure: Instant,
     rng: Pcg64Mcg,
@@ -244,6 +245,7 @@
                 parts.delegate.clone(),
             ),
             dirty: false,
+            leaving: false,
             refresh: cx.now(),
             measure: cx.now(),
             handle,
@@ -295,7 +297,11 @@
             Event::Health(target, health, state) => {
                 self.engine.health(now, target, health, state);
             }
-            Event::Leave => self.control.leave(now),
+            Event::Leave => {
+                self.leaving = true;
+                self.control.leave(now);
+                self.refresh(now);
+            }
             Event::Status(reply) => {
                 let _ = reply.send(self.status(now));
             }
@@ -355,10 +361,10 @@
         self.parts.published.put(State {
             catalog: self.engine.catalog().clone(),
             lookup: self.engine.snapshot(),
-            readiness: if self.engine.is_settling(now) {
-                Readiness::Starting
-            } else {
-                Readiness::Ready
+            readiness: match self.leaving {
+                true => Readiness::Leaving,
+                false if self.engine.is_settling(now) => Readiness::Starting,
+                false => Readiness::Ready,
             },
         });
     }
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -125,6 +125,10 @@
 
     fn lookup(&self, request: &Request, query: &str) -> Reply {
         let state = self.shared.published.get();
+        if state.readiness == Readiness::Leaving {
+            // A ticket of this host would soon be worth nothing.
+            return Reply::not_run(503, "this host is leaving", Some(FULL_RETRY));
+        }
         let Some(lookup) = &state.lookup else {
             return Reply::not_run(503, "no configuration yet", Some(FULL_RETRY));
         };
@@ -180,8 +184,8 @@
     }
 
     fn health(&self) -> Reply {
-        if self.shared.published.get().readiness == Readiness::Starting {
-            return Reply::not_run(503, "starting", Some(FULL_RETRY));
+        if self.shared.published.get().readiness != Readiness::Ready {
+            return Reply::not_run(503, "starting or leaving", Some(FULL_RETRY));
         }
         Reply::whole(200, "text/plain", b"ok\n".to_vec())
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -61,8 +61,9 @@
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 /// Longest time that a leaving host waits for work to end.
 const LONGEST_WORK: Duration = Duration::from_secs(3600);
-/// Time without work after which a leaving host ends.
-const QUIET: Duration = Duration::from_millis(200);
+/// Time without work after which a leaving host ends: longer than the second after which a caller
+/// that was refused elsewhere comes back with this host's ticket.
+const QUIET: Duration = Duration::from_millis(1500);
 /// How often a leaving host looks.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
@@ -238,14 +239,22 @@
         let started = Instant::now();
         self.shared.core.send(core::Event::Leave);
         let ttl = self.shared.published.get().catalog.limits().ttl;
-        thread::sleep(ttl + LEAVE_MARGIN);
-        let end = Instant::now() + LONGEST_WORK;
+        let earliest = started + ttl + LEAVE_MARGIN;
+        let latest = started + LONGEST_WORK;
         let mut quiet = Instant::now();
-        while Instant::now() < end && quiet.elapsed() < QUIET {
-            if self.shared.in_flight.load(Ordering::Relaxed) > 0 {
-                quiet = Instant::now();
-            }
+        let mut seen = self.shared.ids.load(Ordering::Relaxed);
+        loop {
             thread::sleep(DRAIN_LOOK);
+            let now = Instant::now();
+            let begun = self.shared.ids.load(Ordering::Relaxed);
+            if begun != seen || self.shared.in_flight.load(Ordering::Relaxed) > 0 {
+                quiet = now;
+            }
+            seen = begun;
+            let is_done = now >= earliest && now >= quiet + QUIET;
+            if is_done || now >= latest {
+                break;
+            }
         }
         self.stop();
         started.elapsed()
--- a/src/entry/published.rs
+++ b/src/entry/published.rs
@@ -24,6 +24,8 @@
     Starting,
     /// It serves.
     Ready,
+    /// It finishes what callers were sent here for, and hands out nothing new.
+    Leaving,
 }
 
 /// The place of the latest state.
