Test many engines together on one clock

Twelve hosts of six zones with late views, restarts, pauses, cut zones, lost targets and changed configurations: each request ends once, moves and spill-over stay within the cap that applies, links and regions get no more than their quotas, only live hosts and serving targets are used, and what was given comes back.

Only a zone without live hosts is left by failover now.

--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -678,9 +678,7 @@
 
     /// Chooses a host of another zone and takes what it costs to send a request there.
     fn pass(&mut self, now: Instant, ask: &Ask, zone: ZoneKey) -> Result<Pass, Refusal> {
-        let host = self
-            .host_in(ask, zone)
-            .ok_or(Refusal::new(Reason::Unreachable))?;
+        let host = self.host_in(ask, zone)?;
         let region = self.catalog.region_of(zone);
         let own = self.zone.map(|zone| self.catalog.region_of(zone));
         let work = self.hold_time(ask.service);
@@ -705,12 +703,15 @@
     }
 
     /// The live host of a zone with the fewest requests of this host. No more than [`MAX_HOSTS`] of a
-    /// zone get one request.
-    fn host_in(&self, ask: &Ask, zone: ZoneKey) -> Option<HostKey> {
-        let hosts = self.hosts.get(&zone)?;
+    /// zone get one request. That they did not take it does not show that the zone is lost.
+    fn host_in(&self, ask: &Ask, zone: ZoneKey) -> Result<HostKey, Refusal> {
+        let hosts = self
+            .hosts
+            .get(&zone)
+            .ok_or(Refusal::new(Reason::Unreachable))?;
         let tried = |host: &&HostKey| self.catalog.host(**host).zone == zone;
         if ask.hosts.iter().filter(tried).count() >= MAX_HOSTS {
-            return None;
+            return Err(Refusal::new(Reason::Crowded));
         }
         hosts
             .iter()
@@ -720,6 +721,7 @@
                 (load, (ask.id ^ u64::from(host.into_raw().into_u32())) % 7)
             })
             .copied()
+            .ok_or(Refusal::new(Reason::Crowded))
     }
 
     fn hold_time(&self, service: ServiceKey) -> f64 {
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -1,12 +1,17 @@
 //! Which way a request goes: the rules one by one, then many hosts together.
 
+mod fleet;
 mod places;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use fleet::{Event, Fleet};
 use places::{configuration, hosts, lay, region, service, zone, Size};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use ragwortfold::border::settings::Steer;
 use ragwortfold::catalog::{Catalog, HostKey, TargetKey};
 use ragwortfold::steer::attempt::Reason;
@@ -469,3 +474,51 @@
         assert_eq!(count(&rig.many(20, |_| {}), "no-target"), 20);
     };
 }
+
+/// What happens to places that all work: only the configuration moves traffic.
+fn quiet() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (1u8..250).prop_map(Event::Run),
+        1 => any::<u8>().prop_map(Event::Restart),
+        1 => (any::<u8>(), any::<u8>()).prop_map(|(host, steps)| Event::Pause(host, steps)),
+        2 => (any::<u8>(), any::<u8>()).prop_map(|(host, steps)| Event::Lag(host, steps)),
+        2 => (any::<u8>(), any::<u8>()).prop_map(|(target, state)| Event::Configure(target, state)),
+        1 => any::<u8>().prop_map(Event::Rate),
+    ]
+}
+
+fn faulty() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => quiet(),
+        2 => any::<u8>().prop_map(Event::Cut),
+        2 => any::<u8>().prop_map(Event::Lose),
+    ]
+}
+
+fn play(seed: u64, events: Vec<Event>) {
+    let mut fleet = Fleet::new(seed);
+    for event in events {
+        fleet.apply(event);
+    }
+    fleet.conclude();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 12,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        max_shrink_iters: 60,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn hosts_together_keep_every_limit(seed in any::<u64>(), events in vec(faulty(), 20..40)) {
+        play(seed, events);
+    }
+
+    #[test]
+    fn without_faults_the_planned_cap_holds(seed in any::<u64>(), events in vec(quiet(), 20..40)) {
+        play(seed, events);
+    }
+}
