--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -13,6 +13,8 @@
 use ragwortfold::control::detector::INTERVAL;
 use ragwortfold::control::membership::{Beat, Change, Membership, Status};
 
+pub mod agents;
+
 /// A catalog of `zones` zones in regions of two, with `hosts` hosts each.
 pub fn catalog(zones: usize, hosts: usize) -> Catalog {
     let mut regions = serde_json::Map::new();
