--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -26,6 +26,7 @@
 use super::{Error, Published};
 use crate::border::settings::Settings;
 use crate::catalog::{Catalog, ServiceKey, TargetKey};
+use crate::control::plan::Record;
 use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
@@ -84,6 +85,8 @@
     End(Run, End),
     /// The outcome of a question about the planner lease.
     Leased(lease::Event),
+    /// The plan that was found in the store.
+    Stored(Box<Record>),
     /// The outcome of a question about the plan.
     Published(publish::Event),
     /// The platform's list of hosts.
@@ -219,6 +222,7 @@
     keys: Keys<Sender<End>>,
     control: Control,
     dirty: bool,
+    leaving: bool,
     refresh: Instant,
     measure: Instant,
     rng: Pcg64Mcg,
@@ -241,6 +245,7 @@
                 parts.delegate.clone(),
             ),
             dirty: false,
+            leaving: false,
             refresh: cx.now(),
             measure: cx.now(),
             handle,
@@ -286,12 +291,17 @@
                 self.configure(now, catalog);
             }
             Event::Leased(event) => self.control.leased(now, event, &mut self.rng),
+            Event::Stored(record) => self.control.stored(now, *record),
             Event::Published(event) => self.control.published(now, event, &mut self.rng),
             Event::Listed(hosts) => self.control.listed(now, &hosts),
             Event::Health(target, health, state) => {
                 self.engine.health(now, target, health, state);
             }
-            Event::Leave => self.control.leave(now),
+            Event::Leave => {
+                self.leaving = true;
+                self.control.leave(now);
+                self.refresh(now);
+            }
             Event::Status(reply) => {
                 let _ = reply.send(self.status(now));
             }
@@ -351,10 +361,10 @@
         self.parts.published.put(State {
             catalog: self.engine.catalog().clone(),
             lookup: self.engine.snapshot(),
-            readiness: if self.engine.is_settling(now) {
-                Readiness::Starting
-            } else {
-                Readiness::Ready
+            readiness: match self.leaving {
+                true => Readiness::Leaving,
+                false if self.engine.is_settling(now) => Readiness::Starting,
+                false => Readiness::Ready,
             },
         });
     }
@@ -419,7 +429,9 @@
         self.tell(decisions);
         if now >= self.measure {
             self.measure = now + MEASURE;
-            self.control.measure(self.engine.measure(now));
+            let loads = self.engine.measure(now);
+            let splits = self.engine.splits();
+            self.control.measure(now, loads, &splits);
             self.show(now);
         }
         let change = self.control.tick(now, &mut self.rng);
