End a storm of heartbeats; confirm a broken link by a second question

Change: an answer asks for nobody; a closed link that is not wanted here is forgotten; another failed try changes nothing while the host is alive; a suspect is asked for again after 600 ms, and CONFIRM is 800 ms (was 600 ms).

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -27,6 +27,8 @@
 const FREQUENT: usize = 24;
 /// Time between the reports of a host in a larger zone.
 const SLOW: Duration = Duration::from_secs(4);
+/// Time after a suspicion at which it is asked again: a live host has sent the next heartbeat then.
+const AGAIN: Duration = Duration::from_millis(600);
 /// Time between looks at which hosts to be linked with when nothing changes.
 const RELINK: Duration = Duration::from_secs(5);
 
@@ -135,6 +137,8 @@
     asked: Option<u64>,
     /// Digest of the roster that other zones were told last.
     roster: u64,
+    /// When those who are linked are asked again for a suspect.
+    again: Option<Instant>,
     due: Due,
     outputs: Vec<Output>,
 }
@@ -170,6 +174,7 @@
             reign: None,
             asked: None,
             roster: 0,
+            again: None,
             due: Due::new(now, phase),
             outputs: Vec::new(),
             catalog,
@@ -265,7 +270,12 @@
 
     /// The link to a host broke.
     pub fn link_down(&mut self, now: Instant, host: HostKey) {
-        self.membership.link_down(now, host);
+        if self.near.contains(&host) || self.far.contains(&host) {
+            self.membership.link_down(now, host);
+        } else {
+            // It was the other side that wanted the link, and does not any more.
+            self.membership.unlinked(host);
+        }
     }
 
     /// What the platform lists of a host.
@@ -568,6 +578,9 @@
     }
 
     fn look(&mut self, now: Instant) {
+        if self.again.take_if(|at| now >= *at).is_some() {
+            self.call();
+        }
         let changes = self.membership.tick(now);
         if changes.is_empty() {
             return;
@@ -575,6 +588,7 @@
         self.outputs.push(Output::Changed);
         if changes.iter().any(|c| matches!(c, Change::Suspected(_))) {
             self.call();
+            self.again = Some(now + AGAIN);
         }
         if changes.iter().any(|c| matches!(c, Change::Zone(..))) {
             self.due.digest = now;
@@ -713,9 +727,10 @@
         let Some(reign) = &mut self.reign else {
             return;
         };
-        // The first act of an epoch writes the plan as it was. After that a plan is made only when
-        // the one before it is in the store.
-        if now >= self.due.plan && reign.publish.is_idle() {
+        // The first act of an epoch writes the plan as it was, if there was one. After that a plan is
+        // made only when the one before it is in the store.
+        let free = reign.publish.is_idle() || reign.plan.splits.is_empty();
+        if now >= self.due.plan && free {
             self.due.plan = now + planner::INTERVAL;
             let sights = sights(&self.catalog, &self.membership);
             let view = View {
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -8,7 +8,7 @@
 use crate::catalog::{self, ZoneKey};
 
 /// Time from a broken link to death when nobody hears the host.
-pub const CONFIRM: Duration = Duration::from_millis(600);
+pub const CONFIRM: Duration = Duration::from_millis(800);
 /// Silence after which a host known only through others is suspected.
 const REMOTE_SUSPECT: Duration = Duration::from_secs(8);
 /// Silence after which a host known only through others is dead.
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -250,7 +250,10 @@
     pub fn link_down(&mut self, now: Instant, host: HostKey) {
         self.notice_pause(now);
         if let Some(record) = self.records.get_mut(&host) {
-            record.link = Link::Down(now);
+            // Another failure to open it says nothing new of a host that others hear.
+            if !(matches!(record.link, Link::Down(_)) && record.alive()) {
+                record.link = Link::Down(now);
+            }
         }
     }
 
@@ -327,7 +330,10 @@
             interval,
         );
         self.know(now, &beat.known, Duration::ZERO);
-        self.note_unheard(host, beat);
+        // An answer asks for nobody, so that two who each miss a host do not answer for ever.
+        if beat.known.is_empty() {
+            self.note_unheard(host, beat);
+        }
         let known: Vec<Known> = beat
             .missed
             .iter()
@@ -340,6 +346,7 @@
         }
         Some(Beat {
             known,
+            missed: Vec::new(),
             ..self.beat(interval)
         })
     }
