--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -1,5 +1,7 @@
 //! Every point where a call can break, and the course of a request over random breaks.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::{Duration, Instant};
 
 use la_arena::{Idx, RawIdx};
--- a/tests/dedupe.rs
+++ b/tests/dedupe.rs
@@ -1,5 +1,7 @@
 //! Tickets, idempotency keys, and clients that send the same key again and again.
 
+#![allow(clippy::unwrap_used)]
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -1,5 +1,7 @@
 //! Which way a request goes: the rules one by one, then many hosts together.
 
+#![allow(clippy::unwrap_used)]
+
 mod fleet;
 mod places;
 
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -1,5 +1,7 @@
 //! The group of targets of one site: its rules, and its figures under a burst.
 
+#![allow(clippy::unwrap_used)]
+
 mod model;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -1,5 +1,7 @@
 //! The retry budget and hedging.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,5 +1,7 @@
 //! The planner lease and the fenced plan, on a modelled store that delays, loses and lies.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -1,5 +1,7 @@
 //! The adaptive limit of one target.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
--- a/tests/lookup.rs
+++ b/tests/lookup.rs
@@ -1,5 +1,7 @@
 //! The table of client blocks, and look-ups.
 
+#![allow(clippy::unwrap_used)]
+
 mod places;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,5 +1,7 @@
 //! Membership and delegates: who is alive, seen by hosts that are cut, paused and restarted.
 
+#![allow(clippy::unwrap_used)]
+
 mod net;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -1,5 +1,7 @@
 //! Plans and summaries: steps from lagging samples, and what they are made from.
 
+#![allow(clippy::unwrap_used)]
+
 mod planning;
 
 use std::collections::BTreeMap;
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -1,5 +1,7 @@
 //! The bounded queue by priority and deadline.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -1,5 +1,7 @@
 //! Quotas and the pool they are lent from.
 
+#![allow(clippy::unwrap_used)]
+
 mod places;
 
 use std::time::{Duration, Instant};
--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -1,5 +1,7 @@
 //! Budgets of shifts.
 
+#![allow(clippy::unwrap_used)]
+
 mod places;
 
 use std::time::{Duration, Instant};
--- a/tests/split.rs
+++ b/tests/split.rs
@@ -1,5 +1,7 @@
 //! Splits and their goals.
 
+#![allow(clippy::unwrap_used)]
+
 mod places;
 
 use std::time::{Duration, Instant};
