--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -3,9 +3,10 @@
 #[path = "../tests/places/mod.rs"]
 mod places;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
@@ -13,8 +14,13 @@
 use places::{configuration, Size};
 use prefix_trie::PrefixMap;
 use ragwortfold::border::configuration::{Client, Configuration};
+use ragwortfold::border::settings::Steer;
 use ragwortfold::catalog::{Cap, Catalog, HostKey, RegionKey, ServiceKey, Table, ZoneKey};
+use ragwortfold::steer::engine::{Ask, Engine, Kind, Origin, Verdict};
+use ragwortfold::steer::goal::{Standing, View};
+use ragwortfold::steer::group::{End, Report};
 use ragwortfold::steer::lookup::Snapshot;
+use ragwortfold::steer::pass::Back;
 use ragwortfold::steer::quota::Quota;
 use ragwortfold::steer::shift::Ledger;
 use ragwortfold::steer::split::Split;
@@ -276,12 +282,158 @@
     });
 }
 
+/// An engine of one host that knows all zones, and what tells it of them.
+fn engine(size: Size, now: Instant) -> (Engine, Arc<Catalog>, View) {
+    let catalog = Arc::new(places::catalog(size));
+    let mut view = View::default();
+    let mut free = BTreeMap::new();
+    for (zone, _) in catalog.zones() {
+        view.zones.insert(zone, Standing::Alive);
+        for (service, _) in catalog.services() {
+            let slots = catalog.site(service, zone).map_or(0, |site| site.slots);
+            view.slots.insert((service, zone), slots);
+            free.insert((service, zone), slots);
+        }
+    }
+    let mut engine = Engine::new(&Steer::default(), 1);
+    engine.configure(now, catalog.clone(), "r0-z0-h0", "r0-z0");
+    let live = catalog.hosts().map(|(key, _)| key).collect();
+    let now = now + Duration::from_secs(2);
+    engine.set_live(now, live);
+    engine.set_free(free);
+    engine.set_view(now, view.clone());
+    (engine, catalog, view)
+}
+
+/// Asks and hands back what was given, one request a call.
+fn decide(engine: &mut Engine, now: Instant, ask: Ask, rng: &mut Pcg64) -> &'static str {
+    match engine.ask(now, ask, rng) {
+        Some(Verdict::Target { grant, .. }) => {
+            let report = Report {
+                end: End::Answered,
+                latency: Duration::from_millis(5),
+                load: None,
+                state: None,
+            };
+            black_box(engine.finish(now, grant, report, rng));
+            "target"
+        }
+        Some(Verdict::Host(pass)) => {
+            engine.finish_pass(now, &pass, Back::All);
+            "host"
+        }
+        Some(Verdict::Refused(_)) => "refused",
+        None => "wait",
+    }
+}
+
+/// How a request is decided.
+#[derive(Clone, Copy)]
+enum Course {
+    /// By a target of the own zone.
+    Own,
+    /// By another region, as the split says.
+    Split,
+    /// By another zone, as all own targets were tried.
+    Spill,
+}
+
+fn whole(criterion: &mut Criterion) {
+    let sizes = |of: &str| -> Vec<(usize, Size)> {
+        let all = match of {
+            "sites" => [1, 3, 9].map(|services| Size { services, ..LARGE }),
+            "targets" => [2, 6, 50].map(|targets| Size { targets, ..LARGE }),
+            _ => [3, 12, 43].map(|hosts| Size { hosts, ..LARGE }),
+        };
+        let count = |size: Size| match of {
+            "sites" => size.services * size.regions * size.zones,
+            "targets" => size.services * size.targets,
+            _ => size.hosts * size.regions * size.zones,
+        };
+        all.map(|size| (count(size), size)).to_vec()
+    };
+    let mut group = criterion.benchmark_group("engine");
+    let courses = [
+        ("own", Course::Own),
+        ("split", Course::Split),
+        ("spill", Course::Spill),
+    ];
+    for of in ["sites", "targets", "hosts"] {
+        for (count, size) in sizes(of) {
+            for (name, course) in courses {
+                let base = Instant::now();
+                let (mut engine, catalog, _) = engine(size, base);
+                let mut now = base + Duration::from_secs(30);
+                let mut rng = Pcg64::seed_from_u64(5);
+                let service = catalog.service_key("s0").expect("a service");
+                let zone = catalog.zone_key("r0-z0").expect("a zone");
+                let own = catalog.site(service, zone).expect("a site");
+                let region = |name| catalog.region_key(name).expect("a region");
+                let locality = match course {
+                    Course::Split => region("r1"),
+                    _ => region("r0"),
+                };
+                let tried = match course {
+                    Course::Spill => own.targets.clone(),
+                    _ => vec![],
+                };
+                let mut id = 0;
+                let mut ways: BTreeMap<&str, u64> = BTreeMap::new();
+                group.bench_function(
+                    BenchmarkId::new(format!("{name}_by_{of}"), count),
+                    |bencher| {
+                        bencher.iter(|| {
+                            id += 1;
+                            now += Duration::from_millis(1);
+                            let ask = Ask {
+                                id,
+                                kind: Kind::First,
+                                origin: Origin::Caller,
+                                service,
+                                locality,
+                                block: id,
+                                bytes: 100,
+                                deadline: now + Duration::from_secs(1),
+                                targets: tried.clone(),
+                                hosts: vec![],
+                            };
+                            *ways
+                                .entry(decide(&mut engine, now, ask, &mut rng))
+                                .or_default() += 1;
+                        });
+                    },
+                );
+                println!("engine/{name}_by_{of}/{count}: {ways:?}");
+            }
+        }
+    }
+    for (count, size) in sizes("sites") {
+        let base = Instant::now();
+        let (mut engine, _, view) = engine(size, base);
+        let mut now = base + Duration::from_secs(30);
+        group.bench_function(BenchmarkId::new("set_view", count), |bencher| {
+            bencher.iter(|| {
+                now += Duration::from_millis(500);
+                engine.set_view(now, view.clone());
+            });
+        });
+        group.bench_function(BenchmarkId::new("snapshot", count), |bencher| {
+            bencher.iter(|| engine.snapshot());
+        });
+        let live: BTreeSet<HostKey> = engine.catalog().hosts().map(|(key, _)| key).collect();
+        group.bench_function(BenchmarkId::new("set_live", count), |bencher| {
+            bencher.iter(|| engine.set_live(now, live.clone()));
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = decisions;
     config = Criterion::default()
         .sample_size(20)
         .warm_up_time(Duration::from_millis(500))
         .measurement_time(Duration::from_secs(1));
-    targets = choose, budgets, lookups, tables, tries
+    targets = choose, budgets, whole, lookups, tables, tries
 }
 criterion_main!(decisions);
