--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -124,6 +124,8 @@
     started: Option<Instant>,
     tallies: BTreeMap<ServiceKey, Tally>,
     shifts: BTreeMap<(ServiceKey, RegionKey), Shift>,
+    /// Until when the budget of a service and locality is taken for spent, by kind of move.
+    spent: BTreeMap<(ServiceKey, RegionKey, Kindred), Instant>,
     /// The split of the own region's callers while this zone last had targets.
     served: BTreeMap<ServiceKey, Split>,
     view: View,
@@ -136,6 +138,8 @@
 const FAR: Duration = Duration::from_secs(1);
 /// Time that a request is assumed to hold a slot before any was measured, in seconds.
 const DEFAULT_WORK: f64 = 0.05;
+/// Time for which a budget that refused is not asked again; what comes free meanwhile is little.
+const SPENT: Duration = Duration::from_millis(20);
 /// Hosts of one zone that a request is sent to at most.
 const MAX_HOSTS: usize = 2;
 /// Weight of one measurement in the mean hold time.
@@ -166,6 +170,7 @@
             started: None,
             tallies: BTreeMap::new(),
             shifts: BTreeMap::new(),
+            spent: BTreeMap::new(),
             served: BTreeMap::new(),
             view: View::default(),
             hold: Hold::new(HOLD),
@@ -601,6 +606,10 @@
         }
         let caps = Caps::new(&self.catalog, ask.service);
         let kind = self.kind(ask, refusal.reason);
+        let budget = (ask.service, ask.locality, kind);
+        if self.spent.get(&budget).is_some_and(|&until| now < until) {
+            return Verdict::Refused(refusal);
+        }
         for zone in self.others(ask) {
             let Some(shift) = self.shifts.get_mut(&(ask.service, ask.locality)) else {
                 break;
@@ -619,6 +628,7 @@
                 return Verdict::Host(pass);
             }
             self.release_pass(now, &pass, Back::All);
+            self.spent.insert(budget, now + SPENT);
             break;
         }
         Verdict::Refused(refusal)
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -7,23 +7,29 @@
 //! A request is over in one of three ways: it is admitted ([`Grant`]), refused ([`Refusal`]) or
 //! cancelled by its owner. Whoever holds a grant must hand it back with [`Group::finish`].
 
+mod member;
+mod request;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::{Rng, RngExt};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::eject::{Eject, Sign, Standing, LATENCY_RATIO};
-use super::limit::Limit;
-use super::pick::{Estimate, Picker};
+use super::eject::{Sign, Standing, LATENCY_RATIO};
+use super::pick::Picker;
 use super::queue::{Entry, Queue};
-use super::warm::Warm;
 use crate::border::settings::Steer;
 use crate::catalog::{self, Catalog, ServiceKey, TargetKey, ZoneKey};
 
+use member::{allowed, fraction, Member, Seat};
+
 pub use super::limit::Load;
 pub use super::queue::{Id, Order};
 pub use crate::border::settings::{Pick, Switch};
+pub use request::{
+    Ask, End, Grant, Headroom, Health, Reason, Refusal, Report, Source, State, Verdict,
+};
 
 /// Requests that may wait, when nothing else is set.
 const QUEUE: usize = 1024;
@@ -37,10 +43,6 @@
 const TALLY_AGE: Duration = Duration::from_millis(2);
 /// Time for which a draining header holds against other sources.
 const DRAIN_HOLD: Duration = Duration::from_secs(10);
-/// The first rest of a target after a refusal or a failure; doubles with each in a row.
-const REST: Duration = Duration::from_millis(5);
-/// Doublings of the rest at most.
-const REST_DOUBLINGS: u32 = 7;
 /// Factor on the cost of the target that holds the content; a target with one request more in
 /// flight costs as much again.
 const NEAR: f64 = 0.6;
@@ -58,37 +60,6 @@
 /// The wait allowed under overload, in mean times to hold a target.
 const PATIENCE: f64 = 0.5;
 
-/// What a target says of itself, or others of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// Takes work.
-    Serving,
-    /// Takes work, with caches not yet filled.
-    Cold,
-    /// Finishes what it has.
-    Draining,
-}
-
-/// Who says so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Source {
-    /// A header of the target's answers.
-    Header,
-    /// The target's health endpoint.
-    Health,
-    /// The platform's host list.
-    List,
-}
-
-/// What a health endpoint says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Health {
-    /// Can serve.
-    Up,
-    /// Cannot serve, or cannot be reached.
-    Down,
-}
-
 /// How a group decides.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -141,239 +112,6 @@
     }
 }
 
-/// A request that asks for a target.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Identifies the request; unique among those that wait.
-    pub id: Id,
-    /// When its answer is of no more use.
-    pub deadline: Instant,
-    /// Rank in a full queue; higher stays longer.
-    pub priority: u8,
-    /// Requests of one value gain from one target's caches; 0 is none.
-    pub affinity: u64,
-    /// Targets not to use, as they were tried.
-    pub exclude: Vec<TargetKey>,
-}
-
-/// Leave to send one request to one target. To be handed back with [`Group::finish`].
-#[derive(Debug, PartialEq, Eq)]
-pub struct Grant {
-    target: TargetKey,
-    at: Instant,
-    probe: bool,
-}
-
-impl Grant {
-    /// The target.
-    pub fn target(&self) -> TargetKey {
-        self.target
-    }
-
-    /// When it was given.
-    pub fn at(&self) -> Instant {
-        self.at
-    }
-
-    /// Whether it probes an ejected target; such a request should be hedged if it can be.
-    pub fn is_probe(&self) -> bool {
-        self.probe
-    }
-}
-
-/// Why a request was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reason {
-    /// No target takes work.
-    NoTarget,
-    /// All targets that take work were tried.
-    Tried,
-    /// The deadline cannot be met.
-    Deadline,
-    /// More work than the targets can do.
-    Overload,
-    /// Others of higher rank fill the queue.
-    Full,
-}
-
-/// A request that did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// When to try again.
-    pub retry_after: Duration,
-}
-
-/// The answer to an [`Ask`].
-#[derive(Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Send it now.
-    Go(Grant),
-    /// It waits; it comes out of [`Group::finish`], [`Group::ready`] or [`Group::expire`].
-    Wait,
-    /// It did not run.
-    Refuse(Refusal),
-}
-
-/// How a request to a target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The target answered.
-    Answered,
-    /// The target refused; the request did not run.
-    Refused,
-    /// No connection; the request did not run.
-    ConnectFailed,
-    /// The connection broke.
-    Broken,
-    /// No answer in time.
-    TimedOut,
-    /// Given up by this host or the caller.
-    Cancelled,
-}
-
-/// What a request showed of its target.
-#[derive(Clone, Copy, Debug)]
-pub struct Report {
-    /// How it ended.
-    pub end: End,
-    /// From the grant's use to the end.
-    pub latency: Duration,
-    /// The target's load header.
-    pub load: Option<Load>,
-    /// The target's state header.
-    pub state: Option<State>,
-}
-
-impl Report {
-    /// Of a grant that was not used.
-    pub fn idle() -> Self {
-        Self {
-            end: End::Cancelled,
-            latency: Duration::ZERO,
-            load: None,
-            state: None,
-        }
-    }
-}
-
-/// A summary of the group, for other hosts and for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Headroom {
-    /// Slots of the targets that take work, of all hosts.
-    pub slots: u32,
-    /// This host's requests at targets.
-    pub in_flight: u32,
-    /// What this host may have at targets now.
-    pub limit: u32,
-    /// Requests that wait.
-    pub queued: usize,
-    /// The part of the slots that is warming up, 0 to 1.
-    pub cold: f64,
-    /// The part of the slots that is ejected, 0 to 1.
-    pub ejected: f64,
-}
-
-/// One target.
-#[derive(Clone, Debug)]
-struct Member {
-    key: TargetKey,
-    slots: u32,
-    configured: catalog::State,
-    leaving: BTreeMap<Source, Instant>,
-    word: State,
-    health: Health,
-    in_flight: u32,
-    limit: Limit,
-    warm: Warm,
-    eject: Eject,
-    estimate: Estimate,
-    refusals: u32,
-    rest: Option<Instant>,
-}
-
-impl Member {
-    fn new(key: TargetKey, target: &catalog::Target, hosts: usize) -> Self {
-        Self {
-            key,
-            slots: target.slots,
-            configured: catalog::State::Serving,
-            leaving: BTreeMap::new(),
-            word: State::Serving,
-            health: Health::Up,
-            in_flight: 0,
-            limit: Limit::new(target.slots, target.connections, hosts),
-            warm: Warm::new(target.warm),
-            eject: Eject::new(),
-            estimate: Estimate::new(),
-            refusals: 0,
-            rest: None,
-        }
-    }
-
-    /// Whether new work may be sent at all.
-    fn is_serving(&self) -> bool {
-        self.configured == catalog::State::Serving && self.leaving.is_empty()
-    }
-
-    fn rests(&self, now: Instant) -> bool {
-        self.rest.is_some_and(|until| now < until)
-    }
-
-    fn start_rest(&mut self, now: Instant) {
-        let factor = 1 << self.refusals.min(REST_DOUBLINGS);
-        self.refusals += 1;
-        self.rest = Some(now + REST * factor);
-    }
-
-    fn has_tried(&self, ask: &Ask) -> bool {
-        ask.exclude.contains(&self.key)
-    }
-}
-
-/// What the choice needs of one target, close together as every decision reads it of all.
-#[derive(Clone, Copy, Debug)]
-struct Seat {
-    in_flight: u32,
-    /// Requests allowed in flight; 0 if it must not be used.
-    allowed: u32,
-    /// Load of other hosts, in requests.
-    foreign: f64,
-    /// Slowness over slots.
-    weight: f64,
-    /// The part it may be used to while it warms up.
-    fraction: f64,
-}
-
-impl Seat {
-    fn new(config: &Config, tally: &Tally, member: &Member, now: Instant) -> Self {
-        Self {
-            in_flight: member.in_flight,
-            allowed: if is_usable(config, member, now) {
-                allowed(config, member)
-            } else {
-                0
-            },
-            foreign: member.estimate.foreign(now, tally.others),
-            weight: member.estimate.slowness(now, tally.median) / f64::from(member.slots),
-            fraction: fraction(config, member),
-        }
-    }
-
-    fn is_free(&self) -> bool {
-        self.in_flight < self.allowed
-    }
-
-    /// The cost of sending one more request; lower is better.
-    fn cost(&self, pick: Pick) -> f64 {
-        match pick {
-            Pick::TwoChoices => (1.0 + f64::from(self.in_flight) + self.foreign) * self.weight,
-            Pick::LeastInFlight | Pick::RoundRobin => f64::from(self.in_flight),
-        }
-    }
-}
-
 /// Figures of the whole group, kept for a short time.
 #[derive(Clone, Copy, Debug)]
 struct Tally {
@@ -993,14 +731,6 @@
     serving(members).filter(|member| member.eject.is_in())
 }
 
-/// The part of a target's limit in use while it warms up.
-fn fraction(config: &Config, member: &Member) -> f64 {
-    match config.warm {
-        Switch::On => member.warm.fraction(),
-        Switch::Off => 1.0,
-    }
-}
-
 /// What a target adds to the limit of the whole group.
 fn fair(config: &Config, member: &Member) -> f64 {
     match config.limit {
@@ -1009,20 +739,6 @@
     }
 }
 
-/// Requests allowed at a target.
-fn allowed(config: &Config, member: &Member) -> u32 {
-    match config.limit {
-        Switch::On => member.limit.whole(fraction(config, member)),
-        Switch::Off => member.limit.hard(),
-    }
-}
-
-/// Whether a target may be used at all, up to its limit.
-fn is_usable(config: &Config, member: &Member, now: Instant) -> bool {
-    let rests = config.eject == Switch::On && member.rests(now);
-    member.is_serving() && member.eject.is_in() && !rests
-}
-
 /// What a request's end shows of its target, if anything.
 fn sign(report: &Report, median: f64) -> Option<Sign> {
     let slow = report.latency.as_secs_f64() > LATENCY_RATIO * median;
--- a/src/steer/shift.rs
+++ b/src/steer/shift.rs
@@ -24,7 +24,7 @@
 const ROUNDING: f64 = 1e-9;
 
 /// Why a split moves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
     /// Away from what still works: under the service's own cap.
     Planned,
