Resolve literal addresses without a thread for each call

Cause: a profile of the entry host under load (perf, frame pointers) showed 14 % of its time in clone3 and much of the rest in malloc and scheduling: ureq's resolver starts a thread for each call that has a time-out, also for IP:PORT. Ruled out: the core's thread (9 %) and the look-up path. Change: src/literal.rs parses the address; the same in the stand-in caller.

--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde::Deserialize;
+use ureq::unversioned::transport::TcpConnector;
 use ureq::Agent;
 
 use super::core::{Event, Handle};
@@ -16,6 +17,7 @@
 use super::verdict::to_state;
 use super::Error;
 use crate::catalog::{Catalog, State, Target, TargetKey};
+use crate::literal::Literal;
 use crate::steer::group::{self, Health};
 
 /// Time between two questions to one target.
@@ -53,12 +55,12 @@
 }
 
 fn run(index: usize, zone: &str, published: &Published, core: &Handle, stop: &AtomicBool) {
-    let agent = Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(TIME))
         .max_idle_connections_per_host(1)
-        .build()
-        .new_agent();
+        .build();
+    let agent = Agent::with_parts(config, TcpConnector::default(), Literal::default());
     while !stop.load(Ordering::Relaxed) {
         let started = Instant::now();
         let catalog = published.get().catalog.clone();
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use ureq::http::{self, Method};
-use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::{Connector, TcpConnector};
 use ureq::{Agent, SendBody};
 
 use super::body::Stream;
 use super::head::{self, Header};
 use super::stage::{self, Stage};
+use crate::literal::Literal;
 
 /// Idle connections kept to each target.
 const IDLE_PER_TARGET: usize = 16;
@@ -230,7 +230,7 @@
     let connector = stage::Dial
         .chain(TcpConnector::default())
         .chain(stage::Watch);
-    Agent::with_parts(config, connector, DefaultResolver::default())
+    Agent::with_parts(config, connector, Literal::default())
 }
 
 fn request(ask: &Ask<'_>, length: Option<u64>) -> Result<http::Request<()>, ureq::Error> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod control;
 pub mod entry;
+mod literal;
 pub mod peer;
 pub mod steer;
 pub mod store;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -9,11 +9,11 @@
 use serde::Serialize;
 use serde_json::Value;
 use ureq::http::{Response, StatusCode};
-use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector, Transport};
 use ureq::{Agent, Body};
 
 use crate::border::objects as border;
+use crate::literal::Literal;
 
 pub use border::HostState;
 
@@ -208,7 +208,7 @@
         Self {
             url: url.trim_end_matches('/').into(),
             timeout: DEFAULT_TIMEOUT,
-            agent: Agent::with_parts(config, Dial::default(), DefaultResolver::default()),
+            agent: Agent::with_parts(config, Dial::default(), Literal::default()),
         }
     }
 
--- a/standin/src/caller/client.rs
+++ b/standin/src/caller/client.rs
@@ -8,10 +8,9 @@
 
 use serde::Deserialize;
 use ureq::http::Response;
-use ureq::unversioned::resolver::DefaultResolver;
 use ureq::{Agent, Body};
 
-use super::connect::{is_refused, Source};
+use super::connect::{is_refused, Literal, Source};
 use super::record::{Attempt, Outcome, Record};
 use super::{Entry, Settings};
 use crate::{lock, pattern};
@@ -87,7 +86,7 @@
             .max_idle_connections(idle)
             .max_idle_connections_per_host(idle)
             .build();
-        let agent = Agent::with_parts(config, Source { address }, DefaultResolver::default());
+        let agent = Agent::with_parts(config, Source { address }, Literal);
         Self {
             address,
             agent,
--- a/standin/src/caller/connect.rs
+++ b/standin/src/caller/connect.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use socket2::{Domain, Socket, Type};
+use ureq::config::Config;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, Transport,
 };
@@ -20,6 +23,24 @@
     pub(super) address: IpAddr,
 }
 
+/// Reads addresses without the thread that the library starts for each call with a time-out.
+#[derive(Debug)]
+pub(super) struct Literal;
+
+impl Resolver for Literal {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _: &Config,
+        _: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.authority().and_then(|text| text.as_str().parse().ok());
+        let mut addresses = self.empty();
+        addresses.push(address.ok_or(ureq::Error::HostNotFound)?);
+        Ok(addresses)
+    }
+}
+
 impl<In: Transport> Connector<In> for Source {
     type Out = Stream;
 
