Ask for a suspect only where it can be heard; shorten heartbeats

Change: only suspects that are to be linked are asked for; a roster counts from when it was sent; a heartbeat is an array without field names.

tests/agent.rs 16, membership 31, plan 27 pass.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -270,7 +270,7 @@
 
     /// The link to a host broke.
     pub fn link_down(&mut self, now: Instant, host: HostKey) {
-        if self.near.contains(&host) || self.far.contains(&host) {
+        if self.is_linked(host) {
             self.membership.link_down(now, host);
         } else {
             // It was the other side that wanted the link, and does not any more.
@@ -333,7 +333,8 @@
         if taken == Taken::Ignored {
             return;
         }
-        let age = Duration::from_millis(message.head.age_ms.into());
+        // The loads have an age; the hosts were as they are when it was sent.
+        let age = Duration::ZERO;
         self.vouch(now, from, &message.zone, message.roster, age);
         self.outputs.push(Output::Changed);
     }
@@ -354,7 +355,7 @@
             .collect();
         self.membership.report(now, &reports, Duration::ZERO);
         for zone in digest.zones.iter().filter(|zone| zone.roster != 0) {
-            let age = Duration::from_millis(zone.age_ms.into());
+            let age = Duration::from_millis(zone.report.age_ms.into());
             self.vouch(now, teller, &zone.report.zone, zone.roster, age);
         }
         self.outputs.push(Output::Changed);
@@ -442,6 +443,10 @@
         }
     }
 
+    fn is_linked(&self, host: HostKey) -> bool {
+        self.near.contains(&host) || self.far.contains(&host)
+    }
+
     fn is_head(&self) -> bool {
         self.heads.get(&self.zone) == Some(&self.own)
     }
@@ -586,7 +591,9 @@
             return;
         }
         self.outputs.push(Output::Changed);
-        if changes.iter().any(|c| matches!(c, Change::Suspected(_))) {
+        // Those who are linked can hear a suspect only if it is linked, too.
+        let asked = |c: &Change| matches!(c, Change::Suspected(host) if self.is_linked(*host));
+        if changes.iter().any(asked) {
             self.call();
             self.again = Some(now + AGAIN);
         }
--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -16,29 +16,58 @@
     Leaving,
 }
 
+/// The wire form of a [`Beat`]: its fields in order, and whether its sender is leaving.
+#[derive(Serialize, Deserialize)]
+struct Packed(Arc<str>, u64, u64, bool, u32, Vec<Arc<str>>, Vec<Known>);
+
+impl From<Beat> for Packed {
+    fn from(beat: Beat) -> Self {
+        Self(
+            beat.host,
+            beat.incarnation,
+            beat.sequence,
+            beat.state == State::Leaving,
+            beat.interval_ms,
+            beat.missed,
+            beat.known,
+        )
+    }
+}
+
+impl From<Packed> for Beat {
+    fn from(packed: Packed) -> Self {
+        Self {
+            host: packed.0,
+            incarnation: packed.1,
+            sequence: packed.2,
+            state: match packed.3 {
+                true => State::Leaving,
+                false => State::Serving,
+            },
+            interval_ms: packed.4,
+            missed: packed.5,
+            known: packed.6,
+        }
+    }
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(into = "Packed", from = "Packed")]
 pub struct Beat {
     /// The sender.
-    #[serde(rename = "h")]
     pub host: Arc<str>,
     /// Its incarnation.
-    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Rises by one with each regular heartbeat of the incarnation.
-    #[serde(rename = "s")]
     pub sequence: u64,
     /// What it says of itself.
-    #[serde(rename = "t")]
     pub state: State,
     /// Time to its next heartbeat on this link, in milliseconds.
-    #[serde(rename = "e")]
     pub interval_ms: u32,
     /// Hosts that the sender ought to hear and does not.
-    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub missed: Vec<Arc<str>>,
     /// What the sender knows of hosts that others asked for.
-    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub known: Vec<Known>,
 }
 
