Leave the sender's name out of heartbeats; reports every 5 s in large zones

Change: the link names the sender; zones of more than 24 hosts report every 5 s (was 4); the fakes use incarnations as long as real ones.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -14,7 +14,7 @@
 
 use criterion::Criterion;
 
-use net::agents::{catalog, Coding, Fleet, Node};
+use net::agents::{catalog, Coding, Fleet, Node, FIRST};
 use ragwortfold::catalog::{Catalog, HostKey, ZoneKey};
 use ragwortfold::control::delegate;
 use ragwortfold::control::membership::{Membership, Sight};
@@ -168,7 +168,7 @@
                 let mut nodes = fleet.nodes.values();
                 nodes.all(|node| !node.agent.live().contains(&host))
             });
-            fleet.start(host, 2 + fleet.time);
+            fleet.start(host, FIRST + 1 + fleet.time);
             fleet.settle();
             took.unwrap_or(u64::MAX)
         };
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -13,7 +13,7 @@
 use super::detector::INTERVAL;
 use super::digest::{self, Digest, Levels};
 use super::lease::{self, Candidacy, Lease};
-use super::membership::{Change, Listing, Membership, Sight};
+use super::membership::{Beat, Change, Listing, Membership, Sight};
 use super::plan::{Gate, Plan, Record, Stamp};
 use super::planner::{self, Planner, View};
 use super::publish::{self, Outcome, Publish};
@@ -26,7 +26,7 @@
 /// Hosts of a zone up to which they report their loads every [`summary::INTERVAL`].
 const FREQUENT: usize = 24;
 /// Time between the reports of a host in a larger zone.
-const SLOW: Duration = Duration::from_secs(4);
+const SLOW: Duration = Duration::from_secs(5);
 /// Time after a suspicion at which it is asked again: a live host has sent the next heartbeat then.
 const AGAIN: Duration = Duration::from_millis(600);
 /// Time between looks at which hosts to be linked with when nothing changes.
@@ -243,7 +243,10 @@
             true => delegate::interval(self.far.len()),
             false => INTERVAL,
         };
-        let beat = Frame::Beat(self.membership.beat(interval), self.catalog.revision);
+        let beat = Frame::Beat(
+            nameless(self.membership.beat(interval)),
+            self.catalog.revision,
+        );
         self.outputs.push(Output::Send(vec![host], beat));
     }
 
@@ -251,7 +254,10 @@
     fn call(&mut self) {
         let slow = delegate::interval(self.far.len());
         for (hosts, interval) in [(&self.near, INTERVAL), (&self.far, slow)] {
-            let beat = Frame::Beat(self.membership.beat(interval), self.catalog.revision);
+            let beat = Frame::Beat(
+                nameless(self.membership.beat(interval)),
+                self.catalog.revision,
+            );
             let hosts = hosts.iter().copied().collect();
             self.outputs.push(Output::Send(hosts, beat));
         }
@@ -286,9 +292,10 @@
     /// A message came over the link from `from`, `own_revision` being the configuration here.
     pub fn receive(&mut self, now: Instant, from: HostKey, frame: Frame, own_revision: u64) {
         match frame {
-            Frame::Beat(beat, revision) => {
+            Frame::Beat(mut beat, revision) => {
+                beat.host = self.catalog.host(from).name.clone();
                 if let Some(answer) = self.membership.receive(now, &beat) {
-                    let answer = Frame::Beat(answer, own_revision);
+                    let answer = Frame::Beat(nameless(answer), own_revision);
                     self.outputs.push(Output::Send(vec![from], answer));
                 }
                 if revision > own_revision {
@@ -644,7 +651,7 @@
         }
         self.due.beat = next(self.due.beat, INTERVAL, now);
         self.membership.advance();
-        let near = Frame::Beat(self.membership.beat(INTERVAL), revision);
+        let near = Frame::Beat(nameless(self.membership.beat(INTERVAL)), revision);
         self.outputs
             .push(Output::Send(self.near.iter().copied().collect(), near));
         let slow = delegate::interval(self.far.len());
@@ -652,7 +659,7 @@
             return;
         }
         self.due.far = now + slow.saturating_sub(INTERVAL / 2);
-        let far = Frame::Beat(self.membership.beat(slow), revision);
+        let far = Frame::Beat(nameless(self.membership.beat(slow)), revision);
         self.outputs
             .push(Output::Send(self.far.iter().copied().collect(), far));
     }
@@ -861,3 +868,11 @@
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), incarnation);
     summary::INTERVAL.mul_f64((hash % 64) as f64 / 64.0)
 }
+
+/// A heartbeat without the name of its sender, whom the receiver knows by the link.
+fn nameless(beat: Beat) -> Beat {
+    Beat {
+        host: Arc::default(),
+        ..beat
+    }
+}
--- a/src/control/wire.rs
+++ b/src/control/wire.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Frame {
-    /// A sign of life, with the revision of the configuration in force.
+    /// A sign of life without the name of the sender, and the revision of the configuration in force.
     #[serde(rename = "b")]
     Beat(Beat, u64),
     /// A host's load, to the first delegate of its zone.
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 
-use net::agents::Fleet;
+use net::agents::{Fleet, FIRST};
 use ragwortfold::catalog::{HostKey, ZoneKey};
 use ragwortfold::control::delegate;
 use ragwortfold::control::membership::Sight;
@@ -130,9 +130,10 @@
     for host in fleet.hosts() {
         fleet.kill(host);
         fleet.run(300);
-        fleet.start(host, 2);
+        fleet.start(host, FIRST + 1);
         fleet.settle();
-        let known = |node: &net::agents::Node| node.agent.membership().incarnation(host) == Some(2);
+        let known =
+            |node: &net::agents::Node| node.agent.membership().incarnation(host) == Some(FIRST + 1);
         let took = fleet.until(20_000, |fleet| fleet.nodes.values().all(known));
         assert!(took.is_some(), "an old incarnation is still known");
     }
@@ -178,7 +179,7 @@
     assert_eq!(fleet.holder(), None);
     let host = fleet.hosts()[0];
     assert!(kill(fleet, host).is_some_and(|took| took < 2_000));
-    fleet.start(host, 2);
+    fleet.start(host, FIRST + 1);
     fleet.run(15_000);
     let all: BTreeSet<HostKey> = fleet.hosts().into_iter().collect();
     for node in fleet.nodes.values() {
--- a/tests/net/agents.rs
+++ b/tests/net/agents.rs
@@ -24,6 +24,8 @@
 const RETRY: u64 = 500;
 /// Time of a call to the store, one way.
 const CALL: u64 = 4;
+/// The first incarnation of each host: as long as real ones.
+pub const FIRST: u64 = 1_700_000_000_000;
 /// Slots of a site.
 const SLOTS: f32 = 20.0;
 
@@ -208,7 +210,7 @@
             catalog,
         };
         for host in fleet.hosts() {
-            fleet.start(host, 1);
+            fleet.start(host, FIRST);
         }
         fleet
     }
