--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -13,7 +13,7 @@
 use super::detector::INTERVAL;
 use super::digest::{self, Digest, Levels};
 use super::lease::{self, Candidacy, Lease};
-use super::membership::{Change, Listing, Membership, Sight, Status};
+use super::membership::{Beat, Change, Listing, Membership, Sight, Status};
 use super::plan::{Gate, Plan, Record, Stamp};
 use super::planner::{self, Planner, View};
 use super::publish::{self, Outcome, Publish};
@@ -26,7 +26,7 @@
 /// Hosts of a zone up to which they report their loads every [`summary::INTERVAL`].
 const FREQUENT: usize = 24;
 /// Time between the reports of a host in a larger zone.
-const SLOW: Duration = Duration::from_secs(4);
+const SLOW: Duration = Duration::from_secs(5);
 /// Time after a suspicion at which it is asked again: a live host has sent the next heartbeat then.
 const AGAIN: Duration = Duration::from_millis(600);
 /// Time between looks at which hosts to be linked with when nothing changes.
@@ -243,7 +243,10 @@
             true => delegate::interval(self.far.len()),
             false => INTERVAL,
         };
-        let beat = Frame::Beat(self.membership.beat(interval), self.catalog.revision);
+        let beat = Frame::Beat(
+            nameless(self.membership.beat(interval)),
+            self.catalog.revision,
+        );
         self.outputs.push(Output::Send(vec![host], beat));
     }
 
@@ -251,7 +254,10 @@
     fn call(&mut self) {
         let slow = delegate::interval(self.far.len());
         for (hosts, interval) in [(&self.near, INTERVAL), (&self.far, slow)] {
-            let beat = Frame::Beat(self.membership.beat(interval), self.catalog.revision);
+            let beat = Frame::Beat(
+                nameless(self.membership.beat(interval)),
+                self.catalog.revision,
+            );
             let hosts = hosts.iter().copied().collect();
             self.outputs.push(Output::Send(hosts, beat));
         }
@@ -270,7 +276,7 @@
 
     /// The link to a host broke.
     pub fn link_down(&mut self, now: Instant, host: HostKey) {
-        if self.near.contains(&host) || self.far.contains(&host) {
+        if self.is_linked(host) {
             self.membership.link_down(now, host);
         } else {
             // It was the other side that wanted the link, and does not any more.
@@ -286,9 +292,10 @@
     /// A message came over the link from `from`, `own_revision` being the configuration here.
     pub fn receive(&mut self, now: Instant, from: HostKey, frame: Frame, own_revision: u64) {
         match frame {
-            Frame::Beat(beat, revision) => {
+            Frame::Beat(mut beat, revision) => {
+                beat.host = self.catalog.host(from).name.clone();
                 if let Some(answer) = self.membership.receive(now, &beat) {
-                    let answer = Frame::Beat(answer, own_revision);
+                    let answer = Frame::Beat(nameless(answer), own_revision);
                     self.outputs.push(Output::Send(vec![from], answer));
                 }
                 if revision > own_revision {
@@ -333,7 +340,8 @@
         if taken == Taken::Ignored {
             return;
         }
-        let age = Duration::from_millis(message.head.age_ms.into());
+        // The loads have an age; the hosts were as they are when it was sent.
+        let age = Duration::ZERO;
         self.vouch(now, from, &message.zone, message.roster, age);
         self.outputs.push(Output::Changed);
     }
@@ -354,7 +362,7 @@
             .collect();
         self.membership.report(now, &reports, Duration::ZERO);
         for zone in digest.zones.iter().filter(|zone| zone.roster != 0) {
-            let age = Duration::from_millis(zone.age_ms.into());
+            let age = Duration::from_millis(zone.report.age_ms.into());
             self.vouch(now, teller, &zone.report.zone, zone.roster, age);
         }
         self.outputs.push(Output::Changed);
@@ -442,6 +450,10 @@
         }
     }
 
+    fn is_linked(&self, host: HostKey) -> bool {
+        self.near.contains(&host) || self.far.contains(&host)
+    }
+
     fn is_head(&self) -> bool {
         self.heads.get(&self.zone) == Some(&self.own)
     }
@@ -586,7 +598,9 @@
             return;
         }
         self.outputs.push(Output::Changed);
-        if changes.iter().any(|c| matches!(c, Change::Suspected(_))) {
+        // Those who are linked can hear a suspect only if it is linked, too.
+        let asked = |c: &Change| matches!(c, Change::Suspected(host) if self.is_linked(*host));
+        if changes.iter().any(asked) {
             self.call();
             self.again = Some(now + AGAIN);
         }
@@ -637,7 +651,7 @@
         }
         self.due.beat = next(self.due.beat, INTERVAL, now);
         self.membership.advance();
-        let near = Frame::Beat(self.membership.beat(INTERVAL), revision);
+        let near = Frame::Beat(nameless(self.membership.beat(INTERVAL)), revision);
         self.outputs
             .push(Output::Send(self.near.iter().copied().collect(), near));
         let slow = delegate::interval(self.far.len());
@@ -645,7 +659,7 @@
             return;
         }
         self.due.far = now + slow.saturating_sub(INTERVAL / 2);
-        let far = Frame::Beat(self.membership.beat(slow), revision);
+        let far = Frame::Beat(nameless(self.membership.beat(slow)), revision);
         self.outputs
             .push(Output::Send(self.far.iter().copied().collect(), far));
     }
@@ -863,3 +877,11 @@
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), incarnation);
     summary::INTERVAL.mul_f64((hash % 64) as f64 / 64.0)
 }
+
+/// A heartbeat without the name of its sender, whom the receiver knows by the link.
+fn nameless(beat: Beat) -> Beat {
+    Beat {
+        host: Arc::default(),
+        ..beat
+    }
+}
