--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -135,6 +135,22 @@
     answered(calls)
 }
 
+/// Calls of which all but `kept` in a hundred are refused in the third to the fifth second, and which
+/// `then` answers afterwards; `t-1` answers the others.
+fn refused(kept: u64, then: &'static str) -> Evidence {
+    let second = |n: u64| n / 1000;
+    let calls = (0..8_000_u64)
+        .filter(|&n| !(2..5).contains(&second(n)) || n % 100 < kept)
+        .map(|n| (START + n * 1000, if second(n) < 5 { "t-1" } else { then }));
+    let mut evidence = answered(calls);
+    let lost = (0..8_000_u64).filter(|&n| (2..5).contains(&second(n)) && n % 100 >= kept);
+    evidence.records.extend(lost.map(|n| Record {
+        start_us: START + n * 1000,
+        ..failed(&format!("r-{n}"), Outcome::NotRun, true)
+    }));
+    evidence
+}
+
 fn with_failure(evidence: Evidence) -> Evidence {
     let failure = START + 3 * SECOND..START + 20 * SECOND;
     Evidence {
@@ -232,6 +248,9 @@
     a_move_within_the_cap: moved(0.04) => None;
     a_move_beyond_the_cap: moved(0.2) => Some(Promise::ShiftCap);
     a_failover_within_its_cap: with_failure(moved(0.5)) => None;
+    a_return_after_refusals: refused(2, "t-1") => None;
+    a_move_after_refusals: refused(2, "t-2") => Some(Promise::ShiftCap);
+    a_failover_after_refusals: with_failure(refused(0, "t-2")) => Some(Promise::ShiftCap);
     a_failover_beyond_its_cap: with_failure(moved(0.7)) => Some(Promise::ShiftCap);
     calls_refused_are_not_moved: {
         let mut evidence = moved(0.0);
