--- a/standin/src/observer/shift.rs
+++ b/standin/src/observer/shift.rs
@@ -175,6 +175,11 @@
             (by > 0.0).then(|| (zone.clone(), by))
         };
         let fallen: Vec<(Arc<str>, f64)> = before.iter().filter_map(fallen).collect();
+        // Of the first bucket nothing earlier is known: its refused calls belong where the others went.
+        let fallen = match before.is_empty() {
+            true => placed.clone().into_iter().collect(),
+            false => fallen,
+        };
         let sum: f64 = fallen.iter().map(|(_, by)| by).sum();
         if sum > 0.0 {
             for (zone, by) in fallen {
