Charge a request's quotas in one place, and keep constants at the top

Cause: three quotas were taken and given back by the same lines in two functions; constants stood between types.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -14,6 +14,8 @@
 
 /// Time to link a host that is not linked yet.
 const LINK_TIME: Duration = Duration::from_millis(1000);
+/// Between hosts, the length of the body that a HEAD request leaves out.
+const HEAD_LENGTH: &str = "Ragwortfold-Head-Length";
 /// Bytes read and written at once.
 const PIECE: usize = 16 << 10;
 
@@ -274,6 +276,3 @@
     }
     incoming.finish()
 }
-
-/// Between hosts, the length of the body that a HEAD request leaves out.
-const HEAD_LENGTH: &str = "Ragwortfold-Head-Length";
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -23,6 +23,25 @@
 use crate::catalog::{Catalog, HostKey, RegionKey, Repeat, ServiceKey, State, TargetKey, ZoneKey};
 use crate::control::summary::Load;
 
+/// Time after the start in which other hosts may tell their splits.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// Latency assumed where no link is configured.
+const FAR: Duration = Duration::from_secs(1);
+/// Time that a request is assumed to hold a slot before any was measured, in seconds.
+const DEFAULT_WORK: f64 = 0.05;
+/// Time for which a budget that refused is not asked again; what comes free meanwhile is little.
+const SPENT: Duration = Duration::from_millis(20);
+/// Hosts of one zone that a request is sent to at most.
+const MAX_HOSTS: usize = 2;
+/// Weight of one measurement in the mean hold time.
+const WORK_GAIN: f64 = 0.05;
+/// How long a zone that came back must stay good before traffic returns to it.
+const HOLD: Duration = Duration::from_secs(5);
+/// When a caller is asked to come back if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The least advice on when to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Identifies a request on this host.
 pub type Id = u64;
 
@@ -132,22 +151,6 @@
     hold: Hold,
 }
 
-/// Time after the start in which other hosts may tell their splits.
-const SETTLE: Duration = Duration::from_millis(1500);
-/// Latency assumed where no link is configured.
-const FAR: Duration = Duration::from_secs(1);
-/// Time that a request is assumed to hold a slot before any was measured, in seconds.
-const DEFAULT_WORK: f64 = 0.05;
-/// Time for which a budget that refused is not asked again; what comes free meanwhile is little.
-const SPENT: Duration = Duration::from_millis(20);
-/// Hosts of one zone that a request is sent to at most.
-const MAX_HOSTS: usize = 2;
-/// Weight of one measurement in the mean hold time.
-const WORK_GAIN: f64 = 0.05;
-
-/// How long a zone that came back must stay good before traffic returns to it.
-const HOLD: Duration = Duration::from_secs(5);
-
 impl Engine {
     /// An engine without a configuration.
     pub fn new(steer: &border::Steer, incarnation: u64) -> Self {
@@ -881,11 +884,6 @@
     }
 }
 
-/// When a caller is asked to come back if nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// The least advice on when to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
-
 impl From<group::Refusal> for Refusal {
     fn from(refusal: group::Refusal) -> Self {
         let (reason, least) = match refusal.reason {
--- a/src/steer/pass.rs
+++ b/src/steer/pass.rs
@@ -137,19 +137,15 @@
             retry_after: Duration::from_secs(1),
         };
         let way = (own.ok_or(none)?, site.1);
-        let region = self.sites.get_mut(&site).ok_or(none)?;
-        region.take(now, work)?;
-        if let Some(link) = self.requests.get_mut(&way) {
-            if let Err(refusal) = link.take(now, 1.0) {
-                region.put_back(now, work);
-                return Err(refusal);
-            }
+        if !self.sites.contains_key(&site) {
+            return Err(none);
         }
-        if let Some(link) = self.bytes.get_mut(&way) {
-            if let Err(refusal) = link.take(now, bytes) {
-                region.put_back(now, work);
-                if let Some(link) = self.requests.get_mut(&way) {
-                    link.put_back(now, 1.0);
+        let mut charges = self.charges(way, site, work, bytes);
+        for at in 0..charges.len() {
+            let (quota, cost) = &mut charges[at];
+            if let Err(refusal) = quota.take(now, *cost) {
+                for (quota, cost) in &mut charges[..at] {
+                    quota.put_back(now, *cost);
                 }
                 return Err(refusal);
             }
@@ -158,6 +154,19 @@
         Ok(())
     }
 
+    /// The quotas that a request is charged to, with what each is charged.
+    fn charges(&mut self, way: Way, site: Site, work: f64, bytes: f64) -> Vec<(&mut Quota, f64)> {
+        let quotas = [
+            (self.sites.get_mut(&site), work),
+            (self.requests.get_mut(&way), 1.0),
+            (self.bytes.get_mut(&way), bytes),
+        ];
+        quotas
+            .into_iter()
+            .filter_map(|(quota, cost)| Some((quota?, cost)))
+            .collect()
+    }
+
     /// Gives back what [`Quotas::take`] took.
     pub(crate) fn put_back(
         &mut self,
@@ -167,9 +176,6 @@
         work: f64,
         bytes: f64,
     ) {
-        if let Some(region) = self.sites.get_mut(&site) {
-            region.put_back(now, work);
-        }
         let Some(own) = own else {
             return;
         };
@@ -177,11 +183,8 @@
         if let Some(sent) = self.sent.get_mut(&way) {
             *sent = sent.saturating_sub(1);
         }
-        if let Some(link) = self.requests.get_mut(&way) {
-            link.put_back(now, 1.0);
-        }
-        if let Some(link) = self.bytes.get_mut(&way) {
-            link.put_back(now, bytes);
+        for (quota, cost) in self.charges(way, site, work, bytes) {
+            quota.put_back(now, cost);
         }
     }
 
