Route requests relayed to the home of their ticket by the split

Look-ups of callers whose host left were answered by hosts of the sibling zone, whose tickets made those the home, and the home served its own zone first. Change: such requests go by the split alone; a new case in tests/engine.rs shows 30 to 70 of 100 going to the sibling (it was none). Ruled out: spill-over (nothing was refused).

--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -387,7 +387,7 @@
     let hold = u64::from(shared.settings.pool.buffer_bytes);
     let deadline = incoming.deadline();
     let origin = match head.ticket {
-        Some(_) => Origin::Caller,
+        Some(_) => Origin::Home,
         None => Origin::Host,
     };
     let mut reader = relay::Reader(incoming);
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -63,6 +63,9 @@
     Caller,
     /// Another entry host. Its request goes to a target of this zone or nowhere.
     Host,
+    /// A caller that bears a ticket of this host, through another one. That this host issued the
+    /// ticket says nothing of where the request belongs: it goes by the split alone.
+    Home,
 }
 
 /// A request that asks where to go.
@@ -425,7 +428,7 @@
         }
         match ask.origin {
             Origin::Host => self.admit(now, ask, rng),
-            Origin::Caller => self.route(now, ask, rng),
+            Origin::Caller | Origin::Home => self.route(now, ask, rng),
         }
     }
 
@@ -542,6 +545,7 @@
         }
         let own = self
             .zone
+            .filter(|_| ask.origin == Origin::Caller)
             .filter(|&zone| self.catalog.region_of(zone) == ask.locality);
         own.filter(|&zone| split.share(zone) > 0.0)
             .or_else(|| split.choose(ask.block, |_| true))
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -250,6 +250,15 @@
         let ways = rig.many(20, |ask| ask.locality = r1);
         assert_eq!(count(&ways, "r1-z0") + count(&ways, "r1-z1"), 20, "{ways:?}");
     };
+    requests_relayed_to_the_home_of_their_ticket_go_by_the_split: {
+        let mut rig = Rig::new();
+        rig.step = 100;
+        let own = rig.many(20, |_| {});
+        assert_eq!(count(&own, "r0-z1"), 0, "{own:?}");
+        let home = rig.many(100, |ask| ask.origin = Origin::Home);
+        let away = count(&home, "r0-z1");
+        assert!((30..70).contains(&away), "{home:?}");
+    };
     relayed_requests_never_leave_the_zone: {
         let mut rig = Rig::new();
         rig.many(100, |_| {});
