--- a/src/bin/ragwortfold/demo/world.rs
+++ b/src/bin/ragwortfold/demo/world.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -480,8 +481,26 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// An address that nothing listens on.
+/// Ports below those that the system gives to outgoing connections, which could take one before the
+/// host listens on it.
+const PORTS: std::ops::Range<u32> = 10_000..30_000;
+/// Ports tried before giving up.
+const TRIES: u32 = 2_000;
+
+/// An address that nothing listens on, never the same one twice.
 fn free_address(ip: IpAddr) -> Result<SocketAddr, Error> {
-    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).map_err(Error::System)?;
-    listener.local_addr().map_err(Error::System)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut last = None;
+    for _ in 0..TRIES {
+        let count = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id().wrapping_mul(101).wrapping_add(count) % PORTS.len() as u32;
+        let port = (PORTS.start + offset) as u16;
+        match TcpListener::bind(SocketAddr::new(ip, port)) {
+            Ok(_) => return Ok(SocketAddr::new(ip, port)),
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(Error::System(
+        last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()),
+    ))
 }
