--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -37,18 +37,20 @@
     stream
 }
 
-/// Sends bytes, ends, and reads what comes back and how that ends.
+/// Sends bytes, ends, and reads what comes back and how that ends. The system tells of a reset once: to
+/// the reader, or to the writer if that is first.
 fn exchange(mut stream: TcpStream, bytes: &[u8]) -> (usize, Option<ErrorKind>) {
     let mut writer = stream.try_clone().unwrap();
     let bytes = bytes.to_vec();
     let sender = thread::spawn(move || {
-        let _ = writer.write_all(&bytes);
+        let sent = writer.write_all(&bytes).err().map(|e| e.kind());
         let _ = writer.shutdown(Shutdown::Write);
+        sent.filter(|&kind| kind == ErrorKind::ConnectionReset)
     });
     let mut back = Vec::new();
     let end = stream.read_to_end(&mut back).err().map(|e| e.kind());
-    sender.join().unwrap();
-    (back.len(), end)
+    let reset = sender.join().unwrap();
+    (back.len(), end.or(reset))
 }
 
 macro_rules! case {
