--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -610,7 +610,7 @@
         self.check_regions();
     }
 
-    /// No host, and no sum over hosts, moves more in a window than the cap.
+    /// No host moves more in a window than the cap; the sum over hosts is a weighted mean of these.
     fn check_moves(&self) {
         let (cap, window) = if self.faults { FAILOVER } else { PLANNED };
         for node in &self.nodes {
