Drop the engine's unread host, and run seeded properties from one place

Cause: Engine kept the key of its host and nothing read it, so configure asked for a name it did not need; tests/shift.rs and tests/split.rs each had the same runner of seeded properties. Change: the field and the argument go; tests/property serves both. No behaviour, bound or assertion changed.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -296,7 +296,7 @@
         }
     }
     let mut engine = Engine::new(&Steer::default(), 1);
-    engine.configure(now, catalog.clone(), "r0-z0-h0", "r0-z0");
+    engine.configure(now, catalog.clone(), "r0-z0");
     let live = catalog.hosts().map(|(key, _)| key).collect();
     let now = now + Duration::from_secs(2);
     engine.set_live(now, live);
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -331,7 +331,7 @@
         let settings = &self.parts.settings;
         self.control.configure(now, &catalog);
         self.engine
-            .configure(now, catalog, &settings.host, &settings.availability_zone);
+            .configure(now, catalog, &settings.availability_zone);
         self.refresh(now);
     }
 
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -126,7 +126,6 @@
     catalog: Arc<Catalog>,
     config: group::Config,
     zone: Option<ZoneKey>,
-    host: Option<HostKey>,
     live: BTreeSet<HostKey>,
     /// Live hosts that take requests from other zones.
     hosts: BTreeMap<ZoneKey, Vec<HostKey>>,
@@ -161,7 +160,6 @@
             catalog: Arc::default(),
             config: group::Config::new(steer),
             zone: None,
-            host: None,
             live: BTreeSet::new(),
             hosts: BTreeMap::new(),
             groups: BTreeMap::new(),
@@ -221,9 +219,8 @@
         self.groups.get(&service)
     }
 
-    /// Puts a configuration in force, for the host `host` in the zone `zone`.
-    pub fn configure(&mut self, now: Instant, catalog: Arc<Catalog>, host: &str, zone: &str) {
-        self.host = catalog.host_key(host);
+    /// Puts a configuration in force, for a host in the zone `zone`.
+    pub fn configure(&mut self, now: Instant, catalog: Arc<Catalog>, zone: &str) {
         self.started.get_or_insert(now);
         self.zone = catalog.zone_key(zone);
         self.catalog = catalog;
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -84,8 +84,7 @@
 
     fn configure(&mut self) {
         let catalog = self.catalog.clone();
-        self.engine
-            .configure(self.now, catalog, "r0-z0-h0", "r0-z0");
+        self.engine.configure(self.now, catalog, "r0-z0");
     }
 
     fn reconfigure(&mut self, change: impl FnOnce(&mut Value)) {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -189,7 +189,7 @@
         let node = &mut self.nodes[at];
         let zone = self.catalog.zone(node.zone).name.clone();
         let catalog = self.catalog.clone();
-        node.engine.configure(self.now, catalog, &node.name, &zone);
+        node.engine.configure(self.now, catalog, &zone);
         self.watch(at);
     }
 
--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -3,12 +3,14 @@
 #![allow(clippy::unwrap_used)]
 
 mod places;
+mod property;
 
 use std::time::{Duration, Instant};
 
 use places::{catalog, zone, SMALL};
+use property::run;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
+
 use ragwortfold::catalog::{Cap, Catalog};
 use ragwortfold::steer::shift::{Caps, Decision, Kind, Ledger, Shift};
 use ragwortfold::steer::split::Split;
@@ -33,23 +35,6 @@
     Split::new(catalog, zones.zip(weights.iter().copied()))
 }
 
-fn run<S: Strategy>(
-    seed: u64,
-    cases: u32,
-    strategy: S,
-    test: impl Fn(S::Value) -> Result<(), TestCaseError>,
-) {
-    let config = ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    TestRunner::new(config)
-        .run(&strategy, test)
-        .expect("no counterexample");
-}
-
 /// The largest sum in any window, ends included, of amounts in order of time.
 fn worst(moves: &[(Instant, f64)], window: Duration) -> f64 {
     let sum = |&(end, _): &(Instant, f64)| -> f64 {
--- a/tests/split.rs
+++ b/tests/split.rs
@@ -3,12 +3,14 @@
 #![allow(clippy::unwrap_used)]
 
 mod places;
+mod property;
 
 use std::time::{Duration, Instant};
 
 use places::{catalog, configuration, lay, region, service, zone, SMALL};
+use property::run;
 use proptest::prelude::*;
-use proptest::test_runner::{RngSeed, TestRunner};
+
 use ragwortfold::catalog::Catalog;
 use ragwortfold::steer::goal::{goal, Goal, Hold, Standing, View};
 use ragwortfold::steer::shift::Kind;
@@ -36,23 +38,6 @@
     (0..BLOCKS).filter(differs).count() as f64 / BLOCKS as f64
 }
 
-fn run<S: Strategy>(
-    seed: u64,
-    cases: u32,
-    strategy: S,
-    test: impl Fn(S::Value) -> Result<(), TestCaseError>,
-) {
-    let config = ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    TestRunner::new(config)
-        .run(&strategy, test)
-        .expect("no counterexample");
-}
-
 #[test]
 fn blocks_follow_the_shares() {
     let catalog = catalog(SMALL);
