--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -15,7 +15,7 @@
 
 use super::body::{self, Body, Part, WHOLE};
 use super::client::{self, Connection};
-use super::{answer, now, stop, Host};
+use super::{answer, now, Host};
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
 use crate::port::{Answer, Head};
@@ -43,7 +43,6 @@
     pub(crate) route: Arc<Route>,
     pub(crate) head: Head,
     pub(crate) parts: request::Parts,
-    pub(crate) begun: Instant,
     pub(crate) deadline: Instant,
     pub(crate) longest_body: u64,
 }
@@ -83,13 +82,11 @@
     host: &Rc<Host>,
     exchange: Exchange,
     body: Part,
-    guard: stop::Guard,
 ) -> Response<Body> {
     let Some(service) = host.core.borrow_mut().part(&exchange.route) else {
         return answer::not_run(host, "no service for this route\n");
     };
     let key = key(&exchange);
-    let mut guard = Some(guard);
     let mut body = Some(body);
     let mut tried = Vec::new();
     let mut failed = None;
@@ -111,7 +108,7 @@
             load: None,
         };
         let Some(part) = repeatable(&mut body) else { break };
-        let outcome = send(host, &exchange, &mut grant, part, &mut guard).await;
+        let outcome = send(host, &exchange, &mut grant, part).await;
         drop(grant);
         tried.push(target);
         match outcome {
@@ -175,7 +172,6 @@
     exchange: &Exchange,
     grant: &mut Grant,
     body: Part,
-    guard: &mut Option<stop::Guard>,
 ) -> Outcome {
     let Some((address, id)) = host
         .core
@@ -226,7 +222,7 @@
         }
         Err(_) => return Outcome::Late,
     };
-    receive(host, exchange, grant, connection, response, guard).await
+    receive(host, exchange, grant, connection, response).await
 }
 
 fn outgoing(host: &Host, exchange: &Exchange, body: Part, id: &HeaderValue) -> Request<Body> {
@@ -275,7 +271,6 @@
     grant: &mut Grant,
     connection: Connection,
     response: Response<Incoming>,
-    guard: &mut Option<stop::Guard>,
 ) -> Outcome {
     let (parts, incoming) = response.into_parts();
     let told = (host.platform.wire.answer)(&parts);
@@ -292,7 +287,7 @@
     let length = incoming.size_hint().exact();
     let collected = match length {
         Some(length) if length > WHOLE as u64 => {
-            return stream(host, grant, connection, parts, incoming, guard);
+            return stream(host, grant, connection, parts, incoming);
         }
         _ => collect(exchange, incoming).await,
     };
@@ -359,7 +354,6 @@
     connection: Connection,
     parts: response::Parts,
     incoming: Incoming,
-    guard: &mut Option<stop::Guard>,
 ) -> Outcome {
     grant.end = End::Answered;
     let kept = Grant {
@@ -369,7 +363,7 @@
         load: None,
     };
     host.core.borrow_mut().fleet.hold(grant.target);
-    let held = (connection, kept, guard.take());
+    let held = (connection, kept);
     let body = body::stream(Bytes::new(), incoming, u64::MAX, held);
     Outcome::Answered(incoming_answer(parts, body, true))
 }
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -10,7 +10,7 @@
 
 use super::body::{self, Body, Broken};
 use super::exchange::{self, Exchange};
-use super::{answer, now, serve, stop, Error, Host};
+use super::{answer, now, serve, Error, Host};
 use crate::inventory::Route;
 
 /// Listens for callers.
@@ -21,8 +21,7 @@
 }
 
 async fn handle(host: Rc<Host>, request: Request<Incoming>) -> Response<Body> {
-    let guard = stop::Guard::new(&host);
-    let mut response = take(&host, request, guard).await;
+    let mut response = take(&host, request).await;
     if host.stop.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -30,7 +29,7 @@
     response
 }
 
-async fn take(host: &Rc<Host>, request: Request<Incoming>, guard: stop::Guard) -> Response<Body> {
+async fn take(host: &Rc<Host>, request: Request<Incoming>) -> Response<Body> {
     let begun = now();
     let (parts, incoming) = request.into_parts();
     let limits = host.core.borrow().table.limits();
@@ -58,11 +57,10 @@
         route,
         head,
         parts,
-        begun,
         deadline,
         longest_body: limits.body_bytes,
     };
-    exchange::run(host, exchange, body, guard).await
+    exchange::run(host, exchange, body).await
 }
 
 async fn read(incoming: Incoming, most: u64, deadline: Instant) -> Result<body::Part, Broken> {
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::body::Body;
-use super::{client, now, Error, Host};
+use super::{client, now, stop, Error, Host};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -105,14 +105,18 @@
     listen().map_err(|source| Error::Listen { address, source })
 }
 
-/// Answers requests on all connections that `listener` accepts.
+/// Answers requests on all connections that `listener` accepts, until the host stops.
 pub(crate) async fn accept<F, R>(host: Rc<Host>, listener: TcpListener, handler: F)
 where
     F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = host.stop.closing() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(connection(host.clone(), stream, handler));
             }
@@ -129,6 +133,7 @@
     F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
+    let _guard = stop::Guard::new(&host);
     if let Err(error) = client::watch(&stream) {
         spdlog::debug!("serve: a connection ended at once: {error}");
         return;
--- a/src/host/stop.rs
+++ b/src/host/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! On SIGTERM a host tells the others and is named in no look-up any more. Callers that keep its address
 //! are served for a while, each answer ending its connection; then idle connections are closed, and the
-//! process ends when the last request is answered.
+//! process ends with the last connection: one on which a request has just arrived counts like one
+//! whose request is being answered.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -17,7 +18,7 @@
 const SERVE: f64 = 0.45;
 /// The part after which the process ends in any case.
 const END: f64 = 0.95;
-/// How often it is checked whether the last request is answered.
+/// How often it is checked whether the last connection is closed.
 const CHECK: Duration = Duration::from_millis(50);
 
 /// How far stopping has gone.
@@ -25,24 +26,24 @@
     leaving: Cell<bool>,
     closing: Cell<bool>,
     closed: Notify,
-    requests: Cell<usize>,
+    connections: Cell<usize>,
 }
 
-/// A request that is being answered.
+/// A caller's connection, open as long as this lives.
 pub(crate) struct Guard(Rc<Host>);
 
 impl Guard {
     pub(crate) fn new(host: &Rc<Host>) -> Self {
-        let requests = &host.stop.requests;
-        requests.set(requests.get() + 1);
+        let connections = &host.stop.connections;
+        connections.set(connections.get() + 1);
         Self(host.clone())
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let requests = &self.0.stop.requests;
-        requests.set(requests.get().saturating_sub(1));
+        let connections = &self.0.stop.connections;
+        connections.set(connections.get().saturating_sub(1));
     }
 }
 
@@ -52,7 +53,7 @@
             leaving: Cell::new(false),
             closing: Cell::new(false),
             closed: Notify::new(),
-            requests: Cell::new(0),
+            connections: Cell::new(0),
         }
     }
 
@@ -91,9 +92,8 @@
     );
     host.stop.closing.set(true);
     host.stop.closed.notify_waiters();
-    while host.stop.requests.get() > 0 && begun.elapsed() < grace.mul_f64(END) {
+    while host.stop.connections.get() > 0 && begun.elapsed() < grace.mul_f64(END) {
         tokio::time::sleep(CHECK).await;
     }
-    tokio::time::sleep(CHECK).await;
-    spdlog::info!("stop: left with {} requests open", host.stop.requests.get());
+    spdlog::info!("stop: left with {} connections open", host.stop.connections.get());
 }
