--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -1,8 +1,10 @@
 //! Which entry hosts take requests, for hosts that register in the platform's store.
 //!
-//! The store tells which hosts there are; heartbeats between them tell which are alive. A host
-//! counts as alive for a while after it was first heard of, so that a new one is used at once, and
-//! one that says that it is leaving does not.
+//! A host registers, then reads who else did, then sends heartbeats to all of them. Each heartbeat
+//! says all there is to know of its sender, so that those who read the store earlier learn of it
+//! without asking the store again: of two hosts that start at once, the later one finds the other.
+//! A host counts as alive for a while after it was first heard of, so that a new one is used at
+//! once, and one that says that it is leaving does not.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -40,12 +42,9 @@
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
-    /// The sender's name.
-    #[serde(rename = "h")]
-    pub host: Arc<str>,
-    /// The sender's incarnation.
-    #[serde(rename = "i")]
-    pub incarnation: u64,
+    /// Its sender.
+    #[serde(rename = "r")]
+    pub record: Record,
     /// Whether the sender finishes what it has and takes nothing new.
     #[serde(rename = "l")]
     pub leaving: bool,
@@ -96,8 +95,7 @@
     /// The heartbeat to send.
     pub fn beat(&self) -> Beat {
         Beat {
-            host: self.own.host.clone(),
-            incarnation: self.own.incarnation,
+            record: self.own.clone(),
             leaving: self.leaving,
         }
     }
@@ -130,18 +128,16 @@
         }
     }
 
-    /// Takes in a heartbeat; says whether its sender is unknown.
-    pub fn hear(&mut self, now: Instant, beat: &Beat) -> bool {
-        let Some(peer) = self.peers.get_mut(&beat.host) else {
-            return beat.host != self.own.host;
+    /// Takes in a heartbeat.
+    pub fn hear(&mut self, now: Instant, beat: Beat) {
+        self.register(now, beat.record.clone());
+        let Some(peer) = self.peers.get_mut(&beat.record.host) else {
+            return;
         };
-        if beat.incarnation < peer.record.incarnation {
-            return false;
+        if beat.record.incarnation == peer.record.incarnation {
+            peer.heard = now;
+            peer.leaving = beat.leaving;
         }
-        peer.record.incarnation = beat.incarnation;
-        peer.heard = now;
-        peer.leaving = beat.leaving;
-        false
     }
 
     /// Notes that the clock was looked at. After a pause of this process each silence counts anew.
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -28,7 +28,7 @@
     let mut interval = tokio::time::interval(INTERVAL);
     loop {
         interval.tick().await;
-        host.core.borrow_mut().presence.tick(now());
+        host.core.borrow_mut().tick(now());
         send(&host).await;
     }
 }
@@ -66,9 +66,7 @@
             }
         };
         match ciborium::from_reader::<Beat, _>(&bytes[..length]) {
-            Ok(beat) => {
-                host.core.borrow_mut().presence.hear(now(), &beat);
-            }
+            Ok(beat) => host.core.borrow_mut().hear(now(), beat),
             Err(error) => spdlog::warn!("beat: {sender} sent something else: {error}"),
         }
     }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -7,14 +7,12 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::control::presence::{Presence, Record};
+use crate::control::presence::{Beat, Presence, Record};
 use crate::inventory::{Config, Route, Table};
 use crate::port::{Bounds, Settings};
 use crate::steer::fleet::Fleet;
 use crate::steer::retry::Budget;
 
-/// Cold targets get their rate from this many hosts at the most, each with one request at once.
-const COLD_HOSTS: usize = 5;
 /// The part of the allowed repeats that hosts share out: the rest is for hosts that start in the
 /// middle of a window and don't know what the one before has used.
 const REPEAT_USE: f64 = 0.6;
@@ -28,6 +26,7 @@
     /// The version of the own registration in the store.
     pub(crate) registered: Option<u64>,
     bounds: Bounds,
+    regions: BTreeMap<Arc<str>, Arc<str>>,
     budgets: BTreeMap<Arc<str>, Budget>,
     /// For each route with several parts, what each has got less than its weight asks for.
     debts: BTreeMap<Arc<str>, Vec<f64>>,
@@ -53,11 +52,17 @@
         let seed = xxhash_rust::xxh3::xxh3_64_with_seed(own.host.as_bytes(), own.incarnation);
         Self {
             table: Table::new(),
-            fleet: Fleet::new(region.clone(), settings.regions.clone()),
+            fleet: Fleet::new(
+                own.host.clone(),
+                region.clone(),
+                settings.regions.clone(),
+                settings.bounds.cold_burst,
+            ),
             presence: Presence::new(now, own),
             rng: Pcg64Mcg::seed_from_u64(seed),
             registered: None,
             bounds: settings.bounds,
+            regions: settings.regions.clone(),
             budgets: BTreeMap::new(),
             debts: BTreeMap::new(),
         }
@@ -70,13 +75,27 @@
             return false;
         }
         for (name, service) in &services {
-            let hosts = COLD_HOSTS as f64;
-            let interval = Duration::from_secs_f64(hosts / service.cold_rate.max(0.1));
-            self.fleet.set_cold_interval(name.clone(), interval);
+            self.fleet.set_cold_rate(name.clone(), service.cold_rate);
         }
         true
     }
 
+    /// Takes in a heartbeat.
+    pub(crate) fn hear(&mut self, now: Instant, beat: Beat) {
+        self.presence.hear(now, beat);
+    }
+
+    /// Does what is due with each heartbeat that is sent.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.presence.tick(now);
+        let regions = &self.regions;
+        let hosts = self.presence.alive(now).map(|record| {
+            let region = regions.get(&record.zone).unwrap_or(&record.zone);
+            (record.host.clone(), region.clone())
+        });
+        self.fleet.set_hosts(hosts.collect());
+    }
+
     /// The longest time for which a target of any service stays cold.
     pub(crate) fn longest_cold(&self) -> Duration {
         self.table
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -19,9 +19,11 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 /// How long a connection to the store may take to be established.
 const CONNECT: Duration = Duration::from_secs(1);
-/// How long a watch waits for a change: half of the shortest history that a store keeps, so that a
-/// watch that is cut can be taken up again.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long a watch waits for a change: somewhat less than the history that the store keeps, so that
+/// a watch that is cut can mostly be taken up again.
+const WAIT: Duration = Duration::from_secs(15);
+/// How often the registrations of hosts are read again, to find hosts whose heartbeats are lost.
+const HOSTS: Duration = Duration::from_secs(30);
 /// Pause after changes, in which more of them gather: each call to the store has its price.
 const GATHER: Duration = Duration::from_millis(150);
 /// First and longest pause after a failed call.
@@ -121,15 +123,10 @@
 
 /// Follows all kinds, and registers the host.
 pub(crate) fn start(host: &Rc<Host>) {
-    for kind in [
-        Kind::Config,
-        Kind::Targets,
-        Kind::Evacuations,
-        Kind::Hosts,
-    ] {
+    for kind in [Kind::Config, Kind::Targets, Kind::Evacuations] {
         tokio::task::spawn_local(follow(host.clone(), kind));
     }
-    tokio::task::spawn_local(register(host.clone()));
+    tokio::task::spawn_local(join(host.clone()));
     tokio::task::spawn_local(sweep(host.clone()));
 }
 
@@ -271,6 +268,9 @@
             if registration.state == State::Draining {
                 spdlog::info!("sync: target {name} is draining");
             }
+            if !registration.cold_left.is_zero() {
+                spdlog::info!("sync: target {name} is cold for {:?}", registration.cold_left);
+            }
             core.fleet.register(now(), registration);
         }
         (Kind::Targets, None) if lost => core.fleet.lapse(&name, now() + RETURN),
@@ -279,9 +279,15 @@
             let cold = core.longest_cold();
             let mut zones = core.fleet.evacuated().clone();
             match value {
-                Some(_) => zones.insert(name),
-                None => zones.remove(&name),
-            };
+                Some(_) => {
+                    spdlog::info!("sync: zone {name} is evacuated");
+                    zones.insert(name);
+                }
+                None => {
+                    spdlog::info!("sync: zone {name} is taken back");
+                    zones.remove(&name);
+                }
+            }
             core.fleet.evacuate(now(), zones, cold);
         }
         (Kind::Hosts, Some(Value::Host(record))) => core.presence.register(now(), record),
@@ -290,28 +296,47 @@
     }
 }
 
-/// Writes the host's registration until the store has it.
-async fn register(host: Rc<Host>) {
-    let record = host.core.borrow().presence.own().clone();
+/// Registers the host and learns of the others; looks again now and then.
+async fn join(host: Rc<Host>) {
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
-    let mut call = Call::Create(record.clone());
     loop {
-        match client.call(&call).await {
-            Ok(Reply::Done(version)) => {
-                host.core.borrow_mut().registered = Some(version);
-                return;
+        let known = async {
+            if host.core.borrow().registered.is_none() {
+                register(&host, &mut client).await?;
+            }
+            list(&host, &mut client, Kind::Hosts).await
+        };
+        match known.await {
+            Ok(_) => {
+                pause = Pause::new();
+                tokio::time::sleep(HOSTS).await;
             }
-            Ok(Reply::Conflict(Some(version))) => call = Call::Replace(record.clone(), version),
-            Ok(_) => call = Call::Create(record.clone()),
             Err(error) => {
-                spdlog::debug!("sync: not registered yet: {error}");
+                spdlog::debug!("sync: the other hosts are not known yet: {error}");
                 pause.wait(&host).await;
             }
         }
     }
 }
 
+/// Writes the host's registration over what an earlier process of it may have left.
+async fn register(host: &Rc<Host>, client: &mut Client) -> Result<(), Error> {
+    let record = host.core.borrow().presence.own().clone();
+    let mut call = Call::Create(record.clone());
+    for _ in 0..WRITES {
+        match client.call(&call).await? {
+            Reply::Done(version) => {
+                host.core.borrow_mut().registered = Some(version);
+                return Ok(());
+            }
+            Reply::Conflict(Some(version)) => call = Call::Replace(record.clone(), version),
+            _ => call = Call::Create(record.clone()),
+        }
+    }
+    Err(Error::Unexpected)
+}
+
 /// Removes the host's registration, if the store can be reached.
 pub(crate) async fn unregister(host: &Rc<Host>) {
     let name = host.settings.host.clone();
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -139,13 +139,51 @@
     members: BTreeMap<TargetKey, Member>,
     services: BTreeMap<Arc<str>, Vec<TargetKey>>,
     evacuated: BTreeSet<Arc<str>>,
-    cold_interval: BTreeMap<Arc<str>, Duration>,
+    cold_rates: BTreeMap<Arc<str>, f64>,
+    /// Hosts that may send to a cold target at the same time, each one request beyond its rate.
+    cold_hosts: usize,
+    own: Peer,
+    /// All hosts that are alive, this one among them.
+    hosts: Vec<Peer>,
+}
+
+/// A host, for the choice of those that may use a cold target.
+#[derive(Clone, Debug)]
+struct Peer {
+    seed: u64,
+    region: Arc<str>,
+}
+
+impl Peer {
+    fn new(name: &str, region: Arc<str>) -> Self {
+        Self {
+            seed: xxh3_64(name.as_bytes()),
+            region,
+        }
+    }
+
+    /// The order of hosts at a cold target: those of its region first.
+    fn rank(&self, member: &Member) -> (bool, u64) {
+        let draw = xxh3_64_with_seed(&self.seed.to_le_bytes(), member.seed);
+        (self.region == member.region, draw)
+    }
 }
 
 impl Fleet {
-    /// No targets yet, for a host in `region`; `regions` gives the region of each availability zone.
-    pub fn new(region: Arc<str>, regions: BTreeMap<Arc<str>, Arc<str>>) -> Self {
+    /// No targets yet, for the host `name` in `region`; `regions` gives the region of each
+    /// availability zone, `cold_burst` what a cold target bears at once beyond its rate.
+    pub fn new(
+        name: Arc<str>,
+        region: Arc<str>,
+        regions: BTreeMap<Arc<str>, Arc<str>>,
+        cold_burst: f64,
+    ) -> Self {
+        let own = Peer::new(&name, region.clone());
         Self {
+            cold_rates: BTreeMap::new(),
+            cold_hosts: (cold_burst as usize).max(1),
+            hosts: vec![own.clone()],
+            own,
             region,
             regions,
             keys: Keys::default(),
@@ -153,13 +191,20 @@
             members: BTreeMap::new(),
             services: BTreeMap::new(),
             evacuated: BTreeSet::new(),
-            cold_interval: BTreeMap::new(),
         }
     }
 
-    /// Sets how far apart this host may send two requests to one cold target of a service.
-    pub fn set_cold_interval(&mut self, service: Arc<str>, interval: Duration) {
-        self.cold_interval.insert(service, interval);
+    /// Sets the requests a second that a cold target of a service bears.
+    pub fn set_cold_rate(&mut self, service: Arc<str>, rate: f64) {
+        self.cold_rates.insert(service, rate);
+    }
+
+    /// Sets the names and regions of the hosts that are alive.
+    pub fn set_hosts(&mut self, hosts: Vec<(Arc<str>, Arc<str>)>) {
+        self.hosts = hosts
+            .into_iter()
+            .map(|(name, region)| Peer::new(&name, region))
+            .collect();
     }
 
     /// Takes in what a target says of itself.
@@ -322,13 +367,26 @@
         if !member.eject.is_in() && !(member.eject.is_due(now) && member.in_flight == 0) {
             return false;
         }
-        if !member.is_cold(now) {
-            return true;
+        !member.is_cold(now) || self.may_use_cold(now, member)
+    }
+
+    /// Whether this host may send a request to a cold target now. Few hosts may send to it at all,
+    /// each its part of the rate, so that the sum keeps to what the target bears.
+    fn may_use_cold(&self, now: Instant, member: &Member) -> bool {
+        let own = self.own.rank(member);
+        let before = self.hosts.iter().filter(|host| host.rank(member) > own);
+        if before.count() >= self.cold_hosts {
+            return false;
         }
-        let interval = self.cold_interval.get(member.service());
-        match (member.cold_token, interval) {
-            (Some(last), Some(interval)) => now.saturating_duration_since(last) >= *interval,
-            _ => true,
+        let users = self.hosts.len().clamp(1, self.cold_hosts) as f64;
+        let rate = self.cold_rates.get(member.service()).copied();
+        match (member.cold_token, rate) {
+            (Some(last), Some(rate)) if rate > 0.0 => {
+                let interval = Duration::from_secs_f64(users / rate);
+                now.saturating_duration_since(last) >= interval
+            }
+            (Some(_), _) => false,
+            (None, _) => true,
         }
     }
 
