Watch the store from two hosts of a region, which tell the others

Now a replica with revisions is passed on over WebSockets; a host that loses the store follows one that sees it, and one that starts without the store learns from the others. Ruled out: a longer wait alone (each event still ends every host's watch).

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -14,6 +14,7 @@
 
 use ipnet::IpNet;
 use la_arena::{Arena, Idx};
+use serde::{Deserialize, Serialize};
 
 use crate::border::configuration as border;
 
@@ -70,7 +71,7 @@
 }
 
 /// Whether a request may be sent again after it may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Repeat {
     /// Idempotent: running twice does no harm.
     Safe,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,5 +12,6 @@
 pub mod planner;
 pub mod presence;
 pub mod publish;
+pub mod replica;
 pub mod summary;
 pub mod wire;
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -1,10 +1,13 @@
-//! Which entry hosts take requests, for hosts that register in the platform's store.
+//! Which entry hosts take requests, and who tells whom what the platform's store holds.
 //!
 //! A host registers, then reads who else did, then sends heartbeats to all of them. Each heartbeat
 //! says all there is to know of its sender, so that those who read the store earlier learn of it
 //! without asking the store again: of two hosts that start at once, the later one finds the other.
 //! A host counts as alive for a while after it was first heard of, so that a new one is used at
 //! once, and one that says that it is leaving does not.
+//!
+//! Calls to the store are dear and limited, so in each region few hosts watch it and pass on what
+//! they learn. Who does follows from a ranking that all hosts compute alike.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,15 +15,22 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Time between two heartbeats.
+/// Time between two heartbeats within a region.
 pub const INTERVAL: Duration = Duration::from_millis(700);
-/// Silence after which a host is taken for dead: three heartbeats may be lost.
-pub const SILENCE: Duration = Duration::from_millis(2500);
+/// Only each n-th heartbeat goes to other regions, where liveness decides less.
+pub const FAR: u64 = 3;
+/// Heartbeats that may be missed before a host is taken for dead.
+const MISSED: f64 = 3.6;
 /// Silence after which the registration of a dead host is removed.
 pub const FORGET: Duration = Duration::from_secs(20);
 /// A gap between two looks at the clock that means that this process was paused.
 const PAUSE: Duration = Duration::from_millis(1500);
+/// Hosts of a region that watch the store: one may die without a gap.
+const WATCHERS: usize = 2;
+/// How long a host may take from its start until it sees the store.
+const START: Duration = Duration::from_secs(2);
 
 /// What an entry host registers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,12 +43,27 @@
     pub front: SocketAddr,
     /// Where it takes heartbeats.
     pub peers: SocketAddr,
-    /// Grows with each start of its process.
+    /// Where it tells others what it knows of the store.
+    pub feed: SocketAddr,
+    /// Grows with each start of its process, unless its clock goes back.
     pub incarnation: u64,
     /// Its part of a processor core.
     pub processor: f64,
 }
 
+/// What a host knows of the store, from least to most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Sight {
+    /// Nothing yet.
+    Nothing,
+    /// What it knew before it lost the store.
+    Stale,
+    /// What another host tells it, which sees the store.
+    Relayed,
+    /// It sees the store itself.
+    Store,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -48,32 +73,46 @@
     /// Whether the sender finishes what it has and takes nothing new.
     #[serde(rename = "l")]
     pub leaving: bool,
+    /// What the sender knows of the store.
+    #[serde(rename = "s")]
+    pub sight: Sight,
 }
 
 #[derive(Clone, Debug)]
 struct Peer {
     record: Record,
+    /// When this process of the host was first heard of.
+    met: Instant,
     heard: Instant,
     leaving: bool,
+    sight: Option<Sight>,
 }
 
 /// The entry hosts as one of them sees them.
 #[derive(Debug)]
 pub struct Presence {
     own: Record,
+    region: Arc<str>,
+    regions: BTreeMap<Arc<str>, Arc<str>>,
     leaving: bool,
+    sight: Sight,
     peers: BTreeMap<Arc<str>, Peer>,
     looked: Instant,
+    beats: u64,
 }
 
 impl Presence {
-    /// A host that has heard of no other.
-    pub fn new(now: Instant, own: Record) -> Self {
+    /// A host that has heard of no other; `regions` gives the region of each availability zone.
+    pub fn new(now: Instant, own: Record, regions: BTreeMap<Arc<str>, Arc<str>>) -> Self {
         Self {
+            region: regions.get(&own.zone).unwrap_or(&own.zone).clone(),
             own,
+            regions,
             leaving: false,
+            sight: Sight::Nothing,
             peers: BTreeMap::new(),
             looked: now,
+            beats: 0,
         }
     }
 
@@ -82,14 +121,24 @@
         &self.own
     }
 
+    /// The region of a host.
+    pub fn region<'a>(&'a self, record: &'a Record) -> &'a Arc<str> {
+        self.regions.get(&record.zone).unwrap_or(&record.zone)
+    }
+
     /// Takes no new work from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
     }
 
-    /// Whether this host is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving
+    /// Sets what this host knows of the store; says whether that is news.
+    pub fn see(&mut self, sight: Sight) -> bool {
+        std::mem::replace(&mut self.sight, sight) != sight
+    }
+
+    /// What this host knows of the store.
+    pub fn sight(&self) -> Sight {
+        self.sight
     }
 
     /// The heartbeat to send.
@@ -97,47 +146,72 @@
         Beat {
             record: self.own.clone(),
             leaving: self.leaving,
+            sight: self.sight,
         }
     }
 
+    /// Where the next regular heartbeat goes to.
+    pub fn next_beat(&mut self) -> Vec<SocketAddr> {
+        let far = self.beats % FAR == 0;
+        self.beats += 1;
+        self.peers
+            .values()
+            .filter(|peer| far || *self.region(&peer.record) == self.region)
+            .map(|peer| peer.record.peers)
+            .collect()
+    }
+
     /// Takes in a registration; gives the host the benefit of the doubt until it was silent for
-    /// long enough.
-    pub fn register(&mut self, now: Instant, record: Record) {
+    /// long enough. Says whether this process of the host is new.
+    pub fn register(&mut self, now: Instant, record: Record) -> bool {
         if record.host == self.own.host {
-            return;
+            return false;
         }
-        match self.peers.get_mut(&record.host) {
-            Some(peer) if peer.record.incarnation > record.incarnation => {}
-            Some(peer) if peer.record.incarnation == record.incarnation => peer.record = record,
-            _ => {
-                let peer = Peer {
-                    heard: now,
-                    leaving: false,
-                    record,
-                };
-                self.peers.insert(peer.record.host.clone(), peer);
+        if let Some(peer) = self.peers.get_mut(&record.host) {
+            if peer.record.incarnation == record.incarnation {
+                peer.record = record;
+                return false;
+            }
+            // A later process may have a lower number if the host's clock went back.
+            let silent = now.saturating_duration_since(peer.heard) > 2 * INTERVAL;
+            if peer.record.incarnation > record.incarnation && !silent {
+                return false;
             }
         }
+        let peer = Peer {
+            met: now,
+            heard: now,
+            leaving: false,
+            sight: None,
+            record,
+        };
+        self.peers.insert(peer.record.host.clone(), peer);
+        true
     }
 
     /// Forgets a host whose registration was removed, unless it is still heard.
     pub fn withdraw(&mut self, now: Instant, host: &str) {
-        let heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENCE;
-        if self.peers.get(host).is_some_and(|peer| !heard(peer) || peer.leaving) {
+        let gone = self
+            .peers
+            .get(host)
+            .is_some_and(|peer| peer.leaving || !self.is_heard(now, peer));
+        if gone {
             self.peers.remove(host);
         }
     }
 
-    /// Takes in a heartbeat.
-    pub fn hear(&mut self, now: Instant, beat: Beat) {
-        self.register(now, beat.record.clone());
+    /// Takes in a heartbeat. Says whether its sender has not heard of this host yet.
+    pub fn hear(&mut self, now: Instant, beat: Beat) -> bool {
+        let new = self.register(now, beat.record.clone());
         let Some(peer) = self.peers.get_mut(&beat.record.host) else {
-            return;
+            return false;
         };
         if beat.record.incarnation == peer.record.incarnation {
             peer.heard = now;
             peer.leaving = beat.leaving;
+            peer.sight = Some(beat.sight);
         }
+        new
     }
 
     /// Notes that the clock was looked at. After a pause of this process each silence counts anew.
@@ -150,18 +224,26 @@
         self.looked = now;
     }
 
-    /// Other hosts, alive or not, to which heartbeats go.
+    /// Other hosts, alive or not.
     pub fn peers(&self) -> impl Iterator<Item = &Record> {
         self.peers.values().map(|peer| &peer.record)
     }
 
-    /// Hosts that take new requests, this one among them unless it is leaving.
+    /// Hosts that are up, but for those that are leaving; this one among them.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Record> {
         let own = (!self.leaving).then_some(&self.own);
-        let others = self.peers.values().filter(move |peer| {
-            !peer.leaving && now.saturating_duration_since(peer.heard) < SILENCE
-        });
-        own.into_iter().chain(others.map(|peer| &peer.record))
+        let others = self.present(now).map(|peer| &peer.record);
+        own.into_iter().chain(others)
+    }
+
+    /// Hosts that can serve callers: alive, and with a configuration as far as is known.
+    pub fn serving(&self, now: Instant) -> impl Iterator<Item = &Record> {
+        let own = (!self.leaving && self.sight > Sight::Nothing).then_some(&self.own);
+        let others = self
+            .present(now)
+            .filter(|peer| peer.sight != Some(Sight::Nothing))
+            .map(|peer| &peer.record);
+        own.into_iter().chain(others)
     }
 
     /// Hosts that have been silent for so long that their registration can go.
@@ -171,4 +253,54 @@
             .filter(move |peer| now.saturating_duration_since(peer.heard) >= FORGET)
             .map(|peer| &peer.record)
     }
+
+    fn present(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(move |peer| !peer.leaving && self.is_heard(now, peer))
+    }
+
+    fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
+        let near = *self.region(&peer.record) == self.region;
+        let interval = INTERVAL * if near { 1 } else { FAR as u32 };
+        now.saturating_duration_since(peer.heard) < interval.mul_f64(MISSED)
+    }
+
+    /// Whether this host is to watch the store itself: unless enough hosts of its region that come
+    /// before it do, or have just started and may be about to.
+    pub fn is_watcher(&self, now: Instant) -> bool {
+        let own = rank(&self.own);
+        let before = self.present(now).filter(|peer| {
+            let starting = now.saturating_duration_since(peer.met) < START;
+            rank(&peer.record) > own
+                && *self.region(&peer.record) == self.region
+                && (peer.sight == Some(Sight::Store) || starting)
+        });
+        before.count() < WATCHERS
+    }
+
+    /// The host to follow: the one that sees most, of those the nearest.
+    pub fn source(&self, now: Instant) -> Option<(&Record, Sight)> {
+        self.present(now)
+            .filter_map(|peer| Some((peer, peer.sight?)))
+            .filter(|(_, sight)| *sight > Sight::Nothing)
+            .max_by_key(|(peer, sight)| {
+                let near = *self.region(&peer.record) == self.region;
+                (*sight, near, rank(&peer.record))
+            })
+            .map(|(peer, sight)| (&peer.record, sight))
+    }
+
+    /// Whether any host has lost the store.
+    pub fn is_store_doubtful(&self, now: Instant) -> bool {
+        self.sight == Sight::Stale
+            || self
+                .present(now)
+                .any(|peer| peer.sight == Some(Sight::Stale))
+    }
+}
+
+/// The order of hosts, which all compute alike.
+fn rank(record: &Record) -> u64 {
+    xxh3_64(record.host.as_bytes())
 }
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats between hosts, as datagrams: a lost one is not worth sending again.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::net::UdpSocket;
@@ -28,21 +29,29 @@
     let mut interval = tokio::time::interval(INTERVAL);
     loop {
         interval.tick().await;
-        host.core.borrow_mut().tick(now());
-        send(&host).await;
+        let peers = {
+            let mut core = host.core.borrow_mut();
+            core.tick(now());
+            core.presence.next_beat()
+        };
+        send(&host, &peers).await;
     }
 }
 
-/// Sends one heartbeat to all hosts.
-pub(crate) async fn send(host: &Host) {
+/// Sends a heartbeat to all hosts at once, as something has changed.
+pub(crate) async fn send_to_all(host: &Host) {
+    let peers: Vec<_> = {
+        let core = host.core.borrow();
+        core.presence.peers().map(|peer| peer.peers).collect()
+    };
+    send(host, &peers).await;
+}
+
+async fn send(host: &Host, peers: &[SocketAddr]) {
     let Some(socket) = host.beats.borrow().clone() else {
         return;
     };
-    let (beat, peers) = {
-        let core = host.core.borrow();
-        let peers: Vec<_> = core.presence.peers().map(|peer| peer.peers).collect();
-        (core.presence.beat(), peers)
-    };
+    let beat = host.core.borrow().presence.beat();
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(&beat, &mut bytes) {
         spdlog::error!("beat: cannot write a heartbeat: {error}");
@@ -66,7 +75,14 @@
             }
         };
         match ciborium::from_reader::<Beat, _>(&bytes[..length]) {
-            Ok(beat) => host.core.borrow_mut().hear(now(), beat),
+            Ok(beat) => {
+                let peer = beat.record.peers;
+                let is_new = host.core.borrow_mut().presence.hear(now(), beat);
+                if is_new {
+                    // A host that has just started waits to hear from the others.
+                    send(&host, &[peer]).await;
+                }
+            }
             Err(error) => spdlog::warn!("beat: {sender} sent something else: {error}"),
         }
     }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -1,18 +1,21 @@
 //! What a host believes and decides with.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::control::presence::{Beat, Presence, Record};
-use crate::inventory::{Config, Route, Table};
-use crate::port::{Bounds, Settings};
+use crate::control::presence::{Presence, Record};
+use crate::control::replica::{Effect, Replica, Update};
+use crate::inventory::{Config, Registration, Route, State, Table};
+use crate::port::{Bounds, Entry, Kind, Settings, Value};
 use crate::steer::fleet::Fleet;
 use crate::steer::retry::Budget;
 
+/// How long targets that are missing after the store was away may take to register again.
+const RETURN: Duration = Duration::from_secs(2);
 /// The part of the allowed repeats that hosts share out: the rest is for hosts that start in the
 /// middle of a window and don't know what the one before has used.
 const REPEAT_USE: f64 = 0.6;
@@ -20,13 +23,13 @@
 /// The state of a host.
 pub(crate) struct Core {
     pub(crate) table: Table,
+    pub(crate) replica: Replica,
     pub(crate) fleet: Fleet,
     pub(crate) presence: Presence,
     pub(crate) rng: Pcg64Mcg,
     /// The version of the own registration in the store.
     pub(crate) registered: Option<u64>,
     bounds: Bounds,
-    regions: BTreeMap<Arc<str>, Arc<str>>,
     budgets: BTreeMap<Arc<str>, Budget>,
     /// For each route with several parts, what each has got less than its weight asks for.
     debts: BTreeMap<Arc<str>, Vec<f64>>,
@@ -42,6 +45,7 @@
             zone: settings.zone.clone(),
             front: settings.front,
             peers: settings.peers,
+            feed: settings.feed,
             incarnation: since_epoch.as_micros() as u64,
             processor: settings.processor,
         };
@@ -52,52 +56,114 @@
         let seed = xxhash_rust::xxh3::xxh3_64_with_seed(own.host.as_bytes(), own.incarnation);
         Self {
             table: Table::new(),
+            replica: Replica::new(),
             fleet: Fleet::new(
                 own.host.clone(),
                 region.clone(),
                 settings.regions.clone(),
                 settings.bounds.cold_burst,
             ),
-            presence: Presence::new(now, own),
+            presence: Presence::new(now, own, settings.regions.clone()),
             rng: Pcg64Mcg::seed_from_u64(seed),
             registered: None,
             bounds: settings.bounds,
-            regions: settings.regions.clone(),
             budgets: BTreeMap::new(),
             debts: BTreeMap::new(),
         }
     }
 
-    /// Takes a configuration over; says whether it is newer than the one before.
-    pub(crate) fn configure(&mut self, config: Config) -> bool {
+    /// Takes in what changed in the store. `away` tells that the store was away just before.
+    pub(crate) fn change(&mut self, now: Instant, update: &Update) -> Effect {
+        let effect = self.replica.apply(now, update);
+        let Effect::Changed(entries) = &effect else {
+            return effect;
+        };
+        for entry in entries {
+            match (&entry.value, update.kind) {
+                (Some(Value::Config(config)), _) => self.configure(config.clone()),
+                (Some(Value::Target(registration)), _) => self.register(now, registration),
+                (None, Kind::Targets) => self.withdraw(now, &entry.name, update.away),
+                _ => {}
+            }
+        }
+        if update.kind == Kind::Evacuations && !entries.is_empty() {
+            self.evacuate(now);
+        }
+        effect
+    }
+
+    fn configure(&mut self, config: Config) {
         let services = config.services.clone();
+        let version = config.version;
         if !self.table.replace(config) {
-            return false;
+            return;
         }
+        spdlog::info!("core: configuration {version} is in force");
         for (name, service) in &services {
             self.fleet.set_cold_rate(name.clone(), service.cold_rate);
         }
-        true
     }
 
-    /// Takes in a heartbeat.
-    pub(crate) fn hear(&mut self, now: Instant, beat: Beat) {
-        self.presence.hear(now, beat);
+    fn register(&mut self, now: Instant, registration: &Registration) {
+        let id = &registration.id;
+        if registration.state == State::Draining {
+            spdlog::info!("core: target {id} is draining");
+        }
+        if !registration.cold_left.is_zero() {
+            let left = registration.cold_left;
+            spdlog::info!("core: target {id} is cold for {left:?}");
+        }
+        self.fleet.register(now, registration.clone());
+    }
+
+    fn withdraw(&mut self, now: Instant, id: &str, away: bool) {
+        if away {
+            spdlog::info!("core: target {id} is missing");
+            self.fleet.lapse(id, now + RETURN);
+        } else {
+            spdlog::info!("core: target {id} is gone");
+            self.fleet.withdraw(id);
+        }
+    }
+
+    fn evacuate(&mut self, now: Instant) {
+        let zones: BTreeSet<_> = self.replica.names(Kind::Evacuations).cloned().collect();
+        spdlog::info!("core: evacuated zones: {zones:?}");
+        let cold = self.longest_cold();
+        self.fleet.evacuate(now, zones, cold);
+    }
+
+    /// Takes in the registrations of hosts, complete.
+    pub(crate) fn meet(&mut self, now: Instant, entries: Vec<Entry>) {
+        let names: BTreeSet<_> = entries.iter().map(|entry| entry.name.clone()).collect();
+        let missing: Vec<_> = self
+            .presence
+            .peers()
+            .filter(|peer| !names.contains(&peer.host))
+            .map(|peer| peer.host.clone())
+            .collect();
+        for peer in missing {
+            self.presence.withdraw(now, &peer);
+        }
+        for entry in entries {
+            if let Some(Value::Host(record)) = entry.value {
+                self.presence.register(now, record);
+            }
+        }
     }
 
     /// Does what is due with each heartbeat that is sent.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.presence.tick(now);
-        let regions = &self.regions;
         let hosts = self.presence.alive(now).map(|record| {
-            let region = regions.get(&record.zone).unwrap_or(&record.zone);
+            let region = self.presence.region(record);
             (record.host.clone(), region.clone())
         });
         self.fleet.set_hosts(hosts.collect());
     }
 
     /// The longest time for which a target of any service stays cold.
-    pub(crate) fn longest_cold(&self) -> Duration {
+    fn longest_cold(&self) -> Duration {
         self.table
             .services()
             .map(|service| service.cold)
--- /dev/null
+++ b/src/host/feed.rs
@@ -0,0 +1,228 @@
+//! What hosts tell each other of the store: a copy at first, then each change as it comes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::mpsc::{channel, Receiver, Sender};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Bytes, Message as Packet};
+
+use super::{client, now, serve, Error, Host};
+use crate::control::presence::Sight;
+use crate::control::replica::{Effect, Update};
+use crate::port::Kind;
+
+/// Time between two messages that only say that the connection is alive.
+const INTERVAL: Duration = Duration::from_millis(1000);
+/// Silence after which a feed is given up.
+const SILENCE: Duration = Duration::from_millis(2600);
+/// How long connecting may take.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Updates that may wait for a slow follower; one that falls further behind has to start anew.
+const QUEUE: usize = 64;
+/// Buffer of a connection, in bytes: most updates are a few hundred.
+const BUFFER: usize = 4 << 10;
+/// The longest message, in bytes: the store holds no larger objects, and a copy has many small ones.
+const LONGEST: usize = 16 << 20;
+
+/// All kinds that are passed on.
+pub(crate) const KINDS: [Kind; 3] = [Kind::Config, Kind::Targets, Kind::Evacuations];
+
+/// What a feed says.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// What the sender knows of the store.
+    Sight(Sight),
+    /// Something has changed.
+    Update(Update),
+}
+
+/// Why a feed ended.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Broken {
+    #[error("no connection in time")]
+    Connect,
+    #[error("cannot connect: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    WebSocket(#[from] Box<tungstenite::Error>),
+    #[error("a message can't be read: {0}")]
+    Malformed(#[from] ciborium::de::Error<std::io::Error>),
+    #[error("it fell silent")]
+    Silent,
+    #[error("it ended")]
+    Ended,
+    #[error("a message is missing")]
+    Gap,
+}
+
+impl From<tungstenite::Error> for Broken {
+    fn from(error: tungstenite::Error) -> Self {
+        Self::WebSocket(Box::new(error))
+    }
+}
+
+/// Those that follow this host.
+#[derive(Default)]
+pub(crate) struct Followers {
+    queues: Vec<Sender<Bytes>>,
+}
+
+impl Followers {
+    fn add(&mut self) -> Receiver<Bytes> {
+        let (sender, receiver) = channel(QUEUE);
+        self.queues.push(sender);
+        receiver
+    }
+
+    fn send(&mut self, message: &Message) {
+        if self.queues.is_empty() {
+            return;
+        }
+        let bytes = write(message);
+        self.queues.retain(|queue| {
+            !matches!(
+                queue.try_send(bytes.clone()),
+                Err(TrySendError::Closed(_) | TrySendError::Full(_))
+            )
+        });
+    }
+}
+
+fn write(message: &Message) -> Bytes {
+    let mut bytes = Vec::new();
+    if let Err(error) = ciborium::into_writer(message, &mut bytes) {
+        spdlog::error!("feed: cannot write a message: {error}");
+    }
+    bytes.into()
+}
+
+/// Tells followers of an update.
+pub(crate) fn publish(host: &Host, update: &Update) {
+    let message = Message::Update(update.clone());
+    host.followers.borrow_mut().send(&message);
+}
+
+/// Tells followers what this host knows of the store.
+pub(crate) fn tell_sight(host: &Host) {
+    let sight = host.core.borrow().presence.sight();
+    host.followers.borrow_mut().send(&Message::Sight(sight));
+}
+
+/// Listens for followers.
+pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
+    let listener = serve::bind(host.settings.feed)?;
+    tokio::task::spawn_local(accept(host.clone(), listener));
+    tokio::task::spawn_local(repeat_sight(host.clone()));
+    Ok(())
+}
+
+async fn repeat_sight(host: Rc<Host>) {
+    let mut interval = tokio::time::interval(INTERVAL);
+    loop {
+        interval.tick().await;
+        tell_sight(&host);
+    }
+}
+
+async fn accept(host: Rc<Host>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let host = host.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = serve_one(&host, stream).await {
+                        spdlog::debug!("feed: {address} ended: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                spdlog::warn!("feed: cannot accept a connection: {error}");
+                tokio::time::sleep(INTERVAL).await;
+            }
+        }
+    }
+}
+
+fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(BUFFER)
+        .max_message_size(Some(LONGEST))
+        .max_frame_size(Some(LONGEST))
+}
+
+async fn serve_one(host: &Rc<Host>, stream: TcpStream) -> Result<(), Broken> {
+    client::watch(&stream)?;
+    let upgrade = tokio_tungstenite::accept_async_with_config(stream, Some(limits()));
+    let mut socket = tokio::time::timeout(CONNECT, upgrade)
+        .await
+        .map_err(|_| Broken::Connect)??;
+    let mut queue = host.followers.borrow_mut().add();
+    let mut first = Vec::new();
+    {
+        let core = host.core.borrow();
+        let whole = KINDS.iter().filter_map(|kind| core.replica.whole(now(), *kind));
+        first.extend(whole.map(Message::Update));
+        first.push(Message::Sight(core.presence.sight()));
+    }
+    for message in first {
+        socket.send(Packet::Binary(write(&message))).await?;
+    }
+    loop {
+        tokio::select! {
+            message = queue.recv() => match message {
+                Some(bytes) => socket.send(Packet::Binary(bytes)).await?,
+                None => return Ok(()),
+            },
+            packet = socket.next() => match packet {
+                None | Some(Ok(Packet::Close(_))) => return Ok(()),
+                Some(packet) => drop(packet?),
+            },
+        }
+    }
+}
+
+/// Follows the host at `address` until that fails.
+pub(crate) async fn follow(host: &Rc<Host>, address: SocketAddr) -> Broken {
+    match read(host, address).await {
+        Ok(never) => match never {},
+        Err(broken) => broken,
+    }
+}
+
+async fn read(host: &Rc<Host>, address: SocketAddr) -> Result<std::convert::Infallible, Broken> {
+    let connect = async {
+        let stream = TcpStream::connect(address).await?;
+        client::watch(&stream)?;
+        let url = format!("ws://{address}/");
+        let upgrade = tokio_tungstenite::client_async_with_config(url, stream, Some(limits()));
+        Ok::<_, Broken>(upgrade.await?.0)
+    };
+    let mut socket = tokio::time::timeout(CONNECT, connect)
+        .await
+        .map_err(|_| Broken::Connect)??;
+    loop {
+        let packet = tokio::time::timeout(SILENCE, socket.next())
+            .await
+            .map_err(|_| Broken::Silent)?;
+        let bytes = match packet.ok_or(Broken::Ended)?? {
+            Packet::Binary(bytes) => bytes,
+            Packet::Close(_) => return Err(Broken::Ended),
+            _ => continue,
+        };
+        match ciborium::from_reader(&bytes[..])? {
+            Message::Sight(sight) => host.followed.set(Some(sight)),
+            Message::Update(update) => {
+                if host.take(&update) == Effect::Gap {
+                    return Err(Broken::Gap);
+                }
+            }
+        }
+    }
+}
--- a/src/host/lookup.rs
+++ b/src/host/lookup.rs
@@ -60,13 +60,12 @@
 fn hosts(host: &Host, question: &Question) -> Vec<SocketAddr> {
     let core = host.core.borrow();
     let now = now();
-    let alive: Vec<&Record> = core.presence.alive(now).collect();
-    let region = |record: &Record| host.settings.regions.get(&record.zone).cloned();
+    let alive: Vec<&Record> = core.presence.serving(now).collect();
     let near = |record: &Record| -> u8 {
         if record.zone == question.zone {
             return 0;
         }
-        u8::from(region(record).as_ref() != Some(&question.region)) + 1
+        u8::from(*core.presence.region(record) != question.region) + 1
     };
     let mut ranked: Vec<(u8, Reverse<Arc<str>>, SocketAddr)> = alive
         .into_iter()
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -10,15 +10,17 @@
 mod core;
 mod error;
 mod exchange;
+mod feed;
 mod front;
 mod log;
 mod lookup;
 mod pool;
 mod serve;
 mod stop;
+mod store;
 mod sync;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Instant;
@@ -26,6 +28,8 @@
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 
+use crate::control::presence::Sight;
+use crate::control::replica::{Effect, Update};
 use crate::port::{Platform, Settings};
 
 pub use error::Error;
@@ -38,6 +42,25 @@
     pool: RefCell<pool::Pool>,
     stop: stop::Stop,
     beats: RefCell<Option<Rc<UdpSocket>>>,
+    followers: RefCell<feed::Followers>,
+    /// What the host that this one follows knows of the store.
+    followed: Cell<Option<Sight>>,
+    watching: sync::Watching,
+    /// Whether the host has registered, or has tried to.
+    joined: Cell<bool>,
+    /// Counts feeds that ended, to try the seeds in turn.
+    turn: Cell<usize>,
+}
+
+impl Host {
+    /// Takes in what changed in the store, and passes it on.
+    fn take(&self, update: &Update) -> Effect {
+        let effect = self.core.borrow_mut().change(now(), update);
+        if effect != Effect::Gap && effect != Effect::Old {
+            feed::publish(self, update);
+        }
+        effect
+    }
 }
 
 /// The runtime's clock, which tests can pause.
@@ -66,11 +89,17 @@
         pool: RefCell::new(pool::Pool::default()),
         stop: stop::Stop::new(),
         beats: RefCell::new(None),
+        followers: RefCell::default(),
+        followed: Cell::new(None),
+        watching: sync::Watching::default(),
+        joined: Cell::new(false),
+        turn: Cell::new(0),
         platform,
         settings,
     });
     front::listen(&host).await?;
     lookup::listen(&host).await?;
+    feed::listen(&host).await?;
     beat::start(&host).await?;
     sync::start(&host);
     spdlog::info!(
--- a/src/host/stop.rs
+++ b/src/host/stop.rs
@@ -84,7 +84,7 @@
     let begun = super::now();
     host.stop.leaving.set(true);
     host.core.borrow_mut().presence.leave();
-    beat::send(host).await;
+    beat::send_to_all(host).await;
     let grace = host.settings.bounds.grace;
     tokio::join!(
         sync::unregister(host),
--- /dev/null
+++ b/src/host/store.rs
@@ -0,0 +1,88 @@
+//! Calls to the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::BodyExt;
+
+use super::body::whole;
+use super::client::{self, Connection};
+use super::Host;
+use crate::port::{Call, Malformed, Reply};
+
+/// How long the store may take for a call beside what it was asked to wait.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a connection to the store may take to be established.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error(transparent)]
+    Connect(#[from] client::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("no answer in time")]
+    Timeout,
+    #[error("{0}")]
+    Malformed(#[from] Malformed),
+    #[error("it has too much to do or is away")]
+    Busy,
+    #[error("an answer that does not fit the call")]
+    Unexpected,
+}
+
+/// A connection to the store that is opened when it is needed.
+pub(crate) struct Client {
+    host: Rc<Host>,
+    connection: Option<Connection>,
+}
+
+impl Client {
+    pub(crate) fn new(host: &Rc<Host>) -> Self {
+        Self {
+            host: host.clone(),
+            connection: None,
+        }
+    }
+
+    /// Makes a call. A connection on which anything went wrong is not used again.
+    pub(crate) async fn call(&mut self, call: &Call) -> Result<Reply, Error> {
+        let wait = match call {
+            Call::Watch { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        };
+        let kept = self.connection.take();
+        let exchange = self.exchange(kept, call);
+        let answered = tokio::time::timeout(PATIENCE + wait, exchange).await;
+        let (connection, status, bytes) = answered.map_err(|_| Error::Timeout)??;
+        self.connection = Some(connection);
+        let (reply, unread) = (self.host.platform.store.decode)(call, status, &bytes)?;
+        for malformed in unread {
+            spdlog::warn!("store: an object is left out: {malformed}");
+        }
+        match reply {
+            Reply::Busy => Err(Error::Busy),
+            reply => Ok(reply),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        kept: Option<Connection>,
+        call: &Call,
+    ) -> Result<(Connection, StatusCode, Bytes), Error> {
+        let mut connection = match kept {
+            Some(connection) if !connection.sender.is_closed() => connection,
+            _ => client::connect(self.host.settings.store, CONNECT).await?,
+        };
+        let request = (self.host.platform.store.encode)(call)?.map(whole);
+        connection.sender.ready().await?;
+        let response = connection.sender.send_request(request).await?;
+        let status = response.status();
+        let bytes = response.into_body().collect().await?.to_bytes();
+        Ok((connection, status, bytes))
+    }
+}
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -1,24 +1,20 @@
-//! What the platform's store tells: lists and watches of each kind, and the host's own registration.
+//! How a host keeps up with the platform's store: by watching it, or by following a host that does.
 
-use std::collections::BTreeSet;
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use http::StatusCode;
-use http_body_util::BodyExt;
 use rand::RngExt;
+use tokio::task::AbortHandle;
 
-use super::body::whole;
-use super::client::{self, Connection};
-use super::{now, Host};
-use crate::inventory::State;
-use crate::port::{Call, Entry, Kind, Reply, Value};
+use super::feed::{self, KINDS};
+use super::store::{Client, Error};
+use super::{beat, now, Host};
+use crate::control::presence::Sight;
+use crate::control::replica::{Effect, Update};
+use crate::port::{Call, Entry, Kind, Reply};
 
-/// How long the store may take for a call beside what it was asked to wait.
-const PATIENCE: Duration = Duration::from_secs(3);
-/// How long a connection to the store may take to be established.
-const CONNECT: Duration = Duration::from_secs(1);
 /// How long a watch waits for a change: somewhat less than the history that the store keeps, so that
 /// a watch that is cut can mostly be taken up again.
 const WAIT: Duration = Duration::from_secs(15);
@@ -29,80 +25,13 @@
 /// First and longest pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
-/// How long targets that are missing after the store was away may take to register again.
-const RETURN: Duration = Duration::from_secs(2);
 /// Writes of the own registration are tried so many times on conflicts.
 const WRITES: usize = 8;
-
-/// Why a call has no answer.
-#[derive(Debug, thiserror::Error)]
-enum Error {
-    #[error(transparent)]
-    Connect(#[from] client::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("no answer in time")]
-    Timeout,
-    #[error("{0}")]
-    Malformed(#[from] crate::port::Malformed),
-    #[error("it has too much to do or is away")]
-    Busy,
-    #[error("an answer that does not fit the call")]
-    Unexpected,
-}
-
-/// A connection to the store that is opened when it is needed.
-struct Client {
-    host: Rc<Host>,
-    connection: Option<Connection>,
-}
-
-impl Client {
-    fn new(host: &Rc<Host>) -> Self {
-        Self {
-            host: host.clone(),
-            connection: None,
-        }
-    }
-
-    /// Makes a call. A connection on which anything went wrong is not used again.
-    async fn call(&mut self, call: &Call) -> Result<Reply, Error> {
-        let wait = match call {
-            Call::Watch { wait, .. } => *wait,
-            _ => Duration::ZERO,
-        };
-        let kept = self.connection.take();
-        let exchange = self.exchange(kept, call);
-        let answered = tokio::time::timeout(PATIENCE + wait, exchange).await;
-        let (connection, status, bytes) = answered.map_err(|_| Error::Timeout)??;
-        self.connection = Some(connection);
-        let (reply, unread) = (self.host.platform.store.decode)(call, status, &bytes)?;
-        for malformed in unread {
-            spdlog::warn!("sync: an object is left out: {malformed}");
-        }
-        match reply {
-            Reply::Busy => Err(Error::Busy),
-            reply => Ok(reply),
-        }
-    }
-
-    async fn exchange(
-        &self,
-        kept: Option<Connection>,
-        call: &Call,
-    ) -> Result<(Connection, StatusCode, bytes::Bytes), Error> {
-        let mut connection = match kept {
-            Some(connection) if !connection.sender.is_closed() => connection,
-            _ => client::connect(self.host.settings.store, CONNECT).await?,
-        };
-        let request = (self.host.platform.store.encode)(call)?.map(whole);
-        connection.sender.ready().await?;
-        let response = connection.sender.send_request(request).await?;
-        let status = response.status();
-        let bytes = response.into_body().collect().await?.to_bytes();
-        Ok((connection, status, bytes))
-    }
-}
+/// How often it is decided whether to watch the store and whom to follow.
+const DECIDE: Duration = Duration::from_millis(100);
+/// How long a host that has just started waits for answers to its first heartbeat: some round
+/// trips within a region.
+const MEET: Duration = Duration::from_millis(40);
 
 /// Pauses that grow from failure to failure.
 struct Pause {
@@ -121,46 +50,187 @@
     }
 }
 
-/// Follows all kinds, and registers the host.
-pub(crate) fn start(host: &Rc<Host>) {
-    for kind in [Kind::Config, Kind::Targets, Kind::Evacuations] {
-        tokio::task::spawn_local(follow(host.clone(), kind));
+/// Which kinds the store tells this host, while it watches.
+#[derive(Default)]
+pub(crate) struct Watching {
+    seen: Cell<u8>,
+    lost: Cell<u8>,
+}
+
+impl Watching {
+    fn bit(kind: Kind) -> u8 {
+        1 << kind as u8
+    }
+
+    fn set(&self, kind: Kind, seen: bool) {
+        let bit = Self::bit(kind);
+        if seen {
+            self.seen.set(self.seen.get() | bit);
+            self.lost.set(self.lost.get() & !bit);
+        } else {
+            self.lost.set(self.lost.get() | bit);
+        }
+    }
+
+    fn clear(&self) {
+        self.seen.set(0);
+        self.lost.set(0);
     }
+
+    fn is_complete(&self) -> bool {
+        let all = KINDS.iter().fold(0, |bits, kind| bits | Self::bit(*kind));
+        self.seen.get() & all == all && self.lost.get() == 0
+    }
+}
+
+/// Keeps up with the store from now on.
+pub(crate) fn start(host: &Rc<Host>) {
     tokio::task::spawn_local(join(host.clone()));
+    tokio::task::spawn_local(decide(host.clone()));
     tokio::task::spawn_local(sweep(host.clone()));
 }
 
+/// Whom a host follows.
+struct Following {
+    address: SocketAddr,
+    task: AbortHandle,
+}
+
+/// Watches the store if this host is to, follows another one if not or if the store is lost.
+async fn decide(host: Rc<Host>) {
+    let mut watchers: Vec<AbortHandle> = Vec::new();
+    let mut following: Option<Following> = None;
+    let mut interval = tokio::time::interval(DECIDE);
+    loop {
+        interval.tick().await;
+        let now = now();
+        let watch = host.joined.get() && host.core.borrow().presence.is_watcher(now);
+        if watch && watchers.is_empty() {
+            spdlog::info!("sync: watching the store");
+            watchers = KINDS
+                .iter()
+                .map(|kind| tokio::task::spawn_local(watch_kind(host.clone(), *kind)).abort_handle())
+                .collect();
+        }
+        if !watch && !watchers.is_empty() {
+            spdlog::info!("sync: leaving the store to others");
+            watchers.drain(..).for_each(|task| task.abort());
+            host.watching.clear();
+        }
+        let sees = host.watching.is_complete();
+        let wanted = if sees { None } else { source(&host, now) };
+        let over = following
+            .as_ref()
+            .is_some_and(|kept| kept.task.is_finished() || Some(kept.address) != wanted);
+        if over {
+            if let Some(kept) = following.take() {
+                kept.task.abort();
+            }
+            host.followed.set(None);
+        }
+        if let (None, Some(address)) = (&following, wanted) {
+            following = Some(Following {
+                address,
+                task: tokio::task::spawn_local(follow(host.clone(), address)).abort_handle(),
+            });
+        }
+        note_sight(&host, sees).await;
+    }
+}
+
+/// The feed to follow: that of the host that sees most, or a seed while no host is known.
+fn source(host: &Host, now: Instant) -> Option<SocketAddr> {
+    let core = host.core.borrow();
+    if let Some((record, _)) = core.presence.source(now) {
+        return Some(record.feed);
+    }
+    if core.presence.sight() > Sight::Nothing || host.settings.seeds.is_empty() {
+        return None;
+    }
+    let turn = host.turn.get();
+    let seed = host.settings.seeds[turn % host.settings.seeds.len()];
+    (seed != host.settings.feed).then_some(seed)
+}
+
+async fn follow(host: Rc<Host>, address: SocketAddr) {
+    let broken = feed::follow(&host, address).await;
+    spdlog::debug!("sync: the feed of {address} ended: {broken}");
+    host.turn.set(host.turn.get() + 1);
+    tokio::time::sleep(PAUSE).await;
+}
+
+/// Sets what this host knows of the store, and tells others if that is news.
+async fn note_sight(host: &Rc<Host>, sees: bool) {
+    let news = {
+        let mut core = host.core.borrow_mut();
+        let known = KINDS.iter().all(|kind| core.replica.revision(*kind).is_some());
+        let relayed = host.followed.get() == Some(Sight::Store);
+        let sight = match (known, sees, relayed) {
+            (false, ..) => Sight::Nothing,
+            (true, true, _) => Sight::Store,
+            (true, false, true) => Sight::Relayed,
+            (true, false, false) => Sight::Stale,
+        };
+        let before = core.presence.sight();
+        let news = core.presence.see(sight);
+        if news {
+            spdlog::info!("sync: sight of the store was {before:?}, is {sight:?}");
+        }
+        news
+    };
+    if news {
+        feed::tell_sight(host);
+        beat::send_to_all(host).await;
+    }
+}
+
 /// Lists and watches one kind for ever.
-async fn follow(host: Rc<Host>, kind: Kind) {
+async fn watch_kind(host: Rc<Host>, kind: Kind) {
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
-    let mut known = None;
     let mut lost = false;
+    let mut listed = false;
     loop {
+        let known = host.core.borrow().replica.revision(kind);
         let result = match known {
-            None => list(&host, &mut client, kind).await.map(Some),
-            Some(revision) => watch(&host, &mut client, kind, revision, lost).await,
+            Some(revision) if listed => watch(&host, &mut client, kind, revision, lost).await,
+            _ => list(&host, &mut client, kind).await.map(|()| true),
         };
         match result {
-            Ok(revision) => {
+            Ok(go_on) => {
                 if std::mem::take(&mut lost) {
                     spdlog::info!("sync: {kind:?} regained");
                 }
-                known = revision;
+                listed = go_on;
+                host.watching.set(kind, true);
                 pause = Pause::new();
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
                     spdlog::warn!("sync: {kind:?} lost: {error}");
                 }
+                host.watching.set(kind, false);
                 pause.wait(&host).await;
             }
         }
     }
 }
 
-/// Reads all objects of a kind; gives the revision to watch from.
-async fn list(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<u64, Error> {
+/// Reads all objects of a kind.
+async fn list(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
+    let (entries, revision) = read(client, kind).await?;
+    host.take(&Update {
+        kind,
+        from: None,
+        to: revision,
+        entries,
+        away: true,
+    });
+    Ok(())
+}
+
+/// Reads all pages of a kind; also gives the revision to watch from.
+async fn read(client: &mut Client, kind: Kind) -> Result<(Vec<Entry>, u64), Error> {
     let mut all: Vec<Entry> = Vec::new();
     let mut first = None;
     loop {
@@ -178,124 +248,44 @@
         let last = entries.is_empty() || !more;
         all.extend(entries);
         if last {
-            snapshot(host, kind, all);
-            return Ok(from);
+            return Ok((all, from));
         }
     }
 }
 
-/// Waits for changes; gives the revision to go on from, or none if the history is gone.
+/// Waits for changes; says whether to go on, or to list again as the history is gone.
 async fn watch(
     host: &Rc<Host>,
     client: &mut Client,
     kind: Kind,
     revision: u64,
     lost: bool,
-) -> Result<Option<u64>, Error> {
+) -> Result<bool, Error> {
     let call = Call::Watch {
         kind,
         revision,
         wait: WAIT,
     };
     match client.call(&call).await? {
-        Reply::Changes { entries, revision } => {
+        Reply::Changes { entries, revision: to } => {
             let any = !entries.is_empty();
-            for entry in entries {
-                change(host, entry, kind, lost);
-            }
+            let effect = host.take(&Update {
+                kind,
+                from: Some(revision),
+                to,
+                entries,
+                away: lost,
+            });
             if any {
                 tokio::time::sleep(GATHER).await;
             }
-            Ok(Some(revision))
+            Ok(effect != Effect::Gap)
         }
-        Reply::Expired => Ok(None),
+        Reply::Expired => Ok(false),
         _ => Err(Error::Unexpected),
     }
 }
 
-/// Takes in all objects of a kind; what is not among them is gone.
-fn snapshot(host: &Host, kind: Kind, entries: Vec<Entry>) {
-    let names: BTreeSet<Arc<str>> = entries.iter().map(|entry| entry.name.clone()).collect();
-    for entry in entries.iter().cloned() {
-        if kind != Kind::Evacuations {
-            change(host, entry, kind, false);
-        }
-    }
-    let core = &mut *host.core.borrow_mut();
-    match kind {
-        Kind::Config => {}
-        Kind::Evacuations => {
-            let cold = core.longest_cold();
-            core.fleet.evacuate(now(), names, cold);
-        }
-        Kind::Targets => {
-            let missing: Vec<_> = core
-                .fleet
-                .ids()
-                .filter(|id| !names.contains(*id))
-                .cloned()
-                .collect();
-            for id in missing {
-                core.fleet.lapse(&id, now() + RETURN);
-            }
-        }
-        Kind::Hosts => {
-            let missing: Vec<_> = core
-                .presence
-                .peers()
-                .filter(|peer| !names.contains(&peer.host))
-                .map(|peer| peer.host.clone())
-                .collect();
-            for peer in missing {
-                core.presence.withdraw(now(), &peer);
-            }
-        }
-    }
-}
-
-/// Takes in one object. `lost` tells that the store was away just before.
-fn change(host: &Host, entry: Entry, kind: Kind, lost: bool) {
-    let core = &mut *host.core.borrow_mut();
-    let name = entry.name;
-    match (kind, entry.value) {
-        (Kind::Config, Some(Value::Config(config))) => {
-            let version = config.version;
-            if core.configure(config) {
-                spdlog::info!("sync: configuration {version} is in force");
-            }
-        }
-        (Kind::Targets, Some(Value::Target(registration))) => {
-            if registration.state == State::Draining {
-                spdlog::info!("sync: target {name} is draining");
-            }
-            if !registration.cold_left.is_zero() {
-                spdlog::info!("sync: target {name} is cold for {:?}", registration.cold_left);
-            }
-            core.fleet.register(now(), registration);
-        }
-        (Kind::Targets, None) if lost => core.fleet.lapse(&name, now() + RETURN),
-        (Kind::Targets, None) => core.fleet.withdraw(&name),
-        (Kind::Evacuations, value) => {
-            let cold = core.longest_cold();
-            let mut zones = core.fleet.evacuated().clone();
-            match value {
-                Some(_) => {
-                    spdlog::info!("sync: zone {name} is evacuated");
-                    zones.insert(name);
-                }
-                None => {
-                    spdlog::info!("sync: zone {name} is taken back");
-                    zones.remove(&name);
-                }
-            }
-            core.fleet.evacuate(now(), zones, cold);
-        }
-        (Kind::Hosts, Some(Value::Host(record))) => core.presence.register(now(), record),
-        (Kind::Hosts, None) => core.presence.withdraw(now(), &name),
-        (kind, value) => spdlog::warn!("sync: {name} is no {kind:?}: {value:?}"),
-    }
-}
-
 /// Registers the host and learns of the others; looks again now and then.
 async fn join(host: Rc<Host>) {
     let mut client = Client::new(&host);
@@ -305,16 +295,23 @@
             if host.core.borrow().registered.is_none() {
                 register(&host, &mut client).await?;
             }
-            list(&host, &mut client, Kind::Hosts).await
+            read(&mut client, Kind::Hosts).await
         };
         match known.await {
-            Ok(_) => {
+            Ok((entries, _)) => {
+                host.core.borrow_mut().meet(now(), entries);
+                beat::send_to_all(&host).await;
+                if !host.joined.get() {
+                    tokio::time::sleep(MEET).await;
+                    host.joined.set(true);
+                }
                 pause = Pause::new();
                 tokio::time::sleep(HOSTS).await;
             }
             Err(error) => {
                 spdlog::debug!("sync: the other hosts are not known yet: {error}");
                 pause.wait(&host).await;
+                host.joined.set(true);
             }
         }
     }
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::catalog::Repeat;
 
 /// Names a target for as long as this process lives; never used twice.
@@ -15,7 +17,7 @@
 pub struct TargetKey(u32);
 
 /// A share of a route's requests that belongs to one service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     /// The service.
     pub service: Arc<str>,
@@ -24,7 +26,7 @@
 }
 
 /// Where requests of one host name and path prefix go, and on what terms.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The route's own name, for logs and metrics.
     pub name: Arc<str>,
@@ -51,7 +53,7 @@
 }
 
 /// What all targets of one service have in common.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// The path of its health check.
     pub health_path: Arc<str>,
@@ -64,7 +66,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
     /// The longest request head, in bytes.
     pub head_bytes: usize,
@@ -77,7 +79,7 @@
 }
 
 /// One configuration, complete.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Grows from each configuration to the next.
     pub version: u64,
@@ -90,7 +92,7 @@
 }
 
 /// Whether a target takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It does.
     Ready,
@@ -99,7 +101,7 @@
 }
 
 /// What a target says of itself in the platform's store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Registration {
     /// The identity of its process.
     pub id: Arc<str>,
--- a/src/port.rs
+++ b/src/port.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::{request, response, HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use serde::{Deserialize, Serialize};
 
 use crate::control::presence;
 use crate::inventory::{Config, Registration};
@@ -33,6 +34,10 @@
     pub lookup: Option<SocketAddr>,
     /// Where other hosts send their heartbeats.
     pub peers: SocketAddr,
+    /// Where other hosts ask for what this one knows of the store.
+    pub feed: SocketAddr,
+    /// Feeds of some hosts, which may be gone.
+    pub seeds: Vec<SocketAddr>,
     /// Where metrics are served.
     pub metrics: Option<SocketAddr>,
     /// The platform's store.
@@ -61,7 +66,7 @@
 }
 
 /// Kinds of objects in the platform's store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Kind {
     /// The configuration.
     Config,
@@ -74,7 +79,7 @@
 }
 
 /// One object of the store, decoded.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Value {
     /// The configuration.
     Config(Config),
@@ -87,7 +92,7 @@
 }
 
 /// An object by its name; without a value it was removed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The object's name, unique within its kind.
     pub name: Arc<str>,
