--- a/src/host/body.rs
+++ b/src/host/body.rs
@@ -36,6 +36,16 @@
     Start(Bytes, Incoming),
 }
 
+impl Part {
+    /// The length of the whole body, as far as it is known.
+    pub(crate) fn length(&self) -> u64 {
+        match self {
+            Self::Whole(bytes) => bytes.len() as u64,
+            Self::Start(start, rest) => start.len() as u64 + rest.size_hint().lower(),
+        }
+    }
+}
+
 /// A body of the given bytes.
 pub(crate) fn whole(bytes: Bytes) -> Body {
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -49,17 +49,13 @@
             incarnation: since_epoch.as_micros() as u64,
             processor: settings.processor,
         };
-        let region = settings
-            .regions
-            .get(&settings.zone)
-            .unwrap_or(&settings.zone);
         let seed = xxhash_rust::xxh3::xxh3_64_with_seed(own.host.as_bytes(), own.incarnation);
         Self {
             table: Table::new(),
             replica: Replica::new(),
             fleet: Fleet::new(
                 own.host.clone(),
-                region.clone(),
+                settings.zone.clone(),
                 settings.regions.clone(),
                 settings.bounds.cold_burst,
             ),
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -1,5 +1,6 @@
 //! One request's course: choice of a target, sending, the answer, and what follows when there is none.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,7 +20,7 @@
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
 use crate::port::{Answer, Head};
-use crate::steer::fleet::{Ask, End, Load};
+use crate::steer::fleet::{Ask, End, Refusal, Seen};
 
 /// How long a connection may take to be established: a round trip between regions and a lost
 /// first packet's worth of waiting would be longer, but another target is the better use of the time.
@@ -66,14 +67,14 @@
     host: Rc<Host>,
     target: TargetKey,
     end: End,
-    load: Option<Load>,
+    seen: Seen,
 }
 
 impl Drop for Grant {
     fn drop(&mut self) {
         let core = &mut *self.host.core.borrow_mut();
         core.fleet
-            .finish(now(), self.target, self.end, self.load, &mut core.rng);
+            .finish(now(), self.target, self.end, self.seen, &mut core.rng);
     }
 }
 
@@ -87,6 +88,7 @@
         return answer::not_run(host, "no service for this route\n");
     };
     let key = key(&exchange);
+    let bytes = body.length();
     let mut body = Some(body);
     let mut tried = Vec::new();
     let mut failed = None;
@@ -98,14 +100,19 @@
             key,
             homes: &exchange.route.homes,
             tried: &tried,
+            bytes,
+        };
+        let Ok((target, warm)) = choose(host, &ask) else {
+            break;
         };
-        let chosen = host.core.borrow_mut().fleet.choose(now(), &ask);
-        let Ok(target) = chosen else { break };
         let mut grant = Grant {
             host: host.clone(),
             target,
             end: End::Cancelled,
-            load: None,
+            seen: Seen {
+                warm,
+                ..Seen::default()
+            },
         };
         let Some(part) = repeatable(&mut body) else { break };
         let outcome = send(host, &exchange, &mut grant, part).await;
@@ -148,6 +155,14 @@
     }
 }
 
+/// Chooses a target; also tells whether it has handled the key lately.
+fn choose(host: &Host, ask: &Ask<'_>) -> Result<(TargetKey, bool), Refusal> {
+    let pool = host.pool.borrow();
+    let fleet = &mut host.core.borrow_mut().fleet;
+    let now = now();
+    fleet.choose(now, ask, |target| pool.has(target))
+}
+
 /// What requests for the same object have in common; something of its own for a request without one.
 fn key(exchange: &Exchange) -> u64 {
     let head = &exchange.head;
@@ -190,7 +205,7 @@
     let kept = host.pool.borrow_mut().take(now(), grant.target);
     let mut connection = match kept {
         Some(connection) => connection,
-        None => match client::connect(address, left.min(CONNECT)).await {
+        None => match connect(host, grant.target, address, left.min(CONNECT)).await {
             Ok(connection) => connection,
             Err(error) => {
                 spdlog::debug!("exchange: {address}: {error}");
@@ -200,6 +215,7 @@
         },
     };
     let request = outgoing(host, exchange, body, &id);
+    let sent = now();
     let exchange_end = tokio::time::timeout_at(exchange.deadline.into(), async {
         if connection.sender.ready().await.is_err() {
             return Err(None);
@@ -222,9 +238,23 @@
         }
         Err(_) => return Outcome::Late,
     };
+    grant.seen.took = Some(now().saturating_duration_since(sent));
     receive(host, exchange, grant, connection, response).await
 }
 
+async fn connect(
+    host: &Host,
+    target: TargetKey,
+    address: SocketAddr,
+    patience: Duration,
+) -> Result<Connection, client::Error> {
+    let begun = now();
+    let connection = client::connect(address, patience).await?;
+    let took = now().saturating_duration_since(begun);
+    host.core.borrow_mut().fleet.connected(target, took);
+    Ok(connection)
+}
+
 fn outgoing(host: &Host, exchange: &Exchange, body: Part, id: &HeaderValue) -> Request<Body> {
     let mut headers = passed_on(&exchange.parts.headers);
     let left = exchange.deadline.saturating_duration_since(now());
@@ -274,7 +304,7 @@
 ) -> Outcome {
     let (parts, incoming) = response.into_parts();
     let told = (host.platform.wire.answer)(&parts);
-    grant.load = told.load;
+    grant.seen.load = told.load;
     if told.misdirected {
         grant.end = End::Misdirected;
         return Outcome::NotRun;
@@ -360,7 +390,7 @@
         host: host.clone(),
         target: grant.target,
         end: End::Answered,
-        load: None,
+        seen: Seen::default(),
     };
     host.core.borrow_mut().fleet.hold(grant.target);
     let held = (connection, kept);
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -37,6 +37,11 @@
         None
     }
 
+    /// Whether there is an idle connection to `target`.
+    pub(crate) fn has(&self, target: TargetKey) -> bool {
+        self.idle.get(&target).is_some_and(|idle| !idle.is_empty())
+    }
+
     /// Keeps a connection whose last answer is complete. `idle` is what its target said of closing it.
     pub(crate) fn put(
         &mut self,
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -1,9 +1,11 @@
 //! The choice of a target for a request, among targets that answer faster for what they handled lately.
 //!
-//! Each affinity key has one target in each region, by rendezvous hashing over the targets that
-//! may serve it, so that all hosts agree without a word. A request goes to the one of its own region
-//! while that has a free slot, then to one elsewhere, then waits a little at its own, and is refused
-//! beyond that. Spreading it further would make more targets cold for its key than it relieves.
+//! Each affinity key has few targets, by rendezvous hashing over those that may serve it, so that
+//! all hosts agree without a word: the first and the second of the own region, and one elsewhere. A
+//! request goes to the one that is expected to answer first, counting the way there, a connection
+//! that is still to be opened, the queue, and whether the target handled the key lately; making a
+//! target warm for another key costs extra, since it forgets one for it. If all are full the request
+//! is refused.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -50,6 +52,10 @@
     eject: Eject,
     lapsed: Option<Instant>,
     misdirected: bool,
+    /// The time it works on a request, in seconds, and when that was last measured.
+    work: Option<(f64, Instant)>,
+    /// When this host last sent it a request for a key.
+    keys: BTreeMap<u64, Instant>,
 }
 
 impl Member {
@@ -82,6 +88,30 @@
         f64::from(self.in_flight) + others
     }
 
+    /// The time it works on a request, in seconds; what is usual if there was no answer lately.
+    fn work(&self, now: Instant, usual: f64) -> f64 {
+        self.work.map_or(usual, |(work, at)| {
+            let age = now.saturating_duration_since(at);
+            let left = (1.0 - age.as_secs_f64() / WORK_AGE.as_secs_f64()).max(0.0);
+            usual + (work - usual) * left
+        })
+    }
+
+    fn is_warm(&self, now: Instant, key: u64) -> bool {
+        let sent = self.keys.get(&key);
+        sent.is_some_and(|at| now.saturating_duration_since(*at) < WARM)
+    }
+
+    fn touch(&mut self, now: Instant, key: u64) {
+        if self.keys.len() >= KEYS && !self.keys.contains_key(&key) {
+            let oldest = self.keys.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(key, _)| *key) {
+                self.keys.remove(&oldest);
+            }
+        }
+        self.keys.insert(key, now);
+    }
+
     fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
@@ -98,6 +128,8 @@
     pub homes: &'a BTreeSet<Arc<str>>,
     /// Targets that were tried before.
     pub tried: &'a [TargetKey],
+    /// The bytes of its body.
+    pub bytes: u64,
 }
 
 /// Why no target was chosen.
@@ -126,14 +158,88 @@
     Cancelled,
 }
 
-/// How many times its slots a target of the own region may be loaded when all else is full.
+/// How many times its slots a target may be loaded: what waits behind them still has a good part
+/// of its time left when its turn comes.
 const PATIENCE: f64 = 2.0;
+/// A round trip to another region while it is not measured, in seconds.
+const UNKNOWN_WAY: f64 = 0.05;
+/// Weight of one slower sample in the measured round trip.
+const WAY_WEIGHT: f64 = 0.05;
+/// The time a target works on a request while it is not measured.
+const UNKNOWN_WORK: Work = Work {
+    warm: 0.1,
+    cold: 0.3,
+};
+/// Weight of one answer in the measured time of work.
+const WORK_WEIGHT: f64 = 0.1;
+/// Weight of one answer in the time of work that is usual for a service.
+const USUAL_WEIGHT: f64 = 0.02;
+/// After this time without an answer a target is taken to work like the others of its service.
+const WORK_AGE: Duration = Duration::from_secs(4);
+/// The bytes of a usual answer.
+const ANSWER_BYTES: u64 = 4 << 10;
+/// Seconds of waiting that a byte between availability zones is worth.
+const ZONE_PRICE: f64 = 1.0e-6;
+/// Seconds of waiting that a byte between regions is worth.
+const REGION_PRICE: f64 = 2.2e-6;
+/// Seconds of waiting that it is worth not to make a target warm for one more key.
+const FORGET: f64 = 0.15;
+/// How long after a request for a key its target is taken to be warm for it.
+const WARM: Duration = Duration::from_secs(8);
+/// Keys that are remembered of one target.
+const KEYS: usize = 96;
+
+/// The time that a target works on a request, in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    /// For an object that it handled lately.
+    warm: f64,
+    /// For another one.
+    cold: f64,
+}
+
+/// What a target is to a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// The first choice of the own region, used by all hosts there.
+    First,
+    /// The second choice of the own region.
+    Second,
+    /// The choice of all other regions.
+    Far,
+}
+
+impl Place {
+    /// Seconds by which a place has to be better than the first to be used.
+    fn reluctance(self) -> f64 {
+        match self {
+            Self::First => 0.0,
+            Self::Second | Self::Far => 0.02,
+        }
+    }
+}
+
+/// What was seen of a target while it had a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    /// The load that it told.
+    pub load: Option<Load>,
+    /// How long its answer took, on a connection that was open.
+    pub took: Option<Duration>,
+    /// Whether it had handled the key lately, as far as this host knows.
+    pub warm: bool,
+}
 
 /// All targets, as one host sees them.
 #[derive(Debug)]
 pub struct Fleet {
+    zone: Arc<str>,
     region: Arc<str>,
     regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// A round trip to each region, in seconds.
+    ways: BTreeMap<Arc<str>, f64>,
+    /// The time that targets of each service work on a request.
+    usual: BTreeMap<Arc<str>, Work>,
     keys: Keys,
     ids: BTreeMap<Arc<str>, TargetKey>,
     members: BTreeMap<TargetKey, Member>,
@@ -170,16 +276,20 @@
 }
 
 impl Fleet {
-    /// No targets yet, for the host `name` in `region`; `regions` gives the region of each
+    /// No targets yet, for the host `name` in `zone`; `regions` gives the region of each
     /// availability zone, `cold_burst` what a cold target bears at once beyond its rate.
     pub fn new(
         name: Arc<str>,
-        region: Arc<str>,
+        zone: Arc<str>,
         regions: BTreeMap<Arc<str>, Arc<str>>,
         cold_burst: f64,
     ) -> Self {
+        let region = regions.get(&zone).unwrap_or(&zone).clone();
         let own = Peer::new(&name, region.clone());
         Self {
+            zone,
+            ways: BTreeMap::new(),
+            usual: BTreeMap::new(),
             cold_rates: BTreeMap::new(),
             cold_hosts: (cold_burst as usize).max(1),
             hosts: vec![own.clone()],
@@ -242,6 +352,8 @@
             eject: Eject::new(),
             lapsed: None,
             misdirected: false,
+            work: None,
+            keys: BTreeMap::new(),
         };
         self.members.insert(key, member);
     }
@@ -312,20 +424,51 @@
     }
 
     /// Chooses a target and counts the request there until [`Fleet::finish`].
-    pub fn choose(&mut self, now: Instant, ask: &Ask<'_>) -> Result<TargetKey, Refusal> {
-        let chosen = self.pick(now, ask)?;
+    ///
+    /// `connected` tells whether there is an idle connection to a target. Also tells whether the target
+    /// handled the key lately, as far as this host knows.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        ask: &Ask<'_>,
+        connected: impl Fn(TargetKey) -> bool,
+    ) -> Result<(TargetKey, bool), Refusal> {
+        let chosen = self.pick(now, ask, connected)?;
+        let mut warm = false;
         if let Some(member) = self.members.get_mut(&chosen) {
             member.in_flight += 1;
+            warm = member.is_warm(now, ask.key);
+            member.touch(now, ask.key);
             if member.is_cold(now) {
                 member.cold_token = Some(now);
             }
         }
-        Ok(chosen)
+        Ok((chosen, warm))
+    }
+
+    fn pick(
+        &self,
+        now: Instant,
+        ask: &Ask<'_>,
+        connected: impl Fn(TargetKey) -> bool,
+    ) -> Result<TargetKey, Refusal> {
+        let candidates = self.candidates(now, ask);
+        if candidates.is_empty() {
+            return Err(Refusal::NoTarget);
+        }
+        candidates
+            .into_iter()
+            .filter(|(key, _)| self.has_room(now, *key))
+            .map(|(key, place)| (self.cost(now, key, place, ask, connected(key)), key))
+            .min_by(|(one, _), (other, _)| one.total_cmp(other))
+            .map(|(_, key)| key)
+            .ok_or(Refusal::Full)
     }
 
-    fn pick(&self, now: Instant, ask: &Ask<'_>) -> Result<TargetKey, Refusal> {
-        let mut own: Option<(u64, TargetKey)> = None;
-        let mut others: BTreeMap<&str, (u64, TargetKey)> = BTreeMap::new();
+    /// The targets that a key may use.
+    fn candidates(&self, now: Instant, ask: &Ask<'_>) -> Vec<(TargetKey, Place)> {
+        let mut near: [Option<(u64, TargetKey)>; 2] = [None; 2];
+        let mut far: Option<(f64, TargetKey)> = None;
         for key in self.services.get(ask.service).into_iter().flatten() {
             let Some(member) = self.members.get(key) else {
                 continue;
@@ -333,26 +476,90 @@
             if ask.tried.contains(key) || !self.is_open(now, member, ask) {
                 continue;
             }
-            let draw = (
-                xxh3_64_with_seed(&ask.key.to_le_bytes(), member.seed),
-                *key,
-            );
-            if member.region == self.region {
-                own = own.max(Some(draw));
-            } else {
-                let best = others.entry(&member.region).or_insert(draw);
-                *best = draw.max(*best);
+            let draw = xxh3_64_with_seed(&ask.key.to_le_bytes(), member.seed);
+            if member.region != self.region {
+                let draw = draw as f64;
+                if far.is_none_or(|(best, _)| draw > best) {
+                    far = Some((draw, *key));
+                }
+                continue;
+            }
+            let draw = Some((draw, *key));
+            if draw > near[0] {
+                near = [draw, near[0]];
+            } else if draw > near[1] {
+                near[1] = draw;
             }
         }
-        let own = own.map(|(_, key)| key);
-        let other = others.values().max().map(|(_, key)| *key);
-        if own.is_none() && other.is_none() {
-            return Err(Refusal::NoTarget);
+        let first = near[0].map(|(_, key)| (key, Place::First));
+        let second = near[1].map(|(_, key)| (key, Place::Second));
+        let far = far.map(|(_, key)| (key, Place::Far));
+        first.into_iter().chain(second).chain(far).collect()
+    }
+
+    /// The time in seconds until an answer of a target is expected, and what its way costs.
+    fn cost(
+        &self,
+        now: Instant,
+        key: TargetKey,
+        place: Place,
+        ask: &Ask<'_>,
+        connected: bool,
+    ) -> f64 {
+        let Some(member) = self.members.get(&key) else {
+            return f64::INFINITY;
+        };
+        let way = self.way(member);
+        let opening = if connected { 0.0 } else { way };
+        let usual = self.usual(ask.service);
+        let warm = place == Place::First || member.is_warm(now, ask.key);
+        let work = if warm { usual.warm } else { usual.cold + FORGET };
+        let queue = member.work(now, usual.warm);
+        let slots = f64::from(member.registration.slots.max(1));
+        let wait = queue * (member.load(now) + 1.0 - slots).max(0.0) / slots;
+        let bytes = (ask.bytes + ANSWER_BYTES) as f64 * self.price(member);
+        way + opening + work + wait + bytes + place.reluctance()
+    }
+
+    /// Seconds of waiting that a byte to a target and back is worth: links between availability zones
+    /// and more so between regions are limited and paid for.
+    fn price(&self, member: &Member) -> f64 {
+        if member.registration.zone == self.zone {
+            0.0
+        } else if member.region == self.region {
+            ZONE_PRICE
+        } else {
+            REGION_PRICE
         }
-        [(own, 1.0), (other, 1.0), (own, PATIENCE), (other, PATIENCE)]
-            .into_iter()
-            .find_map(|(key, times)| key.filter(|key| self.has_room(now, *key, times)))
-            .ok_or(Refusal::Full)
+    }
+
+    /// A round trip to a target, in seconds.
+    fn way(&self, member: &Member) -> f64 {
+        let measured = self.ways.get(&member.region).copied();
+        measured.unwrap_or(if member.region == self.region {
+            0.0
+        } else {
+            UNKNOWN_WAY
+        })
+    }
+
+    fn usual(&self, service: &str) -> Work {
+        self.usual.get(service).copied().unwrap_or(UNKNOWN_WORK)
+    }
+
+    /// Takes in how long it took to connect to a target: a round trip.
+    pub fn connected(&mut self, key: TargetKey, took: Duration) {
+        let Some(member) = self.members.get(&key) else {
+            return;
+        };
+        let took = took.as_secs_f64();
+        let way = self.ways.entry(member.region.clone()).or_insert(took);
+        // Waiting to be accepted adds to it, nothing takes from it.
+        *way = if took < *way {
+            took
+        } else {
+            *way + (took - *way) * WAY_WEIGHT
+        };
     }
 
     /// Whether a target may get new requests at all.
@@ -390,9 +597,9 @@
         }
     }
 
-    fn has_room(&self, now: Instant, key: TargetKey, times: f64) -> bool {
+    fn has_room(&self, now: Instant, key: TargetKey) -> bool {
         self.members.get(&key).is_some_and(|member| {
-            member.load(now) < f64::from(member.registration.slots) * times
+            member.load(now) < f64::from(member.registration.slots) * PATIENCE
         })
     }
 
@@ -409,15 +616,37 @@
         })
     }
 
+    /// Takes in how long an answer took. What it waited for a slot is in it too, so a target that
+    /// is busier than it says looks slow.
+    fn worked(&mut self, now: Instant, key: TargetKey, took: Duration, warm: bool) {
+        let Some(member) = self.members.get(&key) else {
+            return;
+        };
+        let work = (took.as_secs_f64() - self.way(member)).max(0.0);
+        let service = member.registration.service.clone();
+        let usual = self.usual.entry(service).or_insert(UNKNOWN_WORK);
+        let kind = if warm { &mut usual.warm } else { &mut usual.cold };
+        *kind += (work - *kind) * USUAL_WEIGHT;
+        let usual = usual.warm;
+        if let Some(member) = self.members.get_mut(&key).filter(|_| warm) {
+            let before = member.work(now, usual);
+            member.work = Some((before + (work - before) * WORK_WEIGHT, now));
+        }
+    }
+
     /// Takes in how a request ended.
     pub fn finish(
         &mut self,
         now: Instant,
         key: TargetKey,
         end: End,
-        load: Option<Load>,
+        seen: Seen,
         rng: &mut impl Rng,
     ) {
+        if let (End::Answered, Some(took)) = (end, seen.took) {
+            self.worked(now, key, took, seen.warm);
+        }
+        let load = seen.load;
         let Some(member) = self.members.get_mut(&key) else {
             return;
         };
