Check that the store answers, and ask targets whether they are cold while it does not

Now each watcher makes a cheap check every 0.8 s; while any host has lost the store, one host asks each target every 0.25 s and tells the others by datagram. Ruled out: a cap on each target's rate while the store is away (it would halve the capacity).

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -279,11 +279,13 @@
         before.count() < WATCHERS
     }
 
-    /// The host to follow: the one that sees most, of those the nearest.
+    /// The host to follow: the one that sees most, of those the nearest. One that has lost the store
+    /// like this one has nothing to tell.
     pub fn source(&self, now: Instant) -> Option<(&Record, Sight)> {
+        let least = self.sight.min(Sight::Stale);
         self.present(now)
             .filter_map(|peer| Some((peer, peer.sight?)))
-            .filter(|(_, sight)| *sight > Sight::Nothing)
+            .filter(|(_, sight)| *sight > least)
             .max_by_key(|(peer, sight)| {
                 let near = *self.region(&peer.record) == self.region;
                 (*sight, near, rank(&peer.record))
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -91,6 +91,7 @@
             (Some(_), Some(known)) if update.to == known => return Effect::Old,
             _ => {}
         }
+        let advanced = known != Some(update.to);
         let shelf = self.shelves.entry(update.kind).or_default();
         shelf.revision = update.to;
         let mut changed = Vec::new();
@@ -102,6 +103,10 @@
                 changed.push(entry.clone());
             }
         }
+        if changed.is_empty() && !advanced {
+            // Otherwise two hosts that follow each other would tell each other the same for ever.
+            return Effect::Old;
+        }
         Effect::Changed(changed)
     }
 
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -1,17 +1,31 @@
-//! Heartbeats between hosts, as datagrams: a lost one is not worth sending again.
+//! Heartbeats and notes between hosts, as datagrams: a lost one is not worth sending again.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::control::presence::{Beat, INTERVAL};
 
 use super::{now, Error, Host};
 
-/// The longest heartbeat that is read, in bytes.
+/// The longest datagram that is read, in bytes.
 const LONGEST: usize = 512;
 
+/// What is sent.
+#[derive(Serialize, Deserialize)]
+enum Datagram {
+    /// The sender is alive.
+    #[serde(rename = "b")]
+    Beat(Beat),
+    /// A target is cold for some milliseconds.
+    #[serde(rename = "c")]
+    Cold(Arc<str>, u64),
+}
+
 /// Sends and takes heartbeats from now on.
 pub(crate) async fn start(host: &Rc<Host>) -> Result<(), Error> {
     let address = host.settings.peers;
@@ -34,7 +48,7 @@
             core.tick(now());
             core.presence.next_beat()
         };
-        send(&host, &peers).await;
+        beat(&host, &peers).await;
     }
 }
 
@@ -44,17 +58,31 @@
         let core = host.core.borrow();
         core.presence.peers().map(|peer| peer.peers).collect()
     };
-    send(host, &peers).await;
+    beat(host, &peers).await;
+}
+
+/// Tells all hosts that a target is cold.
+pub(crate) async fn tell_cold(host: &Host, id: &Arc<str>, left: Duration) {
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let peers: Vec<_> = {
+        let core = host.core.borrow();
+        core.presence.peers().map(|peer| peer.peers).collect()
+    };
+    send(host, &Datagram::Cold(id.clone(), left), &peers).await;
 }
 
-async fn send(host: &Host, peers: &[SocketAddr]) {
+async fn beat(host: &Host, peers: &[SocketAddr]) {
+    let beat = host.core.borrow().presence.beat();
+    send(host, &Datagram::Beat(beat), peers).await;
+}
+
+async fn send(host: &Host, datagram: &Datagram, peers: &[SocketAddr]) {
     let Some(socket) = host.beats.borrow().clone() else {
         return;
     };
-    let beat = host.core.borrow().presence.beat();
     let mut bytes = Vec::new();
-    if let Err(error) = ciborium::into_writer(&beat, &mut bytes) {
-        spdlog::error!("beat: cannot write a heartbeat: {error}");
+    if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
+        spdlog::error!("beat: cannot write a datagram: {error}");
         return;
     }
     for peer in peers {
@@ -74,16 +102,22 @@
                 continue;
             }
         };
-        match ciborium::from_reader::<Beat, _>(&bytes[..length]) {
-            Ok(beat) => {
-                let peer = beat.record.peers;
-                let is_new = host.core.borrow_mut().presence.hear(now(), beat);
-                if is_new {
-                    // A host that has just started waits to hear from the others.
-                    send(&host, &[peer]).await;
-                }
+        match ciborium::from_reader(&bytes[..length]) {
+            Ok(Datagram::Beat(beat)) => take(&host, beat).await,
+            Ok(Datagram::Cold(id, left)) => {
+                let left = Duration::from_millis(left);
+                host.core.borrow_mut().fleet.chill(now(), &id, left);
             }
             Err(error) => spdlog::warn!("beat: {sender} sent something else: {error}"),
         }
     }
 }
+
+async fn take(host: &Host, received: Beat) {
+    let peer = received.record.peers;
+    let is_new = host.core.borrow_mut().presence.hear(now(), received);
+    if is_new {
+        // A host that has just started waits to hear from the others.
+        beat(host, &[peer]).await;
+    }
+}
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::header::CONNECTION;
+use http::response;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -78,3 +80,22 @@
         task: task.abort_handle(),
     })
 }
+
+/// Whether a target closes the connection after its answer.
+pub(crate) fn closes(parts: &response::Parts) -> bool {
+    let mut values = parts.headers.get_all(CONNECTION).iter();
+    values.any(|value| {
+        value
+            .to_str()
+            .is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
+    })
+}
+
+/// After what time a target closes an idle connection, if it says so.
+pub(crate) fn idle_time(parts: &response::Parts) -> Option<Duration> {
+    let value = parts.headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -321,9 +321,9 @@
         grant.end = if late { End::Cancelled } else { End::Broken };
         return if late { Outcome::Late } else { Outcome::Unknown };
     };
-    if !closes(&parts) {
+    if !client::closes(&parts) {
         let mut pool = host.pool.borrow_mut();
-        pool.put(now(), grant.target, connection, idle_time(&parts));
+        pool.put(now(), grant.target, connection, client::idle_time(&parts));
     }
     verdict(exchange, grant, &told, parts, bytes)
 }
@@ -404,22 +404,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-/// Whether a target closes the connection after its answer.
-fn closes(parts: &response::Parts) -> bool {
-    let mut values = parts.headers.get_all(CONNECTION).iter();
-    values.any(|value| {
-        value
-            .to_str()
-            .is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
-    })
-}
-
-/// After what time a target closes an idle connection, if it says so.
-fn idle_time(parts: &response::Parts) -> Option<Duration> {
-    let value = parts.headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value
-        .split(',')
-        .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -15,6 +15,7 @@
 mod log;
 mod lookup;
 mod pool;
+mod probe;
 mod serve;
 mod stop;
 mod store;
@@ -102,6 +103,7 @@
     feed::listen(&host).await?;
     beat::start(&host).await?;
     sync::start(&host);
+    tokio::task::spawn_local(probe::run(host.clone()));
     spdlog::info!(
         "host: {} listens on {}",
         host.settings.host,
--- /dev/null
+++ b/src/host/probe.rs
@@ -0,0 +1,110 @@
+//! Asking targets whether they are cold, while the store can't tell.
+//!
+//! A cold target that gets its usual requests crashes. It says that it is cold in the store, and in
+//! its health answers; so while some host has lost the store, one host asks each target and tells
+//! the others.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, Uri};
+use http_body_util::BodyExt;
+
+use super::{beat, body, client, now, Host};
+use crate::inventory::TargetKey;
+
+/// Time between two questions to a target: what it gets meanwhile and what is on its way has to
+/// stay below what a cold target bears in a second.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// How long a target may take to answer.
+const PATIENCE: Duration = Duration::from_millis(600);
+
+/// A target to ask.
+struct Question {
+    target: TargetKey,
+    id: Arc<str>,
+    address: SocketAddr,
+    path: Arc<str>,
+}
+
+/// Asks targets from now on, when there is need.
+pub(crate) async fn run(host: Rc<Host>) {
+    let mut interval = tokio::time::interval(INTERVAL);
+    loop {
+        interval.tick().await;
+        for question in questions(&host) {
+            tokio::task::spawn_local(ask(host.clone(), question));
+        }
+    }
+}
+
+fn questions(host: &Host) -> Vec<Question> {
+    let core = host.core.borrow();
+    if !core.presence.is_store_doubtful(now()) {
+        return Vec::new();
+    }
+    let questions = core.fleet.charges().filter_map(|(target, member)| {
+        let service = core.table.service(member.service())?;
+        Some(Question {
+            target,
+            id: member.id().clone(),
+            address: member.address(),
+            path: service.health_path.clone(),
+        })
+    });
+    questions.collect()
+}
+
+async fn ask(host: Rc<Host>, question: Question) {
+    let answer = tokio::time::timeout(PATIENCE, exchange(&host, &question)).await;
+    let cold = match answer {
+        Ok(Ok(cold)) => cold,
+        Ok(Err(error)) => {
+            spdlog::debug!("probe: {}: {error}", question.id);
+            return;
+        }
+        Err(_) => {
+            spdlog::debug!("probe: {}: no answer in time", question.id);
+            return;
+        }
+    };
+    let Some(left) = cold.filter(|left| !left.is_zero()) else {
+        return;
+    };
+    if host.core.borrow_mut().fleet.chill(now(), &question.id, left) {
+        spdlog::info!("probe: target {} is cold for {left:?}", question.id);
+    }
+    beat::tell_cold(&host, &question.id, left).await;
+}
+
+/// Asks a target; gives how much longer it is cold.
+async fn exchange(host: &Host, question: &Question) -> Result<Option<Duration>, client::Error> {
+    let kept = host.pool.borrow_mut().take(now(), question.target);
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => client::connect(question.address, PATIENCE).await?,
+    };
+    let mut request = Request::new(body::whole(Bytes::new()));
+    if let Ok(path) = question.path.parse::<Uri>() {
+        *request.uri_mut() = path;
+    }
+    if let Ok(name) = HeaderValue::from_str(&question.address.to_string()) {
+        request.headers_mut().insert(HOST, name);
+    }
+    connection.sender.ready().await?;
+    let response = connection.sender.send_request(request).await?;
+    let (parts, incoming) = response.into_parts();
+    let health = (host.platform.wire.health)(&parts);
+    incoming.collect().await?;
+    if !client::closes(&parts) {
+        let idle = client::idle_time(&parts);
+        let mut pool = host.pool.borrow_mut();
+        pool.put(now(), question.target, connection, idle);
+    }
+    let same = health.target.is_none_or(|target| target == question.id);
+    Ok(health.cold_left.filter(|_| same))
+}
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,8 +17,9 @@
 use crate::port::{Call, Entry, Kind, Reply};
 
 /// How long a watch waits for a change: somewhat less than the history that the store keeps, so that
-/// a watch that is cut can mostly be taken up again.
-const WAIT: Duration = Duration::from_secs(15);
+/// a watch that is cut can mostly be taken up again. It varies, so that of all watches one is
+/// renewed every second or so, and a store that is away is noticed.
+const WAIT: Range<f64> = 9.0..15.0;
 /// How often the registrations of hosts are read again, to find hosts whose heartbeats are lost.
 const HOSTS: Duration = Duration::from_secs(30);
 /// Pause after changes, in which more of them gather: each call to the store has its price.
@@ -33,6 +35,10 @@
 /// trips within a region.
 const MEET: Duration = Duration::from_millis(40);
 
+/// Time between two checks that the store still answers. A store that is away may leave watches
+/// waiting, so that they don't show it.
+const CHECK: Duration = Duration::from_millis(800);
+
 /// Pauses that grow from failure to failure.
 struct Pause {
     next: Duration,
@@ -55,6 +61,7 @@
 pub(crate) struct Watching {
     seen: Cell<u8>,
     lost: Cell<u8>,
+    silent: Cell<bool>,
 }
 
 impl Watching {
@@ -75,11 +82,12 @@
     fn clear(&self) {
         self.seen.set(0);
         self.lost.set(0);
+        self.silent.set(false);
     }
 
     fn is_complete(&self) -> bool {
         let all = KINDS.iter().fold(0, |bits, kind| bits | Self::bit(*kind));
-        self.seen.get() & all == all && self.lost.get() == 0
+        self.seen.get() & all == all && self.lost.get() == 0 && !self.silent.get()
     }
 }
 
@@ -111,6 +119,7 @@
                 .iter()
                 .map(|kind| tokio::task::spawn_local(watch_kind(host.clone(), *kind)).abort_handle())
                 .collect();
+            watchers.push(tokio::task::spawn_local(check(host.clone())).abort_handle());
         }
         if !watch && !watchers.is_empty() {
             spdlog::info!("sync: leaving the store to others");
@@ -184,6 +193,22 @@
     }
 }
 
+/// Checks for ever that the store answers.
+async fn check(host: Rc<Host>) {
+    let mut client = Client::new(&host);
+    loop {
+        tokio::time::sleep(CHECK).await;
+        let result = client.call(&Call::Check).await;
+        let silent = result.is_err();
+        if host.watching.silent.replace(silent) != silent {
+            match result {
+                Ok(_) => spdlog::info!("sync: the store answers again"),
+                Err(error) => spdlog::warn!("sync: the store does not answer: {error}"),
+            }
+        }
+    }
+}
+
 /// Lists and watches one kind for ever.
 async fn watch_kind(host: Rc<Host>, kind: Kind) {
     let mut client = Client::new(&host);
@@ -261,10 +286,11 @@
     revision: u64,
     lost: bool,
 ) -> Result<bool, Error> {
+    let wait = host.core.borrow_mut().rng.random_range(WAIT);
     let call = Call::Watch {
         kind,
         revision,
-        wait: WAIT,
+        wait: Duration::from_secs_f64(wait),
     };
     match client.call(&call).await? {
         Reply::Changes { entries, revision: to } => {
--- a/src/port.rs
+++ b/src/port.rs
@@ -121,6 +121,8 @@
         /// How long the store may wait for a change.
         wait: Duration,
     },
+    /// Something small and cheap that may be old: only whether there is an answer counts.
+    Check,
     /// Registers an entry host that is not registered yet.
     Create(presence::Record),
     /// Replaces the registration of an entry host, if it still has the given version.
@@ -213,6 +215,15 @@
     pub load: Option<Load>,
 }
 
+/// What a target's health answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Health {
+    /// The identity of its process.
+    pub target: Option<Arc<str>>,
+    /// How much longer it is cold.
+    pub cold_left: Option<Duration>,
+}
+
 /// What callers and targets are told in headers.
 #[derive(Clone, Copy, Debug)]
 pub struct Wire {
@@ -220,6 +231,8 @@
     pub head: fn(&request::Parts) -> Head,
     /// Reads the head of a target's answer.
     pub answer: fn(&response::Parts) -> Answer,
+    /// Reads the head of a target's health answer.
+    pub health: fn(&response::Parts) -> Health,
     /// Adds what a target has to know: the time left, and which process is meant.
     pub address: fn(&mut HeaderMap, Duration, &HeaderValue),
     /// Adds when a refused caller may come back.
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -143,6 +143,9 @@
 /// How many times its slots a target may be loaded: what waits behind them still has a good part
 /// of its time left when its turn comes.
 const PATIENCE: f64 = 2.0;
+/// How long a target gets nothing after it was found to be cold: the span over which requests to a
+/// cold target are counted.
+const CHILL: Duration = Duration::from_secs(1);
 /// A round trip to another region while it is not measured, in seconds.
 const UNKNOWN_WAY: f64 = 0.05;
 /// Weight of one slower sample in the measured round trip.
@@ -315,6 +318,31 @@
         }
     }
 
+    /// Takes in that a target is cold, as it says itself; tells whether that is news. It gets nothing
+    /// for a while at first, since it may just have had its usual requests.
+    pub fn chill(&mut self, now: Instant, id: &str, left: Duration) -> bool {
+        let key = self.ids.get(id);
+        let Some(member) = key.and_then(|key| self.members.get_mut(key)) else {
+            return false;
+        };
+        let is_news = !member.is_cold(now);
+        if is_news {
+            member.cold_token = Some(now + CHILL);
+        }
+        member.cold_until = Some(now + left);
+        is_news
+    }
+
+    /// The targets that this host looks after: those for which it comes first among the hosts that
+    /// are alive.
+    pub fn charges(&self) -> impl Iterator<Item = (TargetKey, &Member)> {
+        self.members.iter().filter_map(|(key, member)| {
+            let own = self.own.rank(member);
+            let first = self.hosts.iter().all(|host| host.rank(member) <= own);
+            first.then_some((*key, member))
+        })
+    }
+
     /// Keeps a target whose registration ran out while the store was away; it is forgotten at
     /// `until` unless it registers again.
     pub fn lapse(&mut self, id: &str, until: Instant) {
