--- /dev/null
+++ b/tests/affinity.rs
@@ -0,0 +1,378 @@
+//! The choice of a target by affinity, load and distance.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use ragwortfold::inventory::{Registration, State, TargetKey};
+use ragwortfold::steer::fleet::{Ask, End, Fleet, Load, Refusal, Seen};
+
+mod property;
+
+const SLOTS: u32 = 4;
+const RATE: f64 = 7.0;
+const BURST: f64 = 5.0;
+
+/// A fleet as one host sees it, at a time of the test's own.
+struct World {
+    fleet: Fleet,
+    now: Instant,
+    rng: Pcg64Mcg,
+    homes: BTreeSet<Arc<str>>,
+}
+
+fn regions() -> BTreeMap<Arc<str>, Arc<str>> {
+    [("n-a", "n"), ("n-b", "n"), ("s-a", "s")]
+        .map(|(zone, region)| (zone.into(), region.into()))
+        .into()
+}
+
+fn registration(id: &str, zone: &str) -> Registration {
+    Registration {
+        id: id.into(),
+        service: "books".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.into(),
+        slots: SLOTS,
+        state: State::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
+impl World {
+    fn new(host: &str, zone: &str) -> Self {
+        let mut fleet = Fleet::new(host.into(), zone.into(), regions(), BURST);
+        fleet.set_cold_rate("books".into(), RATE);
+        Self {
+            fleet,
+            now: Instant::now(),
+            rng: Pcg64Mcg::seed_from_u64(1),
+            homes: BTreeSet::new(),
+        }
+    }
+
+    /// Three targets in each region.
+    fn with_targets(host: &str, zone: &str) -> Self {
+        let mut world = Self::new(host, zone);
+        for (id, zone) in [
+            ("t1", "n-a"),
+            ("t2", "n-a"),
+            ("t3", "n-b"),
+            ("t4", "s-a"),
+            ("t5", "s-a"),
+            ("t6", "s-a"),
+        ] {
+            world.fleet.register(world.now, registration(id, zone));
+        }
+        world
+    }
+
+    fn choose(&mut self, key: u64, tried: &[TargetKey]) -> Result<TargetKey, Refusal> {
+        let ask = Ask {
+            service: "books",
+            key,
+            homes: &self.homes,
+            tried,
+            bytes: 0,
+        };
+        self.fleet.choose(self.now, &ask, |_| true)
+    }
+
+    fn id(&self, target: TargetKey) -> Arc<str> {
+        self.fleet.member(target).unwrap().id().clone()
+    }
+
+    fn chosen(&mut self, key: u64) -> Option<Arc<str>> {
+        let target = self.choose(key, &[]).ok()?;
+        let id = self.id(target);
+        self.finish(target, End::Cancelled, None);
+        Some(id)
+    }
+
+    fn finish(&mut self, target: TargetKey, end: End, load: Option<Load>) {
+        let seen = Seen { load, took: None };
+        self.fleet
+            .finish(self.now, target, end, seen, &mut self.rng);
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+}
+
+#[test]
+fn hosts_of_a_region_agree_without_a_word() {
+    let mut one = World::with_targets("h1", "n-a");
+    let mut other = World::with_targets("h2", "n-b");
+    for key in 0..200 {
+        let chosen = one.chosen(key);
+        assert!(chosen.is_some());
+        assert_eq!(chosen, other.chosen(key));
+    }
+}
+
+#[test]
+fn a_key_stays_in_its_region_while_that_has_room() {
+    let mut world = World::with_targets("h1", "n-a");
+    for key in 0..200 {
+        let target = world.choose(key, &[]).unwrap();
+        assert_eq!(&**world.fleet.member(target).unwrap().region(), "n");
+        world.finish(target, End::Answered, None);
+    }
+}
+
+#[test]
+fn keys_spread_over_the_targets_of_a_region() {
+    let mut world = World::with_targets("h1", "n-a");
+    let mut counts = BTreeMap::new();
+    for key in 0..3000 {
+        *counts.entry(world.chosen(key).unwrap()).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 3);
+    assert!(counts.values().all(|count| (800..1200).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn a_key_uses_two_targets_and_is_refused_beyond() {
+    let mut world = World::with_targets("h1", "n-a");
+    let mut used = BTreeSet::new();
+    let mut sent = 0;
+    let refusal = loop {
+        match world.choose(7, &[]) {
+            Ok(target) => used.insert(world.id(target)),
+            Err(refusal) => break refusal,
+        };
+        sent += 1;
+    };
+    assert_eq!(refusal, Refusal::Full);
+    assert_eq!(used.len(), 2);
+    assert_eq!(sent, 2 * 2 * SLOTS);
+}
+
+#[test]
+fn a_reported_load_counts_for_a_second() {
+    let mut world = World::with_targets("h1", "n-a");
+    let near = world.choose(7, &[]).unwrap();
+    let load = Load {
+        running: SLOTS,
+        waiting: 3 * SLOTS,
+        slots: SLOTS,
+    };
+    world.finish(near, End::Answered, Some(load));
+    let far = world.choose(7, &[]).unwrap();
+    assert_ne!(near, far);
+    world.finish(far, End::Cancelled, None);
+    world.pass(Duration::from_millis(1100));
+    assert_eq!(world.choose(7, &[]), Ok(near));
+}
+
+#[test]
+fn a_far_target_is_not_worth_opening_a_connection_for_a_short_queue() {
+    let mut world = World::with_targets("h1", "n-a");
+    let near = world.choose(7, &[]).unwrap();
+    for _ in 1..SLOTS {
+        assert_eq!(world.choose(7, &[]), Ok(near));
+    }
+    let ask = Ask {
+        service: "books",
+        key: 7,
+        homes: &BTreeSet::new(),
+        tried: &[],
+        bytes: 0,
+    };
+    let unconnected = world.fleet.choose(world.now, &ask, |target| target == near);
+    assert_eq!(unconnected, Ok(near));
+}
+
+#[test]
+fn homes_bind() {
+    let mut world = World::with_targets("h1", "n-a");
+    world.homes = ["s".into()].into();
+    for key in 0..100 {
+        let target = world.choose(key, &[]).unwrap();
+        assert_eq!(&**world.fleet.member(target).unwrap().region(), "s");
+        world.finish(target, End::Cancelled, None);
+    }
+    world.homes = ["elsewhere".into()].into();
+    assert_eq!(world.choose(1, &[]), Err(Refusal::NoTarget));
+}
+
+/// A target that gets nothing new, by what made it so.
+macro_rules! closed {
+    ($($name:ident: $close:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut world = World::with_targets("h1", "n-a");
+            let target = world.choose(7, &[]).unwrap();
+            world.finish(target, End::Cancelled, None);
+            let id = world.id(target);
+            let close: fn(&mut World, TargetKey, &str) = $close;
+            close(&mut world, target, &id);
+            assert_ne!(world.chosen(7), Some(id));
+        }
+    )*};
+}
+
+closed! {
+    a_draining_target_is_left: |world, _, id| {
+        let mut registration = registration(id, "n-a");
+        registration.state = State::Draining;
+        world.fleet.register(world.now, registration);
+    };
+    a_target_that_is_gone_is_left: |world, _, id| world.fleet.withdraw(id);
+    a_target_that_did_not_return_is_left: |world, _, id| {
+        world.fleet.lapse(id, world.now + Duration::from_secs(2));
+        world.pass(Duration::from_secs(2));
+        assert_eq!(world.fleet.expire(world.now).len(), 1);
+    };
+    an_evacuated_zone_is_left: |world, _, _| {
+        let zones = [Arc::from("n-a"), Arc::from("n-b")].into();
+        world.fleet.evacuate(world.now, zones, Duration::from_secs(3));
+    };
+    a_target_whose_address_another_has_is_left: |world, target, _| {
+        world.finish(target, End::Misdirected, None);
+    };
+    a_target_that_breaks_off_three_times_is_left: |world, target, _| {
+        for _ in 0..3 {
+            world.finish(target, End::Broken, None);
+        }
+    };
+    a_target_that_was_tried_is_left: |world, target, id| {
+        let again = world.choose(7, &[target]).unwrap();
+        assert_ne!(&*world.id(again), id);
+        world.fleet.withdraw(id);
+    };
+}
+
+#[test]
+fn a_target_that_registers_again_in_time_is_kept() {
+    let mut world = World::with_targets("h1", "n-a");
+    let id = world.chosen(7).unwrap();
+    world.fleet.lapse(&id, world.now + Duration::from_secs(2));
+    assert_eq!(world.chosen(7).as_ref(), Some(&id));
+    world.pass(Duration::from_secs(1));
+    world.fleet.register(world.now, registration(&id, "n-a"));
+    world.pass(Duration::from_secs(5));
+    assert!(world.fleet.expire(world.now).is_empty());
+    assert_eq!(world.chosen(7), Some(id));
+}
+
+/// Requests that `hosts` hosts together send to one cold target within any second, each asking as
+/// often as it can.
+fn cold_sum(hosts: usize, chill: bool) -> usize {
+    let names: Vec<(Arc<str>, Arc<str>)> = (0..hosts)
+        .map(|host| (format!("h{host}").into(), Arc::from("n")))
+        .collect();
+    let mut worlds: Vec<World> = names
+        .iter()
+        .map(|(name, _)| {
+            let mut world = World::new(name, "n-a");
+            let mut cold = registration("t", "n-b");
+            if !chill {
+                cold.cold_left = Duration::from_secs(9);
+            }
+            world.fleet.register(world.now, cold);
+            world.fleet.set_hosts(names.clone());
+            if chill {
+                world.fleet.chill(world.now, "t", Duration::from_secs(9));
+            }
+            world
+        })
+        .collect();
+    let mut sent = Vec::new();
+    for ms in (0..5000u64).step_by(5) {
+        for world in &mut worlds {
+            if let Ok(target) = world.choose(1, &[]) {
+                world.finish(target, End::Cancelled, None);
+                sent.push(ms);
+            }
+            world.pass(Duration::from_millis(5));
+        }
+    }
+    sent.iter()
+        .map(|begin| sent.iter().filter(|ms| (*begin..*begin + 1000).contains(*ms)).count())
+        .max()
+        .unwrap_or(0)
+}
+
+macro_rules! cold {
+    ($($name:ident: $hosts:expr, $chill:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let sum = cold_sum($hosts, $chill);
+            assert!(sum > 0, "a cold target warms up by use");
+            assert!(sum as f64 <= RATE * 1.5 + BURST, "{sum}");
+        }
+    )*};
+}
+
+cold! {
+    one_host_keeps_to_the_rate_of_a_cold_target: 1, false;
+    twelve_hosts_keep_to_the_rate_of_a_cold_target: 12, false;
+    sixty_hosts_keep_to_the_rate_of_a_cold_target: 60, false;
+    twelve_hosts_keep_to_the_rate_of_a_target_found_cold: 12, true;
+}
+
+#[test]
+fn a_zone_that_is_taken_back_is_cold() {
+    let mut world = World::new("h1", "n-a");
+    world.fleet.register(world.now, registration("t", "n-a"));
+    let zones = BTreeSet::from([Arc::from("n-a")]);
+    world.fleet.evacuate(world.now, zones, Duration::from_secs(3));
+    world.fleet.evacuate(world.now, BTreeSet::new(), Duration::from_secs(3));
+    let first = world.choose(1, &[]).unwrap();
+    world.finish(first, End::Answered, None);
+    assert_eq!(world.choose(1, &[]), Err(Refusal::NoTarget));
+    world.pass(Duration::from_secs(3));
+    assert!(world.choose(1, &[]).is_ok());
+}
+
+#[test]
+fn one_host_looks_after_each_target() {
+    let names: Vec<(Arc<str>, Arc<str>)> = [("h1", "n"), ("h2", "n"), ("h3", "s")]
+        .map(|(name, region)| (name.into(), region.into()))
+        .into();
+    let mut all = Vec::new();
+    for (host, zone) in [("h1", "n-a"), ("h2", "n-b"), ("h3", "s-a")] {
+        let mut world = World::with_targets(host, zone);
+        world.fleet.set_hosts(names.clone());
+        all.extend(world.fleet.charges().map(|(_, member)| member.id().clone()));
+    }
+    all.sort();
+    let expected: Vec<Arc<str>> = ["t1", "t2", "t3", "t4", "t5", "t6"].map(Arc::from).into();
+    assert_eq!(all, expected);
+}
+
+#[test]
+fn what_is_counted_at_a_target_is_returned() {
+    let steps = prop::collection::vec((0u64..50, any::<bool>()), 1..200);
+    property::run(11, 64, steps, |steps| {
+        let mut world = World::with_targets("h1", "n-a");
+        let mut open = Vec::new();
+        for (key, end) in steps {
+            if let Ok(target) = world.choose(key, &[]) {
+                open.push(target);
+            }
+            if end {
+                if let Some(target) = open.pop() {
+                    world.finish(target, End::Answered, None);
+                }
+            }
+        }
+        for target in open {
+            world.finish(target, End::Answered, None);
+        }
+        // With everything returned, one key has its full room again.
+        let mut sent = 0;
+        while world.choose(3, &[]).is_ok() {
+            sent += 1;
+        }
+        prop_assert_eq!(sent, 2 * 2 * SLOTS);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/presence.rs
@@ -0,0 +1,201 @@
+//! Which hosts are alive, and which of them watch the store.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ragwortfold::control::presence::{Beat, Presence, Record, Sight, FAR, FORGET, INTERVAL};
+
+fn regions() -> BTreeMap<Arc<str>, Arc<str>> {
+    [("n-a", "n"), ("n-b", "n"), ("s-a", "s")]
+        .map(|(zone, region)| (zone.into(), region.into()))
+        .into()
+}
+
+fn record(host: &str, zone: &str, incarnation: u64) -> Record {
+    Record {
+        host: host.into(),
+        zone: zone.into(),
+        front: "127.0.0.1:1".parse().unwrap(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        feed: "127.0.0.1:3".parse().unwrap(),
+        incarnation,
+        processor: 0.2,
+    }
+}
+
+fn beat(record: Record, sight: Sight) -> Beat {
+    Beat {
+        record,
+        leaving: false,
+        sight,
+    }
+}
+
+fn names<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<&'a str> {
+    records.map(|record| &*record.host).collect()
+}
+
+/// A host `h0` in zone `n-a` that has heard of others at a time of the test's own.
+fn presence(now: Instant, others: &[(&str, &str)]) -> Presence {
+    let mut presence = Presence::new(now, record("h0", "n-a", 1), regions());
+    presence.see(Sight::Store);
+    for (host, zone) in others {
+        presence.hear(now, beat(record(host, zone, 1), Sight::Relayed));
+    }
+    presence
+}
+
+#[test]
+fn a_host_that_falls_silent_is_dead_in_time() {
+    let start = Instant::now();
+    let presence = presence(start, &[("h1", "n-b"), ("h2", "s-a")]);
+    let after = |time: Duration| names(presence.serving(start + time));
+    assert_eq!(after(INTERVAL * 3), ["h0", "h1", "h2"]);
+    assert_eq!(after(INTERVAL * 4), ["h0", "h2"]);
+    assert_eq!(after(INTERVAL * 4 * FAR as u32), ["h0"]);
+    assert!(names(presence.dead(start + FORGET)).contains(&"h1"));
+}
+
+#[test]
+fn a_host_that_leaves_is_not_named() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[("h1", "n-b")]);
+    let mut last = beat(record("h1", "n-b", 1), Sight::Store);
+    last.leaving = true;
+    presence.hear(now, last);
+    assert_eq!(names(presence.serving(now)), ["h0"]);
+    presence.leave();
+    assert!(names(presence.serving(now)).is_empty());
+}
+
+#[test]
+fn a_host_without_a_configuration_is_alive_but_not_named() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    presence.hear(now, beat(record("h1", "n-b", 1), Sight::Nothing));
+    assert_eq!(names(presence.alive(now)), ["h0", "h1"]);
+    assert_eq!(names(presence.serving(now)), ["h0"]);
+}
+
+#[test]
+fn a_registered_host_counts_until_it_was_silent() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    assert!(presence.register(now, record("h1", "n-b", 1)));
+    assert!(!presence.register(now, record("h1", "n-b", 1)));
+    assert_eq!(names(presence.serving(now)), ["h0", "h1"]);
+    assert_eq!(names(presence.serving(now + INTERVAL * 4)), ["h0"]);
+}
+
+#[test]
+fn what_an_earlier_process_said_is_ignored() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[("h1", "n-b")]);
+    presence.hear(now, beat(record("h1", "n-b", 5), Sight::Store));
+    let mut late = beat(record("h1", "n-b", 1), Sight::Store);
+    late.leaving = true;
+    presence.hear(now, late);
+    assert_eq!(names(presence.serving(now)), ["h0", "h1"]);
+}
+
+#[test]
+fn a_restart_after_the_clock_went_back_is_taken() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    presence.hear(now, beat(record("h1", "n-b", 5), Sight::Store));
+    let later = now + INTERVAL * 3;
+    assert!(presence.hear(later, beat(record("h1", "n-b", 2), Sight::Store)));
+    assert_eq!(names(presence.serving(later + INTERVAL)), ["h0", "h1"]);
+}
+
+#[test]
+fn a_pause_of_this_process_kills_nobody() {
+    let start = Instant::now();
+    let mut presence = presence(start, &[("h1", "n-b")]);
+    let woken = start + Duration::from_secs(10);
+    presence.tick(woken);
+    assert_eq!(names(presence.serving(woken)), ["h0", "h1"]);
+    for beat in 1..=4 {
+        presence.tick(woken + INTERVAL * beat);
+    }
+    assert_eq!(names(presence.serving(woken + INTERVAL * 4)), ["h0"]);
+}
+
+/// Hosts of one region, each knowing of all others what `sights` says; which of them watch.
+fn watchers(now: Instant, sights: &[Sight]) -> Vec<usize> {
+    let host = |index: usize| record(&format!("h{index}"), "n-a", 1);
+    (0..sights.len())
+        .filter(|own| {
+            let met = now.checked_sub(Duration::from_secs(10)).unwrap();
+            let mut presence = Presence::new(met, host(*own), regions());
+            for (index, sight) in sights.iter().enumerate() {
+                presence.hear(met, beat(host(index), *sight));
+                presence.hear(now, beat(host(index), *sight));
+            }
+            presence.is_watcher(now)
+        })
+        .collect()
+}
+
+#[test]
+fn two_hosts_of_a_region_watch_the_store() {
+    let now = Instant::now();
+    let mut sights = [Sight::Relayed; 20];
+    let all = watchers(now, &sights);
+    assert_eq!(all.len(), 20, "nobody sees the store, so everyone tries");
+    sights = [Sight::Store; 20];
+    let two = watchers(now, &sights);
+    assert_eq!(two.len(), 2);
+    sights[two[0]] = Sight::Stale;
+    let others = watchers(now, &sights);
+    assert_eq!(others.len(), 3, "the next one steps in, the first goes on trying");
+}
+
+#[test]
+fn hosts_that_start_together_leave_the_store_to_two() {
+    let now = Instant::now();
+    let host = |index: usize| record(&format!("h{index}"), "n-a", 1);
+    let count = (0..20).filter(|own| {
+        let mut presence = Presence::new(now, host(*own), regions());
+        for index in 0..20 {
+            presence.hear(now, beat(host(index), Sight::Nothing));
+        }
+        presence.is_watcher(now)
+    });
+    assert_eq!(count.count(), 2);
+}
+
+#[test]
+fn the_nearest_host_that_sees_the_store_is_followed() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[("h1", "n-b")]);
+    presence.see(Sight::Nothing);
+    assert_eq!(&*presence.source(now).unwrap().0.host, "h1");
+    presence.hear(now, beat(record("h2", "s-a", 1), Sight::Store));
+    assert_eq!(&*presence.source(now).unwrap().0.host, "h2");
+    presence.hear(now, beat(record("h3", "n-b", 1), Sight::Store));
+    assert_eq!(&*presence.source(now).unwrap().0.host, "h3");
+}
+
+#[test]
+fn hosts_that_lost_the_store_do_not_follow_each_other() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    presence.see(Sight::Stale);
+    presence.hear(now, beat(record("h1", "n-b", 1), Sight::Stale));
+    assert!(presence.source(now).is_none());
+    presence.see(Sight::Nothing);
+    assert!(presence.source(now).is_some(), "what is old is better than nothing");
+}
+
+#[test]
+fn any_host_that_lost_the_store_raises_doubt() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[("h1", "n-b")]);
+    assert!(!presence.is_store_doubtful(now));
+    presence.hear(now, beat(record("h1", "n-b", 1), Sight::Stale));
+    assert!(presence.is_store_doubtful(now));
+}
--- /dev/null
+++ b/tests/replica.rs
@@ -0,0 +1,125 @@
+//! A host's copy of the store.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use ragwortfold::control::replica::{Effect, Replica, Update};
+use ragwortfold::inventory::{Registration, State};
+use ragwortfold::port::{Entry, Kind, Value};
+
+fn target(name: &str, version: u64, cold_ms: u64) -> Entry {
+    Entry {
+        name: name.into(),
+        version,
+        value: Some(Value::Target(Registration {
+            id: name.into(),
+            service: "books".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            zone: "n-a".into(),
+            slots: 4,
+            state: State::Ready,
+            cold_left: Duration::from_millis(cold_ms),
+        })),
+    }
+}
+
+fn gone(name: &str, version: u64) -> Entry {
+    Entry {
+        name: name.into(),
+        version,
+        value: None,
+    }
+}
+
+fn update(from: Option<u64>, to: u64, entries: Vec<Entry>) -> Update {
+    Update {
+        kind: Kind::Targets,
+        from,
+        to,
+        entries,
+        away: false,
+    }
+}
+
+/// Names that changed, with a minus before those that were removed; "old" or "gap" else.
+fn told(effect: &Effect) -> String {
+    match effect {
+        Effect::Old => "old".into(),
+        Effect::Gap => "gap".into(),
+        Effect::Changed(entries) => {
+            let names = entries.iter().map(|entry| match entry.value {
+                Some(_) => entry.name.to_string(),
+                None => format!("-{}", entry.name),
+            });
+            names.collect::<Vec<_>>().join(" ")
+        }
+    }
+}
+
+/// A copy that holds `a` and `b` at revision 10 takes one more update.
+macro_rules! takes {
+    ($($name:ident: $update:expr => $told:expr, $revision:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let mut replica = Replica::new();
+            let first = update(None, 10, vec![target("a", 3, 0), target("b", 9, 0)]);
+            assert_eq!(told(&replica.apply(now, &first)), "a b");
+            assert_eq!(told(&replica.apply(now, &$update)), $told);
+            assert_eq!(replica.revision(Kind::Targets), Some($revision));
+        }
+    )*};
+}
+
+takes! {
+    a_change: update(Some(10), 12, vec![target("a", 12, 0)]) => "a", 12;
+    a_removal: update(Some(10), 12, vec![gone("a", 12)]) => "-a", 12;
+    a_removal_of_what_is_unknown: update(Some(10), 12, vec![gone("x", 12)]) => "", 12;
+    nothing_new: update(Some(10), 12, vec![]) => "", 12;
+    a_gap: update(Some(11), 12, vec![target("a", 12, 0)]) => "gap", 10;
+    an_old_change: update(Some(4), 9, vec![target("a", 8, 0)]) => "old", 10;
+    a_change_that_overlaps: update(Some(4), 12, vec![target("a", 2, 0), target("c", 12, 0)]) => "c", 12;
+    an_old_whole: update(None, 9, vec![]) => "old", 10;
+    a_whole_with_less: update(None, 12, vec![target("b", 9, 0)]) => "-a", 12;
+    a_whole_with_more: update(None, 12, vec![target("a", 3, 0), target("b", 9, 0), target("c", 11, 0)]) => "c", 12;
+    the_same_whole_again: update(None, 10, vec![target("a", 3, 0), target("b", 9, 0)]) => "old", 10;
+}
+
+#[test]
+fn changes_without_a_copy_are_a_gap() {
+    let mut replica = Replica::new();
+    let effect = replica.apply(Instant::now(), &update(Some(1), 2, vec![]));
+    assert_eq!(effect, Effect::Gap);
+}
+
+#[test]
+fn a_copy_is_passed_on_with_the_time_that_is_left() {
+    let now = Instant::now();
+    let mut replica = Replica::new();
+    replica.apply(now, &update(None, 10, vec![target("a", 3, 2500)]));
+    let later = now + Duration::from_secs(1);
+    let whole = replica.whole(later, Kind::Targets).unwrap();
+    assert_eq!(whole.entries, vec![target("a", 3, 1500)]);
+    assert_eq!(whole.from, None);
+    assert_eq!(whole.to, 10);
+    let mut other = Replica::new();
+    assert_eq!(told(&other.apply(later, &whole)), "a");
+}
+
+#[test]
+fn hosts_that_follow_each_other_fall_silent() {
+    let now = Instant::now();
+    let (mut one, mut other) = (Replica::new(), Replica::new());
+    one.apply(now, &update(None, 10, vec![target("a", 3, 0)]));
+    let mut told = 0;
+    let mut next = one.whole(now, Kind::Targets);
+    while let Some(update) = next.take() {
+        told += 1;
+        assert!(told < 5, "they go on for ever");
+        std::mem::swap(&mut one, &mut other);
+        if let Effect::Changed(_) = one.apply(now, &update) {
+            next = one.whole(now, Kind::Targets);
+        }
+    }
+}
