--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -29,6 +29,9 @@
 const PAUSE: Duration = Duration::from_millis(1500);
 /// Hosts of a region that watch the store: one may die without a gap.
 const WATCHERS: usize = 2;
+/// How long after its return the store counts as having been away: targets that it dropped register
+/// again within two seconds.
+const AWAY: Duration = Duration::from_millis(2500);
 /// How long a host may take from its start until it sees the store.
 const START: Duration = Duration::from_secs(2);
 
@@ -98,6 +101,8 @@
     sight: Sight,
     peers: BTreeMap<Arc<str>, Peer>,
     looked: Instant,
+    /// When no host saw the store, the last time that was looked at.
+    unseen: Option<Instant>,
     beats: u64,
 }
 
@@ -112,6 +117,7 @@
             sight: Sight::Nothing,
             peers: BTreeMap::new(),
             looked: now,
+            unseen: None,
             beats: 0,
         }
     }
@@ -293,6 +299,25 @@
             .map(|(peer, sight)| (&peer.record, sight))
     }
 
+    /// Notes whether any host sees the store.
+    pub fn watch_store(&mut self, now: Instant) {
+        let seen = self.sight == Sight::Store
+            || self
+                .present(now)
+                .any(|peer| peer.sight == Some(Sight::Store));
+        if !seen {
+            self.unseen = Some(now);
+        }
+    }
+
+    /// Whether the store was away just before, so that what is missing there may be about to return.
+    /// It is not enough that this host did not see it: then the store itself goes on, and what is
+    /// missing has left.
+    pub fn was_store_away(&self, now: Instant) -> bool {
+        self.unseen
+            .is_some_and(|unseen| now.saturating_duration_since(unseen) < AWAY)
+    }
+
     /// Whether any host has lost the store.
     pub fn is_store_doubtful(&self, now: Instant) -> bool {
         self.sight == Sight::Stale
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -110,8 +110,8 @@
         Effect::Changed(changed)
     }
 
-    /// An update that holds all objects of a kind.
-    pub fn whole(&self, now: Instant, kind: Kind) -> Option<Update> {
+    /// An update that holds all objects of a kind. `away` tells whether the store was away just before.
+    pub fn whole(&self, now: Instant, kind: Kind, away: bool) -> Option<Update> {
         let shelf = self.shelves.get(&kind)?;
         let entries = shelf.objects.iter().map(|(name, object)| Entry {
             name: name.clone(),
@@ -123,7 +123,7 @@
             from: None,
             to: shelf.revision,
             entries: entries.collect(),
-            away: true,
+            away,
         })
     }
 }
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -167,7 +167,10 @@
     let mut first = Vec::new();
     {
         let core = host.core.borrow();
-        let whole = KINDS.iter().filter_map(|kind| core.replica.whole(now(), *kind));
+        let away = core.presence.was_store_away(now());
+        let whole = KINDS
+            .iter()
+            .filter_map(|kind| core.replica.whole(now(), *kind, away));
         first.extend(whole.map(Message::Update));
         first.push(Message::Sight(core.presence.sight()));
     }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -37,7 +37,10 @@
 
 /// Time between two checks that the store still answers. A store that is away may leave watches
 /// waiting, so that they don't show it.
-const CHECK: Duration = Duration::from_millis(800);
+const CHECK: Duration = Duration::from_millis(600);
+/// How long the store may take to answer a check. A host that has lost it has to notice, and its
+/// followers have to find another source, well before a change has to be in force.
+const CHECK_PATIENCE: Duration = Duration::from_millis(800);
 
 /// Pauses that grow from failure to failure.
 struct Pause {
@@ -112,6 +115,7 @@
     loop {
         interval.tick().await;
         let now = now();
+        host.core.borrow_mut().presence.watch_store(now);
         let watch = host.joined.get() && host.core.borrow().presence.is_watcher(now);
         if watch && watchers.is_empty() {
             spdlog::info!("sync: watching the store");
@@ -198,7 +202,10 @@
     let mut client = Client::new(&host);
     loop {
         tokio::time::sleep(CHECK).await;
-        let result = client.call(&Call::Check).await;
+        let call = client.call(&Call::Check);
+        let result = tokio::time::timeout(CHECK_PATIENCE, call)
+            .await
+            .unwrap_or(Err(Error::Timeout));
         let silent = result.is_err();
         if host.watching.silent.replace(silent) != silent {
             match result {
@@ -218,7 +225,7 @@
     loop {
         let known = host.core.borrow().replica.revision(kind);
         let result = match known {
-            Some(revision) if listed => watch(&host, &mut client, kind, revision, lost).await,
+            Some(revision) if listed => watch(&host, &mut client, kind, revision).await,
             _ => list(&host, &mut client, kind).await.map(|()| true),
         };
         match result {
@@ -244,12 +251,13 @@
 /// Reads all objects of a kind.
 async fn list(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
     let (entries, revision) = read(client, kind).await?;
+    let away = host.core.borrow().presence.was_store_away(now());
     host.take(&Update {
         kind,
         from: None,
         to: revision,
         entries,
-        away: true,
+        away,
     });
     Ok(())
 }
@@ -284,7 +292,6 @@
     client: &mut Client,
     kind: Kind,
     revision: u64,
-    lost: bool,
 ) -> Result<bool, Error> {
     let wait = host.core.borrow_mut().rng.random_range(WAIT);
     let call = Call::Watch {
@@ -295,12 +302,13 @@
     match client.call(&call).await? {
         Reply::Changes { entries, revision: to } => {
             let any = !entries.is_empty();
+            let away = host.core.borrow().presence.was_store_away(now());
             let effect = host.take(&Update {
                 kind,
                 from: Some(revision),
                 to,
                 entries,
-                away: lost,
+                away,
             });
             if any {
                 tokio::time::sleep(GATHER).await;
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -199,3 +199,21 @@
     presence.hear(now, beat(record("h1", "n-b", 1), Sight::Stale));
     assert!(presence.is_store_doubtful(now));
 }
+
+#[test]
+fn the_store_was_away_only_if_no_host_saw_it() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    presence.hear(now, beat(record("h1", "n-b", 1), Sight::Store));
+    presence.see(Sight::Stale);
+    presence.watch_store(now);
+    assert!(!presence.was_store_away(now), "another host saw it");
+    presence.hear(now, beat(record("h1", "n-b", 1), Sight::Stale));
+    presence.watch_store(now);
+    assert!(presence.was_store_away(now));
+    presence.see(Sight::Store);
+    let back = now + Duration::from_secs(1);
+    presence.watch_store(back);
+    assert!(presence.was_store_away(back), "what is missing may return");
+    assert!(!presence.was_store_away(now + Duration::from_secs(3)));
+}
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -99,7 +99,7 @@
     let mut replica = Replica::new();
     replica.apply(now, &update(None, 10, vec![target("a", 3, 2500)]));
     let later = now + Duration::from_secs(1);
-    let whole = replica.whole(later, Kind::Targets).unwrap();
+    let whole = replica.whole(later, Kind::Targets, false).unwrap();
     assert_eq!(whole.entries, vec![target("a", 3, 1500)]);
     assert_eq!(whole.from, None);
     assert_eq!(whole.to, 10);
@@ -113,13 +113,13 @@
     let (mut one, mut other) = (Replica::new(), Replica::new());
     one.apply(now, &update(None, 10, vec![target("a", 3, 0)]));
     let mut told = 0;
-    let mut next = one.whole(now, Kind::Targets);
+    let mut next = one.whole(now, Kind::Targets, false);
     while let Some(update) = next.take() {
         told += 1;
         assert!(told < 5, "they go on for ever");
         std::mem::swap(&mut one, &mut other);
         if let Effect::Changed(_) = one.apply(now, &update) {
-            next = one.whole(now, Kind::Targets);
+            next = one.whole(now, Kind::Targets, false);
         }
     }
 }
