--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -272,26 +272,45 @@
         now.saturating_duration_since(peer.heard) < interval.mul_f64(MISSED)
     }
 
-    /// Whether this host is to watch the store itself: unless enough hosts of its region that come
-    /// before it do, or have just started and may be about to.
+    /// Whether this host is to watch the store itself.
+    ///
+    /// One that sees it goes on unless enough hosts of its region that come before it see it too. One
+    /// that does not leaves it to those before it that could, so that a lost store is not called by
+    /// all hosts at once.
     pub fn is_watcher(&self, now: Instant) -> bool {
         let own = rank(&self.own);
+        let away = !self.is_store_seen(now);
         let before = self.present(now).filter(|peer| {
             let starting = now.saturating_duration_since(peer.met) < START;
+            let sees = peer.sight == Some(Sight::Store);
+            let could = away || peer.sight >= Some(Sight::Relayed);
             rank(&peer.record) > own
                 && *self.region(&peer.record) == self.region
-                && (peer.sight == Some(Sight::Store) || starting)
+                && (sees || starting || (could && self.sight != Sight::Store))
         });
         before.count() < WATCHERS
     }
 
+    /// Whether any host sees the store.
+    pub fn is_store_seen(&self, now: Instant) -> bool {
+        self.sight == Sight::Store
+            || self
+                .present(now)
+                .any(|peer| peer.sight == Some(Sight::Store))
+    }
+
     /// The host to follow: the one that sees most, of those the nearest. One that has lost the store
-    /// like this one has nothing to tell.
-    pub fn source(&self, now: Instant) -> Option<(&Record, Sight)> {
+    /// like this one has nothing to tell. `skip` leaves out hosts whose feed has just failed: one that
+    /// died seems alive until it was silent for a while.
+    pub fn source(
+        &self,
+        now: Instant,
+        skip: impl Fn(&Record) -> bool,
+    ) -> Option<(&Record, Sight)> {
         let least = self.sight.min(Sight::Stale);
         self.present(now)
             .filter_map(|peer| Some((peer, peer.sight?)))
-            .filter(|(_, sight)| *sight > least)
+            .filter(|(peer, sight)| *sight > least && !skip(&peer.record))
             .max_by_key(|(peer, sight)| {
                 let near = *self.region(&peer.record) == self.region;
                 (*sight, near, rank(&peer.record))
@@ -301,11 +320,7 @@
 
     /// Notes whether any host sees the store.
     pub fn watch_store(&mut self, now: Instant) {
-        let seen = self.sight == Sight::Store
-            || self
-                .present(now)
-                .any(|peer| peer.sight == Some(Sight::Store));
-        if !seen {
+        if !self.is_store_seen(now) {
             self.unseen = Some(now);
         }
     }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -22,6 +22,8 @@
 mod sync;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Instant;
@@ -49,16 +51,25 @@
     watching: sync::Watching,
     /// Whether the host has registered, or has tried to.
     joined: Cell<bool>,
-    /// Counts feeds that ended, to try the seeds in turn.
-    turn: Cell<usize>,
+    /// Feeds that ended, and when.
+    failed: RefCell<BTreeMap<SocketAddr, Instant>>,
 }
 
 impl Host {
     /// Takes in what changed in the store, and passes it on.
     fn take(&self, update: &Update) -> Effect {
+        let known = self.core.borrow().replica.revision(update.kind);
         let effect = self.core.borrow_mut().change(now(), update);
-        if effect != Effect::Gap && effect != Effect::Old {
-            feed::publish(self, update);
+        if let Effect::Changed(entries) = &effect {
+            // Followers have what this host had, so of a whole copy the difference is enough.
+            let difference = Update {
+                kind: update.kind,
+                from: known,
+                to: update.to,
+                entries: entries.clone(),
+                away: update.away,
+            };
+            feed::publish(self, &difference);
         }
         effect
     }
@@ -94,7 +105,7 @@
         followed: Cell::new(None),
         watching: sync::Watching::default(),
         joined: Cell::new(false),
-        turn: Cell::new(0),
+        failed: RefCell::default(),
         platform,
         settings,
     });
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -21,9 +21,9 @@
 /// renewed every second or so, and a store that is away is noticed.
 const WAIT: Range<f64> = 9.0..15.0;
 /// How often the registrations of hosts are read again, to find hosts whose heartbeats are lost.
-const HOSTS: Duration = Duration::from_secs(30);
+const HOSTS: Duration = Duration::from_secs(120);
 /// Pause after changes, in which more of them gather: each call to the store has its price.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(300);
 /// First and longest pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
@@ -42,6 +42,16 @@
 /// followers have to find another source, well before a change has to be in force.
 const CHECK_PATIENCE: Duration = Duration::from_millis(800);
 
+/// Decisions in a row until a host begins to watch the store, and until it leaves it to others.
+const BEGIN: u32 = 3;
+const END: u32 = 15;
+/// How long a feed that failed is passed over: until a host that died is known to be dead.
+const FAILED: Duration = Duration::from_secs(3);
+/// How often a host looks for a store that nobody sees, although it is not to watch it.
+const LOOK: Duration = Duration::from_secs(2);
+/// How long a host tries to watch a store that it reached so.
+const REACHED: Duration = Duration::from_secs(3);
+
 /// Pauses that grow from failure to failure.
 struct Pause {
     next: Duration,
@@ -101,6 +111,63 @@
     tokio::task::spawn_local(sweep(host.clone()));
 }
 
+/// Whether a host that is not to watch the store could. While no host sees it, each looks now and
+/// then: those that are to watch it may all be cut off from it.
+#[derive(Default)]
+struct Reach {
+    looked: Cell<Option<Instant>>,
+    reached: Rc<Cell<Option<Instant>>>,
+}
+
+impl Reach {
+    fn is_fresh(&self, now: Instant) -> bool {
+        let reached = self.reached.get();
+        reached.is_some_and(|at| now.saturating_duration_since(at) < REACHED)
+    }
+
+    fn look(&self, host: &Rc<Host>, now: Instant) {
+        let looked = self.looked.get();
+        if looked.is_some_and(|at| now.saturating_duration_since(at) < LOOK)
+            || host.core.borrow().presence.is_store_seen(now)
+        {
+            return;
+        }
+        self.looked.set(Some(now));
+        let mut client = Client::new(host);
+        let reached = self.reached.clone();
+        tokio::task::spawn_local(async move {
+            let call = client.call(&Call::Check);
+            if let Ok(Ok(_)) = tokio::time::timeout(CHECK_PATIENCE, call).await {
+                reached.set(Some(super::now()));
+            }
+        });
+    }
+}
+
+/// A decision that changes only after it was asked for some times in a row: each change costs calls to
+/// the store, and hosts see the beats of the others one after the other.
+#[derive(Default)]
+struct Steady {
+    on: bool,
+    asked: u32,
+}
+
+impl Steady {
+    fn turn(&mut self, wanted: bool) -> bool {
+        if wanted == self.on {
+            self.asked = 0;
+            return self.on;
+        }
+        self.asked += 1;
+        let enough = if wanted { BEGIN } else { END };
+        if self.asked >= enough {
+            self.on = wanted;
+            self.asked = 0;
+        }
+        self.on
+    }
+}
+
 /// Whom a host follows.
 struct Following {
     address: SocketAddr,
@@ -111,12 +178,19 @@
 async fn decide(host: Rc<Host>) {
     let mut watchers: Vec<AbortHandle> = Vec::new();
     let mut following: Option<Following> = None;
+    let reach = Reach::default();
+    let mut steady = Steady::default();
     let mut interval = tokio::time::interval(DECIDE);
     loop {
         interval.tick().await;
         let now = now();
         host.core.borrow_mut().presence.watch_store(now);
-        let watch = host.joined.get() && host.core.borrow().presence.is_watcher(now);
+        let first = host.core.borrow().presence.is_watcher(now);
+        let wanted = host.joined.get() && (first || reach.is_fresh(now));
+        if host.joined.get() && !wanted {
+            reach.look(&host, now);
+        }
+        let watch = steady.turn(wanted);
         if watch && watchers.is_empty() {
             spdlog::info!("sync: watching the store");
             watchers = KINDS
@@ -154,22 +228,28 @@
 /// The feed to follow: that of the host that sees most, or a seed while no host is known.
 fn source(host: &Host, now: Instant) -> Option<SocketAddr> {
     let core = host.core.borrow();
-    if let Some((record, _)) = core.presence.source(now) {
+    let failed = host.failed.borrow();
+    let skip = |feed: SocketAddr| {
+        let at = failed.get(&feed);
+        at.is_some_and(|at| now.saturating_duration_since(*at) < FAILED)
+    };
+    if let Some((record, _)) = core.presence.source(now, |record| skip(record.feed)) {
         return Some(record.feed);
     }
-    if core.presence.sight() > Sight::Nothing || host.settings.seeds.is_empty() {
+    if core.presence.sight() > Sight::Nothing {
         return None;
     }
-    let turn = host.turn.get();
-    let seed = host.settings.seeds[turn % host.settings.seeds.len()];
-    (seed != host.settings.feed).then_some(seed)
+    let mut seeds = host.settings.seeds.iter().copied();
+    seeds.find(|seed| *seed != host.settings.feed && !skip(*seed))
 }
 
 async fn follow(host: Rc<Host>, address: SocketAddr) {
     let broken = feed::follow(&host, address).await;
     spdlog::debug!("sync: the feed of {address} ended: {broken}");
-    host.turn.set(host.turn.get() + 1);
-    tokio::time::sleep(PAUSE).await;
+    let now = now();
+    let mut failed = host.failed.borrow_mut();
+    failed.retain(|_, at| now.saturating_duration_since(*at) < FAILED);
+    failed.insert(address, now);
 }
 
 /// Sets what this host knows of the store, and tells others if that is news.
