Name and rank hosts by what they can carry

And look-ups named weak hosts like strong ones. Ruled out: lost updates (the queue was not dropped; the source had the new configuration at 27.0 s).

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -50,8 +50,31 @@
     pub feed: SocketAddr,
     /// Grows with each start of its process, unless its clock goes back.
     pub incarnation: u64,
-    /// Its part of a processor core.
-    pub processor: f64,
+    /// How much it can carry beside others.
+    pub strength: Strength,
+}
+
+/// How much a host can carry: its part of a processor core, and its link.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Strength {
+    /// Processor cores.
+    pub cores: f64,
+    /// The link in megabits a second.
+    pub megabits: f64,
+}
+
+/// The part of a processor core with which a host needs no care.
+const AMPLE_CORES: f64 = 0.2;
+/// The link, in megabits a second, with which a host needs no care: ten times what a usual host carries.
+const AMPLE_MEGABITS: f64 = 50.0;
+
+impl Strength {
+    /// The part of a full share of work that the host can take, up to 1.
+    pub fn share(self) -> f64 {
+        let cores = self.cores / AMPLE_CORES;
+        let link = self.megabits / AMPLE_MEGABITS;
+        cores.min(link).clamp(0.0, 1.0)
+    }
 }
 
 /// What a host knows of the store, from least to most.
@@ -342,7 +365,8 @@
     }
 }
 
-/// The order of hosts, which all compute alike.
-fn rank(record: &Record) -> u64 {
-    xxh3_64(record.host.as_bytes())
+/// The order of hosts, which all compute alike: those that can carry most first, as many follow them.
+fn rank(record: &Record) -> (u64, u64) {
+    let share = (record.strength.share() * 100.0) as u64;
+    (share, xxh3_64(record.host.as_bytes()))
 }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -47,7 +47,7 @@
             peers: settings.peers,
             feed: settings.feed,
             incarnation: since_epoch.as_micros() as u64,
-            processor: settings.processor,
+            strength: settings.strength,
         };
         let seed = xxhash_rust::xxh3::xxh3_64_with_seed(own.host.as_bytes(), own.incarnation);
         Self {
--- a/src/host/lookup.rs
+++ b/src/host/lookup.rs
@@ -1,13 +1,12 @@
 //! Look-ups: which hosts a caller may use; and whether this one is ready.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use rand::RngExt;
 
 use super::body::{whole, Body};
 use super::{answer, now, serve, Error, Host};
@@ -19,6 +18,8 @@
 const TTL: Duration = Duration::from_millis(1500);
 /// Hosts named at the most.
 const MOST: usize = 16;
+/// The least part of a full share with which a host is named: it is needed when others fail.
+const LEAST_SHARE: f64 = 0.25;
 /// Hosts of the caller's own availability zone that are enough to name no others.
 const ENOUGH: usize = 2;
 
@@ -56,22 +57,23 @@
     }
 }
 
-/// The hosts to use: those of the caller's availability zone, else of its region, else any.
+/// The hosts to use: those of the caller's availability zone, else of its region, else any. Callers
+/// choose among them at random, so one that can carry less is named less often.
 fn hosts(host: &Host, question: &Question) -> Vec<SocketAddr> {
-    let core = host.core.borrow();
+    let core = &mut *host.core.borrow_mut();
     let now = now();
-    let alive: Vec<&Record> = core.presence.serving(now).collect();
     let near = |record: &Record| -> u8 {
         if record.zone == question.zone {
             return 0;
         }
         u8::from(*core.presence.region(record) != question.region) + 1
     };
-    let mut ranked: Vec<(u8, Reverse<Arc<str>>, SocketAddr)> = alive
-        .into_iter()
-        .map(|record| (near(record), Reverse(record.host.clone()), record.front))
+    let mut ranked: Vec<(u8, f64, SocketAddr)> = core
+        .presence
+        .serving(now)
+        .map(|record| (near(record), record.strength.share(), record.front))
         .collect();
-    ranked.sort();
+    ranked.sort_by(|one, other| one.0.cmp(&other.0).then(other.1.total_cmp(&one.1)));
     let in_zone = ranked.iter().filter(|(near, ..)| *near == 0).count();
     let in_region = ranked.iter().filter(|(near, ..)| *near <= 1).count();
     let count = match (in_zone, in_region) {
@@ -79,9 +81,14 @@
         (_, region) if region > 0 => region,
         _ => ranked.len(),
     };
-    ranked
-        .into_iter()
-        .take(count.min(MOST))
-        .map(|(.., address)| address)
-        .collect()
+    ranked.truncate(count);
+    let mut named = Vec::new();
+    for (_, share, address) in ranked {
+        let enough = named.len() >= ENOUGH;
+        if !enough || core.rng.random_bool(share.max(LEAST_SHARE)) {
+            named.push(address);
+        }
+    }
+    named.truncate(MOST);
+    named
 }
--- a/src/port.rs
+++ b/src/port.rs
@@ -44,8 +44,8 @@
     pub store: SocketAddr,
     /// What callers may rely on.
     pub bounds: Bounds,
-    /// The host's part of a processor core.
-    pub processor: f64,
+    /// How much the host can carry.
+    pub strength: presence::Strength,
 }
 
 /// Figures that a deployment sets for what callers may rely on.
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ragwortfold::control::presence::{Beat, Presence, Record, Sight, FAR, FORGET, INTERVAL};
+use ragwortfold::control::presence::{Beat, Presence, Record, Sight, Strength, FAR, FORGET, INTERVAL};
 
 fn regions() -> BTreeMap<Arc<str>, Arc<str>> {
     [("n-a", "n"), ("n-b", "n"), ("s-a", "s")]
@@ -22,7 +22,10 @@
         peers: "127.0.0.1:2".parse().unwrap(),
         feed: "127.0.0.1:3".parse().unwrap(),
         incarnation,
-        processor: 0.2,
+        strength: Strength {
+            cores: 0.2,
+            megabits: 1000.0,
+        },
     }
 }
 
@@ -247,3 +250,21 @@
     let source = presence.source(now, |record| &*record.host == "h1");
     assert_eq!(&*source.unwrap().0.host, "h2");
 }
+
+#[test]
+fn a_host_with_a_narrow_link_leaves_the_store_to_others() {
+    let now = Instant::now();
+    let narrow = |mut record: Record| {
+        record.strength.megabits = 10.0;
+        record
+    };
+    for own in 0..3 {
+        let own = narrow(record(&format!("h{own}"), "n-a", 1));
+        let mut presence = Presence::new(now, own, regions());
+        for other in 3..6 {
+            let wide = record(&format!("h{other}"), "n-a", 1);
+            presence.hear(now, beat(wide, Sight::Store));
+        }
+        assert!(!presence.is_watcher(now));
+    }
+}
