--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,7 +13,7 @@
 mod keyed;
 mod later;
 mod log;
-mod metrics;
+pub(crate) mod metrics;
 mod platform;
 mod published;
 mod relay;
--- a/src/host/error.rs
+++ b/src/host/error.rs
@@ -21,6 +21,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] crate::entry::Error),
     /// The log can't be set up.
     #[error("log: {0}")]
     Log(#[from] spdlog::Error),
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -16,6 +16,7 @@
 
 use super::body::{self, Body, Part, WHOLE};
 use super::client::{self, Connection};
+use super::record::{self, Stop, Story};
 use super::{answer, now, Host};
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
@@ -44,6 +45,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) head: Head,
     pub(crate) parts: request::Parts,
+    pub(crate) begun: Instant,
     pub(crate) deadline: Instant,
     pub(crate) longest_body: u64,
 }
@@ -63,13 +65,26 @@
 }
 
 /// A target that was chosen; counts as one request there until it is dropped.
-struct Grant {
+pub(crate) struct Grant {
     host: Rc<Host>,
-    target: TargetKey,
-    end: End,
+    pub(crate) target: TargetKey,
+    pub(crate) begun: Instant,
+    pub(crate) end: End,
     seen: Seen,
 }
 
+impl Grant {
+    fn new(host: &Rc<Host>, target: TargetKey) -> Self {
+        Self {
+            host: host.clone(),
+            target,
+            begun: now(),
+            end: End::Cancelled,
+            seen: Seen::default(),
+        }
+    }
+}
+
 impl Drop for Grant {
     fn drop(&mut self) {
         let core = &mut *self.host.core.borrow_mut();
@@ -79,71 +94,66 @@
 }
 
 /// Carries a request to targets until one answers or nothing more can be done.
-pub(crate) async fn run(
-    host: &Rc<Host>,
-    exchange: Exchange,
-    body: Part,
-) -> Response<Body> {
+pub(crate) async fn run(host: &Rc<Host>, exchange: Exchange, body: Part) -> Response<Body> {
     let Some(service) = host.core.borrow_mut().part(&exchange.route) else {
         return answer::not_run(host, "no service for this route\n");
     };
-    let key = key(&exchange);
-    let bytes = body.length();
+    host.core.borrow_mut().request(now(), &service);
+    let mut ask = Ask {
+        service: &service,
+        key: key(&exchange),
+        homes: &exchange.route.homes,
+        tried: Vec::new(),
+        bytes: body.length(),
+    };
+    let mut story = Story::new(exchange.begun);
+    let response = attempt(host, &exchange, body, &mut ask, &mut story).await;
+    record::request(host, &exchange, &ask, &story, response.status());
+    response
+}
+
+/// Tries one target after the other. The answer that the caller gets is the best there was.
+async fn attempt(
+    host: &Rc<Host>,
+    exchange: &Exchange,
+    body: Part,
+    ask: &mut Ask<'_>,
+    story: &mut Story,
+) -> Response<Body> {
     let mut body = Some(body);
-    let mut tried = Vec::new();
     let mut failed = None;
     let mut unknown = false;
-    host.core.borrow_mut().request(now(), &service);
-    loop {
-        let ask = Ask {
-            service: &service,
-            key,
-            homes: &exchange.route.homes,
-            tried: &tried,
-            bytes,
-        };
-        let Ok(target) = choose(host, &ask) else {
-            break;
+    let once = exchange.route.repeat == Repeat::Never;
+    story.stop = loop {
+        let target = match choose(host, ask) {
+            Ok(target) => target,
+            Err(refusal) => break Stop::Refused(refusal),
         };
-        let mut grant = Grant {
-            host: host.clone(),
-            target,
-            end: End::Cancelled,
-            seen: Seen::default(),
+        let mut grant = Grant::new(host, target);
+        let Some(part) = repeatable(&mut body) else {
+            break Stop::Body;
         };
-        let Some(part) = repeatable(&mut body) else { break };
-        let outcome = send(host, &exchange, &mut grant, part).await;
+        let outcome = send(host, exchange, &mut grant, part).await;
+        story.add(host, &grant);
         drop(grant);
-        tried.push(target);
+        ask.tried.push(target);
         match outcome {
             Outcome::Answered(response) => return response,
-            Outcome::Failed(response) => {
-                failed = Some(response);
-                if exchange.route.repeat == Repeat::Never {
-                    break;
-                }
-            }
+            Outcome::Failed(response) => failed = Some(response),
             Outcome::NotRun => {}
-            Outcome::Unknown => {
-                unknown = true;
-                if exchange.route.repeat == Repeat::Never {
-                    break;
-                }
-            }
+            Outcome::Unknown => unknown = true,
             Outcome::Late => {
                 unknown = true;
-                break;
+                break Stop::Time;
             }
         }
-        let time_left = exchange.deadline.saturating_duration_since(now());
-        if tried.len() >= exchange.route.attempts as usize
-            || time_left < LEAST
-            || body.is_none()
-            || !host.core.borrow_mut().repeat(now(), &service)
-        {
-            break;
+        if once && (unknown || failed.is_some()) {
+            break Stop::MayHaveRun;
         }
-    }
+        if let Some(stop) = exhausted(host, exchange, ask, body.is_some()) {
+            break stop;
+        }
+    };
     match failed {
         Some(response) => response,
         None if !unknown => answer::not_run(host, "no target has room\n"),
@@ -152,6 +162,23 @@
     }
 }
 
+/// Why a request is not sent once more, if it is not. Taking from the budget comes last, so that
+/// only what is used is taken.
+fn exhausted(host: &Host, exchange: &Exchange, ask: &Ask<'_>, has_body: bool) -> Option<Stop> {
+    let left = exchange.deadline.saturating_duration_since(now());
+    if ask.tried.len() >= exchange.route.attempts as usize {
+        Some(Stop::Attempts)
+    } else if left < LEAST {
+        Some(Stop::Time)
+    } else if !has_body {
+        Some(Stop::Body)
+    } else if !host.core.borrow_mut().repeat(now(), ask.service) {
+        Some(Stop::Budget)
+    } else {
+        None
+    }
+}
+
 fn choose(host: &Host, ask: &Ask<'_>) -> Result<TargetKey, Refusal> {
     let pool = host.pool.borrow();
     let fleet = &mut host.core.borrow_mut().fleet;
@@ -381,12 +408,8 @@
     incoming: Incoming,
 ) -> Outcome {
     grant.end = End::Answered;
-    let kept = Grant {
-        host: host.clone(),
-        target: grant.target,
-        end: End::Answered,
-        seen: Seen::default(),
-    };
+    let mut kept = Grant::new(host, grant.target);
+    kept.end = End::Answered;
     host.core.borrow_mut().fleet.hold(grant.target);
     let held = (connection, kept);
     let body = body::stream(Bytes::new(), incoming, u64::MAX, held);
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -57,6 +57,7 @@
         route,
         head,
         parts,
+        begun,
         deadline,
         longest_body: limits.body_bytes,
     };
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -14,8 +14,10 @@
 mod front;
 mod log;
 mod lookup;
+mod metrics;
 mod pool;
 mod probe;
+mod record;
 mod serve;
 mod stop;
 mod store;
@@ -33,6 +35,7 @@
 
 use crate::control::presence::Sight;
 use crate::control::replica::{Effect, Update};
+use crate::entry::metrics::Metrics;
 use crate::port::{Platform, Settings};
 
 pub use error::Error;
@@ -44,6 +47,8 @@
     core: RefCell<core::Core>,
     pool: RefCell<pool::Pool>,
     stop: stop::Stop,
+    metrics: Metrics,
+    limits: RefCell<log::Limits>,
     beats: RefCell<Option<Rc<UdpSocket>>>,
     followers: RefCell<feed::Followers>,
     /// What the host that this one follows knows of the store.
@@ -92,7 +97,9 @@
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    LocalSet::new().block_on(&runtime, start(platform, settings))
+    let result = LocalSet::new().block_on(&runtime, start(platform, settings));
+    log::flush();
+    result
 }
 
 async fn start(platform: Platform, settings: Settings) -> Result<(), Error> {
@@ -100,6 +107,8 @@
         core: RefCell::new(core::Core::new(now(), &settings)),
         pool: RefCell::new(pool::Pool::default()),
         stop: stop::Stop::new(),
+        metrics: Metrics::new()?,
+        limits: RefCell::default(),
         beats: RefCell::new(None),
         followers: RefCell::default(),
         followed: Cell::new(None),
@@ -111,6 +120,7 @@
     });
     front::listen(&host).await?;
     lookup::listen(&host).await?;
+    metrics::listen(&host).await?;
     feed::listen(&host).await?;
     beat::start(&host).await?;
     sync::start(&host);
--- /dev/null
+++ b/src/host/record.rs
@@ -0,0 +1,158 @@
+//! What is kept of each request: a line in the log, and metrics.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+
+use super::exchange::{Exchange, Grant};
+use super::log::Event;
+use super::{now, Host};
+use crate::entry::metrics::Sample;
+use crate::steer::fleet::{Ask, End, Refusal};
+
+/// One try of a request.
+pub(crate) struct Try {
+    pub(crate) target: Arc<str>,
+    pub(crate) end: End,
+    pub(crate) took: Duration,
+}
+
+/// Why no further target was tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// The answer was good.
+    Answered,
+    /// The request must not run twice, and may have run.
+    MayHaveRun,
+    /// No target took it.
+    Refused(Refusal),
+    /// It was sent as often as its route allows.
+    Attempts,
+    /// Its time is over.
+    Time,
+    /// The budget of repeats is used up.
+    Budget,
+    /// Its body was not kept.
+    Body,
+}
+
+impl Stop {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::MayHaveRun => "may-have-run",
+            Self::Refused(Refusal::NoTarget) => "no-target",
+            Self::Refused(Refusal::Full) => "full",
+            Self::Attempts => "attempts",
+            Self::Time => "time",
+            Self::Budget => "budget",
+            Self::Body => "body",
+        }
+    }
+}
+
+/// The course of one request.
+pub(crate) struct Story {
+    pub(crate) begun: Instant,
+    pub(crate) tries: Vec<Try>,
+    pub(crate) stop: Stop,
+}
+
+impl Story {
+    pub(crate) fn new(begun: Instant) -> Self {
+        Self {
+            begun,
+            tries: Vec::new(),
+            stop: Stop::Answered,
+        }
+    }
+
+    /// Adds a try that has just ended.
+    pub(crate) fn add(&mut self, host: &Host, grant: &Grant) {
+        let core = host.core.borrow();
+        let target = core.fleet.member(grant.target);
+        self.tries.push(Try {
+            target: target.map_or_else(|| "gone".into(), |member| member.id().clone()),
+            end: grant.end,
+            took: now().saturating_duration_since(grant.begun),
+        });
+    }
+
+    fn tries(&self) -> String {
+        let tries = self.tries.iter().map(|one| {
+            let end = format!("{:?}", one.end).to_lowercase();
+            format!("{} {end} after {} ms", one.target, one.took.as_millis())
+        });
+        tries.collect::<Vec<_>>().join(", ")
+    }
+}
+
+/// Keeps what became of a request.
+pub(crate) fn request(
+    host: &Host,
+    exchange: &Exchange,
+    ask: &Ask<'_>,
+    story: &Story,
+    status: StatusCode,
+) {
+    let total = now().saturating_duration_since(story.begun);
+    let event = event(status);
+    count(host, exchange, ask.service, story, event, total);
+    let Some(left_out) = host.limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    let core = host.core.borrow();
+    let id = exchange.head.id.as_deref().unwrap_or_default();
+    let left = exchange.deadline.saturating_duration_since(now());
+    spdlog::info!("request: ended", kv: {
+        event = event.as_str(),
+        id,
+        status = status.as_u16(),
+        reason = story.stop.as_str(),
+        route = &*exchange.route.name,
+        service = &**ask.service,
+        tries = story.tries().as_str(),
+        choices = core.fleet.explain(now(), ask).as_str(),
+        total_ms = total.as_millis() as u64,
+        left_ms = left.as_millis() as u64,
+        configuration = core.table.version().unwrap_or_default(),
+        sight = format!("{:?}", core.presence.sight()).as_str(),
+        left_out
+    });
+}
+
+fn event(status: StatusCode) -> Event {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => Event::Refused,
+        status if status.is_server_error() => Event::Failed,
+        _ => Event::Answered,
+    }
+}
+
+fn count(
+    host: &Host,
+    exchange: &Exchange,
+    service: &Arc<str>,
+    story: &Story,
+    event: Event,
+    total: Duration,
+) {
+    let tried: Duration = story.tries.iter().map(|one| one.took).sum();
+    host.metrics.request(&Sample {
+        service,
+        class: &exchange.route.name,
+        outcome: match event {
+            Event::Answered => "answered",
+            Event::Refused => "not-run",
+            Event::Failed => "unknown",
+        },
+        total,
+        added: total.saturating_sub(tried),
+        waited: Duration::ZERO,
+        attempts: story.tries.len() as u32,
+    });
+    if event == Event::Refused {
+        host.metrics.refusal(service, story.stop.as_str());
+    }
+}
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::drift::Drift;
 use super::eject::{Eject, Sign, Standing};
 use crate::inventory::{Keys, Registration, State, TargetKey};
 
@@ -100,16 +101,16 @@
 }
 
 /// What is asked for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Ask<'a> {
     /// The service whose targets are wanted.
-    pub service: &'a str,
+    pub service: &'a Arc<str>,
     /// What the request has in common with others of the same object.
     pub key: u64,
     /// Regions that may serve it; any, if empty.
     pub homes: &'a BTreeSet<Arc<str>>,
     /// Targets that were tried before.
-    pub tried: &'a [TargetKey],
+    pub tried: Vec<TargetKey>,
     /// The bytes of its body.
     pub bytes: u64,
 }
@@ -193,6 +194,7 @@
     members: BTreeMap<TargetKey, Member>,
     services: BTreeMap<Arc<str>, Vec<TargetKey>>,
     evacuated: BTreeSet<Arc<str>>,
+    drift: Drift,
     cold_rates: BTreeMap<Arc<str>, f64>,
     /// Hosts that may send to a cold target at the same time, each one request beyond its rate.
     cold_hosts: usize,
@@ -227,6 +229,7 @@
     /// No targets yet, for the host `name` in `zone`; `regions` gives the region of each
     /// availability zone, `cold_burst` what a cold target bears at once beyond its rate.
     pub fn new(
+        now: Instant,
         name: Arc<str>,
         zone: Arc<str>,
         regions: BTreeMap<Arc<str>, Arc<str>>,
@@ -249,6 +252,7 @@
             members: BTreeMap::new(),
             services: BTreeMap::new(),
             evacuated: BTreeSet::new(),
+            drift: Drift::new(now),
         }
     }
 
@@ -406,6 +410,7 @@
     ) -> Result<TargetKey, Refusal> {
         let chosen = self.pick(now, ask, connected)?;
         if let Some(member) = self.members.get_mut(&chosen) {
+            self.drift.count(now, member.region != self.region);
             member.in_flight += 1;
             if member.is_cold(now) {
                 member.cold_token = Some(now);
@@ -415,7 +420,7 @@
     }
 
     fn pick(
-        &self,
+        &mut self,
         now: Instant,
         ask: &Ask<'_>,
         connected: impl Fn(TargetKey) -> bool,
@@ -424,6 +429,12 @@
         if candidates == [None; 2] {
             return Err(Refusal::NoTarget);
         }
+        let [_, far] = candidates;
+        if let Some(far) = far.filter(|far| self.has_room(now, *far)) {
+            if self.drift.holds(now, ask.key) {
+                return Ok(far);
+            }
+        }
         candidates
             .into_iter()
             .flatten()
@@ -553,6 +564,27 @@
         })
     }
 
+    /// The targets that a request may use now and what they are believed to have, for the log.
+    pub fn explain(&self, now: Instant, ask: &Ask<'_>) -> String {
+        let candidates = self.candidates(now, ask).into_iter().flatten();
+        let told = candidates.filter_map(|key| {
+            let member = self.members.get(&key)?;
+            let report = member.report.map_or("never".into(), |report| {
+                let age = now.saturating_duration_since(report.at);
+                format!("{} ms ago", age.as_millis())
+            });
+            Some(format!(
+                "{} in {} has {:.1} of {} slots, {} of this host, told {report}",
+                member.id(),
+                member.region,
+                member.load(now),
+                member.registration.slots,
+                member.in_flight,
+            ))
+        });
+        told.collect::<Vec<_>>().join("; ")
+    }
+
     /// A target that is still known.
     pub fn member(&self, key: TargetKey) -> Option<&Member> {
         self.members.get(&key)
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 mod budgets;
 pub mod dedupe;
+pub mod drift;
 pub mod eject;
 pub mod engine;
 pub mod fleet;
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -46,11 +46,12 @@
 
 impl World {
     fn new(host: &str, zone: &str) -> Self {
-        let mut fleet = Fleet::new(host.into(), zone.into(), regions(), BURST);
+        let now = Instant::now();
+        let mut fleet = Fleet::new(now, host.into(), zone.into(), regions(), BURST);
         fleet.set_cold_rate("books".into(), RATE);
         Self {
             fleet,
-            now: Instant::now(),
+            now,
             rng: Pcg64Mcg::seed_from_u64(1),
             homes: BTreeSet::new(),
         }
@@ -74,10 +75,10 @@
 
     fn choose(&mut self, key: u64, tried: &[TargetKey]) -> Result<TargetKey, Refusal> {
         let ask = Ask {
-            service: "books",
+            service: &"books".into(),
             key,
             homes: &self.homes,
-            tried,
+            tried: tried.to_vec(),
             bytes: 0,
         };
         self.fleet.choose(self.now, &ask, |_| true)
@@ -179,10 +180,10 @@
         assert_eq!(world.choose(7, &[]), Ok(near));
     }
     let ask = Ask {
-        service: "books",
+        service: &"books".into(),
         key: 7,
         homes: &BTreeSet::new(),
-        tried: &[],
+        tried: Vec::new(),
         bytes: 0,
     };
     let unconnected = world.fleet.choose(world.now, &ask, |target| target == near);
--- /dev/null
+++ b/tests/drift.rs
@@ -0,0 +1,60 @@
+//! How fast requests that went to other regions may come back.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use ragwortfold::steer::drift::Drift;
+
+const RATE: u64 = 50;
+/// Spreads keys over all numbers.
+const STRIDE: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// The part that goes away in each second, when `wish` of all requests would.
+fn parts(wishes: &[f64]) -> Vec<f64> {
+    let start = Instant::now();
+    let mut drift = Drift::new(start);
+    let mut parts = Vec::new();
+    let mut key = 0u64;
+    for (second, wish) in wishes.iter().enumerate() {
+        let mut away = 0;
+        for request in 0..RATE {
+            key = key.wrapping_add(STRIDE);
+            let now = start + Duration::from_millis(second as u64 * 1000 + request * 1000 / RATE);
+            let wished = (key.rotate_left(17) as f64 / u64::MAX as f64) < *wish;
+            let far = drift.holds(now, key) || wished;
+            drift.count(now, far);
+            away += u64::from(far);
+        }
+        parts.push(away as f64 / RATE as f64);
+    }
+    parts
+}
+
+#[test]
+fn requests_come_back_step_by_step() {
+    let mut wishes = vec![0.4; 3];
+    wishes.extend([0.0; 12]);
+    let parts = parts(&wishes);
+    for pair in parts[2..].windows(3) {
+        assert!(pair[0] - pair[2] <= 0.2, "{parts:?}");
+    }
+    assert!(parts[3] > 0.2, "{parts:?}");
+    assert!(*parts.last().unwrap() < 0.05, "{parts:?}");
+}
+
+#[test]
+fn nothing_is_held_that_never_went() {
+    assert_eq!(parts(&[0.0; 5]), [0.0; 5]);
+}
+
+#[test]
+fn after_a_pause_nothing_is_held() {
+    let start = Instant::now();
+    let mut drift = Drift::new(start);
+    for ms in 0..2000 {
+        drift.count(start + Duration::from_millis(ms), true);
+    }
+    assert!(drift.holds(start + Duration::from_secs(2), 1));
+    assert!(!drift.holds(start + Duration::from_secs(40), 1));
+}
