--- a/src/steer/drift.rs
+++ b/src/steer/drift.rs
@@ -12,6 +12,9 @@
 /// How much of all requests may come back in one span: two of them stay under the usual cap on
 /// shifts, 0.15 in 2 s, with room for what single hosts see differently.
 const STEP: f64 = 0.05;
+/// How much more of all requests may go away in one span than in the one before, while they could
+/// stay.
+const STEP_AWAY: f64 = 0.06;
 /// Requests in a span that are enough to measure.
 const ENOUGH: u32 = 4;
 
@@ -22,6 +25,7 @@
     all: u32,
     far: u32,
     floor: f64,
+    last: f64,
 }
 
 impl Drift {
@@ -32,9 +36,17 @@
             all: 0,
             far: 0,
             floor: 0.0,
+            last: 0.0,
         }
     }
 
+    /// Sends `part` of the requests away from the start.
+    pub fn with_part(mut self, part: f64) -> Self {
+        self.floor = part;
+        self.last = part;
+        self
+    }
+
     /// Counts a request.
     pub fn count(&mut self, now: Instant, far: bool) {
         self.roll(now);
@@ -42,6 +54,13 @@
         self.far += u32::from(far);
     }
 
+    /// Whether one more request may go away, if it could as well stay.
+    pub fn may_leave(&mut self, now: Instant) -> bool {
+        self.roll(now);
+        let most = f64::from(self.all.max(ENOUGH)) * (self.last + STEP_AWAY);
+        f64::from(self.far) < most
+    }
+
     /// Whether a request has to stay away, although it could come back.
     pub fn holds(&mut self, now: Instant, key: u64) -> bool {
         self.roll(now);
@@ -58,6 +77,7 @@
         } else {
             self.floor
         };
+        self.last = part;
         self.floor = (part.max(self.floor) - STEP * spans.floor()).max(0.0);
         self.begun = now;
         self.all = 0;
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -170,6 +170,10 @@
 /// the mean worth of the days measured by 0.003, 0.05 of reluctance lowered it by 0.007.
 const RELIEF: f64 = 0.03;
 
+/// The part of its missing slots for which a region sends requests elsewhere from the start. Not
+/// all: regions need not have the same load, and what turns out to be too much comes back.
+const LACKING: f64 = 0.6;
+
 /// What was seen of a target while it had a request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seen {
@@ -194,7 +198,8 @@
     members: BTreeMap<TargetKey, Member>,
     services: BTreeMap<Arc<str>, Vec<TargetKey>>,
     evacuated: BTreeSet<Arc<str>>,
-    drift: Drift,
+    /// For each service, the part of its requests that goes to other regions.
+    drifts: BTreeMap<Arc<str>, Drift>,
     cold_rates: BTreeMap<Arc<str>, f64>,
     /// Hosts that may send to a cold target at the same time, each one request beyond its rate.
     cold_hosts: usize,
@@ -229,7 +234,6 @@
     /// No targets yet, for the host `name` in `zone`; `regions` gives the region of each
     /// availability zone, `cold_burst` what a cold target bears at once beyond its rate.
     pub fn new(
-        now: Instant,
         name: Arc<str>,
         zone: Arc<str>,
         regions: BTreeMap<Arc<str>, Arc<str>>,
@@ -252,7 +256,7 @@
             members: BTreeMap::new(),
             services: BTreeMap::new(),
             evacuated: BTreeSet::new(),
-            drift: Drift::new(now),
+            drifts: BTreeMap::new(),
         }
     }
 
@@ -410,7 +414,9 @@
     ) -> Result<TargetKey, Refusal> {
         let chosen = self.pick(now, ask, connected)?;
         if let Some(member) = self.members.get_mut(&chosen) {
-            self.drift.count(now, member.region != self.region);
+            if let Some(drift) = self.drifts.get_mut(ask.service) {
+                drift.count(now, member.region != self.region);
+            }
             member.in_flight += 1;
             if member.is_cold(now) {
                 member.cold_token = Some(now);
@@ -429,11 +435,19 @@
         if candidates == [None; 2] {
             return Err(Refusal::NoTarget);
         }
-        let [_, far] = candidates;
-        if let Some(far) = far.filter(|far| self.has_room(now, *far)) {
-            if self.drift.holds(now, ask.key) {
+        let [near, far] = candidates.map(|key| key.filter(|key| self.has_room(now, *key)));
+        if let (Some(near), Some(far)) = (near, far) {
+            let part = self.lacking(ask.service);
+            let drift = self
+                .drifts
+                .entry(ask.service.clone())
+                .or_insert_with(|| Drift::new(now).with_part(part));
+            if drift.holds(now, ask.key) {
                 return Ok(far);
             }
+            if !drift.may_leave(now) {
+                return Ok(near);
+            }
         }
         candidates
             .into_iter()
@@ -445,6 +459,24 @@
             .ok_or(Refusal::Full)
     }
 
+    /// The part of the requests for a service that the targets of the own region will not be able to
+    /// take, as far as their slots tell before anything was sent.
+    fn lacking(&self, service: &str) -> f64 {
+        let mut slots: BTreeMap<&str, f64> = BTreeMap::new();
+        for key in self.services.get(service).into_iter().flatten() {
+            if let Some(member) = self.members.get(key) {
+                let region = slots.entry(&member.region).or_default();
+                *region += f64::from(member.registration.slots);
+            }
+        }
+        let own = slots.get(&*self.region).copied().unwrap_or_default();
+        let mean = slots.values().sum::<f64>() / slots.len().max(1) as f64;
+        if own >= mean {
+            return 0.0;
+        }
+        (1.0 - own / mean) * LACKING
+    }
+
     /// The targets that a key may use: the first of the own region, and the first elsewhere.
     fn candidates(&self, now: Instant, ask: &Ask<'_>) -> [Option<TargetKey>; 2] {
         let mut near: Option<(u64, TargetKey)> = None;
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -46,12 +46,11 @@
 
 impl World {
     fn new(host: &str, zone: &str) -> Self {
-        let now = Instant::now();
-        let mut fleet = Fleet::new(now, host.into(), zone.into(), regions(), BURST);
+        let mut fleet = Fleet::new(host.into(), zone.into(), regions(), BURST);
         fleet.set_cold_rate("books".into(), RATE);
         Self {
             fleet,
-            now,
+            now: Instant::now(),
             rng: Pcg64Mcg::seed_from_u64(1),
             homes: BTreeSet::new(),
         }
@@ -377,3 +376,21 @@
         Ok(())
     });
 }
+
+#[test]
+fn a_region_with_few_targets_sends_a_part_away_from_the_start() {
+    let mut world = World::new("h1", "s-a");
+    for index in 0..9 {
+        world.fleet.register(world.now, registration(&format!("n{index}"), "n-a"));
+    }
+    world.fleet.register(world.now, registration("s", "s-a"));
+    let mut away = 0;
+    for key in 0..1000u64 {
+        // Keys are hashes of what callers send.
+        let target = world.choose(key.wrapping_mul(0x9e37_79b9_7f4a_7c15), &[]).unwrap();
+        away += u32::from(&**world.fleet.member(target).unwrap().region() == "n");
+        world.finish(target, End::Answered, None);
+    }
+    // A fifth of the mean is there, and 0.6 of what is missing goes away.
+    assert!((430..530).contains(&away), "{away}");
+}
