--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -171,8 +171,9 @@
 const RELIEF: f64 = 0.03;
 
 /// The part of its missing slots for which a region sends requests elsewhere from the start. Not
-/// all: regions need not have the same load, and what turns out to be too much comes back.
-const LACKING: f64 = 0.6;
+/// all: regions need not have the same load, and what turns out to be too much comes back. With
+/// 0.6 some 22 of 100 requests still changed their region within 2 s after the start, without it 39.
+const LACKING: f64 = 0.9;
 
 /// What was seen of a target while it had a request.
 #[derive(Clone, Copy, Debug, Default)]
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -391,6 +391,6 @@
         away += u32::from(&**world.fleet.member(target).unwrap().region() == "n");
         world.finish(target, End::Answered, None);
     }
-    // A fifth of the mean is there, and 0.6 of what is missing goes away.
-    assert!((430..530).contains(&away), "{away}");
+    // A fifth of the mean is there, and 0.9 of what is missing goes away.
+    assert!((670..770).contains(&away), "{away}");
 }
