--- a/src/steer/drift.rs
+++ b/src/steer/drift.rs
@@ -1,9 +1,10 @@
-//! Keeps the part of a host's requests that runs in other regions from falling fast.
+//! The part of a host's requests that runs in other regions: it moves slowly, and by keys.
 //!
 //! Requests overflow to other regions when the targets of the own one are full or have nothing cached.
-//! When that ends, all of them would come back at once, onto caches that are only just warm, and the
-//! other region would lose its load as suddenly. So the part that went away may only shrink so much
-//! a second; which keys stay away is decided by their hashes, so that they stay the same.
+//! A request that overflows comes to a target that has nothing cached for it, and when that ends all
+//! would come back at once. So a part of the keys, by their hashes always the same ones, goes away
+//! for good: it grows while more than [`STEP`] of the requests overflow beside it, shrinks while less
+//! do, and changes by little in each second.
 
 use std::time::{Duration, Instant};
 
@@ -72,13 +73,15 @@
         if spans < 1.0 {
             return;
         }
-        let part = if self.all >= ENOUGH {
-            f64::from(self.far) / f64::from(self.all)
+        let least = self.floor - STEP * spans.floor();
+        let most = self.floor + STEP_AWAY;
+        if self.all >= ENOUGH {
+            self.last = f64::from(self.far) / f64::from(self.all);
+            self.floor = (self.last - STEP).clamp(least, most).max(0.0);
         } else {
-            self.floor
-        };
-        self.last = part;
-        self.floor = (part.max(self.floor) - STEP * spans.floor()).max(0.0);
+            self.last = self.floor;
+            self.floor = least.max(0.0);
+        }
         self.begun = now;
         self.all = 0;
         self.far = 0;
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -648,6 +648,24 @@
         }
     }
 
+    /// Whether one more target of the same service and region may be taken out: most have to stay,
+    /// since what makes all of them fail is not cured by using none.
+    fn may_eject(&self, key: TargetKey) -> bool {
+        let Some(member) = self.members.get(&key) else {
+            return false;
+        };
+        let keys = self.services.get(member.service()).into_iter().flatten();
+        let near = keys
+            .filter_map(|key| self.members.get(key))
+            .filter(|other| other.region == member.region);
+        let (mut all, mut out) = (0, 0);
+        for other in near {
+            all += 1;
+            out += usize::from(!other.eject.is_in());
+        }
+        (out + 1) * 2 <= all
+    }
+
     /// Takes in how a request ended.
     pub fn finish(
         &mut self,
@@ -661,6 +679,7 @@
             self.worked(now, key, took);
         }
         let load = seen.load;
+        let may_eject = self.may_eject(key);
         let Some(member) = self.members.get_mut(&key) else {
             return;
         };
@@ -693,7 +712,7 @@
             down: false,
             cold: member.is_cold(now),
         };
-        if member.eject.is_outlier(&standing) {
+        if may_eject && member.eject.is_outlier(&standing) {
             member.eject.eject(now, rng);
         }
     }
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -394,3 +394,22 @@
     // A fifth of the mean is there, and 0.9 of what is missing goes away.
     assert!((670..770).contains(&away), "{away}");
 }
+
+#[test]
+fn most_targets_stay_when_all_fail() {
+    let mut world = World::with_targets("h1", "n-a");
+    for key in 0..500 {
+        if let Ok(target) = world.choose(key, &[]) {
+            world.finish(target, End::Broken, None);
+        }
+    }
+    let mut used = BTreeSet::new();
+    for key in 0..500 {
+        if let Ok(target) = world.choose(key, &[]) {
+            used.insert(world.id(target));
+            world.finish(target, End::Cancelled, None);
+        }
+    }
+    assert!(used.len() >= 2, "{used:?}");
+    assert!(used.iter().any(|id| ["t1", "t2", "t3"].contains(&&**id)), "{used:?}");
+}
