--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod feed;
 mod front;
+mod join;
 mod log;
 mod lookup;
 mod metrics;
@@ -22,6 +23,7 @@
 mod stop;
 mod store;
 mod sync;
+mod watcher;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -53,7 +55,7 @@
     followers: RefCell<feed::Followers>,
     /// What the host that this one follows knows of the store.
     followed: Cell<Option<Sight>>,
-    watching: sync::Watching,
+    watching: watcher::Watching,
     /// Whether the host has registered, or has tried to.
     joined: Cell<bool>,
     /// Feeds that ended, and when.
@@ -112,7 +114,7 @@
         beats: RefCell::new(None),
         followers: RefCell::default(),
         followed: Cell::new(None),
-        watching: sync::Watching::default(),
+        watching: watcher::Watching::default(),
         joined: Cell::new(false),
         failed: RefCell::default(),
         platform,
--- a/src/host/stop.rs
+++ b/src/host/stop.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::Notify;
 
-use super::{beat, sync, Host};
+use super::{beat, join, Host};
 
 /// The part of the time between SIGTERM and the end in which callers that keep the address are served.
 const SERVE: f64 = 0.45;
@@ -87,7 +87,7 @@
     beat::send_to_all(host).await;
     let grace = host.settings.bounds.grace;
     tokio::join!(
-        sync::unregister(host),
+        join::unregister(host),
         tokio::time::sleep(grace.mul_f64(SERVE))
     );
     host.stop.closing.set(true);
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -1,6 +1,5 @@
 //! How a host keeps up with the platform's store: by watching it, or by following a host that does.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -11,7 +10,8 @@
 
 use super::feed::{self, KINDS};
 use super::store::{Client, Error};
-use super::{beat, now, Host};
+use super::watcher::{Reach, Steady};
+use super::{beat, join, now, Host};
 use crate::control::presence::Sight;
 use crate::control::replica::{Effect, Update};
 use crate::port::{Call, Entry, Kind, Reply};
@@ -20,154 +20,48 @@
 /// a watch that is cut can mostly be taken up again. It varies, so that of all watches one is
 /// renewed every second or so, and a store that is away is noticed.
 const WAIT: Range<f64> = 9.0..15.0;
-/// How often the registrations of hosts are read again, to find hosts whose heartbeats are lost.
-const HOSTS: Duration = Duration::from_secs(120);
 /// Pause after changes, in which more of them gather: each call to the store has its price.
 const GATHER: Duration = Duration::from_millis(300);
 /// First and longest pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(150);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
-/// Writes of the own registration are tried so many times on conflicts.
-const WRITES: usize = 8;
 /// How often it is decided whether to watch the store and whom to follow.
 const DECIDE: Duration = Duration::from_millis(100);
-/// How long a host that has just started waits for answers to its first heartbeat: some round
-/// trips within a region.
-const MEET: Duration = Duration::from_millis(40);
 
 /// Time between two checks that the store still answers. A store that is away may leave watches
 /// waiting, so that they don't show it.
 const CHECK: Duration = Duration::from_millis(600);
 /// How long the store may take to answer a check. A host that has lost it has to notice, and its
 /// followers have to find another source, well before a change has to be in force.
-const CHECK_PATIENCE: Duration = Duration::from_millis(800);
+pub(super) const CHECK_PATIENCE: Duration = Duration::from_millis(800);
 
-/// Decisions in a row until a host begins to watch the store, and until it leaves it to others.
-const BEGIN: u32 = 3;
-const END: u32 = 15;
 /// How long a feed that failed is passed over: until a host that died is known to be dead.
 const FAILED: Duration = Duration::from_secs(3);
-/// How often a host looks for a store that nobody sees, although it is not to watch it.
-const LOOK: Duration = Duration::from_secs(2);
-/// How long a host tries to watch a store that it reached so.
-const REACHED: Duration = Duration::from_secs(3);
 
 /// Pauses that grow from failure to failure.
-struct Pause {
+pub(super) struct Pause {
     next: Duration,
 }
 
 impl Pause {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         Self { next: PAUSE }
     }
 
-    async fn wait(&mut self, host: &Host) {
+    pub(super) async fn wait(&mut self, host: &Host) {
         let part = host.core.borrow_mut().rng.random_range(0.5..1.0);
         tokio::time::sleep(self.next.mul_f64(part)).await;
         self.next = (self.next * 2).min(LONGEST_PAUSE);
     }
 }
 
-/// Which kinds the store tells this host, while it watches.
-#[derive(Default)]
-pub(crate) struct Watching {
-    seen: Cell<u8>,
-    lost: Cell<u8>,
-    silent: Cell<bool>,
-}
-
-impl Watching {
-    fn bit(kind: Kind) -> u8 {
-        1 << kind as u8
-    }
-
-    fn set(&self, kind: Kind, seen: bool) {
-        let bit = Self::bit(kind);
-        if seen {
-            self.seen.set(self.seen.get() | bit);
-            self.lost.set(self.lost.get() & !bit);
-        } else {
-            self.lost.set(self.lost.get() | bit);
-        }
-    }
-
-    fn clear(&self) {
-        self.seen.set(0);
-        self.lost.set(0);
-        self.silent.set(false);
-    }
-
-    fn is_complete(&self) -> bool {
-        let all = KINDS.iter().fold(0, |bits, kind| bits | Self::bit(*kind));
-        self.seen.get() & all == all && self.lost.get() == 0 && !self.silent.get()
-    }
-}
-
 /// Keeps up with the store from now on.
 pub(crate) fn start(host: &Rc<Host>) {
-    tokio::task::spawn_local(join(host.clone()));
+    tokio::task::spawn_local(join::run(host.clone()));
     tokio::task::spawn_local(decide(host.clone()));
     tokio::task::spawn_local(sweep(host.clone()));
 }
 
-/// Whether a host that is not to watch the store could. While no host sees it, each looks now and
-/// then: those that are to watch it may all be cut off from it.
-#[derive(Default)]
-struct Reach {
-    looked: Cell<Option<Instant>>,
-    reached: Rc<Cell<Option<Instant>>>,
-}
-
-impl Reach {
-    fn is_fresh(&self, now: Instant) -> bool {
-        let reached = self.reached.get();
-        reached.is_some_and(|at| now.saturating_duration_since(at) < REACHED)
-    }
-
-    fn look(&self, host: &Rc<Host>, now: Instant) {
-        let looked = self.looked.get();
-        if looked.is_some_and(|at| now.saturating_duration_since(at) < LOOK)
-            || host.core.borrow().presence.is_store_seen(now)
-        {
-            return;
-        }
-        self.looked.set(Some(now));
-        let mut client = Client::new(host);
-        let reached = self.reached.clone();
-        tokio::task::spawn_local(async move {
-            let call = client.call(&Call::Check);
-            if let Ok(Ok(_)) = tokio::time::timeout(CHECK_PATIENCE, call).await {
-                reached.set(Some(super::now()));
-            }
-        });
-    }
-}
-
-/// A decision that changes only after it was asked for some times in a row: each change costs calls to
-/// the store, and hosts see the beats of the others one after the other.
-#[derive(Default)]
-struct Steady {
-    on: bool,
-    asked: u32,
-}
-
-impl Steady {
-    fn turn(&mut self, wanted: bool) -> bool {
-        if wanted == self.on {
-            self.asked = 0;
-            return self.on;
-        }
-        self.asked += 1;
-        let enough = if wanted { BEGIN } else { END };
-        if self.asked >= enough {
-            self.on = wanted;
-            self.asked = 0;
-        }
-        self.on
-    }
-}
-
 /// Whom a host follows.
 struct Following {
     address: SocketAddr,
@@ -347,7 +241,7 @@
 }
 
 /// Reads all pages of a kind; also gives the revision to watch from.
-async fn read(client: &mut Client, kind: Kind) -> Result<(Vec<Entry>, u64), Error> {
+pub(super) async fn read(client: &mut Client, kind: Kind) -> Result<(Vec<Entry>, u64), Error> {
     let mut all: Vec<Entry> = Vec::new();
     let mut first = None;
     loop {
@@ -407,73 +301,6 @@
     }
 }
 
-/// Registers the host and learns of the others; looks again now and then.
-async fn join(host: Rc<Host>) {
-    let mut client = Client::new(&host);
-    let mut pause = Pause::new();
-    loop {
-        let known = async {
-            if host.core.borrow().registered.is_none() {
-                register(&host, &mut client).await?;
-            }
-            read(&mut client, Kind::Hosts).await
-        };
-        match known.await {
-            Ok((entries, _)) => {
-                host.core.borrow_mut().meet(now(), entries);
-                beat::send_to_all(&host).await;
-                if !host.joined.get() {
-                    tokio::time::sleep(MEET).await;
-                    host.joined.set(true);
-                }
-                pause = Pause::new();
-                tokio::time::sleep(HOSTS).await;
-            }
-            Err(error) => {
-                spdlog::debug!("sync: the other hosts are not known yet: {error}");
-                pause.wait(&host).await;
-                host.joined.set(true);
-            }
-        }
-    }
-}
-
-/// Writes the host's registration over what an earlier process of it may have left.
-async fn register(host: &Rc<Host>, client: &mut Client) -> Result<(), Error> {
-    let record = host.core.borrow().presence.own().clone();
-    let mut call = Call::Create(record.clone());
-    for _ in 0..WRITES {
-        match client.call(&call).await? {
-            Reply::Done(version) => {
-                host.core.borrow_mut().registered = Some(version);
-                return Ok(());
-            }
-            Reply::Conflict(Some(version)) => call = Call::Replace(record.clone(), version),
-            _ => call = Call::Create(record.clone()),
-        }
-    }
-    Err(Error::Unexpected)
-}
-
-/// Removes the host's registration, if the store can be reached.
-pub(crate) async fn unregister(host: &Rc<Host>) {
-    let name = host.settings.host.clone();
-    let Some(mut version) = host.core.borrow().registered else {
-        return;
-    };
-    let mut client = Client::new(host);
-    for _ in 0..WRITES {
-        match client.call(&Call::Remove(name.clone(), version)).await {
-            Ok(Reply::Conflict(Some(now))) => version = now,
-            Ok(_) => return,
-            Err(error) => {
-                spdlog::debug!("sync: still registered: {error}");
-                return;
-            }
-        }
-    }
-}
-
 /// Sees to what time alone changes.
 async fn sweep(host: Rc<Host>) {
     const INTERVAL: Duration = Duration::from_millis(250);
--- /dev/null
+++ b/src/host/watcher.rs
@@ -0,0 +1,112 @@
+//! Whether a host watches the store itself, and what it sees there.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::feed::KINDS;
+use super::store::Client;
+use super::sync::CHECK_PATIENCE;
+use super::Host;
+use crate::port::{Call, Kind};
+
+/// Decisions in a row until a host begins to watch the store, and until it leaves it to others.
+const BEGIN: u32 = 3;
+const END: u32 = 15;
+/// How often a host looks for a store that nobody sees, although it is not to watch it.
+const LOOK: Duration = Duration::from_secs(2);
+/// How long a host tries to watch a store that it reached so.
+const REACHED: Duration = Duration::from_secs(3);
+
+/// Which kinds the store tells this host, while it watches.
+#[derive(Default)]
+pub(crate) struct Watching {
+    seen: Cell<u8>,
+    lost: Cell<u8>,
+    /// The last check of the store was not answered.
+    pub(crate) silent: Cell<bool>,
+}
+
+impl Watching {
+    fn bit(kind: Kind) -> u8 {
+        1 << kind as u8
+    }
+
+    pub(crate) fn set(&self, kind: Kind, seen: bool) {
+        let bit = Self::bit(kind);
+        if seen {
+            self.seen.set(self.seen.get() | bit);
+            self.lost.set(self.lost.get() & !bit);
+        } else {
+            self.lost.set(self.lost.get() | bit);
+        }
+    }
+
+    pub(crate) fn clear(&self) {
+        self.seen.set(0);
+        self.lost.set(0);
+        self.silent.set(false);
+    }
+
+    pub(crate) fn is_complete(&self) -> bool {
+        let all = KINDS.iter().fold(0, |bits, kind| bits | Self::bit(*kind));
+        self.seen.get() & all == all && self.lost.get() == 0 && !self.silent.get()
+    }
+}
+
+/// Whether a host that is not to watch the store could. While no host sees it, each looks now and
+/// then: those that are to watch it may all be cut off from it.
+#[derive(Default)]
+pub(crate) struct Reach {
+    looked: Cell<Option<Instant>>,
+    reached: Rc<Cell<Option<Instant>>>,
+}
+
+impl Reach {
+    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
+        let reached = self.reached.get();
+        reached.is_some_and(|at| now.saturating_duration_since(at) < REACHED)
+    }
+
+    pub(crate) fn look(&self, host: &Rc<Host>, now: Instant) {
+        let looked = self.looked.get();
+        if looked.is_some_and(|at| now.saturating_duration_since(at) < LOOK)
+            || host.core.borrow().presence.is_store_seen(now)
+        {
+            return;
+        }
+        self.looked.set(Some(now));
+        let mut client = Client::new(host);
+        let reached = self.reached.clone();
+        tokio::task::spawn_local(async move {
+            let call = client.call(&Call::Check);
+            if let Ok(Ok(_)) = tokio::time::timeout(CHECK_PATIENCE, call).await {
+                reached.set(Some(super::now()));
+            }
+        });
+    }
+}
+
+/// A decision that changes only after it was asked for some times in a row: each change costs calls to
+/// the store, and hosts see the beats of the others one after the other.
+#[derive(Default)]
+pub(crate) struct Steady {
+    on: bool,
+    asked: u32,
+}
+
+impl Steady {
+    pub(crate) fn turn(&mut self, wanted: bool) -> bool {
+        if wanted == self.on {
+            self.asked = 0;
+            return self.on;
+        }
+        self.asked += 1;
+        let enough = if wanted { BEGIN } else { END };
+        if self.asked >= enough {
+            self.on = wanted;
+            self.asked = 0;
+        }
+        self.on
+    }
+}
