Read the settings again on SIGHUP in place of dying of it

Cause: the host had no handler, so the signal that the platform sends when settings change ended the process.

--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Takes bounds over; budgets that have begun keep their floor.
+    pub(crate) fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+        for budget in self.budgets.values_mut() {
+            budget.set_share(bounds.repeat_share * REPEAT_USE);
+        }
+    }
+
     /// Takes in what changed in the store. `away` tells that the store was away just before.
     pub(crate) fn change(&mut self, now: Instant, update: &Update) -> Effect {
         let effect = self.replica.apply(now, update);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod probe;
 mod record;
+mod reload;
 mod serve;
 mod stop;
 mod store;
@@ -99,12 +100,12 @@
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    let result = LocalSet::new().block_on(&runtime, start(platform, settings));
+    let result = LocalSet::new().block_on(&runtime, start(platform, settings, path));
     log::flush();
     result
 }
 
-async fn start(platform: Platform, settings: Settings) -> Result<(), Error> {
+async fn start(platform: Platform, settings: Settings, path: &Path) -> Result<(), Error> {
     let host = Rc::new(Host {
         core: RefCell::new(core::Core::new(now(), &settings)),
         pool: RefCell::new(pool::Pool::default()),
@@ -127,6 +128,7 @@
     beat::start(&host).await?;
     sync::start(&host);
     tokio::task::spawn_local(probe::run(host.clone()));
+    tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
     spdlog::info!(
         "host: {} listens on {}",
         host.settings.host,
