Give the buffers of idle connections back, and carry links of the demo with tasks

Only the socket waits now; HTTP is set up anew for each exchange.

Links and listeners are tasks now.

--- a/src/host/body.rs
+++ b/src/host/body.rs
@@ -1,10 +1,11 @@
 //! Bodies of requests and answers: whole where they are small, passed on as they come where not.
 
 use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 
 /// Bodies up to this many bytes are kept whole, so that a request can be sent again and a
 /// broken answer is noticed before its first byte is passed on.
@@ -61,6 +62,40 @@
     Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
+/// A body with something that lives as long.
+struct Guarded<G> {
+    body: Body,
+    _guard: G,
+}
+
+impl<G: Unpin> hyper::body::Body for Guarded<G> {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        self.body.as_mut().poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The same body; `guard` is dropped when it ends or is dropped.
+pub(crate) fn guarded<G: Unpin + 'static>(body: Body, guard: G) -> Body {
+    Box::pin(Guarded {
+        body,
+        _guard: guard,
+    })
+}
+
 /// Reads a body up to [`WHOLE`] bytes.
 pub(crate) async fn read(mut body: Incoming, most: u64) -> Result<Part, Broken> {
     let announced = body.size_hint().lower();
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -1,15 +1,21 @@
 //! Outgoing connections.
+//!
+//! The buffers of an HTTP connection are most of what a connection costs in memory, so they live only as
+//! long as an exchange: between exchanges nothing but the socket is kept.
 
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::task::Poll;
 use std::time::Duration;
 
 use http::header::CONNECTION;
-use http::response;
+use http::{response, Request, Response};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
 use super::body::Body;
 
@@ -19,8 +25,8 @@
 const KEEPALIVE_PROBES: u32 = 3;
 /// How long sent bytes may stay without acknowledgement: as long as those questions take.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
-/// The most that is buffered of what a target sends, in bytes; also bounds the head of its answer.
-const BUFFER: usize = 64 << 10;
+/// What is read of an answer at once, in bytes: most answers of a few kilobytes take two reads.
+const BUFFER: usize = 4 << 10;
 
 /// Why there is no connection.
 #[derive(Debug, thiserror::Error)]
@@ -31,20 +37,106 @@
     /// The system said why.
     #[error("cannot connect: {0}")]
     Connect(#[from] std::io::Error),
-    /// HTTP could not be set up on it.
-    #[error("cannot connect: {0}")]
-    Handshake(#[from] hyper::Error),
+    /// What came over it is not HTTP, or ended early.
+    #[error("no HTTP: {0}")]
+    Http(#[from] hyper::Error),
+    /// There was no answer.
+    #[error("no answer")]
+    Unanswered,
+}
+
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unanswered {
+    /// It has not left this host.
+    NotSent,
+    /// It may have arrived.
+    Sent,
 }
 
-/// A connection that closes when it is dropped, whatever it is doing.
+/// An HTTP connection in use; it closes when it is dropped, whatever it is doing.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Body>,
-    task: AbortHandle,
+    sender: SendRequest<Body>,
+    driver: Driver,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
+/// What moves bytes between a connection's buffers and its socket.
+struct Driver {
+    connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    ended: bool,
+}
+
+impl Driver {
+    /// Waits for `future` while the connection does its work.
+    async fn until<F: Future>(&mut self, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|cx| {
+            if !self.ended {
+                if let Poll::Ready(end) = Pin::new(&mut self.connection).poll(cx) {
+                    self.ended = true;
+                    if let Err(error) = end {
+                        spdlog::debug!("client: a connection ended: {error}");
+                    }
+                }
+            }
+            future.as_mut().poll(cx)
+        })
+        .await
+    }
+}
+
+impl Connection {
+    /// Speaks HTTP on `stream`.
+    pub(crate) async fn new(stream: TcpStream) -> Result<Self, Error> {
+        let (sender, connection) = http1::Builder::new()
+            .read_buf_exact_size(Some(BUFFER))
+            .handshake(TokioIo::new(stream))
+            .await?;
+        let driver = Driver {
+            connection,
+            ended: false,
+        };
+        Ok(Self { sender, driver })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, Unanswered> {
+        let sender = &mut self.sender;
+        let exchange = async move {
+            if sender.ready().await.is_err() {
+                return Err(Unanswered::NotSent);
+            }
+            let answer = sender.try_send_request(request).await;
+            // A request that comes back from the library has not left this host.
+            answer.map_err(|mut error| match error.take_message() {
+                Some(_) => Unanswered::NotSent,
+                None => Unanswered::Sent,
+            })
+        };
+        self.driver.until(exchange).await
+    }
+
+    /// Waits for `reading` of an answer's body, which comes through this connection.
+    pub(crate) async fn read<F: Future>(&mut self, reading: F) -> F::Output {
+        self.driver.until(reading).await
+    }
+
+    /// Does its work for as long as it lasts.
+    pub(crate) async fn run(mut self) {
+        self.driver.until(std::future::pending::<()>()).await;
+    }
+
+    /// The socket, if the last exchange is complete and nothing else came.
+    pub(crate) async fn release(mut self) -> Option<TcpStream> {
+        self.driver.until(std::future::ready(())).await;
+        if self.driver.ended || !self.sender.is_ready() {
+            return None;
+        }
+        let parts = self.driver.connection.into_parts();
+        parts.read_buf.is_empty().then(|| parts.io.into_inner())
     }
 }
 
@@ -61,24 +153,18 @@
 }
 
 /// Connects to `address` within `patience`.
-pub(crate) async fn connect(address: SocketAddr, patience: Duration) -> Result<Connection, Error> {
+pub(crate) async fn connect(address: SocketAddr, patience: Duration) -> Result<TcpStream, Error> {
     let stream = tokio::time::timeout(patience, TcpStream::connect(address))
         .await
         .map_err(|_| Error::Timeout)??;
     watch(&stream)?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(BUFFER)
-        .handshake(TokioIo::new(stream))
-        .await?;
-    let task = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            spdlog::debug!("client: connection to {address} ended: {error}");
-        }
-    });
-    Ok(Connection {
-        sender,
-        task: task.abort_handle(),
-    })
+    Ok(stream)
+}
+
+/// Whether a socket between exchanges is still of use: open, and without bytes that nobody asked for.
+pub(crate) fn is_quiet(stream: &TcpStream) -> bool {
+    let read = stream.try_read(&mut [0]);
+    read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
 }
 
 /// Whether a target closes the connection after its answer.
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -11,10 +11,11 @@
 };
 use http::{request, response, HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use tokio::task::AbortHandle;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::body::{self, Body, Part};
-use super::client::{self, Connection};
+use super::client::{self, Connection, Unanswered};
 use super::record::{self, Stop, Story};
 use super::{answer, now, Host};
 use crate::catalog::Repeat;
@@ -228,24 +229,14 @@
     };
     let request = outgoing(host, exchange, body, &id);
     let sent = now();
-    let exchange_end = tokio::time::timeout_at(exchange.deadline.into(), async {
-        if connection.sender.ready().await.is_err() {
-            return Err(None);
-        }
-        connection
-            .sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| Some(error.take_message().is_some()))
-    });
-    let response = match exchange_end.await {
+    let answer = tokio::time::timeout_at(exchange.deadline.into(), connection.send(request));
+    let response = match answer.await {
         Ok(Ok(response)) => response,
-        Ok(Err(sent)) => {
+        Ok(Err(unanswered)) => {
             grant.end = End::Broken;
-            // A request that comes back from the library has not left this host.
-            return match sent {
-                None | Some(true) => Outcome::NotRun,
-                Some(false) => Outcome::Unknown,
+            return match unanswered {
+                Unanswered::NotSent => Outcome::NotRun,
+                Unanswered::Sent => Outcome::Unknown,
             };
         }
         Err(_) => return Outcome::Late,
@@ -261,27 +252,33 @@
     address: SocketAddr,
     patience: Duration,
 ) -> Result<Connection, client::Error> {
-    if let Some(kept) = host.pool.borrow_mut().take(now(), target) {
-        return Ok(kept);
-    }
-    let begun = now();
-    let connection = client::connect(address, patience).await?;
-    let took = now().saturating_duration_since(begun);
-    host.core.borrow_mut().fleet.connected(target, took);
-    Ok(connection)
+    let kept = host.pool.borrow_mut().take(now(), target);
+    let stream = match kept {
+        Some(stream) => stream,
+        None => {
+            let begun = now();
+            let stream = client::connect(address, patience).await?;
+            let took = now().saturating_duration_since(begun);
+            host.core.borrow_mut().fleet.connected(target, took);
+            stream
+        }
+    };
+    Connection::new(stream).await
 }
 
 /// Keeps a connection whose answer is complete, unless its target closes it.
-pub(crate) fn keep(
+pub(crate) async fn keep(
     host: &Host,
     target: TargetKey,
     connection: Connection,
     parts: &response::Parts,
 ) {
-    if !client::closes(parts) {
+    if client::closes(parts) {
+        return;
+    }
+    if let Some(stream) = connection.release().await {
         let idle = client::idle_time(parts);
-        let mut pool = host.pool.borrow_mut();
-        pool.put(now(), target, connection, idle);
+        host.pool.borrow_mut().put(now(), target, stream, idle);
     }
 }
 
@@ -329,7 +326,7 @@
     host: &Rc<Host>,
     exchange: &Exchange,
     grant: &mut Grant,
-    connection: Connection,
+    mut connection: Connection,
     response: Response<Incoming>,
 ) -> Outcome {
     let (parts, incoming) = response.into_parts();
@@ -344,7 +341,8 @@
         grant.end = End::Broken;
         return Outcome::Unknown;
     }
-    let Some(part) = collect(exchange, incoming).await else {
+    let read = connection.read(collect(exchange, incoming));
+    let Some(part) = read.await else {
         let late = now() >= exchange.deadline;
         grant.end = if late { End::Cancelled } else { End::Broken };
         return if late {
@@ -355,7 +353,7 @@
     };
     match part {
         Part::Whole(bytes) => {
-            keep(host, grant.target, connection, &parts);
+            keep(host, grant.target, connection, &parts).await;
             // The answer to HEAD keeps the length of what it leaves out.
             let framed = exchange.parts.method == Method::HEAD;
             let body = body::whole(bytes);
@@ -414,6 +412,15 @@
     }
 }
 
+/// A connection at work in a task; it closes when this is dropped.
+struct Running(AbortHandle);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// The body of a long answer, passed on as it comes; counts at the target until it ends. Its
 /// connection is not used again.
 fn pass_on(
@@ -424,7 +431,8 @@
     rest: Incoming,
 ) -> Body {
     host.core.borrow_mut().fleet.hold(grant.target);
-    let held = (connection, Grant::new(host, grant.target));
+    let running = Running(tokio::task::spawn_local(connection.run()).abort_handle());
+    let held = (running, Grant::new(host, grant.target));
     body::stream(start, rest, u64::MAX, held)
 }
 
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::client::Connection;
+use tokio::net::TcpStream;
+
+use super::client;
 use crate::inventory::TargetKey;
 
 /// How long a connection is kept when its target does not say after what time it closes it.
@@ -15,7 +17,7 @@
 const KEPT: usize = 6;
 
 struct Idle {
-    connection: Connection,
+    stream: TcpStream,
     until: Instant,
 }
 
@@ -27,11 +29,11 @@
 
 impl Pool {
     /// The connection to `target` that was used last.
-    pub(crate) fn take(&mut self, now: Instant, target: TargetKey) -> Option<Connection> {
+    pub(crate) fn take(&mut self, now: Instant, target: TargetKey) -> Option<TcpStream> {
         let idle = self.idle.get_mut(&target)?;
         while let Some(next) = idle.pop() {
-            if now < next.until && !next.connection.sender.is_closed() {
-                return Some(next.connection);
+            if now < next.until && client::is_quiet(&next.stream) {
+                return Some(next.stream);
             }
         }
         None
@@ -47,7 +49,7 @@
         &mut self,
         now: Instant,
         target: TargetKey,
-        connection: Connection,
+        stream: TcpStream,
         idle: Option<Duration>,
     ) {
         let keep = idle.unwrap_or(DEFAULT_IDLE).saturating_sub(MARGIN);
@@ -56,7 +58,7 @@
             return;
         }
         connections.push(Idle {
-            connection,
+            stream,
             until: now + keep,
         });
     }
@@ -64,7 +66,7 @@
     /// Closes what has waited too long.
     pub(crate) fn sweep(&mut self, now: Instant) {
         self.idle.retain(|_, idle| {
-            idle.retain(|idle| now < idle.until && !idle.connection.sender.is_closed());
+            idle.retain(|idle| now < idle.until && client::is_quiet(&idle.stream));
             !idle.is_empty()
         });
     }
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -99,12 +99,13 @@
     if let Ok(name) = HeaderValue::from_str(&question.address.to_string()) {
         request.headers_mut().insert(HOST, name);
     }
-    connection.sender.ready().await?;
-    let response = connection.sender.send_request(request).await?;
+    let Ok(response) = connection.send(request).await else {
+        return Err(client::Error::Unanswered);
+    };
     let (parts, incoming) = response.into_parts();
     let health = (host.platform.wire.health)(&parts);
-    incoming.collect().await?;
-    exchange::keep(host, question.target, connection, &parts);
+    connection.read(incoming.collect()).await?;
+    exchange::keep(host, question.target, connection, &parts).await;
     let same = health.target.is_none_or(|target| target == question.id);
     Ok(health.cold_left.filter(|_| same))
 }
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -1,15 +1,20 @@
 //! Incoming connections: HTTP/1.1 with bounds on how long a head may take and a connection may idle.
+//!
+//! Many callers keep connections on which nothing happens most of the time, and the buffers of an HTTP
+//! connection are most of what it costs in memory. So they are given back whenever an answer is out and
+//! nothing else has come, and only the socket waits.
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use bytes::{Buf, Bytes};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -18,15 +23,15 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use super::body::Body;
+use super::body::{self, Body};
 use super::{client, now, stop, Error, Host};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// Pause after a failed accept, when descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(50);
-/// How often a connection's times are checked.
-const CHECK: Duration = Duration::from_millis(500);
+/// How often a connection's times are checked, as the bounds may change.
+const CHECK: Duration = Duration::from_secs(1);
 /// The least buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER: usize = 8192;
 /// Bound on a request head before the first configuration, in bytes.
@@ -43,10 +48,45 @@
     Busy,
 }
 
-/// A stream that notes when a head begins to arrive.
+/// What the two sides of the HTTP library tell of a connection.
+struct Watch {
+    phase: Cell<Phase>,
+    /// Whether all that was written has gone to the socket.
+    flushed: Cell<bool>,
+    /// Since when the caller takes nothing of what is written.
+    stalled: Cell<Option<Instant>>,
+}
+
+impl Watch {
+    fn new() -> Self {
+        Self {
+            phase: Cell::new(Phase::Idle(now())),
+            flushed: Cell::new(true),
+            stalled: Cell::new(None),
+        }
+    }
+
+    /// Whether the last answer is out and nothing else has come.
+    fn is_at_rest(&self) -> bool {
+        matches!(self.phase.get(), Phase::Idle(_)) && self.flushed.get()
+    }
+}
+
+/// Ends the phase in which a request is answered.
+struct Answering(Rc<Watch>);
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.phase.set(Phase::Idle(now()));
+    }
+}
+
+/// A stream that notes what happens on it.
 struct Watched {
     stream: TcpStream,
-    phase: Rc<Cell<Phase>>,
+    /// What was read before and belongs to the next request.
+    rest: Bytes,
+    watch: Rc<Watch>,
 }
 
 impl AsyncRead for Watched {
@@ -56,21 +96,38 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && matches!(self.phase.get(), Phase::Idle(_)) {
-            self.phase.set(Phase::Head(now()));
+        let result = if self.rest.has_remaining() {
+            let count = self.rest.len().min(buf.remaining());
+            buf.put_slice(&self.rest.split_to(count));
+            Poll::Ready(Ok(()))
+        } else {
+            Pin::new(&mut self.stream).poll_read(cx, buf)
+        };
+        if buf.filled().len() > before && matches!(self.watch.phase.get(), Phase::Idle(_)) {
+            self.watch.phase.set(Phase::Head(now()));
         }
         result
     }
 }
 
+impl Watched {
+    fn note<T>(&self, written: &Poll<io::Result<T>>) {
+        self.watch.flushed.set(false);
+        let since = self.watch.stalled.get().unwrap_or_else(now);
+        let stalled = written.is_pending().then_some(since);
+        self.watch.stalled.set(stalled);
+    }
+}
+
 impl AsyncWrite for Watched {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -78,7 +135,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -86,7 +145,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        self.watch.flushed.set(flushed.is_ready());
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -138,19 +199,48 @@
         spdlog::debug!("serve: a connection ended at once: {error}");
         return;
     }
-    let phase = Rc::new(Cell::new(Phase::Idle(now())));
-    let io = TokioIo::new(Watched {
+    let mut next = Some(Watched {
         stream,
-        phase: phase.clone(),
+        rest: Bytes::new(),
+        watch: Rc::new(Watch::new()),
     });
+    while let Some(watched) = next.take() {
+        if watched.rest.has_remaining() || wait(&host, &watched).await {
+            // On the heap, so that it takes no memory while the connection waits.
+            next = Box::pin(serve(&host, watched, handler)).await;
+        }
+    }
+}
+
+/// Waits until something comes; false if the connection is to end.
+async fn wait(host: &Host, watched: &Watched) -> bool {
+    loop {
+        tokio::select! {
+            readable = watched.stream.readable() => return readable.is_ok(),
+            () = host.stop.closing() => return false,
+            () = tokio::time::sleep(CHECK) => {
+                if overdue(host, &watched.watch) != Overdue::No {
+                    return false;
+                }
+            }
+        }
+    }
+}
+
+/// Answers requests until nothing more has come; gives the connection back unless it has ended.
+async fn serve<F, R>(host: &Rc<Host>, watched: Watched, handler: F) -> Option<Watched>
+where
+    F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    let watch = watched.watch.clone();
     let service = service_fn(|request| {
-        phase.set(Phase::Busy);
-        let answer = handler(host.clone(), request);
-        let phase = phase.clone();
+        watch.phase.set(Phase::Busy);
+        let answering = Answering(watch.clone());
+        let answer = Box::pin(handler(host.clone(), request));
         async move {
             let response = answer.await;
-            phase.set(Phase::Idle(now()));
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| body::guarded(body, answering)))
         }
     });
     let limits = host.core.borrow().table.limits();
@@ -159,48 +249,68 @@
     builder
         .max_buf_size(head.max(MIN_BUFFER))
         .auto_date_header(false);
-    let mut connection = pin!(builder.serve_connection(io, service));
-    let mut check = tokio::time::interval(CHECK);
+    let mut connection = builder.serve_connection(TokioIo::new(watched), service);
+    let mut check = tokio::time::interval_at((now() + CHECK).into(), CHECK);
     let mut leaving = false;
     loop {
+        let work = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
+            Poll::Ready(end) => Poll::Ready(Some(end)),
+            Poll::Pending if watch.is_at_rest() && !leaving => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        });
         tokio::select! {
-            result = &mut connection => {
-                if let Err(error) = result {
-                    spdlog::debug!("serve: a connection ended: {error}");
+            biased;
+            end = work => match end {
+                None => break,
+                Some(end) => {
+                    if let Err(error) = end {
+                        spdlog::debug!("serve: a connection ended: {error}");
+                    }
+                    return None;
                 }
-                return;
-            }
+            },
             () = host.stop.closing(), if !leaving => {
                 leaving = true;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
-            _ = check.tick() => match overdue(&host, phase.get()) {
+            _ = check.tick() => match overdue(host, &watch) {
                 Overdue::No => {}
                 Overdue::Idle if leaving => {}
                 Overdue::Idle => {
                     leaving = true;
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
-                Overdue::Head => return,
+                Overdue::Caller => return None,
             }
         }
     }
+    let parts = connection.into_parts();
+    let mut watched = parts.io.into_inner();
+    watched.rest = parts.read_buf;
+    Some(watched)
 }
 
 /// Which of its bounds a connection has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Overdue {
     No,
+    /// It waited too long for a request.
     Idle,
-    Head,
+    /// The caller takes too long to send a head, or to take an answer.
+    Caller,
 }
 
-fn overdue(host: &Host, phase: Phase) -> Overdue {
+fn overdue(host: &Host, watch: &Watch) -> Overdue {
     let Some(limits) = host.core.borrow().table.limits() else {
         return Overdue::No;
     };
-    match phase {
+    let stalled = watch.stalled.get();
+    if stalled.is_some_and(|since| now() > since + limits.idle_timeout) {
+        return Overdue::Caller;
+    }
+    match watch.phase.get() {
         Phase::Idle(since) if now() > since + limits.idle_timeout => Overdue::Idle,
-        Phase::Head(since) if now() > since + limits.head_timeout => Overdue::Head,
+        Phase::Head(since) if now() > since + limits.head_timeout => Overdue::Caller,
         _ => Overdue::No,
     }
 }
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use tokio::net::TcpStream;
 
 use super::body::whole;
 use super::client::{self, Connection};
@@ -37,14 +38,14 @@
 /// A connection to the store that is opened when it is needed.
 pub(crate) struct Client {
     host: Rc<Host>,
-    connection: Option<Connection>,
+    kept: Option<TcpStream>,
 }
 
 impl Client {
     pub(crate) fn new(host: &Rc<Host>) -> Self {
         Self {
             host: host.clone(),
-            connection: None,
+            kept: None,
         }
     }
 
@@ -54,11 +55,11 @@
             Call::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
-        let kept = self.connection.take();
+        let kept = self.kept.take();
         let exchange = self.exchange(kept, call);
         let answered = tokio::time::timeout(PATIENCE + wait, exchange).await;
-        let (connection, status, bytes) = answered.map_err(|_| Error::Timeout)??;
-        self.connection = Some(connection);
+        let (kept, status, bytes) = answered.map_err(|_| Error::Timeout)??;
+        self.kept = kept;
         let (reply, unread) = (self.host.platform.store.decode)(call, status, &bytes)?;
         for malformed in unread {
             spdlog::warn!("store: an object is left out: {malformed}");
@@ -71,18 +72,21 @@
 
     async fn exchange(
         &self,
-        kept: Option<Connection>,
+        kept: Option<TcpStream>,
         call: &Call,
-    ) -> Result<(Connection, StatusCode, Bytes), Error> {
-        let mut connection = match kept {
-            Some(connection) if !connection.sender.is_closed() => connection,
-            _ => client::connect(self.host.settings.store, CONNECT).await?,
+    ) -> Result<(Option<TcpStream>, StatusCode, Bytes), Error> {
+        let stream = match kept.filter(client::is_quiet) {
+            Some(stream) => stream,
+            None => client::connect(self.host.settings.store, CONNECT).await?,
         };
+        let mut connection = Connection::new(stream).await?;
         let request = (self.host.platform.store.encode)(call)?.map(whole);
-        connection.sender.ready().await?;
-        let response = connection.sender.send_request(request).await?;
+        let Ok(response) = connection.send(request).await else {
+            return Err(client::Error::Unanswered.into());
+        };
         let status = response.status();
-        let bytes = response.into_body().collect().await?.to_bytes();
-        Ok((connection, status, bytes))
+        let body = response.into_body().collect();
+        let bytes = connection.read(body).await?.to_bytes();
+        Ok((connection.release().await, status, bytes))
     }
 }
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -155,7 +155,10 @@
         let mut next = 0;
         let listener = Listener::new(address, move |stream| {
             next += 1;
-            open(&inner, next, stream);
+            // A connection that can't be taken over has ended, which its other side sees.
+            if let Ok(stream) = blocking(stream) {
+                open(&inner, next, stream);
+            }
         })?;
         Ok(Self { listener, shared })
     }
@@ -191,13 +194,19 @@
     }
 }
 
+fn blocking(stream: tokio::net::TcpStream) -> io::Result<TcpStream> {
+    let stream = stream.into_std()?;
+    stream.set_nonblocking(false)?;
+    Ok(stream)
+}
+
 fn open(shared: &Arc<Shared>, id: u64, stream: TcpStream) {
     let stream = Arc::new(stream);
     {
         let mut connections = lock(&shared.connections);
         if connections.len() >= shared.limit {
             shared.over.fetch_add(1, Ordering::Relaxed);
-            listen::reset(&stream);
+            listen::reset(&*stream);
             return;
         }
         connections.insert(id, Arc::clone(&stream));
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for what surrounds ragwortfold: a platform, targets, a faulty link, callers.
 //!
-//! Each can be embedded (it runs on threads of its own and stops when dropped) or started as a
+//! Each can be embedded (it runs beside its user and stops when dropped) or started as a
 //! process by the `standin` binary. Faults are switched while they run, by a method or by
 //! `POST /standin/fault`.
 
@@ -12,6 +12,7 @@
 pub mod observer;
 pub mod pattern;
 pub mod platform;
+mod runtime;
 pub mod target;
 
 pub use error::Error;
--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -2,7 +2,7 @@
 //!
 //! Each direction of a connection has a reader, which stamps chunks with the time they are due,
 //! and a writer, which sends them then: a delay does not lower the throughput, up to
-//! [`QUEUE`] chunks under way. While a direction is a black hole its bytes are held and arrive
+//! [`QUEUE`] chunks under way. Both are tasks, as a link in front of a busy host has thousands. While a direction is a black hole its bytes are held and arrive
 //! after it ends, as retransmission would have it; a new connection is accepted all the same,
 //! since the kernel does that. When the far end refuses, the link refuses as well, until the far
 //! end is back; the connection that finds it out is reset.
@@ -11,16 +11,17 @@
 //! one link shows the distances from many places.
 
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
+use std::io;
+use std::net::{IpAddr, Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{self, Receiver, SyncSender};
-use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
-use std::thread;
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use socket2::{Domain, Socket, Type};
+use socket2::SockRef;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::watch;
 
 use crate::http::{Reply, Request, Response, Server};
 use crate::listen::{self, Gate, Listener};
@@ -36,7 +37,6 @@
 /// Pause between tries to reach a far end that refused.
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
 const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
-const STACK: usize = 128 << 10;
 
 /// What one direction does to the bytes. The default is to pass them on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,11 +124,11 @@
     }
 
     fn cut(&self) {
-        let _ = self.near.shutdown(Shutdown::Both);
-        let _ = self.far.shutdown(Shutdown::Both);
+        let _ = SockRef::from(&self.near).shutdown(Shutdown::Both);
+        let _ = SockRef::from(&self.far).shutdown(Shutdown::Both);
     }
 
-    /// Resets both sides; the resets go out when the threads have let go.
+    /// Resets both sides; the resets go out when the tasks have let go.
     fn reset(&self) {
         self.reset.store(true, Ordering::Relaxed);
         listen::reset(&self.near);
@@ -162,7 +162,8 @@
     to: SocketAddr,
     keep_source: AtomicBool,
     state: Mutex<State>,
-    changed: Condvar,
+    /// Told each change of the state that a writer may wait for.
+    changed: watch::Sender<()>,
     gate: OnceLock<Box<dyn Fn(Gate) + Send + Sync>>,
 }
 
@@ -285,7 +286,7 @@
             to,
             keep_source: AtomicBool::new(false),
             state: Mutex::new(state),
-            changed: Condvar::new(),
+            changed: watch::Sender::new(()),
             gate: OnceLock::new(),
         }
     }
@@ -298,7 +299,7 @@
             .values()
             .for_each(|connection| connection.cut());
         drop(state);
-        self.changed.notify_all();
+        self.changed.send_replace(());
     }
 
     fn set_fault(&self, fault: Fault) {
@@ -312,7 +313,7 @@
                 .for_each(|connection| connection.reset());
         }
         drop(state);
-        self.changed.notify_all();
+        self.changed.send_replace(());
         self.regate();
     }
 
@@ -326,22 +327,14 @@
     }
 
     /// Connects to the far end; if it refuses, refuses too until it is back.
-    fn connect(&self, near: &TcpStream) -> io::Result<TcpStream> {
-        let result = if self.keep_source.load(Ordering::Relaxed) {
-            connect_from(near.peer_addr()?.ip(), self.to)
-        } else {
-            TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT)
-        };
-        let refused = |r: &io::Result<TcpStream>| {
-            r.as_ref()
-                .is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
-        };
-        if refused(&result) && self.note_refusal() {
+    async fn connect(&self, near: &TcpStream) -> io::Result<TcpStream> {
+        let keeps = self.keep_source.load(Ordering::Relaxed);
+        let source = near.peer_addr().ok().filter(|_| keeps);
+        let result = connect(source.map(|from| from.ip()), self.to).await;
+        if is_refused(&result) && self.note_refusal() {
             self.regate();
-            let mut probe = TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT);
-            while refused(&probe) && !lock(&self.state).stopped {
-                thread::sleep(PROBE_PAUSE);
-                probe = TcpStream::connect_timeout(&self.to, CONNECT_TIMEOUT);
+            while is_refused(&connect(None, self.to).await) && !lock(&self.state).stopped {
+                tokio::time::sleep(PROBE_PAUSE).await;
             }
             lock(&self.state).far_refuses = false;
             self.regate();
@@ -370,20 +363,30 @@
     }
 
     /// Waits until a piece may arrive; answers the cut in force and the fault's generation.
-    fn arrive(&self, direction: Direction, due: Instant) -> io::Result<(Option<u64>, u64)> {
-        let mut state = lock(&self.state);
+    async fn arrive(&self, direction: Direction, due: Instant) -> io::Result<(Option<u64>, u64)> {
+        let mut changes = self.changed.subscribe();
         loop {
-            let flow = state.fault.flow(direction);
-            if state.stopped {
-                return Err(io::ErrorKind::ConnectionAborted.into());
+            let (flow, generation) = {
+                let state = lock(&self.state);
+                if state.stopped {
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+                (state.fault.flow(direction), state.generation)
+            };
+            if due <= Instant::now() && !flow.black_hole {
+                return Ok((flow.cut_after, generation));
             }
-            let left = due.saturating_duration_since(Instant::now());
-            if left.is_zero() && !flow.black_hole {
-                return Ok((flow.cut_after, state.generation));
+            let wait = async {
+                if flow.black_hole {
+                    std::future::pending().await
+                } else {
+                    tokio::time::sleep_until(due.into()).await
+                }
+            };
+            tokio::select! {
+                () = wait => {}
+                _ = changes.changed() => {}
             }
-            let wait = if flow.black_hole { WRITE_TIMEOUT } else { left };
-            let waited = self.changed.wait_timeout(state, wait);
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 }
@@ -397,14 +400,26 @@
     }
 }
 
-fn connect_from(source: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
-    socket.bind(&SocketAddr::new(source, 0).into())?;
-    socket.connect_timeout(&to.into(), CONNECT_TIMEOUT)?;
-    Ok(socket.into())
+fn is_refused(result: &io::Result<TcpStream>) -> bool {
+    let error = result.as_ref().err();
+    error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Takes a new connection on the accepting thread.
+async fn connect(source: Option<IpAddr>, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match to {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    match tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(to)).await {
+        Ok(connected) => connected,
+        Err(_) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+/// Takes a new connection.
 fn open(shared: &Arc<Shared>, id: u64, near: TcpStream) {
     let state = lock(&shared.state);
     let full = state.connections.len() >= MAX_CONNECTIONS;
@@ -414,22 +429,13 @@
     }
     drop(state);
     let shared = Arc::clone(shared);
-    // If no thread can be had the connection ends, which the connecting side sees.
-    let _ = spawn(move || {
-        let _ = join(&shared, id, near);
-    });
-}
-
-fn spawn(run: impl FnOnce() + Send + 'static) -> io::Result<thread::JoinHandle<()>> {
-    thread::Builder::new()
-        .name("link".into())
-        .stack_size(STACK)
-        .spawn(run)
+    // A connection that can't be joined ends, which the connecting side sees.
+    tokio::spawn(async move { drop(join(&shared, id, near).await) });
 }
 
 /// Joins a connection to the far end until both directions have ended.
-fn join(shared: &Arc<Shared>, id: u64, near: TcpStream) -> io::Result<()> {
-    let far = match shared.connect(&near) {
+async fn join(shared: &Arc<Shared>, id: u64, near: TcpStream) -> io::Result<()> {
+    let far = match shared.connect(&near).await {
         Ok(far) => far,
         Err(error) => {
             listen::reset(&near);
@@ -437,8 +443,6 @@
         }
     };
     far.set_nodelay(true)?;
-    near.set_write_timeout(Some(WRITE_TIMEOUT))?;
-    far.set_write_timeout(Some(WRITE_TIMEOUT))?;
     let connection = Arc::new(Connection {
         near,
         far,
@@ -447,36 +451,34 @@
     lock(&shared.state)
         .connections
         .insert(id, Arc::clone(&connection));
-    let mut threads = Vec::new();
-    for direction in [Direction::Forth, Direction::Back] {
-        let (sender, receiver) = mpsc::sync_channel(QUEUE);
-        let (s, c) = (Arc::clone(shared), Arc::clone(&connection));
-        threads.push(spawn(move || read(&s, &c, direction, &sender)));
-        let (s, c) = (Arc::clone(shared), Arc::clone(&connection));
-        threads.push(spawn(move || {
-            if write(&s, &c, direction, &receiver).is_err() {
-                c.cut();
-            }
-        }));
-    }
-    if threads.iter().any(Result::is_err) {
-        connection.cut();
-    }
-    for thread in threads.into_iter().flatten() {
-        let _ = thread.join();
-    }
+    tokio::join!(
+        carry(shared, &connection, Direction::Forth),
+        carry(shared, &connection, Direction::Back)
+    );
     lock(&shared.state).connections.remove(&id);
     Ok(())
 }
 
-fn read(shared: &Shared, connection: &Connection, direction: Direction, to: &SyncSender<Due>) {
-    let (mut from, _) = connection.streams(direction);
-    let mut buffer = vec![0; CHUNK];
+/// Carries one direction until it has ended.
+async fn carry(shared: &Shared, connection: &Connection, direction: Direction) {
+    let (sender, receiver) = mpsc::channel(QUEUE);
+    let writer = async {
+        if write(shared, connection, direction, receiver)
+            .await
+            .is_err()
+        {
+            connection.cut();
+        }
+    };
+    tokio::join!(read(shared, connection, direction, sender), writer);
+}
+
+async fn read(shared: &Shared, connection: &Connection, direction: Direction, to: Sender<Due>) {
+    let (from, _) = connection.streams(direction);
     loop {
-        let piece = match from.read(&mut buffer) {
-            Ok(0) => Piece::End,
-            Ok(n) => Piece::Bytes(buffer[..n].to_vec()),
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+        let piece = match receive(from).await {
+            Ok(bytes) if bytes.is_empty() => Piece::End,
+            Ok(bytes) => Piece::Bytes(bytes),
             Err(_) => Piece::Reset,
         };
         let length = if let Piece::Bytes(bytes) = &piece {
@@ -485,23 +487,40 @@
             0
         };
         let due = shared.due(direction, length);
-        if to.send((due, piece)).is_err() || length == 0 {
+        if to.send((due, piece)).await.is_err() || length == 0 {
             return;
         }
     }
 }
 
-fn write(
+/// The next bytes; none at the end.
+async fn receive(from: &TcpStream) -> io::Result<Vec<u8>> {
+    loop {
+        from.readable().await?;
+        let mut buffer = Vec::with_capacity(CHUNK);
+        match from.try_read_buf(&mut buffer) {
+            Ok(_) => {
+                // Many small pieces may be under way.
+                buffer.shrink_to_fit();
+                return Ok(buffer);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+async fn write(
     shared: &Shared,
     connection: &Connection,
     direction: Direction,
-    from: &Receiver<Due>,
+    mut from: Receiver<Due>,
 ) -> io::Result<()> {
-    let (_, mut to) = connection.streams(direction);
+    let (_, to) = connection.streams(direction);
     let mut sent = 0;
     let mut seen = 0;
-    while let Ok((due, piece)) = from.recv() {
-        let (cut_after, generation) = shared.arrive(direction, due)?;
+    while let Some((due, piece)) = from.recv().await {
+        let (cut_after, generation) = shared.arrive(direction, due).await?;
         if generation != seen {
             seen = generation;
             sent = 0;
@@ -510,7 +529,8 @@
             Piece::Bytes(bytes) => {
                 let room = cut_after.map_or(u64::MAX, |limit| limit - sent);
                 let passed = (bytes.len() as u64).min(room) as usize;
-                to.write_all(&bytes[..passed])?;
+                let all = send(to, &bytes[..passed]);
+                tokio::time::timeout(WRITE_TIMEOUT, all).await??;
                 sent += passed as u64;
                 lock(&shared.state).bytes[direction as usize] += passed as u64;
                 if cut_after == Some(sent) {
@@ -518,7 +538,7 @@
                 }
             }
             Piece::End if connection.reset.load(Ordering::Relaxed) => return Ok(()),
-            Piece::End => return to.shutdown(Shutdown::Write),
+            Piece::End => return SockRef::from(to).shutdown(Shutdown::Write),
             Piece::Reset => {
                 connection.reset();
                 return Ok(());
@@ -527,3 +547,15 @@
     }
     Ok(())
 }
+
+async fn send(to: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        to.writable().await?;
+        match to.try_write(bytes) {
+            Ok(count) => bytes = &bytes[count..],
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
--- a/standin/src/listen.rs
+++ b/standin/src/listen.rs
@@ -4,14 +4,18 @@
 //! and nobody else takes it.
 
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::thread::{self, JoinHandle};
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use socket2::{Domain, SockRef, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
-use crate::{lock, Error};
+use crate::{lock, runtime, Error};
 
 const BACKLOG: i32 = 1024;
 /// Pause after a failed accept or bind.
@@ -35,48 +39,44 @@
 
 struct Shared {
     state: Mutex<State>,
-    changed: Condvar,
+    changed: Notify,
+    runtime: Handle,
     address: SocketAddr,
     _holder: Socket,
 }
 
-/// A listening address with a thread that accepts.
+/// A listening address with a task that accepts.
 pub(crate) struct Listener {
     shared: Arc<Shared>,
-    thread: Option<JoinHandle<()>>,
+    task: JoinHandle<()>,
 }
 
 impl Listener {
-    /// Listens on `address` and hands each connection to `accept` on the accepting thread.
+    /// Listens on `address` and hands each connection to `accept`, which must not wait.
     pub(crate) fn new(
         address: SocketAddr,
         accept: impl FnMut(TcpStream) + Send + 'static,
     ) -> Result<Self, Error> {
         let failed = |source| Error::Listen { address, source };
+        let runtime = runtime::handle()?;
         let holder = bind(address).map_err(failed)?;
         let address = holder.local_addr().map_err(failed)?;
         let address = address
             .as_socket()
             .ok_or_else(|| failed(io::Error::other("no IP")))?;
-        let first = listen(address).map_err(failed)?;
+        let first = listen(&runtime, address).map_err(failed)?;
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 gate: Gate::Open,
                 listener: Some(Arc::new(first)),
             }),
-            changed: Condvar::new(),
+            changed: Notify::new(),
+            runtime: runtime.clone(),
             address,
             _holder: holder,
         });
-        let inner = Arc::clone(&shared);
-        let thread = thread::Builder::new()
-            .name("accept".into())
-            .spawn(move || run(&inner, accept))
-            .map_err(Error::Thread)?;
-        Ok(Self {
-            shared,
-            thread: Some(thread),
-        })
+        let task = runtime.spawn(run(Arc::clone(&shared), accept));
+        Ok(Self { shared, task })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -98,9 +98,7 @@
 impl Drop for Listener {
     fn drop(&mut self) {
         self.set(Gate::Stopped);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+        self.task.abort();
     }
 }
 
@@ -111,15 +109,15 @@
     }
     state.gate = gate;
     match (gate, &state.listener) {
-        (Gate::Open, None) => state.listener = listen(shared.address).ok().map(Arc::new),
+        (Gate::Open, None) => state.listener = shared.listen(),
         (Gate::Closed | Gate::Stopped, Some(listener)) => {
-            // Ends the listening at once and wakes the accepting thread.
+            // Ends the listening at once and wakes the accepting task.
             let _ = SockRef::from(&**listener).shutdown(Shutdown::Both);
             state.listener = None;
         }
         _ => {}
     }
-    shared.changed.notify_all();
+    shared.changed.notify_one();
 }
 
 fn bind(address: SocketAddr) -> io::Result<Socket> {
@@ -129,35 +127,41 @@
     Ok(socket)
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(runtime: &Handle, address: SocketAddr) -> io::Result<TcpListener> {
     let socket = bind(address)?;
     socket.set_tcp_nodelay(true)?;
+    socket.set_nonblocking(true)?;
     socket.listen(BACKLOG)?;
-    Ok(socket.into())
+    let _guard = runtime.enter();
+    TcpListener::from_std(socket.into())
 }
 
-fn run(shared: &Shared, mut accept: impl FnMut(TcpStream)) {
-    while let Some(listener) = wait(shared) {
-        match listener.accept() {
-            Ok((stream, _)) => accept(stream),
-            Err(_) => thread::sleep(RETRY_PAUSE),
+impl Shared {
+    fn listen(&self) -> Option<Arc<TcpListener>> {
+        listen(&self.runtime, self.address).ok().map(Arc::new)
+    }
+
+    /// The listener to accept from, if there is one now.
+    fn listener(&self) -> Option<Arc<TcpListener>> {
+        let state = &mut *lock(&self.state);
+        if state.gate == Gate::Open && state.listener.is_none() {
+            state.listener = self.listen();
         }
+        state.listener.clone()
     }
 }
 
-/// The listener to accept from, once there is one; none when stopped.
-fn wait(shared: &Shared) -> Option<Arc<TcpListener>> {
-    let mut state = lock(&shared.state);
+async fn run(shared: Arc<Shared>, mut accept: impl FnMut(TcpStream)) {
     loop {
-        match (state.gate, &state.listener) {
-            (Gate::Stopped, _) => return None,
-            (Gate::Open, Some(listener)) => return Some(Arc::clone(listener)),
-            (Gate::Open, None) => state.listener = listen(shared.address).ok().map(Arc::new),
-            (Gate::Closed, _) => {}
-        }
-        if state.listener.is_none() {
-            let waited = shared.changed.wait_timeout(state, RETRY_PAUSE * 10);
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        let Some(listener) = shared.listener() else {
+            let changed = shared.changed.notified();
+            // While the port cannot be had, it is tried again.
+            let _ = tokio::time::timeout(RETRY_PAUSE * 10, changed).await;
+            continue;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => accept(stream),
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
@@ -165,7 +169,8 @@
 /// Ends a connection by a reset instead of an orderly end.
 ///
 /// The reset goes out when the last handle is dropped; a blocked reader wakes at once.
-pub(crate) fn reset(stream: &TcpStream) {
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    let _ = stream.shutdown(Shutdown::Read);
+pub(crate) fn reset(stream: &impl AsFd) {
+    let socket = SockRef::from(stream);
+    let _ = socket.set_linger(Some(Duration::ZERO));
+    let _ = socket.shutdown(Shutdown::Read);
 }
