Name other hosts in each look-up, and record requests whose callers leave

Cause, look-ups: candidates were in the order of their names and cut to 16, so of 50 hosts of a zone 16 got all callers. Cause, log: a caller that closes drops the handler, so that request had no line; found by a drill of failed requests.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -15,9 +15,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::seq::SliceRandom;
+use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::port::Question;
+
 /// Time between two heartbeats within a region.
 pub const INTERVAL: Duration = Duration::from_millis(700);
 /// Only each n-th heartbeat goes to other regions, where liveness decides less.
@@ -85,6 +89,13 @@
     }
 }
 
+/// Hosts that a look-up names at the most: a caller tries few, and its answer stays small.
+const MOST: usize = 16;
+/// The least part of a full share with which a host is named: it is needed when others fail.
+const LEAST_SHARE: f64 = 0.25;
+/// Hosts of the caller's own availability zone that are enough to name no others.
+const ENOUGH: usize = 2;
+
 /// What a host knows of the store, from least to most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Sight {
@@ -332,6 +343,42 @@
         own.into_iter().chain(others)
     }
 
+    /// The hosts that a caller is told to use: those of its availability zone, else of its region, else
+    /// any. Callers choose among them at random, so one that can carry less is named less often; of more
+    /// hosts than are named each answer draws its own, so that all get their part.
+    pub fn named(&self, now: Instant, question: &Question, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let near = |record: &Record| -> u8 {
+            if record.zone == question.zone {
+                return 0;
+            }
+            u8::from(*self.region(record) != question.region) + 1
+        };
+        let mut ranked: Vec<(u8, f64, SocketAddr)> = self
+            .serving(now)
+            .map(|record| (near(record), record.strength.share(), record.front))
+            .collect();
+        ranked.shuffle(rng);
+        ranked.sort_by(|one, other| one.0.cmp(&other.0).then(other.1.total_cmp(&one.1)));
+        let in_zone = ranked.iter().filter(|(near, ..)| *near == 0).count();
+        let in_region = ranked.iter().filter(|(near, ..)| *near <= 1).count();
+        let count = match (in_zone, in_region) {
+            (zone, _) if zone >= ENOUGH => zone,
+            (_, region) if region > 0 => region,
+            _ => ranked.len(),
+        };
+        ranked.truncate(count);
+        let mut named = Vec::new();
+        for (_, share, address) in ranked {
+            let enough = named.len() >= ENOUGH;
+            if !enough || rng.random_bool(share.max(LEAST_SHARE)) {
+                named.push(address);
+            }
+        }
+        named.shuffle(rng);
+        named.truncate(MOST);
+        named
+    }
+
     /// Hosts whose registration this host is to remove: they have been silent for long, and of the
     /// hosts that see the store this one comes first, so that only one calls it.
     pub fn departed(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -181,6 +181,7 @@
         "time" => "its time, or its route's, was over",
         "budget" => "the repeats of the window were used up",
         "body" => "its body was too long to be kept for another target",
+        "caller-left" => "its caller left, or its time was over there, before it had an answer",
         "no-route" => "no route of the configuration in force has its name and path",
         "no-configuration" => "the host knew no configuration yet",
         "body-too-long" => "its body is longer than the configuration allows",
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -103,27 +103,59 @@
         return answer::not_run(host, "no service for this route\n");
     };
     host.core.borrow_mut().budgets.request(now(), &service);
-    let mut ask = Ask {
+    let ask = Ask {
         service: &service,
         key: key(&exchange),
         homes: &exchange.route.homes,
         tried: Vec::new(),
         bytes: body.length(),
     };
-    let mut story = Story::new(exchange.begun);
-    let response = attempt(host, &exchange, body, &mut ask, &mut story).await;
-    record::request(host, &exchange, &ask, &story, response.status());
+    let mut course = Course {
+        host,
+        exchange: &exchange,
+        ask,
+        story: Story::new(exchange.begun),
+        status: None,
+    };
+    let response = attempt(&mut course, body).await;
+    course.status = Some(response.status());
     response
 }
 
+/// A request under way. It is recorded when it ends, also if its caller leaves first.
+struct Course<'a> {
+    host: &'a Rc<Host>,
+    exchange: &'a Exchange,
+    ask: Ask<'a>,
+    story: Story,
+    /// What the caller gets, once that is decided.
+    status: Option<StatusCode>,
+}
+
+impl Drop for Course<'_> {
+    fn drop(&mut self) {
+        if self.status.is_none() {
+            self.story.leave(now());
+        }
+        record::request(
+            self.host,
+            self.exchange,
+            &self.ask,
+            &self.story,
+            self.status,
+        );
+    }
+}
+
 /// Tries one target after the other. The answer that the caller gets is the best there was.
-async fn attempt(
-    host: &Rc<Host>,
-    exchange: &Exchange,
-    body: Part,
-    ask: &mut Ask<'_>,
-    story: &mut Story,
-) -> Response<Body> {
+async fn attempt(course: &mut Course<'_>, body: Part) -> Response<Body> {
+    let Course {
+        host,
+        exchange,
+        ask,
+        story,
+        ..
+    } = course;
     let mut body = Some(body);
     let mut failed = None;
     let mut unknown = false;
@@ -137,8 +169,9 @@
         let Some(part) = repeatable(&mut body) else {
             break Stop::Body;
         };
+        story.begin(host, &grant);
         let outcome = send(host, exchange, &mut grant, part).await;
-        story.add(host, &grant);
+        story.end(&grant);
         drop(grant);
         ask.tried.push(target);
         match outcome {
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -51,6 +51,8 @@
     Refused => "request.refused",
     /// A request failed: a target failed it, or nobody knows whether it ran.
     Failed => "request.failed",
+    /// A caller left before its request had an answer.
+    Abandoned => "request.abandoned",
     /// A request could not be taken: no route has it, or its body did not come as it should.
     Rejected => "request.rejected",
     /// A target's answer names another request.
@@ -100,7 +102,7 @@
     fn limit(self) -> u32 {
         match self {
             Self::Answered => 1,
-            Self::Refused | Self::Failed => 25,
+            Self::Refused | Self::Failed | Self::Abandoned => 25,
             _ => 5,
         }
     }
--- a/src/host/lookup.rs
+++ b/src/host/lookup.rs
@@ -1,28 +1,18 @@
 //! Look-ups: which hosts a caller may use; and whether this one is ready.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use rand::RngExt;
 
 use super::body::{whole, Body};
 use super::{answer, now, serve, Error, Host};
-use crate::control::presence::{Record, Sight};
-use crate::port::Question;
+use crate::control::presence::Sight;
 
 /// How long callers keep an answer. Some keep it three times as long, and a leaving host serves
 /// until then, so it must be well under a third of the time a host has to leave.
 const TTL: Duration = Duration::from_millis(1500);
-/// Hosts named at the most.
-const MOST: usize = 16;
-/// The least part of a full share with which a host is named: it is needed when others fail.
-const LEAST_SHARE: f64 = 0.25;
-/// Hosts of the caller's own availability zone that are enough to name no others.
-const ENOUGH: usize = 2;
-
 /// Listens for look-ups and questions of readiness.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
     let addresses = [host.settings.lookup, host.settings.ready];
@@ -40,7 +30,8 @@
     }
     match (lookup.question)(request.uri()) {
         Some(question) => {
-            let hosts = hosts(&host, &question);
+            let core = &mut *host.core.borrow_mut();
+            let hosts = core.presence.named(now(), &question, &mut core.rng);
             let ttl = TTL.min(host.settings.bounds.lookup_ttl);
             (lookup.answer)(&hosts, ttl).map(whole)
         }
@@ -57,39 +48,3 @@
         answer::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
     }
 }
-
-/// The hosts to use: those of the caller's availability zone, else of its region, else any. Callers
-/// choose among them at random, so one that can carry less is named less often.
-fn hosts(host: &Host, question: &Question) -> Vec<SocketAddr> {
-    let core = &mut *host.core.borrow_mut();
-    let now = now();
-    let near = |record: &Record| -> u8 {
-        if record.zone == question.zone {
-            return 0;
-        }
-        u8::from(*core.presence.region(record) != question.region) + 1
-    };
-    let mut ranked: Vec<(u8, f64, SocketAddr)> = core
-        .presence
-        .serving(now)
-        .map(|record| (near(record), record.strength.share(), record.front))
-        .collect();
-    ranked.sort_by(|one, other| one.0.cmp(&other.0).then(other.1.total_cmp(&one.1)));
-    let in_zone = ranked.iter().filter(|(near, ..)| *near == 0).count();
-    let in_region = ranked.iter().filter(|(near, ..)| *near <= 1).count();
-    let count = match (in_zone, in_region) {
-        (zone, _) if zone >= ENOUGH => zone,
-        (_, region) if region > 0 => region,
-        _ => ranked.len(),
-    };
-    ranked.truncate(count);
-    let mut named = Vec::new();
-    for (_, share, address) in ranked {
-        let enough = named.len() >= ENOUGH;
-        if !enough || core.rng.random_bool(share.max(LEAST_SHARE)) {
-            named.push(address);
-        }
-    }
-    named.truncate(MOST);
-    named
-}
--- a/src/host/record.rs
+++ b/src/host/record.rs
@@ -14,9 +14,10 @@
 
 /// One try of a request.
 pub(crate) struct Try {
-    pub(crate) target: Arc<str>,
-    pub(crate) end: End,
-    pub(crate) took: Duration,
+    target: Arc<str>,
+    begun: Instant,
+    end: End,
+    took: Duration,
 }
 
 /// Why no further target was tried.
@@ -36,6 +37,8 @@
     Budget,
     /// Its body was not kept.
     Body,
+    /// Its caller left.
+    Left,
 }
 
 impl Stop {
@@ -49,6 +52,7 @@
             Self::Time => "time",
             Self::Budget => "budget",
             Self::Body => "body",
+            Self::Left => "caller-left",
         }
     }
 }
@@ -69,17 +73,36 @@
         }
     }
 
-    /// Adds a try that has just ended.
-    pub(crate) fn add(&mut self, host: &Host, grant: &Grant) {
+    /// Adds a try that begins.
+    pub(crate) fn begin(&mut self, host: &Host, grant: &Grant) {
         let core = host.core.borrow();
         let target = core.fleet.member(grant.target);
         self.tries.push(Try {
             target: target.map_or_else(|| "gone".into(), |member| member.id().clone()),
-            end: grant.end,
-            took: now().saturating_duration_since(grant.begun),
+            begun: grant.begun,
+            end: End::Cancelled,
+            took: Duration::ZERO,
         });
     }
 
+    /// The last try has ended.
+    pub(crate) fn end(&mut self, grant: &Grant) {
+        if let Some(last) = self.tries.last_mut() {
+            last.end = grant.end;
+            last.took = now().saturating_duration_since(last.begun);
+        }
+    }
+
+    /// The caller has left, in the middle of the last try if there is one.
+    pub(crate) fn leave(&mut self, now: Instant) {
+        if let Some(last) = self.tries.last_mut() {
+            if last.took.is_zero() {
+                last.took = now.saturating_duration_since(last.begun);
+            }
+        }
+        self.stop = Stop::Left;
+    }
+
     fn tries(&self) -> String {
         let tries = self.tries.iter().map(|one| {
             let end = format!("{:?}", one.end).to_lowercase();
@@ -89,16 +112,16 @@
     }
 }
 
-/// Keeps what became of a request.
+/// Keeps what became of a request; without a status its caller has left.
 pub(crate) fn request(
     host: &Host,
     exchange: &Exchange,
     ask: &Ask<'_>,
     story: &Story,
-    status: StatusCode,
+    status: Option<StatusCode>,
 ) {
     let total = now().saturating_duration_since(story.begun);
-    let event = event(status);
+    let event = status.map_or(Event::Abandoned, event);
     count(host, exchange, ask.service, story, event, total);
     let Some(left_out) = host.limits.borrow_mut().take(now(), event) else {
         return;
@@ -109,7 +132,7 @@
     spdlog::info!("request: ended", kv: {
         event = event.as_str(),
         id,
-        status = status.as_u16(),
+        status = status.map_or(0, |status| status.as_u16()),
         reason = story.stop.as_str(),
         route = &*exchange.route.name,
         service = &**ask.service,
@@ -188,6 +211,7 @@
         outcome: match event {
             Event::Answered => "answered",
             Event::Refused => "not-run",
+            Event::Abandoned => "abandoned",
             _ => "unknown",
         },
         total,
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -10,6 +10,9 @@
 use ragwortfold::control::presence::{
     Beat, Presence, Pulse, Record, Sight, Strength, FAR, FORGET, INTERVAL,
 };
+use ragwortfold::port::Question;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 
 fn regions() -> BTreeMap<Arc<str>, Arc<str>> {
     [("n-a", "n"), ("n-b", "n"), ("s-a", "s")]
@@ -29,7 +32,7 @@
     Record {
         host: host.into(),
         zone: zone.into(),
-        front: "127.0.0.1:1".parse().unwrap(),
+        front: place(host),
         peers: place(host),
         feed: "127.0.0.1:3".parse().unwrap(),
         incarnation,
@@ -424,3 +427,68 @@
     let each_second = sent as f64 / (f64::from(rounds) * INTERVAL.as_secs_f64());
     assert!(each_second < 400.0, "{each_second} a second");
 }
+
+/// How often each host of a zone is named in some look-ups, with the given parts of a core.
+fn named(cores: &[f64], lookups: usize) -> Vec<usize> {
+    let now = Instant::now();
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut presence = Presence::new(now, record("own", "s-a", 1), regions());
+    let names: Vec<_> = (0..cores.len()).map(|index| format!("h{index}")).collect();
+    for (name, cores) in names.iter().zip(cores) {
+        let mut record = record(name, "n-a", 1);
+        record.strength.cores = *cores;
+        presence.hear(now, beat(record, Sight::Store));
+    }
+    let question = Question {
+        region: "n".into(),
+        zone: "n-a".into(),
+    };
+    let mut counts = vec![0; names.len()];
+    for _ in 0..lookups {
+        let answer = presence.named(now, &question, &mut rng);
+        assert!(answer.len() <= 16, "{answer:?}");
+        for (name, count) in names.iter().zip(&mut counts) {
+            *count += usize::from(answer.contains(&place(name)));
+        }
+    }
+    counts
+}
+
+#[test]
+fn of_many_hosts_look_ups_name_all_alike() {
+    let counts = named(&[0.2; 50], 1000);
+    let (least, most) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+    assert!(*least > 250 && *most < 400, "{counts:?}");
+}
+
+#[test]
+fn of_many_hosts_look_ups_name_weak_ones_less() {
+    let cores: Vec<f64> = (0..50)
+        .map(|index| if index < 10 { 0.1 } else { 0.2 })
+        .collect();
+    let counts = named(&cores, 1000);
+    let mean = |counts: &[usize]| counts.iter().sum::<usize>() as f64 / counts.len() as f64;
+    let (weak, strong) = (mean(&counts[..10]), mean(&counts[10..]));
+    assert!(
+        weak > 0.3 * strong && weak < 0.7 * strong,
+        "{weak} {strong}"
+    );
+}
+
+#[test]
+fn callers_of_a_zone_without_hosts_are_sent_to_their_region() {
+    let now = Instant::now();
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let presence = presence(now, &[("h1", "n-b"), ("h2", "s-a")]);
+    let ask = |region: &str, zone: &str| Question {
+        region: region.into(),
+        zone: zone.into(),
+    };
+    let region = presence.named(now, &ask("n", "n-c"), &mut rng);
+    let mut expected = vec![place("h0"), place("h1")];
+    expected.sort();
+    let mut found = region.clone();
+    found.sort();
+    assert_eq!(found, expected);
+    assert_eq!(presence.named(now, &ask("e", "e-a"), &mut rng).len(), 3);
+}
