--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -102,7 +102,7 @@
     fn limit(self) -> u32 {
         match self {
             Self::Answered => 1,
-            Self::Refused | Self::Failed | Self::Abandoned => 25,
+            Self::Refused | Self::Failed | Self::Abandoned | Self::Rejected => 25,
             _ => 5,
         }
     }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -6,99 +6,24 @@
 //! the queue, and what the bytes between zones cost. If both are full it is refused. A third choice
 //! was tried and made more targets cold for its key than it relieved.
 
+mod cold;
+mod cost;
+mod member;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use self::cold::Peer;
+use self::member::Report;
 use super::drift::Drift;
 use super::eject::{Eject, Sign, Standing};
 use crate::inventory::{Keys, Registration, State, TargetKey};
 
-/// How long a target's report of its load counts; older ones say nothing about now.
-const REPORT_AGE: Duration = Duration::from_secs(1);
-
-/// The load that a target tells of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Requests it works on.
-    pub running: u32,
-    /// Requests that wait for a slot.
-    pub waiting: u32,
-    /// Requests it works on at once.
-    pub slots: u32,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Report {
-    at: Instant,
-    /// What others than this host had there.
-    others: u32,
-}
-
-/// One target as this host sees it.
-#[derive(Clone, Debug)]
-pub struct Member {
-    registration: Registration,
-    region: Arc<str>,
-    seed: u64,
-    in_flight: u32,
-    report: Option<Report>,
-    cold_until: Option<Instant>,
-    cold_token: Option<Instant>,
-    eject: Eject,
-    lapsed: Option<Instant>,
-    misdirected: bool,
-    /// The time it works on a request, in seconds, and when that was last measured.
-    work: Option<(f64, Instant)>,
-}
-
-impl Member {
-    /// The identity of its process.
-    pub fn id(&self) -> &Arc<str> {
-        &self.registration.id
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.registration.address
-    }
-
-    /// The region it is in.
-    pub fn region(&self) -> &Arc<str> {
-        &self.region
-    }
-
-    /// The service it belongs to.
-    pub fn service(&self) -> &Arc<str> {
-        &self.registration.service
-    }
-
-    fn load(&self, now: Instant) -> f64 {
-        let others = self.report.map_or(0.0, |report| {
-            let age = now.saturating_duration_since(report.at);
-            let left = 1.0 - age.as_secs_f64() / REPORT_AGE.as_secs_f64();
-            f64::from(report.others) * left.max(0.0)
-        });
-        f64::from(self.in_flight) + others
-    }
-
-    /// The time it works on a request, in seconds; what is usual if there was no answer lately.
-    fn work(&self, now: Instant, usual: f64) -> f64 {
-        self.work.map_or(usual, |(work, at)| {
-            let age = now.saturating_duration_since(at);
-            let left = (1.0 - age.as_secs_f64() / WORK_AGE.as_secs_f64()).max(0.0);
-            usual + (work - usual) * left
-        })
-    }
-
-    fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
-    }
-}
+pub use self::member::{Belief, Load, Member};
 
 /// What is asked for.
 #[derive(Clone, Debug)]
@@ -141,23 +66,6 @@
     Cancelled,
 }
 
-/// What a host believes of a target.
-#[derive(Clone, Copy, Debug)]
-pub struct Belief<'a> {
-    /// The identity of its process.
-    pub target: &'a Arc<str>,
-    /// The service it belongs to.
-    pub service: &'a Arc<str>,
-    /// Requests it has, of all hosts.
-    pub load: f64,
-    /// The time it works on a request, in seconds.
-    pub work: f64,
-    /// Whether it is in use, as far as failures go.
-    pub is_in: bool,
-    /// If it is cold, the requests a second that this host may send to it.
-    pub cold_rate: Option<f64>,
-}
-
 /// How the standing of a target changed by what was seen of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
@@ -170,32 +78,6 @@
 /// How many times its slots a target may be loaded: what waits behind them still has a good part
 /// of its time left when its turn comes.
 const PATIENCE: f64 = 2.0;
-/// How long a target gets nothing after it was found to be cold: the span over which requests to a
-/// cold target are counted.
-const CHILL: Duration = Duration::from_secs(1);
-/// A round trip to another region while it is not measured, in seconds.
-const UNKNOWN_WAY: f64 = 0.05;
-/// Weight of one slower sample in the measured round trip.
-const WAY_WEIGHT: f64 = 0.05;
-/// The time a target works on a request while it is not measured, in seconds.
-const UNKNOWN_WORK: f64 = 0.1;
-/// Weight of one answer in the measured time of work.
-const WORK_WEIGHT: f64 = 0.1;
-/// Weight of one answer in the time of work that is usual for a service.
-const USUAL_WEIGHT: f64 = 0.02;
-/// After this time without an answer a target is taken to work like the others of its service.
-const WORK_AGE: Duration = Duration::from_secs(4);
-/// The bytes of a usual answer.
-const ANSWER_BYTES: u64 = 4 << 10;
-/// Seconds of waiting that a byte between availability zones is worth.
-const ZONE_PRICE: f64 = 1.0e-6;
-/// Seconds of waiting that a byte between regions is worth.
-const REGION_PRICE: f64 = 2.2e-6;
-/// Seconds by which the time at a target of another region may be longer. A queue is estimated from
-/// reports that lag, so a target that looks full is mostly worse than it looks: 0.03 against 0 raised
-/// the mean worth of the days measured by 0.003, 0.05 of reluctance lowered it by 0.007.
-const RELIEF: f64 = 0.03;
-
 /// The part of its missing slots for which a region sends requests elsewhere from the start. Not
 /// all: regions need not have the same load, and what turns out to be too much comes back. With
 /// 0.6 some 22 of 100 requests still changed their region within 2 s after the start, without it 39.
@@ -235,28 +117,6 @@
     hosts: Vec<Peer>,
 }
 
-/// A host, for the choice of those that may use a cold target.
-#[derive(Clone, Debug)]
-struct Peer {
-    seed: u64,
-    region: Arc<str>,
-}
-
-impl Peer {
-    fn new(name: &str, region: Arc<str>) -> Self {
-        Self {
-            seed: xxh3_64(name.as_bytes()),
-            region,
-        }
-    }
-
-    /// The order of hosts at a cold target: those of its region first.
-    fn rank(&self, member: &Member) -> (bool, u64) {
-        let draw = xxh3_64_with_seed(&self.seed.to_le_bytes(), member.seed);
-        (self.region == member.region, draw)
-    }
-}
-
 impl Fleet {
     /// No targets yet, for the host `name` in `zone`; `regions` gives the region of each
     /// availability zone, `cold_burst` what a cold target bears at once beyond its rate.
@@ -287,19 +147,6 @@
         }
     }
 
-    /// Sets the requests a second that a cold target of a service bears.
-    pub fn set_cold_rate(&mut self, service: Arc<str>, rate: f64) {
-        self.cold_rates.insert(service, rate);
-    }
-
-    /// Sets the names and regions of the hosts that are alive.
-    pub fn set_hosts(&mut self, hosts: Vec<(Arc<str>, Arc<str>)>) {
-        self.hosts = hosts
-            .into_iter()
-            .map(|(name, region)| Peer::new(&name, region))
-            .collect();
-    }
-
     /// Takes in what a target says of itself.
     pub fn register(&mut self, now: Instant, registration: Registration) {
         let cold = Some(registration.cold_left)
@@ -353,31 +200,6 @@
         }
     }
 
-    /// Takes in that a target is cold, as it says itself; tells whether that is news. It gets nothing
-    /// for a while at first, since it may just have had its usual requests.
-    pub fn chill(&mut self, now: Instant, id: &str, left: Duration) -> bool {
-        let key = self.ids.get(id);
-        let Some(member) = key.and_then(|key| self.members.get_mut(key)) else {
-            return false;
-        };
-        let is_news = !member.is_cold(now);
-        if is_news {
-            member.cold_token = Some(now + CHILL);
-        }
-        member.cold_until = Some(now + left);
-        is_news
-    }
-
-    /// The targets that this host looks after: those for which it comes first among the hosts that
-    /// are alive.
-    pub fn charges(&self) -> impl Iterator<Item = (TargetKey, &Member)> {
-        self.members.iter().filter_map(|(key, member)| {
-            let own = self.own.rank(member);
-            let first = self.hosts.iter().all(|host| host.rank(member) <= own);
-            first.then_some((*key, member))
-        })
-    }
-
     /// Keeps a target whose registration ran out while the store was away; it is forgotten at
     /// `until` unless it registers again.
     pub fn lapse(&mut self, id: &str, until: Instant) {
@@ -526,66 +348,6 @@
         [near, far].map(|place| place.map(|(_, key)| key))
     }
 
-    /// The time in seconds until a target is expected to begin its work, and what its way costs.
-    fn cost(&self, now: Instant, key: TargetKey, ask: &Ask<'_>, connected: bool) -> f64 {
-        let Some(member) = self.members.get(&key) else {
-            return f64::INFINITY;
-        };
-        let way = self.way(member);
-        let opening = if connected { 0.0 } else { way };
-        let work = member.work(now, self.usual(ask.service));
-        let slots = f64::from(member.registration.slots.max(1));
-        let wait = work * (member.load(now) + 1.0 - slots).max(0.0) / slots;
-        let bytes = (ask.bytes + ANSWER_BYTES) as f64 * self.price(member);
-        let relief = if member.region == self.region {
-            0.0
-        } else {
-            RELIEF
-        };
-        way + opening + wait + bytes - relief
-    }
-
-    /// Seconds of waiting that a byte to a target and back is worth: links between availability zones
-    /// and more so between regions are limited and paid for.
-    fn price(&self, member: &Member) -> f64 {
-        if member.registration.zone == self.zone {
-            0.0
-        } else if member.region == self.region {
-            ZONE_PRICE
-        } else {
-            REGION_PRICE
-        }
-    }
-
-    /// A round trip to a target, in seconds.
-    fn way(&self, member: &Member) -> f64 {
-        let measured = self.ways.get(&member.region).copied();
-        measured.unwrap_or(if member.region == self.region {
-            0.0
-        } else {
-            UNKNOWN_WAY
-        })
-    }
-
-    fn usual(&self, service: &str) -> f64 {
-        self.usual.get(service).copied().unwrap_or(UNKNOWN_WORK)
-    }
-
-    /// Takes in how long it took to connect to a target: a round trip.
-    pub fn connected(&mut self, key: TargetKey, took: Duration) {
-        let Some(member) = self.members.get(&key) else {
-            return;
-        };
-        let took = took.as_secs_f64();
-        let way = self.ways.entry(member.region.clone()).or_insert(took);
-        // Waiting to be accepted adds to it, nothing takes from it.
-        *way = if took < *way {
-            took
-        } else {
-            *way + (took - *way) * WAY_WEIGHT
-        };
-    }
-
     /// Whether a target may get new requests at all.
     fn is_open(&self, now: Instant, member: &Member, ask: &Ask<'_>) -> bool {
         if member.registration.state != State::Ready
@@ -602,40 +364,6 @@
         !member.is_cold(now) || self.may_use_cold(now, member)
     }
 
-    /// Whether this host may send a request to a cold target now.
-    fn may_use_cold(&self, now: Instant, member: &Member) -> bool {
-        if !self.is_cold_user(member) {
-            return false;
-        }
-        let rate = self.cold_rate(member);
-        match member.cold_token {
-            Some(last) if rate > 0.0 => {
-                let interval = Duration::from_secs_f64(1.0 / rate);
-                now.saturating_duration_since(last) >= interval
-            }
-            Some(_) => false,
-            None => true,
-        }
-    }
-
-    /// Whether this host is one of the few that may send to a cold target at all.
-    fn is_cold_user(&self, member: &Member) -> bool {
-        let own = self.own.rank(member);
-        let before = self.hosts.iter().filter(|host| host.rank(member) > own);
-        before.count() < self.cold_hosts
-    }
-
-    /// The requests a second that this host may send to a cold target: its part of the rate, so that
-    /// the sum of all hosts keeps to what the target bears.
-    fn cold_rate(&self, member: &Member) -> f64 {
-        if !self.is_cold_user(member) {
-            return 0.0;
-        }
-        let users = self.hosts.len().clamp(1, self.cold_hosts) as f64;
-        let rate = self.cold_rates.get(member.service()).copied();
-        rate.unwrap_or_default() / users
-    }
-
     fn has_room(&self, now: Instant, key: TargetKey) -> bool {
         self.members.get(&key).is_some_and(|member| {
             member.load(now) < f64::from(member.registration.slots) * PATIENCE
@@ -680,23 +408,6 @@
         self.members.get(&key)
     }
 
-    /// Takes in how long an answer took. What it waited for a slot is in it too, so a target that
-    /// is busier than it says looks slow.
-    fn worked(&mut self, now: Instant, key: TargetKey, took: Duration) {
-        let Some(member) = self.members.get(&key) else {
-            return;
-        };
-        let work = (took.as_secs_f64() - self.way(member)).max(0.0);
-        let service = member.registration.service.clone();
-        let usual = self.usual.entry(service).or_insert(UNKNOWN_WORK);
-        *usual += (work - *usual) * USUAL_WEIGHT;
-        let usual = *usual;
-        if let Some(member) = self.members.get_mut(&key) {
-            let before = member.work(now, usual);
-            member.work = Some((before + (work - before) * WORK_WEIGHT, now));
-        }
-    }
-
     /// Whether one more target of the same service and region may be taken out: most have to stay,
     /// since what makes all of them fail is not cured by using none.
     fn may_eject(&self, key: TargetKey) -> bool {
--- /dev/null
+++ b/src/steer/fleet/cost.rs
@@ -0,0 +1,107 @@
+//! What a request costs at a target: the time until it begins to work there, and the bytes on the way.
+
+use std::time::{Duration, Instant};
+
+use super::member::Member;
+use super::{Ask, Fleet};
+use crate::inventory::TargetKey;
+
+/// A round trip to another region while it is not measured, in seconds.
+const UNKNOWN_WAY: f64 = 0.05;
+/// Weight of one slower sample in the measured round trip.
+const WAY_WEIGHT: f64 = 0.05;
+/// The time a target works on a request while it is not measured, in seconds.
+const UNKNOWN_WORK: f64 = 0.1;
+/// Weight of one answer in the measured time of work.
+const WORK_WEIGHT: f64 = 0.1;
+/// Weight of one answer in the time of work that is usual for a service.
+const USUAL_WEIGHT: f64 = 0.02;
+/// The bytes of a usual answer.
+const ANSWER_BYTES: u64 = 4 << 10;
+/// Seconds of waiting that a byte between availability zones is worth.
+const ZONE_PRICE: f64 = 1.0e-6;
+/// Seconds of waiting that a byte between regions is worth.
+const REGION_PRICE: f64 = 2.2e-6;
+/// Seconds by which the time at a target of another region may be longer. A queue is estimated from
+/// reports that lag, so a target that looks full is mostly worse than it looks: 0.03 against 0 raised
+/// the mean worth of the days measured by 0.003, 0.05 of reluctance lowered it by 0.007.
+const RELIEF: f64 = 0.03;
+
+impl Fleet {
+    /// The time in seconds until a target is expected to begin its work, and what its way costs.
+    pub(super) fn cost(&self, now: Instant, key: TargetKey, ask: &Ask<'_>, connected: bool) -> f64 {
+        let Some(member) = self.members.get(&key) else {
+            return f64::INFINITY;
+        };
+        let way = self.way(member);
+        let opening = if connected { 0.0 } else { way };
+        let work = member.work(now, self.usual(ask.service));
+        let slots = f64::from(member.registration.slots.max(1));
+        let wait = work * (member.load(now) + 1.0 - slots).max(0.0) / slots;
+        let bytes = (ask.bytes + ANSWER_BYTES) as f64 * self.price(member);
+        let relief = if member.region == self.region {
+            0.0
+        } else {
+            RELIEF
+        };
+        way + opening + wait + bytes - relief
+    }
+
+    /// Seconds of waiting that a byte to a target and back is worth: links between availability zones
+    /// and more so between regions are limited and paid for.
+    fn price(&self, member: &Member) -> f64 {
+        if member.registration.zone == self.zone {
+            0.0
+        } else if member.region == self.region {
+            ZONE_PRICE
+        } else {
+            REGION_PRICE
+        }
+    }
+
+    /// A round trip to a target, in seconds.
+    fn way(&self, member: &Member) -> f64 {
+        let measured = self.ways.get(&member.region).copied();
+        measured.unwrap_or(if member.region == self.region {
+            0.0
+        } else {
+            UNKNOWN_WAY
+        })
+    }
+
+    pub(super) fn usual(&self, service: &str) -> f64 {
+        self.usual.get(service).copied().unwrap_or(UNKNOWN_WORK)
+    }
+
+    /// Takes in how long it took to connect to a target: a round trip.
+    pub fn connected(&mut self, key: TargetKey, took: Duration) {
+        let Some(member) = self.members.get(&key) else {
+            return;
+        };
+        let took = took.as_secs_f64();
+        let way = self.ways.entry(member.region.clone()).or_insert(took);
+        // Waiting to be accepted adds to it, nothing takes from it.
+        *way = if took < *way {
+            took
+        } else {
+            *way + (took - *way) * WAY_WEIGHT
+        };
+    }
+
+    /// Takes in how long an answer took. What it waited for a slot is in it too, so a target that
+    /// is busier than it says looks slow.
+    pub(super) fn worked(&mut self, now: Instant, key: TargetKey, took: Duration) {
+        let Some(member) = self.members.get(&key) else {
+            return;
+        };
+        let work = (took.as_secs_f64() - self.way(member)).max(0.0);
+        let service = member.registration.service.clone();
+        let usual = self.usual.entry(service).or_insert(UNKNOWN_WORK);
+        *usual += (work - *usual) * USUAL_WEIGHT;
+        let usual = *usual;
+        if let Some(member) = self.members.get_mut(&key) {
+            let before = member.work(now, usual);
+            member.work = Some((before + (work - before) * WORK_WEIGHT, now));
+        }
+    }
+}
