Name no hosts in look-ups until enough of the others are known

Cause: when all hosts start at once, the first one that is ready knows few others that serve and sends it the callers of all.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -91,6 +91,10 @@
 
 /// Hosts that a look-up names at the most: a caller tries few, and its answer stays small.
 const MOST: usize = 16;
+/// For how long after its start a host names none while it knows of few that serve: when all start at
+/// once, those that are ready first would be sent the callers of all others. Callers keep the addresses
+/// that they have meanwhile, or ask the next host.
+const SETTLE: Duration = Duration::from_secs(1);
 /// The least part of a full share with which a host is named: it is needed when others fail.
 const LEAST_SHARE: f64 = 0.25;
 /// Hosts of the caller's own availability zone that are enough to name no others.
@@ -156,6 +160,7 @@
     /// The hosts by where they take heartbeats, which is also where theirs come from.
     places: BTreeMap<SocketAddr, Arc<str>>,
     looked: Instant,
+    started: Instant,
     /// When no host saw the store, the last time that was looked at.
     unseen: Option<Instant>,
     beats: u64,
@@ -173,6 +178,7 @@
             peers: BTreeMap::new(),
             places: BTreeMap::new(),
             looked: now,
+            started: now,
             unseen: None,
             beats: 0,
         }
@@ -347,6 +353,9 @@
     /// any. Callers choose among them at random, so one that can carry less is named less often; of more
     /// hosts than are named each answer draws its own, so that all get their part.
     pub fn named(&self, now: Instant, question: &Question, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        if !self.is_settled(now) {
+            return Vec::new();
+        }
         let near = |record: &Record| -> u8 {
             if record.zone == question.zone {
                 return 0;
@@ -379,6 +388,13 @@
         named
     }
 
+    /// Whether what this host knows of the others is enough to send callers to them.
+    fn is_settled(&self, now: Instant) -> bool {
+        let known = self.peers.len() + 1;
+        now.saturating_duration_since(self.started) >= SETTLE
+            || self.serving(now).count() * 2 >= known
+    }
+
     /// Hosts whose registration this host is to remove: they have been silent for long, and of the
     /// hosts that see the store this one comes first, so that only one calls it.
     pub fn departed(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -492,3 +492,33 @@
     assert_eq!(found, expected);
     assert_eq!(presence.named(now, &ask("e", "e-a"), &mut rng).len(), 3);
 }
+
+/// Hosts that one names which has just started and knows eight others, of which some serve.
+fn named_after(start: Duration, serving: usize) -> usize {
+    let now = Instant::now();
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let mut presence = presence(now, &[]);
+    for number in 0..8 {
+        let record = record(&format!("h-{number}"), "n-a", 1);
+        let sight = if number < serving {
+            Sight::Store
+        } else {
+            Sight::Nothing
+        };
+        presence.hear(now + start, beat(record, sight));
+    }
+    let question = Question {
+        region: "n".into(),
+        zone: "n-a".into(),
+    };
+    presence.named(now + start, &question, &mut rng).len()
+}
+
+#[test]
+fn a_host_that_starts_among_others_names_none_until_it_knows_enough_of_them() {
+    let soon = Duration::from_millis(100);
+    assert_eq!(named_after(soon, 0), 0);
+    assert_eq!(named_after(soon, 3), 0);
+    assert_eq!(named_after(soon, 4), 5);
+    assert_eq!(named_after(Duration::from_secs(1), 0), 1);
+}
