--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -91,10 +91,10 @@
 
 /// Hosts that a look-up names at the most: a caller tries few, and its answer stays small.
 const MOST: usize = 16;
-/// For how long after its start a host names none while it knows of few that serve: when all start at
-/// once, those that are ready first would be sent the callers of all others. Callers keep the addresses
-/// that they have meanwhile, or ask the next host.
-const SETTLE: Duration = Duration::from_secs(1);
+/// For how long after its start a host names none while it does not know the others, or few that serve:
+/// when all start at once, it would be sent the callers of all others. Callers keep the addresses that
+/// they have meanwhile, or ask the next host.
+const SETTLE: Duration = Duration::from_millis(2500);
 /// The least part of a full share with which a host is named: it is needed when others fail.
 const LEAST_SHARE: f64 = 0.25;
 /// Hosts of the caller's own availability zone that are enough to name no others.
@@ -161,6 +161,8 @@
     places: BTreeMap<SocketAddr, Arc<str>>,
     looked: Instant,
     started: Instant,
+    /// Whether the registrations of the others were read.
+    listed: bool,
     /// When no host saw the store, the last time that was looked at.
     unseen: Option<Instant>,
     beats: u64,
@@ -179,6 +181,7 @@
             places: BTreeMap::new(),
             looked: now,
             started: now,
+            listed: false,
             unseen: None,
             beats: 0,
         }
@@ -194,6 +197,11 @@
         self.regions.get(&record.zone).unwrap_or(&record.zone)
     }
 
+    /// All registrations of other hosts have been taken in.
+    pub fn list(&mut self) {
+        self.listed = true;
+    }
+
     /// Takes no new work from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -391,8 +399,8 @@
     /// Whether what this host knows of the others is enough to send callers to them.
     fn is_settled(&self, now: Instant) -> bool {
         let known = self.peers.len() + 1;
-        now.saturating_duration_since(self.started) >= SETTLE
-            || self.serving(now).count() * 2 >= known
+        let enough = self.listed && self.serving(now).count() * 2 >= known;
+        enough || now.saturating_duration_since(self.started) >= SETTLE
     }
 
     /// Hosts whose registration this host is to remove: they have been silent for long, and of the
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -164,6 +164,7 @@
                 self.presence.register(now, record);
             }
         }
+        self.presence.list();
     }
 
     /// Does what is due with each heartbeat that is sent.
