--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -11,14 +11,12 @@
 //! they learn. Who does follows from a ranking that all hosts compute alike.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::seq::SliceRandom;
-use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::port::Question;
 
@@ -89,8 +87,8 @@
     }
 }
 
-/// Hosts that a look-up names at the most: a caller tries few, and its answer stays small.
-const MOST: usize = 16;
+/// Hosts that a look-up names: one to use, and others should it fail.
+const NAMED: usize = 3;
 /// For how long after its start a host names none while it does not know the others, or few that serve:
 /// when all start at once, it would be sent the callers of all others. Callers keep the addresses that
 /// they have meanwhile, or ask the next host.
@@ -357,10 +355,12 @@
         own.into_iter().chain(others)
     }
 
-    /// The hosts that a caller is told to use: those of its availability zone, else of its region, else
-    /// any. Callers choose among them at random, so one that can carry less is named less often; of more
-    /// hosts than are named each answer draws its own, so that all get their part.
-    pub fn named(&self, now: Instant, question: &Question, rng: &mut impl Rng) -> Vec<SocketAddr> {
+    /// The hosts that a caller is told to use: some of its availability zone, else of its region, else any.
+    ///
+    /// Which ones is drawn for each caller by weighted rendezvous hashing, so that each host gets callers by
+    /// what it can carry, and a caller gets the same answer wherever and whenever it asks: it closes its
+    /// connections to hosts that are missing from a new one.
+    pub fn named(&self, now: Instant, question: &Question, caller: IpAddr) -> Vec<SocketAddr> {
         if !self.is_settled(now) {
             return Vec::new();
         }
@@ -372,28 +372,19 @@
         };
         let mut ranked: Vec<(u8, f64, SocketAddr)> = self
             .serving(now)
-            .map(|record| (near(record), record.strength.share(), record.front))
+            .map(|record| (near(record), distance(record, caller), record.front))
             .collect();
-        ranked.shuffle(rng);
-        ranked.sort_by(|one, other| one.0.cmp(&other.0).then(other.1.total_cmp(&one.1)));
         let in_zone = ranked.iter().filter(|(near, ..)| *near == 0).count();
         let in_region = ranked.iter().filter(|(near, ..)| *near <= 1).count();
-        let count = match (in_zone, in_region) {
-            (zone, _) if zone >= ENOUGH => zone,
-            (_, region) if region > 0 => region,
-            _ => ranked.len(),
+        let farthest = match (in_zone, in_region) {
+            (zone, _) if zone >= ENOUGH => 0,
+            (_, region) if region > 0 => 1,
+            _ => 2,
         };
-        ranked.truncate(count);
-        let mut named = Vec::new();
-        for (_, share, address) in ranked {
-            let enough = named.len() >= ENOUGH;
-            if !enough || rng.random_bool(share.max(LEAST_SHARE)) {
-                named.push(address);
-            }
-        }
-        named.shuffle(rng);
-        named.truncate(MOST);
-        named
+        ranked.retain(|(near, ..)| *near <= farthest);
+        ranked.sort_by(|one, other| one.1.total_cmp(&other.1));
+        ranked.truncate(NAMED);
+        ranked.into_iter().map(|(.., address)| address).collect()
     }
 
     /// Whether what this host knows of the others is enough to send callers to them.
@@ -507,6 +498,17 @@
     }
 }
 
+/// How far a host is from a caller in weighted rendezvous hashing: the nearest ones are used.
+fn distance(record: &Record, caller: IpAddr) -> f64 {
+    let seed = xxh3_64(record.host.as_bytes());
+    let draw = match caller {
+        IpAddr::V4(address) => xxh3_64_with_seed(&address.octets(), seed),
+        IpAddr::V6(address) => xxh3_64_with_seed(&address.octets(), seed),
+    };
+    let part = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -part.ln() / record.strength.share().max(LEAST_SHARE)
+}
+
 /// The order of hosts, which all compute alike: those that can carry most first, as many follow them.
 fn rank(record: &Record) -> (u64, u64) {
     let share = (record.strength.share() * 100.0) as u64;
--- a/src/host/lookup.rs
+++ b/src/host/lookup.rs
@@ -30,8 +30,10 @@
     }
     match (lookup.question)(request.uri()) {
         Some(question) => {
-            let core = &mut *host.core.borrow_mut();
-            let hosts = core.presence.named(now(), &question, &mut core.rng);
+            let core = host.core.borrow();
+            let hosts = core
+                .presence
+                .named(now(), &question, serve::caller(&request));
             let ttl = TTL.min(host.settings.bounds.lookup_ttl);
             (lookup.answer)(&hosts, ttl).map(whole)
         }
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -8,7 +8,7 @@
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -155,6 +155,12 @@
     }
 }
 
+/// The address that a request came from.
+pub(crate) fn caller<B>(request: &Request<B>) -> IpAddr {
+    let caller = request.extensions().get::<IpAddr>().copied();
+    caller.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED))
+}
+
 /// Listens on `address`.
 pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     let listen = || {
@@ -234,7 +240,11 @@
     R: Future<Output = Response<Body>> + 'static,
 {
     let watch = watched.watch.clone();
-    let service = service_fn(|request| {
+    let caller = watched.stream.peer_addr().ok().map(|address| address.ip());
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if let Some(caller) = caller {
+            request.extensions_mut().insert(caller);
+        }
         watch.phase.set(Phase::Busy);
         let answering = Answering(watch.clone());
         let answer = Box::pin(handler(host.clone(), request));
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,8 +11,6 @@
     Beat, Presence, Pulse, Record, Sight, Strength, FAR, FORGET, INTERVAL,
 };
 use ragwortfold::port::Question;
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 
 fn regions() -> BTreeMap<Arc<str>, Arc<str>> {
     [("n-a", "n"), ("n-b", "n"), ("s-a", "s")]
@@ -429,76 +427,98 @@
     assert!(each_second < 400.0, "{each_second} a second");
 }
 
-/// How often each host of a zone is named in some look-ups, with the given parts of a core.
-fn named(cores: &[f64], lookups: usize) -> Vec<usize> {
+/// A caller's address.
+fn caller(number: usize) -> IpAddr {
+    Ipv4Addr::from(0x0a00_0000 + number as u32).into()
+}
+
+fn ask(region: &str, zone: &str) -> Question {
+    Question {
+        region: region.into(),
+        zone: zone.into(),
+    }
+}
+
+/// How often each host of a zone is named to some callers, with the given parts of a core.
+fn named(cores: &[f64], callers: usize) -> Vec<usize> {
     let now = Instant::now();
-    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let presence = zone(now, cores);
+    let question = ask("n", "n-a");
+    let mut counts = vec![0; cores.len()];
+    for number in 0..callers {
+        let answer = presence.named(now, &question, caller(number));
+        assert_eq!(answer.len(), 3);
+        for (index, count) in counts.iter_mut().enumerate() {
+            *count += usize::from(answer.contains(&place(&format!("h{index}"))));
+        }
+    }
+    counts
+}
+
+/// A host elsewhere that has heard of hosts `h0` and on in one zone.
+fn zone(now: Instant, cores: &[f64]) -> Presence {
     let mut presence = Presence::new(now, record("own", "s-a", 1), regions());
     presence.list();
-    let names: Vec<_> = (0..cores.len()).map(|index| format!("h{index}")).collect();
-    for (name, cores) in names.iter().zip(cores) {
-        let mut record = record(name, "n-a", 1);
+    for (index, cores) in cores.iter().enumerate() {
+        let mut record = record(&format!("h{index}"), "n-a", 1);
         record.strength.cores = *cores;
         presence.hear(now, beat(record, Sight::Store));
     }
-    let question = Question {
-        region: "n".into(),
-        zone: "n-a".into(),
-    };
-    let mut counts = vec![0; names.len()];
-    for _ in 0..lookups {
-        let answer = presence.named(now, &question, &mut rng);
-        assert!(answer.len() <= 16, "{answer:?}");
-        for (name, count) in names.iter().zip(&mut counts) {
-            *count += usize::from(answer.contains(&place(name)));
-        }
-    }
-    counts
+    presence
 }
 
 #[test]
 fn of_many_hosts_look_ups_name_all_alike() {
-    let counts = named(&[0.2; 50], 1000);
+    let counts = named(&[0.2; 50], 5000);
     let (least, most) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
-    assert!(*least > 250 && *most < 400, "{counts:?}");
+    assert!(*least > 240 && *most < 360, "{counts:?}");
 }
 
 #[test]
-fn of_many_hosts_look_ups_name_weak_ones_less() {
+fn of_many_hosts_look_ups_name_weak_ones_by_their_strength() {
     let cores: Vec<f64> = (0..50)
         .map(|index| if index < 10 { 0.1 } else { 0.2 })
         .collect();
-    let counts = named(&cores, 1000);
+    let counts = named(&cores, 5000);
     let mean = |counts: &[usize]| counts.iter().sum::<usize>() as f64 / counts.len() as f64;
     let (weak, strong) = (mean(&counts[..10]), mean(&counts[10..]));
     assert!(
-        weak > 0.3 * strong && weak < 0.7 * strong,
+        weak > 0.45 * strong && weak < 0.6 * strong,
         "{weak} {strong}"
     );
 }
 
+#[test]
+fn a_caller_is_told_the_same_hosts_while_they_last() {
+    let now = Instant::now();
+    let whole = zone(now, &[0.2; 20]);
+    let fewer = zone(now, &[0.2; 19]);
+    let question = ask("n", "n-a");
+    for number in 0..200 {
+        let before = whole.named(now, &question, caller(number));
+        assert_eq!(before, whole.named(now, &question, caller(number)));
+        let after = fewer.named(now, &question, caller(number));
+        let kept = before.iter().filter(|host| after.contains(host)).count();
+        let lost = usize::from(before.contains(&place("h19")));
+        assert_eq!(kept + lost, 3);
+    }
+}
+
 #[test]
 fn callers_of_a_zone_without_hosts_are_sent_to_their_region() {
     let now = Instant::now();
-    let mut rng = Pcg64Mcg::seed_from_u64(7);
     let presence = presence(now, &[("h1", "n-b"), ("h2", "s-a")]);
-    let ask = |region: &str, zone: &str| Question {
-        region: region.into(),
-        zone: zone.into(),
-    };
-    let region = presence.named(now, &ask("n", "n-c"), &mut rng);
+    let mut found = presence.named(now, &ask("n", "n-c"), caller(1));
+    found.sort();
     let mut expected = vec![place("h0"), place("h1")];
     expected.sort();
-    let mut found = region.clone();
-    found.sort();
     assert_eq!(found, expected);
-    assert_eq!(presence.named(now, &ask("e", "e-a"), &mut rng).len(), 3);
+    assert_eq!(presence.named(now, &ask("e", "e-a"), caller(1)).len(), 3);
 }
 
 /// Hosts that one names which has just started and knows eight others, of which some serve.
 fn named_after(start: Duration, serving: usize) -> usize {
     let now = Instant::now();
-    let mut rng = Pcg64Mcg::seed_from_u64(7);
     let mut presence = presence(now, &[]);
     for number in 0..8 {
         let record = record(&format!("h-{number}"), "n-a", 1);
@@ -509,11 +529,8 @@
         };
         presence.hear(now + start, beat(record, sight));
     }
-    let question = Question {
-        region: "n".into(),
-        zone: "n-a".into(),
-    };
-    presence.named(now + start, &question, &mut rng).len()
+    let question = ask("n", "n-a");
+    presence.named(now + start, &question, caller(1)).len()
 }
 
 #[test]
@@ -521,21 +538,17 @@
     let soon = Duration::from_millis(100);
     assert_eq!(named_after(soon, 0), 0);
     assert_eq!(named_after(soon, 3), 0);
-    assert_eq!(named_after(soon, 4), 5);
+    assert_eq!(named_after(soon, 4), 3);
     assert_eq!(named_after(Duration::from_millis(2500), 0), 1);
 }
 
 #[test]
 fn a_host_that_has_not_read_who_else_there_is_names_none_at_first() {
     let now = Instant::now();
-    let mut rng = Pcg64Mcg::seed_from_u64(7);
     let mut presence = Presence::new(now, record("h0", "n-a", 1), regions());
     presence.see(Sight::Store);
-    let question = Question {
-        region: "n".into(),
-        zone: "n-a".into(),
-    };
-    let mut count = |presence: &Presence, at| presence.named(at, &question, &mut rng).len();
+    let question = ask("n", "n-a");
+    let count = |presence: &Presence, at| presence.named(at, &question, caller(1)).len();
     assert_eq!(count(&presence, now), 0);
     assert_eq!(count(&presence, now + Duration::from_millis(2500)), 1);
     presence.list();
