Keep a connection with the HTTP library while the rest of a body may come

Cause, found by reading: when a long answer ended before the request's body did, the target's connection was still being dropped, the caller's connection counted as at rest, and what came next was read as a request. Test: the_rest_of_a_long_body_is_never_taken_for_a_request saw a hidden request run; now the connection closes.

--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -52,6 +52,7 @@
         Ok(body) => body,
         Err(broken) => return reject(&parts, unread(host, &broken), broken.reason()),
     };
+    let whole = matches!(body, body::Part::Whole(_));
     let exchange = Exchange {
         route,
         head,
@@ -60,7 +61,11 @@
         deadline,
         longest_body: limits.body_bytes,
     };
-    exchange::run(host, exchange, body).await
+    let mut response = exchange::run(host, exchange, body).await;
+    if whole {
+        response.extensions_mut().insert(serve::ReadWhole);
+    }
+    response
 }
 
 /// The answer to a request whose body did not come as it should.
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -16,7 +16,7 @@
 
 use bytes::{Buf, Bytes};
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -53,6 +53,8 @@
     phase: Cell<Phase>,
     /// Whether all that was written has gone to the socket.
     flushed: Cell<bool>,
+    /// Whether a part of the last request's body may still come.
+    unread: Cell<bool>,
     /// Since when the caller takes nothing of what is written.
     stalled: Cell<Option<Instant>>,
 }
@@ -62,16 +64,23 @@
         Self {
             phase: Cell::new(Phase::Idle(now())),
             flushed: Cell::new(true),
+            unread: Cell::new(false),
             stalled: Cell::new(None),
         }
     }
 
-    /// Whether the last answer is out and nothing else has come.
+    /// Whether the last answer is out and nothing else has come. While the rest of a body may come, only
+    /// the HTTP library knows that it is not a request.
     fn is_at_rest(&self) -> bool {
-        matches!(self.phase.get(), Phase::Idle(_)) && self.flushed.get()
+        let idle = matches!(self.phase.get(), Phase::Idle(_));
+        idle && self.flushed.get() && !self.unread.get()
     }
 }
 
+/// A mark on an answer: the request's body has been read to its end.
+#[derive(Clone, Copy)]
+pub(crate) struct ReadWhole;
+
 /// Ends the phase in which a request is answered.
 struct Answering(Rc<Watch>);
 
@@ -246,10 +255,14 @@
             request.extensions_mut().insert(caller);
         }
         watch.phase.set(Phase::Busy);
+        watch.unread.set(!request.body().is_end_stream());
         let answering = Answering(watch.clone());
         let answer = Box::pin(handler(host.clone(), request));
         async move {
             let response = answer.await;
+            if response.extensions().get::<ReadWhole>().is_some() {
+                answering.0.unread.set(false);
+            }
             Ok::<_, Infallible>(response.map(|body| body::guarded(body, answering)))
         }
     });
