--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -27,7 +27,7 @@
 mod watcher;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -62,6 +62,8 @@
     joined: Cell<bool>,
     /// Feeds that ended, and when.
     failed: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Faults of the store's objects that were logged.
+    unread: RefCell<BTreeSet<String>>,
 }
 
 impl Host {
@@ -119,6 +121,7 @@
         watching: watcher::Watching::default(),
         joined: Cell::new(false),
         failed: RefCell::default(),
+        unread: RefCell::default(),
         platform,
         settings,
     });
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -19,6 +19,9 @@
 /// How long a connection to the store may take to be established.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// Faults of objects that are remembered, so that each is logged once: many more than a store has in practice.
+const UNREAD: usize = 1024;
+
 /// Why a call has no answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -63,10 +66,7 @@
         self.kept = kept;
         let (reply, unread) = (self.host.platform.store.decode)(call, status, &bytes)?;
         for malformed in unread {
-            spdlog::warn!("store: an object is left out", kv: {
-                event = Event::Unread.as_str(),
-                error = malformed.to_string().as_str()
-            });
+            self.leave_out(&malformed);
         }
         match reply {
             Reply::Busy => Err(Error::Busy),
@@ -74,6 +74,23 @@
         }
     }
 
+    /// Logs an object that can't be read, once for each fault of it.
+    fn leave_out(&self, malformed: &Malformed) {
+        let told = &mut *self.host.unread.borrow_mut();
+        if told.len() >= UNREAD {
+            told.clear();
+        }
+        let error = malformed.to_string();
+        if told.contains(&error) {
+            return;
+        }
+        spdlog::warn!("store: an object is left out", kv: {
+            event = Event::Unread.as_str(),
+            error = error.as_str()
+        });
+        told.insert(error);
+    }
+
     async fn exchange(
         &self,
         kept: Option<TcpStream>,
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -117,6 +117,26 @@
     pub state: State,
     /// How much longer it stays cold.
     pub cold_left: Duration,
+    /// When its process started, in Unix milliseconds, if it says so. A target that starts again may do
+    /// so under the identity that it had, and knows nothing of before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<u64>,
+}
+
+impl Registration {
+    /// Whether this is of an earlier process than `other`.
+    pub fn is_before(&self, other: &Self) -> bool {
+        self.born < other.born && self.born.is_some()
+    }
+
+    /// Whether this and `other` are of one process, which does the same work in the same place.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        let restarted = self.born != other.born && self.born.is_some() && other.born.is_some();
+        !restarted
+            && self.service == other.service
+            && self.address == other.address
+            && self.zone == other.zone
+    }
 }
 
 /// The configuration in force, laid out for finding routes.
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -147,18 +147,26 @@
         }
     }
 
-    /// Takes in what a target says of itself.
+    /// Takes in what a target says of itself. News of an earlier process than the one that is known
+    /// changes nothing; a later one under the same identity is another target.
     pub fn register(&mut self, now: Instant, registration: Registration) {
         let cold = Some(registration.cold_left)
             .filter(|left| !left.is_zero())
             .map(|left| now + left);
-        if let Some(key) = self.ids.get(&registration.id) {
-            if let Some(member) = self.members.get_mut(key) {
+        let known = self.ids.get(&registration.id);
+        if let Some(member) = known.and_then(|key| self.members.get_mut(key)) {
+            if registration.is_before(&member.registration) {
+                return;
+            }
+            if registration.is_same_process(&member.registration) {
                 member.cold_until = cold;
                 member.lapsed = None;
                 member.registration = registration;
+                return;
             }
-            return;
+            // Nothing that was seen of the former process holds for this one, and its requests and
+            // connections end with its key.
+            self.withdraw(&registration.id);
         }
         let region = self
             .regions
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -41,6 +41,7 @@
         slots: SLOTS,
         state: State::Ready,
         cold_left: Duration::ZERO,
+        born: None,
     }
 }
 
@@ -431,3 +432,84 @@
         "{used:?}"
     );
 }
+
+/// What is known of a target that starts again under its identity, by what its registrations say.
+macro_rules! restarts {
+    ($($name:ident: $first:expr, $then:expr => $is_another:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut world = World::new("h1", "n-a");
+            world.fleet.register(world.now, $first);
+            let target = world.choose(1, &[]).unwrap();
+            let full = Load { running: SLOTS, waiting: 2 * SLOTS, slots: SLOTS };
+            world.finish(target, End::Answered, Some(full));
+            world.fleet.register(world.now, $then);
+            let now = world.choose(1, &[]);
+            assert_eq!(now.is_ok_and(|other| other != target), $is_another);
+        }
+    )*};
+}
+
+fn born(at: Option<u64>) -> Registration {
+    Registration {
+        born: at,
+        ..registration("t1", "n-a")
+    }
+}
+
+fn elsewhere() -> Registration {
+    Registration {
+        address: "127.0.0.1:10".parse().unwrap(),
+        ..born(Some(5))
+    }
+}
+
+restarts! {
+    a_later_start_is_another_target: born(Some(5)), born(Some(6)) => true;
+    the_same_start_is_the_same_target: born(Some(5)), born(Some(5)) => false;
+    news_of_a_former_start_changes_nothing: born(Some(5)), born(Some(4)) => false;
+    a_start_that_is_told_later_changes_nothing: born(None), born(Some(5)) => false;
+    a_start_that_is_no_longer_told_changes_nothing: born(Some(5)), born(None) => false;
+    another_address_is_another_target: born(Some(5)), elsewhere() => true;
+}
+
+#[test]
+fn a_target_that_starts_again_keeps_nothing_of_before() {
+    let mut world = World::new("h1", "n-a");
+    world.fleet.register(world.now, born(Some(5)));
+    let former = world.choose(1, &[]).unwrap();
+    for _ in 0..5 {
+        world.fleet.hold(former);
+        world.finish(former, End::Broken, None);
+    }
+    world.fleet.hold(former);
+    world.finish(former, End::Misdirected, None);
+    assert_eq!(world.choose(1, &[]), Err(Refusal::NoTarget));
+    let cold = Registration {
+        cold_left: Duration::from_secs(3),
+        ..born(Some(6))
+    };
+    world.fleet.register(world.now, cold);
+    // What is left of the former process ends without a trace.
+    world.finish(former, End::Broken, None);
+    let again = world.choose(1, &[]).unwrap();
+    assert_ne!(again, former);
+    assert_eq!(world.choose(1, &[]), Err(Refusal::NoTarget), "it is cold");
+    // A late word of the former one brings it back neither as ready nor as warm.
+    world.fleet.register(world.now, born(Some(5)));
+    assert_eq!(world.choose(1, &[]), Err(Refusal::NoTarget));
+    assert_eq!(world.fleet.ids().count(), 1);
+}
+
+#[test]
+fn a_target_that_changes_its_service_leaves_the_one_before() {
+    let mut world = World::new("h1", "n-a");
+    world.fleet.register(world.now, registration("t1", "n-a"));
+    assert!(world.chosen(1).is_some());
+    let other = Registration {
+        service: "films".into(),
+        ..registration("t1", "n-a")
+    };
+    world.fleet.register(world.now, other);
+    assert_eq!(world.chosen(1), None);
+}
