Read the store at once at the start, and let requests wait for it

Change: each host lists the three kinds at its start, in parallel, and counts that as seen for 2 s; requests wait for it, up to 600 ms from the start on. A host that then watches goes on from what it read. Ruled out: the time that targets take after the return: requests sent after it are answered in 120 to 300 ms.

--- /dev/null
+++ b/src/host/begin.rs
@@ -0,0 +1,84 @@
+//! What a host does before it knows what the store holds: it reads all kinds at once, and requests wait.
+//!
+//! When all hosts start together, as after a loss of power, callers are there from the first moment. To register
+//! and to agree on who watches the store takes some hundred milliseconds; a host needs none of that to serve. A caller
+//! that is refused meanwhile has used up one of its few attempts, so its request waits for what takes a few round trips.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use super::feed::KINDS;
+use super::store::Client;
+use super::{now, sync, Host};
+use crate::port::Kind;
+
+/// How long a request waits at most from the start of the host on, unless the settings say otherwise: a quarter of
+/// the shortest deadlines in use, and some ten times what reading the store takes between regions.
+pub const WAIT: Duration = Duration::from_millis(600);
+/// How long what was read at the start counts as seen: until the host watches the store, or follows a host that does.
+const FRESH: Duration = Duration::from_secs(2);
+
+/// How far a host has come since its start.
+pub(crate) struct Begin {
+    started: Instant,
+    wait: Duration,
+    read: Cell<Option<Instant>>,
+    learnt: Notify,
+}
+
+impl Begin {
+    /// A host that starts now, at which requests wait up to `wait`.
+    pub(crate) fn new(now: Instant, wait: Duration) -> Self {
+        Self {
+            started: now,
+            wait,
+            read: Cell::new(None),
+            learnt: Notify::new(),
+        }
+    }
+
+    /// Whether the host has just read for itself what the store holds.
+    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
+        let read = self.read.get();
+        read.is_some_and(|at| now.saturating_duration_since(at) < FRESH)
+    }
+
+    /// Tells requests that wait that something was learnt.
+    pub(crate) fn learn(&self) {
+        self.learnt.notify_waiters();
+    }
+}
+
+/// Reads all kinds of objects at once.
+pub(crate) async fn run(host: Rc<Host>) {
+    let read = |kind: Kind| {
+        let host = host.clone();
+        async move { sync::list(&host, &mut Client::new(&host), kind).await }
+    };
+    let [config, targets, evacuations] = KINDS.map(read);
+    let results = tokio::join!(config, targets, evacuations);
+    let results: [_; KINDS.len()] = results.into();
+    for (kind, result) in KINDS.iter().zip(&results) {
+        if let Err(error) = result {
+            spdlog::info!("begin: {kind:?} could not be read yet: {error}");
+        }
+    }
+    if results.iter().all(Result::is_ok) {
+        host.begin.read.set(Some(now()));
+        sync::note_sight(&host).await;
+    }
+}
+
+/// Waits until the host knows what the store holds, but not for longer than a start takes.
+pub(crate) async fn known(host: &Host) {
+    let until = host.begin.started + host.begin.wait;
+    while !host.knows_store() {
+        let learnt = host.begin.learnt.notified();
+        if tokio::time::timeout_at(until.into(), learnt).await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -10,7 +10,7 @@
 
 use super::body::{self, Body, Broken};
 use super::exchange::{self, Exchange};
-use super::{answer, now, record, serve, Error, Host};
+use super::{answer, begin, now, record, serve, Error, Host};
 use crate::inventory::Route;
 
 /// Listens for callers.
@@ -32,6 +32,7 @@
 async fn take(host: &Rc<Host>, request: Request<Incoming>) -> Response<Body> {
     let begun = now();
     let (parts, incoming) = request.into_parts();
+    begin::known(host).await;
     let limits = host.core.borrow().table.limits();
     let reject = |parts: &request::Parts, response: Response<Body>, reason| {
         record::rejected(host, parts, begun, response.status(), reason);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod beat;
+mod begin;
 mod body;
 mod client;
 mod core;
@@ -41,6 +42,7 @@
 use crate::entry::metrics::Metrics;
 use crate::port::{Platform, Settings};
 
+pub use begin::WAIT;
 pub use error::Error;
 pub use log::EVENTS;
 
@@ -58,6 +60,7 @@
     /// What the host that this one follows knows of the store.
     followed: Cell<Option<Sight>>,
     watching: watcher::Watching,
+    begin: begin::Begin,
     /// Whether the host has registered, or has tried to.
     joined: Cell<bool>,
     /// Feeds that ended, and when.
@@ -81,9 +84,17 @@
                 away: update.away,
             };
             feed::publish(self, &difference);
+            self.begin.learn();
         }
         effect
     }
+
+    /// Whether all kinds of objects that the store holds are known, be it from long ago.
+    fn knows_store(&self) -> bool {
+        let core = self.core.borrow();
+        let mut kinds = feed::KINDS.iter();
+        kinds.all(|kind| core.replica.revision(*kind).is_some())
+    }
 }
 
 /// The runtime's clock, which tests can pause.
@@ -119,6 +130,7 @@
         followers: RefCell::default(),
         followed: Cell::new(None),
         watching: watcher::Watching::default(),
+        begin: begin::Begin::new(now(), settings.start_wait),
         joined: Cell::new(false),
         failed: RefCell::default(),
         unread: RefCell::default(),
@@ -130,6 +142,7 @@
     metrics::listen(&host).await?;
     feed::listen(&host).await?;
     beat::start(&host).await?;
+    tokio::task::spawn_local(begin::run(host.clone()));
     sync::start(&host);
     tokio::task::spawn_local(probe::run(host.clone()));
     tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -118,7 +118,7 @@
                 task: tokio::task::spawn_local(follow(host.clone(), address)).abort_handle(),
             });
         }
-        note_sight(&host, sees).await;
+        note_sight(&host).await;
     }
 }
 
@@ -150,13 +150,12 @@
 }
 
 /// Sets what this host knows of the store, and tells others if that is news.
-async fn note_sight(host: &Rc<Host>, sees: bool) {
+pub(super) async fn note_sight(host: &Rc<Host>) {
+    let known = host.knows_store();
+    let sees = host.watching.is_complete();
+    let relayed = host.followed.get() == Some(Sight::Store) || host.begin.is_fresh(now());
     let news = {
         let mut core = host.core.borrow_mut();
-        let known = KINDS
-            .iter()
-            .all(|kind| core.replica.revision(*kind).is_some());
-        let relayed = host.followed.get() == Some(Sight::Store);
         let sight = match (known, sees, relayed) {
             (false, ..) => Sight::Nothing,
             (true, true, _) => Sight::Store,
@@ -206,7 +205,11 @@
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
     let mut lost = false;
-    let mut listed = false;
+    // What was read at the start is brought up to date by its changes.
+    let mut listed = host.begin.is_fresh(now());
+    if listed {
+        host.watching.set(kind, true);
+    }
     loop {
         let known = host.core.borrow().replica.revision(kind);
         let result = match known {
@@ -234,7 +237,7 @@
 }
 
 /// Reads all objects of a kind.
-async fn list(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
+pub(super) async fn list(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
     let (entries, revision) = read(client, kind).await?;
     let away = host.core.borrow().presence.was_store_away(now());
     host.take(&Update {
--- a/src/port.rs
+++ b/src/port.rs
@@ -45,6 +45,8 @@
     pub store: SocketAddr,
     /// What callers may rely on.
     pub bounds: Bounds,
+    /// How long after the host's start a request waits for the configuration at most.
+    pub start_wait: Duration,
     /// How much the host can carry.
     pub strength: presence::Strength,
 }
