Use no cold targets, and no floor of the repeat budget, before the others are known

Change: a host takes part in the rate, looks after targets and takes its part of the budget's floor once the registrations of the others were read, or could not be for 2.5 s. Waiting connections are looked at every 5 s in place of every second.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -406,6 +406,12 @@
         ranked.into_iter().map(|(.., address)| address).collect()
     }
 
+    /// Whether this host knows the others, as far as it can: their registrations were read, or have not been for so long
+    /// that it has to do with those that it heard.
+    pub fn knows_others(&self, now: Instant) -> bool {
+        self.listed || now.saturating_duration_since(self.started) >= SETTLE
+    }
+
     /// Whether what this host knows of the others is enough to send callers to them.
     fn is_settled(&self, now: Instant) -> bool {
         let known = self.peers.len() + 1;
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -49,6 +49,10 @@
             strength: settings.strength,
         };
         let seed = xxhash_rust::xxh3::xxh3_64_with_seed(own.host.as_bytes(), own.incarnation);
+        let mut budgets =
+            Budgets::new(settings.bounds.repeats).with_switch(settings.switches.repeat_budget);
+        // Until the others are known, the floor that all share is theirs.
+        budgets.set_hosts(usize::MAX);
         Self {
             table: Table::new(),
             replica: Replica::new(),
@@ -64,8 +68,7 @@
                 .with_few_watchers(settings.switches.few_watchers),
             rng: Pcg64Mcg::seed_from_u64(seed),
             registered: None,
-            budgets: Budgets::new(settings.bounds.repeats)
-                .with_switch(settings.switches.repeat_budget),
+            budgets,
             told: BTreeMap::new(),
             debts: BTreeMap::new(),
         }
@@ -169,11 +172,20 @@
             }
         }
         self.presence.list();
+        self.count_hosts(now);
     }
 
     /// Does what is due with each heartbeat that is sent.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.presence.tick(now);
+        self.count_hosts(now);
+    }
+
+    /// Tells those who share something among all hosts which there are.
+    fn count_hosts(&mut self, now: Instant) {
+        if !self.presence.knows_others(now) {
+            return;
+        }
         let hosts = self.presence.alive(now).map(|record| {
             let region = self.presence.region(record);
             (record.host.clone(), region.clone())
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -32,6 +32,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// How often a connection's times are checked, as the bounds may change.
 const CHECK: Duration = Duration::from_secs(1);
+/// How often a connection that waits for a request is looked at: most wait, and each look wakes the process.
+const LOOK: Duration = Duration::from_secs(5);
 /// The least buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER: usize = 8192;
 /// Bound on a request head before the first configuration, in bytes.
@@ -242,7 +244,7 @@
         tokio::select! {
             readable = watched.stream.readable() => return readable.is_ok(),
             () = host.stop.closing() => return false,
-            () = tokio::time::sleep(CHECK) => {
+            () = tokio::time::sleep(LOOK) => {
                 if overdue(host, &watched.watch) != Overdue::No {
                     return false;
                 }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -139,7 +139,7 @@
     switches: Switches,
     /// Requests that a target was looked for.
     asked: u64,
-    /// All hosts that are alive, this one among them.
+    /// All hosts that are alive, this one among them; empty while that is not known.
     hosts: Vec<Peer>,
 }
 
@@ -162,7 +162,7 @@
             warmth: Warmth::new(now),
             cold_rates: BTreeMap::new(),
             cold_hosts: (cold_burst as usize).max(1),
-            hosts: vec![own.clone()],
+            hosts: Vec::new(),
             own,
             switches: Switches::default(),
             asked: 0,
--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -48,7 +48,7 @@
         self.cold_rates.insert(service, rate);
     }
 
-    /// Sets the names and regions of the hosts that are alive.
+    /// Sets the names and regions of the hosts that are alive. Until then no cold target is used.
     pub fn set_hosts(&mut self, hosts: Vec<(Arc<str>, Arc<str>)>) {
         self.hosts = hosts
             .into_iter()
@@ -76,7 +76,8 @@
         self.members.iter().filter_map(|(key, member)| {
             let own = self.own.rank(member);
             let before = self.hosts.iter().filter(|host| host.rank(member) > own);
-            (before.count() < CARETAKERS).then_some((*key, member))
+            let cares = !self.hosts.is_empty() && before.count() < CARETAKERS;
+            cares.then_some((*key, member))
         })
     }
 
@@ -96,8 +97,12 @@
         }
     }
 
-    /// Whether this host is one of the few that may send to a cold target at all.
+    /// Whether this host is one of the few that may send to a cold target at all. One that has just started and does
+    /// not know the others is not: when all started together, each would take the whole rate.
     fn is_cold_user(&self, member: &Member) -> bool {
+        if self.hosts.is_empty() {
+            return false;
+        }
         let own = self.own.rank(member);
         let before = self.hosts.iter().filter(|host| host.rank(member) > own);
         before.count() < self.cold_hosts
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -49,6 +49,7 @@
     fn new(host: &str, zone: &str) -> Self {
         let mut fleet = Fleet::new(Instant::now(), host.into(), zone.into(), regions(), BURST);
         fleet.set_cold_rate("books".into(), RATE);
+        fleet.set_hosts(vec![(host.into(), regions()[zone].clone())]);
         Self {
             fleet,
             now: Instant::now(),
@@ -539,3 +540,21 @@
     world.fleet.register(world.now, other);
     assert_eq!(world.chosen(1), None);
 }
+
+#[test]
+fn a_host_that_does_not_know_the_others_uses_no_cold_target() {
+    let mut world = World::new("h1", "n-a");
+    let mut fleet = Fleet::new(world.now, "h1".into(), "n-a".into(), regions(), BURST);
+    fleet.set_cold_rate("books".into(), RATE);
+    let cold = Registration {
+        cold_left: Duration::from_secs(3),
+        ..registration("t1", "n-a")
+    };
+    fleet.register(world.now, cold);
+    world.fleet = fleet;
+    assert_eq!(world.choose(1, &[]), Err(Refusal::NoTarget));
+    assert_eq!(world.fleet.charges().count(), 0);
+    let hosts = vec![("h1".into(), "n".into()), ("h2".into(), "n".into())];
+    world.fleet.set_hosts(hosts);
+    assert!(world.choose(1, &[]).is_ok());
+}
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -554,3 +554,13 @@
     presence.list();
     assert_eq!(count(&presence, now), 1);
 }
+
+#[test]
+fn the_others_are_known_once_their_registrations_were_read_or_have_long_not_been() {
+    let now = Instant::now();
+    let mut presence = Presence::new(now, record("h0", "n-a", 1), regions());
+    assert!(!presence.knows_others(now));
+    assert!(presence.knows_others(now + Duration::from_secs(3)));
+    presence.list();
+    assert!(presence.knows_others(now));
+}
