--- a/src/host/begin.rs
+++ b/src/host/begin.rs
@@ -33,8 +33,11 @@
 /// How far a host has come since its start.
 pub(crate) struct Begin {
     started: Instant,
+    /// How long requests wait from then on.
     wait: Duration,
+    /// When all kinds were read, if that went well.
     read: Cell<Option<Instant>>,
+    /// Wakes requests that wait.
     learnt: Notify,
 }
 
@@ -61,7 +64,7 @@
     }
 }
 
-/// Reads all kinds of objects at once.
+/// Reads all kinds of objects at once. What can't be read now comes later, from the store or from another host.
 pub(crate) async fn run(host: Rc<Host>) {
     let read = |kind: Kind| {
         let host = host.clone();
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -8,10 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{
-    HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-use http::{request, response, HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http::{request, response, HeaderValue, Method, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
 use tokio::task::AbortHandle;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -19,7 +16,7 @@
 use super::body::{self, Body, Part};
 use super::client::{self, Connection, Unanswered};
 use super::record::{self, Stop, Story};
-use super::{answer, log, now, Host};
+use super::{answer, log, message, now, Host};
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
 use crate::port::{Answer, Head};
@@ -30,18 +27,6 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// Less time than this is not worth a try: nothing could come back.
 const LEAST: Duration = Duration::from_millis(20);
-/// Headers that concern one connection only.
-const HOP: [HeaderName; 8] = [
-    CONNECTION,
-    EXPECT,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-];
-
 /// A request whose body has been read, at least its beginning.
 pub(crate) struct Exchange {
     pub(crate) route: Arc<Route>,
@@ -50,6 +35,16 @@
     pub(crate) begun: Instant,
     pub(crate) deadline: Instant,
     pub(crate) longest_body: u64,
+    pub(crate) body: Kept,
+}
+
+/// What the host has of a request's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kept {
+    /// All of it, for as many tries as are needed.
+    Whole,
+    /// Its beginning; the rest can be passed on once.
+    Start,
 }
 
 /// How a try ended.
@@ -290,7 +285,7 @@
             return Outcome::NotRun;
         }
     };
-    let request = outgoing(host, exchange, body, &id);
+    let request = message::outgoing(host, exchange, body, &id);
     let sent = now();
     let response = match answer(host, exchange, ask, grant, connection.send(request)).await {
         Ok(response) => response,
@@ -342,6 +337,7 @@
 /// Whether a request that may have run may be sent to another target.
 fn may_repeat(host: &Host, exchange: &Exchange, ask: &Ask<'_>) -> bool {
     exchange.route.repeat != Repeat::Never
+        && exchange.body == Kept::Whole
         && ask.tried.len() + 1 < exchange.route.attempts as usize
         && host.core.borrow_mut().budgets.has(now(), ask.service)
 }
@@ -383,46 +379,6 @@
     }
 }
 
-fn outgoing(host: &Host, exchange: &Exchange, body: Part, id: &HeaderValue) -> Request<Body> {
-    let mut headers = passed_on(&exchange.parts.headers);
-    let left = exchange.deadline.saturating_duration_since(now());
-    (host.platform.wire.address)(&mut headers, left, id);
-    let body = match body {
-        Part::Whole(bytes) => {
-            let framed = exchange.parts.headers.contains_key(CONTENT_LENGTH)
-                || exchange.parts.headers.contains_key(TRANSFER_ENCODING);
-            if framed {
-                headers.insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-            }
-            body::whole(bytes)
-        }
-        Part::Start(start, rest) => body::stream(start, rest, exchange.longest_body),
-    };
-    let mut request = Request::new(body);
-    *request.method_mut() = exchange.parts.method.clone();
-    *request.headers_mut() = headers;
-    if let Some(path) = exchange.parts.uri.path_and_query() {
-        *request.uri_mut() = path.clone().into();
-    }
-    request
-}
-
-/// All headers but those that concern one connection only.
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = headers.clone();
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP.iter().chain(&named) {
-        passed.remove(name);
-    }
-    passed
-}
-
 async fn receive(
     host: &Rc<Host>,
     exchange: &Exchange,
@@ -459,12 +415,12 @@
             // The answer to HEAD keeps the length of what it leaves out.
             let framed = exchange.parts.method == Method::HEAD;
             let body = body::whole(bytes);
-            let response = incoming_answer(parts, body, framed);
+            let response = message::incoming(parts, body, framed);
             verdict(exchange, grant, &told, response)
         }
         Part::Start(start, rest) => {
             let body = pass_on(host, grant, connection, start, rest);
-            let response = incoming_answer(parts, body, true);
+            let response = message::incoming(parts, body, true);
             verdict(exchange, grant, &told, response)
         }
     }
@@ -537,15 +493,3 @@
     let held = (running, Grant::new(host, grant.target, Seen::default()));
     body::guarded(body::stream(start, rest, u64::MAX), held)
 }
-
-/// A target's answer as the caller gets it. `framed` keeps the length that the target stated.
-fn incoming_answer(parts: response::Parts, body: Body, framed: bool) -> Response<Body> {
-    let mut headers = passed_on(&parts.headers);
-    if !framed {
-        headers.remove(CONTENT_LENGTH);
-    }
-    let mut response = Response::new(body);
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = headers;
-    response
-}
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 
 use super::body::{self, Body, Broken};
-use super::exchange::{self, Exchange};
+use super::exchange::{self, Exchange, Kept};
 use super::{answer, begin, now, record, serve, Error, Host};
 use crate::inventory::Route;
 
@@ -53,7 +53,10 @@
         Ok(body) => body,
         Err(broken) => return reject(&parts, unread(host, &broken), broken.reason()),
     };
-    let whole = matches!(body, body::Part::Whole(_));
+    let kept = match body {
+        body::Part::Whole(_) => Kept::Whole,
+        body::Part::Start(..) => Kept::Start,
+    };
     let exchange = Exchange {
         route,
         head,
@@ -61,9 +64,10 @@
         begun,
         deadline,
         longest_body: limits.body_bytes,
+        body: kept,
     };
     let mut response = exchange::run(host, exchange, body).await;
-    if whole {
+    if kept == Kept::Whole {
         response.extensions_mut().insert(serve::ReadWhole);
     }
     response
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -16,6 +16,7 @@
 mod join;
 mod log;
 mod lookup;
+mod message;
 mod metrics;
 mod pool;
 mod probe;
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -3,10 +3,12 @@
 //! Each affinity key has two targets, by rendezvous hashing over those that may serve it, so that all
 //! hosts agree without a word: one of the own region, and one elsewhere. A request goes to the one
 //! that is expected to answer first, counting the way there, a connection that is still to be opened,
-//! the queue, and what the bytes between zones cost. If both are full it is refused. A third choice
-//! was tried and made more targets cold for its key than it relieved.
+//! the queue, a first visit to a target that does not have the object, and what the bytes between zones cost. Targets
+//! that are known to have the object may be used beside the two. If all are full it is refused. A third choice whatever
+//! it has was tried and made more targets cold for its key than it relieved.
 
 mod admission;
+mod choice;
 mod cold;
 mod cost;
 mod habit;
@@ -20,7 +22,7 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use self::cold::Peer;
 use self::habit::Habit;
@@ -29,7 +31,7 @@
 use super::drift::Drift;
 use super::eject::{Eject, Sign, Standing};
 use crate::border::settings::Switch;
-use crate::inventory::{Keys, Registration, State, TargetKey};
+use crate::inventory::{Keys, Registration, TargetKey};
 
 pub use self::cold::CARETAKERS;
 pub use self::member::{Belief, Load, Member};
@@ -89,16 +91,6 @@
     Restored,
 }
 
-/// The part of its missing slots for which a region sends requests elsewhere from the start. Not
-/// all: regions need not have the same load, and what turns out to be too much comes back. With
-/// 0.6 some 22 of 100 requests still changed their region within 2 s after the start, without it 39.
-const LACKING: f64 = 0.9;
-
-/// The part of its slots up to which a target gets requests beyond those for which it is the first choice, as it has
-/// their objects. A busier one gives them up, so that the load spreads again: without this bound the days with
-/// most queues lost 0.005 of their worth, with it calm days gain 0.003.
-const AT_EASE: f64 = 0.7;
-
 /// What was seen of a target while it had a request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seen {
@@ -320,156 +312,6 @@
         Ok(chosen)
     }
 
-    fn pick(
-        &mut self,
-        now: Instant,
-        ask: &Ask<'_>,
-        connected: impl Fn(TargetKey) -> bool,
-    ) -> Result<TargetKey, Refusal> {
-        let first = self.first_choices(now, ask);
-        if first == [None; 2] {
-            return Err(Refusal::NoTarget);
-        }
-        let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
-        choices.extend(self.holders(now, ask, &first));
-        choices.retain(|key| self.has_room(now, *key));
-        let (near, far): (Vec<_>, Vec<_>) = choices.iter().partition(|key| self.is_near(**key));
-        let choices = if near.is_empty() || far.is_empty() || self.switches.drift == Switch::Off {
-            choices
-        } else {
-            let part = self.lacking(ask.service);
-            let drift = self
-                .drifts
-                .entry(ask.service.clone())
-                .or_insert_with(|| Drift::new(now).with_part(part));
-            if drift.holds(now, ask.key) {
-                far
-            } else if !drift.may_leave(now) {
-                near
-            } else {
-                choices
-            }
-        };
-        choices
-            .into_iter()
-            .map(|key| (self.cost(now, key, ask, connected(key)), key))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other))
-            .map(|(_, key)| key)
-            .ok_or(Refusal::Full)
-    }
-
-    fn is_near(&self, key: TargetKey) -> bool {
-        let member = self.members.get(&key);
-        member.is_some_and(|member| member.region == self.region)
-    }
-
-    /// Further targets that have the object of a request, as far as is known: using them makes nothing cold.
-    fn holders(&self, now: Instant, ask: &Ask<'_>, first: &[Option<TargetKey>]) -> Vec<TargetKey> {
-        let objects = ask.object.filter(|_| self.switches.warmth == Switch::On);
-        objects
-            .into_iter()
-            .flat_map(|object| self.warmth.holders(object))
-            .filter(|key| !first.contains(&Some(*key)) && !ask.tried.contains(key))
-            .filter(|key| {
-                let member = self.members.get(key);
-                member.is_some_and(|member| {
-                    let most = f64::from(member.registration.slots) * AT_EASE;
-                    member.load(now) < most
-                        && self.is_open(now, member, ask)
-                        && !self.is_mute(now, member)
-                })
-            })
-            .collect()
-    }
-
-    /// The part of the requests for a service that the targets of the own region will not be able to
-    /// take, as far as their slots tell before anything was sent.
-    fn lacking(&self, service: &str) -> f64 {
-        let mut slots: BTreeMap<&str, f64> = BTreeMap::new();
-        for key in self.services.get(service).into_iter().flatten() {
-            if let Some(member) = self.members.get(key) {
-                let region = slots.entry(&member.region).or_default();
-                *region += f64::from(member.registration.slots);
-            }
-        }
-        let own = slots.get(&*self.region).copied().unwrap_or_default();
-        let mean = slots.values().sum::<f64>() / slots.len().max(1) as f64;
-        if own >= mean {
-            return 0.0;
-        }
-        (1.0 - own / mean) * LACKING
-    }
-
-    /// The targets that a key may use; silent ones only where there are no others.
-    fn first_choices(&self, now: Instant, ask: &Ask<'_>) -> [Option<TargetKey>; 2] {
-        let sound = self.candidates(ask, |member| {
-            self.is_open(now, member, ask) && !self.is_mute(now, member)
-        });
-        if sound != [None; 2] {
-            return sound;
-        }
-        self.candidates(ask, |member| self.is_open(now, member, ask))
-    }
-
-    /// The first target of the own region, and the first elsewhere, among those that may be used.
-    fn candidates(
-        &self,
-        ask: &Ask<'_>,
-        may_use: impl Fn(&Member) -> bool,
-    ) -> [Option<TargetKey>; 2] {
-        let key_of_request = match self.switches.affinity {
-            Switch::On => ask.key,
-            Switch::Off => xxh3_64(&self.asked.to_le_bytes()),
-        };
-        let mut near: Option<(u64, TargetKey)> = None;
-        let mut far: Option<(u64, TargetKey)> = None;
-        for key in self.services.get(ask.service).into_iter().flatten() {
-            let Some(member) = self.members.get(key) else {
-                continue;
-            };
-            if ask.tried.contains(key) || !may_use(member) {
-                continue;
-            }
-            let draw = xxh3_64_with_seed(&key_of_request.to_le_bytes(), member.seed);
-            let place = if member.region == self.region {
-                &mut near
-            } else if self.switches.far == Switch::On {
-                &mut far
-            } else {
-                continue;
-            };
-            *place = (*place).max(Some((draw, *key)));
-        }
-        [near, far].map(|place| place.map(|(_, key)| key))
-    }
-
-    /// Whether a target may get new requests at all.
-    fn is_open(&self, now: Instant, member: &Member, ask: &Ask<'_>) -> bool {
-        if member.registration.state != State::Ready
-            || member.misdirected
-            || self.evacuated.contains(&member.registration.zone)
-            || !(ask.homes.is_empty() || ask.homes.contains(&member.region))
-        {
-            return false;
-        }
-        let may_probe = member.eject.is_due(now) && member.in_flight == 0;
-        if !member.eject.is_in() && !may_probe {
-            return false;
-        }
-        let any_cold = self.switches.cold_rate == Switch::Off;
-        any_cold || !member.is_cold(now) || self.may_use_cold(now, member)
-    }
-
-    fn has_room(&self, now: Instant, key: TargetKey) -> bool {
-        if self.switches.early_refusal == Switch::Off {
-            return true;
-        }
-        self.members.get(&key).is_some_and(|member| {
-            let patience = self.habit(member.service()).admission.patience();
-            member.load(now) < f64::from(member.registration.slots) * patience
-        })
-    }
-
     /// The targets that a request may use now and what they are believed to have, for the log.
     pub fn explain(&self, now: Instant, ask: &Ask<'_>) -> String {
         let candidates = self.first_choices(now, ask).into_iter().flatten();
