--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -18,9 +18,11 @@
 use crate::port::Kind;
 
 /// Time between two messages that only say that the connection is alive.
-const INTERVAL: Duration = Duration::from_millis(1000);
-/// Silence after which a feed is given up.
-const SILENCE: Duration = Duration::from_millis(2600);
+const INTERVAL: Duration = Duration::from_millis(600);
+/// Silence after which a feed is given up: between two and three messages. A host that loses power says nothing, and its
+/// followers have to find another feed, within some 0.3 s, before a change has to be in force, which is 2.5 s at
+/// the least.
+pub const SILENCE: Duration = Duration::from_millis(1700);
 /// How long connecting may take.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Updates that may wait for a slow follower; one that falls further behind has to start anew.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -46,6 +46,7 @@
 
 pub use begin::WAIT;
 pub use error::Error;
+pub use feed::SILENCE;
 pub use log::EVENTS;
 
 /// What all tasks of a host share.
