Bound the questions to targets, tell new hosts of the others, and look for a lost store by turns

Change: what a host asks at once is bounded by four times its part of the fleet as it was told of it, in turn; a host that was never told asks nobody; a host that has not read the registrations asks its feed which hosts it hears. While no host sees the store, each looks for it at an interval that grows with the fleet, from a moment of its own: ten looks a second in all. Ruled out: that hosts in touch ask too much (they ask each target twice a round, as meant).

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -43,6 +43,11 @@
 /// How long after its return the store counts as having been away: targets that it dropped register
 /// again within two seconds.
 const AWAY: Duration = Duration::from_millis(2500);
+/// Time between two looks of a host at a store that nobody sees, in a small fleet.
+const LOOK: Duration = Duration::from_secs(2);
+/// Hosts that look so often; more share the same number of looks, ten a second. That finds a store that has returned, or
+/// that single hosts still reach, within some 0.1 s.
+const LOOKERS: f64 = 20.0;
 /// How long a host may take from its start until it sees the store.
 const START: Duration = Duration::from_secs(2);
 
@@ -218,11 +223,23 @@
         self.regions.get(&record.zone).unwrap_or(&record.zone)
     }
 
-    /// All registrations of other hosts have been taken in.
+    /// All registrations of other hosts have been taken in, or those that another host hears.
     pub fn list(&mut self) {
         self.listed = true;
     }
 
+    /// Whether this host was told of the others.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Time between two looks of this host at a store that no host is known to see. The more hosts there are the longer it
+    /// is, so that the store is not asked, and on its return not read, by all of them at once.
+    pub fn look_interval(&self) -> Duration {
+        let hosts = self.peers.len() + 1;
+        LOOK.mul_f64((hosts as f64 / LOOKERS).max(1.0))
+    }
+
     /// Takes no new work from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -175,6 +175,15 @@
         self.count_hosts(now);
     }
 
+    /// Takes in the hosts that another one hears, as the store could not be asked.
+    pub(crate) fn hear_of(&mut self, now: Instant, records: Vec<Record>) {
+        for record in records {
+            self.presence.register(now, record);
+        }
+        self.presence.list();
+        self.count_hosts(now);
+    }
+
     /// Does what is due with each heartbeat that is sent.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.presence.tick(now);
@@ -191,7 +200,10 @@
             (record.host.clone(), region.clone())
         });
         self.fleet.set_hosts(hosts.collect());
-        self.budgets.set_hosts(self.presence.peers().count() + 1);
+        let known = self.presence.peers().count() + 1;
+        self.fleet
+            .set_told(self.presence.is_listed().then_some(known));
+        self.budgets.set_hosts(known);
     }
 
     /// The longest time for which a target of any service stays cold.
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -12,8 +12,9 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{self, Bytes, Message as Packet};
 
-use super::{client, now, serve, Error, Host};
-use crate::control::presence::Sight;
+use super::log::Event;
+use super::{beat, client, now, serve, Error, Host};
+use crate::control::presence::{Record, Sight};
 use crate::control::replica::{Effect, Update};
 use crate::port::Kind;
 
@@ -42,6 +43,10 @@
     Sight(Sight),
     /// Something has changed.
     Update(Update),
+    /// A follower that has not read the registrations asks which hosts there are.
+    Ask,
+    /// The hosts that the sender hears.
+    Hosts(Vec<Record>),
 }
 
 /// Why a feed ended.
@@ -182,12 +187,27 @@
             },
             packet = socket.next() => match packet {
                 None | Some(Ok(Packet::Close(_))) => return Ok(()),
-                Some(packet) => drop(packet?),
+                Some(packet) => if let Some(answer) = reply(host, packet?)? {
+                    socket.send(Packet::Binary(answer)).await?;
+                },
             },
         }
     }
 }
 
+/// What a follower's message is answered with.
+fn reply(host: &Host, packet: Packet) -> Result<Option<Bytes>, Broken> {
+    let Packet::Binary(bytes) = packet else {
+        return Ok(None);
+    };
+    let Message::Ask = ciborium::from_reader(&bytes[..])? else {
+        return Ok(None);
+    };
+    let core = host.core.borrow();
+    let hosts = core.presence.alive(now()).cloned().collect();
+    Ok(Some(write(&Message::Hosts(hosts))))
+}
+
 /// Follows the host at `address` until that fails.
 pub(crate) async fn follow(host: &Rc<Host>, address: SocketAddr) -> Broken {
     match read(host, address).await {
@@ -206,6 +226,11 @@
     let mut socket = tokio::time::timeout(CONNECT, connect)
         .await
         .map_err(|_| Broken::Connect)??;
+    let knows_hosts = host.core.borrow().presence.is_listed();
+    if !knows_hosts {
+        // Without this a host that starts while the store is away takes itself for the only one.
+        socket.send(Packet::Binary(write(&Message::Ask))).await?;
+    }
     loop {
         let packet = tokio::time::timeout(SILENCE, socket.next())
             .await
@@ -224,6 +249,16 @@
                     told.extend(KINDS.map(|kind| (kind, now())));
                 }
             }
+            Message::Ask => {}
+            Message::Hosts(records) => {
+                spdlog::info!("feed: another host told which hosts there are", kv: {
+                    event = Event::Hosts.as_str(),
+                    source = address.to_string().as_str(),
+                    hosts = records.len()
+                });
+                host.core.borrow_mut().hear_of(now(), records);
+                beat::send_to_all(host).await;
+            }
             Message::Update(update) => {
                 if host.take(&update) == Effect::Gap {
                     return Err(Broken::Gap);
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -85,6 +85,8 @@
     Unchanged => "settings.unchanged",
     /// The registration of a host that died was removed.
     Tidied => "hosts.tidied",
+    /// Another host told which hosts there are, as the store could not be read.
+    Hosts => "hosts.told",
     /// What the host knows of the store has changed.
     Sight => "store.sight",
     /// The host begins or ends to watch the store.
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -43,11 +43,13 @@
 }
 
 fn questions(host: &Host) -> Vec<Question> {
-    let core = host.core.borrow();
+    let core = &mut *host.core.borrow_mut();
     if !core.presence.is_store_doubtful(now()) {
         return Vec::new();
     }
-    let questions = core.fleet.charges().filter_map(|(target, member)| {
+    let targets = core.fleet.questions();
+    let questions = targets.into_iter().filter_map(|target| {
+        let member = core.fleet.member(target)?;
         let service = core.table.service(member.service())?;
         Some(Question {
             target,
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
+
 use super::feed::KINDS;
 use super::store::Client;
 use super::sync::CHECK_PATIENCE;
@@ -13,8 +15,6 @@
 /// Decisions in a row until a host begins to watch the store, and until it leaves it to others.
 const BEGIN: u32 = 3;
 const END: u32 = 15;
-/// How often a host looks for a store that nobody sees, although it is not to watch it.
-const LOOK: Duration = Duration::from_secs(2);
 /// How long a host tries to watch a store that it reached so.
 const REACHED: Duration = Duration::from_secs(3);
 
@@ -58,7 +58,8 @@
 /// then: those that are to watch it may all be cut off from it.
 #[derive(Default)]
 pub(crate) struct Reach {
-    looked: Cell<Option<Instant>>,
+    /// When to look next, while nobody is known to see the store.
+    next: Cell<Option<Instant>>,
     reached: Rc<Cell<Option<Instant>>>,
 }
 
@@ -71,14 +72,20 @@
     /// Asks the store whether it answers, if no host is known to see it. A host that has just read it leaves that to
     /// those that begin to watch it: else all of 76 hosts watched after a common start.
     pub(crate) fn look(&self, host: &Rc<Host>, now: Instant) {
-        let looked = self.looked.get();
-        if looked.is_some_and(|at| now.saturating_duration_since(at) < LOOK)
-            || host.begin.is_fresh(now)
-            || host.core.borrow().presence.is_store_seen(now)
-        {
+        let core = &mut *host.core.borrow_mut();
+        if host.begin.is_fresh(now) || core.presence.is_store_seen(now) {
+            self.next.set(None);
+            return;
+        }
+        let interval = core.presence.look_interval();
+        // All hosts lose the store at once, and are not to look at the same moment.
+        let first = now + interval.mul_f64(core.rng.random_range(0.0..1.0));
+        let next = self.next.get().unwrap_or(first);
+        if now < next {
+            self.next.set(Some(next));
             return;
         }
-        self.looked.set(Some(now));
+        self.next.set(Some(now + interval));
         let mut client = Client::new(host);
         let reached = self.reached.clone();
         tokio::task::spawn_local(async move {
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -8,6 +8,7 @@
 //! it has was tried and made more targets cold for its key than it relieved.
 
 mod admission;
+mod charge;
 mod choice;
 mod cold;
 mod cost;
@@ -33,7 +34,7 @@
 use crate::border::settings::Switch;
 use crate::inventory::{Keys, Registration, TargetKey};
 
-pub use self::cold::CARETAKERS;
+pub use self::charge::{CARETAKERS, LEAST, SPARE};
 pub use self::member::{Belief, Load, Member};
 pub use self::switches::Switches;
 
@@ -133,6 +134,10 @@
     asked: u64,
     /// All hosts that are alive, this one among them; empty while that is not known.
     hosts: Vec<Peer>,
+    /// How many hosts there are, alive or not, once the store or another host told.
+    told: Option<usize>,
+    /// The target that was asked last whether it is cold.
+    questioned: Option<TargetKey>,
 }
 
 impl Fleet {
@@ -155,6 +160,8 @@
             cold_rates: BTreeMap::new(),
             cold_hosts: (cold_burst as usize).max(1),
             hosts: Vec::new(),
+            told: None,
+            questioned: None,
             own,
             switches: Switches::default(),
             asked: 0,
--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -10,16 +10,11 @@
 
 use super::member::Member;
 use super::Fleet;
-use crate::inventory::TargetKey;
 
 /// How long a target gets nothing after it was found to be cold: the span over which requests to a
 /// cold target are counted.
 const CHILL: Duration = Duration::from_secs(1);
 
-/// Hosts that look after one target. With one alone nobody did from its end until the others knew of that, 2.5 s
-/// later, and a cold target got its usual requests.
-pub const CARETAKERS: usize = 2;
-
 /// A host, for the choice of those that may use a cold target.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -71,14 +66,6 @@
         is_news
     }
 
-    /// The targets that this host looks after: those for which it is among the first [`CARETAKERS`] hosts that are alive.
-    pub fn charges(&self) -> impl Iterator<Item = (TargetKey, &Member)> {
-        self.members.iter().filter_map(|(key, member)| {
-            let cares = self.is_among(CARETAKERS, member);
-            cares.then_some((*key, member))
-        })
-    }
-
     /// Whether this host may send a request to a cold target now.
     pub(super) fn may_use_cold(&self, now: Instant, member: &Member) -> bool {
         if !self.is_cold_user(member) {
@@ -102,10 +89,10 @@
     }
 
     /// Whether this host is one of the first `count` hosts for a target; no while the hosts are not known.
-    fn is_among(&self, count: usize, member: &Member) -> bool {
+    pub(super) fn is_among(&self, count: usize, member: &Member) -> bool {
         let own = self.own.rank(member);
         let before = self.hosts.iter().filter(|host| host.rank(member) > own);
-        !self.hosts.is_empty() && before.count() < count
+        !self.hosts.is_empty() && before.take(count).count() < count
     }
 
     /// The requests a second that this host may send to a cold target: its part of the rate, so that
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -564,3 +564,22 @@
     presence.list();
     assert!(presence.knows_others(now));
 }
+
+/// How often a store that nobody sees is looked at, a second, by so many hosts together.
+fn looks(hosts: usize) -> f64 {
+    let now = Instant::now();
+    let mut presence = Presence::new(now, record("h0", "n-a", 1), regions());
+    for number in 1..hosts {
+        presence.register(now, record(&format!("h{number}"), "n-a", 1));
+    }
+    hosts as f64 / presence.look_interval().as_secs_f64()
+}
+
+#[test]
+fn a_lost_store_is_looked_at_as_often_whatever_the_number_of_hosts() {
+    for hosts in [20, 59, 295, 682] {
+        let looks = looks(hosts);
+        assert!((9.9..10.1).contains(&looks), "{hosts} hosts: {looks}");
+    }
+    assert!((0.5..10.0).contains(&looks(11)));
+}
