Read targets at the start as they may have been some seconds ago

Change: that read may be old, at a tenth of the price; the configuration and evacuated zones are read as they are, and what has changed meanwhile comes with the first changes that a host follows.

--- a/src/host/begin.rs
+++ b/src/host/begin.rs
@@ -14,7 +14,7 @@
 use super::store::Client;
 use super::{now, sync, Host};
 use crate::border::settings::Switch;
-use crate::port::{Kind, Settings};
+use crate::port::{Age, Kind, Settings};
 
 /// How long a request waits at most from the start of the host on, unless the settings say otherwise: a quarter of
 /// the shortest deadlines in use, and some ten times what reading the store takes between regions.
@@ -71,7 +71,7 @@
 async fn run(host: Rc<Host>) {
     let read = |kind: Kind| {
         let host = host.clone();
-        async move { sync::list(&host, &mut Client::new(&host), kind).await }
+        async move { sync::list(&host, &mut Client::new(&host), kind, age(kind)).await }
     };
     let [config, targets, evacuations] = KINDS.map(read);
     let results = tokio::join!(config, targets, evacuations);
@@ -87,6 +87,15 @@
     }
 }
 
+/// How old what is read at the start may be. There are many targets, and all hosts may start at once: of a thousand calls
+/// for them only a hundred are charged so. What has changed meanwhile comes with the first changes that the host follows.
+fn age(kind: Kind) -> Age {
+    match kind {
+        Kind::Targets => Age::Some,
+        Kind::Config | Kind::Evacuations | Kind::Hosts => Age::Latest,
+    }
+}
+
 /// Waits until the host knows what the store holds, but not for longer than a start takes.
 pub(crate) async fn known(host: &Host) {
     let until = host.begin.started + host.begin.wait;
--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -8,7 +8,7 @@
 use super::store::{Client, Error};
 use super::sync::{self, Pause};
 use super::{beat, now, Host};
-use crate::port::{Call, Entry, Kind, Reply};
+use crate::port::{Age, Call, Entry, Kind, Reply};
 
 /// How often the registrations of hosts are read again, to find hosts whose heartbeats are lost.
 const HOSTS: Duration = Duration::from_secs(120);
@@ -27,7 +27,7 @@
             if host.core.borrow().registered.is_none() {
                 register(&host, &mut client).await?;
             }
-            sync::read(&mut client, Kind::Hosts).await
+            sync::read(&mut client, Kind::Hosts, Age::Latest).await
         };
         match known.await {
             Ok((entries, _)) => {
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -15,7 +15,7 @@
 use super::{beat, join, now, Host};
 use crate::control::presence::Sight;
 use crate::control::replica::{Effect, Update};
-use crate::port::{Call, Entry, Kind, Reply};
+use crate::port::{Age, Call, Entry, Kind, Reply};
 
 /// How long a watch waits for a change: somewhat less than the history that the store keeps, so that
 /// a watch that is cut can mostly be taken up again. It varies, so that of all watches one is
@@ -214,7 +214,9 @@
         let known = host.core.borrow().replica.revision(kind);
         let result = match known {
             Some(revision) if listed => watch(&host, &mut client, kind, revision).await,
-            _ => list(&host, &mut client, kind).await.map(|()| true),
+            _ => list(&host, &mut client, kind, Age::Latest)
+                .await
+                .map(|()| true),
         };
         match result {
             Ok(go_on) => {
@@ -237,8 +239,13 @@
 }
 
 /// Reads all objects of a kind.
-pub(super) async fn list(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
-    let (entries, revision) = read(client, kind).await?;
+pub(super) async fn list(
+    host: &Rc<Host>,
+    client: &mut Client,
+    kind: Kind,
+    age: Age,
+) -> Result<(), Error> {
+    let (entries, revision) = read(client, kind, age).await?;
     let away = host.core.borrow().presence.was_store_away(now());
     host.take(&Update {
         kind,
@@ -251,7 +258,11 @@
 }
 
 /// Reads all pages of a kind; also gives the revision to watch from.
-pub(super) async fn read(client: &mut Client, kind: Kind) -> Result<(Vec<Entry>, u64), Error> {
+pub(super) async fn read(
+    client: &mut Client,
+    kind: Kind,
+    age: Age,
+) -> Result<(Vec<Entry>, u64), Error> {
     let mut all: Vec<Entry> = Vec::new();
     let mut first = None;
     loop {
@@ -260,7 +271,7 @@
             entries,
             more,
             revision,
-        } = client.call(&Call::List { kind, after }).await?
+        } = client.call(&Call::List { kind, after, age }).await?
         else {
             return Err(Error::Unexpected);
         };
--- a/src/port.rs
+++ b/src/port.rs
@@ -115,6 +115,15 @@
     pub value: Option<Value>,
 }
 
+/// How old an answer of the store may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Age {
+    /// It shows all that was acknowledged before the call.
+    Latest,
+    /// It may be some seconds old, and costs the store less.
+    Some,
+}
+
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
@@ -124,6 +133,8 @@
         kind: Kind,
         /// The last name of the page before.
         after: Option<Arc<str>>,
+        /// How old the answer may be.
+        age: Age,
     },
     /// What has changed since a revision.
     Watch {
