Send a zone's callers to as few hosts as carry them with ease

Cause: 295 hosts send 16 requests a second each to 1,209 targets, so none has a recent report of a target's load, an open connection, or knows which target has an object; 14 in 100 answers were late, and two of three requests opened a connection. Change: hosts tell their rate of requests with each heartbeat (the peak of the last 10 s); a look-up names three of the hosts in use: the strongest of the zone, as many as carry its rate with ease (control::working), at least an eighth of them and three. Strength counts as it is, not up to a usual host's. A host keeps 1,500 idle connections at most. Tests: tests/working.rs. The cases of tests/presence.rs on equal and weak hosts hold as they were, for zones that need all of their hosts.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,3 +15,4 @@
 pub mod replica;
 pub mod summary;
 pub mod wire;
+pub mod working;
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::working::{self, Candidate, Rate};
 use crate::border::settings::Switch;
 use crate::port::Question;
 
@@ -105,8 +106,6 @@
 /// when all start at once, it would be sent the callers of all others. Callers keep the addresses that
 /// they have meanwhile, or ask the next host.
 const SETTLE: Duration = Duration::from_millis(2500);
-/// The least part of a full share with which a host is named: it is needed when others fail.
-const LEAST_SHARE: f64 = 0.25;
 /// Hosts of the caller's own availability zone that are enough to name no others.
 const ENOUGH: usize = 2;
 
@@ -135,6 +134,9 @@
     /// What the sender knows of the store.
     #[serde(rename = "s")]
     pub sight: Sight,
+    /// Requests a second that the sender gets.
+    #[serde(rename = "n")]
+    pub rate: u32,
 }
 
 /// What a heartbeat may change; all that one says to those who know its sender.
@@ -146,6 +148,8 @@
     pub Sight,
     /// Whether the sender takes nothing new.
     pub bool,
+    /// Requests a second that the sender gets.
+    pub u32,
 );
 
 #[derive(Clone, Debug)]
@@ -156,13 +160,15 @@
     heard: Instant,
     leaving: bool,
     sight: Option<Sight>,
+    rate: u32,
 }
 
 impl Peer {
-    fn hear(&mut self, now: Instant, sight: Sight, leaving: bool) {
+    fn hear(&mut self, now: Instant, sight: Sight, leaving: bool, rate: u32) {
         self.heard = now;
         self.sight = Some(sight);
         self.leaving = leaving;
+        self.rate = rate;
     }
 }
 
@@ -184,6 +190,8 @@
     /// When no host saw the store, the last time that was looked at.
     unseen: Option<Instant>,
     beats: u64,
+    /// The requests that this host gets.
+    rate: Rate,
     few_watchers: Switch,
 }
 
@@ -203,6 +211,7 @@
             listed: false,
             unseen: None,
             beats: 0,
+            rate: Rate::new(now),
             few_watchers: Switch::On,
         }
     }
@@ -256,17 +265,24 @@
     }
 
     /// The heartbeat to send.
-    pub fn beat(&self) -> Beat {
+    pub fn beat(&mut self, now: Instant) -> Beat {
         Beat {
             record: self.own.clone(),
             leaving: self.leaving,
             sight: self.sight,
+            rate: self.rate.peak(now),
         }
     }
 
     /// The same in few bytes.
-    pub fn pulse(&self) -> Pulse {
-        Pulse(self.own.incarnation, self.sight, self.leaving)
+    pub fn pulse(&mut self, now: Instant) -> Pulse {
+        let rate = self.rate.peak(now);
+        Pulse(self.own.incarnation, self.sight, self.leaving, rate)
+    }
+
+    /// Counts a request of a caller.
+    pub fn count(&mut self, now: Instant) {
+        self.rate.count(now);
     }
 
     /// Every how many heartbeats one goes to other regions.
@@ -307,6 +323,7 @@
             heard: now,
             leaving: false,
             sight: None,
+            rate: 0,
             record,
         };
         self.places
@@ -340,14 +357,14 @@
             return false;
         };
         if beat.record.incarnation == peer.record.incarnation {
-            peer.hear(now, beat.sight, beat.leaving);
+            peer.hear(now, beat.sight, beat.leaving, beat.rate);
         }
         new
     }
 
     /// Takes in a pulse that came from `place`. Says whether its sender is known.
     pub fn feel(&mut self, now: Instant, place: SocketAddr, pulse: Pulse) -> bool {
-        let Pulse(incarnation, sight, leaving) = pulse;
+        let Pulse(incarnation, sight, leaving, rate) = pulse;
         let host = self.places.get(&place);
         let Some(peer) = host.and_then(|host| self.peers.get_mut(host)) else {
             return false;
@@ -355,7 +372,7 @@
         if peer.record.incarnation != incarnation {
             return false;
         }
-        peer.hear(now, sight, leaving);
+        peer.hear(now, sight, leaving, rate);
         true
     }
 
@@ -393,34 +410,51 @@
 
     /// The hosts that a caller is told to use: some of its availability zone, else of its region, else any.
     ///
-    /// Which ones is drawn for each caller by weighted rendezvous hashing, so that each host gets callers by
-    /// what it can carry, and a caller gets the same answer wherever and whenever it asks: it closes its
+    /// Of those in use (see [`working`]) they are drawn for each caller by weighted rendezvous hashing, so that each host gets
+    /// callers by what it can carry, and a caller gets the same answer wherever and whenever it asks: it closes its
     /// connections to hosts that are missing from a new one.
     pub fn named(&self, now: Instant, question: &Question, caller: IpAddr) -> Vec<SocketAddr> {
         if !self.is_settled(now) {
             return Vec::new();
         }
+        let mut ranked: Vec<(f64, SocketAddr)> = working::in_use(self.candidates(now, question))
+            .into_iter()
+            .map(|candidate| (distance(&candidate, caller), candidate.front))
+            .collect();
+        ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
+        ranked.truncate(NAMED);
+        ranked.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// The hosts that may be named to a caller: those of its availability zone if there are enough, else those of its
+    /// region, else all.
+    fn candidates(&self, now: Instant, question: &Question) -> Vec<Candidate> {
         let near = |record: &Record| -> u8 {
             if record.zone == question.zone {
                 return 0;
             }
             u8::from(*self.region(record) != question.region) + 1
         };
-        let mut ranked: Vec<(u8, f64, SocketAddr)> = self
-            .serving(now)
-            .map(|record| (near(record), distance(record, caller), record.front))
+        let own = Some((&self.own, self.rate.last()));
+        let own = own.filter(|_| !self.leaving && self.sight > Sight::Nothing);
+        let others = self
+            .present(now)
+            .filter(|peer| peer.sight != Some(Sight::Nothing))
+            .map(|peer| (&peer.record, peer.rate));
+        let all: Vec<(u8, Candidate)> = own
+            .into_iter()
+            .chain(others)
+            .map(|(record, rate)| (near(record), candidate(record, rate)))
             .collect();
-        let in_zone = ranked.iter().filter(|(near, ..)| *near == 0).count();
-        let in_region = ranked.iter().filter(|(near, ..)| *near <= 1).count();
+        let in_zone = all.iter().filter(|(near, _)| *near == 0).count();
+        let in_region = all.iter().filter(|(near, _)| *near <= 1).count();
         let farthest = match (in_zone, in_region) {
             (zone, _) if zone >= ENOUGH => 0,
             (_, region) if region > 0 => 1,
             _ => 2,
         };
-        ranked.retain(|(near, ..)| *near <= farthest);
-        ranked.sort_by(|one, other| one.1.total_cmp(&other.1));
-        ranked.truncate(NAMED);
-        ranked.into_iter().map(|(.., address)| address).collect()
+        let named = all.into_iter().filter(|(near, _)| *near <= farthest);
+        named.map(|(_, candidate)| candidate).collect()
     }
 
     /// Whether this host knows the others, as far as it can: their registrations were read, or have not been for so long
@@ -547,15 +581,24 @@
     }
 }
 
+fn candidate(record: &Record, rate: u32) -> Candidate {
+    Candidate {
+        front: record.front,
+        strength: record.strength,
+        rate: f64::from(rate),
+        order: xxh3_64(record.host.as_bytes()),
+    }
+}
+
 /// How far a host is from a caller in weighted rendezvous hashing: the nearest ones are used.
-fn distance(record: &Record, caller: IpAddr) -> f64 {
-    let seed = xxh3_64(record.host.as_bytes());
+fn distance(candidate: &Candidate, caller: IpAddr) -> f64 {
+    let seed = candidate.order;
     let draw = match caller {
         IpAddr::V4(address) => xxh3_64_with_seed(&address.octets(), seed),
         IpAddr::V6(address) => xxh3_64_with_seed(&address.octets(), seed),
     };
     let part = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    -part.ln() / record.strength.share().max(LEAST_SHARE)
+    -part.ln() / working::ease(candidate.strength).max(f64::EPSILON)
 }
 
 /// The order of hosts, which all compute alike: those that can carry most first, as many follow them.
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -52,7 +52,7 @@
         let (peers, pulse) = {
             let mut core = host.core.borrow_mut();
             core.tick(now());
-            (core.presence.next_beat(), core.presence.pulse())
+            (core.presence.next_beat(), core.presence.pulse(now()))
         };
         send(&host, &Datagram::Pulse(pulse), &peers).await;
     }
@@ -76,7 +76,7 @@
 }
 
 async fn beat(host: &Host, peers: &[SocketAddr]) {
-    let beat = host.core.borrow().presence.beat();
+    let beat = host.core.borrow_mut().presence.beat(now());
     send(host, &Datagram::Beat(beat), peers).await;
 }
 
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -15,6 +15,8 @@
 const MARGIN: Duration = Duration::from_millis(1500);
 /// Idle connections kept for one target.
 const KEPT: usize = 6;
+/// Idle connections kept in all: less than half of the descriptors of the smallest hosts in use, as callers need the others.
+const MOST: usize = 1500;
 
 struct Idle {
     stream: TcpStream,
@@ -53,8 +55,12 @@
         idle: Option<Duration>,
     ) {
         let keep = idle.unwrap_or(DEFAULT_IDLE).saturating_sub(MARGIN);
+        if self.count() >= MOST {
+            self.sweep(now);
+        }
+        let is_full = self.count() >= MOST;
         let connections = self.idle.entry(target).or_default();
-        if connections.len() >= KEPT || keep.is_zero() {
+        if is_full || connections.len() >= KEPT || keep.is_zero() {
             return;
         }
         connections.push(Idle {
@@ -63,6 +69,10 @@
         });
     }
 
+    fn count(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
     /// Closes what has waited too long.
     pub(crate) fn sweep(&mut self, now: Instant) {
         self.idle.retain(|_, idle| {
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -46,6 +46,7 @@
         record,
         leaving: false,
         sight,
+        rate: 0,
     }
 }
 
@@ -359,10 +360,10 @@
     let start = Instant::now();
     let mut presence = presence(start, &[("h1", "n-b")]);
     let now = start + INTERVAL * 3;
-    assert!(presence.feel(now, place("h1"), Pulse(1, Sight::Store, false)));
+    assert!(presence.feel(now, place("h1"), Pulse(1, Sight::Store, false, 7)));
     let later = now + INTERVAL * 3;
     assert_eq!(names(presence.serving(later)), ["h0", "h1"]);
-    assert!(presence.feel(later, place("h1"), Pulse(1, Sight::Store, true)));
+    assert!(presence.feel(later, place("h1"), Pulse(1, Sight::Store, true, 7)));
     assert_eq!(names(presence.serving(later)), ["h0"]);
 }
 
@@ -374,7 +375,7 @@
             let start = Instant::now();
             let mut presence = presence(start, &[("h1", "n-b")]);
             let now = start + INTERVAL * 3;
-            assert!(!presence.feel(now, place($place), Pulse($incarnation, Sight::Store, false)));
+            assert!(!presence.feel(now, place($place), Pulse($incarnation, Sight::Store, false, 7)));
             assert_eq!(names(presence.serving(start + INTERVAL * 4)), ["h0"]);
         }
     )*};
@@ -392,7 +393,7 @@
     let mut presence = presence(start, &[("h1", "n-b")]);
     let later = start + INTERVAL * 5;
     presence.withdraw(later, "h1");
-    assert!(!presence.feel(later, place("h1"), Pulse(1, Sight::Store, false)));
+    assert!(!presence.feel(later, place("h1"), Pulse(1, Sight::Store, false, 7)));
 }
 
 #[test]
@@ -455,14 +456,23 @@
     counts
 }
 
-/// A host elsewhere that has heard of hosts `h0` and on in one zone.
+/// A host elsewhere that has heard of hosts `h0` and on in one zone, which get so much that all of them are needed.
 fn zone(now: Instant, cores: &[f64]) -> Presence {
+    zone_with_rate(now, cores, 10_000)
+}
+
+/// The same where each of the hosts gets `rate` requests a second.
+fn zone_with_rate(now: Instant, cores: &[f64], rate: u32) -> Presence {
     let mut presence = Presence::new(now, record("own", "s-a", 1), regions());
     presence.list();
     for (index, cores) in cores.iter().enumerate() {
         let mut record = record(&format!("h{index}"), "n-a", 1);
         record.strength.cores = *cores;
-        presence.hear(now, beat(record, Sight::Store));
+        let beat = Beat {
+            rate,
+            ..beat(record, Sight::Store)
+        };
+        presence.hear(now, beat);
     }
     presence
 }
