--- a/tests/failover.rs
+++ b/tests/failover.rs
@@ -99,6 +99,9 @@
     }
 }
 
+/// The last second in which callers call.
+const LAST_SECOND: u64 = 8;
+
 /// What became of the calls of a lost region's callers, second by second.
 #[test]
 fn callers_of_a_lost_region_are_served_elsewhere_by_the_cap() {
@@ -122,13 +125,13 @@
         .with_rate(150.0, 1)
         .with_threads(32)
         .with_deadline(Duration::from_millis(700))
-        .with_end(5000, Duration::from_secs(9));
+        .with_end(5000, Duration::from_secs(LAST_SECOND + 1));
     let (_, records) = standin::caller::Caller::new(settings).unwrap().wait();
     let mut seconds: std::collections::BTreeMap<u64, (u32, u32)> = Default::default();
     for record in &records {
-        let row = seconds
-            .entry((record.start_us - start) / 1_000_000)
-            .or_default();
+        // The last calls begin after the end on a busy machine, too few for a share of their own.
+        let second = ((record.start_us - start) / 1_000_000).min(LAST_SECOND);
+        let row = seconds.entry(second).or_default();
         row.0 += 1;
         row.1 += u32::from(record.zone.is_some());
     }
