--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod plan;
 pub mod planner;
 pub mod presence;
+pub mod proof;
 pub mod publish;
 pub mod replica;
 pub mod summary;
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -114,6 +114,15 @@
 /// Hosts of the caller's own availability zone that are enough to name no others.
 const ENOUGH: usize = 2;
 
+/// Which hosts look-ups name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Naming {
+    /// All that serve.
+    All,
+    /// Those that know what the store holds now, as long as there are any: the others refuse callers with keys.
+    Informed,
+}
+
 /// What a host knows of the store, from least to most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Sight {
@@ -199,6 +208,7 @@
     rate: Rate,
     few_watchers: Switch,
     few_hosts: Switch,
+    naming: Naming,
 }
 
 impl Presence {
@@ -220,6 +230,7 @@
             rate: Rate::new(now),
             few_watchers: Switch::On,
             few_hosts: Switch::On,
+            naming: Naming::All,
         }
     }
 
@@ -235,6 +246,12 @@
         self
     }
 
+    /// Look-ups name these hosts.
+    pub fn with_naming(mut self, naming: Naming) -> Self {
+        self.naming = naming;
+        self
+    }
+
     /// What this host registers.
     pub fn own(&self) -> &Record {
         &self.own
@@ -404,6 +421,12 @@
         self.peers.values().map(|peer| &peer.record)
     }
 
+    /// The other host that sends heartbeats from `place`.
+    pub fn at(&self, place: SocketAddr) -> Option<&Record> {
+        let peer = self.peers.get(self.places.get(&place)?)?;
+        Some(&peer.record)
+    }
+
     /// Hosts that are up, but for those that are leaving; this one among them.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Record> {
         let own = (!self.leaving).then_some(&self.own);
@@ -446,11 +469,14 @@
             }
             u8::from(*self.region(record) != question.region) + 1
         };
+        let informed = self.naming == Naming::Informed
+            && (self.sight > Sight::Stale || self.present(now).any(|peer| peer.sight > Some(Sight::Stale)));
+        let least = if informed { Sight::Stale } else { Sight::Nothing };
         let own = Some((&self.own, self.rate.last()));
-        let own = own.filter(|_| !self.leaving && self.sight > Sight::Nothing);
+        let own = own.filter(|_| !self.leaving && self.sight > least);
         let others = self
             .present(now)
-            .filter(|peer| peer.sight != Some(Sight::Nothing))
+            .filter(|peer| peer.sight.is_none_or(|sight| sight > least))
             .map(|peer| (&peer.record, peer.rate));
         let all: Vec<(u8, Candidate)> = own
             .into_iter()
--- a/src/host/answer.rs
+++ b/src/host/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 
 use super::body::{whole, Body};
@@ -35,6 +35,22 @@
     response
 }
 
+/// The request bears no key that may be used.
+pub(crate) fn denied() -> Response<Body> {
+    let mut response = plain(StatusCode::UNAUTHORIZED, "no valid key\n");
+    response
+        .headers_mut()
+        .insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    response
+}
+
+/// Its account asks more than its quota; it may have room after the given time.
+pub(crate) fn over_quota(host: &Host, pause: Duration) -> Response<Body> {
+    let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "over the quota\n");
+    (host.platform.wire.come_back)(response.headers_mut(), pause);
+    response
+}
+
 /// The request may have run.
 pub(crate) fn unknown(text: &'static str) -> Response<Body> {
     plain(StatusCode::BAD_GATEWAY, text)
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -9,11 +9,14 @@
 use tokio::net::UdpSocket;
 
 use crate::control::presence::{Beat, Pulse, INTERVAL};
+use crate::steer::allowance::{self, Tally, Teller};
 
 use super::{now, Error, Host};
 
 /// The longest datagram that is read, in bytes.
-const LONGEST: usize = 512;
+const LONGEST: usize = 1400;
+/// Accounts that one datagram tells of: each takes up to 16 bytes.
+const TALLIES: usize = 80;
 
 /// What is sent.
 #[derive(Serialize, Deserialize)]
@@ -30,6 +33,9 @@
     /// A target is cold for some milliseconds.
     #[serde(rename = "c")]
     Cold(Arc<str>, u64),
+    /// What accounts asked of the sender, of this incarnation.
+    #[serde(rename = "t")]
+    Tallies(u64, Vec<Tally>),
 }
 
 /// Sends and takes heartbeats from now on.
@@ -42,6 +48,7 @@
     *host.beats.borrow_mut() = Some(socket.clone());
     tokio::task::spawn_local(hear(host.clone(), socket));
     tokio::task::spawn_local(send_regularly(host.clone()));
+    tokio::task::spawn_local(tell_tallies(host.clone()));
     Ok(())
 }
 
@@ -58,6 +65,57 @@
     }
 }
 
+/// Tells the other hosts what accounts ask of this one, where quotas are kept.
+async fn tell_tallies(host: Rc<Host>) {
+    let mut interval = tokio::time::interval(allowance::INTERVAL);
+    loop {
+        interval.tick().await;
+        let (near, far) = {
+            let core = &mut *host.core.borrow_mut();
+            let Some(ledger) = &mut core.ledger else {
+                return;
+            };
+            ledger.news()
+        };
+        tell(&host, &near, true).await;
+        if let Some(far) = far {
+            tell(&host, &far, false).await;
+        }
+    }
+}
+
+/// Tells the hosts of the own region, or all others. What was asked of no account is told too: it shows that the host is there.
+async fn tell(host: &Host, tallies: &[Tally], near: bool) {
+    let (peers, incarnation) = {
+        let core = host.core.borrow();
+        let presence = &core.presence;
+        let own = presence.region(presence.own());
+        let peers = presence.peers();
+        let peers = peers.filter(|peer| (presence.region(peer) == own) == near);
+        let peers: Vec<SocketAddr> = peers.map(|peer| peer.peers).collect();
+        (peers, presence.own().incarnation)
+    };
+    let mut parts = tallies.chunks(TALLIES);
+    let first = parts.next().unwrap_or_default();
+    for part in std::iter::once(first).chain(parts) {
+        send(host, &Datagram::Tallies(incarnation, part.to_vec()), &peers).await;
+    }
+}
+
+/// Takes in what another host tells of accounts.
+fn hear_tallies(host: &Host, sender: SocketAddr, incarnation: u64, tallies: &[Tally]) {
+    let core = &mut *host.core.borrow_mut();
+    let (Some(ledger), Some(peer)) = (&mut core.ledger, core.presence.at(sender)) else {
+        return;
+    };
+    let teller = Teller {
+        host: &peer.host,
+        region: core.presence.region(peer),
+        incarnation,
+    };
+    ledger.hear(now(), teller, tallies);
+}
+
 /// Sends a heartbeat to all hosts at once, as something has changed.
 pub(crate) async fn send_to_all(host: &Host) {
     beat(host, &all(host)).await;
@@ -119,6 +177,9 @@
                 let left = Duration::from_millis(left);
                 host.core.borrow_mut().fleet.chill(now(), &id, left);
             }
+            Ok(Datagram::Tallies(incarnation, tallies)) => {
+                hear_tallies(&host, sender, incarnation, &tallies);
+            }
             Err(error) => spdlog::warn!("beat: {sender} sent something else: {error}"),
         }
     }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -8,16 +8,23 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::log::{self, Event};
-use crate::control::presence::{Presence, Record};
+use crate::account::Knowledge;
+use crate::control::presence::{self, Naming, Presence, Record, Sight};
+use crate::control::proof::{Moment, Proof, CAUTION};
 use crate::control::replica::{Effect, Replica, Update};
 use crate::inventory::{Config, Registration, Route, State, Table};
 use crate::port::{Bounds, Entry, Kind, Settings, Value};
+use crate::steer::allowance::Ledger;
 use crate::steer::fleet::Fleet;
 use crate::steer::retry::Budgets;
 
 /// How long targets that are missing after the store was away may take to register again.
 const RETURN: Duration = Duration::from_secs(2);
 
+/// Silence after which another host surely serves no callers, where no time is set after which it refuses keys: its registration
+/// is removed then.
+const GONE: Duration = presence::FORGET;
+
 /// The state of a host.
 pub(crate) struct Core {
     pub(crate) table: Table,
@@ -28,6 +35,12 @@
     /// The version of the own registration in the store.
     pub(crate) registered: Option<u64>,
     pub(crate) budgets: Budgets,
+    /// What accounts may still ask, if quotas are kept.
+    pub(crate) ledger: Option<Ledger>,
+    /// Since when the configuration is surely the newest one.
+    pub(crate) proof: Proof,
+    /// How old that may be for keys to be used.
+    term: Option<Duration>,
     /// When each kind of objects was last heard of, be it that nothing has changed.
     pub(crate) told: BTreeMap<Kind, Instant>,
     /// For each route with several parts, what each has got less than its weight asks for.
@@ -53,7 +66,18 @@
             Budgets::new(settings.bounds.repeats).with_switch(settings.switches.repeat_budget);
         // Until the others are known, the floor that all share is theirs.
         budgets.set_hosts(usize::MAX);
+        let region = settings.regions.get(&settings.zone);
+        let region = region.unwrap_or(&settings.zone).clone();
+        let regions: BTreeSet<_> = settings.regions.values().collect();
+        let term = settings.bounds.withdrawal;
+        let ledger = settings.bounds.excess.map(|excess| {
+            let gone = term.map_or(GONE, |term| term + presence::INTERVAL);
+            Ledger::new(now, excess, region, regions.len(), gone)
+        });
         Self {
+            ledger,
+            proof: Proof::new(),
+            term,
             table: Table::new(),
             replica: Replica::new(),
             fleet: Fleet::new(
@@ -66,7 +90,12 @@
             .with_switches(settings.switches),
             presence: Presence::new(now, own, settings.regions.clone())
                 .with_few_watchers(settings.switches.few_watchers)
-                .with_few_hosts(settings.switches.few_hosts),
+                .with_few_hosts(settings.switches.few_hosts)
+                .with_naming(if term.is_some() {
+                    Naming::Informed
+                } else {
+                    Naming::All
+                }),
             rng: Pcg64Mcg::seed_from_u64(seed),
             registered: None,
             budgets,
@@ -89,7 +118,7 @@
         };
         for entry in entries {
             match (&entry.value, update.kind) {
-                (Some(Value::Config(config)), _) => self.configure(config.clone()),
+                (Some(Value::Config(config)), _) => self.configure(now, config.clone()),
                 (Some(Value::Target(registration)), _) => self.register(now, registration),
                 (None, Kind::Targets) => self.withdraw(now, &entry.name, update.away),
                 _ => {}
@@ -101,8 +130,9 @@
         effect
     }
 
-    fn configure(&mut self, config: Config) {
+    fn configure(&mut self, now: Instant, config: Config) {
         let services = config.services.clone();
+        let accounts = config.accounts.clone().unwrap_or_default();
         let version = config.version;
         if !self.table.replace(config) {
             return;
@@ -114,6 +144,27 @@
         for (name, service) in &services {
             self.fleet.set_cold_rate(name.clone(), service.cold_rate);
         }
+        if let Some(ledger) = &mut self.ledger {
+            ledger.set_accounts(now, &accounts);
+        }
+    }
+
+    /// Whether what this host knows may count as new, as far as the deployment asks for a proof of that.
+    pub(crate) fn is_proved(&self, moment: Moment) -> bool {
+        let Some(term) = self.term else {
+            return true;
+        };
+        self.proof.holds(moment, term.mul_f64(CAUTION))
+    }
+
+    /// How new the configuration surely is.
+    pub(crate) fn knowledge(&self, moment: Moment) -> Knowledge {
+        match self.term {
+            Some(term) if self.proof.holds(moment, term) => Knowledge::Current,
+            Some(_) => Knowledge::Expired,
+            None if self.presence.sight() >= Sight::Relayed => Knowledge::Current,
+            None => Knowledge::Old,
+        }
     }
 
     fn register(&mut self, now: Instant, registration: &Registration) {
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -14,6 +14,7 @@
 use tokio::task::AbortHandle;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::admission::Admitted;
 use super::body::{self, Body, Part};
 use super::client::{self, Connection, Unanswered};
 use super::record::{self, Stop, Story};
@@ -34,6 +35,7 @@
 /// A request whose body has been read, at least its beginning.
 pub(crate) struct Exchange {
     pub(crate) route: Arc<Route>,
+    pub(crate) admitted: Admitted,
     pub(crate) head: Head,
     pub(crate) parts: request::Parts,
     pub(crate) begun: Instant,
@@ -108,7 +110,7 @@
         service: &service,
         key: key(&exchange),
         object: object(&exchange, &service),
-        homes: &exchange.route.homes,
+        homes: &exchange.admitted.homes,
         tried: Vec::new(),
         bytes: body.length(),
     };
@@ -201,6 +203,7 @@
     match failed {
         Some(response) => response,
         None if !unknown => {
+            exchange.admitted.give_back(host);
             let pause = pause(host, exchange, ask, story.stop);
             answer::not_run_until(host, "no target has room\n", pause)
         }
@@ -219,7 +222,9 @@
         Stop::Refused(_) => core.fleet.room_in(now(), ask),
         _ => Duration::ZERO,
     };
-    let rank = core.table.rank(&exchange.route);
+    let rank = core
+        .table
+        .rank(&exchange.route, &exchange.admitted.caller);
     Refused { room, rank }.pause(core.rng.random_range(0.0..1.0))
 }
 
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -14,7 +14,7 @@
 use tokio_tungstenite::tungstenite::{self, Bytes, Message as Packet};
 
 use super::log::Event;
-use super::{beat, client, now, serve, Error, Host};
+use super::{beat, client, now, proof, serve, Error, Host};
 use crate::control::presence::{Record, Sight};
 use crate::control::replica::{Effect, Update};
 use crate::port::Kind;
@@ -53,6 +53,10 @@
     Ask,
     /// The hosts that the sender hears.
     Hosts(Vec<Record>),
+    /// A follower asks how old the sender's configuration may be.
+    AskProof,
+    /// The answer, if the sender knows it.
+    Proof(Option<proof::Told>),
 }
 
 /// Why a feed ended.
@@ -222,12 +226,15 @@
     let Packet::Binary(bytes) = packet else {
         return Ok(None);
     };
-    let Message::Ask = ciborium::from_reader(&bytes[..])? else {
-        return Ok(None);
+    let answer = match ciborium::from_reader(&bytes[..])? {
+        Message::Ask => {
+            let core = host.core.borrow();
+            Message::Hosts(core.presence.alive(now()).cloned().collect())
+        }
+        Message::AskProof => Message::Proof(proof::tell(host)),
+        _ => return Ok(None),
     };
-    let core = host.core.borrow();
-    let hosts = core.presence.alive(now()).cloned().collect();
-    Ok(Some(write(&Message::Hosts(hosts))))
+    Ok(Some(write(&answer)))
 }
 
 /// Follows the host at `address` until that fails.
@@ -253,10 +260,21 @@
         // Without this a host that starts while the store is away takes itself for the only one.
         socket.send(Packet::Binary(write(&Message::Ask))).await?;
     }
+    let asks = host.settings.bounds.withdrawal.is_some();
+    let mut question = tokio::time::interval(proof::FOLLOWER);
+    let mut asked = None;
+    let mut heard = now();
     loop {
-        let packet = tokio::time::timeout(SILENCE, socket.next())
-            .await
-            .map_err(|_| Broken::Silent)?;
+        let until = (heard + SILENCE).into();
+        let packet = tokio::select! {
+            packet = tokio::time::timeout_at(until, socket.next()) => packet.map_err(|_| Broken::Silent)?,
+            _ = question.tick(), if asks && asked.is_none() => {
+                asked = Some(proof::moment());
+                socket.send(Packet::Binary(write(&Message::AskProof))).await?;
+                continue;
+            }
+        };
+        heard = now();
         let bytes = match packet.ok_or(Broken::Ended)?? {
             Packet::Binary(bytes) => bytes,
             Packet::Close(_) => return Err(Broken::Ended),
@@ -271,7 +289,12 @@
                     told.extend(KINDS.map(|kind| (kind, now())));
                 }
             }
-            Message::Ask => {}
+            Message::Ask | Message::AskProof => {}
+            Message::Proof(told) => {
+                if let (Some(asked), Some(told)) = (asked.take(), told) {
+                    proof::hear(host, asked, told);
+                }
+            }
             Message::Hosts(records) => {
                 spdlog::info!("feed: another host told which hosts there are", kv: {
                     event = Event::Hosts.as_str(),
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 
 use super::body::{self, Body, Broken};
+use super::admission::admit;
 use super::exchange::{self, Exchange, Kept};
 use super::{answer, begin, now, record, serve, Error, Host};
 use crate::inventory::Route;
@@ -58,8 +59,13 @@
         body::Part::Whole(_) => Kept::Whole,
         body::Part::Start(..) => Kept::Start,
     };
+    let admitted = match admit(host, &route, &head) {
+        Ok(admitted) => admitted,
+        Err(refused) => return reject(&parts, refused.answer(host), refused.reason()),
+    };
     let exchange = Exchange {
         route,
+        admitted,
         head,
         parts,
         begun,
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -8,6 +8,7 @@
 use super::body::{self, Body, Part};
 use super::exchange::Exchange;
 use super::{now, Host};
+use crate::account::Caller;
 
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 8] = [
@@ -31,6 +32,11 @@
     let mut headers = passed_on(&exchange.parts.headers);
     let left = exchange.deadline.saturating_duration_since(now());
     (host.platform.wire.address)(&mut headers, left, id);
+    match &exchange.admitted.caller {
+        Caller::Unnamed => {}
+        Caller::Public => (host.platform.wire.name)(&mut headers, None),
+        Caller::Account(account) => (host.platform.wire.name)(&mut headers, Some(&account.name)),
+    }
     let body = match body {
         Part::Whole(bytes) => {
             let framed = exchange.parts.headers.contains_key(CONTENT_LENGTH)
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -3,6 +3,7 @@
 //! Everything runs on the thread that calls [`run`], so the state needs no locks, and a request costs
 //! no hand-over between threads. A borrow of the state never lives across a point where a task may wait.
 
+mod admission;
 mod answer;
 mod beat;
 mod begin;
@@ -20,6 +21,7 @@
 mod metrics;
 mod pool;
 mod probe;
+mod proof;
 mod record;
 mod reload;
 mod serve;
@@ -147,6 +149,7 @@
     begin::start(&host);
     sync::start(&host);
     tokio::task::spawn_local(probe::run(host.clone()));
+    tokio::task::spawn_local(proof::assure(host.clone()));
     tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
     spdlog::info!("host: listens", kv: {
         event = log::Event::Started.as_str(),
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Client {
     host: Rc<Host>,
     kept: Option<TcpStream>,
+    /// Whether an object of the last answer could not be read.
+    pub(crate) left_out: bool,
 }
 
 impl Client {
@@ -50,6 +52,7 @@
         Self {
             host: host.clone(),
             kept: None,
+            left_out: false,
         }
     }
 
@@ -65,6 +68,7 @@
         let (kept, status, bytes) = answered.map_err(|_| Error::Timeout)??;
         self.kept = kept;
         let (reply, unread) = (self.host.platform.store.decode)(call, status, &bytes)?;
+        self.left_out = !unread.is_empty();
         for malformed in unread {
             self.leave_out(&malformed);
         }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -12,7 +12,7 @@
 use super::log::{self, Event};
 use super::store::{Client, Error};
 use super::watcher::{Reach, Steady};
-use super::{beat, join, now, Host};
+use super::{beat, join, now, proof, Host};
 use crate::control::presence::Sight;
 use crate::control::replica::{Effect, Update};
 use crate::port::{Age, Call, Entry, Kind, Reply};
@@ -95,6 +95,9 @@
                 })
                 .collect();
             watchers.push(tokio::task::spawn_local(check(host.clone())).abort_handle());
+            if host.settings.bounds.withdrawal.is_some() {
+                watchers.push(tokio::task::spawn_local(proof::watch(host.clone())).abort_handle());
+            }
         }
         if !watch && !watchers.is_empty() {
             log::watching(false);
@@ -156,7 +159,8 @@
     let relayed = host.followed.get() == Some(Sight::Store) || host.begin.is_fresh(now());
     let news = {
         let mut core = host.core.borrow_mut();
-        let sight = match (known, sees, relayed) {
+        let is_proved = core.is_proved(proof::moment());
+        let sight = match (known, sees && is_proved, relayed && is_proved) {
             (false, ..) => Sight::Nothing,
             (true, true, _) => Sight::Store,
             (true, false, true) => Sight::Relayed,
@@ -213,7 +217,11 @@
     loop {
         let known = host.core.borrow().replica.revision(kind);
         let result = match known {
-            Some(revision) if listed => watch(&host, &mut client, kind, revision).await,
+            Some(revision) if listed => {
+                let wait = host.core.borrow_mut().rng.random_range(WAIT);
+                let wait = Duration::from_secs_f64(wait);
+                watch(&host, &mut client, kind, revision, wait).await
+            }
             _ => list(&host, &mut client, kind, Age::Latest)
                 .await
                 .map(|()| true),
@@ -245,7 +253,9 @@
     kind: Kind,
     age: Age,
 ) -> Result<(), Error> {
+    let asked = proof::moment();
     let (entries, revision) = read(client, kind, age).await?;
+    let is_whole = !client.left_out;
     let away = host.core.borrow().presence.was_store_away(now());
     host.take(&Update {
         kind,
@@ -254,6 +264,9 @@
         entries,
         away,
     });
+    if kind == Kind::Config && age == Age::Latest && is_whole {
+        proof::shown(host, asked);
+    }
     Ok(())
 }
 
@@ -286,17 +299,18 @@
 }
 
 /// Waits for changes; says whether to go on, or to list again as the history is gone.
-async fn watch(
+pub(super) async fn watch(
     host: &Rc<Host>,
     client: &mut Client,
     kind: Kind,
     revision: u64,
+    wait: Duration,
 ) -> Result<bool, Error> {
-    let wait = host.core.borrow_mut().rng.random_range(WAIT);
+    let asked = proof::moment();
     let call = Call::Watch {
         kind,
         revision,
-        wait: Duration::from_secs_f64(wait),
+        wait,
     };
     match client.call(&call).await? {
         Reply::Changes {
@@ -312,7 +326,10 @@
                 entries,
                 away,
             });
-            if any {
+            if kind == Kind::Config && effect != Effect::Gap && !client.left_out {
+                proof::shown(host, asked);
+            }
+            if any && !wait.is_zero() {
                 tokio::time::sleep(GATHER).await;
             }
             Ok(effect != Effect::Gap)
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account::{Account, Accounts, Caller, Credential, Denial, Knowledge};
 use crate::catalog::Repeat;
 
 /// Names a target for as long as this process lives; never used twice.
@@ -50,6 +51,8 @@
     pub affinity: bool,
     /// The only regions that may serve it; any, if empty.
     pub homes: BTreeSet<Arc<str>>,
+    /// Whether it takes requests without a key, where there are accounts.
+    pub open: bool,
 }
 
 /// What all targets of one service have in common.
@@ -89,6 +92,8 @@
     pub services: BTreeMap<Arc<str>, Service>,
     /// Bounds on requests.
     pub limits: Limits,
+    /// All client accounts; none, if the deployment has no accounts.
+    pub accounts: Option<Vec<Arc<Account>>>,
 }
 
 /// Whether a target takes new requests.
@@ -146,7 +151,8 @@
     hosts: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Arc<Route>>>,
     services: BTreeMap<Arc<str>, Service>,
     limits: Option<Limits>,
-    /// The priority of the least urgent routes.
+    accounts: Option<Accounts>,
+    /// The priority of the least urgent routes and accounts.
     last_priority: u32,
 }
 
@@ -165,8 +171,11 @@
         {
             return false;
         }
-        let priorities = config.routes.iter().map(|route| route.priority);
+        let routes = config.routes.iter().map(|route| route.priority);
+        let accounts = config.accounts.iter().flatten();
+        let priorities = routes.chain(accounts.filter_map(|account| account.priority));
         self.last_priority = priorities.max().unwrap_or_default();
+        self.accounts = config.accounts.as_deref().map(Accounts::new);
         let mut hosts: BTreeMap<Arc<str>, BTreeMap<_, _>> = BTreeMap::new();
         for route in config.routes {
             hosts
@@ -201,9 +210,27 @@
         self.services.values()
     }
 
-    /// How urgent requests of a route are: from 0 for the most urgent of all routes to 1 for the least urgent.
-    pub fn rank(&self, route: &Route) -> f64 {
-        f64::from(route.priority) / f64::from(self.last_priority.max(1))
+    /// How urgent requests of a caller on a route are: from 0 for the most urgent of all to 1 for the least urgent.
+    pub fn rank(&self, route: &Route, caller: &Caller) -> f64 {
+        let account = caller.account().and_then(|account| account.priority);
+        f64::from(account.unwrap_or(route.priority)) / f64::from(self.last_priority.max(1))
+    }
+
+    /// Who sends a request with `credential` on `route`.
+    ///
+    /// # Errors
+    ///
+    /// The request may not run.
+    pub fn caller(
+        &self,
+        route: &Route,
+        credential: Credential,
+        knowledge: Knowledge,
+    ) -> Result<Caller, Denial> {
+        let Some(accounts) = &self.accounts else {
+            return Ok(Caller::Unnamed);
+        };
+        accounts.caller(credential, route.open, knowledge)
     }
 
     /// The route with the longest prefix of `path` on `host`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions ([`steer`], [`control`]) are plain structs without I/O or a clock of their own, so that
 //! other programs can embed them.
 
+pub mod account;
 pub mod border;
 pub mod catalog;
 pub mod config;
--- a/src/port.rs
+++ b/src/port.rs
@@ -13,8 +13,10 @@
 use http::{request, response, HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
 
+use crate::account::Credential;
 use crate::control::presence;
 use crate::inventory::{Config, Registration};
+use crate::steer::allowance::Excess;
 use crate::steer::fleet::{Load, Switches};
 use crate::steer::retry::Terms;
 
@@ -64,6 +66,11 @@
     pub repeats: Terms,
     /// Requests that a cold target bears at once beyond its rate, from all hosts together.
     pub cold_burst: f64,
+    /// After how long no host may use a key that was withdrawn, whether it has heard of that or not; without it hosts go on with
+    /// what they know.
+    pub withdrawal: Option<Duration>,
+    /// What accounts may ask beyond their quotas at the most, in each window; without it quotas are not kept.
+    pub excess: Option<Excess>,
 }
 
 /// Kinds of objects in the platform's store.
@@ -227,6 +234,8 @@
     pub deadline: Option<Duration>,
     /// The object that the request concerns.
     pub affinity: Option<Arc<str>>,
+    /// What it says of its caller.
+    pub credential: Credential,
 }
 
 /// What a target's answer says beside its status and body.
@@ -262,6 +271,8 @@
     pub health: fn(&response::Parts) -> Health,
     /// Adds what a target has to know: the time left, and which process is meant.
     pub address: fn(&mut HeaderMap, Duration, &HeaderValue),
+    /// Takes away what a request says of its caller, and names the account whose request it is, if there is one.
+    pub name: fn(&mut HeaderMap, Option<&str>),
     /// Adds when a refused caller may come back.
     pub come_back: fn(&mut HeaderMap, Duration),
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions: where a request goes, and whether it goes at all. Pure: no I/O, no clock, no randomness of its own.
 
+pub mod allowance;
 pub mod attempt;
 mod budgets;
 pub mod dedupe;
