--- a/src/steer/allowance.rs
+++ b/src/steer/allowance.rs
@@ -37,10 +37,10 @@
 const FULL: f64 = 0.5;
 /// The part of the rate that is given out: what hosts know of each other's rates is some seconds old, and the sum of their parts
 /// may be above one meanwhile.
-const GIVEN: f64 = 0.95;
+const GIVEN: f64 = 0.93;
 /// The part of the burst that the buckets hold: what hosts admit before they have told each other comes beside it, and what a host
 /// that has ended had not told.
-const AT_ONCE: f64 = 0.5;
+const AT_ONCE: f64 = 0.4;
 /// The part of the floor of what a window may have beyond the quota that the buckets hold beside the burst, and the part of it
 /// that comes in over a window. Both let accounts with few requests be uneven over regions and hosts; the rest is for what is
 /// admitted between two tellings.
@@ -63,8 +63,8 @@
 const SOON: Duration = Duration::from_millis(100);
 /// Hosts of the own region while their number is not known.
 const UNKNOWN: usize = 16;
-/// How long a host that was asked by some account counts as one that may be asked by any.
-const IN_USE: Duration = Duration::from_secs(3);
+/// Requests a second that each host counts as asked in any case when its share is worked out: callers come before rates tell it.
+const LEAST_LOAD: f64 = 1.0;
 /// How often something that has changed is told: a datagram may be lost.
 const TOLD: u8 = 2;
 /// The shortest time after which a caller beyond its quota is told to come back: sooner, little would have changed.
@@ -139,8 +139,8 @@
 struct Other {
     region: Arc<str>,
     heard: Instant,
-    /// When it last told of requests.
-    asked: Option<Instant>,
+    /// What all accounts ask of it.
+    load: Rate,
     /// How often this process of it has told something.
     times: u32,
     incarnation: u64,
@@ -296,6 +296,9 @@
     started: Instant,
     /// Hosts of the own region, this one among them.
     hosts: usize,
+    /// What all accounts ask of this host, and what they asked since it told.
+    load: Rate,
+    asked: u32,
     /// Counts tellings.
     turn: u32,
     buckets: BTreeMap<Id, Bucket>,
@@ -320,6 +323,8 @@
             gone,
             started: now,
             hosts: UNKNOWN,
+            load: Rate::new(now),
+            asked: 0,
             turn: 0,
             buckets: BTreeMap::new(),
             others: BTreeMap::new(),
@@ -363,6 +368,7 @@
             return Ok(());
         };
         bucket.asked = bucket.asked.wrapping_add(1);
+        self.asked += 1;
         bucket.to_tell = [TOLD; 2];
         self.changed.insert(id);
         bucket.fill(now, &self.excess);
@@ -413,6 +419,8 @@
     /// What is to be told to the other hosts of the region, and to all others if it is their turn.
     pub fn news(&mut self, now: Instant) -> (Vec<Tally>, Option<Vec<Tally>>) {
         self.turn = self.turn.wrapping_add(1);
+        let asked = std::mem::take(&mut self.asked);
+        self.load.add(now, f64::from(asked));
         let near = self.told(0);
         let far = self.turn.is_multiple_of(FAR).then(|| {
             for id in &self.changed {
@@ -449,30 +457,34 @@
     pub fn hear(&mut self, now: Instant, teller: Teller<'_>, tallies: &[Tally]) {
         let known = self.others.get(teller.host);
         let known = known.filter(|known| known.incarnation == teller.incarnation);
-        let other = Other {
-            region: teller.region.clone(),
-            heard: now,
-            asked: match known {
-                Some(known) if tallies.is_empty() => known.asked,
-                _ => (!tallies.is_empty()).then_some(now),
-            },
-            times: known.map_or(0, |known| known.times) + 1,
-            incarnation: teller.incarnation,
+        let (mut load, times) = match known {
+            Some(known) => (known.load, known.times),
+            None => (Rate::new(now.checked_sub(INTERVAL).unwrap_or(now)), 0),
         };
-        self.others.insert(teller.host.clone(), other);
         // What a process counted before this one started is no news.
         let own_age = self.age(now);
         let is_news = own_age > SETTLED || teller.age <= own_age + SOON;
         let is_near = *teller.region == self.region;
+        let mut asked = 0.0;
         for tally in tallies {
             if let Some(bucket) = self.buckets.get_mut(&tally.0) {
                 bucket.fill(now, &self.excess);
-                let admitted = bucket.hear(now, teller, *tally, is_news);
+                let news = bucket.hear(now, teller, *tally, is_news);
+                asked += news.asked;
                 if is_near {
-                    bucket.level += admitted;
+                    bucket.level += news.expected - news.admitted;
                 }
             }
         }
+        load.add(now, asked);
+        let other = Other {
+            region: teller.region.clone(),
+            heard: now,
+            load,
+            times: times + 1,
+            incarnation: teller.incarnation,
+        };
+        self.others.insert(teller.host.clone(), other);
     }
 
     /// Whether this host still has to do with an equal share.
@@ -496,7 +508,11 @@
         // Callers come to all hosts alike: if this one admitted much more than usual since it told, the others likely did as well.
         let admitted = bucket.spent / INTERVAL.as_secs_f64();
         let is_surge = bucket.spent > FEW && admitted > bucket.rate.then(now) * SURGE;
-        let likely = if is_surge { admitted } else { 0.0 };
+        let likely = if is_surge {
+            admitted / (self.load.then(now) + LEAST_LOAD)
+        } else {
+            0.0
+        };
         bucket.count(now);
         let gone = self.gone;
         self.others
@@ -519,22 +535,25 @@
         } else {
             1.0
         };
-        let sharers = others.values().filter(|other| {
-            let in_use = |at| now.saturating_duration_since(at) < IN_USE;
-            other.region == self.region && other.asked.is_some_and(in_use)
-        });
-        let sharers = match sharers.count() {
-            0 => self.hosts as f64,
-            others => 1.0 + others as f64,
-        };
+        let own_load = self.load.then(now) + LEAST_LOAD;
+        let near = others.values().filter(|other| other.region == self.region);
+        let loads = near.map(|other| other.load.then(other.heard) + LEAST_LOAD);
+        let share = own_load / (own_load + loads.sum::<f64>());
         let soon = bucket.level + bucket.inflow(&self.excess) * INTERVAL.as_secs_f64();
         bucket.drain = bucket.expect(now, others, &self.region, sum.here, likely, &self.excess);
         let is_full = bucket.level >= bucket.size(&self.excess) * FULL;
-        bucket.most = (soon / sharers).max(if is_full { FEW } else { FEWER });
+        bucket.most = (soon * share).max(if is_full { FEW } else { FEWER });
         bucket.spent = 0.0;
     }
 }
 
+/// What another host was asked and admitted since it told before, and what it was expected to admit.
+struct News {
+    asked: f64,
+    admitted: f64,
+    expected: f64,
+}
+
 /// What is known of the requests for an account.
 struct Sum {
     /// Requests a second in the own region and in the others, as all regions know them: by what each knows of itself at once, the
@@ -551,8 +570,8 @@
         self.counted = self.asked;
     }
 
-    /// Takes in a tally; gives what it adds to the level: what was expected of its teller less what that admitted.
-    fn hear(&mut self, now: Instant, teller: Teller<'_>, tally: Tally, is_news: bool) -> f64 {
+    /// Takes in a tally; gives what has changed since the one before.
+    fn hear(&mut self, now: Instant, teller: Teller<'_>, tally: Tally, is_news: bool) -> News {
         let Tally(_, asked, admitted) = tally;
         let before = self.others.get(teller.host).copied();
         let before = before.filter(|before| before.incarnation == teller.incarnation);
@@ -583,14 +602,18 @@
         if teller.to_all {
             heard.shown = heard.rate;
         }
-        let difference = heard.expected - f64::from(new_admitted);
+        let news = News {
+            asked: f64::from(new_asked.max(0)),
+            admitted: f64::from(new_admitted),
+            expected: heard.expected,
+        };
         heard.expected = 0.0;
         heard.silent = false;
         heard.told = now;
         heard.asked = asked;
         heard.admitted = admitted;
         self.others.insert(teller.host.clone(), heard);
-        difference
+        news
     }
 
     /// Adds up what is known of all hosts.
@@ -614,8 +637,8 @@
         sum
     }
 
-    /// Sets what each other host of the region is expected to admit: as much as lately, or what is `likely` if that is more, or its
-    /// whole part if it is silent. Gives the sum in requests a second.
+    /// Sets what each other host of the region is expected to admit: as much as lately, or what is `likely` for each request that it
+    /// gets if that is more, or its whole part if it is silent. Gives the sum in requests a second.
     fn expect(
         &mut self,
         now: Instant,
@@ -632,6 +655,7 @@
                 continue;
             };
             heard.expect(now);
+            let likely = likely * (other.load.then(other.heard) + LEAST_LOAD);
             heard.drain = heard.admits.then(other.heard).max(likely);
             let untold = now.saturating_duration_since(heard.told).min(INTERVAL);
             let missing = (likely * untold.as_secs_f64() - heard.expected).max(0.0);
