--- a/tests/proof.rs
+++ b/tests/proof.rs
@@ -103,8 +103,7 @@
             }
         }
         // The first two hosts ask the store, the others one of these; a watch's news comes some time.
-        for from in 0..hosts.len() {
-            let host = &mut hosts[from];
+        for (from, host) in hosts.iter_mut().enumerate() {
             if host.asleep_until > now || host.cut_until > now {
                 continue;
             }
@@ -139,7 +138,7 @@
             }
         }
         questions.retain(|question| {
-            let Some((at, age, version)) = question.answer.filter(|(at, ..)| *at <= now) else {
+            let Some((_, age, version)) = question.answer.filter(|(at, ..)| *at <= now) else {
                 return true;
             };
             let host = &mut hosts[question.from];
@@ -162,7 +161,6 @@
             if host.version >= version || way == Way::AnyVersion {
                 host.proof.take(now, asked, age);
             }
-            let _ = at;
             false
         });
         // A caller sends now, with a key that the version after the host's own withdrew.
