--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -220,6 +220,23 @@
     assert_eq!(unconnected, Ok(near));
 }
 
+#[test]
+fn requests_that_have_to_leave_take_no_others_along() {
+    let mut world = World::with_targets("h1", "n-a");
+    for key in 0..4_000 {
+        // Two of three requests may run in the other region only.
+        world.homes = (key % 3 > 0).then(|| "s".into()).into_iter().collect();
+        let target = world
+            .choose(xxhash_rust::xxh3::xxh3_64(&u64::to_le_bytes(key)), &[])
+            .unwrap();
+        let region = world.fleet.member(target).unwrap().region().clone();
+        let expected = if key % 3 > 0 { "s" } else { "n" };
+        assert_eq!(&*region, expected, "request {key}");
+        world.finish(target, End::Cancelled, None);
+        world.pass(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn homes_bind() {
     let mut world = World::with_targets("h1", "n-a");
