--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use ragwortfold::control::presence::{
-    Beat, Presence, Pulse, Record, Sight, Strength, FAR, FORGET, INTERVAL,
+    Beat, Naming, Presence, Pulse, Record, Sight, Strength, FAR, FORGET, INTERVAL,
 };
 use ragwortfold::port::Question;
 
@@ -117,6 +117,37 @@
     assert!(names(presence.serving(now)).is_empty());
 }
 
+/// The hosts that a caller of zone `n-a` is told, by what `h0`, `h1` and `h2` of its zone know of the store.
+macro_rules! informed {
+    ($($name:ident: $naming:ident, $sights:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let [own, sights @ ..]: [Sight; 3] = $sights;
+            let mut presence = presence(now, &[]).with_naming(Naming::$naming);
+            presence.see(own);
+            for (host, sight) in ["h1", "h2"].into_iter().zip(sights) {
+                presence.hear(now, beat(record(host, "n-a", 1), sight));
+            }
+            let question = Question {
+                region: "n".into(),
+                zone: "n-a".into(),
+            };
+            let caller = IpAddr::V4(Ipv4Addr::LOCALHOST);
+            let named: BTreeSet<_> = presence.named(now, &question, caller).into_iter().collect();
+            let expected: &[&str] = &$expected;
+            assert_eq!(named, expected.iter().map(|host| place(host)).collect());
+        }
+    )*};
+}
+
+informed! {
+    hosts_that_lost_the_store_are_not_named_beside_others: Informed, [Sight::Stale, Sight::Relayed, Sight::Store]
+        => ["h1", "h2"];
+    all_are_named_if_none_sees_the_store: Informed, [Sight::Stale; 3] => ["h0", "h1", "h2"];
+    all_are_named_where_hosts_go_on_without_it: All, [Sight::Stale, Sight::Relayed, Sight::Store] => ["h0", "h1", "h2"];
+}
+
 #[test]
 fn a_host_without_a_configuration_is_alive_but_not_named() {
     let now = Instant::now();
