--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -80,29 +80,27 @@
 /// Tells the other hosts what accounts ask of this one, where quotas are kept.
 async fn tell_tallies(host: Rc<Host>) {
     loop {
-        let is_at_rest;
         let (age, pause, (near, far)) = {
             let core = &mut *host.core.borrow_mut();
             let Some(ledger) = &mut core.ledger else {
                 return;
             };
-            let now = now();
-            let news = ledger.news(now);
-            is_at_rest = ledger.is_at_rest(now);
-            (ledger.age(now), ledger.interval(now), news)
+            (
+                ledger.age(now()),
+                ledger.interval(now()),
+                ledger.news(now()),
+            )
         };
-        if !is_at_rest {
-            let to_all = far.is_some();
-            tell(&host, age, to_all, &near, true).await;
-            if let Some(far) = far {
-                tell(&host, age, to_all, &far, false).await;
-            }
+        let to_all = far.is_some();
+        tell(&host, age, to_all, &near, true).await;
+        if let Some(far) = far {
+            tell(&host, age, to_all, &far, false).await;
         }
         tokio::time::sleep(pause).await;
     }
 }
 
-/// Tells the hosts of the own region, or all others. Nothing new is told too: it shows that the host is there.
+/// Tells the hosts of the own region, or all others. What was asked of no account is told too: it shows that the host is there.
 async fn tell(host: &Host, age: Duration, to_all: bool, tallies: &[Tally], near: bool) {
     let (peers, incarnation) = {
         let core = host.core.borrow();
--- a/src/steer/allowance.rs
+++ b/src/steer/allowance.rs
@@ -63,11 +63,6 @@
 const SOON: Duration = Duration::from_millis(100);
 /// Hosts of the own region while their number is not known.
 const UNKNOWN: usize = 16;
-/// How long after its last request a host tells the others nothing: till then their rates of it have come to next to nothing. With 297
-/// hosts, of which most stand by, what they tell is most of the traffic between hosts.
-const REST: Duration = Duration::from_secs(10);
-/// Requests a second below which the silence of a host means nothing.
-const IDLE: f64 = 1.0;
 /// Requests a second that each host counts as asked in any case when its share is worked out: callers come before rates tell it.
 const LEAST_LOAD: f64 = 1.0;
 /// How often something that has changed is told: a datagram may be lost.
@@ -304,8 +299,6 @@
     /// What all accounts ask of this host, and what they asked since it told.
     load: Rate,
     asked: u32,
-    /// When it was asked last, or started.
-    last: Instant,
     /// Counts tellings.
     turn: u32,
     buckets: BTreeMap<Id, Bucket>,
@@ -332,7 +325,6 @@
             hosts: UNKNOWN,
             load: Rate::new(now),
             asked: 0,
-            last: now,
             turn: 0,
             buckets: BTreeMap::new(),
             others: BTreeMap::new(),
@@ -377,7 +369,6 @@
         };
         bucket.asked = bucket.asked.wrapping_add(1);
         self.asked += 1;
-        self.last = now;
         bucket.to_tell = [TOLD; 2];
         self.changed.insert(id);
         bucket.fill(now, &self.excess);
@@ -425,11 +416,6 @@
         now.saturating_duration_since(self.started)
     }
 
-    /// Whether this host has nothing to tell.
-    pub fn is_at_rest(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last) >= REST
-    }
-
     /// What is to be told to the other hosts of the region, and to all others if it is their turn.
     pub fn news(&mut self, now: Instant) -> (Vec<Tally>, Option<Vec<Tally>>) {
         self.turn = self.turn.wrapping_add(1);
@@ -699,7 +685,6 @@
         } else {
             INTERVAL * FAR
         };
-        let is_missing = now.saturating_duration_since(self.heard) > interval.mul_f64(MISSED);
-        is_missing && self.load.then(self.heard) > IDLE
+        now.saturating_duration_since(self.heard) > interval.mul_f64(MISSED)
     }
 }
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -458,18 +458,6 @@
     assert!((0..1000).all(|_| ledger.take(now, &free).is_ok()));
 }
 
-#[test]
-fn a_host_that_is_not_asked_has_nothing_to_tell() {
-    let now = Instant::now();
-    let account = account(60.0);
-    let mut ledger = Ledger::new(now, EXCESS, region(0), REGIONS, GONE);
-    ledger.set_accounts(now, std::slice::from_ref(&account));
-    assert!(!ledger.is_at_rest(now + s(9.0)));
-    assert!(ledger.is_at_rest(now + s(11.0)));
-    let _ = ledger.take(now + s(11.0), &account);
-    assert!(!ledger.is_at_rest(now + s(20.0)));
-}
-
 #[test]
 fn what_did_not_run_is_given_back() {
     let now = Instant::now();
