Sight: requests' lines tell path, caller and a fingerprint that stays the same when a request comes again

What could not be told before: whether the request that broke off at one target is the one that broke off at another, as its id is new with each attempt. The fingerprint is a digest of what targets get; of a long body that is passed on as it comes it has the first 64 KiB, which are now read before a target is chosen.

No change of logic.

--- a/src/host/body.rs
+++ b/src/host/body.rs
@@ -7,6 +7,8 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 
+use crate::steer::fingerprint::PREFIX;
+
 /// Bodies up to this many bytes are kept whole, so that a request can be sent again and a
 /// broken answer is noticed before its first byte is passed on.
 pub(crate) const WHOLE: usize = 512 << 10;
@@ -55,6 +57,14 @@
             Self::Start(start, rest) => start.len() as u64 + rest.size_hint().lower(),
         }
     }
+
+    /// What counts of it for the request's fingerprint: the same however it arrives.
+    pub(crate) fn content(&self) -> &[u8] {
+        match self {
+            Self::Whole(bytes) => bytes,
+            Self::Start(start, _) => &start[..PREFIX.min(start.len())],
+        }
+    }
 }
 
 /// A body of the given bytes.
@@ -96,15 +106,17 @@
     })
 }
 
-/// Reads a body up to [`WHOLE`] bytes.
+/// Reads a body up to [`WHOLE`] bytes, or the beginning of one that is announced to be longer.
 pub(crate) async fn read(mut body: Incoming, most: u64) -> Result<Part, Broken> {
     let announced = body.size_hint().lower();
     if announced > most {
         return Err(Broken::Length(most));
     }
-    if announced > WHOLE as u64 {
-        return Ok(Part::Start(Bytes::new(), body));
-    }
+    let enough = if announced > WHOLE as u64 {
+        PREFIX
+    } else {
+        WHOLE
+    };
     let mut first: Option<Bytes> = None;
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -115,7 +127,11 @@
             None if read.is_empty() => first = Some(data),
             None => read.extend_from_slice(&data),
             Some(begin) => {
-                read.reserve((announced as usize).max(begin.len() + data.len()));
+                read.reserve(
+                    (announced as usize)
+                        .min(enough)
+                        .max(begin.len() + data.len()),
+                );
                 read.extend_from_slice(&begin);
                 read.extend_from_slice(&data);
             }
@@ -124,7 +140,7 @@
         if length as u64 > most {
             return Err(Broken::Length(most));
         }
-        if length > WHOLE {
+        if length > enough {
             let start = first.take().unwrap_or_else(|| read.freeze());
             return Ok(Part::Start(start, body));
         }
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -23,6 +23,7 @@
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
 use crate::port::{Answer, Head};
+use crate::steer::fingerprint::Fingerprint;
 use crate::steer::fleet::{Ask, End, Refusal, Seen};
 use crate::steer::pause::Refused;
 
@@ -42,6 +43,8 @@
     pub(crate) deadline: Instant,
     pub(crate) longest_body: u64,
     pub(crate) body: Kept,
+    /// What stays the same when the request comes again.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// What the host has of a request's body.
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -8,11 +8,13 @@
 use http::{request, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::admission::admit;
+use super::admission::{admit, Admitted};
 use super::body::{self, Body, Broken};
 use super::exchange::{self, Exchange, Kept};
 use super::{answer, begin, now, record, serve, Error, Host};
 use crate::inventory::Route;
+use crate::port::Head;
+use crate::steer::fingerprint::{Content, Fingerprint};
 
 /// Listens for callers.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
@@ -69,7 +71,9 @@
             return reject(&parts, refused.answer(host), refused.reason(), &detail);
         }
     };
+    let fingerprint = fingerprint(&parts, &head, &admitted, &body);
     let exchange = Exchange {
+        fingerprint,
         route,
         admitted,
         head,
@@ -103,13 +107,36 @@
     }
 }
 
-fn route(host: &Host, parts: &request::Parts) -> Option<Arc<Route>> {
+/// The name of the site that is asked.
+fn site(parts: &request::Parts) -> Option<String> {
     let name = match parts.uri.authority() {
         Some(authority) => authority.as_str(),
         None => parts.headers.get(HOST)?.to_str().ok()?,
     };
     let name = name.split_once(':').map_or(name, |(name, _)| name);
-    let name = name.to_ascii_lowercase();
+    Some(name.to_ascii_lowercase())
+}
+
+fn fingerprint(
+    parts: &request::Parts,
+    head: &Head,
+    admitted: &Admitted,
+    body: &body::Part,
+) -> Fingerprint {
+    let path = parts.uri.path_and_query();
+    let account = admitted.caller.account();
+    Fingerprint::new(&Content {
+        method: parts.method.as_str(),
+        site: &site(parts).unwrap_or_default(),
+        path: path.map_or("", |path| path.as_str()),
+        account: account.map_or("", |account| &account.name),
+        object: head.affinity.as_deref().unwrap_or_default(),
+        body: body.content(),
+    })
+}
+
+fn route(host: &Host, parts: &request::Parts) -> Option<Arc<Route>> {
+    let name = site(parts)?;
     let core = host.core.borrow();
     core.table.route(&name, parts.uri.path()).cloned()
 }
--- a/src/host/lookup.rs
+++ b/src/host/lookup.rs
@@ -33,7 +33,7 @@
             let core = host.core.borrow();
             let hosts = core
                 .presence
-                .named(now(), &question, serve::caller(&request));
+                .named(now(), &question, serve::caller(request.extensions()));
             let ttl = TTL.min(host.settings.bounds.lookup_ttl);
             (lookup.answer)(&hosts, ttl).map(whole)
         }
--- a/src/host/record.rs
+++ b/src/host/record.rs
@@ -8,7 +8,7 @@
 
 use super::exchange::{Exchange, Grant};
 use super::log::Event;
-use super::{now, Host};
+use super::{now, serve, Host};
 use crate::entry::metrics::Sample;
 use crate::steer::fleet::{Ask, End, Refusal};
 
@@ -135,6 +135,9 @@
         status = status.map_or(0, |status| status.as_u16()),
         reason = story.stop.as_str(),
         route = &*exchange.route.name,
+        path = exchange.parts.uri.path(),
+        caller = serve::caller(&exchange.parts.extensions).to_string().as_str(),
+        fingerprint = exchange.fingerprint.to_string().as_str(),
         account = exchange.admitted.caller.account().map_or("", |account| &account.name),
         service = &**ask.service,
         tries = story.tries().as_str(),
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes};
-use http::{Request, Response};
+use http::{Extensions, Request, Response};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -167,9 +167,9 @@
     }
 }
 
-/// The address that a request came from.
-pub(crate) fn caller<B>(request: &Request<B>) -> IpAddr {
-    let caller = request.extensions().get::<IpAddr>().copied();
+/// The address that a request with these extensions came from.
+pub(crate) fn caller(extensions: &Extensions) -> IpAddr {
+    let caller = extensions.get::<IpAddr>().copied();
     caller.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED))
 }
 
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -7,6 +7,7 @@
 pub mod drift;
 pub mod eject;
 pub mod engine;
+pub mod fingerprint;
 pub mod fleet;
 pub mod goal;
 pub mod group;
