Tests: a request that crashes each target that runs it, at both interfaces (red)

Real hosts before targets that one request crashes and that are back after a while; the request comes ten times a second, at any host, beside four callers with others.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! `POST /standin/fault`.
 
 pub mod caller;
+pub mod crash;
 mod error;
 mod http;
 pub mod link;
