Keep a request that crashes targets from the next ones, at all hosts of a platform

What callers saw: one service lost its targets one after the other for half a minute; other callers got 502 for what was in flight there and 503 from hosts that tried targets that were down.

Cause: a request that crashes each target that runs it (a query of death). Hosts repeated it within an attempt, its caller sent it again to any host, and nothing remembered across attempts and hosts what had been at the targets that broke off.

Change: hosts know a request by a digest of what targets get of it. One host of each zone counts the targets at which it broke off one after the other; at two it is sent alone and not repeated, at three refused by all hosts, and tried by one of them ever less often. Any answer clears it.

Why this holds: three crashes one after the other without an answer anywhere are what tells such a request from its neighbours in flight; what ends together counts once; hosts that had an answer object before the third. Hosts that start, and those that missed a message, are told again.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -439,6 +439,22 @@
         own.into_iter().chain(others)
     }
 
+    /// Where those take heartbeats that count what belongs to `key`: in each availability zone one host that is up, by
+    /// rendezvous hashing, so that zones that are cut off from each other have one, too. Not this host.
+    pub fn counters(&self, now: Instant, key: u64) -> Vec<SocketAddr> {
+        let mut first: BTreeMap<&Arc<str>, (u64, &Record)> = BTreeMap::new();
+        for record in self.alive(now) {
+            let draw = xxh3_64_with_seed(record.host.as_bytes(), key);
+            let best = first.entry(&record.zone).or_insert((draw, record));
+            if draw > best.0 {
+                *best = (draw, record);
+            }
+        }
+        let others = first.values().map(|(_, record)| record);
+        let others = others.filter(|record| record.host != self.own.host);
+        others.map(|record| record.peers).collect()
+    }
+
     /// Hosts that can serve callers: alive, and with a configuration as far as is known.
     pub fn serving(&self, now: Instant) -> impl Iterator<Item = &Record> {
         let own = (!self.leaving && self.sight > Sight::Nothing).then_some(&self.own);
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -10,11 +10,14 @@
 
 use crate::control::presence::{Beat, Pulse, INTERVAL};
 use crate::steer::allowance::{Tally, Teller};
+use crate::steer::quarantine::Note;
 
-use super::{now, Error, Host};
+use super::{now, quarantine, Error, Host};
 
 /// The longest datagram that is read, in bytes.
 const LONGEST: usize = 1400;
+/// Notes that one datagram has: each takes up to 70 bytes.
+const NOTES: usize = 16;
 /// Accounts that one datagram tells of: each takes up to 16 bytes.
 const TALLIES: usize = 80;
 
@@ -36,6 +39,9 @@
     /// What accounts asked of the sender since it started.
     #[serde(rename = "t")]
     Tallies(Tallies),
+    /// Of requests that crash targets.
+    #[serde(rename = "n")]
+    Notes(Vec<Note>),
 }
 
 /// What a host tells of accounts.
@@ -141,6 +147,13 @@
     beat(host, &all(host)).await;
 }
 
+/// Tells other hosts how requests stand that crash targets.
+pub(crate) async fn send_notes(host: &Host, notes: &[Note], peers: &[SocketAddr]) {
+    for part in notes.chunks(NOTES) {
+        send(host, &Datagram::Notes(part.to_vec()), peers).await;
+    }
+}
+
 /// Tells all hosts that a target is cold.
 pub(crate) async fn tell_cold(host: &Host, id: &Arc<str>, left: Duration) {
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
@@ -148,7 +161,7 @@
 }
 
 /// Where all other hosts take heartbeats.
-fn all(host: &Host) -> Vec<SocketAddr> {
+pub(crate) fn all(host: &Host) -> Vec<SocketAddr> {
     let core = host.core.borrow();
     core.presence.peers().map(|peer| peer.peers).collect()
 }
@@ -198,6 +211,7 @@
                 host.core.borrow_mut().fleet.chill(now(), &id, left);
             }
             Ok(Datagram::Tallies(told)) => hear_tallies(&host, sender, &told),
+            Ok(Datagram::Notes(notes)) => quarantine::hear(&host, &notes),
             Err(error) => spdlog::warn!("beat: {sender} sent something else: {error}"),
         }
     }
@@ -209,5 +223,6 @@
     if is_new {
         // A host that has just started waits to hear from the others.
         beat(host, &[peer]).await;
+        quarantine::tell_standings(host, &[peer]).await;
     }
 }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -16,6 +16,7 @@
 use crate::port::{Bounds, Entry, Kind, Settings, Value};
 use crate::steer::allowance::Ledger;
 use crate::steer::fleet::Fleet;
+use crate::steer::quarantine::Quarantine;
 use crate::steer::retry::Budgets;
 
 /// How long targets that are missing after the store was away may take to register again.
@@ -35,6 +36,8 @@
     /// The version of the own registration in the store.
     pub(crate) registered: Option<u64>,
     pub(crate) budgets: Budgets,
+    /// Requests that crash targets.
+    pub(crate) quarantine: Quarantine,
     /// What accounts may still ask, if quotas are kept.
     pub(crate) ledger: Option<Ledger>,
     /// Since when the configuration is surely the newest one.
@@ -99,6 +102,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             registered: None,
             budgets,
+            quarantine: Quarantine::new(seed),
             told: BTreeMap::new(),
             debts: BTreeMap::new(),
         }
@@ -239,6 +243,7 @@
     /// Does what is due with each heartbeat that is sent.
     pub(crate) fn tick(&mut self, now: Instant) {
         self.presence.tick(now);
+        self.quarantine.expire(now);
         self.count_hosts(now);
     }
 
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -1,5 +1,6 @@
 //! One request's course: choice of a target, sending, the answer, and what follows when there is none.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -18,13 +19,13 @@
 use super::body::{self, Body, Part};
 use super::client::{self, Connection, Unanswered};
 use super::record::{self, Stop, Story};
-use super::{answer, log, message, now, Host};
+use super::{answer, log, message, now, quarantine, Host};
 use crate::border::settings::Switch;
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
 use crate::port::{Answer, Head};
 use crate::steer::fingerprint::Fingerprint;
-use crate::steer::fleet::{Ask, End, Refusal, Seen};
+use crate::steer::fleet::{Ask, End, Member, Refusal, Seen};
 use crate::steer::pause::Refused;
 
 /// How long a connection may take to be established: a round trip between regions and a lost
@@ -45,6 +46,8 @@
     pub(crate) body: Kept,
     /// What stays the same when the request comes again.
     pub(crate) fingerprint: Fingerprint,
+    /// Whether the caller broke off the body that was passed on.
+    pub(crate) cut: Rc<Cell<bool>>,
 }
 
 /// What the host has of a request's body.
@@ -76,12 +79,16 @@
     pub(crate) target: TargetKey,
     pub(crate) begun: Instant,
     pub(crate) end: End,
+    /// A digest of the target's process, which may be forgotten before the request ends.
+    pub(crate) digest: u64,
     seen: Seen,
 }
 
 impl Grant {
     fn new(host: &Rc<Host>, target: TargetKey, seen: Seen) -> Self {
+        let digest = host.core.borrow().fleet.member(target).map(Member::digest);
         Self {
+            digest: digest.unwrap_or_default(),
             host: host.clone(),
             target,
             begun: now(),
@@ -167,7 +174,19 @@
     let mut failed = None;
     let mut unknown = false;
     let once = exchange.route.repeat == Repeat::Never;
+    let mut leave = None;
     story.stop = loop {
+        if ask.tried.is_empty() {
+            match quarantine::permit(host, exchange).await {
+                Ok(given) => leave = given,
+                Err(pause) => break Stop::Quarantined(pause),
+            }
+            if leave.is_some() {
+                // At a target of its own, where no other suspected request of its object is.
+                ask.key = exchange.fingerprint.0;
+                ask.object = None;
+            }
+        }
         let target = match choose(host, ask) {
             Ok(target) => target,
             Err(refusal) => break Stop::Refused(refusal),
@@ -184,6 +203,7 @@
         story.begin(host, &grant);
         let outcome = send(host, exchange, ask, &mut grant, part).await;
         story.end(&grant);
+        quarantine::judge(host, exchange, &grant);
         drop(grant);
         ask.tried.push(target);
         match outcome {
@@ -203,6 +223,7 @@
             break stop;
         }
     };
+    drop(leave);
     match failed {
         Some(response) => response,
         None if !unknown => {
@@ -217,6 +238,9 @@
 
 /// When the caller of a request that did not run may come back.
 fn pause(host: &Host, exchange: &Exchange, ask: &Ask<'_>, stop: Stop) -> Duration {
+    if let Stop::Quarantined(pause) = stop {
+        return pause;
+    }
     if host.settings.switches.room_pause == Switch::Off {
         return answer::COME_BACK;
     }
@@ -233,7 +257,10 @@
 /// only what is used is taken.
 fn exhausted(host: &Host, exchange: &Exchange, ask: &Ask<'_>) -> Option<Stop> {
     let left = exchange.deadline.saturating_duration_since(now());
-    if ask.tried.len() >= exchange.route.attempts as usize {
+    if !host.core.borrow().quarantine.is_free(exchange.fingerprint) {
+        // One more target would crash.
+        Some(Stop::Suspected)
+    } else if ask.tried.len() >= exchange.route.attempts as usize {
         Some(Stop::Attempts)
     } else if left < LEAST {
         Some(Stop::Time)
@@ -308,7 +335,7 @@
         Ok(connection) => connection,
         Err(error) => {
             spdlog::debug!("exchange: {address}: {error}");
-            grant.end = End::Broken;
+            grant.end = End::Unreached;
             return Outcome::NotRun;
         }
     };
@@ -339,11 +366,13 @@
         match tokio::time::timeout_at(until.into(), &mut answer).await {
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(unanswered)) => {
-                grant.end = End::Broken;
-                return Err(match unanswered {
-                    Unanswered::NotSent => Outcome::NotRun,
-                    Unanswered::Sent => Outcome::Unknown,
-                });
+                let (end, outcome) = match unanswered {
+                    Unanswered::NotSent => (End::Unreached, Outcome::NotRun),
+                    Unanswered::Sent if exchange.cut.get() => (End::Cancelled, Outcome::Unknown),
+                    Unanswered::Sent => (End::Broken, Outcome::Unknown),
+                };
+                grant.end = end;
+                return Err(outcome);
             }
             Err(_) => {}
         }
@@ -423,7 +452,7 @@
     }
     if told.id != exchange.head.id {
         record::stray(host, exchange, grant);
-        grant.end = End::Broken;
+        grant.end = End::Stray;
         return Outcome::Unknown;
     }
     let read = connection.read(collect(exchange, incoming));
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -74,6 +74,7 @@
     let fingerprint = fingerprint(&parts, &head, &admitted, &body);
     let exchange = Exchange {
         fingerprint,
+        cut: Rc::default(),
         route,
         admitted,
         head,
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -15,6 +15,7 @@
 
 use crate::port::Kind;
 use crate::steer::fleet::Turn;
+use crate::steer::quarantine::Note;
 
 /// Lines that may wait to be written: some seconds of the limits below.
 const QUEUE: NonZeroUsize = NonZeroUsize::MIN.saturating_add(511);
@@ -69,6 +70,12 @@
     Ejected => "target.ejected",
     /// A target that was taken out is in use again.
     Restored => "target.restored",
+    /// A request is suspected to crash targets.
+    Suspected => "request.suspected",
+    /// A request crashed several targets and is kept from them.
+    Quarantined => "request.quarantined",
+    /// A request that was suspected or kept from targets was answered by one.
+    Cleared => "request.cleared",
     /// A configuration came into force.
     Configured => "configuration.in-force",
     /// The availability zones that get nothing have changed.
@@ -184,6 +191,27 @@
     spdlog::info!("a target is in use otherwise", kv: { event = event.as_str(), target = id });
 }
 
+/// How a request stands has changed, or this host tries it again.
+pub(crate) fn standing(note: &Note) {
+    let event = match note {
+        Note::Broke(_) => return,
+        Note::Standing(standing) if standing.refused.is_none() => Event::Suspected,
+        Note::Standing(_) => Event::Quarantined,
+        Note::Cleared(_) => Event::Cleared,
+    };
+    let (targets, term) = match note {
+        Note::Standing(standing) => (standing.targets.len(), standing.refused),
+        _ => (0, None),
+    };
+    spdlog::info!("a request's crashes of targets", kv: {
+        event = event.as_str(),
+        fingerprint = note.fingerprint().to_string().as_str(),
+        targets,
+        failures = term.map_or(0, |term| term.failures),
+        due_ms = term.map_or(0, |term| term.due_ms)
+    });
+}
+
 /// Makes the default logger write JSON lines.
 pub(crate) fn install() -> Result<(), spdlog::Error> {
     let output: Arc<dyn Sink> = StdStreamSink::builder()
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -4,6 +4,7 @@
     HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{response, HeaderMap, HeaderValue, Request, Response};
+use http_body_util::BodyExt;
 
 use super::body::{self, Body, Part};
 use super::exchange::Exchange;
@@ -46,7 +47,14 @@
             }
             body::whole(bytes)
         }
-        Part::Start(start, rest) => body::stream(start, rest, exchange.longest_body),
+        Part::Start(start, rest) => {
+            let cut = exchange.cut.clone();
+            let body = body::stream(start, rest, exchange.longest_body);
+            Box::pin(body.map_err(move |error| {
+                cut.set(true);
+                error
+            }))
+        }
     };
     let mut request = Request::new(body);
     *request.method_mut() = exchange.parts.method.clone();
--- a/src/host/record.rs
+++ b/src/host/record.rs
@@ -39,6 +39,10 @@
     Body,
     /// Its caller left.
     Left,
+    /// It is suspected to crash targets, and is not repeated.
+    Suspected,
+    /// It crashed several targets, and may be tried again after this time.
+    Quarantined(Duration),
 }
 
 impl Stop {
@@ -53,6 +57,8 @@
             Self::Budget => "budget",
             Self::Body => "body",
             Self::Left => "caller-left",
+            Self::Suspected => "suspected",
+            Self::Quarantined(_) => "quarantined",
         }
     }
 }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -75,8 +75,12 @@
     Refused,
     /// Another target has its address.
     Misdirected,
-    /// It could not be reached, or broke off, or answered with nonsense.
+    /// It could not be reached.
+    Unreached,
+    /// It broke off before its answer was whole.
     Broken,
+    /// It answered another request.
+    Stray,
     /// It was silent for too long, and this host gave up.
     Silent,
     /// This host or the caller gave up.
@@ -405,7 +409,7 @@
         }
         let sign = match end {
             End::Answered => Sign::Good,
-            End::Failed | End::Broken | End::Silent => Sign::Bad,
+            End::Failed | End::Unreached | End::Broken | End::Stray | End::Silent => Sign::Bad,
             End::Misdirected => {
                 member.misdirected = true;
                 return None;
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -50,6 +50,11 @@
 }
 
 impl Member {
+    /// A digest of its identity and of its process.
+    pub fn digest(&self) -> u64 {
+        self.seed ^ self.registration.born.unwrap_or_default()
+    }
+
     /// The identity of its process.
     pub fn id(&self) -> &Arc<str> {
         &self.registration.id
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -17,6 +17,7 @@
 pub mod pass;
 pub mod pause;
 pub mod pick;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod retry;
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -674,3 +674,28 @@
     }
     assert!((0.5..10.0).contains(&looks(11)));
 }
+
+#[test]
+fn one_host_of_each_zone_counts_what_belongs_to_a_key() {
+    let start = Instant::now();
+    let others: Vec<(String, &str)> = (1..60)
+        .map(|number| (format!("h{number}"), ["n-a", "n-b", "s-a"][number % 3]))
+        .collect();
+    let others: Vec<(&str, &str)> = others.iter().map(|(host, zone)| (&**host, *zone)).collect();
+    let presence = presence(start, &others);
+    let zone = |place: &SocketAddr| {
+        let other = others.iter().find(|(host, _)| self::place(host) == *place);
+        other.unwrap().1
+    };
+    let mut all = BTreeSet::new();
+    for key in 0..200 {
+        let counters = presence.counters(start, key);
+        let zones: BTreeSet<&str> = counters.iter().map(zone).collect();
+        assert_eq!(zones.len(), counters.len());
+        // The own zone's may be this host itself.
+        assert!(zones.contains("n-b") && zones.contains("s-a"));
+        assert_eq!(counters, presence.counters(start, key));
+        all.extend(counters);
+    }
+    assert!(all.len() > 50, "{} hosts count for 200 keys", all.len());
+}
