Keep a request that crashes targets from the next ones at the own interface too

What callers saw: one caller with one request took a service from all callers; 15 to 28 in 100 of the others' requests were answered while it came.

Cause: as on the platform, nothing remembered which request had been at targets that broke off, and retries, hedges and relays sent it to more of them.

Change: the engine asks the same quarantine with each first try and gives no leave for retries and hedges of a suspected request; hosts pass notes on over their links, each once; a host that is linked anew is told how requests stand.

Why this holds: evidence is taken where a target is called, whoever relayed the request, and verdicts at the host that a caller chose and at the relaying one.

A popular request under a roll, a rack and a rapid roll is never refused as quarantined.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -17,6 +17,7 @@
 use ragwortfold::border::settings::Steer;
 use ragwortfold::catalog::{Cap, Catalog, HostKey, RegionKey, ServiceKey, Table, ZoneKey};
 use ragwortfold::steer::engine::{Ask, Engine, Kind, Origin, Verdict};
+use ragwortfold::steer::fingerprint::Fingerprint;
 use ragwortfold::steer::goal::{Standing, View};
 use ragwortfold::steer::group::{End, Report};
 use ragwortfold::steer::lookup::Snapshot;
@@ -396,6 +397,7 @@
                                 deadline: now + Duration::from_secs(1),
                                 targets: tried.clone(),
                                 hosts: vec![],
+                                fingerprint: Fingerprint(0),
                             };
                             *ways
                                 .entry(decide(&mut engine, now, ask, &mut rng))
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -20,6 +20,7 @@
 use super::summary::{self, Load, Message, Sample, Sender, Table, Taken};
 use super::wire::{Ask, Frame};
 use crate::catalog::{Catalog, HostKey, RegionKey, ServiceKey, ZoneKey};
+use crate::steer::quarantine::Note;
 
 /// Time between looks at who fell silent.
 const LOOK: Duration = Duration::from_millis(100);
@@ -51,6 +52,8 @@
     Changed,
     /// Another plan is in force.
     Planned,
+    /// A host told of requests that crash targets.
+    Notes(HostKey, Vec<Note>),
 }
 
 /// When regular work is due next.
@@ -327,6 +330,16 @@
             }
             Frame::Plan(record, root) => self.hear_plan(from, record, root),
             Frame::Ask(ask) => self.answer(now, from, &ask),
+            Frame::Notes(notes) => self.outputs.push(Output::Notes(from, notes)),
+        }
+    }
+
+    /// Tells all that are linked with this host, but the one that told it, of requests that crash targets.
+    pub fn tell(&mut self, notes: Vec<Note>, teller: Option<HostKey>) {
+        let linked = self.near.union(&self.far).copied();
+        let hosts: Vec<HostKey> = linked.filter(|host| Some(*host) != teller).collect();
+        if !notes.is_empty() && !hosts.is_empty() {
+            self.outputs.push(Output::Send(hosts, Frame::Notes(notes)));
         }
     }
 
--- a/src/control/wire.rs
+++ b/src/control/wire.rs
@@ -8,6 +8,7 @@
 use super::membership::{Beat, Roster};
 use super::plan::{Record, Stamp};
 use super::summary::Message;
+use crate::steer::quarantine::Note;
 
 /// One control message. The root, where there is one, is the host from which it spreads over a zone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -28,6 +29,9 @@
     Plan(Record, Option<Arc<str>>),
     /// Something was missed: it is to be sent again in full.
     Ask(Ask),
+    /// Of requests that crash targets. Who learns something new from it passes it on.
+    #[serde(rename = "n")]
+    Notes(Vec<Note>),
 }
 
 /// What is to be sent in full.
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -3,6 +3,8 @@
 use std::io::{self, Cursor, Read};
 use std::sync::Arc;
 
+use crate::steer::fingerprint::PREFIX;
+
 /// A request's body.
 pub(crate) enum Body {
     /// All of it, so that it can be sent again.
@@ -15,6 +17,8 @@
 pub(crate) struct Part {
     /// What was read.
     held: Vec<u8>,
+    /// So much of it counts for the request's fingerprint: the same however the body arrives.
+    counted: usize,
     /// Length stated by the sender; none for a chunked body.
     pub(crate) length: Option<u64>,
     /// Most bytes it may have.
@@ -50,21 +54,26 @@
         if length.is_some_and(|length| length > most) {
             return Err(Error::Oversize(most));
         }
+        let counted = hold.min(PREFIX as u64);
         let mut part = Part {
             held: Vec::new(),
+            counted: counted as usize,
             length,
             most,
         };
-        if length.is_some_and(|length| length > hold) {
-            return Ok(Self::Part(part));
-        }
-        let limit = length.unwrap_or(hold.min(most) + 1);
+        let is_long = length.is_some_and(|length| length > hold);
+        let limit = match length {
+            Some(_) if is_long => counted,
+            Some(length) => length,
+            None => hold.min(most) + 1,
+        };
         reader
             .take(limit)
             .read_to_end(&mut part.held)
             .map_err(Error::Short)?;
         let count = part.held.len() as u64;
         match length {
+            Some(_) if is_long && count == limit => Ok(Self::Part(part)),
             Some(length) if count < length => Err(Error::Short(missing(count, length))),
             None if count > most => Err(Error::Oversize(most)),
             None if count > hold => Ok(Self::Part(part)),
@@ -73,6 +82,16 @@
     }
 }
 
+impl Body {
+    /// What counts of it for the request's fingerprint.
+    pub(crate) fn content(&self) -> &[u8] {
+        match self {
+            Self::Whole(bytes) => bytes,
+            Self::Part(part) => &part.held[..part.counted.min(part.held.len())],
+        }
+    }
+}
+
 fn missing(count: u64, length: u64) -> io::Error {
     let text = format!("{count} of {length} bytes");
     io::Error::new(io::ErrorKind::UnexpectedEof, text)
@@ -87,6 +106,7 @@
             left: self.length.unwrap_or(self.most),
             rest: 0,
             held: self.held.len() as u64,
+            failed: false,
         }
     }
 }
@@ -98,9 +118,15 @@
     left: u64,
     rest: u64,
     held: u64,
+    failed: bool,
 }
 
 impl Stream<'_> {
+    /// Whether its sender broke it off, or sent more or less than stated.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failed
+    }
+
     /// Whether any of it is no longer held.
     pub(crate) fn is_consumed(&self) -> bool {
         self.rest > self.held
@@ -109,6 +135,14 @@
 
 impl Read for Stream<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let result = self.read_on(buffer);
+        self.failed |= result.is_err();
+        result
+    }
+}
+
+impl Stream<'_> {
+    fn read_on(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let count = self.reader.read(buffer)?;
         self.rest += count as u64;
         if count == 0 && !buffer.is_empty() && self.length.is_some() && self.left > 0 {
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -22,6 +22,7 @@
 use crate::steer::attempt::{self, Break, Course, Final, Outcome, Place, Reason, Stage, Step, Try};
 use crate::steer::dedupe;
 use crate::steer::engine::{Ask, Id, Kind, Origin, Refusal, Verdict};
+use crate::steer::fingerprint::Fingerprint;
 use crate::steer::group;
 use crate::steer::pass::{Back, Pass};
 
@@ -42,6 +43,8 @@
     pub(crate) origin: Origin,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+    /// What stays the same when the request comes again.
+    pub(crate) fingerprint: Fingerprint,
 }
 
 /// A request on its way.
@@ -50,6 +53,8 @@
     course: Mutex<Course>,
     sender: Mutex<Option<Sender>>,
     answered: AtomicBool,
+    /// Whether its sender broke off the body that was passed on.
+    cut: AtomicBool,
     timing: Mutex<Timing>,
     key: Mutex<Option<dedupe::Run>>,
     /// The answer of a target that was unavailable, should no other try do better.
@@ -78,6 +83,7 @@
             course: Mutex::new(Course::new(repeat, start.deadline)),
             sender: Mutex::new(Some(sender)),
             answered: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
             timing: Mutex::default(),
             key: Mutex::default(),
             fallback: Mutex::default(),
@@ -175,6 +181,7 @@
             deadline: start.deadline,
             targets,
             hosts,
+            fingerprint: start.fingerprint,
         }
     }
 
@@ -219,6 +226,7 @@
                     load: None,
                     state: None,
                 };
+                self.judge(shared, target, cause, started);
                 shared.core.send(Event::Finish(grant, report));
                 spdlog::debug!("call: {} at {}: {error}", self.start.id, self.name(target));
                 self.fail(shared, key, cause, RETRY_AFTER, None)
@@ -265,6 +273,9 @@
         if stream.is_consumed() {
             self.course().consume();
         }
+        if stream.has_failed() {
+            self.cut.store(true, Ordering::Relaxed);
+        }
         result
     }
 
@@ -370,6 +381,10 @@
             None => group::End::Answered,
             Some(cause) => end_of(cause),
         };
+        match cause {
+            None => shared.core.send(Event::Answered(self.start.fingerprint)),
+            Some(cause) => self.judge(shared, grant.target(), cause, started),
+        }
         finish(shared, grant, end, &answer, started);
         match (held, cause) {
             (Ok(body), None) => {
@@ -410,12 +425,18 @@
         let reply = to_reply(answer, reply::Body::Stream(body, length));
         let step = self.course().answer(key);
         let step = self.conclude(shared, step, RETRY_AFTER, Some(reply));
+        let fingerprint = self.start.fingerprint;
+        let end = if broke.load(Ordering::Relaxed) {
+            shared
+                .core
+                .send(Event::Broke(fingerprint, grant.target(), started));
+            group::End::Broken
+        } else {
+            shared.core.send(Event::Answered(fingerprint));
+            group::End::Answered
+        };
         let report = group::Report {
-            end: if broke.load(Ordering::Relaxed) {
-                group::End::Broken
-            } else {
-                group::End::Answered
-            },
+            end,
             latency: started.elapsed(),
             load: load.0.map(to_load),
             state: load.1.as_deref().and_then(to_state),
@@ -424,6 +445,14 @@
         step
     }
 
+    /// Tells the core of a try that a target broke off, which may have crashed by it.
+    fn judge(&self, shared: &Shared, target: TargetKey, cause: Break, begun: Instant) {
+        if cause.is_cut_by_target() && !self.cut.load(Ordering::Relaxed) {
+            let fingerprint = self.start.fingerprint;
+            shared.core.send(Event::Broke(fingerprint, target, begun));
+        }
+    }
+
     fn fail(
         &self,
         shared: &Shared,
@@ -468,6 +497,7 @@
         if self.answered.swap(true, Ordering::Relaxed) {
             return;
         }
+        shared.core.send(Event::Done(self.start.id));
         let outcome = end.outcome;
         let reply = answer.filter(|_| outcome == Outcome::Answered);
         if let Some(run) = lock(&self.key).take() {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -16,10 +16,12 @@
 use crate::control::membership::{Listing, Sight};
 use crate::control::plan::Record;
 use crate::control::summary::Load;
+use crate::control::wire::Frame;
 use crate::control::{lease, publish};
 use crate::peer::frame::{Fetch, Message, Split as Share, Splits};
 use crate::peer::mesh::{Event, Mesh};
 use crate::steer::goal::{Standing, View};
+use crate::steer::quarantine::Note;
 use crate::steer::split::Split;
 use crate::store::client::{Host, HostState};
 
@@ -41,6 +43,8 @@
     pub(crate) joined: Vec<HostKey>,
     /// The splits of another host.
     pub(crate) splits: Option<Shares>,
+    /// What hosts told of requests that crash targets.
+    pub(crate) notes: Vec<(HostKey, Note)>,
 }
 
 /// The links and the agent of one host.
@@ -257,6 +261,11 @@
                 let _ = self.feed.send(News::Newer(name, revision));
             }
             Output::Changed | Output::Planned => change.picture = true,
+            Output::Notes(host, notes) => {
+                change
+                    .notes
+                    .extend(notes.into_iter().map(|note| (host, note)));
+            }
         }
         if let Some(agent) = &self.agent {
             self.delegate.store(agent.is_delegate(), Ordering::Relaxed);
@@ -293,6 +302,20 @@
         }
     }
 
+    /// Tells other hosts of requests that crash targets; `teller` told this one.
+    pub(crate) fn tell(&mut self, notes: Vec<Note>, teller: Option<HostKey>) {
+        if let Some(agent) = &mut self.agent {
+            agent.tell(notes, teller);
+        }
+    }
+
+    /// Tells hosts that are new here of requests that crash targets.
+    pub(crate) fn send_notes(&self, hosts: &[HostKey], notes: Vec<Note>) {
+        if !hosts.is_empty() && !notes.is_empty() {
+            self.broadcast(hosts, &Message::Control(Frame::Notes(notes)));
+        }
+    }
+
     /// Sends this host's splits to hosts that are new here.
     pub(crate) fn send_splits(&self, hosts: &[HostKey], shares: &Shares) {
         if hosts.is_empty() || shares.is_empty() {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -25,15 +25,17 @@
 use super::status::Status;
 use super::{Error, Published};
 use crate::border::settings::Settings;
-use crate::catalog::{Catalog, ServiceKey, TargetKey};
+use crate::catalog::{Catalog, HostKey, ServiceKey, TargetKey};
 use crate::control::plan::Record;
 use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
-use crate::steer::dedupe::{Begin, End, Fingerprint, Keys, Run};
+use crate::steer::dedupe::{Begin, End, Identity, Keys, Run};
 use crate::steer::engine::{Ask, Decision, Engine, Id, Kind, Refusal, Verdict};
+use crate::steer::fingerprint::Fingerprint;
 use crate::steer::group;
 use crate::steer::pass::{Back, Pass};
+use crate::steer::quarantine::Note;
 use crate::steer::ticket::{Generation, Rotation};
 use crate::store::client::Host;
 
@@ -60,6 +62,12 @@
     Ask(Ask, Sender<Verdict>),
     /// A request left a target.
     Finish(group::Grant, group::Report),
+    /// A try that began then broke off at a target, after the request had been sent and before its answer was whole.
+    Broke(Fingerprint, TargetKey, Instant),
+    /// A target has answered a request.
+    Answered(Fingerprint),
+    /// A request has ended.
+    Done(Id),
     /// A request left an entry host of another zone.
     Passed(Pass, Back),
     /// A waiting request is no longer wanted.
@@ -75,7 +83,7 @@
         /// The generation of its ticket.
         generation: Generation,
         /// What tells it from another request with that key.
-        fingerprint: Fingerprint,
+        identity: Identity,
         /// Gets the answer.
         reply: Sender<Begin>,
         /// Gets the end of the run that it joins.
@@ -261,6 +269,15 @@
                 let decisions = self.engine.finish(now, grant, report, &mut self.rng);
                 self.tell(decisions);
             }
+            Event::Broke(fingerprint, target, begun) => {
+                self.engine.broke(now, fingerprint, target, begun);
+                self.tell_notes(None);
+            }
+            Event::Answered(fingerprint) => {
+                self.engine.answered(now, fingerprint);
+                self.tell_notes(None);
+            }
+            Event::Done(id) => self.engine.done(id),
             Event::Passed(pass, back) => self.engine.finish_pass(now, &pass, back),
             Event::Hedge(call, after) => {
                 after!(after, [cx], hedge(call));
@@ -269,13 +286,13 @@
                 service,
                 key,
                 generation,
-                fingerprint,
+                identity,
                 reply,
                 waiter,
             } => {
                 let begin = self
                     .keys
-                    .begin(now, service, key, generation, fingerprint, waiter);
+                    .begin(now, service, key, generation, identity, waiter);
                 let _ = reply.send(begin);
             }
             Event::End(run, end) => {
@@ -316,7 +333,9 @@
 
     fn ask(&mut self, now: Instant, ask: Ask, reply: Sender<Verdict>) {
         let id = ask.id;
-        match self.engine.ask(now, ask, &mut self.rng) {
+        let verdict = self.engine.ask(now, ask, &mut self.rng);
+        self.tell_notes(None);
+        match verdict {
             Some(verdict) => {
                 // The worker waits until its deadline; after that it takes the grant back itself.
                 let _ = reply.send(verdict);
@@ -327,6 +346,29 @@
         }
     }
 
+    /// Tells other hosts what is new of requests that crash targets; `teller` told this one.
+    fn tell_notes(&mut self, teller: Option<HostKey>) {
+        let notes = self.engine.notes();
+        if notes.is_empty() {
+            return;
+        }
+        for note in &notes {
+            log_note(note);
+        }
+        self.control.tell(notes, teller);
+    }
+
+    /// Takes in what other hosts tell of requests that crash targets, and passes on what is new.
+    fn hear_notes(&mut self, now: Instant, notes: Vec<(HostKey, Note)>) {
+        for (teller, note) in notes {
+            if self.engine.hear(now, &note) {
+                log_note(&note);
+                self.control.tell(vec![note], Some(teller));
+            }
+            self.tell_notes(None);
+        }
+    }
+
     fn configure(&mut self, now: Instant, catalog: Arc<Catalog>) {
         let settings = &self.parts.settings;
         self.control.configure(now, &catalog);
@@ -344,7 +386,10 @@
         if !change.joined.is_empty() {
             self.control
                 .send_splits(&change.joined, &self.engine.splits());
+            let standings = self.engine.standings(now);
+            self.control.send_notes(&change.joined, standings);
         }
+        self.hear_notes(now, change.notes);
         self.dirty |= change.picture;
     }
 
@@ -427,6 +472,7 @@
         let now = cx.now();
         let decisions = self.engine.tick(now, &mut self.rng);
         self.tell(decisions);
+        self.tell_notes(None);
         if now >= self.measure {
             self.measure = now + MEASURE;
             let loads = self.engine.measure(now);
@@ -444,3 +490,20 @@
         after!(pause, [cx], tick());
     }
 }
+
+/// How a request stands that crashes targets has changed.
+fn log_note(note: &Note) {
+    let fingerprint = note.fingerprint();
+    match note {
+        Note::Broke(_) => {}
+        Note::Standing(standing) => match standing.refused {
+            None => spdlog::info!("core: requests {fingerprint} broke off at two targets and are sent one at a time"),
+            Some(term) => spdlog::warn!(
+                "core: requests {fingerprint} crash the targets that run them and are refused; tried again in {} ms, {} trials in vain",
+                term.due_ms,
+                term.failures
+            ),
+        },
+        Note::Cleared(_) => spdlog::info!("core: a request {fingerprint} was answered; nothing is held against it"),
+    }
+}
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -23,6 +23,7 @@
 use crate::peer::stream::Incoming;
 use crate::steer::attempt::{Outcome, Reason};
 use crate::steer::engine::Origin;
+use crate::steer::fingerprint::{Content, Fingerprint};
 use crate::steer::lookup::Snapshot;
 
 /// When a caller that found this host full is asked to come back.
@@ -292,6 +293,7 @@
     let place = lookup.place(client, 0);
     Ok(Start {
         id: shared.next_id(),
+        fingerprint: fingerprint(&head, &body),
         head,
         body,
         catalog: catalog.clone(),
@@ -304,6 +306,18 @@
     })
 }
 
+/// The same at the host that a caller chose and at one to which it relays the request.
+fn fingerprint(head: &Head, body: &Body) -> Fingerprint {
+    Fingerprint::new(&Content {
+        method: &head.method,
+        site: &head.service,
+        path: &head.path,
+        account: "",
+        object: "",
+        body: body.content(),
+    })
+}
+
 fn find<'a>(
     state: &'a State,
     head: &Head,
@@ -395,6 +409,7 @@
         .map_err(|_| Outcome::NotRun(Reason::BadRequest))?;
     Ok(Start {
         id: shared.next_id(),
+        fingerprint: fingerprint(&head, &body),
         head,
         body,
         catalog: catalog.clone(),
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -13,7 +13,7 @@
 use super::Shared;
 use crate::catalog::Repeat;
 use crate::steer::attempt::{Outcome, Reason};
-use crate::steer::dedupe::{Answer, Begin, End, Fingerprint, MAX_ANSWER};
+use crate::steer::dedupe::{Answer, Begin, End, Identity, MAX_ANSWER};
 use crate::steer::engine::Refusal;
 use crate::steer::ticket::{Generation, Home};
 
@@ -89,7 +89,7 @@
         service: start.service,
         key,
         generation,
-        fingerprint: fingerprint(&start),
+        identity: identity(&start),
         reply: begun,
         waiter,
     });
@@ -119,13 +119,13 @@
     }
 }
 
-fn fingerprint(start: &Start) -> Fingerprint {
+fn identity(start: &Start) -> Identity {
     let body = match &start.body {
         Body::Whole(bytes) => Some(&bytes[..]),
         Body::Part(_) => None,
     };
     let head = &start.head;
-    Fingerprint::new(&head.method, &head.path, head.length, body)
+    Identity::new(&head.method, &head.path, head.length, body)
 }
 
 fn replay(sender: Sender, answer: &Answer) {
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -10,11 +10,8 @@
 use super::{beat, log, now, Host};
 use crate::steer::fingerprint::Fingerprint;
 use crate::steer::fleet::End;
-use crate::steer::quarantine::{News, Note, Verdict};
+use crate::steer::quarantine::{News, Note, Verdict, UNSURE};
 
-/// How long a suspected request waits until it is known whether it may be sent: targets crash sooner than that. Whatever
-/// is not known then is sent, so that no request is refused on suspicion.
-const UNSURE: Duration = Duration::from_millis(500);
 /// Time between two looks of a request that waits for that.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time between two datagrams that repeat how requests stand, for hosts that missed it.
--- a/src/steer/attempt.rs
+++ b/src/steer/attempt.rs
@@ -72,6 +72,8 @@
     Cancelled,
     /// This host is shutting down.
     Leaving,
+    /// Requests like it crash the targets that run them.
+    Quarantined,
 }
 
 /// The reply that tells the caller its outcome.
@@ -167,6 +169,7 @@
             Self::CallerGone => "caller-gone",
             Self::Cancelled => "cancelled",
             Self::Leaving => "leaving",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -338,6 +341,16 @@
         }
     }
 
+    /// Whether the target ended the connection after a part of the request had been sent and before the answer was whole, as
+    /// one does that crashes.
+    pub fn is_cut_by_target(self) -> bool {
+        match self {
+            Self::Cut(stage) | Self::Stale(stage) => stage >= Stage::Head,
+            Self::WrongLength(_) => true,
+            _ => false,
+        }
+    }
+
     fn outcome(self) -> Outcome {
         match self.facts() {
             (Ran::No, _, reason) => Outcome::NotRun(reason),
--- a/src/steer/dedupe.rs
+++ b/src/steer/dedupe.rs
@@ -50,10 +50,10 @@
 
 /// Tells whether two requests with the same key are the same request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Fingerprint(u128);
+pub struct Identity(u128);
 
-impl Fingerprint {
-    /// The fingerprint of a request. `length` and `body` are those that are known before it runs.
+impl Identity {
+    /// The identity of a request. `length` and `body` are those that are known before it runs.
     pub fn new(method: &str, path: &str, length: Option<u64>, body: Option<&[u8]>) -> Self {
         let mut hash = Xxh3::new();
         for part in [method.as_bytes(), path.as_bytes()] {
@@ -117,7 +117,7 @@
 #[derive(Clone, Debug)]
 struct Record<W> {
     serial: u64,
-    fingerprint: Fingerprint,
+    identity: Identity,
     generation: Generation,
     /// Bytes it holds or, while it runs, may come to hold.
     bytes: usize,
@@ -182,7 +182,7 @@
         service: ServiceKey,
         key: Arc<str>,
         generation: Generation,
-        fingerprint: Fingerprint,
+        identity: Identity,
         waiter: W,
     ) -> Begin {
         self.oldest = self.oldest.max(self.rotation.oldest(now));
@@ -193,16 +193,16 @@
         let name = (service, key);
         if self.records.contains_key(&name) {
             self.keep_until(&name, generation);
-            return self.repeat(&name, fingerprint, waiter);
+            return self.repeat(&name, identity, waiter);
         }
-        self.insert(now, name, generation, fingerprint)
+        self.insert(now, name, generation, identity)
     }
 
-    fn repeat(&mut self, name: &Name, fingerprint: Fingerprint, waiter: W) -> Begin {
+    fn repeat(&mut self, name: &Name, identity: Identity, waiter: W) -> Begin {
         let Some(record) = self.records.get_mut(name) else {
             return Begin::Unknown;
         };
-        if record.fingerprint != fingerprint {
+        if record.identity != identity {
             return Begin::Mismatch;
         }
         match &mut record.state {
@@ -222,7 +222,7 @@
         now: Instant,
         name: Name,
         generation: Generation,
-        fingerprint: Fingerprint,
+        identity: Identity,
     ) -> Begin {
         let bytes = OVERHEAD + name.1.len() + MAX_ANSWER;
         if !self.fits(bytes) {
@@ -236,7 +236,7 @@
         self.bytes += bytes;
         let record = Record {
             serial: self.serial,
-            fingerprint,
+            identity,
             generation,
             bytes,
             state: State::Running(Vec::new()),
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -8,14 +8,17 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::Reason;
 use super::budgets::{Budgets, Switches};
+use super::fingerprint::Fingerprint;
 use super::goal::{goal, Hold, Standing, View};
 use super::group::{self, Group};
 use super::hedge;
 use super::lookup::Snapshot;
 use super::pass::{Back, Pass, Quotas};
+use super::quarantine::{Heard, News, Note, Quarantine, Verdict as Leave, UNSURE};
 use super::shift::{self, Caps, Kind as Kindred, Shift};
 use super::split::Split;
 use super::tally::Tally;
@@ -91,6 +94,8 @@
     pub targets: Vec<TargetKey>,
     /// Hosts that were tried.
     pub hosts: Vec<HostKey>,
+    /// What stays the same when the request comes again.
+    pub fingerprint: Fingerprint,
 }
 
 /// Where a request goes.
@@ -151,6 +156,13 @@
     served: BTreeMap<ServiceKey, Split>,
     view: View,
     hold: Hold,
+    quarantine: Quarantine,
+    /// Suspected requests that wait until it is known whether they may be sent, and until when.
+    unsure: Vec<(Instant, Ask)>,
+    /// Suspected requests that have leave to be sent.
+    leaves: BTreeMap<Id, Fingerprint>,
+    /// What other hosts are to be told of requests that crash targets.
+    notes: Vec<Note>,
 }
 
 impl Engine {
@@ -178,6 +190,10 @@
             served: BTreeMap::new(),
             view: View::default(),
             hold: Hold::new(HOLD),
+            quarantine: Quarantine::new(incarnation),
+            unsure: Vec::new(),
+            leaves: BTreeMap::new(),
+            notes: Vec::new(),
         }
     }
 
@@ -423,6 +439,100 @@
         if let Some(refusal) = self.count(now, &ask) {
             return Some(Verdict::Refused(refusal));
         }
+        if ask.kind != Kind::First {
+            // A repeat of a request that crashes targets would crash one more.
+            return match self.quarantine.is_free(ask.fingerprint) {
+                true => self.place(now, ask, rng),
+                false => Some(Verdict::refused(Reason::Quarantined)),
+            };
+        }
+        self.permit(now, now + UNSURE, ask, rng)
+    }
+
+    /// Sends a first try on its way if it may be sent, as far as it is suspected to crash targets. What is not known at
+    /// `until` is sent.
+    fn permit(
+        &mut self,
+        now: Instant,
+        until: Instant,
+        ask: Ask,
+        rng: &mut impl Rng,
+    ) -> Option<Verdict> {
+        let (leave, told) = self.quarantine.ask(now, ask.fingerprint);
+        self.notes.extend(told);
+        match leave {
+            Leave::Refused(retry_after) => Some(Verdict::Refused(Refusal {
+                reason: Reason::Quarantined,
+                retry_after,
+            })),
+            Leave::Wait if now < until => {
+                self.unsure.push((until, ask));
+                None
+            }
+            Leave::Alone => self.place_alone(now, ask, rng),
+            Leave::Wait | Leave::Free => self.place(now, ask, rng),
+        }
+    }
+
+    /// Sends a suspected request on its way, and keeps its leave while it is at a target of this zone. A host of another zone
+    /// gives leave of its own.
+    fn place_alone(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
+        let (id, fingerprint) = (ask.id, ask.fingerprint);
+        let verdict = self.place(now, ask, rng);
+        match verdict {
+            None | Some(Verdict::Target { .. }) => {
+                self.leaves.insert(id, fingerprint);
+            }
+            Some(Verdict::Host(_) | Verdict::Refused(_)) => self.quarantine.done(fingerprint),
+        }
+        verdict
+    }
+
+    /// A request's tries at targets of this zone have ended, or it was refused.
+    pub fn done(&mut self, id: Id) {
+        if let Some(fingerprint) = self.leaves.remove(&id) {
+            self.quarantine.done(fingerprint);
+        }
+    }
+
+    /// A try that began at `begun` broke off at a target, after the request had been sent and before its answer was whole.
+    pub fn broke(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        target: TargetKey,
+        begun: Instant,
+    ) {
+        let name = &self.catalog.target(target).name;
+        let digest = xxh3_64(name.as_bytes());
+        let News { counters, all } = self.quarantine.broke(now, fingerprint, digest, begun);
+        self.notes.extend(counters.into_iter().chain(all));
+    }
+
+    /// A target has answered a request.
+    pub fn answered(&mut self, now: Instant, fingerprint: Fingerprint) {
+        let told = self.quarantine.answered(now, fingerprint);
+        self.notes.extend(told);
+    }
+
+    /// Takes in what another host tells of requests that crash targets; says whether that is new here.
+    pub fn hear(&mut self, now: Instant, note: &Note) -> bool {
+        let Heard { is_new, all } = self.quarantine.hear(now, note);
+        self.notes.extend(all);
+        is_new
+    }
+
+    /// Takes what other hosts are to be told of requests that crash targets.
+    pub fn notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// How all suspected and refused requests stand, for a host that may not know of them.
+    pub fn standings(&self, now: Instant) -> Vec<Note> {
+        self.quarantine.standings(now).collect()
+    }
+
+    fn place(&mut self, now: Instant, ask: Ask, rng: &mut impl Rng) -> Option<Verdict> {
         match ask.origin {
             Origin::Host => self.admit(now, ask, rng),
             Origin::Caller | Origin::Home => self.route(now, ask, rng),
@@ -820,6 +930,8 @@
 
     /// A request that waits is no longer wanted.
     pub fn cancel(&mut self, id: Id) {
+        self.unsure.retain(|(_, ask)| ask.id != id);
+        self.done(id);
         self.spare.remove(&id);
         if let Some(service) = self.waiting.remove(&id) {
             if let Some(group) = self.groups.get_mut(&service) {
@@ -837,6 +949,12 @@
             ready.extend(group.ready(now, rng));
         }
         let mut decisions = self.release(now, ready);
+        for (until, ask) in std::mem::take(&mut self.unsure) {
+            let id = ask.id;
+            let verdict = self.permit(now, until, ask, rng);
+            decisions.extend(verdict.map(|verdict| (id, verdict)));
+        }
+        self.quarantine.expire(now);
         for (id, refusal) in refused {
             self.waiting.remove(&id);
             let verdict = match self.spare.remove(&id) {
--- a/src/steer/quarantine.rs
+++ b/src/steer/quarantine.rs
@@ -30,6 +30,9 @@
 /// How long hosts that had an answer have to say so before a suspected request is sent again: a message there and back between
 /// regions.
 const OBJECTION: Duration = Duration::from_millis(150);
+/// How long a suspected request waits for [`Verdict::Wait`] to change: targets crash sooner than that. What is not known then is
+/// sent, so that no request is refused on suspicion.
+pub const UNSURE: Duration = Duration::from_millis(500);
 /// How long a suspicion lasts without another crash.
 const SUSPICION: Duration = Duration::from_secs(30);
 /// How long a request that was answered is not suspected again.
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -7,11 +7,13 @@
 
 mod world;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use serde_json::json;
 use standin::crash::{play, Settings, Target};
-use world::{send, World};
+use world::{send, Answer, World};
 
 const ZONES: [(&str, &str); 4] = [
     ("lima", "lima-a"),
@@ -31,8 +33,8 @@
 /// The part of the other requests that must be answered in that time, after [`STABLE`].
 const SERVED: f64 = 0.99;
 
-#[test]
-fn a_request_that_crashes_targets_is_kept_from_them() {
+/// Four zones of one host each, and targets that a request to `crash` crashes.
+fn world() -> (World, Vec<Target>) {
     let lookups = json!({"class": "pass-lookup", "idempotent": true, "deadline_ms": 5000});
     let mut world = World::new()
         .without_services()
@@ -49,10 +51,20 @@
         world = world.with_target_at(zone, "lookups", &name, target.address());
         targets.push(target);
     }
-    let world = world.run();
+    (world.run(), targets)
+}
+
+/// Asks a host for a path of the service.
+fn ask(world: &World, host: usize, path: &str) -> Option<Answer> {
+    let url = world.hosts[ZONES[host].1].url(&format!("/v1/services/lookups/{path}"));
+    send("GET", &url, &[], b"").ok()
+}
+
+#[test]
+fn a_request_that_crashes_targets_is_kept_from_them() {
+    let (world, targets) = world();
     let seen = play(&targets, ZONES.len(), STABLE, AFTER, |host, path| {
-        let url = world.hosts[ZONES[host].1].url(&format!("/v1/services/lookups/{path}"));
-        send("GET", &url, &[], b"").map_or(0, |answer| answer.status)
+        ask(&world, host, path).map_or(0, |answer| answer.status)
     });
     assert!(seen.late <= LATE, "{seen:?}");
     assert!(
@@ -60,3 +72,41 @@
         "{seen:?}"
     );
 }
+
+/// Many callers ask for one path while targets end for reasons of their own, each time some of them at once and after a pause:
+/// what is refused is not refused as a request that crashes targets.
+macro_rules! popular {
+    ($($name:ident: $at_once:expr, $pause:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (world, targets) = world();
+            let ended = AtomicBool::new(false);
+            let call = |caller: usize| {
+                let mut answers = Vec::new();
+                while !ended.load(Ordering::SeqCst) {
+                    answers.extend(ask(&world, caller % ZONES.len(), "popular"));
+                }
+                answers
+            };
+            let answers: Vec<Answer> = thread::scope(|scope| {
+                let call = &call;
+                let callers: Vec<_> = (0..16).map(|caller| scope.spawn(move || call(caller))).collect();
+                for some in targets.chunks($at_once) {
+                    some.iter().for_each(Target::crash);
+                    thread::sleep(Duration::from_millis($pause));
+                }
+                ended.store(true, Ordering::SeqCst);
+                callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+            });
+            assert!(answers.iter().any(|answer| answer.status == 200));
+            let quarantined = answers.iter().filter(|answer| answer.text().contains("quarantined"));
+            assert_eq!(quarantined.count(), 0);
+        }
+    )*};
+}
+
+popular! {
+    a_popular_request_survives_a_roll: 1, 400;
+    a_popular_request_survives_a_rack: 4, 1500;
+    a_popular_request_survives_a_rapid_roll: 1, 30;
+}
--- a/tests/dedupe.rs
+++ b/tests/dedupe.rs
@@ -11,7 +11,7 @@
 use ragwortfold::catalog::{Repeat, ServiceKey};
 use ragwortfold::steer::attempt::{Break, Course, Outcome, Place, Reason, Stage, Step, Try};
 use ragwortfold::steer::dedupe::{
-    Answer, Begin, End, Fingerprint, Keys, Run, MAX_ANSWER, MAX_WAITERS,
+    Answer, Begin, End, Identity, Keys, Run, MAX_ANSWER, MAX_WAITERS,
 };
 use ragwortfold::steer::ticket::{Error, Generation, Home, Issuer, Rotation, Ticket};
 
@@ -87,8 +87,8 @@
     Idx::from_raw(RawIdx::from_u32(n))
 }
 
-fn print(path: &str) -> Fingerprint {
-    Fingerprint::new("POST", path, Some(2), Some(b"{}"))
+fn print(path: &str) -> Identity {
+    Identity::new("POST", path, Some(2), Some(b"{}"))
 }
 
 fn answer(size: usize) -> Arc<Answer> {
@@ -201,7 +201,7 @@
             .begin(now, service(n), "k".into(), generation, print, 1)
     };
     assert_eq!(begin(0, print("/other")), Begin::Mismatch);
-    let body = Fingerprint::new("POST", "/", Some(2), Some(b"[]"));
+    let body = Identity::new("POST", "/", Some(2), Some(b"[]"));
     assert_eq!(begin(0, body), Begin::Mismatch);
     assert!(
         matches!(begin(1, print("/other")), Begin::Run(_)),
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -18,6 +18,7 @@
 use ragwortfold::catalog::{Catalog, HostKey, TargetKey};
 use ragwortfold::steer::attempt::Reason;
 use ragwortfold::steer::engine::{Ask, Engine, Kind, Origin, Verdict};
+use ragwortfold::steer::fingerprint::Fingerprint;
 use ragwortfold::steer::goal::{Standing, View};
 use ragwortfold::steer::group::{End, Grant, Health, Report, State};
 use ragwortfold::steer::pass::Back;
@@ -125,6 +126,7 @@
             deadline: self.now + Duration::from_secs(1),
             targets: vec![],
             hosts: vec![],
+            fingerprint: Fingerprint(self.next),
         }
     }
 
@@ -513,6 +515,70 @@
     fleet.conclude();
 }
 
+const POISON: Fingerprint = Fingerprint(7 << 40);
+
+/// A rig at which a request broke off at so many targets, one after the other.
+fn rig_with_poison(crashes: usize) -> Rig {
+    let mut rig = Rig::new();
+    for number in 0..crashes {
+        let begun = rig.now;
+        rig.pass(400);
+        let targets = rig.own_targets();
+        let target = targets[number % targets.len()];
+        rig.engine.broke(rig.now, POISON, target, begun);
+        rig.pass(1000);
+    }
+    rig
+}
+
+/// A try of such a request, by how many targets it crashed before and what kind of try it is.
+macro_rules! poison {
+    ($($name:ident: $crashes:expr, $kind:expr, $origin:expr => $way:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let way = rig_with_poison($crashes).go(|ask| {
+                ask.fingerprint = POISON;
+                ask.kind = $kind;
+                ask.origin = $origin;
+            });
+            assert_eq!(way.to_string(), $way);
+        }
+    )*};
+}
+
+poison! {
+    one_crash_leaves_repeats: 1, Kind::Retry, Origin::Caller => "target";
+    a_suspected_request_is_not_repeated: 2, Kind::Retry, Origin::Caller => "quarantined";
+    nor_is_a_copy_of_it_sent: 2, Kind::Hedge, Origin::Caller => "quarantined";
+    it_is_sent_once: 2, Kind::First, Origin::Caller => "target";
+    a_third_crash_ends_that: 3, Kind::First, Origin::Caller => "quarantined";
+    relayed_ones_are_refused_too: 3, Kind::First, Origin::Host => "quarantined";
+}
+
+#[test]
+fn of_a_suspected_request_one_is_under_way_at_a_time() {
+    let mut rig = rig_with_poison(2);
+    let ask = |rig: &mut Rig| {
+        let mut ask = rig.request();
+        ask.fingerprint = POISON;
+        (ask.id, rig.ask(ask))
+    };
+    let (first, verdict) = ask(&mut rig);
+    assert!(matches!(verdict, Some(Verdict::Target { .. })));
+    let (second, verdict) = ask(&mut rig);
+    assert!(verdict.is_none());
+    rig.pass(100);
+    assert!(rig.engine.tick(rig.now, &mut rig.rng).is_empty());
+    rig.engine.done(first);
+    let decisions = rig.engine.tick(rig.now, &mut rig.rng);
+    assert!(matches!(&decisions[..], [(id, Verdict::Target { .. })] if *id == second));
+    let (_, verdict) = ask(&mut rig);
+    assert!(verdict.is_none());
+    // Not known for long: it is sent.
+    rig.pass(600);
+    assert_eq!(rig.engine.tick(rig.now, &mut rig.rng).len(), 1);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 12,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 use ragwortfold::border::settings::Steer;
 use ragwortfold::catalog::{Catalog, HostKey, RegionKey, ServiceKey, TargetKey, ZoneKey};
 use ragwortfold::steer::engine::{Ask, Decision, Engine, Kind, Origin, Verdict};
+use ragwortfold::steer::fingerprint::Fingerprint;
 use ragwortfold::steer::goal::{Standing, View};
 use ragwortfold::steer::group::{End, Grant, Health, Report, State};
 use ragwortfold::steer::pass::{Back, Pass};
@@ -363,6 +364,7 @@
             deadline: self.now + Duration::from_millis(self.rng.random_range(60..1000)),
             targets: vec![],
             hosts: vec![],
+            fingerprint: Fingerprint(self.next),
         };
         self.asked += 1;
         let seen = self.nodes[at].requests.entry(ask.locality).or_default();
--- a/tests/net/agents.rs
+++ b/tests/net/agents.rs
@@ -390,7 +390,11 @@
                 let at = self.time + CALL + self.late(host);
                 self.put(at, Event::AskPlan(host, incarnation, command, record));
             }
-            Output::Joined(_) | Output::Newer(..) | Output::Changed | Output::Planned => {}
+            Output::Joined(_)
+            | Output::Newer(..)
+            | Output::Changed
+            | Output::Planned
+            | Output::Notes(..) => {}
         }
     }
 
@@ -766,6 +770,7 @@
         Frame::Roster(..) => "roster",
         Frame::Plan(..) => "plan",
         Frame::Ask(_) => "ask",
+        Frame::Notes(_) => "notes",
     }
 }
 
