Count no try, and keep the body, where no connection to a target could be opened

Cause: a target that crashed stays registered for seconds. A connection that it refused used up one of the two tries that a route allows, a repeat of the budget, and the body of a long request, and the next request tried the same target again.

Kept connections that had been closed have an end of their own in the log.

Why this holds: nothing was sent, so nothing can run twice and no target has an arrival more.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -34,6 +34,10 @@
 /// Less time than this is not worth a try: nothing could come back.
 const LEAST: Duration = Duration::from_millis(20);
 
+/// Targets that a request tries to reach in vain at most. Such a try is none of those that its route allows, since nothing was
+/// sent: many targets may be down while they are still registered.
+const UNREACHED: usize = 8;
+
 /// A request whose body has been read, at least its beginning.
 pub(crate) struct Exchange {
     pub(crate) route: Arc<Route>,
@@ -81,6 +85,8 @@
     pub(crate) end: End,
     /// A digest of the target's process, which may be forgotten before the request ends.
     pub(crate) digest: u64,
+    /// How often the request was sent to other targets before.
+    sent: usize,
     seen: Seen,
 }
 
@@ -91,6 +97,7 @@
             digest: digest.unwrap_or_default(),
             host: host.clone(),
             target,
+            sent: 0,
             begun: now(),
             end: End::Cancelled,
             seen,
@@ -175,6 +182,7 @@
     let mut unknown = false;
     let once = exchange.route.repeat == Repeat::Never;
     let mut leave = None;
+    let mut sent = 0;
     story.stop = loop {
         if ask.tried.is_empty() {
             match quarantine::permit(host, exchange).await {
@@ -197,11 +205,19 @@
             ..Seen::default()
         };
         let mut grant = Grant::new(host, target, seen);
-        let Some(part) = repeatable(&mut body) else {
-            break Stop::Body;
-        };
+        grant.sent = sent;
         story.begin(host, &grant);
-        let outcome = send(host, exchange, ask, &mut grant, part).await;
+        let reached = reach(host, exchange, &mut grant).await;
+        let was_sent = reached.is_ok();
+        let outcome = match reached {
+            Ok((connection, id)) => {
+                let Some(part) = repeatable(&mut body) else {
+                    break Stop::Body;
+                };
+                send(host, exchange, ask, &mut grant, (connection, id, part)).await
+            }
+            Err(outcome) => outcome,
+        };
         story.end(&grant);
         quarantine::judge(host, exchange, &grant);
         drop(grant);
@@ -219,7 +235,13 @@
         if once && (unknown || failed.is_some()) {
             break Stop::MayHaveRun;
         }
-        if let Some(stop) = exhausted(host, exchange, ask) {
+        let stop = if was_sent {
+            sent += 1;
+            exhausted(host, exchange, ask, sent)
+        } else {
+            vain(exchange, ask, sent)
+        };
+        if let Some(stop) = stop {
             break stop;
         }
     };
@@ -255,12 +277,12 @@
 
 /// Why a request is not sent once more, if it is not. Taking from the budget comes last, so that
 /// only what is used is taken.
-fn exhausted(host: &Host, exchange: &Exchange, ask: &Ask<'_>) -> Option<Stop> {
+fn exhausted(host: &Host, exchange: &Exchange, ask: &Ask<'_>, sent: usize) -> Option<Stop> {
     let left = exchange.deadline.saturating_duration_since(now());
     if !host.core.borrow().quarantine.is_free(exchange.fingerprint) {
         // One more target would crash.
         Some(Stop::Suspected)
-    } else if ask.tried.len() >= exchange.route.attempts as usize {
+    } else if sent >= exchange.route.attempts as usize {
         Some(Stop::Attempts)
     } else if left < LEAST {
         Some(Stop::Time)
@@ -273,6 +295,19 @@
     }
 }
 
+/// Why no other target is looked for after one that could not be reached, if none is. Half of the request's time is kept for the
+/// one that is reached.
+fn vain(exchange: &Exchange, ask: &Ask<'_>, sent: usize) -> Option<Stop> {
+    let whole = exchange.deadline.saturating_duration_since(exchange.begun);
+    if ask.tried.len() >= sent + UNREACHED {
+        Some(Stop::Attempts)
+    } else if now() > exchange.begun + whole / 2 {
+        Some(Stop::Time)
+    } else {
+        None
+    }
+}
+
 fn choose(host: &Host, ask: &Ask<'_>) -> Result<TargetKey, Refusal> {
     let pool = host.pool.borrow();
     let fleet = &mut host.core.borrow_mut().fleet;
@@ -310,13 +345,12 @@
     }
 }
 
-async fn send(
+/// A connection to a target, and the identity of the process that is meant.
+async fn reach(
     host: &Rc<Host>,
     exchange: &Exchange,
-    ask: &Ask<'_>,
     grant: &mut Grant,
-    body: Part,
-) -> Outcome {
+) -> Result<(Connection, HeaderValue), Outcome> {
     let Some((address, id)) = host
         .core
         .borrow()
@@ -324,21 +358,31 @@
         .member(grant.target)
         .map(|member| (member.address(), member.id().clone()))
     else {
-        return Outcome::NotRun;
+        return Err(Outcome::NotRun);
     };
     let Ok(id) = HeaderValue::from_str(&id) else {
         spdlog::error!("exchange: the identity of target {id} can't stand in a header");
-        return Outcome::NotRun;
+        return Err(Outcome::NotRun);
     };
     let left = exchange.deadline.saturating_duration_since(now());
-    let mut connection = match open(host, grant.target, address, left.min(CONNECT)).await {
-        Ok(connection) => connection,
+    match open(host, grant.target, address, left.min(CONNECT)).await {
+        Ok(connection) => Ok((connection, id)),
         Err(error) => {
             spdlog::debug!("exchange: {address}: {error}");
             grant.end = End::Unreached;
-            return Outcome::NotRun;
+            Err(Outcome::NotRun)
         }
-    };
+    }
+}
+
+/// Sends a request over a connection and waits for the answer.
+async fn send(
+    host: &Rc<Host>,
+    exchange: &Exchange,
+    ask: &Ask<'_>,
+    grant: &mut Grant,
+    (mut connection, id, body): (Connection, HeaderValue, Part),
+) -> Outcome {
     let request = message::outgoing(host, exchange, body, &id);
     let sent = now();
     let response = match wait(host, exchange, ask, grant, connection.send(request)).await {
@@ -367,7 +411,7 @@
             Ok(Ok(response)) => return Ok(response),
             Ok(Err(unanswered)) => {
                 let (end, outcome) = match unanswered {
-                    Unanswered::NotSent => (End::Unreached, Outcome::NotRun),
+                    Unanswered::NotSent => (End::Closed, Outcome::NotRun),
                     Unanswered::Sent if exchange.cut.get() => (End::Cancelled, Outcome::Unknown),
                     Unanswered::Sent => (End::Broken, Outcome::Unknown),
                 };
@@ -383,7 +427,7 @@
         if now() >= exchange.deadline {
             return Err(Outcome::Late);
         }
-        if silent && may_repeat(host, exchange, ask) {
+        if silent && may_repeat(host, exchange, ask, grant.sent) {
             return Err(Outcome::Unknown);
         }
         grant.end = End::Cancelled;
@@ -391,10 +435,10 @@
 }
 
 /// Whether a request that may have run may be sent to another target.
-fn may_repeat(host: &Host, exchange: &Exchange, ask: &Ask<'_>) -> bool {
+fn may_repeat(host: &Host, exchange: &Exchange, ask: &Ask<'_>, sent: usize) -> bool {
     exchange.route.repeat != Repeat::Never
         && exchange.body == Kept::Whole
-        && ask.tried.len() + 1 < exchange.route.attempts as usize
+        && sent + 1 < exchange.route.attempts as usize
         && host.core.borrow_mut().budgets.has(now(), ask.service)
 }
 
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -75,8 +75,10 @@
     Refused,
     /// Another target has its address.
     Misdirected,
-    /// It could not be reached.
+    /// No connection to it could be opened.
     Unreached,
+    /// A connection that was kept to it had been closed before the request was sent.
+    Closed,
     /// It broke off before its answer was whole.
     Broken,
     /// It answered another request.
@@ -231,6 +233,7 @@
             misdirected: false,
             work: None,
             unheard: None,
+            unreached: None,
         };
         self.members.insert(key, member);
     }
@@ -400,6 +403,11 @@
         if end != End::Cancelled && end != End::Silent {
             member.unheard = Some(now);
         }
+        match end {
+            End::Unreached => member.unreached = Some(now),
+            End::Cancelled | End::Silent => {}
+            _ => member.unreached = None,
+        }
         if let Some(load) = load {
             let total = load.running + load.waiting;
             member.report = Some(Report {
@@ -409,7 +417,9 @@
         }
         let sign = match end {
             End::Answered => Sign::Good,
-            End::Failed | End::Unreached | End::Broken | End::Stray | End::Silent => Sign::Bad,
+            End::Failed | End::Unreached | End::Closed | End::Broken | End::Stray | End::Silent => {
+                Sign::Bad
+            }
             End::Misdirected => {
                 member.misdirected = true;
                 return None;
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -166,11 +166,13 @@
         (1.0 - own / mean) * LACKING
     }
 
-    /// The targets that a key may use; silent ones only where there are no others.
+    /// The targets that a key may use; silent ones and those that can't be reached only where there are no others.
     pub(super) fn first_choices(&self, now: Instant, ask: &Ask<'_>) -> Choices {
         let patience = self.patience(ask.service);
         let sound = self.candidates(ask, |member| {
-            self.is_open(now, member, ask) && !member.is_silent(now, patience)
+            self.is_open(now, member, ask)
+                && !member.is_silent(now, patience)
+                && !member.is_unreached(now)
         });
         if sound.keys().next().is_some() {
             return sound;
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -47,6 +47,8 @@
     pub(super) work: Option<(f64, Instant)>,
     /// Since when it has answered nothing, while it has requests.
     pub(super) unheard: Option<Instant>,
+    /// When no connection to it could be opened last, if none was opened since.
+    pub(super) unreached: Option<Instant>,
 }
 
 impl Member {
