Let a host's limit of a target fade while it is not reached

Cause: a host of the own interface raises its limit of a target above its share of the slots while the target answers without queueing, and kept that limit while it had nothing to send. Hosts of a zone that are stopped and started carry it in turn, so each keeps 5 to 6 of 4 slots; when both are busy they send 10 to 12 to a target that holds 8 with its queue.

Change: the excess over the share halves in 250 ms in which the limit is not reached.

Why this holds: what a host may send beyond its share now rests on answers of the last moments; a host that was away starts from its share.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -669,6 +669,9 @@
     /// Works out the figures of the whole group anew.
     fn refresh(&mut self, now: Instant) {
         self.restore_excess(now);
+        for member in &mut self.members {
+            member.limit.fade(now);
+        }
         let latencies = used(&self.members).filter_map(|member| member.estimate.latency());
         let typical = median(latencies).map(|found| found.max(f64::MIN_POSITIVE));
         if let Some(typical) = typical {
--- a/src/steer/limit.rs
+++ b/src/steer/limit.rs
@@ -2,7 +2,7 @@
 //!
 //! The limit starts at the host's share of the target's slots. It rises while the target answers
 //! without queueing and falls back to that share when the target refuses, slows down or reports
-//! more work than slots. The host's share of the connections bounds it, whatever is measured, so
+//! more work than slots, and while it is not reached. The host's share of the connections bounds it, whatever is measured, so
 //! the sum over the hosts never exceeds the connections.
 
 use std::time::{Duration, Instant};
@@ -20,6 +20,9 @@
 /// Requests above its slots that a target may report before it counts as queueing. They fill the
 /// time in which answers and requests are on the wire.
 const QUEUED: u32 = 2;
+/// Time in which half of the excess over the share goes that is not used: longer than the gaps of a steady load, so that a
+/// burst within a host's room finds it, and shorter than the time for which hosts are away.
+const HALF_LIFE: Duration = Duration::from_millis(250);
 /// Least time between two cuts, so that one congestion counts once.
 const REST: Duration = Duration::from_millis(20);
 
@@ -39,6 +42,8 @@
     hard: u32,
     value: f64,
     cut: Option<Instant>,
+    /// Until when the excess over the share has faded.
+    faded: Option<Instant>,
 }
 
 impl Limit {
@@ -52,6 +57,7 @@
             hard,
             value: share,
             cut: None,
+            faded: None,
         }
     }
 
@@ -99,6 +105,9 @@
             self.reduce(now, EASE);
             return;
         }
+        if full {
+            self.faded = Some(now);
+        }
         let room = load.is_none_or(|load| load.in_flight <= load.slots);
         if full && room {
             let risen = self.value + RISE / self.value.max(1.0);
@@ -106,6 +115,15 @@
         }
     }
 
+    /// Gives back what is not used: the limit was earned while the other hosts left room, and nothing tells that they still do.
+    pub fn fade(&mut self, now: Instant) {
+        let since = *self.faded.get_or_insert(now);
+        let idle = now.saturating_duration_since(since).as_secs_f64();
+        let left = 0.5f64.powf(idle / HALF_LIFE.as_secs_f64());
+        self.value = self.share + (self.value - self.share) * left;
+        self.faded = Some(now);
+    }
+
     /// Takes in a refusal.
     pub fn refuse(&mut self, now: Instant) {
         self.reduce(now, CUT);
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -75,6 +75,23 @@
     assert!((limit.value() - limit.share()).abs() < 0.01, "{limit:?}");
 }
 
+#[test]
+fn fades_to_the_share_while_it_is_not_reached() {
+    let mut limit = after(400, Step::Answer(1.0, None));
+    let excess = |limit: &Limit| limit.value() - limit.share();
+    let now = Instant::now() + Duration::from_secs(10);
+    limit.fade(now);
+    let before = excess(&limit);
+    for pause in [1, 2, 5, 10, 50, 432] {
+        limit.fade(now + Duration::from_millis(pause));
+    }
+    // As after one look, whatever the looks between.
+    limit.fade(now + Duration::from_millis(500));
+    assert!((excess(&limit) - before / 4.0).abs() < 1e-9, "{limit:?}");
+    limit.fade(now + Duration::from_secs(10));
+    assert!(excess(&limit) < 0.01, "{limit:?}");
+}
+
 #[test]
 fn at_least_one_of_few_slots() {
     let limit = Limit::new(4, 400, 45);
