Read what changed when a host takes the watch over, in place of a list

What callers saw: requests that were cut as their target left (one of the causes; see the red test before).

Cause: a host that begins to watch the store read the list of targets, in which one that had said that it leaves, and had left since, is only missing, as one whose registration ran out and may return.

Change: it watches on from the revision that it knows, at first without waiting; only if that history is gone it lists.

Why this holds: the store's changes come in order, so the word that a target leaves comes before its end. Test: ten of ten requests sent to such a target before, none now.

--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -209,9 +209,11 @@
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
     let mut lost = false;
-    // What was read at the start is brought up to date by its changes.
-    let mut listed = host.begin.is_fresh(now());
-    if listed {
+    // What was read at the start, or told by another host, is brought up to date by its changes: a target that said that it
+    // leaves and then left is only missing in a list, as one that may return.
+    let mut listed = true;
+    let mut seen = host.begin.is_fresh(now());
+    if seen {
         host.watching.set(kind, true);
     }
     loop {
@@ -219,8 +221,16 @@
         let result = match known {
             Some(revision) if listed => {
                 let wait = host.core.borrow_mut().rng.random_range(WAIT);
-                let wait = Duration::from_secs_f64(wait);
-                watch(&host, &mut client, kind, revision, wait).await
+                // What is known may be old: the first answer is to come at once.
+                let wait = if seen { wait } else { 0.0 };
+                watch(
+                    &host,
+                    &mut client,
+                    kind,
+                    revision,
+                    Duration::from_secs_f64(wait),
+                )
+                .await
             }
             _ => list(&host, &mut client, kind, Age::Latest)
                 .await
@@ -232,7 +242,8 @@
                     log::kind(kind, None);
                 }
                 listed = go_on;
-                host.watching.set(kind, true);
+                seen |= go_on;
+                host.watching.set(kind, seen);
                 pause = Pause::new();
             }
             Err(error) => {
