Send nothing to few missing targets while it is not known whether they return

Cause: a region lost the host that watched the store for it. Who took over 1.9 s later counted as having lost the store, in whose outage registrations run out and return within 2 s, so the missing target went on getting requests.

Change: a tenth of a service's targets or less that are missing have rather left, and are passed over while others are open, as silent ones and those that can't be reached are; one predicate for first choices and for targets that have the object.

Why this holds: an outage of the store lets the registrations of many run out; a target that did lapse alone loses 2 s. `few_missing_targets_get_nothing_and_many_go_on`.

--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -142,6 +142,8 @@
     hosts: Vec<Peer>,
     /// How many hosts there are, alive or not, once the store or another host told.
     told: Option<usize>,
+    /// For each service, how many of its targets lapsed.
+    lapsed: BTreeMap<Arc<str>, usize>,
     /// The target that was asked last whether it is cold.
     questioned: Option<TargetKey>,
 }
@@ -168,6 +170,7 @@
             hosts: Vec::new(),
             told: None,
             questioned: None,
+            lapsed: BTreeMap::new(),
             own,
             switches: Switches::default(),
             asked: 0,
@@ -201,7 +204,9 @@
             }
             if registration.is_same_process(&member.registration) {
                 member.cold_until = cold;
-                member.lapsed = None;
+                if member.lapsed.take().is_some() {
+                    count_return(&mut self.lapsed, &registration.service);
+                }
                 member.registration = registration;
                 return;
             }
@@ -246,6 +251,9 @@
         let Some(member) = self.members.remove(&key) else {
             return;
         };
+        if member.lapsed.is_some() {
+            count_return(&mut self.lapsed, member.service());
+        }
         if let Some(keys) = self.services.get_mut(member.service()) {
             keys.retain(|other| *other != key);
         }
@@ -256,6 +264,9 @@
     pub fn lapse(&mut self, id: &str, until: Instant) {
         let key = self.ids.get(id);
         if let Some(member) = key.and_then(|key| self.members.get_mut(key)) {
+            if member.lapsed.is_none() {
+                *self.lapsed.entry(member.service().clone()).or_default() += 1;
+            }
             member.lapsed.get_or_insert(until);
         }
     }
@@ -446,3 +457,10 @@
         out.then_some(Turn::Ejected)
     }
 }
+
+/// One of the lapsed targets of a service is here again, or forgotten.
+fn count_return(lapsed: &mut BTreeMap<Arc<str>, usize>, service: &Arc<str>) {
+    if let Some(count) = lapsed.get_mut(service) {
+        *count = count.saturating_sub(1);
+    }
+}
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -23,6 +23,9 @@
 /// their objects. A busier one gives them up, so that the load spreads again: without this bound the days with
 /// most queues lost 0.005 of their worth, with it calm days gain 0.003.
 const AT_EASE: f64 = 0.7;
+/// The part of a service's targets that may be missing in the store to count as having left.
+const FEW: f64 = 0.1;
+
 /// The targets that a request may use by its key, and what there is beside them.
 pub(super) struct Choices {
     /// The first of the own region.
@@ -40,6 +43,22 @@
     }
 }
 
+/// Why targets of a service may be passed over that are open otherwise.
+struct Doubts {
+    /// How long they may be silent.
+    patience: Option<Duration>,
+    /// Whether those that are missing in the store are passed over.
+    lapsed: bool,
+}
+
+impl Doubts {
+    fn is_sound(&self, now: Instant, member: &Member) -> bool {
+        !member.is_silent(now, self.patience)
+            && !member.is_unreached(now)
+            && !(self.lapsed && member.lapsed.is_some())
+    }
+}
+
 impl Fleet {
     /// The target that is expected to answer first, among those that a request may use and that have room.
     pub(super) fn pick(
@@ -131,7 +150,7 @@
     /// Further targets that have the object of a request, as far as is known: using them makes nothing cold.
     fn holders(&self, now: Instant, ask: &Ask<'_>, first: &[Option<TargetKey>]) -> Vec<TargetKey> {
         let object = ask.object.filter(|_| self.switches.warmth == Switch::On);
-        let patience = self.patience(ask.service);
+        let doubts = self.doubts(ask.service);
         object
             .into_iter()
             .flat_map(|object| self.warmth.holders(object))
@@ -142,7 +161,7 @@
                     let most = f64::from(member.registration.slots) * AT_EASE;
                     member.load(now) < most
                         && self.is_open(now, member, ask)
-                        && !member.is_silent(now, patience)
+                        && doubts.is_sound(now, member)
                 })
             })
             .collect()
@@ -166,13 +185,11 @@
         (1.0 - own / mean) * LACKING
     }
 
-    /// The targets that a key may use; silent ones and those that can't be reached only where there are no others.
+    /// The targets that a key may use; those that are in doubt only where there are no others.
     pub(super) fn first_choices(&self, now: Instant, ask: &Ask<'_>) -> Choices {
-        let patience = self.patience(ask.service);
+        let doubts = self.doubts(ask.service);
         let sound = self.candidates(ask, |member| {
-            self.is_open(now, member, ask)
-                && !member.is_silent(now, patience)
-                && !member.is_unreached(now)
+            self.is_open(now, member, ask) && doubts.is_sound(now, member)
         });
         if sound.keys().next().is_some() {
             return sound;
@@ -180,6 +197,19 @@
         self.candidates(ask, |member| self.is_open(now, member, ask))
     }
 
+    /// What keeps a target of a service from being used while there are others.
+    ///
+    /// Where few targets are missing in the store they have rather left than lapsed with its outage: hosts that lost the store
+    /// can't tell these apart, and what has left is not to get requests until it is known whether it returns.
+    fn doubts(&self, service: &str) -> Doubts {
+        let lapsed = self.lapsed.get(service).copied().unwrap_or_default();
+        let all = self.services.get(service).map_or(0, Vec::len);
+        Doubts {
+            patience: self.patience(service),
+            lapsed: lapsed as f64 <= all as f64 * FEW,
+        }
+    }
+
     /// The first target of the own region, and the first elsewhere, among those that may be used.
     fn candidates(&self, ask: &Ask<'_>, may_use: impl Fn(&Member) -> bool) -> Choices {
         let key_of_request = match self.switches.affinity {
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -593,3 +593,46 @@
     world.fleet.set_hosts(hosts);
     assert!(world.choose(1, &[]).is_ok());
 }
+
+/// A world of twelve near targets, of which so many are missing in the store; how many of these get requests.
+fn used_while_missing(missing: usize) -> usize {
+    let mut world = World::new("h1", "n-a");
+    for number in 0..12 {
+        let id = format!("t{number}");
+        world.fleet.register(world.now, registration(&id, "n-a"));
+    }
+    let until = world.now + Duration::from_secs(2);
+    for number in 0..missing {
+        world.fleet.lapse(&format!("t{number}"), until);
+    }
+    let used: BTreeSet<Arc<str>> = (0..500).filter_map(|key| world.chosen(key)).collect();
+    let is_missing = |id: &&Arc<str>| id[1..].parse::<usize>().unwrap() < missing;
+    used.iter().filter(is_missing).count()
+}
+
+/// A host that had lost the store for 1.9 s took one target that had left meanwhile for one that may return, and sent to it for
+/// 2 s more. One that is missing alone has rather left; if the store was away, many are missing.
+#[test]
+fn few_missing_targets_get_nothing_and_many_go_on() {
+    assert_eq!(used_while_missing(1), 0);
+    assert_eq!(used_while_missing(3), 3);
+    assert_eq!(used_while_missing(12), 12);
+}
+
+#[test]
+fn a_missing_target_that_returns_is_used_again() {
+    let mut world = World::with_targets("h1", "n-a");
+    for id in ["t7", "t8", "t9", "t10", "t11"] {
+        world.fleet.register(world.now, registration(id, "n-b"));
+    }
+    world.fleet.lapse("t1", world.now + Duration::from_secs(2));
+    let uses = |world: &mut World| (0..500).any(|key| world.chosen(key).as_deref() == Some("t1"));
+    assert!(!uses(&mut world));
+    world.fleet.register(world.now, registration("t1", "n-a"));
+    assert!(uses(&mut world));
+    // Those that were missing before are not counted any more.
+    world.fleet.lapse("t2", world.now + Duration::from_secs(2));
+    world.fleet.withdraw("t2");
+    world.fleet.lapse("t1", world.now + Duration::from_secs(2));
+    assert!(!uses(&mut world));
+}
