Tests: a request that crashes a target over a kept connection runs there twice in one try (red)

The own interface's client sends a request once more, on a new connection to the same target, when a kept one breaks before a byte of the answer.

--- a/standin/src/crash.rs
+++ b/standin/src/crash.rs
@@ -38,7 +38,7 @@
         }
     }
 
-    /// Sets how long it is down.
+    /// Sets how long it is down; without any such time only its connections end.
     pub fn with_down(mut self, down: Duration) -> Self {
         self.down = down;
         self
@@ -136,6 +136,11 @@
         let Some(server) = self.server.get().and_then(Weak::upgrade) else {
             return;
         };
+        if self.settings.down.is_zero() {
+            server.close_connections();
+            (self.started)(process);
+            return;
+        }
         server.set(Gate::Closed);
         server.close_connections();
         let shared = self.clone();
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -33,8 +33,8 @@
 /// The part of the other requests that must be answered in that time, after [`STABLE`].
 const SERVED: f64 = 0.99;
 
-/// Four zones of one host each, and targets that a request to `crash` crashes.
-fn world() -> (World, Vec<Target>) {
+/// Four zones of one host each, and targets that a request to `crash` crashes and that are down for a while.
+fn world(down: Duration) -> (World, Vec<Target>) {
     let lookups = json!({"class": "pass-lookup", "idempotent": true, "deadline_ms": 5000});
     let mut world = World::new()
         .without_services()
@@ -44,7 +44,7 @@
     }
     let mut targets = Vec::new();
     for number in 0..TARGETS {
-        let settings = Settings::new("crash").with_down(DOWN);
+        let settings = Settings::new("crash").with_down(down);
         let target = Target::new("127.0.0.1:0".parse().unwrap(), settings, |_| {}).unwrap();
         let (_, zone) = ZONES[number % ZONES.len()];
         let name = format!("look-{number}");
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_request_that_crashes_targets_is_kept_from_them() {
-    let (world, targets) = world();
+    let (world, targets) = world(DOWN);
     let seen = play(&targets, ZONES.len(), STABLE, AFTER, |host, path| {
         ask(&world, host, path).map_or(0, |answer| answer.status)
     });
@@ -79,7 +79,7 @@
     ($($name:ident: $at_once:expr, $pause:expr;)*) => {$(
         #[test]
         fn $name() {
-            let (world, targets) = world();
+            let (world, targets) = world(DOWN);
             let ended = AtomicBool::new(false);
             let call = |caller: usize| {
                 let mut answers = Vec::new();
@@ -110,3 +110,21 @@
     a_popular_request_survives_a_rack: 4, 1500;
     a_popular_request_survives_a_rapid_roll: 1, 30;
 }
+
+/// A connection that was kept and breaks before an answer comes had mostly been closed by its target, so its request was sent once more
+/// to the same target. That one had run for 20 ms and had crashed it; back at once, it was crashed again within the same try.
+#[test]
+fn a_request_that_crashes_a_kept_connection_runs_once_a_try() {
+    let (world, targets) = world(Duration::ZERO);
+    // Each host has a connection to each of its targets.
+    for number in 0..ZONES.len() * 12 {
+        assert_eq!(
+            ask(&world, number % ZONES.len(), "fine").unwrap().status,
+            200
+        );
+    }
+    ask(&world, 0, "crash");
+    for target in &targets {
+        assert!(target.runs().len() <= 1, "{:?}", target.runs());
+    }
+}
