--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -53,9 +53,8 @@
 
 impl Doubts {
     fn is_sound(&self, now: Instant, member: &Member) -> bool {
-        !member.is_silent(now, self.patience)
-            && !member.is_unreached(now)
-            && !(self.lapsed && member.lapsed.is_some())
+        let is_missing = self.lapsed && member.lapsed.is_some();
+        !(is_missing || member.is_silent(now, self.patience) || member.is_unreached(now))
     }
 }
 
