--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -271,11 +271,11 @@
             }
             Event::Broke(fingerprint, target, begun) => {
                 self.engine.broke(now, fingerprint, target, begun);
-                self.tell_notes(None);
+                self.tell_notes();
             }
             Event::Answered(fingerprint) => {
                 self.engine.answered(now, fingerprint);
-                self.tell_notes(None);
+                self.tell_notes();
             }
             Event::Done(id) => self.engine.done(id),
             Event::Passed(pass, back) => self.engine.finish_pass(now, &pass, back),
@@ -334,7 +334,7 @@
     fn ask(&mut self, now: Instant, ask: Ask, reply: Sender<Verdict>) {
         let id = ask.id;
         let verdict = self.engine.ask(now, ask, &mut self.rng);
-        self.tell_notes(None);
+        self.tell_notes();
         match verdict {
             Some(verdict) => {
                 // The worker waits until its deadline; after that it takes the grant back itself.
@@ -346,8 +346,8 @@
         }
     }
 
-    /// Tells other hosts what is new of requests that crash targets; `teller` told this one.
-    fn tell_notes(&mut self, teller: Option<HostKey>) {
+    /// Tells other hosts what is new here of requests that crash targets.
+    fn tell_notes(&mut self) {
         let notes = self.engine.notes();
         if notes.is_empty() {
             return;
@@ -355,7 +355,7 @@
         for note in &notes {
             log_note(note);
         }
-        self.control.tell(notes, teller);
+        self.control.tell(notes, None);
     }
 
     /// Takes in what other hosts tell of requests that crash targets, and passes on what is new.
@@ -365,7 +365,7 @@
                 log_note(&note);
                 self.control.tell(vec![note], Some(teller));
             }
-            self.tell_notes(None);
+            self.tell_notes();
         }
     }
 
@@ -472,7 +472,7 @@
         let now = cx.now();
         let decisions = self.engine.tick(now, &mut self.rng);
         self.tell(decisions);
-        self.tell_notes(None);
+        self.tell_notes();
         if now >= self.measure {
             self.measure = now + MEASURE;
             let loads = self.engine.measure(now);
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -46,7 +46,8 @@
         let answer = answer::not_run(host, "no configuration yet\n");
         return reject(&parts, answer, "no-configuration", "");
     };
-    let Some(route) = route(host, &parts) else {
+    let site = site(&parts).unwrap_or_default();
+    let Some(route) = route(host, &site, &parts) else {
         let answer = answer::plain(StatusCode::NOT_FOUND, "no such route\n");
         return reject(&parts, answer, "no-route", "");
     };
@@ -71,7 +72,7 @@
             return reject(&parts, refused.answer(host), refused.reason(), &detail);
         }
     };
-    let fingerprint = fingerprint(&parts, &head, &admitted, &body);
+    let fingerprint = fingerprint(&site, &parts, &head, &admitted, &body);
     let exchange = Exchange {
         fingerprint,
         cut: Rc::default(),
@@ -119,6 +120,7 @@
 }
 
 fn fingerprint(
+    site: &str,
     parts: &request::Parts,
     head: &Head,
     admitted: &Admitted,
@@ -128,7 +130,7 @@
     let account = admitted.caller.account();
     Fingerprint::new(&Content {
         method: parts.method.as_str(),
-        site: &site(parts).unwrap_or_default(),
+        site,
         path: path.map_or("", |path| path.as_str()),
         account: account.map_or("", |account| &account.name),
         object: head.affinity.as_deref().unwrap_or_default(),
@@ -136,8 +138,7 @@
     })
 }
 
-fn route(host: &Host, parts: &request::Parts) -> Option<Arc<Route>> {
-    let name = site(parts)?;
+fn route(host: &Host, site: &str, parts: &request::Parts) -> Option<Arc<Route>> {
     let core = host.core.borrow();
-    core.table.route(&name, parts.uri.path()).cloned()
+    core.table.route(site, parts.uri.path()).cloned()
 }
--- a/src/steer/quarantine.rs
+++ b/src/steer/quarantine.rs
@@ -338,17 +338,6 @@
         case.is_some_and(|case| case.stage == Stage::Refused)
     }
 
-    /// How many requests are suspected, and how many are refused.
-    pub fn sizes(&self) -> (usize, usize) {
-        let count = |stage| {
-            self.cases
-                .values()
-                .filter(|case| case.stage == stage)
-                .count()
-        };
-        (count(Stage::Suspected), count(Stage::Refused))
-    }
-
     /// A try for which [`Verdict::Alone`] was given has ended, in whichever way.
     pub fn done(&mut self, fingerprint: Fingerprint) {
         if let Some(case) = self.cases.get_mut(&fingerprint) {
