Sight: headers of targets' answers that the adapter does not know are logged once for each name

Nothing told whether an answer names a rate, or under which name: unknown headers were passed on without a word.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -487,6 +487,7 @@
     response: Response<Incoming>,
 ) -> Outcome {
     let (parts, incoming) = response.into_parts();
+    record::headers(host, grant.target, &parts.headers);
     let told = (host.platform.wire.answer)(&parts);
     grant.seen.load = told.load;
     grant.seen.bytes = incoming.size_hint().exact();
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -58,6 +58,8 @@
     Rejected => "request.rejected",
     /// A target's answer names another request.
     Stray => "target.stray-answer",
+    /// A target's answer has a header that nobody here knows.
+    Header => "target.unknown-header",
     /// A target said that it drains.
     Draining => "target.draining",
     /// A target said that it is cold.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -36,6 +36,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use tokio::net::UdpSocket;
@@ -70,6 +71,8 @@
     joined: Cell<bool>,
     /// Feeds that ended, and when.
     failed: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// Names of targets' headers that were logged as unknown.
+    unknown_headers: RefCell<BTreeSet<Arc<str>>>,
     /// Faults of the store's objects that were logged.
     unread: RefCell<BTreeSet<String>>,
 }
@@ -138,6 +141,7 @@
         begin: begin::Begin::new(now(), &settings),
         joined: Cell::new(false),
         failed: RefCell::default(),
+        unknown_headers: RefCell::default(),
         unread: RefCell::default(),
         platform,
         settings,
--- a/src/host/record.rs
+++ b/src/host/record.rs
@@ -4,14 +4,18 @@
 use std::time::{Duration, Instant};
 
 use http::header::HOST;
-use http::{request, StatusCode};
+use http::{request, HeaderMap, StatusCode};
 
 use super::exchange::{Exchange, Grant};
 use super::log::Event;
 use super::{now, serve, Host};
 use crate::entry::metrics::Sample;
+use crate::inventory::TargetKey;
 use crate::steer::fleet::{Ask, End, Refusal};
 
+/// Names of unknown headers that are logged at most: whoever writes them may write any.
+const UNKNOWN_HEADERS: usize = 32;
+
 /// One try of a request.
 pub(crate) struct Try {
     target: Arc<str>,
@@ -184,6 +188,28 @@
     });
 }
 
+/// Keeps that a target's answer has headers that nobody here knows, once for each name: they may ask for something.
+pub(crate) fn headers(host: &Host, target: TargetKey, headers: &HeaderMap) {
+    let unknown = headers
+        .iter()
+        .filter(|(name, _)| !(host.platform.wire.is_usual)(name));
+    for (name, value) in unknown {
+        let known = &mut *host.unknown_headers.borrow_mut();
+        if known.len() >= UNKNOWN_HEADERS || known.contains(name.as_str()) {
+            continue;
+        }
+        known.insert(name.as_str().into());
+        let core = host.core.borrow();
+        let target = core.fleet.member(target);
+        spdlog::warn!("exchange: a target's answer has a header that is not known", kv: {
+            event = Event::Header.as_str(),
+            name = name.as_str(),
+            value = format!("{value:?}").as_str(),
+            target = target.map(|member| &**member.id()).unwrap_or_default()
+        });
+    }
+}
+
 /// Keeps that a target's answer names another request than the one it got.
 pub(crate) fn stray(host: &Host, exchange: &Exchange, grant: &Grant) {
     let Some(left_out) = host.limits.borrow_mut().take(now(), Event::Stray) else {
--- a/src/port.rs
+++ b/src/port.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{request, response, HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{
+    request, response, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::account::Credential;
@@ -267,6 +269,8 @@
     pub head: fn(&request::Parts) -> Head,
     /// Reads the head of a target's answer.
     pub answer: fn(&response::Parts) -> Answer,
+    /// Whether a header of a target's answer is one that the adapter reads, or that any answer may have.
+    pub is_usual: fn(&HeaderName) -> bool,
     /// Reads the head of a target's health answer.
     pub health: fn(&response::Parts) -> Health,
     /// Adds what a target has to know: the time left, and which process is meant.
