--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod crash;
 mod error;
 mod http;
+pub mod limited;
 pub mod link;
 mod listen;
 pub mod observer;
--- /dev/null
+++ b/tests/rate.rs
@@ -0,0 +1,134 @@
+//! Hosts that each keep to themselves send a target a multiple of the rate that it names.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standin::limited::{play, Call, Headers, Target};
+use world::{send, World};
+
+const HEADERS: Headers = Headers {
+    rate: "ragwortfold-rate",
+    echo: "ragwortfold-request-id",
+};
+const ZONES: [(&str, &str); 2] = [("lima", "lima-a"), ("cusco", "cusco-a")];
+const HOSTS_A_ZONE: usize = 3;
+const TARGETS_A_ZONE: usize = 3;
+const CALLERS: usize = 12;
+/// Requests a second, of all callers.
+const LOAD: f64 = 110.0;
+/// How long hosts may take until they keep to a rate.
+const STABLE: Duration = Duration::from_secs(3);
+/// How long one is named.
+const NAMED: Duration = Duration::from_secs(9);
+/// The span over which arrivals are counted, and what may come in it: a part beyond the rate, and some.
+const WINDOW: Duration = Duration::from_secs(4);
+const OVER: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// The part of what targets take that is used at least.
+const USED: f64 = 0.8;
+/// The part of the requests that is answered while others have room.
+const SERVED: f64 = 0.99;
+
+/// Zones of several hosts and targets that may name rates.
+fn world() -> (World, Vec<Target>) {
+    let lookups = json!({"class": "pass-lookup", "idempotent": true, "deadline_ms": 2000});
+    let mut world = World::new()
+        .without_services()
+        .with_service("lookups", lookups);
+    let mut targets = Vec::new();
+    for (region, zone) in ZONES {
+        world = world.with_zone(region, zone);
+        for number in 0..HOSTS_A_ZONE {
+            world = world.with_host(zone, &format!("{zone}-{number}"));
+        }
+        for number in 0..TARGETS_A_ZONE {
+            let target = Target::new(HEADERS).unwrap();
+            let name = format!("look-{zone}-{number}");
+            world = world.with_target_at(zone, "lookups", &name, target.address());
+            targets.push(target);
+        }
+    }
+    (world.run(), targets)
+}
+
+fn load(world: &World, time: Duration) -> Vec<Call> {
+    let hosts: Vec<_> = world.hosts.values().collect();
+    play(CALLERS, LOAD, time, |number| {
+        let host = hosts[number % hosts.len()];
+        let url = host.url(&format!("/v1/services/lookups/{number}"));
+        let answer = send("GET", &url, &[], b"");
+        (answer.map_or(0, |answer| answer.status), None)
+    })
+}
+
+/// The targets that got most, those of the busier zone first: callers of one block prefer one of each zone.
+fn busiest(targets: &[Target]) -> Vec<&Target> {
+    let mut zones: Vec<Vec<&Target>> = targets
+        .chunks(TARGETS_A_ZONE)
+        .map(|zone| zone.iter().collect())
+        .collect();
+    for zone in &mut zones {
+        zone.sort_by_key(|target| Reverse(target.arrivals().len()));
+    }
+    zones.sort_by_key(|zone| Reverse(zone[0].arrivals().len()));
+    zones.concat()
+}
+
+fn answered(calls: &[Call], from: Instant) -> (usize, usize) {
+    let calls = calls.iter().filter(|call| call.begun > from);
+    let good = calls.clone().filter(|call| call.status == 200);
+    (good.count(), calls.count())
+}
+
+/// Targets that name a rate get about that of all hosts together, and callers get what targets take.
+macro_rules! named {
+    ($($name:ident: $targets:expr, $named:expr => $rate:expr, $served:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (world, targets) = world();
+            load(&world, Duration::from_secs(1));
+            let limited = &busiest(&targets)[..$targets];
+            limited.iter().for_each(|target| target.name(&[$named]));
+            let begun = Instant::now();
+            let calls = load(&world, NAMED);
+            for target in limited {
+                let most = target.most(begun + STABLE - WINDOW / 2, WINDOW);
+                let allowed = $rate * OVER * WINDOW.as_secs_f64() + SLACK;
+                assert!(most as f64 <= allowed, "{most} of {allowed}");
+                let used = target.count(begun + STABLE, NAMED - STABLE);
+                let least = $rate * USED * (NAMED - STABLE).as_secs_f64();
+                assert!(used as f64 >= least, "{used} of {least}");
+            }
+            let (good, all) = answered(&calls, begun + STABLE);
+            assert!(good as f64 >= all as f64 * $served, "{good} of {all}");
+        }
+    )*};
+}
+
+named! {
+    hosts_together_keep_to_the_rate_that_a_target_names: 1, "3.0" => 3.0, SERVED;
+    all_targets_of_a_zone_name_a_rate: 3, "4" => 4.0, SERVED;
+    all_targets_name_a_rate: 6, "6" => 6.0, 0.9 * 36.0 / LOAD;
+}
+
+#[test]
+fn a_target_that_names_no_rate_any_more_gets_its_part_again() {
+    let (world, targets) = world();
+    let span = Duration::from_secs(2);
+    load(&world, span);
+    let target = busiest(&targets)[0];
+    let before = target.arrivals().len();
+    target.name(&["2.0"]);
+    load(&world, NAMED);
+    target.name(&[]);
+    load(&world, span);
+    let begun = Instant::now();
+    load(&world, span);
+    let count = target.count(begun, span);
+    assert!(count >= before / 2, "{count} after {before}");
+}
