Hosts claim leave from few keepers before they send to a target that names a rate (platform)

What callers and targets saw: a target in need named 2.0 and 3.9 requests a second and went on getting 10 and 9, 40 in 4 s where 17 are allowed. Cause: no host read the figure, and nothing shares a rate among hosts that is far below one a second each. Why this holds: what is sent to such a target is what a few hosts grant, each a part of the rate from a bucket that starts empty; without a grant nothing is sent, so hosts that disagree or are cut off add nothing, and one keeper too many adds a third. The choice of targets passes over those that take nothing just now; their slots stay the region's, so nothing leaves it at once.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -426,6 +426,11 @@
         self.peers.values().map(|peer| &peer.record)
     }
 
+    /// What another host says of itself.
+    pub fn known(&self, host: &str) -> Option<&Record> {
+        self.peers.get(host).map(|peer| &peer.record)
+    }
+
     /// The other host that sends heartbeats from `place`.
     pub fn at(&self, place: SocketAddr) -> Option<&Record> {
         let peer = self.peers.get(self.places.get(&place)?)?;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -39,6 +39,7 @@
     work: Gauge<f64>,
     usable: Gauge<u64>,
     cold_rate: Gauge<f64>,
+    rate: Gauge<f64>,
     age: Gauge<f64>,
     hosts: Gauge<u64>,
 }
@@ -92,6 +93,7 @@
             load: meter.f64_gauge("ragwortfold_target_load").build(),
             work: meter.f64_gauge("ragwortfold_target_work_seconds").build(),
             usable: meter.u64_gauge("ragwortfold_target_usable").build(),
+            rate: meter.f64_gauge("ragwortfold_target_rate").build(),
             cold_rate: meter.f64_gauge("ragwortfold_target_cold_rate").build(),
             age: meter.f64_gauge("ragwortfold_age_seconds").build(),
             hosts: meter.u64_gauge("ragwortfold_hosts").build(),
@@ -164,6 +166,8 @@
         // A target that is warm may get any rate.
         let rate = belief.cold_rate.unwrap_or(f64::INFINITY);
         self.cold_rate.record(rate, &labels);
+        let rate = belief.rate.unwrap_or(f64::INFINITY);
+        self.rate.record(rate, &labels);
     }
 
     /// The time since something was last heard of.
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -11,8 +11,9 @@
 use crate::control::presence::{Beat, Pulse, INTERVAL};
 use crate::steer::allowance::{Tally, Teller};
 use crate::steer::quarantine::Note;
+use crate::steer::throttle::{Claim, Grant, News};
 
-use super::{now, quarantine, Error, Host};
+use super::{now, quarantine, throttle, Error, Host};
 
 /// The longest datagram that is read, in bytes.
 const LONGEST: usize = 1400;
@@ -42,6 +43,15 @@
     /// Of requests that crash targets.
     #[serde(rename = "n")]
     Notes(Vec<Note>),
+    /// Of targets that name the rate that they take.
+    #[serde(rename = "r")]
+    Rates(Vec<News>),
+    /// The sender asks for leave to send to such a target.
+    #[serde(rename = "l")]
+    Claim(Claim),
+    /// The answer to that.
+    #[serde(rename = "g")]
+    Grant(Grant),
 }
 
 /// What a host tells of accounts.
@@ -154,6 +164,21 @@
     }
 }
 
+/// Tells other hosts of targets that name the rate that they take.
+pub(crate) async fn send_rates(host: &Host, news: &[News], peers: &[SocketAddr]) {
+    send(host, &Datagram::Rates(news.to_vec()), peers).await;
+}
+
+/// Asks a host for leave to send to such a target.
+pub(crate) async fn claim(host: &Host, claim: Claim, keeper: SocketAddr) {
+    send(host, &Datagram::Claim(claim), &[keeper]).await;
+}
+
+/// Answers that.
+pub(crate) async fn grant(host: &Host, grant: Grant, asker: SocketAddr) {
+    send(host, &Datagram::Grant(grant), &[asker]).await;
+}
+
 /// Tells all hosts that a target is cold.
 pub(crate) async fn tell_cold(host: &Host, id: &Arc<str>, left: Duration) {
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
@@ -212,6 +237,9 @@
             }
             Ok(Datagram::Tallies(told)) => hear_tallies(&host, sender, &told),
             Ok(Datagram::Notes(notes)) => quarantine::hear(&host, &notes),
+            Ok(Datagram::Rates(news)) => throttle::hear(&host, &news),
+            Ok(Datagram::Claim(claim)) => throttle::answer(&host, sender, &claim).await,
+            Ok(Datagram::Grant(grant)) => throttle::granted(&host, sender, &grant),
             Err(error) => spdlog::warn!("beat: {sender} sent something else: {error}"),
         }
     }
@@ -224,5 +252,6 @@
         // A host that has just started waits to hear from the others.
         beat(host, &[peer]).await;
         quarantine::tell_standings(host, &[peer]).await;
+        throttle::tell(host, &[peer]).await;
     }
 }
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -19,7 +19,7 @@
 use super::body::{self, Body, Part};
 use super::client::{self, Connection, Unanswered};
 use super::record::{self, Stop, Story};
-use super::{answer, log, message, now, quarantine, Host};
+use super::{answer, log, message, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
@@ -38,6 +38,9 @@
 /// sent: many targets may be down while they are still registered.
 const UNREACHED: usize = 8;
 
+/// How long leave to send is looked for: several questions in the own region, or one to another one.
+const ASKING: Duration = Duration::from_millis(200);
+
 /// A request whose body has been read, at least its beginning.
 pub(crate) struct Exchange {
     pub(crate) route: Arc<Route>,
@@ -195,7 +198,7 @@
                 ask.object = None;
             }
         }
-        let target = match choose(host, ask) {
+        let target = match choose(host, ask).await {
             Ok(target) => target,
             Err(refusal) => break Stop::Refused(refusal),
         };
@@ -308,10 +311,24 @@
     }
 }
 
-fn choose(host: &Host, ask: &Ask<'_>) -> Result<TargetKey, Refusal> {
-    let pool = host.pool.borrow();
-    let fleet = &mut host.core.borrow_mut().fleet;
-    fleet.choose(now(), ask, |target| pool.has(target))
+/// Chooses a target to which the request may be sent. One that gives no leave is passed over for a while, so that the next choice
+/// is another one.
+async fn choose(host: &Host, ask: &Ask<'_>) -> Result<TargetKey, Refusal> {
+    let until = now() + ASKING;
+    loop {
+        let target = {
+            let pool = host.pool.borrow();
+            let fleet = &mut host.core.borrow_mut().fleet;
+            fleet.propose(now(), ask, |target| pool.has(target))?
+        };
+        if throttle::permit(host, target).await {
+            host.core.borrow_mut().fleet.begin(now(), ask, target);
+            return Ok(target);
+        }
+        if now() >= until {
+            return Err(Refusal::Full);
+        }
+    }
 }
 
 /// What requests for the same object have in common; something of its own for a request without one.
@@ -500,6 +517,7 @@
         grant.end = End::Stray;
         return Outcome::Unknown;
     }
+    throttle::note(host, grant, &told);
     let read = connection.read(collect(exchange, incoming));
     let Some(part) = read.await else {
         let late = now() >= exchange.deadline;
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -13,6 +13,8 @@
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{Logger, ThreadPool};
 
+use super::{now, Host};
+use crate::inventory::TargetKey;
 use crate::port::Kind;
 use crate::steer::fleet::Turn;
 use crate::steer::quarantine::Note;
@@ -60,6 +62,12 @@
     Stray => "target.stray-answer",
     /// A target's answer has a header that nobody here knows.
     Header => "target.unknown-header",
+    /// A target names the rate that it takes.
+    Limited => "target.limited",
+    /// A target names no rate any more.
+    Unlimited => "target.unlimited",
+    /// What a target names as its rate can't be read.
+    UnreadableRate => "target.unreadable-rate",
     /// A target said that it drains.
     Draining => "target.draining",
     /// A target said that it is cold.
@@ -161,6 +169,38 @@
     });
 }
 
+/// A target begins or ends to name the rate that it takes; this host has it from an `answer` or another `host`.
+pub(crate) fn rate(id: &str, rate: Option<f64>, from: &str) {
+    match rate {
+        Some(rate) => spdlog::info!("a target names the rate that it takes", kv: {
+            event = Event::Limited.as_str(),
+            target = id,
+            per_s = rate,
+            from
+        }),
+        None => spdlog::info!("a target names no rate any more", kv: {
+            event = Event::Unlimited.as_str(),
+            target = id,
+            from
+        }),
+    }
+}
+
+/// What a target names as its rate can't be read; what it named before stays in force.
+pub(crate) fn unreadable_rate(host: &Host, target: TargetKey, value: &str) {
+    let Some(left_out) = host.limits.borrow_mut().take(now(), Event::UnreadableRate) else {
+        return;
+    };
+    let core = host.core.borrow();
+    let target = core.fleet.member(target);
+    spdlog::warn!("a target's rate can't be read", kv: {
+        event = Event::UnreadableRate.as_str(),
+        target = target.map(|member| &**member.id()).unwrap_or_default(),
+        value,
+        left_out
+    });
+}
+
 /// A target is forgotten.
 pub(crate) fn gone(id: &str) {
     spdlog::info!("a target is gone", kv: { event = Event::Gone.as_str(), target = id });
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -29,6 +29,7 @@
 mod stop;
 mod store;
 mod sync;
+mod throttle;
 mod watcher;
 
 use std::cell::{Cell, RefCell};
@@ -71,6 +72,7 @@
     joined: Cell<bool>,
     /// Feeds that ended, and when.
     failed: RefCell<BTreeMap<SocketAddr, Instant>>,
+    claims: throttle::Claims,
     /// Names of targets' headers that were logged as unknown.
     unknown_headers: RefCell<BTreeSet<Arc<str>>>,
     /// Faults of the store's objects that were logged.
@@ -141,6 +143,7 @@
         begin: begin::Begin::new(now(), &settings),
         joined: Cell::new(false),
         failed: RefCell::default(),
+        claims: throttle::Claims::default(),
         unknown_headers: RefCell::default(),
         unread: RefCell::default(),
         platform,
@@ -156,6 +159,7 @@
     tokio::task::spawn_local(probe::run(host.clone()));
     tokio::task::spawn_local(proof::assure(host.clone()));
     tokio::task::spawn_local(quarantine::repeat_standings(host.clone()));
+    tokio::task::spawn_local(throttle::repeat(host.clone()));
     tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
     spdlog::info!("host: listens", kv: {
         event = log::Event::Started.as_str(),
--- a/src/port.rs
+++ b/src/port.rs
@@ -21,6 +21,7 @@
 use crate::steer::allowance::Excess;
 use crate::steer::fleet::{Load, Switches};
 use crate::steer::retry::Terms;
+use crate::steer::throttle::Rate;
 
 /// What a process learns at its start and when it is told to read its settings again.
 #[derive(Clone, Debug, PartialEq)]
@@ -251,6 +252,8 @@
     pub misdirected: bool,
     /// The target's load.
     pub load: Option<Load>,
+    /// The requests a second that it takes from all hosts together.
+    pub rate: Rate,
 }
 
 /// What a target's health answer says.
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -16,6 +16,7 @@
 mod member;
 mod silence;
 mod switches;
+mod throttled;
 mod warmth;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,12 +32,14 @@
 use self::warmth::Warmth;
 use super::drift::Drift;
 use super::eject::{Eject, Sign, Standing};
+use super::throttle::Throttle;
 use crate::border::settings::Switch;
 use crate::inventory::{Keys, Registration, TargetKey};
 
 pub use self::charge::{CARETAKERS, LEAST, SPARE};
 pub use self::member::{Belief, Load, Member};
 pub use self::switches::Switches;
+pub use self::throttled::Leave;
 
 /// What is asked for.
 #[derive(Clone, Debug)]
@@ -146,6 +149,10 @@
     lapsed: BTreeMap<Arc<str>, usize>,
     /// The target that was asked last whether it is cold.
     questioned: Option<TargetKey>,
+    /// The rates that targets name.
+    throttle: Throttle,
+    /// Numbers the claims of this host.
+    claims: u32,
 }
 
 impl Fleet {
@@ -159,7 +166,7 @@
         cold_burst: f64,
     ) -> Self {
         let region = regions.get(&zone).unwrap_or(&zone).clone();
-        let own = Peer::new(&name, region.clone());
+        let own = Peer::new(name, region.clone());
         Self {
             zone,
             ways: BTreeMap::new(),
@@ -170,6 +177,8 @@
             hosts: Vec::new(),
             told: None,
             questioned: None,
+            throttle: Throttle::new(),
+            claims: 0,
             lapsed: BTreeMap::new(),
             own,
             switches: Switches::default(),
@@ -254,6 +263,7 @@
         if member.lapsed.is_some() {
             count_return(&mut self.lapsed, member.service());
         }
+        self.throttle.forget(member.digest());
         if let Some(keys) = self.services.get_mut(member.service()) {
             keys.retain(|other| *other != key);
         }
@@ -314,7 +324,7 @@
         }
     }
 
-    /// Chooses a target and counts the request there until [`Fleet::finish`].
+    /// Chooses a target and counts the request there until [`Fleet::finish`], whatever rate the target names.
     ///
     /// `connected` tells whether there is an idle connection to a target.
     pub fn choose(
@@ -322,9 +332,25 @@
         now: Instant,
         ask: &Ask<'_>,
         connected: impl Fn(TargetKey) -> bool,
+    ) -> Result<TargetKey, Refusal> {
+        let chosen = self.propose(now, ask, connected)?;
+        self.begin(now, ask, chosen);
+        Ok(chosen)
+    }
+
+    /// Chooses a target. The request may be sent there if [`Fleet::leave`] says so.
+    pub fn propose(
+        &mut self,
+        now: Instant,
+        ask: &Ask<'_>,
+        connected: impl Fn(TargetKey) -> bool,
     ) -> Result<TargetKey, Refusal> {
         self.asked += 1;
-        let chosen = self.pick(now, ask, connected)?;
+        self.pick(now, ask, connected)
+    }
+
+    /// Counts a request at the target that was chosen for it until [`Fleet::finish`].
+    pub fn begin(&mut self, now: Instant, ask: &Ask<'_>, chosen: TargetKey) {
         if let Some(member) = self.members.get_mut(&chosen) {
             // Requests that may not choose their region say nothing of what those that may do.
             let drift = self.drifts.get_mut(ask.service);
@@ -336,7 +362,6 @@
                 member.cold_token = Some(now);
             }
         }
-        Ok(chosen)
     }
 
     /// The targets that a request may use now and what they are believed to have, for the log.
@@ -348,8 +373,10 @@
                 let age = now.saturating_duration_since(report.at);
                 format!("{} ms ago", age.as_millis())
             });
+            let rate = self.throttle.rate(member.digest());
+            let rate = rate.map_or(String::new(), |rate| format!(", takes {rate} a second"));
             Some(format!(
-                "{} in {} has {:.1} of {} slots, {} of this host, told {report}",
+                "{} in {} has {:.1} of {} slots, {} of this host, told {report}{rate}",
                 member.id(),
                 member.region,
                 member.load(now),
@@ -368,6 +395,7 @@
             load: member.load(now),
             work: member.work(now, self.habit(member.service()).work),
             is_in: member.eject.is_in(),
+            rate: self.throttle.rate(member.digest()),
             cold_rate: member.is_cold(now).then(|| self.cold_rate(member)),
         })
     }
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -32,8 +32,13 @@
     pub(super) near: Option<TargetKey>,
     /// The first elsewhere.
     pub(super) far: Option<TargetKey>,
-    /// Slots of all targets of the own region that may be used.
+    /// Slots of all targets of the own region that may be used, also of those that get nothing just now by their rates: a
+    /// rate moves by the moment, and what is not sent there is no loss that may leave the region at once.
     slots: u32,
+    /// Whether targets of the own region get nothing just now by their rates.
+    is_near_closed: bool,
+    /// When the first target that gets nothing just now by its rate may get something.
+    opens_in: Option<Duration>,
 }
 
 impl Choices {
@@ -66,16 +71,21 @@
         ask: &Ask<'_>,
         connected: impl Fn(TargetKey) -> bool,
     ) -> Result<TargetKey, Refusal> {
-        let Choices { near, far, slots } = self.first_choices(now, ask);
-        let first = [near, far];
+        let choices = self.first_choices(now, ask);
+        let first = [choices.near, choices.far];
         if first == [None; 2] {
-            return Err(Refusal::NoTarget);
+            return Err(match choices.opens_in {
+                Some(_) => Refusal::Full,
+                None => Refusal::NoTarget,
+            });
         }
+        let is_bare = choices.near.is_none() && !choices.is_near_closed;
+        let slots = choices.slots;
         let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
         choices.extend(self.holders(now, ask, &first));
         choices.retain(|key| self.has_room(now, *key));
-        if self.switches.drift == Switch::On {
-            choices = self.keep_to_drift(now, ask, choices, near, slots);
+        if self.switches.drift == Switch::On && !is_bare {
+            choices = self.keep_to_drift(now, ask, choices, slots);
         }
         choices
             .into_iter()
@@ -85,20 +95,15 @@
             .ok_or(Refusal::Full)
     }
 
-    /// Those of the targets with room that a request may use without moving too much of a region's load at once. `near` is
-    /// its first choice in the own region, with room or not, and `slots` are all that may be used there: when some of them
-    /// are lost, their requests leave at once.
+    /// Those of the targets with room that a request may use without moving too much of a region's load at once. `slots` are all
+    /// that may be used in the own region: when some of them are lost, their requests leave at once.
     fn keep_to_drift(
         &mut self,
         now: Instant,
         ask: &Ask<'_>,
         choices: Vec<TargetKey>,
-        near: Option<TargetKey>,
         slots: u32,
     ) -> Vec<TargetKey> {
-        if near.is_none() {
-            return choices;
-        }
         let (near, far): (Vec<_>, Vec<_>) = choices.iter().partition(|key| self.is_near(**key));
         let drift = self.drift(now, ask.service);
         let has_lost = drift.has_lost(now, slots);
@@ -131,13 +136,15 @@
     pub fn room_in(&self, now: Instant, ask: &Ask<'_>) -> Duration {
         let habit = self.habit(ask.service);
         let patience = habit.admission.patience();
-        let waits = self.first_choices(now, ask).keys().filter_map(|key| {
+        let choices = self.first_choices(now, ask);
+        let waits = choices.keys().filter_map(|key| {
             let member = self.members.get(&key)?;
             let slots = f64::from(member.registration.slots.max(1));
             let excess = (member.load(now) + 1.0 - slots * patience).max(0.0);
             Some(excess * member.work(now, habit.work) / slots)
         });
-        let least = waits.min_by(f64::total_cmp);
+        let opens_in = choices.opens_in.map(|time| time.as_secs_f64());
+        let least = waits.chain(opens_in).min_by(f64::total_cmp);
         Duration::try_from_secs_f64(least.unwrap_or_default()).unwrap_or_default()
     }
 
@@ -160,6 +167,7 @@
                     let most = f64::from(member.registration.slots) * AT_EASE;
                     member.load(now) < most
                         && self.is_open(now, member, ask)
+                        && !self.is_closed(now, member)
                         && doubts.is_sound(now, member)
                 })
             })
@@ -187,13 +195,13 @@
     /// The targets that a key may use; those that are in doubt only where there are no others.
     pub(super) fn first_choices(&self, now: Instant, ask: &Ask<'_>) -> Choices {
         let doubts = self.doubts(ask.service);
-        let sound = self.candidates(ask, |member| {
+        let sound = self.candidates(now, ask, |member| {
             self.is_open(now, member, ask) && doubts.is_sound(now, member)
         });
-        if sound.keys().next().is_some() {
+        if sound.keys().next().is_some() || sound.opens_in.is_some() {
             return sound;
         }
-        self.candidates(ask, |member| self.is_open(now, member, ask))
+        self.candidates(now, ask, |member| self.is_open(now, member, ask))
     }
 
     /// What keeps a target of a service from being used while there are others.
@@ -210,7 +218,12 @@
     }
 
     /// The first target of the own region, and the first elsewhere, among those that may be used.
-    fn candidates(&self, ask: &Ask<'_>, may_use: impl Fn(&Member) -> bool) -> Choices {
+    fn candidates(
+        &self,
+        now: Instant,
+        ask: &Ask<'_>,
+        may_use: impl Fn(&Member) -> bool,
+    ) -> Choices {
         let key_of_request = match self.switches.affinity {
             Switch::On => ask.key,
             Switch::Off => xxh3_64(&self.asked.to_le_bytes()),
@@ -218,6 +231,8 @@
         let mut near: Option<(u64, TargetKey)> = None;
         let mut far: Option<(u64, TargetKey)> = None;
         let mut slots = 0;
+        let mut is_near_closed = false;
+        let mut opens_in: Option<Duration> = None;
         for key in self.services.get(ask.service).into_iter().flatten() {
             let Some(member) = self.members.get(key) else {
                 continue;
@@ -232,6 +247,11 @@
             if ask.tried.contains(key) {
                 continue;
             }
+            if let Some(time) = self.closed_for(now, member) {
+                is_near_closed |= is_near;
+                opens_in = opens_in.into_iter().chain([time]).min();
+                continue;
+            }
             let draw = xxh3_64_with_seed(&key_of_request.to_le_bytes(), member.seed);
             let place = if is_near {
                 &mut near
@@ -246,6 +266,8 @@
             near: near.map(|(_, key)| key),
             far: far.map(|(_, key)| key),
             slots,
+            is_near_closed,
+            opens_in,
         }
     }
 
--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -18,20 +18,22 @@
 /// A host, for the choice of those that may use a cold target.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
-    seed: u64,
+    pub(super) name: Arc<str>,
+    pub(super) seed: u64,
     region: Arc<str>,
 }
 
 impl Peer {
-    pub(super) fn new(name: &str, region: Arc<str>) -> Self {
+    pub(super) fn new(name: Arc<str>, region: Arc<str>) -> Self {
         Self {
             seed: xxh3_64(name.as_bytes()),
+            name,
             region,
         }
     }
 
-    /// The order of hosts at a cold target: those of its region first.
-    fn rank(&self, member: &Member) -> (bool, u64) {
+    /// The order of hosts at a target of which few may use it, or look after it: those of its region first.
+    pub(super) fn rank(&self, member: &Member) -> (bool, u64) {
         let draw = xxh3_64_with_seed(&self.seed.to_le_bytes(), member.seed);
         (self.region == member.region, draw)
     }
@@ -47,7 +49,7 @@
     pub fn set_hosts(&mut self, hosts: Vec<(Arc<str>, Arc<str>)>) {
         self.hosts = hosts
             .into_iter()
-            .map(|(name, region)| Peer::new(&name, region))
+            .map(|(name, region)| Peer::new(name, region))
             .collect();
     }
 
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -121,6 +121,8 @@
     pub work: f64,
     /// Whether it is in use, as far as failures go.
     pub is_in: bool,
+    /// The requests a second that it takes from all hosts, if it names them.
+    pub rate: Option<f64>,
     /// If it is cold, the requests a second that this host may send to it.
     pub cold_rate: Option<f64>,
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -24,5 +24,6 @@
 pub mod shift;
 pub mod split;
 mod tally;
+pub mod throttle;
 pub mod ticket;
 pub mod warm;
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use ragwortfold::inventory::{Registration, State, TargetKey};
-use ragwortfold::steer::fleet::{Ask, End, Fleet, Load, Seen, Switches};
+use ragwortfold::steer::fleet::{Ask, End, Fleet, Leave, Load, Refusal, Seen, Switches};
+use ragwortfold::steer::throttle::{Claim, Grant, News};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -20,6 +21,13 @@
 /// One way within a region, and between regions.
 const NEAR: Duration = Duration::from_millis(1);
 const FAR: Duration = Duration::from_millis(20);
+/// How long a host waits for the answer to a claim, and how long it looks for leave to send in all.
+const CLAIM: Duration = Duration::from_millis(60);
+const SEEK: Duration = Duration::from_millis(200);
+/// How long hosts take to learn that another one ended or started.
+const LEARN: Duration = Duration::from_millis(1500);
+/// Time between two tellings of what targets said of their rates.
+const REPEAT: Duration = Duration::from_secs(1);
 
 /// What a target does with the requests that it gets.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -115,6 +123,10 @@
     waiting: VecDeque<usize>,
     /// The objects that it has, the one handled last at the end.
     kept: VecDeque<u64>,
+    /// The requests a second that it names in its answers.
+    rate: Option<f64>,
+    /// When requests came, and from which hosts.
+    arrivals: Vec<(Instant, usize)>,
 }
 
 struct Request {
@@ -130,6 +142,9 @@
     ran: Option<usize>,
     /// Whether it was refused once and came back.
     returned: bool,
+    /// The claim whose answer it waits for, and until when it looks for leave to be sent.
+    claimed: Option<u32>,
+    seeks_until: Instant,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,7 +154,7 @@
     Failed,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Event {
     Ask {
         region: usize,
@@ -156,7 +171,31 @@
         request: usize,
         end: End,
         load: (u32, u32),
+        rate: Option<f64>,
+    },
+    Claim {
+        request: usize,
+        keeper: usize,
+        target: TargetKey,
+        claim: Claim,
+    },
+    Grant {
+        request: usize,
+        target: TargetKey,
+        grant: Grant,
+    },
+    Unanswered {
+        request: usize,
+        keeper: usize,
+        target: TargetKey,
+        claim: Claim,
+    },
+    News {
+        host: usize,
+        news: News,
     },
+    Repeat,
+    Learn,
     GiveUp {
         request: usize,
         attempt: usize,
@@ -171,6 +210,9 @@
     fleet: Fleet,
     /// Connections that were opened.
     met: BTreeSet<TargetKey>,
+    /// Whether it runs, and whether other hosts reach it.
+    is_up: bool,
+    is_cut: bool,
 }
 
 /// The world that a scene sets.
@@ -186,6 +228,7 @@
     rng: Pcg64Mcg,
     /// Requests a second from each region.
     rates: Vec<f64>,
+    datagrams: u64,
 }
 
 impl World {
@@ -201,6 +244,7 @@
             count: 0,
             rng: Pcg64Mcg::seed_from_u64(scene.seed),
             rates: vec![scene.rate; scene.targets.len()],
+            datagrams: 0,
             scene,
         };
         for region in 0..world.scene.targets.len() {
@@ -215,6 +259,8 @@
             }
             world.plan(Duration::ZERO, Event::Ask { region });
         }
+        world.learn();
+        world.plan(REPEAT, Event::Repeat);
         world
     }
 
@@ -228,7 +274,106 @@
             fleet: Fleet::new(self.now, name, zone(region), regions, 5.0)
                 .with_switches(self.scene.switches),
             met: BTreeSet::new(),
+            is_up: true,
+            is_cut: false,
+        }
+    }
+
+    /// Tells all hosts which there are.
+    fn learn(&mut self) {
+        let whole: Vec<_> = (0..self.hosts.len())
+            .filter(|at| self.hosts[*at].is_up && !self.hosts[*at].is_cut)
+            .map(|at| self.named(at))
+            .collect();
+        for at in 0..self.hosts.len() {
+            let known = if self.hosts[at].is_cut {
+                vec![self.named(at)]
+            } else {
+                whole.clone()
+            };
+            self.hosts[at].fleet.set_hosts(known);
+        }
+    }
+
+    fn named(&self, at: usize) -> (Arc<str>, Arc<str>) {
+        let region = at / self.scene.hosts;
+        let name = format!("h{region}-{}", at % self.scene.hosts);
+        (name.into(), format!("r{region}").into())
+    }
+
+    /// Ends a host; the others learn of it after a while. What it had under way is lost.
+    pub fn kill(&mut self, at: usize) {
+        self.hosts[at].is_up = false;
+        for request in &mut self.requests {
+            if request.host == at && request.end.is_none() {
+                request.target = None;
+                request.end = Some(Outcome::Failed);
+            }
+        }
+        self.plan(LEARN, Event::Learn);
+    }
+
+    /// Ends a host that says so to the others before.
+    pub fn stop(&mut self, at: usize) {
+        self.kill(at);
+        self.learn();
+    }
+
+    /// Starts a host anew that was ended. It is told of rates as it meets the others, and they learn of it after a while.
+    pub fn start(&mut self, at: usize) {
+        let mut host = self.host(at / self.scene.hosts, at % self.scene.hosts);
+        for site in &self.sites {
+            host.fleet.register(self.now, site.registration.clone());
+        }
+        let other = self.hosts.iter().position(|other| other.is_up);
+        let news: Vec<News> = other
+            .map(|other| self.hosts[other].fleet.news(self.now).collect())
+            .unwrap_or_default();
+        for news in &news {
+            host.fleet.hear(self.now, news);
         }
+        self.hosts[at] = host;
+        self.learn();
+    }
+
+    /// Cuts a host from the others, or takes that back; it goes on to serve callers by targets.
+    pub fn cut(&mut self, at: usize, is_cut: bool) {
+        self.hosts[at].is_cut = is_cut;
+        self.plan(LEARN, Event::Learn);
+    }
+
+    /// Sets the requests a second that a target names from now on.
+    pub fn name(&mut self, site: usize, rate: Option<f64>) {
+        self.sites[site].rate = rate;
+    }
+
+    /// The most requests that a target got in any span of this length that began after a time from the beginning on, but for those
+    /// from some hosts.
+    pub fn most(&self, site: usize, from: Duration, span: Duration, but: &[usize]) -> usize {
+        let arrivals = self.sites[site].arrivals.iter();
+        let times: Vec<Instant> = arrivals
+            .filter(|(at, host)| *at >= self.begun + from && !but.contains(host))
+            .map(|(at, _)| *at)
+            .collect();
+        let count = |first: usize| {
+            let within = times[first..]
+                .iter()
+                .filter(|at| **at < times[first] + span);
+            within.count()
+        };
+        (0..times.len()).map(count).max().unwrap_or_default()
+    }
+
+    /// Requests that a target got between two times from the beginning on.
+    pub fn got(&self, site: usize, from: Duration, to: Duration) -> usize {
+        let arrivals = self.sites[site].arrivals.iter();
+        let within = |at: &Instant| *at >= self.begun + from && *at < self.begun + to;
+        arrivals.filter(|(at, _)| within(at)).count()
+    }
+
+    /// Datagrams that hosts sent each other so far.
+    pub fn datagrams(&self) -> u64 {
+        self.datagrams
     }
 
     /// All hosts start anew and know nothing of before; what they had under way is lost.
@@ -246,6 +391,7 @@
                     .register(self.now, site.registration.clone());
             }
         }
+        self.learn();
     }
 
     /// Sets the requests a second that come from a region.
@@ -288,6 +434,8 @@
             running: 0,
             waiting: VecDeque::new(),
             kept: VecDeque::new(),
+            rate: None,
+            arrivals: Vec::new(),
         });
         number
     }
@@ -403,7 +551,39 @@
             Event::Ask { region } => self.ask(region),
             Event::Arrive { request, site } => self.arrive(request, site),
             Event::Done { request, site } => self.done(request, site),
-            Event::Answer { request, end, load } => self.answer(request, end, load),
+            Event::Answer {
+                request,
+                end,
+                load,
+                rate,
+            } => {
+                self.hear(request, rate);
+                self.answer(request, end, load);
+            }
+            Event::Claim {
+                request,
+                keeper,
+                target,
+                claim,
+            } => self.claim(request, keeper, target, &claim),
+            Event::Grant {
+                request,
+                target,
+                grant,
+            } => self.granted(request, target, &grant),
+            Event::Unanswered {
+                request,
+                keeper,
+                target,
+                claim,
+            } => self.unanswered(request, keeper, target, &claim),
+            Event::News { host, news } => {
+                if self.hosts[host].is_up {
+                    self.hosts[host].fleet.hear(self.now, &news);
+                }
+            }
+            Event::Repeat => self.repeat(),
+            Event::Learn => self.learn(),
             Event::GiveUp { request, attempt } => self.give_up(request, attempt),
             Event::Return { request } => self.send(request),
         }
@@ -413,7 +593,11 @@
         let gap = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.rates[region];
         self.plan(Duration::from_secs_f64(gap), Event::Ask { region });
         let first = region * self.scene.hosts;
-        let host = first + self.rng.random_range(0..self.scene.hosts);
+        let mut host = first + self.rng.random_range(0..self.scene.hosts);
+        if !self.hosts[host].is_up {
+            let up = (0..self.hosts.len()).filter(|at| self.hosts[*at].is_up);
+            host = up.min_by_key(|at| at.abs_diff(host)).unwrap();
+        }
         let object = region as u64 * 1_000_000 + self.rng.random_range(0..self.scene.objects);
         self.requests.push(Request {
             host,
@@ -425,11 +609,169 @@
             at: self.now,
             ran: None,
             returned: false,
+            claimed: None,
+            seeks_until: self.now,
         });
         self.send(self.requests.len() - 1);
     }
 
+    /// Sends news to another host, unless one of them is cut.
+    fn post(&mut self, from: usize, to: usize, event: Event) {
+        self.datagrams += 1;
+        let (from, to) = (&self.hosts[from], &self.hosts[to]);
+        if from.is_cut || to.is_cut {
+            return;
+        }
+        let way = way(from.region, to.region);
+        self.plan(way, event);
+    }
+
+    /// A request's host hears what the target's answer says of its rate.
+    fn hear(&mut self, number: usize, rate: Option<f64>) {
+        let request = &self.requests[number];
+        let at = request.host;
+        let Some((target, sent)) = request.target else {
+            return;
+        };
+        let news = self.hosts[at].fleet.state(self.now, target, sent, rate);
+        if let Some(news) = news {
+            for host in 0..self.hosts.len() {
+                if host != at {
+                    self.post(at, host, Event::News { host, news });
+                }
+            }
+        }
+    }
+
+    /// Each host repeats what it knows of rates to two others.
+    fn repeat(&mut self) {
+        for at in 0..self.hosts.len() {
+            let news: Vec<News> = self.hosts[at].fleet.news(self.now).collect();
+            self.hosts[at].fleet.expire_rates(self.now);
+            if news.is_empty() || !self.hosts[at].is_up {
+                continue;
+            }
+            for _ in 0..2 {
+                let host = self.rng.random_range(0..self.hosts.len());
+                for news in &news {
+                    self.post(at, host, Event::News { host, news: *news });
+                }
+            }
+        }
+        self.plan(REPEAT, Event::Repeat);
+    }
+
+    fn claim(&mut self, request: usize, keeper: usize, target: TargetKey, claim: &Claim) {
+        if !self.hosts[keeper].is_up {
+            return;
+        }
+        let grant = self.hosts[keeper].fleet.grant(self.now, claim);
+        let asker = self.requests[request].host;
+        let answer = Event::Grant {
+            request,
+            target,
+            grant,
+        };
+        self.post(keeper, asker, answer);
+    }
+
+    fn granted(&mut self, number: usize, target: TargetKey, grant: &Grant) {
+        let at = self.requests[number].host;
+        self.hosts[at].fleet.granted(self.now, grant);
+        if self.requests[number].claimed == Some(grant.0) {
+            self.requests[number].claimed = None;
+            self.go_on(number, target);
+        }
+    }
+
+    fn unanswered(&mut self, number: usize, keeper: usize, target: TargetKey, claim: &Claim) {
+        if self.requests[number].claimed != Some(claim.0) {
+            return;
+        }
+        self.requests[number].claimed = None;
+        let (name, _) = self.named(keeper);
+        let at = self.requests[number].host;
+        self.hosts[at].fleet.unanswered(self.now, &name, claim);
+        self.go_on(number, target);
+    }
+
+    /// Sends a request whose claim was answered, or looks for another target.
+    fn go_on(&mut self, number: usize, target: TargetKey) {
+        let request = &self.requests[number];
+        if request.end.is_some() {
+            return;
+        }
+        let at = request.host;
+        if self.hosts[at].fleet.take_leave(self.now, target) {
+            self.dispatch(number, target);
+        } else if self.now >= self.requests[number].seeks_until {
+            self.refuse(number);
+        } else {
+            self.seek(number);
+        }
+    }
+
     fn send(&mut self, number: usize) {
+        self.requests[number].seeks_until = self.now + SEEK;
+        self.seek(number);
+    }
+
+    /// Looks for a target to which a request may be sent.
+    fn seek(&mut self, number: usize) {
+        match self.find(number) {
+            Ok((target, Leave::Ask(name, claim))) => {
+                let asker = self.requests[number].host;
+                let keeper = (0..self.hosts.len()).find(|at| self.named(*at).0 == name);
+                let keeper = keeper.unwrap();
+                self.requests[number].claimed = Some(claim.0);
+                let question = Event::Claim {
+                    request: number,
+                    keeper,
+                    target,
+                    claim,
+                };
+                self.post(asker, keeper, question);
+                let patience = Event::Unanswered {
+                    request: number,
+                    keeper,
+                    target,
+                    claim,
+                };
+                self.plan(CLAIM, patience);
+            }
+            Ok((target, _)) => self.dispatch(number, target),
+            Err(_) => self.refuse(number),
+        }
+    }
+
+    /// The target to ask for, or that may be used.
+    fn find(&mut self, number: usize) -> Result<(TargetKey, Leave), Refusal> {
+        let request = &self.requests[number];
+        let host = &mut self.hosts[request.host];
+        let draw = draw(request.object);
+        let service: Arc<str> = SERVICE.into();
+        let ask = Ask {
+            service: &service,
+            key: draw,
+            homes: &BTreeSet::new(),
+            tried: request.tried.clone(),
+            object: Some(draw),
+            bytes: 0,
+        };
+        loop {
+            let met = &host.met;
+            let proposed = host
+                .fleet
+                .propose(self.now, &ask, |target| met.contains(&target));
+            let target = proposed?;
+            match host.fleet.leave(self.now, target, &mut self.rng) {
+                Leave::Refused => {}
+                leave => return Ok((target, leave)),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, number: usize, target: TargetKey) {
         let request = &mut self.requests[number];
         let host = &mut self.hosts[request.host];
         let service: Arc<str> = SERVICE.into();
@@ -442,14 +784,7 @@
             object: Some(draw),
             bytes: 0,
         };
-        let met = &host.met;
-        let Ok(target) = host
-            .fleet
-            .choose(self.now, &ask, |target| met.contains(&target))
-        else {
-            self.refuse(number);
-            return;
-        };
+        host.fleet.begin(self.now, &ask, target);
         let id = host.fleet.member(target).unwrap().id().clone();
         let site = self
             .sites
@@ -486,7 +821,9 @@
             _ => false,
         };
         let slots = self.scene.slots as usize;
+        let host = self.requests[request].host;
         let site = &mut self.sites[number];
+        site.arrivals.push((self.now, host));
         if site.mode == Mode::Dark {
             return;
         }
@@ -547,7 +884,13 @@
         }
         let load = (site.running as u32, site.waiting.len() as u32);
         let way = way(self.hosts[self.requests[request].host].region, site.region);
-        self.plan(way, Event::Answer { request, end, load });
+        let answer = Event::Answer {
+            request,
+            end,
+            load,
+            rate: site.rate,
+        };
+        self.plan(way, answer);
     }
 
     fn answer(&mut self, number: usize, end: End, load: (u32, u32)) {
--- /dev/null
+++ b/tests/throttle.rs
@@ -0,0 +1,316 @@
+//! Targets that name the rate that they take from all hosts together, replayed in virtual time, and what hosts tell each other.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use ragwortfold::steer::throttle::{Bucket, Claim, News, Rate, Throttle};
+
+mod replay;
+
+use replay::{Scene, World};
+
+const SEEDS: std::ops::Range<u64> = 1..6;
+/// How long hosts may take until they keep to a rate.
+const STABLE: f64 = 3.0;
+/// The span over which arrivals are counted, and what may come in it: a part beyond the rate, and some.
+const WINDOW: f64 = 4.0;
+const OVER: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// The part of what targets take that is used at least while there are more requests than that.
+const USED: f64 = 0.8;
+/// Before rates are named.
+const USUAL: f64 = 10.0;
+
+fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn scene(hosts: usize, seed: u64) -> Scene {
+    Scene {
+        hosts,
+        seed,
+        ..Scene::default()
+    }
+}
+
+fn allowed(rate: f64) -> f64 {
+    rate * OVER * WINDOW + SLACK
+}
+
+/// Asserts that a target gets about the rate that it names from [`USUAL`] to `until`, which is the highest of all.
+fn check(world: &World, site: usize, rate: f64, until: f64, but: &[usize]) {
+    let most = world.most(site, s(USUAL + STABLE - WINDOW / 2.0), s(WINDOW), but);
+    let seed = world.scene.seed;
+    assert!(
+        most as f64 <= allowed(rate),
+        "seed {seed}: {most} in a window, {} allowed",
+        allowed(rate)
+    );
+    let used = world.got(site, s(USUAL + STABLE), s(until)) as f64;
+    let least = rate * USED * (until - USUAL - STABLE);
+    assert!(used >= least, "seed {seed}: {used} used, {least} expected");
+}
+
+/// One target names a rate from a moment on, among hosts of three regions.
+macro_rules! one_target {
+    ($($name:ident: $hosts:expr, $region:expr, $rate:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in SEEDS {
+                let mut world = World::new(scene($hosts, seed));
+                world.run(s(USUAL));
+                let site = busiest(&world, $region);
+                world.name(site, Some($rate));
+                world.run(s(12.0));
+                check(&world, site, $rate, 22.0, &[]);
+            }
+        }
+    )*};
+}
+
+one_target! {
+    a_rate_among_twelve_hosts: 4, 1, 2.1;
+    a_higher_rate_among_twelve_hosts: 4, 2, 9.0;
+    a_rate_in_a_region_of_two_targets: 4, 0, 3.9;
+    a_rate_among_three_hundred_hosts: 100, 1, 2.1;
+    a_rate_far_below_one_a_second: 4, 1, 0.5;
+}
+
+/// The target of a region that got most of its requests so far.
+fn busiest(world: &World, region: usize) -> usize {
+    let sites = world.region(region).into_iter();
+    sites
+        .max_by_key(|site| world.got(*site, s(0.0), s(USUAL)))
+        .unwrap()
+}
+
+/// Requests that were refused in a part of the requests at most, once hosts had some seconds.
+fn assert_served(world: &World, until: f64, refused: f64) {
+    let sum = world.sum(s(USUAL + STABLE), s(until - 1.0));
+    let most = f64::from(sum.asked) * refused;
+    assert!(f64::from(sum.refused) <= most, "{sum:?}");
+    assert!(
+        world.longest_refusal() <= s(0.5),
+        "{:?}",
+        world.longest_refusal()
+    );
+}
+
+#[test]
+fn all_targets_of_a_service_name_a_rate() {
+    for seed in SEEDS {
+        let mut world = World::new(scene(4, seed));
+        world.run(s(USUAL));
+        (0..11).for_each(|site| world.name(site, Some(6.0)));
+        world.run(s(12.0));
+        (0..11).for_each(|site| check(&world, site, 6.0, 22.0, &[]));
+        assert_served(&world, 22.0, 1.0 - 66.0 * USED / 180.0);
+    }
+}
+
+#[test]
+fn what_a_limited_target_does_not_take_is_served_by_the_others() {
+    for seed in SEEDS {
+        let mut world = World::new(scene(4, seed));
+        world.run(s(USUAL));
+        let site = busiest(&world, 2);
+        world.name(site, Some(2.0));
+        world.run(s(12.0));
+        check(&world, site, 2.0, 22.0, &[]);
+        assert_served(&world, 22.0, 0.01);
+    }
+}
+
+#[test]
+fn a_rate_that_moves_is_followed() {
+    for seed in SEEDS {
+        let mut world = World::new(scene(4, seed));
+        world.run(s(USUAL));
+        let site = busiest(&world, 1);
+        for turn in 0..24 {
+            world.name(site, Some([4.0, 2.5, 3.3, 2.0][turn % 4]));
+            world.run(s(0.5));
+        }
+        let most = world.most(site, s(USUAL + STABLE - WINDOW / 2.0), s(WINDOW), &[]);
+        assert!(most as f64 <= allowed(2.95), "seed {seed}: {most}");
+        assert!(world.got(site, s(13.0), s(22.0)) as f64 >= 2.95 * 9.0 * USED);
+    }
+}
+
+#[test]
+fn a_rate_that_falls_and_rises_is_followed() {
+    for seed in SEEDS {
+        let mut world = World::new(scene(4, seed));
+        world.run(s(USUAL));
+        let site = busiest(&world, 1);
+        for rate in [8.0, 1.0, 8.0] {
+            world.name(site, Some(rate));
+            world.run(s(8.0));
+        }
+        let low = world.most(site, s(USUAL + 8.0 + STABLE - 2.0), s(WINDOW), &[]);
+        let high = world.got(site, s(USUAL + 18.0), s(USUAL + 24.0));
+        assert!(high as f64 >= 8.0 * 6.0 * USED, "seed {seed}: {high}");
+        assert!(low as f64 <= allowed(8.0), "seed {seed}: {low}");
+        let low = world.got(site, s(USUAL + 11.0), s(USUAL + 15.0));
+        assert!(low as f64 <= allowed(1.0), "seed {seed}: {low}");
+    }
+}
+
+/// Hosts are killed, started, cut and taken back while a target names a rate.
+macro_rules! hosts_in_trouble {
+    ($($name:ident: $hosts:expr, $trouble:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in SEEDS {
+                let mut world = World::new(scene($hosts, seed));
+                world.run(s(USUAL));
+                let site = busiest(&world, 1);
+                world.name(site, Some(3.0));
+                let trouble: fn(&mut World, usize) -> Option<usize> = $trouble;
+                let mut but = Vec::new();
+                for turn in 0..12 {
+                    but.extend(trouble(&mut world, turn));
+                    world.run(s(1.0));
+                }
+                check(&world, site, 3.0, 22.0, &but);
+            }
+        }
+    )*};
+}
+
+hosts_in_trouble! {
+    hosts_that_roll_keep_to_a_rate: 4, |world, turn| {
+        world.stop(turn);
+        if turn > 1 {
+            world.start(turn - 2);
+        }
+        None
+    };
+    half_of_the_hosts_are_lost_at_once: 4, |world, turn| {
+        if turn == 5 {
+            (0..12).step_by(2).for_each(|host| world.kill(host));
+        }
+        None
+    };
+    hosts_that_end_and_start_many_times_keep_to_a_rate: 8, |world, turn| {
+        let host = 8 + turn % 3;
+        if turn % 2 == 0 {
+            world.kill(host);
+        } else {
+            world.start(8 + (turn - 1) % 3);
+        }
+        None
+    };
+    a_host_that_is_cut_adds_nothing_to_the_others: 4, |world, turn| {
+        let host = 4 + turn / 4;
+        world.cut(host, turn % 4 < 2);
+        Some(host)
+    };
+    many_hosts_are_lost_among_many: 50, |world, turn| {
+        (0..150).skip(turn).step_by(24).for_each(|host| world.kill(host));
+        None
+    };
+}
+
+#[test]
+fn a_rate_ends_when_answers_no_longer_name_it() {
+    for seed in SEEDS {
+        let mut world = World::new(scene(4, seed));
+        world.run(s(USUAL));
+        let site = busiest(&world, 2);
+        let usual = world.got(site, s(USUAL - 4.0), s(USUAL));
+        world.name(site, Some(2.0));
+        world.run(s(8.0));
+        world.name(site, None);
+        world.run(s(8.0));
+        let after = world.got(site, s(USUAL + 12.0), s(USUAL + 16.0));
+        assert!(after * 2 >= usual, "seed {seed}: {after} after {usual}");
+    }
+}
+
+#[test]
+fn a_rate_costs_few_datagrams() {
+    let mut world = World::new(scene(100, 1));
+    world.run(s(USUAL));
+    let site = busiest(&world, 1);
+    world.name(site, Some(3.0));
+    let before = world.datagrams();
+    world.run(s(12.0));
+    // Of each host a repetition to two others each second, and of all one news to all and a few for each request there.
+    let told = 300 * 2 * 12 + 3 * 300;
+    let claims = 2 * 20 * 12;
+    let sent = world.datagrams() - before;
+    assert!(sent <= told + claims, "{sent} of {}", told + claims);
+}
+
+/// What answers' headers say.
+macro_rules! figures {
+    ($($name:ident: $values:expr => $rate:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let values: &[&str] = &$values;
+            assert_eq!(Rate::new(values.iter().map(|value| Some(*value))), $rate);
+        }
+    )*};
+}
+
+figures! {
+    no_figure: [] => Rate::Absent;
+    a_whole_number: ["7"] => Rate::Named(7.0);
+    a_decimal_number: [" 2.50 "] => Rate::Named(2.5);
+    nothing_at_all: ["0"] => Rate::Named(0.0);
+    many_digits: ["3.00000000000000000000000000000000000001"] => Rate::Named(3.0);
+    two_headers: ["3.5", "2"] => Rate::Named(2.0);
+    two_in_one_header: ["3.5, 4"] => Rate::Named(3.5);
+    a_sign: ["-1"] => Rate::Unreadable("-1".into());
+    a_plus_sign: ["+1"] => Rate::Unreadable("+1".into());
+    an_exponent: ["1e3"] => Rate::Unreadable("1e3".into());
+    infinity: ["inf"] => Rate::Unreadable("inf".into());
+    no_number: ["NaN"] => Rate::Unreadable("NaN".into());
+    an_empty_one: [""] => Rate::Unreadable("".into());
+    a_point_alone: ["."] => Rate::Unreadable(".".into());
+    one_of_two: ["3", "x"] => Rate::Unreadable("x".into());
+}
+
+#[test]
+fn more_digits_than_a_number_has_are_not_read() {
+    let text = "9".repeat(400);
+    assert_eq!(Rate::new([Some(&*text)]), Rate::Unreadable(text.into()));
+}
+
+#[test]
+fn an_answer_that_was_overtaken_changes_nothing() {
+    let begun = Instant::now();
+    let mut throttle = Throttle::new();
+    assert!(throttle.state(begun, 1, begun, Some(3.0)).is_some());
+    let later = begun + s(2.0);
+    assert!(throttle.state(later, 1, later - s(0.1), None).is_some());
+    assert_eq!(throttle.state(later, 1, later - s(0.5), Some(3.0)), None);
+    assert_eq!(throttle.rate(1), None);
+    // Nor does what another host heard before.
+    assert!(!throttle.hear(later, &News(1, Some(3.0), 500)));
+    assert_eq!(throttle.rate(1), None);
+    assert!(throttle.hear(later + s(1.0), &News(1, Some(3.0), 0)));
+    assert_eq!(throttle.rate(1), Some(3.0));
+}
+
+#[test]
+fn a_keeper_begins_with_nothing() {
+    let begun = Instant::now();
+    let mut bucket = Bucket::new(begun);
+    assert_eq!(bucket.take(begun, 1.0), Err(s(1.0)));
+    assert_eq!(bucket.take(begun + s(1.0), 1.0), Ok(1));
+    assert_eq!(bucket.take(begun + s(1.0), 1.0), Err(s(1.0)));
+}
+
+#[test]
+fn a_host_that_is_no_keeper_grants_nothing() {
+    let now = Instant::now();
+    let mut throttle = Throttle::new();
+    let claim = Claim(1, News(1, Some(100.0), 0));
+    throttle.grant(now, &claim, true, 3);
+    let later = now + s(5.0);
+    assert_eq!(throttle.grant(later, &claim, false, 3).2, 0);
+    assert!(throttle.grant(later, &claim, true, 3).2 > 0);
+}
