A keeper that has nothing is passed over by itself, and a host that is no keeper says so

What the replay showed: a host that asked one that does not take itself for a keeper closed the target for 2 s, and one keeper without anything closed it although others had something.

--- a/src/host/throttle.rs
+++ b/src/host/throttle.rs
@@ -88,10 +88,10 @@
 /// Takes in a keeper's answer, also one that comes late.
 pub(crate) fn granted(host: &Host, sender: SocketAddr, grant: &Grant) {
     let core = &mut *host.core.borrow_mut();
-    if core.presence.at(sender).is_none() {
+    let Some(keeper) = core.presence.at(sender) else {
         return;
-    }
-    core.fleet.granted(now(), grant);
+    };
+    core.fleet.granted(now(), &keeper.host, grant);
     let waiting = host.claims.waiting.borrow_mut().remove(&grant.0);
     if let Some(waiting) = waiting {
         // Whoever waited may have given up.
--- a/src/steer/fleet/throttled.rs
+++ b/src/steer/fleet/throttled.rs
@@ -42,13 +42,13 @@
         let claim = Claim(self.claims, news);
         if keepers.iter().any(|keeper| keeper.seed == self.own.seed) {
             let grant = self.throttle.grant(now, &claim, true, self.hosts.len());
-            self.throttle.granted(now, &grant);
+            self.throttle.granted(now, self.own.seed, &grant);
             if self.throttle.spend(now, target) {
                 return Leave::Given;
             }
         }
         keepers.retain(|keeper| {
-            keeper.seed != self.own.seed && !self.throttle.is_silent(now, target, keeper.seed)
+            keeper.seed != self.own.seed && !self.throttle.is_paused(now, target, keeper.seed)
         });
         match keepers.into_iter().choose(rng) {
             Some(keeper) => Leave::Ask(keeper.name, claim),
@@ -78,9 +78,10 @@
         self.throttle.grant(now, claim, is_keeper, hosts)
     }
 
-    /// Takes in a keeper's answer to a claim.
-    pub fn granted(&mut self, now: Instant, grant: &Grant) {
-        self.throttle.granted(now, grant);
+    /// Takes in the answer of the host `keeper` to a claim.
+    pub fn granted(&mut self, now: Instant, keeper: &str, grant: &Grant) {
+        let keeper = xxh3_64(keeper.as_bytes());
+        self.throttle.granted(now, keeper, grant);
     }
 
     /// Notes that a claim had no answer.
--- a/src/steer/throttle.rs
+++ b/src/steer/throttle.rs
@@ -32,7 +32,7 @@
 const GRANTED: Duration = Duration::from_millis(500);
 /// The longest time for which a host does not ask again after a keeper had nothing: rates move.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-/// How long a keeper that did not answer is not asked.
+/// How long a keeper is not asked that did not answer, or does not take itself for one.
 const SILENT: Duration = Duration::from_secs(1);
 /// By how much a rate has to rise for hosts to ask at once, and to be told.
 const RISEN: f64 = 1.5;
@@ -117,7 +117,7 @@
     pub News,
     /// Requests that may be sent.
     pub u16,
-    /// The milliseconds until there may be more, if there are none.
+    /// The milliseconds until there may be more, if there are none; 0 if the sender is no keeper of the target.
     pub u32,
 );
 
@@ -169,10 +169,10 @@
     bucket: Bucket,
     /// Granted requests that were not sent yet, and until when they may be.
     granted: (u16, Instant),
-    /// Until when no keeper is asked, as one had nothing.
+    /// Until when hosts, by their digests, are not asked, as they had nothing, did not answer or are no keepers.
+    pauses: BTreeMap<u64, Instant>,
+    /// Until when no keeper can be asked.
     closed: Option<Instant>,
-    /// Until when keepers, by their digests, are not asked, as they did not answer.
-    silent: BTreeMap<u64, Instant>,
 }
 
 impl Known {
@@ -262,6 +262,7 @@
         }
         if has_risen {
             known.closed = None;
+            known.pauses.clear();
         }
         known.at = at;
         known.rate = rate;
@@ -294,17 +295,20 @@
     }
 
     /// Whether a keeper is not to be asked for now.
-    pub fn is_silent(&self, now: Instant, target: u64, keeper: u64) -> bool {
+    pub fn is_paused(&self, now: Instant, target: u64, keeper: u64) -> bool {
         let known = self.targets.get(&target);
-        let until = known.and_then(|known| known.silent.get(&keeper));
+        let until = known.and_then(|known| known.pauses.get(&keeper));
         until.is_some_and(|until| now < *until)
     }
 
-    /// Closes a target of which no keeper can be asked.
+    /// Closes a target of which no keeper can be asked, until the first one can.
     pub fn close(&mut self, now: Instant, target: u64) {
-        if let Some(known) = self.targets.get_mut(&target) {
-            known.closed = Some(now + SILENT);
-        }
+        let Some(known) = self.targets.get_mut(&target) else {
+            return;
+        };
+        known.pauses.retain(|_, until| now < *until);
+        let first = known.pauses.values().min().copied();
+        known.closed = Some(first.unwrap_or(now + SILENT));
     }
 
     /// Takes one of the requests that were granted for a target, if there is one.
@@ -326,28 +330,29 @@
         let parts = self.keepers(target, hosts).max(1) as f64;
         let rate = self.rate(target);
         let known = self.targets.get_mut(&target);
-        let taken = match (known, rate) {
-            (Some(known), Some(rate)) if is_keeper => known.bucket.take(now, rate / parts),
-            _ => Err(LONGEST_PAUSE),
-        };
-        let (count, pause) = match taken {
-            Ok(count) => (count, Duration::ZERO),
-            Err(pause) => (0, pause),
+        let (Some(known), Some(rate), true) = (known, rate, is_keeper) else {
+            return Grant(*number, news, 0, 0);
         };
-        // Rounded up: one who comes back sooner finds nothing.
-        Grant(*number, news, count, pause.as_millis() as u32 + 1)
+        match known.bucket.take(now, rate / parts) {
+            Ok(count) => Grant(*number, news, count, 0),
+            // Rounded up: one who comes back sooner finds nothing.
+            Err(pause) => Grant(*number, news, 0, pause.as_millis() as u32 + 1),
+        }
     }
 
     /// Takes in a keeper's answer to a claim.
-    pub fn granted(&mut self, now: Instant, grant: &Grant) {
+    pub fn granted(&mut self, now: Instant, keeper: u64, grant: &Grant) {
         let Grant(_, news, count, pause) = grant;
         self.hear(now, news);
         let Some(known) = self.targets.get_mut(&news.0) else {
             return;
         };
         if *count == 0 {
-            let pause = Duration::from_millis((*pause).into()).min(LONGEST_PAUSE);
-            known.closed = Some(now + pause);
+            let pause = match *pause {
+                0 => SILENT,
+                pause => Duration::from_millis(pause.into()).min(LONGEST_PAUSE),
+            };
+            known.pauses.insert(keeper, now + pause);
             return;
         }
         let left = if known.has_grant(now) {
@@ -361,7 +366,7 @@
     /// Notes that a keeper did not answer.
     pub fn unanswered(&mut self, now: Instant, target: u64, keeper: u64) {
         if let Some(known) = self.targets.get_mut(&target) {
-            known.silent.insert(keeper, now + SILENT);
+            known.pauses.insert(keeper, now + SILENT);
         }
     }
 
@@ -373,7 +378,7 @@
     /// Forgets what is of no more use.
     pub fn expire(&mut self, now: Instant) {
         self.targets.retain(|_, known| {
-            known.silent.retain(|_, until| now < *until);
+            known.pauses.retain(|_, until| now < *until);
             let age = now.saturating_duration_since(known.at);
             age < if known.rate.is_some() { UNHEARD } else { ENDED }
         });
@@ -388,8 +393,8 @@
             told: None,
             bucket: Bucket::new(now),
             granted: (0, now),
+            pauses: BTreeMap::new(),
             closed: None,
-            silent: BTreeMap::new(),
         }
     }
 }
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -181,6 +181,7 @@
     },
     Grant {
         request: usize,
+        keeper: usize,
         target: TargetKey,
         grant: Grant,
     },
@@ -568,9 +569,10 @@
             } => self.claim(request, keeper, target, &claim),
             Event::Grant {
                 request,
+                keeper,
                 target,
                 grant,
-            } => self.granted(request, target, &grant),
+            } => self.granted(request, keeper, target, &grant),
             Event::Unanswered {
                 request,
                 keeper,
@@ -669,15 +671,17 @@
         let asker = self.requests[request].host;
         let answer = Event::Grant {
             request,
+            keeper,
             target,
             grant,
         };
         self.post(keeper, asker, answer);
     }
 
-    fn granted(&mut self, number: usize, target: TargetKey, grant: &Grant) {
+    fn granted(&mut self, number: usize, keeper: usize, target: TargetKey, grant: &Grant) {
+        let (name, _) = self.named(keeper);
         let at = self.requests[number].host;
-        self.hosts[at].fleet.granted(self.now, grant);
+        self.hosts[at].fleet.granted(self.now, &name, grant);
         if self.requests[number].claimed == Some(grant.0) {
             self.requests[number].claimed = None;
             self.go_on(number, target);
