Own interface: hosts of a zone share the rate that a target names

What was seen: a target that names 3 requests a second got 240 in 4 s. Cause: the same, no host read a figure, and each host's limit of a target is its own. Answers say it in Ragwortfold-Rate now. The hosts of the target's zone, the only ones that send to it, keep parts of it in buckets that start empty, the first three of them by rendezvous hashing; a request that finds all targets of its zone closed is refused at once with the time until one opens, or goes to another zone within the caps. Health checks of such targets stop: with them the target still got 7 a second of 3, since each host asks every 0.75 s.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -21,6 +21,7 @@
 use super::wire::{Ask, Frame};
 use crate::catalog::{Catalog, HostKey, RegionKey, ServiceKey, ZoneKey};
 use crate::steer::quarantine::Note;
+use crate::steer::throttle::News;
 
 /// Time between looks at who fell silent.
 const LOOK: Duration = Duration::from_millis(100);
@@ -54,6 +55,8 @@
     Planned,
     /// A host told of requests that crash targets.
     Notes(HostKey, Vec<Note>),
+    /// A host told of targets that name the rate that they take.
+    Rates(HostKey, Vec<News>),
 }
 
 /// When regular work is due next.
@@ -331,15 +334,16 @@
             Frame::Plan(record, root) => self.hear_plan(from, record, root),
             Frame::Ask(ask) => self.answer(now, from, &ask),
             Frame::Notes(notes) => self.outputs.push(Output::Notes(from, notes)),
+            Frame::Rates(news) => self.outputs.push(Output::Rates(from, news)),
         }
     }
 
-    /// Tells all that are linked with this host, but the one that told it, of requests that crash targets.
-    pub fn tell(&mut self, notes: Vec<Note>, teller: Option<HostKey>) {
+    /// Tells all that are linked with this host, but the one that told it, of requests that crash targets or of rates.
+    pub fn tell(&mut self, frame: Frame, teller: Option<HostKey>) {
         let linked = self.near.union(&self.far).copied();
         let hosts: Vec<HostKey> = linked.filter(|host| Some(*host) != teller).collect();
-        if !notes.is_empty() && !hosts.is_empty() {
-            self.outputs.push(Output::Send(hosts, Frame::Notes(notes)));
+        if !hosts.is_empty() {
+            self.outputs.push(Output::Send(hosts, frame));
         }
     }
 
--- a/src/control/wire.rs
+++ b/src/control/wire.rs
@@ -9,6 +9,7 @@
 use super::plan::{Record, Stamp};
 use super::summary::Message;
 use crate::steer::quarantine::Note;
+use crate::steer::throttle::News;
 
 /// One control message. The root, where there is one, is the host from which it spreads over a zone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,6 +33,9 @@
     /// Of requests that crash targets. Who learns something new from it passes it on.
     #[serde(rename = "n")]
     Notes(Vec<Note>),
+    /// Of targets that name the rate that they take. Who learns something new from it passes it on.
+    #[serde(rename = "r")]
+    Rates(Vec<News>),
 }
 
 /// What is to be sent in full.
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -25,6 +25,7 @@
 use crate::steer::fingerprint::Fingerprint;
 use crate::steer::group;
 use crate::steer::pass::{Back, Pass};
+use crate::steer::throttle::Rate;
 
 /// Answers up to this size are held whole before any of them is passed on, in bytes.
 pub(crate) const HOLD_ANSWER: u64 = 8 << 20;
@@ -217,7 +218,13 @@
         let latency = started.elapsed();
         lock(&self.timing).elsewhere += latency;
         match result {
-            Ok(answer) => self.take_answer(shared, key, grant, answer, started),
+            Ok(answer) => {
+                // What refuses a request may leave out what other answers say.
+                if !answer.refused || answer.rate != Rate::Absent {
+                    shared.core.send_rate(target, started, &answer.rate);
+                }
+                self.take_answer(shared, key, grant, answer, started)
+            }
             Err(error) => {
                 let cause = broken(&error);
                 let report = group::Report {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -23,6 +23,7 @@
 use crate::steer::goal::{Standing, View};
 use crate::steer::quarantine::Note;
 use crate::steer::split::Split;
+use crate::steer::throttle;
 use crate::store::client::{Host, HostState};
 
 /// Age up to which a zone's measurement is used.
@@ -45,6 +46,8 @@
     pub(crate) splits: Option<Shares>,
     /// What hosts told of requests that crash targets.
     pub(crate) notes: Vec<(HostKey, Note)>,
+    /// What hosts told of targets that name the rate that they take.
+    pub(crate) rates: Vec<(HostKey, throttle::News)>,
 }
 
 /// The links and the agent of one host.
@@ -266,6 +269,11 @@
                     .notes
                     .extend(notes.into_iter().map(|note| (host, note)));
             }
+            Output::Rates(host, news) => {
+                change
+                    .rates
+                    .extend(news.into_iter().map(|news| (host, news)));
+            }
         }
         if let Some(agent) = &self.agent {
             self.delegate.store(agent.is_delegate(), Ordering::Relaxed);
@@ -302,18 +310,29 @@
         }
     }
 
-    /// Tells other hosts of requests that crash targets; `teller` told this one.
-    pub(crate) fn tell(&mut self, notes: Vec<Note>, teller: Option<HostKey>) {
+    /// Tells other hosts of requests that crash targets or of rates; `teller` told this one.
+    pub(crate) fn tell(&mut self, frame: Frame, teller: Option<HostKey>) {
         if let Some(agent) = &mut self.agent {
-            agent.tell(notes, teller);
+            agent.tell(frame, teller);
         }
     }
 
-    /// Tells hosts that are new here of requests that crash targets.
-    pub(crate) fn send_notes(&self, hosts: &[HostKey], notes: Vec<Note>) {
-        if !hosts.is_empty() && !notes.is_empty() {
+    /// Tells hosts that are new here of requests that crash targets, and of rates.
+    pub(crate) fn introduce(
+        &self,
+        hosts: &[HostKey],
+        notes: Vec<Note>,
+        rates: Vec<throttle::News>,
+    ) {
+        if hosts.is_empty() {
+            return;
+        }
+        if !notes.is_empty() {
             self.broadcast(hosts, &Message::Control(Frame::Notes(notes)));
         }
+        if !rates.is_empty() {
+            self.broadcast(hosts, &Message::Control(Frame::Rates(rates)));
+        }
     }
 
     /// Sends this host's splits to hosts that are new here.
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -3,13 +3,13 @@
 //! A worker sends an event and waits for the verdict on a channel. Requests that ask are counted;
 //! beyond a bound they are refused here, without waiting for the core.
 
-use std::collections::BTreeMap;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use arc_swap::ArcSwap;
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -27,6 +27,7 @@
 use crate::border::settings::Settings;
 use crate::catalog::{Catalog, HostKey, ServiceKey, TargetKey};
 use crate::control::plan::Record;
+use crate::control::wire::Frame;
 use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::attempt::Reason;
@@ -36,6 +37,7 @@
 use crate::steer::group;
 use crate::steer::pass::{Back, Pass};
 use crate::steer::quarantine::Note;
+use crate::steer::throttle::{News, Rate};
 use crate::steer::ticket::{Generation, Rotation};
 use crate::store::client::Host;
 
@@ -66,6 +68,8 @@
     Broke(Fingerprint, TargetKey, Instant),
     /// A target has answered a request.
     Answered(Fingerprint),
+    /// What a target's answer says of its rate, to a request that was sent then.
+    Rate(TargetKey, Instant, Rate),
     /// A request has ended.
     Done(Id),
     /// A request left an entry host of another zone.
@@ -120,6 +124,8 @@
 pub(crate) struct Handle {
     events: Sender<Event>,
     asking: Arc<AtomicUsize>,
+    /// Targets of the own zone that name a rate.
+    limited: Arc<ArcSwap<BTreeSet<TargetKey>>>,
 }
 
 impl Handle {
@@ -147,6 +153,18 @@
         }
     }
 
+    /// Tells the core what an answer says of its target's rate, if that can change anything.
+    pub(crate) fn send_rate(&self, target: TargetKey, at: Instant, rate: &Rate) {
+        if *rate != Rate::Absent || self.is_limited(target) {
+            self.send(Event::Rate(target, at, rate.clone()));
+        }
+    }
+
+    /// Whether a target names a rate, so that it gets no more than its part of that of this host.
+    pub(crate) fn is_limited(&self, target: TargetKey) -> bool {
+        self.limited.load().contains(&target)
+    }
+
     /// Tells the core something that asks for no answer.
     pub(crate) fn send(&self, event: Event) {
         // The core outlives all that send to it, except while the process ends.
@@ -188,6 +206,7 @@
     let handle = Handle {
         events: sender,
         asking: Arc::default(),
+        limited: Arc::default(),
     };
     let own = handle.clone();
     thread::Builder::new()
@@ -235,16 +254,20 @@
     measure: Instant,
     rng: Pcg64Mcg,
     asking: BTreeMap<Id, Sender<Verdict>>,
+    /// Targets whose rates could not be read, which was logged.
+    unreadable: BTreeSet<TargetKey>,
 }
 
 impl Core {
     fn init(cx: CX![], parts: Parts, handle: Handle) -> Option<Self> {
         after!(TICK, [cx], tick());
         Some(Self {
-            engine: Engine::new(&parts.settings.steer, parts.incarnation),
+            engine: Engine::new(&parts.settings.steer, parts.incarnation)
+                .with_host(parts.settings.host.as_str().into()),
             keys: Keys::new(parts.rotation),
             rng: Pcg64Mcg::seed_from_u64(parts.incarnation),
             asking: BTreeMap::new(),
+            unreadable: BTreeSet::new(),
             control: Control::new(
                 &parts.settings.host,
                 parts.incarnation,
@@ -277,6 +300,7 @@
                 self.engine.answered(now, fingerprint);
                 self.tell_notes();
             }
+            Event::Rate(target, at, rate) => self.take_rate(now, target, at, &rate),
             Event::Done(id) => self.engine.done(id),
             Event::Passed(pass, back) => self.engine.finish_pass(now, &pass, back),
             Event::Hedge(call, after) => {
@@ -355,7 +379,43 @@
         for note in &notes {
             log_note(note);
         }
-        self.control.tell(notes, None);
+        self.control.tell(Frame::Notes(notes), None);
+    }
+
+    /// Takes in what a target's answer said of its rate, and tells other hosts if that is new.
+    fn take_rate(&mut self, now: Instant, target: TargetKey, at: Instant, rate: &Rate) {
+        let rate = match rate {
+            Rate::Named(rate) => Some(*rate),
+            Rate::Absent => None,
+            Rate::Unreadable(text) => {
+                if self.unreadable.insert(target) {
+                    let name = &self.engine.catalog().target(target).name;
+                    spdlog::warn!("core: the rate '{text}' that target {name} names is no decimal number and changes nothing");
+                }
+                return;
+            }
+        };
+        self.unreadable.remove(&target);
+        if let Some(news) = self.engine.state(now, target, at, rate) {
+            log_rate(&self.engine.catalog().target(target).name, rate);
+            self.control.tell(Frame::Rates(vec![news]), None);
+        }
+        self.show_limited();
+    }
+
+    /// Takes in what other hosts know of targets' rates, and passes on what is new.
+    fn hear_rates(&mut self, now: Instant, rates: Vec<(HostKey, News)>) {
+        for (teller, news) in rates {
+            if self.engine.hear_rate(now, &news) {
+                self.control.tell(Frame::Rates(vec![news]), Some(teller));
+            }
+        }
+        self.show_limited();
+    }
+
+    /// Shows those who call targets which of them name a rate: only of these an answer without one tells something.
+    fn show_limited(&self) {
+        self.handle.limited.store(Arc::new(self.engine.limited()));
     }
 
     /// Takes in what other hosts tell of requests that crash targets, and passes on what is new.
@@ -363,7 +423,7 @@
         for (teller, note) in notes {
             if self.engine.hear(now, &note) {
                 log_note(&note);
-                self.control.tell(vec![note], Some(teller));
+                self.control.tell(Frame::Notes(vec![note]), Some(teller));
             }
             self.tell_notes();
         }
@@ -387,9 +447,11 @@
             self.control
                 .send_splits(&change.joined, &self.engine.splits());
             let standings = self.engine.standings(now);
-            self.control.send_notes(&change.joined, standings);
+            let rates = self.engine.rates(now);
+            self.control.introduce(&change.joined, standings, rates);
         }
         self.hear_notes(now, change.notes);
+        self.hear_rates(now, change.rates);
         self.dirty |= change.picture;
     }
 
@@ -403,6 +465,7 @@
         }
         self.engine.set_free(free);
         self.engine.set_view(now, view);
+        self.show_limited();
         self.parts.published.put(State {
             catalog: self.engine.catalog().clone(),
             lookup: self.engine.snapshot(),
@@ -492,6 +555,15 @@
 }
 
 /// How a request stands that crashes targets has changed.
+fn log_rate(target: &str, rate: Option<f64>) {
+    match rate {
+        Some(rate) => {
+            spdlog::info!("core: target {target} takes {rate} requests a second from all hosts")
+        }
+        None => spdlog::info!("core: target {target} names no rate any more"),
+    }
+}
+
 fn log_note(note: &Note) {
     let fingerprint = note.fingerprint();
     match note {
--- a/src/entry/head.rs
+++ b/src/entry/head.rs
@@ -20,6 +20,8 @@
 pub const LOAD: &str = "Ragwortfold-Load";
 /// A target's state.
 pub const STATE: &str = "Ragwortfold-State";
+/// The requests a second that a target takes from all hosts together.
+pub const RATE: &str = "Ragwortfold-Rate";
 
 /// Longest time a caller may ask for.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -65,6 +65,10 @@
         let started = Instant::now();
         let catalog = published.get().catalog.clone();
         for (key, target) in own(&catalog, zone).skip(index).step_by(THREADS) {
+            if core.is_limited(key) {
+                // Each question is one more request, and its answers to requests tell its state.
+                continue;
+            }
             let (health, state) = ask(&agent, target);
             core.send(Event::Health(key, health, state));
             if stop.load(Ordering::Relaxed) {
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -13,6 +13,7 @@
 use super::head::{self, Header};
 use super::stage::{self, Stage};
 use crate::literal::Literal;
+use crate::steer::throttle::Rate;
 
 /// Idle connections kept to each target.
 const IDLE_PER_TARGET: usize = 16;
@@ -69,6 +70,8 @@
     pub(crate) load: Option<(u32, u32)>,
     /// The target's own account of its state.
     pub(crate) state: Option<Arc<str>>,
+    /// The target's own account of the rate that it takes.
+    pub(crate) rate: Rate,
     /// The target said that the request did not run.
     pub(crate) refused: bool,
 }
@@ -289,6 +292,13 @@
         length: text("content-length").and_then(|text| text.parse().ok()),
         load: text(head::LOAD).and_then(|text| load(&text)),
         state: text(head::STATE),
+        rate: Rate::new(
+            parts
+                .headers
+                .get_all(head::RATE)
+                .iter()
+                .map(|value| value.to_str().ok()),
+        ),
         refused,
         reader: Box::new(body.into_reader()),
     })
@@ -296,7 +306,13 @@
 
 /// Headers of a target that are not the caller's business or are written anew.
 fn is_own(name: &str, connection: &str) -> bool {
-    let own = [head::OUTCOME, head::LOAD, head::STATE, "content-length"];
+    let own = [
+        head::OUTCOME,
+        head::LOAD,
+        head::STATE,
+        head::RATE,
+        "content-length",
+    ];
     head::is_hop_by_hop(name, connection) || own.iter().any(|own| name.eq_ignore_ascii_case(own))
 }
 
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -14,7 +14,7 @@
 use http::{HeaderValue, Request, Uri};
 use http_body_util::BodyExt;
 
-use super::{beat, body, client, exchange, log, now, Host};
+use super::{beat, body, client, exchange, log, now, throttle, Host};
 use crate::inventory::TargetKey;
 
 /// Time between two questions of one host to a target, of which several hosts ask each: what it gets meanwhile
@@ -62,6 +62,10 @@
 }
 
 async fn ask(host: Rc<Host>, question: Question) {
+    // A question is one more request.
+    if !throttle::permit(&host, question.target).await {
+        return;
+    }
     let answer = tokio::time::timeout(PATIENCE, question_target(&host, &question)).await;
     let cold = match answer {
         Ok(Ok(cold)) => cold,
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -4,6 +4,7 @@
 //! remembered here, and come out of any later call as [`Decision`]s.
 
 mod permit;
+mod rate;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use super::shift::{self, Caps, Kind as Kindred, Shift};
 use super::split::Split;
 use super::tally::Tally;
+use super::throttle::Throttle;
 use crate::border::settings::{self as border, Switch};
 use crate::catalog::{Catalog, HostKey, RegionKey, Repeat, ServiceKey, State, TargetKey, ZoneKey};
 use crate::control::summary::Load;
@@ -164,6 +166,10 @@
     leaves: BTreeMap<Id, Fingerprint>,
     /// What other hosts are to be told of requests that crash targets.
     notes: Vec<Note>,
+    /// This host, as the configuration names it.
+    host: Arc<str>,
+    /// The rates that targets of this zone name.
+    throttle: Throttle,
 }
 
 impl Engine {
@@ -195,9 +201,17 @@
             unsure: Vec::new(),
             leaves: BTreeMap::new(),
             notes: Vec::new(),
+            host: "".into(),
+            throttle: Throttle::new(),
         }
     }
 
+    /// Sets which host of the configuration this is.
+    pub fn with_host(mut self, host: Arc<str>) -> Self {
+        self.host = host;
+        self
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> &Arc<Catalog> {
         &self.catalog
@@ -425,6 +439,7 @@
                 .or_insert_with(|| Group::new(config.clone()));
             group.update(now, &catalog, service, zone, hosts);
         }
+        self.share_rates(now);
     }
 
     fn configured_hosts(&self, zone: ZoneKey) -> usize {
@@ -873,6 +888,7 @@
             decisions.extend(verdict.map(|verdict| (id, verdict)));
         }
         self.quarantine.expire(now);
+        self.expire_rates(now);
         for (id, refusal) in refused {
             self.waiting.remove(&id);
             let verdict = match self.spare.remove(&id) {
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -19,10 +19,11 @@
 use super::eject::{Sign, Standing, LATENCY_RATIO};
 use super::pick::Picker;
 use super::queue::{Entry, Queue};
+use super::throttle::Bucket;
 use crate::border::settings::Steer;
 use crate::catalog::{self, Catalog, ServiceKey, TargetKey, ZoneKey};
 
-use member::{allowed, fraction, Member, Seat};
+use member::{allowed, fraction, Member, Seat, Share};
 
 pub use super::limit::Load;
 pub use super::queue::{Id, Order};
@@ -296,9 +297,41 @@
         if let Some(place) = self.place(now, &ask, rng) {
             return Verdict::Go(self.grant(now, place));
         }
+        if let Some(wait) = self.opens_in(now, &ask) {
+            return Verdict::Refuse(Refusal {
+                reason: Reason::Overload,
+                retry_after: wait.max(RETRY_AFTER),
+            });
+        }
         self.wait(now, ask)
     }
 
+    /// The time until a target may take a request, if all that are left for it name rates and have given out what they take. Others
+    /// come free with each answer; these don't, and a request that waits for one of them holds up those behind it.
+    fn opens_in(&self, now: Instant, ask: &Ask) -> Option<Duration> {
+        let mut first = None;
+        for member in used(&self.members).filter(|member| !member.has_tried(ask)) {
+            let wait = member.opens_in(now);
+            if wait.is_zero() {
+                return None;
+            }
+            first = first.into_iter().chain([wait]).min();
+        }
+        first
+    }
+
+    /// Sets the requests a second that this host may send to a target, of the rate that the target names; none if it names none.
+    pub fn set_share(&mut self, now: Instant, target: TargetKey, rate: Option<f64>) {
+        let Some(&place) = self.index.get(&target) else {
+            return;
+        };
+        let share = &mut self.members[place].share;
+        *share = rate.map(|rate| Share {
+            rate,
+            bucket: share.map_or(Bucket::new(now), |share| share.bucket),
+        });
+    }
+
     /// Whether no target could take the request, however long it waited.
     fn hopeless(&self, now: Instant, ask: &Ask) -> Option<Reason> {
         if ask.deadline <= now {
@@ -376,22 +409,23 @@
         if let Some(place) = self.probe(now, ask) {
             return Some(place);
         }
-        let place = self.choose(ask, rng, true)?;
+        let place = self.choose(now, ask, rng, true)?;
         let part = self.seats[place].fraction;
         if part < 1.0 && rng.random::<f64>() >= part {
-            return self.choose(ask, rng, false).or(Some(place));
+            return self.choose(now, ask, rng, false).or(Some(place));
         }
         Some(place)
     }
 
     /// The best free target; `cold` says whether one that warms up will do.
-    fn choose(&mut self, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
+    fn choose(&mut self, now: Instant, ask: &Ask, rng: &mut impl Rng, cold: bool) -> Option<usize> {
         let (members, pick) = (&self.members, self.config.pick);
         let near = self.preferred(ask);
         self.picker.choose(&self.seats, rng, |place, seat| {
             let usable = seat.is_free()
                 && (cold || seat.fraction >= 1.0)
-                && (ask.exclude.is_empty() || !members[place].has_tried(ask));
+                && (ask.exclude.is_empty() || !members[place].has_tried(ask))
+                && members[place].opens_in(now).is_zero();
             let factor = if near == Some(place) { NEAR } else { 1.0 };
             usable.then(|| seat.cost(pick) * factor)
         })
@@ -424,12 +458,14 @@
                 && member.limit.hard() > 0
                 && member.eject.is_due(now)
                 && !member.has_tried(ask)
+                && member.opens_in(now).is_zero()
                 && left > PROBE_SLACK * self.tally.median
         })
     }
 
     fn grant(&mut self, now: Instant, place: usize) -> Grant {
         let member = &mut self.members[place];
+        member.spend(now);
         member.in_flight += 1;
         self.seats[place].in_flight = member.in_flight;
         self.in_flight += 1;
--- a/src/steer/group/member.rs
+++ b/src/steer/group/member.rs
@@ -8,6 +8,7 @@
 use crate::steer::eject::Eject;
 use crate::steer::limit::Limit;
 use crate::steer::pick::Estimate;
+use crate::steer::throttle::Bucket;
 use crate::steer::warm::Warm;
 
 /// The first rest of a target after a refusal or a failure; doubles with each in a row.
@@ -31,6 +32,16 @@
     pub(super) estimate: Estimate,
     pub(super) refusals: u32,
     pub(super) rest: Option<Instant>,
+    /// What this host has of the rate that the target names, if it names one.
+    pub(super) share: Option<Share>,
+}
+
+/// This host's part of the rate that a target names.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Share {
+    /// Requests a second.
+    pub(super) rate: f64,
+    pub(super) bucket: Bucket,
 }
 
 impl Member {
@@ -49,6 +60,22 @@
             estimate: Estimate::new(),
             refusals: 0,
             rest: None,
+            share: None,
+        }
+    }
+
+    /// The time until this host may send a request, by the rate that the target names.
+    pub(super) fn opens_in(&self, now: Instant) -> Duration {
+        self.share.map_or(Duration::ZERO, |share| {
+            share.bucket.room_in(now, share.rate)
+        })
+    }
+
+    /// Counts a request against the rate that the target names.
+    pub(super) fn spend(&mut self, now: Instant) {
+        if let Some(share) = &mut self.share {
+            // An empty bucket gets nothing that could be taken: the choice passed over it.
+            let _ = share.bucket.take(now, share.rate, 1);
         }
     }
 
--- a/src/steer/throttle.rs
+++ b/src/steer/throttle.rs
@@ -137,25 +137,36 @@
         }
     }
 
-    /// Takes requests out that may be sent at once, at least one, where `rate` comes in.
+    /// Takes requests out that may be sent at once, from one to `most`, where `rate` comes in.
     ///
     /// # Errors
     ///
     /// It is empty, and has one request after the time that is given.
-    pub fn take(&mut self, now: Instant, rate: f64) -> Result<u16, Duration> {
-        let span = now.saturating_duration_since(self.filled).as_secs_f64();
-        let size = (rate * SAVED.as_secs_f64()).max(SAVED_LEAST);
-        self.level = (self.level + rate * span).min(size);
+    pub fn take(&mut self, now: Instant, rate: f64, most: u16) -> Result<u16, Duration> {
+        self.level = self.level(now, rate);
         self.filled = now;
         if self.level < 1.0 {
-            let wait = (1.0 - self.level) / rate.max(f64::MIN_POSITIVE);
-            let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_PAUSE);
-            return Err(wait.min(LONGEST_PAUSE));
+            return Err(self.room_in(now, rate));
         }
         let count = (self.level * AT_ONCE).max(1.0) as u16;
+        let count = count.min(most);
         self.level -= f64::from(count);
         Ok(count)
     }
+
+    /// The time until it has one request.
+    pub fn room_in(&self, now: Instant, rate: f64) -> Duration {
+        let missing = (1.0 - self.level(now, rate)).max(0.0);
+        let wait = missing / rate.max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(LONGEST_PAUSE);
+        wait.min(LONGEST_PAUSE)
+    }
+
+    fn level(&self, now: Instant, rate: f64) -> f64 {
+        let span = now.saturating_duration_since(self.filled).as_secs_f64();
+        let size = (rate * SAVED.as_secs_f64()).max(SAVED_LEAST);
+        (self.level + rate * span).min(size)
+    }
 }
 
 /// What is known of one target.
@@ -199,6 +210,11 @@
         Self::default()
     }
 
+    /// Whether no target names a rate, or has done so lately.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// The rate that a target names, as it is kept to.
     pub fn rate(&self, target: u64) -> Option<f64> {
         let rate = self.targets.get(&target)?.rate?;
@@ -333,7 +349,7 @@
         let (Some(known), Some(rate), true) = (known, rate, is_keeper) else {
             return Grant(*number, news, 0, 0);
         };
-        match known.bucket.take(now, rate / parts) {
+        match known.bucket.take(now, rate / parts, u16::MAX) {
             Ok(count) => Grant(*number, news, count, 0),
             // Rounded up: one who comes back sooner finds nothing.
             Err(pause) => Grant(*number, news, 0, pause.as_millis() as u32 + 1),
--- a/tests/net/agents.rs
+++ b/tests/net/agents.rs
@@ -394,7 +394,8 @@
             | Output::Newer(..)
             | Output::Changed
             | Output::Planned
-            | Output::Notes(..) => {}
+            | Output::Notes(..)
+            | Output::Rates(..) => {}
         }
     }
 
@@ -771,6 +772,7 @@
         Frame::Plan(..) => "plan",
         Frame::Ask(_) => "ask",
         Frame::Notes(_) => "notes",
+        Frame::Rates(_) => "rates",
     }
 }
 
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -299,9 +299,9 @@
 fn a_keeper_begins_with_nothing() {
     let begun = Instant::now();
     let mut bucket = Bucket::new(begun);
-    assert_eq!(bucket.take(begun, 1.0), Err(s(1.0)));
-    assert_eq!(bucket.take(begun + s(1.0), 1.0), Ok(1));
-    assert_eq!(bucket.take(begun + s(1.0), 1.0), Err(s(1.0)));
+    assert_eq!(bucket.take(begun, 1.0, 9), Err(s(1.0)));
+    assert_eq!(bucket.take(begun + s(1.0), 1.0, 9), Ok(1));
+    assert_eq!(bucket.take(begun + s(1.0), 1.0, 9), Err(s(1.0)));
 }
 
 #[test]
