--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -22,6 +23,11 @@
 /// Accounts that one datagram tells of: each takes up to 16 bytes.
 const TALLIES: usize = 80;
 
+/// Time between two datagrams that repeat what hosts may have missed.
+const REPEAT: Duration = Duration::from_secs(1);
+/// Hosts that are told each time: each one is told some twice a second, however many there are.
+const TOLD: usize = 2;
+
 /// What is sent.
 #[derive(Serialize, Deserialize)]
 enum Datagram {
@@ -77,9 +83,29 @@
     tokio::task::spawn_local(hear(host.clone(), socket));
     tokio::task::spawn_local(send_regularly(host.clone()));
     tokio::task::spawn_local(tell_tallies(host.clone()));
+    tokio::task::spawn_local(repeat(host.clone()));
     Ok(())
 }
 
+/// Repeats what hosts may have missed, to some that are drawn anew each time.
+async fn repeat(host: Rc<Host>) {
+    loop {
+        tokio::time::sleep(REPEAT).await;
+        let peers: Vec<SocketAddr> = {
+            let core = &mut *host.core.borrow_mut();
+            let peers: Vec<SocketAddr> = core.presence.peers().map(|peer| peer.peers).collect();
+            peers.sample(&mut core.rng, TOLD).copied().collect()
+        };
+        introduce(&host, &peers).await;
+    }
+}
+
+/// Tells hosts what they may not know of requests that crash targets, and of targets that name rates.
+async fn introduce(host: &Host, peers: &[SocketAddr]) {
+    quarantine::tell_standings(host, peers).await;
+    throttle::tell(host, peers).await;
+}
+
 async fn send_regularly(host: Rc<Host>) {
     let mut interval = tokio::time::interval(INTERVAL);
     loop {
@@ -251,7 +277,6 @@
     if is_new {
         // A host that has just started waits to hear from the others.
         beat(host, &[peer]).await;
-        quarantine::tell_standings(host, &[peer]).await;
-        throttle::tell(host, &[peer]).await;
+        introduce(host, &[peer]).await;
     }
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -158,8 +158,6 @@
     sync::start(&host);
     tokio::task::spawn_local(probe::run(host.clone()));
     tokio::task::spawn_local(proof::assure(host.clone()));
-    tokio::task::spawn_local(quarantine::repeat_standings(host.clone()));
-    tokio::task::spawn_local(throttle::repeat(host.clone()));
     tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
     spdlog::info!("host: listens", kv: {
         event = log::Event::Started.as_str(),
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
-
 use super::exchange::{Exchange, Grant};
 use super::{beat, log, now, Host};
 use crate::steer::fingerprint::Fingerprint;
@@ -14,10 +12,6 @@
 
 /// Time between two looks of a request that waits for that.
 const LOOK: Duration = Duration::from_millis(20);
-/// Time between two datagrams that repeat how requests stand, for hosts that missed it.
-const REPEAT: Duration = Duration::from_secs(1);
-/// Hosts that are told each time, drawn anew: each host is told some twice a second, however many there are.
-const TOLD: usize = 2;
 
 /// Leave to send a request that is suspected to crash targets; it is given back when the try has ended.
 pub(crate) struct Leave<'a> {
@@ -102,19 +96,6 @@
     beat::send_notes(host, &notes, peers).await;
 }
 
-/// Repeats which requests are suspected or refused, to hosts drawn anew each time.
-pub(crate) async fn repeat_standings(host: Rc<Host>) {
-    loop {
-        tokio::time::sleep(REPEAT).await;
-        let peers: Vec<SocketAddr> = {
-            let core = &mut *host.core.borrow_mut();
-            let peers: Vec<SocketAddr> = core.presence.peers().map(|peer| peer.peers).collect();
-            peers.sample(&mut core.rng, TOLD).copied().collect()
-        };
-        tell_standings(&host, &peers).await;
-    }
-}
-
 fn tell_all(host: &Rc<Host>, note: Note) {
     log::standing(&note);
     let peers = beat::all(host);
--- a/src/host/throttle.rs
+++ b/src/host/throttle.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::IteratorRandom;
 use tokio::sync::oneshot;
 
 use super::exchange::Grant as Held;
@@ -21,10 +21,6 @@
 const NEAR: Duration = Duration::from_millis(60);
 /// How long one of another region may take: a round trip between regions beside that.
 const FAR: Duration = Duration::from_millis(250);
-/// Time between two datagrams that repeat which targets name rates, for hosts that missed it.
-const REPEAT: Duration = Duration::from_secs(1);
-/// Hosts that are told each time, drawn anew.
-const TOLD: usize = 2;
 /// Targets that are told of each time, drawn anew: a datagram's worth.
 const REPEATED: usize = 64;
 
@@ -149,6 +145,7 @@
 pub(crate) async fn tell(host: &Host, peers: &[SocketAddr]) {
     let news: Vec<News> = {
         let core = &mut *host.core.borrow_mut();
+        core.fleet.expire_rates(now());
         let all = core.fleet.news(now());
         all.sample(&mut core.rng, REPEATED)
     };
@@ -156,17 +153,3 @@
         beat::send_rates(host, &news, peers).await;
     }
 }
-
-/// Repeats which targets name rates, to hosts drawn anew each time.
-pub(crate) async fn repeat(host: Rc<Host>) {
-    loop {
-        tokio::time::sleep(REPEAT).await;
-        let peers: Vec<SocketAddr> = {
-            let core = &mut *host.core.borrow_mut();
-            core.fleet.expire_rates(now());
-            let peers: Vec<SocketAddr> = core.presence.peers().map(|peer| peer.peers).collect();
-            peers.sample(&mut core.rng, TOLD).copied().collect()
-        };
-        tell(&host, &peers).await;
-    }
-}
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -685,3 +685,44 @@
         }
     }
 }
+
+#[test]
+fn a_target_gets_the_share_of_its_rate_and_no_more() {
+    let mut rig = Rig::new(2);
+    let (limited, other) = (rig.keys[0], rig.keys[1]);
+    rig.group.set_share(rig.now, limited, Some(2.0));
+    let targets = (0..10).flat_map(|_| rig.serve(50, &BTreeMap::new()));
+    let targets: Vec<TargetKey> = targets.collect();
+    let count = targets.iter().filter(|target| **target == limited).count();
+    // Of 5 s.
+    assert!((8..=10).contains(&count), "{count}");
+    assert_eq!(
+        targets.len() - count,
+        targets.iter().filter(|target| **target == other).count()
+    );
+}
+
+#[test]
+fn a_target_of_which_this_host_has_no_share_gets_nothing() {
+    let mut rig = Rig::new(2);
+    let limited = rig.keys[0];
+    rig.group.set_share(rig.now, limited, Some(0.0));
+    assert!(!rig.serve(100, &BTreeMap::new()).contains(&limited));
+    rig.group.set_share(rig.now, limited, None);
+    assert!(rig.serve(100, &BTreeMap::new()).contains(&limited));
+}
+
+#[test]
+fn requests_are_refused_at_once_when_all_targets_have_given_out_what_they_take() {
+    let mut rig = Rig::new(2);
+    for key in rig.keys.clone() {
+        rig.group.set_share(rig.now, key, Some(1.0));
+    }
+    let Verdict::Refuse(refusal) = rig.ask(5000, 5, vec![]) else {
+        panic!("it is not refused");
+    };
+    assert_eq!(refusal.reason, Reason::Overload);
+    assert_eq!(refusal.retry_after, Duration::from_secs(1));
+    rig.pass(1000);
+    assert!(matches!(rig.ask(5000, 5, vec![]), Verdict::Go(_)));
+}
