--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -2,9 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ragwortfold::inventory::{Registration, State};
+use ragwortfold::steer::fleet::{Ask, Fleet, Leave};
 use ragwortfold::steer::throttle::{Bucket, Claim, Fit, News, Rate, Throttle};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 
 mod replay;
 
@@ -331,6 +337,69 @@
     assert_eq!(bucket.take(begun + s(1.0), 1.0, Fit::Own, 9), Err(s(1.0)));
 }
 
+#[test]
+fn a_keeper_that_was_paused_has_saved_up_little() {
+    let begun = Instant::now();
+    let mut bucket = Bucket::new(begun);
+    let woken = begun + s(60.0);
+    assert_eq!(bucket.take(woken, 1.0, Fit::Own, 9), Ok(1));
+    assert!(bucket.take(woken, 1.0, Fit::Own, 9).is_err());
+}
+
+#[test]
+fn what_is_left_over_goes_to_other_objects() {
+    let begun = Instant::now();
+    let mut bucket = Bucket::new(begun);
+    let soon = begun + s(1.0);
+    assert!(bucket.take(soon, 1.0, Fit::Spill, 9).is_err());
+    assert_eq!(bucket.take(soon + s(0.5), 1.0, Fit::Spill, 9), Ok(1));
+}
+
+/// A target that starts again under its identity knows nothing of before, and nothing that it named holds.
+#[test]
+fn a_target_that_is_back_under_its_identity_has_no_rate() {
+    let now = Instant::now();
+    let regions: BTreeMap<Arc<str>, Arc<str>> = [("z".into(), "r".into())].into();
+    let mut fleet = Fleet::new(now, "h".into(), "z".into(), regions, 5.0);
+    fleet.set_hosts(vec![("h".into(), "r".into())]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let register = |fleet: &mut Fleet, born| {
+        fleet.register(now, registration(born));
+        let ask = Ask {
+            service: &"books".into(),
+            key: 1,
+            object: None,
+            homes: &BTreeSet::new(),
+            tried: Vec::new(),
+            bytes: 0,
+        };
+        fleet.propose(now, &ask, |_| true).map(|(key, _)| key)
+    };
+    let first = register(&mut fleet, 1).unwrap();
+    fleet.state(now, first, now, Some(1.0));
+    assert_eq!(
+        fleet.leave(now, (first, Fit::Own), &mut rng),
+        Leave::Refused
+    );
+    let second = register(&mut fleet, 2).unwrap();
+    assert_ne!(first, second);
+    assert_eq!(fleet.leave(now, (second, Fit::Own), &mut rng), Leave::Given);
+    assert_eq!(fleet.news(now).count(), 0);
+}
+
+fn registration(born: u64) -> Registration {
+    Registration {
+        id: "t".into(),
+        service: "books".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "z".into(),
+        slots: 4,
+        state: State::Ready,
+        cold_left: Duration::ZERO,
+        born: Some(born),
+    }
+}
+
 #[test]
 fn a_host_that_is_no_keeper_grants_nothing() {
     let now = Instant::now();
