--- a/src/steer/throttle.rs
+++ b/src/steer/throttle.rs
@@ -34,9 +34,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// How long a keeper is not asked that did not answer, or does not take itself for one.
 const SILENT: Duration = Duration::from_secs(1);
-/// By how much a rate has to rise for hosts to ask at once, and to be told.
+/// By how much a rate has to rise for hosts to ask again at once, and to be told.
 const RISEN: f64 = 1.5;
-/// Least time between two tellings of one host that a target began or ended to name a rate.
+/// Least time between two tellings of one host about a target.
 const TOLD: Duration = Duration::from_millis(250);
 /// How long it is remembered that a target ended to name a rate: longer than any news of the rate are under way.
 const ENDED: Duration = Duration::from_secs(10);
@@ -272,7 +272,7 @@
         self.known(now, target)
     }
 
-    /// Takes in what another host knows; tells whether the target began or ended to name a rate by that.
+    /// Takes in what another host knows; tells whether the target began or ended to name a rate by that, or named a much higher one.
     pub fn hear(&mut self, now: Instant, news: &News) -> bool {
         let News(target, rate, age) = *news;
         let age = Duration::from_millis(age.into());
@@ -282,7 +282,7 @@
         }
     }
 
-    /// Notes what a target said; tells whether it began or ended to name a rate.
+    /// Notes what a target said; tells whether it began or ended to name a rate, or named a much higher one.
     fn set(&mut self, now: Instant, target: u64, at: Instant, rate: Option<f64>) -> bool {
         let Some(known) = self.targets.get_mut(&target) else {
             if rate.is_none() || self.targets.len() >= TARGETS {
