--- a/standin/src/limited.rs
+++ b/standin/src/limited.rs
@@ -10,6 +10,21 @@
 use crate::http::{Reply, Request, Response, Server};
 use crate::{lock, Error};
 
+/// How long hosts may take until they keep to a rate, and how long one is named.
+pub const STABLE: Duration = Duration::from_secs(3);
+pub const NAMED: Duration = Duration::from_secs(9);
+/// The span over which arrivals are counted, and what may come in it: a part beyond the rate, and some.
+const WINDOW: Duration = Duration::from_secs(4);
+const OVER: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// The part of what targets take that is used at least.
+pub const USED: f64 = 0.8;
+/// The part of the requests that is answered at least while others have room.
+pub const SERVED: f64 = 0.99;
+/// Callers, and what they ask in a second in all.
+pub const CALLERS: usize = 12;
+pub const LOAD: f64 = 110.0;
+
 const CONNECTIONS: usize = 400;
 /// Time that it works on a request.
 const WORK: Duration = Duration::from_millis(5);
@@ -76,8 +91,28 @@
         arrivals.iter().filter(within).count()
     }
 
+    /// Whether it got about the rate that it has named since `begun`: no more, and not much less.
+    ///
+    /// # Errors
+    ///
+    /// What it got instead.
+    pub fn judge(&self, rate: f64, begun: Instant) -> Result<(), String> {
+        let most = self.most(begun + STABLE - WINDOW / 2, WINDOW);
+        let allowed = rate * OVER * WINDOW.as_secs_f64() + SLACK;
+        if most as f64 > allowed {
+            return Err(format!("{most} in a window, {allowed} allowed"));
+        }
+        let span = NAMED - STABLE;
+        let used = self.count(begun + STABLE, span);
+        let least = rate * USED * span.as_secs_f64();
+        if (used as f64) < least {
+            return Err(format!("{used} used, {least} expected"));
+        }
+        Ok(())
+    }
+
     /// The most requests that came in any span of this length from a moment on.
-    pub fn most(&self, from: Instant, span: Duration) -> usize {
+    fn most(&self, from: Instant, span: Duration) -> usize {
         let arrivals = self.arrivals();
         let begins = arrivals.iter().filter(|at| **at >= from);
         begins
@@ -115,26 +150,20 @@
     pub retry_after: Option<f64>,
 }
 
-/// Sends requests by several callers to hosts in turn, `per_s` of them a second in all. `send` is given a host's number and a number
-/// that no other request has, and gives the status and when to come back.
-pub fn play(
-    callers: usize,
-    per_s: f64,
-    time: Duration,
-    send: impl Fn(usize) -> (u16, Option<f64>) + Sync,
-) -> Vec<Call> {
-    let interval = Duration::from_secs_f64(callers as f64 / per_s);
+/// Sends requests by all callers. `send` is given a number that no other request has, and gives the status and when to come back.
+pub fn play(time: Duration, send: impl Fn(usize) -> (u16, Option<f64>) + Sync) -> Vec<Call> {
+    let interval = Duration::from_secs_f64(CALLERS as f64 / LOAD);
     let begun = Instant::now();
     let caller = |first: usize| {
         let mut calls = Vec::new();
         for turn in 0u32.. {
-            let due = begun + interval * turn + interval.mul_f64(first as f64 / callers as f64);
+            let due = begun + interval * turn + interval.mul_f64(first as f64 / CALLERS as f64);
             if due >= begun + time {
                 break;
             }
             thread::sleep(due.saturating_duration_since(Instant::now()));
             let sent = Instant::now();
-            let (status, retry_after) = send(first + turn as usize * callers);
+            let (status, retry_after) = send(first + turn as usize * CALLERS);
             calls.push(Call {
                 begun: sent,
                 took: sent.elapsed(),
@@ -146,7 +175,7 @@
     };
     thread::scope(|scope| {
         let caller = &caller;
-        let callers: Vec<_> = (0..callers)
+        let callers: Vec<_> = (0..CALLERS)
             .map(|first| scope.spawn(move || caller(first)))
             .collect();
         let calls = callers.into_iter().flat_map(|caller| caller.join());
--- a/tests/rate.rs
+++ b/tests/rate.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standin::limited::{play, Call, Headers, Target};
+use standin::limited::{play, Call, Headers, Target, LOAD, NAMED, SERVED, STABLE, USED};
 use world::{send, World};
 
 const HEADERS: Headers = Headers {
@@ -18,21 +18,6 @@
 const ZONES: [(&str, &str); 2] = [("lima", "lima-a"), ("cusco", "cusco-a")];
 const HOSTS_A_ZONE: usize = 3;
 const TARGETS_A_ZONE: usize = 3;
-const CALLERS: usize = 12;
-/// Requests a second, of all callers.
-const LOAD: f64 = 110.0;
-/// How long hosts may take until they keep to a rate.
-const STABLE: Duration = Duration::from_secs(3);
-/// How long one is named.
-const NAMED: Duration = Duration::from_secs(9);
-/// The span over which arrivals are counted, and what may come in it: a part beyond the rate, and some.
-const WINDOW: Duration = Duration::from_secs(4);
-const OVER: f64 = 1.5;
-const SLACK: f64 = 5.0;
-/// The part of what targets take that is used at least.
-const USED: f64 = 0.8;
-/// The part of the requests that is answered while others have room.
-const SERVED: f64 = 0.99;
 
 /// Zones of several hosts and targets that may name rates.
 fn world() -> (World, Vec<Target>) {
@@ -58,7 +43,7 @@
 
 fn load(world: &World, time: Duration) -> Vec<Call> {
     let hosts: Vec<_> = world.hosts.values().collect();
-    play(CALLERS, LOAD, time, |number| {
+    play(time, |number| {
         let host = hosts[number % hosts.len()];
         let url = host.url(&format!("/v1/services/lookups/{number}"));
         let answer = send("GET", &url, &[], b"");
@@ -97,12 +82,7 @@
             let begun = Instant::now();
             let calls = load(&world, NAMED);
             for target in limited {
-                let most = target.most(begun + STABLE - WINDOW / 2, WINDOW);
-                let allowed = $rate * OVER * WINDOW.as_secs_f64() + SLACK;
-                assert!(most as f64 <= allowed, "{most} of {allowed}");
-                let used = target.count(begun + STABLE, NAMED - STABLE);
-                let least = $rate * USED * (NAMED - STABLE).as_secs_f64();
-                assert!(used as f64 >= least, "{used} of {least}");
+                target.judge($rate, begun).unwrap();
             }
             let (good, all) = answered(&calls, begun + STABLE);
             assert!(good as f64 >= all as f64 * $served, "{good} of {all}");
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -147,6 +147,21 @@
     seeks_until: Instant,
 }
 
+impl Request {
+    /// What its host asks the fleet for it.
+    fn ask<'a>(&self, service: &'a Arc<str>, homes: &'a BTreeSet<Arc<str>>) -> Ask<'a> {
+        let draw = draw(self.object);
+        Ask {
+            service,
+            key: draw,
+            homes,
+            tried: self.tried.clone(),
+            object: Some(draw),
+            bytes: 0,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
     Answered,
@@ -752,16 +767,8 @@
     fn find(&mut self, number: usize) -> Result<(TargetKey, Leave), Refusal> {
         let request = &self.requests[number];
         let host = &mut self.hosts[request.host];
-        let draw = draw(request.object);
-        let service: Arc<str> = SERVICE.into();
-        let ask = Ask {
-            service: &service,
-            key: draw,
-            homes: &BTreeSet::new(),
-            tried: request.tried.clone(),
-            object: Some(draw),
-            bytes: 0,
-        };
+        let (service, homes) = (SERVICE.into(), BTreeSet::new());
+        let ask = request.ask(&service, &homes);
         loop {
             let met = &host.met;
             let proposed = host
@@ -778,16 +785,8 @@
     fn dispatch(&mut self, number: usize, target: TargetKey) {
         let request = &mut self.requests[number];
         let host = &mut self.hosts[request.host];
-        let service: Arc<str> = SERVICE.into();
-        let draw = draw(request.object);
-        let ask = Ask {
-            service: &service,
-            key: draw,
-            homes: &BTreeSet::new(),
-            tried: request.tried.clone(),
-            object: Some(draw),
-            bytes: 0,
-        };
+        let (service, homes) = (SERVICE.into(), BTreeSet::new());
+        let ask = request.ask(&service, &homes);
         host.fleet.begin(self.now, &ask, target);
         let id = host.fleet.member(target).unwrap().id().clone();
         let site = self
@@ -932,15 +931,8 @@
         };
         request.returned = true;
         request.tried.clear();
-        let draw = draw(request.object);
-        let ask = Ask {
-            service: &SERVICE.into(),
-            key: draw,
-            homes: &BTreeSet::new(),
-            tried: Vec::new(),
-            object: Some(draw),
-            bytes: 0,
-        };
+        let (service, homes) = (SERVICE.into(), BTreeSet::new());
+        let ask = request.ask(&service, &homes);
         let room = self.hosts[request.host].fleet.room_in(self.now, &ask);
         let pause = pause(room, self.rng.random_range(0.0..1.0));
         self.plan(pause, Event::Return { request: number });
