--- a/tests/rate.rs
+++ b/tests/rate.rs
@@ -91,7 +91,7 @@
 }
 
 named! {
-    hosts_together_keep_to_the_rate_that_a_target_names: 1, "3.0" => 3.0, SERVED;
+    hosts_of_a_zone_keep_to_the_rate_that_a_target_names: 1, "3.0" => 3.0, SERVED;
     // What the zone does not take may not leave its region sooner than the cap on planned moves allows.
     all_targets_of_a_zone_name_a_rate: 3, "4" => 4.0, USED * (12.0 + LOAD / 2.0) / LOAD;
     all_targets_name_a_rate: 6, "6" => 6.0, USED * 36.0 / LOAD;
