Look a target up only if its news is new; share rates anew only when one was forgotten; one digest of a target

Read again as a newcomer: each repeated news of a rate searched all targets for a name to log, up to 64 of them a datagram, twice a second and host; each tick of the own interface worked the shares of all targets out while any rate was known; the digest of a target's name was computed in two places of the engine. Behaviour is as it was.

--- a/src/steer/engine/permit.rs
+++ b/src/steer/engine/permit.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use rand::Rng;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Ask, Engine, Id, Refusal, Verdict};
 use crate::catalog::TargetKey;
@@ -66,8 +65,7 @@
         target: TargetKey,
         begun: Instant,
     ) {
-        let name = &self.catalog.target(target).name;
-        let digest = xxh3_64(name.as_bytes());
+        let digest = self.digest(target);
         let News { counters, all } = self.quarantine.broke(now, fingerprint, digest, begun);
         self.notes.extend(counters.into_iter().chain(all));
     }
--- a/src/steer/engine/rate.rs
+++ b/src/steer/engine/rate.rs
@@ -58,11 +58,9 @@
 
     /// Forgets rates that are of no more use.
     pub(super) fn expire_rates(&mut self, now: Instant) {
-        if self.throttle.is_empty() {
-            return;
+        if self.throttle.expire(now) {
+            self.share_rates(now);
         }
-        self.throttle.expire(now);
-        self.share_rates(now);
     }
 
     /// Sets what this host may send to each target that names a rate.
@@ -100,7 +98,8 @@
         }
     }
 
-    fn digest(&self, target: TargetKey) -> u64 {
+    /// What hosts know a target by between each other.
+    pub(super) fn digest(&self, target: TargetKey) -> u64 {
         xxh3_64(self.catalog.target(target).name.as_bytes())
     }
 }
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -97,7 +97,6 @@
         connected: impl Fn(TargetKey) -> bool,
     ) -> Result<(TargetKey, Fit), Refusal> {
         let choices = self.first_choices(now, ask);
-        let spills = choices.spills.clone();
         let first = [choices.near, choices.far];
         if first == [None; 2] {
             return Err(match choices.opens_in {
@@ -106,7 +105,7 @@
             });
         }
         let is_bare = choices.near.is_none() && !choices.is_near_closed;
-        let slots = choices.slots;
+        let (slots, spills) = (choices.slots, choices.spills);
         let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
         choices.extend(self.holders(now, ask, &first));
         choices.retain(|key| self.has_room(now, *key));
--- a/src/steer/fleet/throttled.rs
+++ b/src/steer/fleet/throttled.rs
@@ -109,9 +109,11 @@
 
     /// Takes in what another host knows; gives the target that began or ended to name a rate by that.
     pub fn hear(&mut self, now: Instant, news: &News) -> Option<Arc<str>> {
-        let is_news = self.throttle.hear(now, news);
+        if !self.throttle.hear(now, news) {
+            return None;
+        }
         let known = self.members.values().find(|one| one.digest() == news.0);
-        known.filter(|_| is_news).map(|member| member.id().clone())
+        known.map(|member| member.id().clone())
     }
 
     /// What this host knows of the rates that targets name.
--- a/src/steer/throttle.rs
+++ b/src/steer/throttle.rs
@@ -235,11 +235,6 @@
         Self::default()
     }
 
-    /// Whether no target names a rate, or has done so lately.
-    pub fn is_empty(&self) -> bool {
-        self.targets.is_empty()
-    }
-
     /// The rate that a target names, as it is kept to.
     pub fn rate(&self, target: u64) -> Option<f64> {
         let rate = self.targets.get(&target)?.rate?;
@@ -425,13 +420,15 @@
         self.targets.remove(&target);
     }
 
-    /// Forgets what is of no more use.
-    pub fn expire(&mut self, now: Instant) {
+    /// Forgets what is of no more use; tells whether there was any such target.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.targets.len();
         self.targets.retain(|_, known| {
             known.pauses.retain(|_, until| now < *until);
             let age = now.saturating_duration_since(known.at);
             age < if known.rate.is_some() { UNHEARD } else { ENDED }
         });
+        self.targets.len() < before
     }
 }
 
