Heartbeats between zones grow with hosts, not with their square

Callers saw nothing of it; each host of a region of 328 sent and took some 470 datagrams a second, which is most of the processor time of a host that stands by. Cause: each host told all hosts of its region that it is alive, at each heartbeat, and two thirds of that crossed zones.

The four strongest hosts of a zone go on to do so. The others leave out one more heartbeat to other zones for each 100 hosts of the region. A zone of which nobody is heard is lost as soon as before. Own zones are told as before; regions of fewer than 100 other hosts notice no change.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -29,6 +29,12 @@
 /// For each such number of hosts that n is as much larger, so that heartbeats to other regions don't
 /// grow with their hosts.
 const MANY: u64 = 200;
+/// Hosts of an availability zone that tell its state to the other zones of the region at each heartbeat: one that is left of
+/// them shows that the zone is there.
+const SPEAKERS: usize = 4;
+/// For each such number of other hosts of a region the other hosts of a zone leave one more heartbeat out between two that go
+/// to other zones, so that what crosses zones doesn't grow with the square of the region.
+const CROWD: usize = 100;
 /// Heartbeats that may be missed before a host is taken for dead.
 const MISSED: f64 = 3.6;
 /// Silence after which the registration of a dead host is removed.
@@ -166,9 +172,22 @@
     pub u32,
 );
 
+/// How far away another host is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Distance {
+    /// In the same availability zone.
+    Zone,
+    /// In another one of the region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     record: Record,
+    /// Whether it is in the region of this host.
+    is_near: bool,
     /// When this process of the host was first heard of.
     met: Instant,
     heard: Instant,
@@ -197,6 +216,10 @@
     peers: BTreeMap<Arc<str>, Peer>,
     /// The hosts by where they take heartbeats, which is also where theirs come from.
     places: BTreeMap<SocketAddr, Arc<str>>,
+    /// When any host of each availability zone was heard last.
+    zones: BTreeMap<Arc<str>, Instant>,
+    /// Other hosts of the region, alive or not.
+    near: usize,
     looked: Instant,
     started: Instant,
     /// Whether the registrations of the others were read.
@@ -222,6 +245,8 @@
             sight: Sight::Nothing,
             peers: BTreeMap::new(),
             places: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            near: 0,
             looked: now,
             started: now,
             listed: false,
@@ -325,15 +350,43 @@
         FAR * (1 + self.peers.len() as u64 / MANY)
     }
 
+    /// Every how many heartbeats one goes to the other availability zones of the region.
+    fn across(&self) -> u64 {
+        1 + (self.near / CROWD) as u64
+    }
+
     /// Where the next regular heartbeat goes to.
-    pub fn next_beat(&mut self) -> Vec<SocketAddr> {
+    pub fn next_beat(&mut self, now: Instant) -> Vec<SocketAddr> {
         let far = self.beats.is_multiple_of(self.far());
+        let across = self.beats.is_multiple_of(self.across()) || self.is_speaker(now);
         self.beats += 1;
-        self.peers
-            .values()
-            .filter(|peer| far || self.is_near(&peer.record))
-            .map(|peer| peer.record.peers)
-            .collect()
+        let wanted = |peer: &&Peer| match self.distance(peer) {
+            Distance::Zone => true,
+            Distance::Region => across,
+            Distance::Elsewhere => far,
+        };
+        let peers = self.peers.values().filter(wanted);
+        peers.map(|peer| peer.record.peers).collect()
+    }
+
+    fn distance(&self, peer: &Peer) -> Distance {
+        if peer.record.zone == self.own.zone {
+            Distance::Zone
+        } else if peer.is_near {
+            Distance::Region
+        } else {
+            Distance::Elsewhere
+        }
+    }
+
+    /// Whether this host tells the state of its availability zone to the others of the region.
+    fn is_speaker(&self, now: Instant) -> bool {
+        let own = rank(&self.own);
+        let of_zone = self
+            .present(now)
+            .filter(|peer| peer.record.zone == self.own.zone);
+        let before = of_zone.filter(|peer| rank(&peer.record) > own);
+        before.take(SPEAKERS).count() < SPEAKERS
     }
 
     /// Takes in a registration; gives the host the benefit of the doubt until it was silent for
@@ -354,6 +407,7 @@
             }
         }
         let peer = Peer {
+            is_near: self.is_near(&record),
             met: now,
             heard: now,
             leaving: false,
@@ -361,9 +415,12 @@
             rate: 0,
             record,
         };
+        self.zones.insert(peer.record.zone.clone(), now);
         self.places
             .insert(peer.record.peers, peer.record.host.clone());
-        self.peers.insert(peer.record.host.clone(), peer);
+        let is_near = peer.is_near;
+        let known = self.peers.insert(peer.record.host.clone(), peer);
+        self.near += usize::from(is_near && known.is_none());
         true
     }
 
@@ -377,6 +434,7 @@
             return;
         }
         if let Some(peer) = self.peers.remove(host) {
+            self.near -= usize::from(peer.is_near);
             // Another host may have its address by now.
             let place = peer.record.peers;
             if self.places.get(&place) == Some(&peer.record.host) {
@@ -393,6 +451,7 @@
         };
         if beat.record.incarnation == peer.record.incarnation {
             peer.hear(now, beat.sight, beat.leaving, beat.rate);
+            self.zones.insert(beat.record.zone, now);
         }
         new
     }
@@ -408,6 +467,12 @@
             return false;
         }
         peer.hear(now, sight, leaving, rate);
+        match self.zones.get_mut(&peer.record.zone) {
+            Some(heard) => *heard = now,
+            None => {
+                self.zones.insert(peer.record.zone.clone(), now);
+            }
+        }
         true
     }
 
@@ -417,6 +482,7 @@
             for peer in self.peers.values_mut() {
                 peer.heard = now;
             }
+            self.zones.values_mut().for_each(|heard| *heard = now);
         }
         self.looked = now;
     }
@@ -565,9 +631,17 @@
     }
 
     fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
-        let near = self.is_near(&peer.record);
-        let interval = INTERVAL * if near { 1 } else { self.far() as u32 };
-        now.saturating_duration_since(peer.heard) < interval.mul_f64(MISSED)
+        let (beats, zone_heard) = match self.distance(peer) {
+            Distance::Zone => (1, None),
+            Distance::Region => (self.across(), self.zones.get(&peer.record.zone)),
+            Distance::Elsewhere => (self.far(), None),
+        };
+        let is_recent = |heard: Instant, beats: u64| {
+            let span = (INTERVAL * beats as u32).mul_f64(MISSED);
+            now.saturating_duration_since(heard) < span
+        };
+        // Of a zone that has lost power nobody is heard, long before each of its hosts is missed.
+        is_recent(peer.heard, beats) && zone_heard.is_none_or(|heard| is_recent(*heard, 1))
     }
 
     /// Whether this host is to watch the store itself.
@@ -586,7 +660,7 @@
             let sees = peer.sight == Some(Sight::Store);
             let could = away || peer.sight >= Some(Sight::Relayed);
             rank(&peer.record) > own
-                && self.is_near(&peer.record)
+                && peer.is_near
                 && (sees || starting || (could && self.sight != Sight::Store))
         });
         before.count() < self.watchers()
@@ -620,11 +694,10 @@
             .filter_map(|peer| Some((peer, peer.sight?)))
             .filter(|(peer, sight)| *sight > least && !skip(&peer.record))
             .max_by_key(|(peer, sight)| {
-                let near = self.is_near(&peer.record);
                 // Links between zones are paid for, and each follower takes a copy of all targets over one.
                 let in_zone = peer.record.zone == self.own.zone;
                 let (share, draw) = rank(&peer.record);
-                (*sight, near, in_zone, share, draw ^ own)
+                (*sight, peer.is_near, in_zone, share, draw ^ own)
             })
             .map(|(peer, sight)| (&peer.record, sight))
     }
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -113,7 +113,7 @@
         let (peers, pulse) = {
             let mut core = host.core.borrow_mut();
             core.tick(now());
-            (core.presence.next_beat(), core.presence.pulse(now()))
+            (core.presence.next_beat(now()), core.presence.pulse(now()))
         };
         send(&host, &Datagram::Pulse(pulse), &peers).await;
     }
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -467,7 +467,7 @@
         presence.register(now, record(&format!("h{number}"), zone, 1));
     }
     let rounds = 120;
-    let sent: usize = (0..rounds).map(|_| presence.next_beat().len()).sum();
+    let sent: usize = (0..rounds).map(|_| presence.next_beat(now).len()).sum();
     let each_second = sent as f64 / (f64::from(rounds) * INTERVAL.as_secs_f64());
     assert!(each_second < 400.0, "{each_second} a second");
 }
@@ -699,3 +699,64 @@
     }
     assert!(all.len() > 50, "{} hosts count for 200 keys", all.len());
 }
+
+/// Heartbeats that all hosts of a region of two availability zones send to the other zone in `ROUNDS` rounds.
+fn beats_across(hosts: usize) -> usize {
+    const ROUNDS: usize = 12;
+    let now = Instant::now();
+    let zones = ["n-a", "n-b"];
+    let host = |index: usize| Record {
+        peers: SocketAddr::from(([10, 0, index as u8 % 2, 1], index as u16)),
+        ..record(&format!("h{index}"), zones[index % 2], 1)
+    };
+    let sent = (0..hosts).map(|own| {
+        let mut presence = Presence::new(now, host(own), regions());
+        for index in 0..hosts {
+            presence.register(now, host(index));
+        }
+        let beats = (0..ROUNDS).flat_map(|_| presence.next_beat(now));
+        let own_zone = own as u8 % 2;
+        let across = |place: &SocketAddr| match place.ip() {
+            IpAddr::V4(address) => address.octets()[2] != own_zone,
+            IpAddr::V6(_) => false,
+        };
+        beats.filter(across).count()
+    });
+    sent.sum()
+}
+
+#[test]
+fn heartbeats_between_zones_grow_with_hosts_and_not_with_their_square() {
+    let [few, many] = [200, 800].map(beats_across);
+    let growth = many as f64 / few as f64;
+    assert!(growth < 4.0 * 1.5, "{growth} times as many");
+}
+
+/// The hosts that are up, of those of another zone of a large region, when some of that zone went silent at once.
+fn up_after(silent: usize, silence: Duration) -> usize {
+    const OTHERS: usize = 200;
+    let start = Instant::now();
+    let mut presence = presence(start, &[]);
+    let others: Vec<Record> = (0..OTHERS)
+        .map(|index| record(&format!("o{index:03}"), "n-b", 1))
+        .collect();
+    for other in &others {
+        presence.hear(start, beat(other.clone(), Sight::Relayed));
+    }
+    for other in &others[silent..] {
+        presence.hear(start + silence, beat(other.clone(), Sight::Relayed));
+    }
+    presence.alive(start + silence).count() - 1
+}
+
+#[test]
+fn a_large_zone_that_falls_silent_is_lost_in_time() {
+    assert_eq!(up_after(200, INTERVAL * 3), 200);
+    assert_eq!(up_after(200, INTERVAL * 4), 0);
+}
+
+#[test]
+fn hosts_of_another_large_zone_may_be_heard_seldom() {
+    assert_eq!(up_after(100, INTERVAL * 4), 200);
+    assert_eq!(up_after(100, INTERVAL * 12), 100);
+}
