A host of another region that is heard seldom has not departed

With 985 hosts heartbeats to other regions are 10.5 s apart, so one lost datagram is a silence of 21 s, after which the first watcher takes a registration for that of a dead host (20 s) and removes it with its next list. With 2,000 hosts each of the other regions would be removed. The test has 2,000 hosts and fails before.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -620,10 +620,16 @@
                 .any(|peer| peer.sight == Some(Sight::Store) && rank(&peer.record) > own);
         self.peers
             .values()
-            .filter(move |peer| is_first && now.saturating_duration_since(peer.heard) >= FORGET)
+            .filter(move |peer| is_first && self.is_departed(now, peer))
             .map(|peer| &peer.record.host)
     }
 
+    /// Whether a host has been silent for long; in a large fleet heartbeats from other regions are far apart.
+    fn is_departed(&self, now: Instant, peer: &Peer) -> bool {
+        let silence = now.saturating_duration_since(peer.heard);
+        silence >= FORGET && !self.is_heard(now, peer)
+    }
+
     fn present(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.peers
             .values()
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -760,3 +760,20 @@
     assert_eq!(up_after(100, INTERVAL * 4), 200);
     assert_eq!(up_after(100, INTERVAL * 12), 100);
 }
+
+#[test]
+fn a_host_of_another_region_that_is_heard_seldom_has_not_departed() {
+    let start = Instant::now();
+    let mut presence = presence(start, &[("h-far", "s-a")]);
+    for index in 0..2000 {
+        let host = record(&format!("h{index}"), "n-b", 1);
+        presence.register(start, host);
+    }
+    assert_eq!(
+        presence
+            .departed(start + FORGET)
+            .filter(|host| &***host == "h-far")
+            .count(),
+        0
+    );
+}
