Followers tell no other region of it; news of the store in few bytes

Each host told all others each change of what it knows of the store, with all there is to know of it, some 230 bytes. At a common start of 985 hosts that is a million datagrams for each of some three changes, two thirds of them to other regions. Now that a host has begun to follow another, or has lost it, is told in the own region only: the others ask no more than whether anybody sees the store. All are told of watchers as before.

Test: what two regions of 15 and of 60 hosts tell, by law.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -389,6 +389,18 @@
         before.take(SPEAKERS).count() < SPEAKERS
     }
 
+    /// Where it is told at once that what this host knows of the store was `before` until now: in its region, and everywhere if it
+    /// saw the store or sees it now. Hosts of other regions only ask whether anybody sees it; what those that follow it know
+    /// would be told by as many hosts to as many.
+    pub fn concerned(&self, before: Sight) -> Vec<SocketAddr> {
+        let everywhere = before == Sight::Store || self.sight == Sight::Store;
+        self.peers
+            .values()
+            .filter(|peer| everywhere || peer.is_near)
+            .map(|peer| peer.record.peers)
+            .collect()
+    }
+
     /// Takes in a registration; gives the host the benefit of the doubt until it was silent for
     /// long enough. Says whether this process of the host is new.
     pub fn register(&mut self, now: Instant, record: Record) -> bool {
--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use crate::control::presence::{Beat, Pulse, INTERVAL};
+use crate::control::presence::{Beat, Pulse, Sight, INTERVAL};
 use crate::steer::allowance::{Tally, Teller};
 use crate::steer::quarantine::Note;
 use crate::steer::throttle::{Claim, Grant, News};
@@ -178,11 +178,26 @@
     ledger.hear(now(), teller, tallies);
 }
 
-/// Sends a heartbeat to all hosts at once, as something has changed.
+/// Introduces this host to all others.
 pub(crate) async fn send_to_all(host: &Host) {
     beat(host, &all(host)).await;
 }
 
+/// Tells those whom it concerns what this host knows of the store, which was `before` until now.
+pub(crate) async fn tell_sight(host: &Host, before: Sight) {
+    let (peers, pulse) = {
+        let presence = &mut host.core.borrow_mut().presence;
+        (presence.concerned(before), presence.pulse(now()))
+    };
+    send(host, &Datagram::Pulse(pulse), &peers).await;
+}
+
+/// Tells all others that this host takes nothing new.
+pub(crate) async fn tell_leaving(host: &Host) {
+    let pulse = host.core.borrow_mut().presence.pulse(now());
+    send(host, &Datagram::Pulse(pulse), &all(host)).await;
+}
+
 /// Tells other hosts how requests stand that crash targets.
 pub(crate) async fn send_notes(host: &Host, notes: &[Note], peers: &[SocketAddr]) {
     for part in notes.chunks(NOTES) {
--- a/src/host/stop.rs
+++ b/src/host/stop.rs
@@ -85,7 +85,7 @@
     let begun = super::now();
     host.stop.leaving.set(true);
     host.core.borrow_mut().presence.leave();
-    beat::send_to_all(host).await;
+    beat::tell_leaving(host).await;
     let grace = host.settings.bounds.grace;
     tokio::join!(
         join::unregister(host),
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -158,7 +158,7 @@
     let sees = host.watching.is_complete();
     let relayed = host.followed.get() == Some(Sight::Store) || host.begin.is_fresh(now());
     let news = {
-        let mut core = host.core.borrow_mut();
+        let core = &mut *host.core.borrow_mut();
         let is_proved = core.is_proved(proof::moment());
         let sight = match (known, sees && is_proved, relayed && is_proved) {
             (false, ..) => Sight::Nothing,
@@ -167,8 +167,8 @@
             (true, false, false) => Sight::Stale,
         };
         let before = core.presence.sight();
-        let news = core.presence.see(sight);
-        if news {
+        let news = core.presence.see(sight).then_some(before);
+        if news.is_some() {
             spdlog::info!("sync: the store is seen otherwise", kv: {
                 event = Event::Sight.as_str(),
                 before = format!("{before:?}").as_str(),
@@ -177,9 +177,9 @@
         }
         news
     };
-    if news {
+    if let Some(before) = news {
         feed::tell_sight(host);
-        beat::send_to_all(host).await;
+        beat::tell_sight(host, before).await;
     }
 }
 
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -700,6 +700,39 @@
     assert!(all.len() > 50, "{} hosts count for 200 keys", all.len());
 }
 
+/// Where hosts of two regions, `hosts` in each, tell that they follow another one now, all together.
+fn told_of_followers(hosts: usize) -> usize {
+    let now = Instant::now();
+    let zones = ["n-a", "s-a"];
+    let host = |index: usize| record(&format!("h{index}"), zones[index % 2], 1);
+    let all = 0..2 * hosts;
+    let told = all.clone().map(|own| {
+        let mut presence = Presence::new(now, host(own), regions());
+        for index in all.clone() {
+            presence.register(now, host(index));
+        }
+        presence.see(Sight::Relayed);
+        presence.concerned(Sight::Nothing).len()
+    });
+    told.sum()
+}
+
+#[test]
+fn followers_tell_no_other_region_of_it() {
+    let told = [15, 60].map(told_of_followers);
+    assert_eq!(told, [15, 60].map(|hosts| 2 * hosts * (hosts - 1)));
+}
+
+#[test]
+fn all_are_told_of_a_watcher() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[("h1", "n-b"), ("h2", "s-a")]);
+    assert_eq!(presence.concerned(Sight::Relayed).len(), 2);
+    presence.see(Sight::Stale);
+    assert_eq!(presence.concerned(Sight::Store).len(), 2);
+    assert_eq!(presence.concerned(Sight::Relayed).len(), 1);
+}
+
 /// Heartbeats that all hosts of a region of two availability zones send to the other zone in `ROUNDS` rounds.
 fn beats_across(hosts: usize) -> usize {
     const ROUNDS: usize = 12;
