A follower gets what it lacks, in parts; a list is taken in without further ones

Cause: a follower got whole copies of all kinds, whatever it had, each in one message, and each watcher wrote one for each follower; with 10,000 targets some 2 MB five times over, for 55 followers. All hosts held a list of all targets four times while they took it in: as read, as changed, as difference and as message.

- A follower says which revision it has; it gets the objects that changed since and the last removals.
A digest of names and versions shows whether it lacks a removal that nobody knows of any more; then it reads all.
- A whole copy is written once for all that come at the same time, and sent in messages of 256 objects.
- A list is taken in in place, and a message is written only for followers.
- A list in pages counts as of its earliest page: those that may be old need not be equally old.

Tests: what a follower is told after an absence, of 500 and 2,000 targets; the memory to take in a list of 500 and 2,000.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -3,14 +3,18 @@
 //! Updates come from the store itself or from hosts that got them from there. Each says from which
 //! revision to which it leads, so a copy never goes back, and notices when it missed something.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::port::{Entry, Kind, Value};
 
+/// Removals of a kind that are kept for copies that missed them.
+const REMOVALS: usize = 4096;
+
 /// What has changed in one kind of objects.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
@@ -54,6 +58,10 @@
 struct Shelf {
     revision: u64,
     objects: BTreeMap<Arc<str>, Object>,
+    /// The last removals, oldest first, and the revisions up to which they happened.
+    removed: VecDeque<(u64, Arc<str>)>,
+    /// Of the names and versions of all objects, in any order.
+    digest: u64,
 }
 
 /// The copy.
@@ -81,27 +89,42 @@
             .flat_map(|shelf| shelf.objects.keys())
     }
 
+    /// A digest of the names and versions of all objects of a kind: copies that have the same revision and differ in it are
+    /// not the same.
+    pub fn digest(&self, kind: Kind) -> u64 {
+        self.shelves.get(&kind).map_or(0, |shelf| shelf.digest)
+    }
+
     /// Takes an update in.
-    pub fn apply(&mut self, now: Instant, update: &Update) -> Effect {
-        let known = self.revision(update.kind);
-        match (update.from, known) {
+    pub fn apply(&mut self, now: Instant, update: Update) -> Effect {
+        let Update {
+            kind,
+            from,
+            to,
+            mut entries,
+            ..
+        } = update;
+        let known = self.revision(kind);
+        match (from, known) {
             (Some(_), None) => return Effect::Gap,
             (Some(from), Some(known)) if from > known => return Effect::Gap,
-            (_, Some(known)) if update.to < known => return Effect::Old,
-            (Some(_), Some(known)) if update.to == known => return Effect::Old,
+            (_, Some(known)) if to < known => return Effect::Old,
+            (Some(_), Some(known)) if to == known => return Effect::Old,
             _ => {}
         }
-        let advanced = known != Some(update.to);
-        let shelf = self.shelves.entry(update.kind).or_default();
-        shelf.revision = update.to;
-        let mut changed = Vec::new();
-        if update.from.is_none() {
-            changed = shelf.missing(&update.entries);
-        }
-        for entry in &update.entries {
-            if shelf.put(now, entry) {
-                changed.push(entry.clone());
-            }
+        let advanced = known != Some(to);
+        let shelf = self.shelves.entry(kind).or_default();
+        shelf.revision = to;
+        let mut changed = match from {
+            Some(_) => Vec::new(),
+            None => shelf.missing(&entries),
+        };
+        // In place: each further list of all objects would add its size to the peak of the memory.
+        entries.retain(|entry| shelf.put(now, entry));
+        if changed.is_empty() {
+            changed = entries;
+        } else {
+            changed.append(&mut entries);
         }
         if changed.is_empty() && !advanced {
             // Otherwise two hosts that follow each other would tell each other the same for ever.
@@ -110,14 +133,35 @@
         Effect::Changed(changed)
     }
 
-    /// An update that holds all objects of a kind. `away` tells whether the store was away just before.
-    pub fn whole(&self, now: Instant, kind: Kind, away: bool) -> Option<Update> {
+    /// An update that leads from an earlier revision of a kind to that of this copy. It may lack removals that happened long
+    /// ago, or before this copy was begun: [`Replica::digest`] tells. `away` as for [`Replica::whole`].
+    pub fn since(&self, now: Instant, kind: Kind, revision: u64, away: bool) -> Option<Update> {
         let shelf = self.shelves.get(&kind)?;
-        let entries = shelf.objects.iter().map(|(name, object)| Entry {
+        let removed = shelf.removed.iter().filter(|(at, _)| *at > revision);
+        let removed = removed.map(|(at, name)| Entry {
             name: name.clone(),
-            version: object.version,
-            value: Some(aged(now, object)),
+            version: *at,
+            value: None,
         });
+        let objects = shelf.objects.iter();
+        let changed = objects
+            .filter(|(_, object)| object.version > revision)
+            .map(|(name, object)| entry(now, name, object));
+        Some(Update {
+            kind,
+            from: Some(revision),
+            to: shelf.revision,
+            // A name that was removed and came back is among both: the removal is to come first.
+            entries: removed.chain(changed).collect(),
+            away,
+        })
+    }
+
+    /// An update that holds all objects of a kind. `away` tells whether the store was away just before.
+    pub fn whole(&self, now: Instant, kind: Kind, away: bool) -> Option<Update> {
+        let shelf = self.shelves.get(&kind)?;
+        let objects = shelf.objects.iter();
+        let entries = objects.map(|(name, object)| entry(now, name, object));
         Some(Update {
             kind,
             from: None,
@@ -131,25 +175,48 @@
 impl Shelf {
     /// Removes what is not among `entries`; gives the removals.
     fn missing(&mut self, entries: &[Entry]) -> Vec<Entry> {
-        let mut gone: BTreeMap<Arc<str>, Object> = std::mem::take(&mut self.objects);
-        for entry in entries {
-            if let Some((name, object)) = gone.remove_entry(&entry.name) {
-                self.objects.insert(name, object);
-            }
-        }
-        gone.into_iter()
-            .map(|(name, object)| Entry {
+        let listed: BTreeSet<&Arc<str>> = entries.iter().map(|entry| &entry.name).collect();
+        let names = self.objects.keys();
+        let gone: Vec<_> = names
+            .filter(|name| !listed.contains(name))
+            .cloned()
+            .collect();
+        let removals = gone.into_iter().filter_map(|name| {
+            let version = self.remove(&name)?;
+            Some(Entry {
                 name,
-                version: object.version,
+                version,
                 value: None,
             })
-            .collect()
+        });
+        removals.collect()
+    }
+
+    /// Removes an object; gives its version.
+    fn remove(&mut self, name: &Arc<str>) -> Option<u64> {
+        let object = self.objects.remove(name)?;
+        self.digest ^= digest(name, object.version);
+        self.note_removal(name);
+        Some(object.version)
+    }
+
+    /// Keeps that an object was removed up to the revision that this shelf has now.
+    fn note_removal(&mut self, name: &Arc<str>) {
+        self.removed.push_back((self.revision, name.clone()));
+        if self.removed.len() > REMOVALS {
+            self.removed.pop_front();
+        }
     }
 
     /// Takes one object in; says whether it differs from the one before.
     fn put(&mut self, now: Instant, entry: &Entry) -> bool {
         let Some(value) = entry.value.clone() else {
-            return self.objects.remove(&entry.name).is_some();
+            let was_known = self.remove(&entry.name).is_some();
+            if !was_known {
+                // Others may have seen it between its creation and its removal.
+                self.note_removal(&entry.name);
+            }
+            return was_known;
         };
         let object = Object {
             version: entry.version,
@@ -159,7 +226,9 @@
         match self.objects.get(&entry.name) {
             Some(known) if known.version > object.version => false,
             Some(known) if known.version == object.version && known.value == object.value => false,
-            _ => {
+            known => {
+                let before = known.map_or(0, |known| digest(&entry.name, known.version));
+                self.digest ^= before ^ digest(&entry.name, object.version);
                 self.objects.insert(entry.name.clone(), object);
                 true
             }
@@ -167,6 +236,18 @@
     }
 }
 
+fn digest(name: &str, version: u64) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), version)
+}
+
+fn entry(now: Instant, name: &Arc<str>, object: &Object) -> Entry {
+    Entry {
+        name: name.clone(),
+        version: object.version,
+        value: Some(aged(now, object)),
+    }
+}
+
 /// The value as it has to be told now: a target that was cold is so for less time.
 fn aged(now: Instant, object: &Object) -> Value {
     let mut value = object.value.clone();
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -114,21 +114,22 @@
     }
 
     /// Takes in what changed in the store. `away` tells that the store was away just before.
-    pub(crate) fn change(&mut self, now: Instant, update: &Update) -> Effect {
-        self.told.insert(update.kind, now);
+    pub(crate) fn change(&mut self, now: Instant, update: Update) -> Effect {
+        let Update { kind, away, .. } = update;
+        self.told.insert(kind, now);
         let effect = self.replica.apply(now, update);
         let Effect::Changed(entries) = &effect else {
             return effect;
         };
         for entry in entries {
-            match (&entry.value, update.kind) {
+            match (&entry.value, kind) {
                 (Some(Value::Config(config)), _) => self.configure(now, config.clone()),
                 (Some(Value::Target(registration)), _) => self.register(now, registration),
-                (None, Kind::Targets) => self.withdraw(now, &entry.name, update.away),
+                (None, Kind::Targets) => self.withdraw(now, &entry.name, away),
                 _ => {}
             }
         }
-        if update.kind == Kind::Evacuations && !entries.is_empty() {
+        if kind == Kind::Evacuations && !entries.is_empty() {
             self.evacuate(now);
         }
         effect
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -1,23 +1,24 @@
-//! What hosts tell each other of the store: a copy at first, then each change as it comes.
+//! What hosts tell each other of the store: first what a follower lacks, then each change as it comes.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::Duration;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
-use tokio::sync::Semaphore;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{self, Bytes, Message as Packet};
+use tokio_tungstenite::WebSocketStream;
 
 use super::log::Event;
-use super::{beat, client, now, proof, serve, Error, Host};
+use super::{beat, client, now, proof, serve, Error, Gap, Host};
 use crate::control::presence::{Record, Sight};
-use crate::control::replica::{Effect, Update};
-use crate::port::Kind;
+use crate::control::replica::Update;
+use crate::port::{Entry, Kind};
 
 /// Time between two messages that only say that the connection is alive.
 const INTERVAL: Duration = Duration::from_millis(600);
@@ -29,11 +30,10 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Updates that may wait for a slow follower; one that falls further behind has to start anew.
 const QUEUE: usize = 64;
-/// Copies that are on their way to new followers at once. Each takes some five times its size in memory: with 33 followers that
-/// came together after a start a host with 1,209 targets used 60 MB, against 8 MB otherwise.
-const COPIES: usize = 4;
-/// How long a new follower waits for the copies of others: well below [`SILENCE`], as those others may have ended.
-const COPY_WAIT: Duration = Duration::from_millis(400);
+/// Objects in one message of a copy. Each follower's connection buffers one message, not a copy.
+const PART: usize = 256;
+/// How long a whole copy is used for further followers. Cold targets are told to be cold for so much longer.
+const KEPT: Duration = Duration::from_millis(500);
 /// Buffer of a connection, in bytes: most updates are a few hundred.
 const BUFFER: usize = 4 << 10;
 /// The longest message, in bytes: the store holds no larger objects, and a copy has many small ones.
@@ -47,8 +47,14 @@
 enum Message {
     /// What the sender knows of the store.
     Sight(Sight),
+    /// What a follower has, the first thing that it says: the revision of each kind.
+    Known(Vec<(Kind, u64)>),
+    /// Objects that belong to the update that follows.
+    Part(Vec<Entry>),
     /// Something has changed.
     Update(Update),
+    /// The digest of all objects of a kind at a revision.
+    Digest(Kind, u64, u64),
     /// A follower that has not read the registrations asks which hosts there are.
     Ask,
     /// The hosts that the sender hears.
@@ -78,6 +84,10 @@
     Ended,
     #[error("a message is missing")]
     Gap,
+    #[error("the copies of {0:?} differ at one revision")]
+    Differs(Kind),
+    #[error("the follower did not say what it has")]
+    Unintroduced,
 }
 
 impl From<tungstenite::Error> for Broken {
@@ -87,19 +97,18 @@
 }
 
 /// Those that follow this host.
+#[derive(Default)]
 pub(crate) struct Followers {
     queues: Vec<Sender<Bytes>>,
-    /// Permits for copies that are being sent.
-    copies: Rc<Semaphore>,
+    /// Whole copies that are on their way to some of them.
+    copies: BTreeMap<Kind, Copy>,
 }
 
-impl Default for Followers {
-    fn default() -> Self {
-        Self {
-            queues: Vec::new(),
-            copies: Rc::new(Semaphore::new(COPIES)),
-        }
-    }
+/// A whole copy of a kind, as messages that all followers share that are sent it.
+struct Copy {
+    made: Instant,
+    revision: u64,
+    messages: Weak<[Bytes]>,
 }
 
 impl Followers {
@@ -132,9 +141,8 @@
 }
 
 /// Tells followers of an update.
-pub(crate) fn publish(host: &Host, update: &Update) {
-    let message = Message::Update(update.clone());
-    host.followers.borrow_mut().send(&message);
+pub(crate) fn publish(host: &Host, update: Update) {
+    host.followers.borrow_mut().send(&Message::Update(update));
 }
 
 /// Tells followers what this host knows of the store.
@@ -185,23 +193,19 @@
     let mut socket = tokio::time::timeout(CONNECT, upgrade)
         .await
         .map_err(|_| Broken::Connect)??;
-    let copies = host.followers.borrow().copies.clone();
-    let mut queue = {
-        let _permit = tokio::time::timeout(COPY_WAIT, copies.acquire()).await;
-        let queue = host.followers.borrow_mut().add();
-        for kind in KINDS {
-            let copy = {
-                let core = host.core.borrow();
-                let away = core.presence.was_store_away(now());
-                core.replica.whole(now(), kind, away)
-            };
-            if let Some(copy) = copy {
-                let bytes = write(&Message::Update(copy));
-                socket.send(Packet::Binary(bytes)).await?;
-            }
+    let known = tokio::time::timeout(CONNECT, introduction(&mut socket))
+        .await
+        .map_err(|_| Broken::Unintroduced)??;
+    let mut queue = host.followers.borrow_mut().add();
+    for kind in KINDS {
+        let messages = match known.get(&kind) {
+            Some(revision) => difference(host, kind, *revision),
+            None => whole(host, kind),
+        };
+        for bytes in messages.iter() {
+            socket.send(Packet::Binary(bytes.clone())).await?;
         }
-        queue
-    };
+    }
     let sight = host.core.borrow().presence.sight();
     let bytes = write(&Message::Sight(sight));
     socket.send(Packet::Binary(bytes)).await?;
@@ -221,6 +225,68 @@
     }
 }
 
+/// What a new follower says that it has.
+async fn introduction(
+    socket: &mut WebSocketStream<TcpStream>,
+) -> Result<BTreeMap<Kind, u64>, Broken> {
+    let packet = socket.next().await.ok_or(Broken::Ended)??;
+    match ciborium::from_reader(&packet.into_data()[..])? {
+        Message::Known(known) => Ok(known.into_iter().collect()),
+        _ => Err(Broken::Unintroduced),
+    }
+}
+
+/// The messages that bring a follower up to date that has a kind as it was at a revision.
+fn difference(host: &Host, kind: Kind, revision: u64) -> Rc<[Bytes]> {
+    let core = host.core.borrow();
+    let away = core.presence.was_store_away(now());
+    let update = core.replica.since(now(), kind, revision, away);
+    update.map_or_else(Default::default, |update| {
+        messages(update, core.replica.digest(kind))
+    })
+}
+
+/// The messages of a whole copy of a kind. Followers that come at the same time get the same ones: after a common start they are
+/// many, and each copy is as large as all targets together.
+fn whole(host: &Host, kind: Kind) -> Rc<[Bytes]> {
+    let core = host.core.borrow();
+    let Some(revision) = core.replica.revision(kind) else {
+        return Rc::default();
+    };
+    let copies = &mut host.followers.borrow_mut().copies;
+    let kept = copies.get(&kind).filter(|copy| {
+        copy.revision == revision && now().saturating_duration_since(copy.made) < KEPT
+    });
+    if let Some(messages) = kept.and_then(|copy| copy.messages.upgrade()) {
+        return messages;
+    }
+    let away = core.presence.was_store_away(now());
+    let Some(update) = core.replica.whole(now(), kind, away) else {
+        return Rc::default();
+    };
+    let messages = messages(update, core.replica.digest(kind));
+    let copy = Copy {
+        made: now(),
+        revision,
+        messages: Rc::downgrade(&messages),
+    };
+    copies.insert(kind, copy);
+    messages
+}
+
+/// An update in parts, and the digest of what it leads to.
+fn messages(mut update: Update, digest: u64) -> Rc<[Bytes]> {
+    let (kind, revision) = (update.kind, update.to);
+    let mut messages = Vec::new();
+    while update.entries.len() > PART {
+        let rest = update.entries.len() - PART;
+        messages.push(write(&Message::Part(update.entries.split_off(rest))));
+    }
+    messages.push(write(&Message::Update(update)));
+    messages.push(write(&Message::Digest(kind, revision, digest)));
+    messages.into()
+}
+
 /// What a follower's message is answered with.
 fn reply(host: &Host, packet: Packet) -> Result<Option<Bytes>, Broken> {
     let Packet::Binary(bytes) = packet else {
@@ -239,13 +305,34 @@
 
 /// Follows the host at `address` until that fails.
 pub(crate) async fn follow(host: &Rc<Host>, address: SocketAddr) -> Broken {
-    match read(host, address).await {
+    let known = {
+        let core = host.core.borrow();
+        let known = KINDS.map(|kind| Some((kind, core.replica.revision(kind)?)));
+        known.into_iter().flatten().collect()
+    };
+    match read(host, address, known).await {
         Ok(never) => match never {},
+        Err(Broken::Differs(kind)) => {
+            spdlog::info!("feed: a copy differs from that of another host, all of it is read", kv: {
+                event = Event::Differs.as_str(),
+                source = address.to_string().as_str(),
+                kind = kind.as_str()
+            });
+            match read(host, address, Vec::new()).await {
+                Ok(never) => match never {},
+                Err(broken) => broken,
+            }
+        }
         Err(broken) => broken,
     }
 }
 
-async fn read(host: &Rc<Host>, address: SocketAddr) -> Result<std::convert::Infallible, Broken> {
+/// Follows the host at `address`, with what is known of each kind.
+async fn read(
+    host: &Rc<Host>,
+    address: SocketAddr,
+    known: Vec<(Kind, u64)>,
+) -> Result<std::convert::Infallible, Broken> {
     let connect = async {
         let stream = client::connect(address, CONNECT).await?;
         let url = format!("ws://{address}/");
@@ -255,6 +342,8 @@
     let mut socket = tokio::time::timeout(CONNECT, connect)
         .await
         .map_err(|_| Broken::Connect)??;
+    let known = write(&Message::Known(known));
+    socket.send(Packet::Binary(known)).await?;
     let knows_hosts = host.core.borrow().presence.is_listed();
     if !knows_hosts {
         // Without this a host that starts while the store is away takes itself for the only one.
@@ -264,6 +353,7 @@
     let mut question = tokio::time::interval(proof::FOLLOWER);
     let mut asked = None;
     let mut heard = now();
+    let mut parts = Vec::new();
     loop {
         let until = (heard + SILENCE).into();
         let packet = tokio::select! {
@@ -289,7 +379,7 @@
                     told.extend(KINDS.map(|kind| (kind, now())));
                 }
             }
-            Message::Ask | Message::AskProof => {}
+            Message::Known(_) | Message::Ask | Message::AskProof => {}
             Message::Proof(told) => {
                 if let (Some(asked), Some(told)) = (asked.take(), told) {
                     proof::hear(host, asked, told);
@@ -304,9 +394,21 @@
                 host.core.borrow_mut().hear_of(now(), records);
                 beat::send_to_all(host).await;
             }
-            Message::Update(update) => {
-                if host.take(&update) == Effect::Gap {
-                    return Err(Broken::Gap);
+            Message::Part(entries) => parts.push(entries),
+            Message::Update(mut update) => {
+                // The sender splits an update from its end.
+                update
+                    .entries
+                    .reserve_exact(parts.iter().map(Vec::len).sum());
+                for entries in parts.drain(..).rev() {
+                    update.entries.extend(entries);
+                }
+                host.take(update).map_err(|Gap| Broken::Gap)?;
+            }
+            Message::Digest(kind, revision, digest) => {
+                let replica = &host.core.borrow().replica;
+                if replica.revision(kind) == Some(revision) && replica.digest(kind) != digest {
+                    return Err(Broken::Differs(kind));
                 }
             }
         }
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -108,6 +108,8 @@
     Sight => "store.sight",
     /// The host begins or ends to watch the store.
     Watching => "store.watching",
+    /// The copy of the store differs from that of the host that is followed.
+    Differs => "store.differs",
     /// The store answers no more, or again.
     Reach => "store.reach",
     /// A kind of objects is no longer told by the store, or is again.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -81,22 +81,27 @@
 
 impl Host {
     /// Takes in what changed in the store, and passes it on.
-    fn take(&self, update: &Update) -> Effect {
-        let known = self.core.borrow().replica.revision(update.kind);
+    fn take(&self, update: Update) -> Result<(), Gap> {
+        let Update { kind, to, away, .. } = update;
+        let known = self.core.borrow().replica.revision(kind);
         let effect = self.core.borrow_mut().change(now(), update);
-        if let Effect::Changed(entries) = &effect {
-            // Followers have what this host had, so of a whole copy the difference is enough.
-            let difference = Update {
-                kind: update.kind,
-                from: known,
-                to: update.to,
-                entries: entries.clone(),
-                away: update.away,
-            };
-            feed::publish(self, &difference);
-            self.begin.learn();
+        match effect {
+            Effect::Gap => return Err(Gap),
+            Effect::Old => return Ok(()),
+            Effect::Changed(entries) => {
+                // Followers have what this host had, so of a whole copy the difference is enough.
+                let difference = Update {
+                    kind,
+                    from: known,
+                    to,
+                    entries,
+                    away,
+                };
+                feed::publish(self, difference);
+            }
         }
-        effect
+        self.begin.learn();
+        Ok(())
     }
 
     /// Whether all kinds of objects that the store holds are known, be it from long ago.
@@ -107,6 +112,9 @@
     }
 }
 
+/// Updates between what is known and the one that came are missing.
+struct Gap;
+
 /// The runtime's clock, which tests can pause.
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -13,8 +13,8 @@
 use super::store::{Client, Error};
 use super::watcher::{Reach, Steady};
 use super::{beat, join, now, proof, Host};
-use crate::control::presence::Sight;
-use crate::control::replica::{Effect, Update};
+use crate::control::presence::{Record, Sight};
+use crate::control::replica::Update;
 use crate::port::{Age, Call, Entry, Kind, Reply};
 
 /// How long a watch waits for a change: somewhat less than the history that the store keeps, so that
@@ -268,27 +268,30 @@
     let (entries, revision) = read(client, kind, age).await?;
     let is_whole = !client.left_out;
     let away = host.core.borrow().presence.was_store_away(now());
-    host.take(&Update {
+    let whole = Update {
         kind,
         from: None,
         to: revision,
         entries,
         away,
-    });
+    };
+    // A whole list fits onto anything.
+    let _ = host.take(whole);
     if kind == Kind::Config && age == Age::Latest && is_whole {
         proof::shown(host, asked);
     }
     Ok(())
 }
 
-/// Reads all pages of a kind; also gives the revision to watch from.
+/// Reads all pages of a kind; also gives the revision to watch from, the earliest of all pages: what may be old need not be
+/// equally old on all of them.
 pub(super) async fn read(
     client: &mut Client,
     kind: Kind,
     age: Age,
 ) -> Result<(Vec<Entry>, u64), Error> {
     let mut all: Vec<Entry> = Vec::new();
-    let mut first = None;
+    let mut earliest = u64::MAX;
     loop {
         let after = all.last().map(|entry| entry.name.clone());
         let Reply::Page {
@@ -299,12 +302,12 @@
         else {
             return Err(Error::Unexpected);
         };
-        // Changes after the first page was read are watched for, on whichever page they fall.
-        let from = *first.get_or_insert(revision);
+        // Changes after a page was read are watched for, on whichever page they fall.
+        earliest = earliest.min(revision);
         let last = entries.is_empty() || !more;
         all.extend(entries);
         if last {
-            return Ok((all, from));
+            return Ok((all, earliest));
         }
     }
 }
@@ -330,20 +333,21 @@
         } => {
             let any = !entries.is_empty();
             let away = host.core.borrow().presence.was_store_away(now());
-            let effect = host.take(&Update {
+            let update = Update {
                 kind,
                 from: Some(revision),
                 to,
                 entries,
                 away,
-            });
-            if kind == Kind::Config && effect != Effect::Gap && !client.left_out {
+            };
+            let fits = host.take(update).is_ok();
+            if kind == Kind::Config && fits && !client.left_out {
                 proof::shown(host, asked);
             }
             if any && !wait.is_zero() {
                 tokio::time::sleep(GATHER).await;
             }
-            Ok(effect != Effect::Gap)
+            Ok(fits)
         }
         Reply::Expired => Ok(false),
         _ => Err(Error::Unexpected),
--- /dev/null
+++ b/tests/intake.rs
@@ -0,0 +1,62 @@
+//! The memory that it takes to take in a list of all targets.
+
+#![allow(clippy::unwrap_used)]
+
+use std::mem::size_of;
+use std::time::{Duration, Instant};
+
+use peak_alloc::PeakAlloc;
+use ragwortfold::control::replica::{Effect, Replica, Update};
+use ragwortfold::inventory::{Registration, State};
+use ragwortfold::port::{Entry, Kind, Value};
+
+#[global_allocator]
+static MEMORY: PeakAlloc = PeakAlloc;
+
+fn target(index: usize) -> Entry {
+    let name = format!("t{index}");
+    Entry {
+        name: name.as_str().into(),
+        version: index as u64,
+        value: Some(Value::Target(Registration {
+            id: name.into(),
+            service: "books".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            zone: "n-a".into(),
+            slots: 4,
+            state: State::Ready,
+            cold_left: Duration::ZERO,
+            born: None,
+        })),
+    }
+}
+
+/// The memory that is needed for a moment to take in a list, beside the list and what is kept of it; in lists.
+fn spare_lists(targets: usize) -> f64 {
+    let list = targets * size_of::<Entry>();
+    let kept: Vec<Entry> = (0..targets).map(target).collect();
+    let update = Update {
+        kind: Kind::Targets,
+        from: None,
+        to: targets as u64,
+        entries: kept.clone(),
+        away: false,
+    };
+    let mut replica = Replica::new();
+    MEMORY.reset_peak_usage();
+    let before = MEMORY.current_usage();
+    let effect = replica.apply(Instant::now(), update);
+    let peak = MEMORY.peak_usage();
+    assert!(matches!(&effect, Effect::Changed(entries) if entries.len() == targets));
+    drop(effect);
+    let shelf = MEMORY.current_usage() + list - before;
+    peak.saturating_sub(before + shelf) as f64 / list as f64
+}
+
+#[test]
+fn a_list_is_taken_in_without_another_one() {
+    for targets in [500, 2_000] {
+        let spare = spare_lists(targets);
+        assert!(spare < 0.25, "{spare} lists for {targets} targets");
+    }
+}
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -66,8 +66,8 @@
             let now = Instant::now();
             let mut replica = Replica::new();
             let first = update(None, 10, vec![target("a", 3, 0), target("b", 9, 0)]);
-            assert_eq!(told(&replica.apply(now, &first)), "a b");
-            assert_eq!(told(&replica.apply(now, &$update)), $told);
+            assert_eq!(told(&replica.apply(now, first)), "a b");
+            assert_eq!(told(&replica.apply(now, $update)), $told);
             assert_eq!(replica.revision(Kind::Targets), Some($revision));
         }
     )*};
@@ -90,7 +90,7 @@
 #[test]
 fn changes_without_a_copy_are_a_gap() {
     let mut replica = Replica::new();
-    let effect = replica.apply(Instant::now(), &update(Some(1), 2, vec![]));
+    let effect = replica.apply(Instant::now(), update(Some(1), 2, vec![]));
     assert_eq!(effect, Effect::Gap);
 }
 
@@ -98,29 +98,103 @@
 fn a_copy_is_passed_on_with_the_time_that_is_left() {
     let now = Instant::now();
     let mut replica = Replica::new();
-    replica.apply(now, &update(None, 10, vec![target("a", 3, 2500)]));
+    replica.apply(now, update(None, 10, vec![target("a", 3, 2500)]));
     let later = now + Duration::from_secs(1);
     let whole = replica.whole(later, Kind::Targets, false).unwrap();
     assert_eq!(whole.entries, vec![target("a", 3, 1500)]);
     assert_eq!(whole.from, None);
     assert_eq!(whole.to, 10);
     let mut other = Replica::new();
-    assert_eq!(told(&other.apply(later, &whole)), "a");
+    assert_eq!(told(&other.apply(later, whole)), "a");
 }
 
 #[test]
 fn hosts_that_follow_each_other_fall_silent() {
     let now = Instant::now();
     let (mut one, mut other) = (Replica::new(), Replica::new());
-    one.apply(now, &update(None, 10, vec![target("a", 3, 0)]));
+    one.apply(now, update(None, 10, vec![target("a", 3, 0)]));
     let mut told = 0;
     let mut next = one.whole(now, Kind::Targets, false);
     while let Some(update) = next.take() {
         told += 1;
         assert!(told < 5, "they go on for ever");
         std::mem::swap(&mut one, &mut other);
-        if let Effect::Changed(_) = one.apply(now, &update) {
+        if let Effect::Changed(_) = one.apply(now, update) {
             next = one.whole(now, Kind::Targets, false);
         }
     }
 }
+
+/// A copy of `count` targets, made at revision `count`.
+fn copy(count: usize) -> Replica {
+    let mut replica = Replica::new();
+    let entries = (1..=count).map(|index| target(&format!("t{index:05}"), index as u64, 0));
+    replica.apply(
+        Instant::now(),
+        update(None, count as u64, entries.collect()),
+    );
+    replica
+}
+
+/// What a follower is told that missed ten changes and two removals, by the number of targets.
+fn told_after_absence(count: usize) -> usize {
+    let now = Instant::now();
+    let revision = count as u64;
+    let (mut watcher, mut follower) = (copy(count), copy(count));
+    for change in 1..=10 {
+        let version = revision + change;
+        let entry = target(&format!("t{change:05}"), version, 0);
+        watcher.apply(now, update(Some(version - 1), version, vec![entry]));
+    }
+    let removals = vec![gone("t00011", revision + 11), gone("t00012", revision + 12)];
+    watcher.apply(now, update(Some(revision + 10), revision + 12, removals));
+    let difference = watcher.since(now, Kind::Targets, revision, false).unwrap();
+    let told = difference.entries.len();
+    follower.apply(now, difference);
+    assert_eq!(
+        follower.digest(Kind::Targets),
+        watcher.digest(Kind::Targets)
+    );
+    assert_eq!(follower.revision(Kind::Targets), Some(revision + 12));
+    told
+}
+
+#[test]
+fn a_follower_is_told_what_it_missed_however_many_targets_there_are() {
+    assert_eq!([500, 2000].map(told_after_absence), [12, 12]);
+}
+
+#[test]
+fn a_target_that_was_removed_and_came_back_is_there() {
+    let now = Instant::now();
+    let (mut watcher, mut follower) = (copy(3), copy(3));
+    watcher.apply(now, update(Some(3), 4, vec![gone("t00001", 4)]));
+    watcher.apply(now, update(Some(4), 5, vec![target("t00001", 5, 0)]));
+    follower.apply(now, watcher.since(now, Kind::Targets, 3, false).unwrap());
+    assert_eq!(follower.names(Kind::Targets).count(), 3);
+    assert_eq!(
+        follower.digest(Kind::Targets),
+        watcher.digest(Kind::Targets)
+    );
+}
+
+#[test]
+fn a_removal_that_nobody_knows_of_shows_in_the_digest() {
+    let now = Instant::now();
+    let mut watcher = Replica::new();
+    watcher.apply(now, update(None, 9, vec![target("a", 3, 0)]));
+    let mut follower = Replica::new();
+    let both = vec![target("a", 3, 0), target("b", 4, 0)];
+    follower.apply(now, update(None, 5, both));
+    follower.apply(now, watcher.since(now, Kind::Targets, 5, false).unwrap());
+    assert_eq!(follower.revision(Kind::Targets), Some(9));
+    assert_ne!(
+        follower.digest(Kind::Targets),
+        watcher.digest(Kind::Targets)
+    );
+    follower.apply(now, watcher.whole(now, Kind::Targets, false).unwrap());
+    assert_eq!(
+        follower.digest(Kind::Targets),
+        watcher.digest(Kind::Targets)
+    );
+}
