Weak hosts take their first copy from a strong one of their region

At the start of 985 hosts each made 7 priced calls to the store: of 20 pages of targets 2, configuration and evacuations 2, the list of hosts 2, its registration 1. Those are hosts times targets. Hosts that knew nothing yet also followed whoever had something first: a seed, or a host of another region, over links that are paid for.

Now a weak host (less than 0.2 cores or 50 Mbit/s) registers, reads who the others are, and waits for a copy from a strong host of its region, up to 4 s; it reads the store itself if there is no strong one or none comes. Seeds are asked only by a host that has nobody else, and a host that is reading the store takes no copy from another region meanwhile.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -57,6 +57,8 @@
 const LOOKERS: f64 = 20.0;
 /// How long a host may take from its start until it sees the store.
 const START: Duration = Duration::from_secs(2);
+/// How long a host that has just started leaves it to strong hosts of its region to read the store.
+const COPY_PATIENCE: Duration = Duration::from_secs(4);
 
 /// What an entry host registers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -98,6 +100,11 @@
         megabits: AMPLE_MEGABITS,
     };
 
+    /// Whether the host needs no care.
+    pub fn is_ample(self) -> bool {
+        self.share() >= 1.0
+    }
+
     /// The part of a full share of work that the host can take, up to 1.
     pub fn share(self) -> f64 {
         let cores = self.cores / AMPLE_CORES;
@@ -515,6 +522,11 @@
         Some(&peer.record)
     }
 
+    /// Whether no other host is up, as far as is known.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.present(now).next().is_none()
+    }
+
     /// Hosts that are up, but for those that are leaving; this one among them.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Record> {
         let own = (!self.leaving).then_some(&self.own);
@@ -701,6 +713,18 @@
                 .any(|peer| peer.sight == Some(Sight::Store))
     }
 
+    /// Whether this host, which is weak and knows nothing of the store yet, is to wait for a copy from a strong host of its
+    /// region. All hosts may start at once: if each read all targets, or took a copy from whichever region has it first, the calls
+    /// of the store and the bytes between regions would grow with hosts times targets.
+    pub fn awaits_copy(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started);
+        let strong = |peer: &Peer| peer.is_near && peer.record.strength.is_ample();
+        self.sight == Sight::Nothing
+            && !self.own.strength.is_ample()
+            && age < COPY_PATIENCE
+            && self.present(now).any(strong)
+    }
+
     /// The host to follow: the one that sees most, of those the nearest, of those the strongest; among
     /// equals each host draws its own, so that they share the followers. One that has lost the store like
     /// this one has nothing to tell. `skip` leaves out hosts whose feed has just failed: one that
@@ -708,9 +732,11 @@
     pub fn source(&self, now: Instant, skip: impl Fn(&Record) -> bool) -> Option<(&Record, Sight)> {
         let least = self.sight.min(Sight::Stale);
         let (_, own) = rank(&self.own);
+        let only_near = self.awaits_copy(now);
         self.present(now)
             .filter_map(|peer| Some((peer, peer.sight?)))
             .filter(|(peer, sight)| *sight > least && !skip(&peer.record))
+            .filter(|(peer, _)| !only_near || peer.is_near)
             .max_by_key(|(peer, sight)| {
                 // Links between zones are paid for, and each follower takes a copy of all targets over one.
                 let in_zone = peer.record.zone == self.own.zone;
--- a/src/host/begin.rs
+++ b/src/host/begin.rs
@@ -1,4 +1,5 @@
-//! What a host does before it knows what the store holds: it reads all kinds at once, and requests wait.
+//! What a host does before it knows what the store holds: it reads all kinds at once, or waits for a copy from a host of its region
+//! that does, and requests wait.
 //!
 //! When all hosts start together, as after a loss of power, callers are there from the first moment. To register
 //! and to agree on who watches the store takes some hundred milliseconds; a host needs none of that to serve. A caller
@@ -19,7 +20,10 @@
 /// How long a request waits at most from the start of the host on, unless the settings say otherwise: a quarter of
 /// the shortest deadlines in use, and some ten times what reading the store takes between regions.
 pub const WAIT: Duration = Duration::from_millis(600);
-/// How long what was read at the start counts as seen: until the host watches the store, or follows a host that does.
+/// Time between two looks for a copy that a host waits for.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long what was read at the start counts as seen, until the host watches the store or follows a host that does; and how
+/// long that may take.
 const FRESH: Duration = Duration::from_secs(2);
 
 /// How far a host has come since its start.
@@ -27,6 +31,8 @@
     started: Instant,
     /// How long requests wait from then on.
     wait: Duration,
+    /// Since when all kinds are being read.
+    reads: Cell<Option<Instant>>,
     /// When all kinds were read, if that went well.
     read: Cell<Option<Instant>>,
     /// Wakes requests that wait.
@@ -43,6 +49,7 @@
         Self {
             started: now,
             wait,
+            reads: Cell::new(None),
             read: Cell::new(None),
             learnt: Notify::new(),
         }
@@ -54,6 +61,12 @@
         read.is_some_and(|at| now.saturating_duration_since(at) < FRESH)
     }
 
+    /// Whether the host is about to know by itself what the store holds. Meanwhile it takes no copy from another region.
+    pub(crate) fn is_reading(&self, now: Instant) -> bool {
+        let since = self.reads.get();
+        since.is_some_and(|at| now.saturating_duration_since(at) < FRESH)
+    }
+
     /// Tells requests that wait that something was learnt.
     pub(crate) fn learn(&self) {
         self.learnt.notify_waiters();
@@ -67,8 +80,27 @@
     }
 }
 
+/// Lets a weak host wait until it has a copy, or there is none to be expected. Reading all targets takes a weak host's link and
+/// processor for longer than it takes a strong one to do so and to pass them on.
+async fn await_copy(host: &Host) {
+    while !host.knows_store() {
+        let knows_others = host.joined.get();
+        if knows_others && !host.core.borrow().presence.awaits_copy(now()) {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Reads all kinds of objects at once. What can't be read now comes later, from the store or from another host.
 async fn run(host: Rc<Host>) {
+    if !host.settings.strength.is_ample() {
+        await_copy(&host).await;
+        if host.knows_store() {
+            return;
+        }
+    }
+    host.begin.reads.set(Some(now()));
     let read = |kind: Kind| {
         let host = host.clone();
         async move { sync::list(&host, &mut Client::new(&host), kind, age(kind)).await }
@@ -81,6 +113,7 @@
             spdlog::info!("begin: {kind:?} could not be read yet: {error}");
         }
     }
+    host.begin.reads.set(None);
     if results.iter().all(Result::is_ok) {
         host.begin.read.set(Some(now()));
         sync::note_sight(&host).await;
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -125,7 +125,7 @@
     }
 }
 
-/// The feed to follow: that of the host that sees most, or a seed while no host is known.
+/// The feed to follow: that of the host that sees most, or a seed if the store did not tell of any host.
 fn source(host: &Host, now: Instant) -> Option<SocketAddr> {
     let core = host.core.borrow();
     let failed = host.failed.borrow();
@@ -133,10 +133,14 @@
         let at = failed.get(&feed);
         at.is_some_and(|at| now.saturating_duration_since(*at) < FAILED)
     };
-    if let Some((record, _)) = core.presence.source(now, |record| skip(record.feed)) {
+    let only_near = host.begin.is_reading(now);
+    let skip_host =
+        |record: &Record| skip(record.feed) || (only_near && !core.presence.is_near(record));
+    if let Some((record, _)) = core.presence.source(now, skip_host) {
         return Some(record.feed);
     }
-    if core.presence.sight() > Sight::Nothing {
+    if !core.presence.is_alone(now) || !host.joined.get() || core.presence.sight() > Sight::Nothing
+    {
         return None;
     }
     let mut seeds = host.settings.seeds.iter().copied();
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -700,6 +700,48 @@
     assert!(all.len() > 50, "{} hosts count for 200 keys", all.len());
 }
 
+const WEAK: Strength = Strength {
+    cores: 0.1,
+    megabits: 20.0,
+};
+
+/// A weak host that has just started in zone `n-a`, and has heard of a strong one with each of these sights.
+fn newcomer(now: Instant, others: &[(&str, Sight)]) -> Presence {
+    let own = Record {
+        strength: WEAK,
+        ..record("own", "n-a", 1)
+    };
+    let mut presence = Presence::new(now, own, regions());
+    for (index, (zone, sight)) in others.iter().enumerate() {
+        presence.hear(now, beat(record(&format!("h{index}"), zone, 1), *sight));
+    }
+    presence
+}
+
+/// The host that a weak one follows for its first copy some time after its start, and whether it still waits for one.
+macro_rules! first_copies {
+    ($($name:ident: $others:expr, $seconds:expr => $followed:expr, $waits:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let mut presence = newcomer(now, &$others);
+            let later = now + Duration::from_secs($seconds);
+            presence.tick(later);
+            let source = presence.source(later, |_| false);
+            let followed: Option<&str> = source.map(|(record, _)| &*record.host);
+            assert_eq!(followed, $followed);
+            assert_eq!(presence.awaits_copy(later), $waits);
+        }
+    )*};
+}
+
+first_copies! {
+    a_copy_comes_from_the_own_region: [("s-a", Sight::Store), ("n-b", Sight::Relayed)], 0 => Some("h1"), true;
+    another_region_has_it_first: [("s-a", Sight::Store), ("n-b", Sight::Nothing)], 0 => None, true;
+    the_own_region_takes_too_long: [("s-a", Sight::Store), ("n-b", Sight::Nothing)], 4 => Some("h0"), false;
+    the_own_region_has_no_strong_host: [("s-a", Sight::Store)], 0 => Some("h0"), false;
+}
+
 /// Where hosts of two regions, `hosts` in each, tell that they follow another one now, all together.
 fn told_of_followers(hosts: usize) -> usize {
     let now = Instant::now();
