A choice looks at as many targets however many there are

Now the first eight of each side are remembered for a key, targets that join or leave are taken in there, and all are looked at only if those eight do not tell. Slots that are open are counted anew after 40 us for each target, so that this takes the same part of a processor at any size. Whether a target may be taken out is asked only of one that fails.

Test: looks of a choice at 2,000 and 8,000 targets, by law; 300 histories of targets that join, drain and leave choose like a fleet without memory.

--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -14,11 +14,13 @@
 mod cost;
 mod habit;
 mod member;
+mod ranking;
 mod silence;
 mod switches;
 mod throttled;
 mod warmth;
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,6 +31,7 @@
 use self::cold::Peer;
 use self::habit::Habit;
 use self::member::Report;
+use self::ranking::Rankings;
 use self::warmth::Warmth;
 use super::drift::Drift;
 use super::eject::{Eject, Sign, Standing};
@@ -131,6 +134,10 @@
     ids: BTreeMap<Arc<str>, TargetKey>,
     members: BTreeMap<TargetKey, Member>,
     services: BTreeMap<Arc<str>, Vec<TargetKey>>,
+    /// For each service, the first targets for keys that were asked for.
+    rankings: BTreeMap<Arc<str>, Rankings>,
+    /// Targets that were looked at to choose some for requests.
+    looks: Cell<u64>,
     evacuated: BTreeSet<Arc<str>>,
     /// For each service, the part of its requests that goes to other regions.
     drifts: BTreeMap<Arc<str>, Drift>,
@@ -189,6 +196,8 @@
             ids: BTreeMap::new(),
             members: BTreeMap::new(),
             services: BTreeMap::new(),
+            rankings: BTreeMap::new(),
+            looks: Cell::new(0),
             evacuated: BTreeSet::new(),
             drifts: BTreeMap::new(),
         }
@@ -235,6 +244,7 @@
             .or_default()
             .push(key);
         let member = Member {
+            is_near: region == self.region,
             region,
             seed: xxh3_64(registration.id.as_bytes()),
             registration,
@@ -250,6 +260,7 @@
             unreached: None,
         };
         self.members.insert(key, member);
+        self.join_rankings(key);
     }
 
     /// Forgets a target that has left.
@@ -267,6 +278,7 @@
         if let Some(keys) = self.services.get_mut(member.service()) {
             keys.retain(|other| *other != key);
         }
+        self.leave_rankings(member.service(), key);
     }
 
     /// Keeps a target whose registration ran out while the store was away; it is forgotten at
@@ -295,6 +307,11 @@
         over
     }
 
+    /// How many targets were looked at to choose some for requests.
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
     /// The identities of all known targets.
     pub fn ids(&self) -> impl Iterator<Item = &Arc<str>> {
         self.ids.keys()
@@ -436,7 +453,6 @@
             self.worked(now, key, took, &seen);
         }
         let load = seen.load;
-        let may_eject = self.may_eject(key);
         let member = self.members.get_mut(&key)?;
         member.in_flight = member.in_flight.saturating_sub(1);
         if end != End::Cancelled && end != End::Silent {
@@ -477,12 +493,12 @@
             down: false,
             cold: member.is_cold(now),
         };
-        let may_eject = may_eject && self.switches.ejection == Switch::On;
-        let out = may_eject && member.eject.is_outlier(&standing);
-        if out {
-            member.eject.eject(now, rng);
+        let is_outlier = member.eject.is_outlier(&standing);
+        if !is_outlier || self.switches.ejection == Switch::Off || !self.may_eject(key) {
+            return None;
         }
-        out.then_some(Turn::Ejected)
+        self.members.get_mut(&key)?.eject.eject(now, rng);
+        Some(Turn::Ejected)
     }
 }
 
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -3,13 +3,14 @@
 //! The first of the own region and the first elsewhere by rendezvous hashing, and those that are known to have the object.
 //! Where both regions could take a request, its part that goes away moves slowly.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::member::Member;
+use super::ranking::draw;
 use super::{Ask, Fleet, Refusal};
 use crate::border::settings::Switch;
 use crate::inventory::{State, TargetKey};
@@ -73,6 +74,9 @@
     }
 }
 
+/// What is remembered does not tell.
+struct Unclear;
+
 /// Why targets of a service may be passed over that are open otherwise.
 struct Doubts {
     /// How long they may be silent.
@@ -96,6 +100,8 @@
         ask: &Ask<'_>,
         connected: impl Fn(TargetKey) -> bool,
     ) -> Result<(TargetKey, Fit), Refusal> {
+        self.rank(ask);
+        self.count_open(now, ask);
         let choices = self.first_choices(now, ask);
         let first = [choices.near, choices.far];
         if first == [None; 2] {
@@ -178,7 +184,7 @@
 
     fn is_near(&self, key: TargetKey) -> bool {
         let member = self.members.get(&key);
-        member.is_some_and(|member| member.region == self.region)
+        member.is_some_and(|member| member.is_near)
     }
 
     /// Further targets that have the object of a request, as far as is known: using them makes nothing cold.
@@ -194,7 +200,7 @@
                 member.is_some_and(|member| {
                     let most = f64::from(member.registration.slots) * AT_EASE;
                     member.load(now) < most
-                        && self.is_open(now, member, ask)
+                        && self.is_open(now, member, ask.homes)
                         && self.closed_for(now, member, Fit::Own).is_none()
                         && doubts.is_sound(now, member)
                 })
@@ -223,13 +229,85 @@
     /// The targets that a key may use; those that are in doubt only where there are no others.
     pub(super) fn first_choices(&self, now: Instant, ask: &Ask<'_>) -> Choices {
         let doubts = self.doubts(ask.service);
-        let sound = self.candidates(now, ask, |member| {
-            self.is_open(now, member, ask) && doubts.is_sound(now, member)
-        });
+        let is_sound =
+            |member: &Member| self.is_open(now, member, ask.homes) && doubts.is_sound(now, member);
+        if let Ok(choices) = self.remembered(ask, is_sound) {
+            return choices;
+        }
+        let sound = self.candidates(now, ask, is_sound);
         if sound.keys().next().is_some() || sound.opens_in.is_some() {
             return sound;
         }
-        self.candidates(now, ask, |member| self.is_open(now, member, ask))
+        self.candidates(now, ask, |member| self.is_open(now, member, ask.homes))
+    }
+
+    /// The targets that a key may use, as far as those tell that are remembered for it.
+    fn remembered(
+        &self,
+        ask: &Ask<'_>,
+        may_use: impl Fn(&Member) -> bool,
+    ) -> Result<Choices, Unclear> {
+        let ranking = self.ranking(ask).ok_or(Unclear)?;
+        let slots = self.counted_slots(ask.service).ok_or(Unclear)?;
+        let near = self.first_usable(ranking.side(true), ask, &may_use)?;
+        let far = match self.switches.far {
+            Switch::On => self.first_usable(ranking.side(false), ask, &may_use)?,
+            Switch::Off => None,
+        };
+        if near.is_none() && far.is_none() {
+            return Err(Unclear);
+        }
+        let may_stay = ask.homes.is_empty() || ask.homes.contains(&self.region);
+        Ok(Choices {
+            near,
+            far,
+            spills: Vec::new(),
+            slots: if may_stay { slots } else { 0 },
+            is_near_closed: false,
+            opens_in: None,
+        })
+    }
+
+    /// The first target that may be used among those that are remembered for a key. Of one that names a rate it depends on
+    /// others what follows.
+    fn first_usable(
+        &self,
+        (targets, is_all): (&[TargetKey], bool),
+        ask: &Ask<'_>,
+        may_use: impl Fn(&Member) -> bool,
+    ) -> Result<Option<TargetKey>, Unclear> {
+        for key in targets {
+            self.looks.set(self.looks.get() + 1);
+            let Some(member) = self.members.get(key) else {
+                continue;
+            };
+            if may_use(member) && !ask.tried.contains(key) {
+                return if self.is_limited(member) {
+                    Err(Unclear)
+                } else {
+                    Ok(Some(*key))
+                };
+            }
+        }
+        if is_all {
+            Ok(None)
+        } else {
+            Err(Unclear)
+        }
+    }
+
+    /// The slots of targets of the own region that a request without homes may use.
+    pub(super) fn open_slots(&self, now: Instant, ask: &Ask<'_>) -> u32 {
+        let doubts = self.doubts(ask.service);
+        let keys = self.services.get(ask.service).into_iter().flatten();
+        let members = keys.filter_map(|key| self.members.get(key));
+        let any = BTreeSet::new();
+        members
+            .inspect(|_| self.looks.set(self.looks.get() + 1))
+            .filter(|member| member.is_near)
+            .filter(|member| self.is_open(now, member, &any) && doubts.is_sound(now, member))
+            .map(|member| member.registration.slots)
+            .sum()
     }
 
     /// What keeps a target of a service from being used while there are others.
@@ -259,20 +337,21 @@
         let (mut near, mut far) = (Ranked::default(), Ranked::default());
         let mut slots = 0;
         for key in self.services.get(ask.service).into_iter().flatten() {
+            self.looks.set(self.looks.get() + 1);
             let Some(member) = self.members.get(key) else {
                 continue;
             };
             if !may_use(member) {
                 continue;
             }
-            let is_near = member.region == self.region;
+            let is_near = member.is_near;
             if is_near {
                 slots += member.registration.slots;
             }
             if ask.tried.contains(key) {
                 continue;
             }
-            let draw = xxh3_64_with_seed(&key_of_request.to_le_bytes(), member.seed);
+            let draw = draw(key_of_request, member.seed);
             if is_near {
                 near.add(draw, *key, self.is_limited(member));
             } else if self.switches.far == Switch::On {
@@ -330,11 +409,11 @@
     }
 
     /// Whether a target may get new requests at all.
-    fn is_open(&self, now: Instant, member: &Member, ask: &Ask<'_>) -> bool {
+    fn is_open(&self, now: Instant, member: &Member, homes: &BTreeSet<Arc<str>>) -> bool {
         if member.registration.state != State::Ready
             || member.misdirected
             || self.evacuated.contains(&member.registration.zone)
-            || !(ask.homes.is_empty() || ask.homes.contains(&member.region))
+            || !(homes.is_empty() || homes.contains(&member.region))
         {
             return false;
         }
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -35,6 +35,8 @@
 pub struct Member {
     pub(super) registration: Registration,
     pub(super) region: Arc<str>,
+    /// Whether that is the region of this host.
+    pub(super) is_near: bool,
     pub(super) seed: u64,
     pub(super) in_flight: u32,
     pub(super) report: Option<Report>,
--- /dev/null
+++ b/tests/ranking.rs
@@ -0,0 +1,159 @@
+//! The choice of a target costs the same however many targets there are, and is the same as a choice among all of them.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use ragwortfold::border::settings::Switch;
+use ragwortfold::inventory::{Registration, State};
+use ragwortfold::steer::fleet::{Ask, End, Fleet, Refusal, Seen, Switches};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+mod property;
+
+fn registration(index: usize, state: State) -> Registration {
+    Registration {
+        id: format!("t{index}").into(),
+        service: "books".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: ["n-a", "s-a"][index % 2].into(),
+        slots: 4,
+        state,
+        cold_left: Duration::ZERO,
+        born: None,
+    }
+}
+
+/// Targets as a host of one region sees them, at a time of the test's own.
+struct World {
+    fleet: Fleet,
+    now: Instant,
+    rng: Pcg64Mcg,
+}
+
+impl World {
+    fn new(targets: impl IntoIterator<Item = Registration>) -> Self {
+        let regions: BTreeMap<Arc<str>, Arc<str>> = [("n-a", "n"), ("s-a", "s")]
+            .map(|(zone, region)| (zone.into(), region.into()))
+            .into();
+        let now = Instant::now();
+        // What moves to another region depends on what was there before.
+        let switches = Switches {
+            drift: Switch::Off,
+            ..Switches::default()
+        };
+        let mut fleet =
+            Fleet::new(now, "own".into(), "n-a".into(), regions, 1.0).with_switches(switches);
+        for target in targets {
+            fleet.register(now, target);
+        }
+        Self {
+            fleet,
+            now,
+            rng: Pcg64Mcg::seed_from_u64(1),
+        }
+    }
+
+    /// The target that gets a request with a key, which ends at once.
+    fn chosen(&mut self, key: u64) -> Result<Arc<str>, Refusal> {
+        let ask = Ask {
+            service: &"books".into(),
+            key,
+            object: None,
+            homes: &BTreeSet::new(),
+            tried: Vec::new(),
+            bytes: 0,
+        };
+        let target = self.fleet.choose(self.now, &ask, |_| true)?;
+        let id = self.fleet.member(target).unwrap().id().clone();
+        self.fleet.finish(
+            self.now,
+            target,
+            End::Cancelled,
+            Seen::default(),
+            &mut self.rng,
+        );
+        Ok(id)
+    }
+}
+
+/// Targets that were looked at for one request of 100 a second on average, by how many there are; each of 50 keys has had
+/// its first request.
+fn looks(targets: usize) -> f64 {
+    const REQUESTS: u32 = 3000;
+    let ready = (0..targets).map(|index| registration(index, State::Ready));
+    let mut world = World::new(ready);
+    for key in 0..50 {
+        world.chosen(key).unwrap();
+    }
+    let before = world.fleet.looks();
+    for request in 0..REQUESTS {
+        world.now += Duration::from_millis(10);
+        world.chosen(u64::from(request % 50)).unwrap();
+    }
+    (world.fleet.looks() - before) as f64 / f64::from(REQUESTS)
+}
+
+#[test]
+fn a_choice_looks_at_as_many_targets_however_many_there_are() {
+    let [few, many] = [2_000, 8_000].map(looks);
+    assert!(many < few * 1.2, "{few} of 2,000, {many} of 8,000");
+}
+
+#[test]
+fn a_choice_looks_at_few_of_many_targets() {
+    let looks = looks(2_000);
+    assert!(looks < 2_000.0 / 4.0, "{looks}");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Register(usize, State),
+    Leave(usize),
+    Ask(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let target = 0..60usize;
+    prop_oneof![
+        target
+            .clone()
+            .prop_map(|index| Step::Register(index, State::Ready)),
+        target
+            .clone()
+            .prop_map(|index| Step::Register(index, State::Draining)),
+        target.prop_map(Step::Leave),
+        (0..8u64).prop_map(Step::Ask),
+    ]
+}
+
+#[test]
+fn a_choice_is_that_among_all() {
+    let steps = prop::collection::vec(step(), 1..200);
+    property::run(1, 300, steps, |steps| {
+        let mut world = World::new([]);
+        let mut known: BTreeMap<usize, State> = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Register(index, state) => {
+                    known.insert(index, state);
+                    world.fleet.register(world.now, registration(index, state));
+                }
+                Step::Leave(index) => {
+                    known.remove(&index);
+                    world.fleet.withdraw(&format!("t{index}"));
+                }
+                Step::Ask(key) => {
+                    let targets = known.iter();
+                    let all = targets.map(|(index, state)| registration(*index, *state));
+                    prop_assert_eq!(world.chosen(key), World::new(all).chosen(key));
+                }
+            }
+        }
+        Ok(())
+    });
+}
