Hosts in use by what a zone carries, not by how many hosts it has

One of eight hosts of a zone was in use in any case. With 110 hosts, ten of them strong, that is 13 where three carry the callers, and weak ones among them: each met one of the region's objects every 20 s, idle connections are closed after 10 s, so there were 105,641 new connections for 92,151 requests, and what a host knew of who has an object was mostly nothing.

Now those in use carry with ease an eighth of what all do. For equal hosts that is the same number as before.

--- a/src/control/working.rs
+++ b/src/control/working.rs
@@ -17,9 +17,11 @@
 const MEGABIT: f64 = 3.0;
 /// Hosts that are in use in any case, so that the end of one moves few callers.
 const FEWEST: usize = 3;
-/// One of so many hosts is in use in any case: the callers that a large zone may gain at once need them before the rates of
-/// the hosts have told.
-const PART: usize = 8;
+/// The part of what all hosts of a zone carry with ease that those in use carry in any case: the callers that a large zone may
+/// gain at once need them before the rates of the hosts have told. With a part of the hosts themselves, ten strong ones that
+/// could carry the callers many times were in use beside weak ones, each met its targets so seldom that nearly each request
+/// opened a connection.
+const RESERVE: f64 = 1.0 / 8.0;
 
 /// The span over which requests are counted.
 const SPAN: Duration = Duration::from_secs(1);
@@ -93,10 +95,11 @@
     (strength.cores * CORE).min(strength.megabits * MEGABIT)
 }
 
-/// The hosts in use: the strongest ones, as many as carry with ease what all get now.
+/// The hosts in use: the strongest ones, as many as carry with ease what all get now and a part of what all could.
 pub fn in_use(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
     let load: f64 = candidates.iter().map(|candidate| candidate.rate).sum();
-    let fewest = FEWEST.max(candidates.len() / PART);
+    let all: f64 = candidates.iter().map(|one| ease(one.strength)).sum();
+    let load = load.max(all * RESERVE);
     candidates.sort_by(|one, other| {
         ease(other.strength)
             .total_cmp(&ease(one.strength))
@@ -108,7 +111,7 @@
         carried += ease(candidate.strength);
         is_needed
     });
-    let count = needed.count().max(fewest);
+    let count = needed.count().max(FEWEST);
     candidates.truncate(count);
     candidates
 }
