Look for lapsed targets only if there are any; compare ranks of near hosts only

All 10,000 targets were passed over four times a second to find those that lapsed, and all 985 hosts were ranked ten times a second to find who watches.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -689,8 +689,8 @@
             let starting = now.saturating_duration_since(peer.met) < START;
             let sees = peer.sight == Some(Sight::Store);
             let could = away || peer.sight >= Some(Sight::Relayed);
-            rank(&peer.record) > own
-                && peer.is_near
+            peer.is_near
+                && rank(&peer.record) > own
                 && (sees || starting || (could && self.sight != Sight::Store))
         });
         before.count() < self.watchers()
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -296,6 +296,9 @@
     /// Forgets targets that lapsed and did not come back.
     pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
         let over: Vec<_> = self
+        if self.lapsed.values().all(|count| *count == 0) {
+            return Vec::new();
+        }
             .members
             .values()
             .filter(|member| member.lapsed.is_some_and(|until| now >= until))
