Weak hosts leave the watching to strong ones that take long

A host that watches the store reads all targets at the full price. A weak one began to watch when no strong one saw the store 2 s after it was first heard of, and reading 20 pages over a round trip of 110 ms takes about as long: with twice the targets hundreds of hosts would have begun at once. Now it waits as long as it waits for its first copy.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -683,6 +683,10 @@
         if self.few_watchers == Switch::Off {
             return true;
         }
+        if self.awaits_copy(now) {
+            // The more targets there are the longer strong hosts take to see the store, and to watch it means to read them all.
+            return false;
+        }
         let own = rank(&self.own);
         let away = !self.is_store_seen(now);
         let before = self.present(now).filter(|peer| {
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -742,6 +742,17 @@
     the_own_region_has_no_strong_host: [("s-a", Sight::Store)], 0 => Some("h0"), false;
 }
 
+#[test]
+fn weak_hosts_leave_the_watching_to_strong_ones_that_take_long() {
+    let start = Instant::now();
+    for (seconds, watches) in [(3, false), (5, true)] {
+        let now = start + Duration::from_secs(seconds);
+        let mut presence = newcomer(start, &[("n-b", Sight::Nothing)]);
+        presence.hear(now, beat(record("h0", "n-b", 1), Sight::Nothing));
+        assert_eq!(presence.is_watcher(now), watches, "after {seconds} s");
+    }
+}
+
 /// Where hosts of two regions, `hosts` in each, tell that they follow another one now, all together.
 fn told_of_followers(hosts: usize) -> usize {
     let now = Instant::now();
