Registrations are shared by the copy of the store and the fleet

Each target's registration, 120 bytes, was held twice, and each entry of a list was as large as the largest kind of object, 152 bytes beside name and version. Now both hold one registration, and an entry takes 40 bytes.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -252,8 +252,11 @@
 fn aged(now: Instant, object: &Object) -> Value {
     let mut value = object.value.clone();
     if let Value::Target(registration) = &mut value {
-        let age = now.saturating_duration_since(object.taken);
-        registration.cold_left = registration.cold_left.saturating_sub(age);
+        if !registration.cold_left.is_zero() {
+            let age = now.saturating_duration_since(object.taken);
+            let registration = Arc::make_mut(registration);
+            registration.cold_left = registration.cold_left.saturating_sub(age);
+        }
     }
     value
 }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -123,7 +123,7 @@
         };
         for entry in entries {
             match (&entry.value, kind) {
-                (Some(Value::Config(config)), _) => self.configure(now, config.clone()),
+                (Some(Value::Config(config)), _) => self.configure(now, Config::clone(config)),
                 (Some(Value::Target(registration)), _) => self.register(now, registration),
                 (None, Kind::Targets) => self.withdraw(now, &entry.name, away),
                 _ => {}
@@ -172,7 +172,7 @@
         }
     }
 
-    fn register(&mut self, now: Instant, registration: &Registration) {
+    fn register(&mut self, now: Instant, registration: &Arc<Registration>) {
         let id = &registration.id;
         if registration.state == State::Draining {
             spdlog::info!("core: a target drains", kv: {
@@ -225,7 +225,7 @@
         }
         for entry in entries {
             if let Some(Value::Host(record)) = entry.value {
-                self.presence.register(now, record);
+                self.presence.register(now, *record);
             }
         }
         self.presence.list();
--- a/src/port.rs
+++ b/src/port.rs
@@ -101,17 +101,17 @@
     }
 }
 
-/// One object of the store, decoded.
+/// One object of the store, decoded. The large ones are shared by all that hold them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Value {
     /// The configuration.
-    Config(Config),
+    Config(Arc<Config>),
     /// A target.
-    Target(Registration),
+    Target(Arc<Registration>),
     /// The availability zone of this name is evacuated.
     Evacuation,
     /// An entry host.
-    Host(presence::Record),
+    Host(Box<presence::Record>),
 }
 
 /// An object by its name; without a value it was removed.
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -211,7 +211,8 @@
 
     /// Takes in what a target says of itself. News of an earlier process than the one that is known
     /// changes nothing; a later one under the same identity is another target.
-    pub fn register(&mut self, now: Instant, registration: Registration) {
+    pub fn register(&mut self, now: Instant, registration: impl Into<Arc<Registration>>) {
+        let registration = registration.into();
         let cold = Some(registration.cold_left)
             .filter(|left| !left.is_zero())
             .map(|left| now + left);
@@ -235,8 +236,8 @@
         let region = self
             .regions
             .get(&registration.zone)
-            .cloned()
-            .unwrap_or_else(|| registration.zone.clone());
+            .unwrap_or(&registration.zone)
+            .clone();
         let key = self.keys.take();
         self.ids.insert(registration.id.clone(), key);
         self.services
@@ -295,10 +296,10 @@
 
     /// Forgets targets that lapsed and did not come back.
     pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
-        let over: Vec<_> = self
         if self.lapsed.values().all(|count| *count == 0) {
             return Vec::new();
         }
+        let over: Vec<_> = self
             .members
             .values()
             .filter(|member| member.lapsed.is_some_and(|until| now >= until))
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -33,7 +33,7 @@
 /// One target as this host sees it.
 #[derive(Clone, Debug)]
 pub struct Member {
-    pub(super) registration: Registration,
+    pub(super) registration: Arc<Registration>,
     pub(super) region: Arc<str>,
     /// Whether that is the region of this host.
     pub(super) is_near: bool,
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::mem::size_of;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use peak_alloc::PeakAlloc;
@@ -18,7 +19,7 @@
     Entry {
         name: name.as_str().into(),
         version: index as u64,
-        value: Some(Value::Target(Registration {
+        value: Some(Value::Target(Arc::new(Registration {
             id: name.into(),
             service: "books".into(),
             address: "127.0.0.1:9".parse().unwrap(),
@@ -27,7 +28,7 @@
             state: State::Ready,
             cold_left: Duration::ZERO,
             born: None,
-        })),
+        }))),
     }
 }
 
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ragwortfold::control::replica::{Effect, Replica, Update};
@@ -12,7 +13,7 @@
     Entry {
         name: name.into(),
         version,
-        value: Some(Value::Target(Registration {
+        value: Some(Value::Target(Arc::new(Registration {
             id: name.into(),
             service: "books".into(),
             address: "127.0.0.1:9".parse().unwrap(),
@@ -21,7 +22,7 @@
             state: State::Ready,
             cold_left: Duration::from_millis(cold_ms),
             born: None,
-        })),
+        }))),
     }
 }
 
