--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -1,26 +1,33 @@
 //! Which entry hosts take requests, and who tells whom what the platform's store holds.
 //!
-//! A host registers, then reads who else did, then sends heartbeats to all of them. The first one, and
-//! each one with news, says all there is to know of its sender, so that those who read the store earlier
+//! A host registers, then reads who else did, then sends heartbeats to all of them. The first one
+//! says all there is to know of its sender, so that those who read the store earlier
 //! learn of it without asking the store again: of two hosts that start at once, the later one finds the
 //! other. In between go pulses, a tenth as long; who does not know their sender asks it.
+//! In a large region most hosts tell the other availability zones seldom, and few of each zone often: these show that the zone
+//! is there.
 //! A host counts as alive for a while after it was first heard of, so that a new one is used at
 //! once, and one that says that it is leaving does not.
 //!
 //! Calls to the store are dear and limited, so in each region few hosts watch it and pass on what
 //! they learn. Who does follows from a ranking that all hosts compute alike.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
+mod naming;
+mod record;
+mod watching;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::working::{self, Candidate, Rate};
+use super::working::Rate;
 use crate::border::settings::Switch;
-use crate::port::Question;
+
+pub use self::naming::Naming;
+pub use self::record::{Beat, Pulse, Record, Sight, Strength};
 
 /// Time between two heartbeats within a region.
 pub const INTERVAL: Duration = Duration::from_millis(700);
@@ -41,143 +48,6 @@
 pub const FORGET: Duration = Duration::from_secs(20);
 /// A gap between two looks at the clock that means that this process was paused.
 const PAUSE: Duration = Duration::from_millis(1500);
-/// Hosts of a region for each one that watches the store. More followers would load its link at each
-/// large change.
-const FOLLOWERS: usize = 60;
-/// Hosts of all regions that watch the store at the least: the store may turn one away, and another one
-/// has to see it then. Each more is paid for: six in place of three lowered the mean worth by 0.0015.
-const LEAST: usize = 3;
-/// How long after its return the store counts as having been away: targets that it dropped register
-/// again within two seconds.
-const AWAY: Duration = Duration::from_millis(2500);
-/// Time between two looks of a host at a store that nobody sees, in a small fleet.
-const LOOK: Duration = Duration::from_secs(2);
-/// Hosts that look so often; more share the same number of looks, ten a second. That finds a store that has returned, or
-/// that single hosts still reach, within some 0.1 s.
-const LOOKERS: f64 = 20.0;
-/// How long a host may take from its start until it sees the store.
-const START: Duration = Duration::from_secs(2);
-/// How long a host that has just started leaves it to strong hosts of its region to read the store.
-const COPY_PATIENCE: Duration = Duration::from_secs(4);
-
-/// What an entry host registers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Record {
-    /// Its name.
-    pub host: Arc<str>,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-    /// Where callers send requests.
-    pub front: SocketAddr,
-    /// Where it takes heartbeats.
-    pub peers: SocketAddr,
-    /// Where it tells others what it knows of the store.
-    pub feed: SocketAddr,
-    /// Grows with each start of its process, unless its clock goes back.
-    pub incarnation: u64,
-    /// How much it can carry beside others.
-    pub strength: Strength,
-}
-
-/// How much a host can carry: its part of a processor core, and its link.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Strength {
-    /// Processor cores.
-    pub cores: f64,
-    /// The link in megabits a second.
-    pub megabits: f64,
-}
-
-/// The part of a processor core with which a host needs no care.
-const AMPLE_CORES: f64 = 0.2;
-/// The link, in megabits a second, with which a host needs no care: ten times what a usual host carries.
-const AMPLE_MEGABITS: f64 = 50.0;
-
-impl Strength {
-    /// A host that needs no care.
-    pub const AMPLE: Self = Self {
-        cores: AMPLE_CORES,
-        megabits: AMPLE_MEGABITS,
-    };
-
-    /// Whether the host needs no care.
-    pub fn is_ample(self) -> bool {
-        self.share() >= 1.0
-    }
-
-    /// The part of a full share of work that the host can take, up to 1.
-    pub fn share(self) -> f64 {
-        let cores = self.cores / AMPLE_CORES;
-        let link = self.megabits / AMPLE_MEGABITS;
-        cores.min(link).clamp(0.0, 1.0)
-    }
-}
-
-/// Hosts that a look-up names: one to use, and others should it fail.
-const NAMED: usize = 3;
-/// Hosts that a look-up names if there are as many: another one should the first fail.
-const FEWEST_NAMED: usize = 2;
-/// The part of the strongest one's strength that another host needs to be named beside it: a link carries twice what it
-/// carries with ease.
-const COMPARABLE: f64 = 0.5;
-/// For how long after its start a host names none while it does not know the others, or few that serve:
-/// when all start at once, it would be sent the callers of all others. Callers keep the addresses that
-/// they have meanwhile, or ask the next host.
-const SETTLE: Duration = Duration::from_millis(2500);
-/// Hosts of the caller's own availability zone that are enough to name no others.
-const ENOUGH: usize = 2;
-
-/// Which hosts look-ups name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Naming {
-    /// All that serve.
-    All,
-    /// Those that know what the store holds now, as long as there are any: the others refuse callers with keys.
-    Informed,
-}
-
-/// What a host knows of the store, from least to most.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Sight {
-    /// Nothing yet.
-    Nothing,
-    /// What it knew before it lost the store.
-    Stale,
-    /// What another host tells it, which sees the store.
-    Relayed,
-    /// It sees the store itself.
-    Store,
-}
-
-/// A heartbeat.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
-    /// Its sender.
-    #[serde(rename = "r")]
-    pub record: Record,
-    /// Whether the sender finishes what it has and takes nothing new.
-    #[serde(rename = "l")]
-    pub leaving: bool,
-    /// What the sender knows of the store.
-    #[serde(rename = "s")]
-    pub sight: Sight,
-    /// Requests a second that the sender gets.
-    #[serde(rename = "n")]
-    pub rate: u32,
-}
-
-/// What a heartbeat may change; all that one says to those who know its sender.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Pulse(
-    /// The sender's incarnation.
-    pub u64,
-    /// What the sender knows of the store.
-    pub Sight,
-    /// Whether the sender takes nothing new.
-    pub bool,
-    /// Requests a second that the sender gets.
-    pub u32,
-);
 
 /// How far away another host is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -309,13 +179,6 @@
         self.listed
     }
 
-    /// Time between two looks of this host at a store that no host is known to see. The more hosts there are the longer it
-    /// is, so that the store is not asked, and on its return not read, by all of them at once.
-    pub fn look_interval(&self) -> Duration {
-        let hosts = self.peers.len() + 1;
-        LOOK.mul_f64((hosts as f64 / LOOKERS).max(1.0))
-    }
-
     /// Takes no new work from now on.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -560,80 +423,6 @@
         own.into_iter().chain(others)
     }
 
-    /// The hosts that a caller is told to use: some of its availability zone, else of its region, else any.
-    ///
-    /// Of those in use (see [`working`]) they are drawn for each caller by weighted rendezvous hashing, so that a caller gets the
-    /// same answer wherever and whenever it asks: it closes its connections to hosts that are missing from a new one.
-    pub fn named(&self, now: Instant, question: &Question, caller: IpAddr) -> Vec<SocketAddr> {
-        if !self.is_settled(now) {
-            return Vec::new();
-        }
-        let candidates = self.candidates(now, question);
-        let named = match self.few_hosts {
-            Switch::On => working::in_use(candidates),
-            Switch::Off => candidates,
-        };
-        draw(named, caller)
-    }
-
-    /// The hosts that may be named to a caller: those of its availability zone if there are enough, else those of its
-    /// region, else all.
-    fn candidates(&self, now: Instant, question: &Question) -> Vec<Candidate> {
-        let near = |record: &Record| -> u8 {
-            if record.zone == question.zone {
-                return 0;
-            }
-            u8::from(*self.region(record) != question.region) + 1
-        };
-        let informed = self.naming == Naming::Informed
-            && (self.sight > Sight::Stale
-                || self
-                    .present(now)
-                    .any(|peer| peer.sight > Some(Sight::Stale)));
-        let least = if informed {
-            Sight::Stale
-        } else {
-            Sight::Nothing
-        };
-        let own = Some((&self.own, self.rate.last()));
-        let own = own.filter(|_| !self.leaving && self.sight > least);
-        let others = self
-            .present(now)
-            .filter(|peer| peer.sight.is_none_or(|sight| sight > least))
-            .map(|peer| (&peer.record, peer.rate));
-        let all: Vec<(u8, Candidate)> = own
-            .into_iter()
-            .chain(others)
-            .map(|(record, rate)| (near(record), candidate(record, rate)))
-            .collect();
-        let in_zone = all.iter().filter(|(near, _)| *near == 0).count();
-        let in_region = all.iter().filter(|(near, _)| *near <= 1).count();
-        let farthest = match (in_zone, in_region) {
-            (zone, _) if zone >= ENOUGH => 0,
-            (_, region) if region > 0 => 1,
-            _ => 2,
-        };
-        let named = all.into_iter().filter(|(near, _)| *near <= farthest);
-        named.map(|(_, candidate)| candidate).collect()
-    }
-
-    /// Whether this host knows the others, as far as it can: their registrations were read, or have not been for so long
-    /// that it has to do with those that it heard.
-    pub fn knows_others(&self, now: Instant) -> bool {
-        self.listed || self.has_settled(now)
-    }
-
-    fn has_settled(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.started) >= SETTLE
-    }
-
-    /// Whether what this host knows of the others is enough to send callers to them.
-    fn is_settled(&self, now: Instant) -> bool {
-        let known = self.peers.len() + 1;
-        let enough = self.listed && self.serving(now).count() * 2 >= known;
-        enough || self.has_settled(now)
-    }
-
     /// Hosts whose registration this host is to remove: they have been silent for long, and of the
     /// hosts that see the store this one comes first, so that only one calls it.
     pub fn departed(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
@@ -673,147 +462,6 @@
         // Of a zone that has lost power nobody is heard, long before each of its hosts is missed.
         is_recent(peer.heard, beats) && zone_heard.is_none_or(|heard| is_recent(*heard, 1))
     }
-
-    /// Whether this host is to watch the store itself.
-    ///
-    /// One that sees it goes on unless enough hosts of its region that come before it see it too. One
-    /// that does not leaves it to those before it that could, so that a lost store is not called by
-    /// all hosts at once.
-    pub fn is_watcher(&self, now: Instant) -> bool {
-        if self.few_watchers == Switch::Off {
-            return true;
-        }
-        if self.awaits_copy(now) {
-            // The more targets there are the longer strong hosts take to see the store, and to watch it means to read them all.
-            return false;
-        }
-        let own = rank(&self.own);
-        let away = !self.is_store_seen(now);
-        let before = self.present(now).filter(|peer| {
-            let starting = now.saturating_duration_since(peer.met) < START;
-            let sees = peer.sight == Some(Sight::Store);
-            let could = away || peer.sight >= Some(Sight::Relayed);
-            peer.is_near
-                && rank(&peer.record) > own
-                && (sees || starting || (could && self.sight != Sight::Store))
-        });
-        before.count() < self.watchers()
-    }
-
-    /// How many hosts of the own region are to watch the store.
-    fn watchers(&self) -> usize {
-        let others = self.peers.values().map(|peer| self.region(&peer.record));
-        let near = others.clone().filter(|region| **region == self.region);
-        let regions: BTreeSet<_> = others.chain([&self.region]).collect();
-        let for_followers = 1 + near.count() / FOLLOWERS;
-        for_followers.max(LEAST.div_ceil(regions.len()))
-    }
-
-    /// Whether any host sees the store.
-    pub fn is_store_seen(&self, now: Instant) -> bool {
-        self.sight == Sight::Store
-            || self
-                .present(now)
-                .any(|peer| peer.sight == Some(Sight::Store))
-    }
-
-    /// Whether this host, which is weak and knows nothing of the store yet, is to wait for a copy from a strong host of its
-    /// region. All hosts may start at once: if each read all targets, or took a copy from whichever region has it first, the calls
-    /// of the store and the bytes between regions would grow with hosts times targets.
-    pub fn awaits_copy(&self, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.started);
-        let strong = |peer: &Peer| peer.is_near && peer.record.strength.is_ample();
-        self.sight == Sight::Nothing
-            && !self.own.strength.is_ample()
-            && age < COPY_PATIENCE
-            && self.present(now).any(strong)
-    }
-
-    /// The host to follow: the one that sees most, of those the nearest, of those the strongest; among
-    /// equals each host draws its own, so that they share the followers. One that has lost the store like
-    /// this one has nothing to tell. `skip` leaves out hosts whose feed has just failed: one that
-    /// died seems alive until it was silent for a while.
-    pub fn source(&self, now: Instant, skip: impl Fn(&Record) -> bool) -> Option<(&Record, Sight)> {
-        let least = self.sight.min(Sight::Stale);
-        let (_, own) = rank(&self.own);
-        let only_near = self.awaits_copy(now);
-        self.present(now)
-            .filter_map(|peer| Some((peer, peer.sight?)))
-            .filter(|(peer, sight)| *sight > least && !skip(&peer.record))
-            .filter(|(peer, _)| !only_near || peer.is_near)
-            .max_by_key(|(peer, sight)| {
-                // Links between zones are paid for, and each follower takes a copy of all targets over one.
-                let in_zone = peer.record.zone == self.own.zone;
-                let (share, draw) = rank(&peer.record);
-                (*sight, peer.is_near, in_zone, share, draw ^ own)
-            })
-            .map(|(peer, sight)| (&peer.record, sight))
-    }
-
-    /// Notes whether any host sees the store.
-    pub fn watch_store(&mut self, now: Instant) {
-        if !self.is_store_seen(now) {
-            self.unseen = Some(now);
-        }
-    }
-
-    /// Whether the store was away just before, so that what is missing there may be about to return.
-    /// It is not enough that this host did not see it: then the store itself goes on, and what is
-    /// missing has left.
-    pub fn was_store_away(&self, now: Instant) -> bool {
-        self.unseen
-            .is_some_and(|unseen| now.saturating_duration_since(unseen) < AWAY)
-    }
-
-    /// Whether any host has lost the store.
-    pub fn is_store_doubtful(&self, now: Instant) -> bool {
-        self.sight == Sight::Stale
-            || self
-                .present(now)
-                .any(|peer| peer.sight == Some(Sight::Stale))
-    }
-}
-
-fn candidate(record: &Record, rate: u32) -> Candidate {
-    Candidate {
-        front: record.front,
-        strength: record.strength,
-        rate: f64::from(rate),
-        order: xxh3_64(record.host.as_bytes()),
-    }
-}
-
-/// Some hosts for a caller. It uses all that it is told of alike, so a weak one is not named beside strong ones only because
-/// there are no more of them: with two of 0.5 cores and one of a link of 10 Mbit/s in use in a zone, that one got a third of the
-/// callers, and 5 in 100 answers of a calm day came late in place of 2.
-fn draw(candidates: Vec<Candidate>, caller: IpAddr) -> Vec<SocketAddr> {
-    let mut ranked: Vec<(f64, Candidate)> = candidates
-        .into_iter()
-        .map(|candidate| (distance(&candidate, caller), candidate))
-        .collect();
-    ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
-    ranked.truncate(NAMED);
-    let strength = |candidate: &Candidate| working::ease(candidate.strength);
-    let strongest = ranked.iter().map(|(_, candidate)| strength(candidate));
-    let least = strongest.fold(0.0, f64::max) * COMPARABLE;
-    // The strong ones keep their order, and stay if one of them is lost.
-    ranked.sort_by_key(|(_, candidate)| strength(candidate) < least);
-    let strong = ranked.iter().filter(|(_, one)| strength(one) >= least);
-    let count = strong.count().max(FEWEST_NAMED);
-    ranked.truncate(count);
-    let named = ranked.into_iter();
-    named.map(|(_, candidate)| candidate.front).collect()
-}
-
-/// How far a host is from a caller in weighted rendezvous hashing: the nearest ones are drawn.
-fn distance(candidate: &Candidate, caller: IpAddr) -> f64 {
-    let seed = candidate.order;
-    let draw = match caller {
-        IpAddr::V4(address) => xxh3_64_with_seed(&address.octets(), seed),
-        IpAddr::V6(address) => xxh3_64_with_seed(&address.octets(), seed),
-    };
-    let part = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    -part.ln() / working::ease(candidate.strength).max(f64::EPSILON)
 }
 
 /// The order of hosts, which all compute alike: those that can carry most first, as many follow them.
