--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -61,10 +61,11 @@
 
     /// How many hosts of the own region are to watch the store.
     fn watchers(&self) -> usize {
-        let others = self.peers.values().map(|peer| self.region(&peer.record));
-        let near = others.clone().filter(|region| **region == self.region);
-        let regions: BTreeSet<_> = others.chain([&self.region]).collect();
-        let for_followers = 1 + near.count() / FOLLOWERS;
+        let zones = self.zones.keys().chain([&self.own.zone]);
+        let regions: BTreeSet<_> = zones
+            .map(|zone| self.regions.get(zone).unwrap_or(zone))
+            .collect();
+        let for_followers = 1 + self.near / FOLLOWERS;
         for_followers.max(LEAST.div_ceil(regions.len()))
     }
 
