A small region that has plenty of slots keeps its requests

A region with fewer slots than others sent away from the start what it lacks against their mean: 63 in 100 requests of the smallest region of 985 hosts, to targets 110 ms away. Its 645 targets for look-ups have 3,225 slots and need some 230 for 690 requests a second.

Slots say what a region has, not what it needs. So 200 ms after its first request a host in use judges it once: its rate by its part of the region's callers, each request as long as a first visit. Below half of the slots nothing is held away any more; what comes back after 200 ms is little of what moves in the 2 s of the cap. Elsewhere all stays as it was.

--- a/src/control/presence/naming.rs
+++ b/src/control/presence/naming.rs
@@ -50,6 +50,20 @@
         draw(named, caller)
     }
 
+    /// The part of its region's callers that this host gets: its part of what those carry that are in use in its availability
+    /// zone, if zones have as many callers each. Nothing if it is not in use.
+    pub fn share(&self, now: Instant) -> Option<f64> {
+        let question = Question {
+            region: self.region.clone(),
+            zone: self.own.zone.clone(),
+        };
+        let used = working::in_use(self.candidates(now, &question));
+        let own = used.iter().find(|one| one.front == self.own.front)?;
+        let all: f64 = used.iter().map(|one| working::ease(one.strength)).sum();
+        let zones = self.regions.values().filter(|one| **one == self.region);
+        Some(working::ease(own.strength) / all / zones.count().max(1) as f64)
+    }
+
     /// The hosts that may be named to a caller: those of its availability zone if there are enough, else those of its
     /// region, else all.
     fn candidates(&self, now: Instant, question: &Question) -> Vec<Candidate> {
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -137,6 +137,7 @@
 
     fn configure(&mut self, now: Instant, config: Config) {
         let services = config.services.clone();
+        let goals = goals(&config);
         let accounts = config.accounts.clone().unwrap_or_default();
         let version = config.version;
         if !self.table.replace(config) {
@@ -149,6 +150,9 @@
         for (name, service) in &services {
             self.fleet.set_cold_rate(name.clone(), service.cold_rate);
         }
+        for (service, goal) in goals {
+            self.fleet.set_goal(service, goal);
+        }
         if let Some(ledger) = &mut self.ledger {
             ledger.set_accounts(now, &accounts);
         }
@@ -258,6 +262,7 @@
             (record.host.clone(), region.clone())
         });
         self.fleet.set_hosts(hosts.collect());
+        self.fleet.set_share(self.presence.share(now));
         if let Some(ledger) = &mut self.ledger {
             let peers = self.presence.peers();
             let near = peers.filter(|peer| self.presence.is_near(peer));
@@ -297,3 +302,15 @@
         Some(route.parts[most].service.clone())
     }
 }
+
+/// For each service, the longest time within which answers on its routes are good.
+fn goals(config: &Config) -> BTreeMap<Arc<str>, Duration> {
+    let mut goals: BTreeMap<Arc<str>, Duration> = BTreeMap::new();
+    for route in &config.routes {
+        for part in &route.parts {
+            let goal = goals.entry(part.service.clone()).or_default();
+            *goal = route.goal.max(*goal);
+        }
+    }
+    goals
+}
--- a/src/steer/drift.rs
+++ b/src/steer/drift.rs
@@ -18,6 +18,9 @@
 const STEP_AWAY: f64 = 0.06;
 /// Requests in a span that are enough to measure.
 const ENOUGH: u32 = 4;
+/// How long a region's slots alone tell what it lacks. What comes back after that is little of what moves in the two seconds for
+/// which operators cap it.
+const TRIAL: Duration = Duration::from_millis(200);
 /// For how long fewer slots of the own region are taken for a loss. What such a loss moves has to leave at once, and its
 /// targets may take as long to come back.
 const LOSS: Duration = Duration::from_secs(10);
@@ -32,6 +35,8 @@
     far: u32,
     floor: f64,
     last: f64,
+    /// Whether it is still to be seen that the part is needed with which this began.
+    is_on_trial: bool,
     room: Room,
 }
 
@@ -44,6 +49,7 @@
             far: 0,
             floor: 0.0,
             last: 0.0,
+            is_on_trial: false,
             room: Room::new(now),
         }
     }
@@ -52,9 +58,24 @@
     pub fn with_part(mut self, part: f64) -> Self {
         self.floor = part;
         self.last = part;
+        self.is_on_trial = part > 0.0;
         self
     }
 
+    /// Sends nothing away from soon after the first request on, if the requests a second so far show that the region has plenty.
+    /// Slots alone say only that it has fewer than others, not that it needs more.
+    pub fn judge(&mut self, now: Instant, has_plenty: impl FnOnce(f64) -> bool) {
+        let age = now.saturating_duration_since(self.begun);
+        if !self.is_on_trial || age < TRIAL {
+            return;
+        }
+        self.is_on_trial = false;
+        if age < SPAN && has_plenty(f64::from(self.all) / age.as_secs_f64()) {
+            self.floor = 0.0;
+            self.last = 0.0;
+        }
+    }
+
     /// Counts a request.
     pub fn count(&mut self, now: Instant, far: bool) {
         self.roll(now);
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -142,6 +142,10 @@
     /// For each service, the part of its requests that goes to other regions.
     drifts: BTreeMap<Arc<str>, Drift>,
     cold_rates: BTreeMap<Arc<str>, f64>,
+    /// For each service, the time within which answers are good.
+    goals: BTreeMap<Arc<str>, Duration>,
+    /// The part of its region's callers that this host gets, if it is one of those in use.
+    share: Option<f64>,
     /// Hosts that may send to a cold target at the same time, each one request beyond its rate.
     cold_hosts: usize,
     own: Peer,
@@ -180,6 +184,8 @@
             habits: BTreeMap::new(),
             warmth: Warmth::new(now),
             cold_rates: BTreeMap::new(),
+            goals: BTreeMap::new(),
+            share: None,
             cold_hosts: (cold_burst as usize).max(1),
             hosts: Vec::new(),
             told: None,
@@ -338,6 +344,16 @@
         &self.evacuated
     }
 
+    /// Sets the time within which answers of a service are good.
+    pub fn set_goal(&mut self, service: Arc<str>, goal: Duration) {
+        self.goals.insert(service, goal);
+    }
+
+    /// Sets the part of its region's callers that this host gets; nothing if it is not known.
+    pub fn set_share(&mut self, share: Option<f64>) {
+        self.share = share;
+    }
+
     /// Counts one more request at a target until [`Fleet::finish`].
     pub fn hold(&mut self, now: Instant, key: TargetKey) {
         if let Some(member) = self.members.get_mut(&key) {
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -21,6 +21,10 @@
 /// all: regions need not have the same load, and what turns out to be too much comes back. With
 /// 0.6 some 22 of 100 requests still changed their region within 2 s after the start, without it 39.
 const LACKING: f64 = 0.9;
+/// How many times the time within which an answer is good the first visit of an object takes, at the most.
+const FIRST_VISIT: f64 = 2.0;
+/// The part of its slots that a region may need and still has plenty.
+const PLENTY: f64 = 0.5;
 /// The part of its slots up to which a target gets requests beyond those for which it is the first choice, as it has
 /// their objects. A busier one gives them up, so that the load spreads again: without this bound the days with
 /// most queues lost 0.005 of their worth, with it calm days gain 0.003.
@@ -161,9 +165,23 @@
             let drift = Drift::new(now).with_part(part);
             self.drifts.insert(service.clone(), drift);
         }
-        self.drifts
-            .entry(service.clone())
-            .or_insert_with(|| Drift::new(now))
+        let (goal, share) = (self.goals.get(service).copied(), self.share);
+        let slots = self.slots_near(service);
+        let drift = self.drifts.entry(service.clone());
+        let drift = drift.or_insert_with(|| Drift::new(now));
+        drift.judge(now, |rate| {
+            let need = goal.zip(share).map(|(goal, share)| {
+                // All of the region's requests, as if each were a first visit.
+                rate / share * goal.as_secs_f64() * FIRST_VISIT
+            });
+            need.is_some_and(|need| need < f64::from(slots) * PLENTY)
+        });
+        drift
+    }
+
+    /// The slots of all targets of the own region.
+    fn slots_near(&self, service: &str) -> u32 {
+        self.counted_slots(service).unwrap_or_default()
     }
 
     /// The time until one of the first choices of a request is expected to have room for it.
--- a/tests/drift.rs
+++ b/tests/drift.rs
@@ -2,9 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ragwortfold::inventory::{Registration, State};
 use ragwortfold::steer::drift::Drift;
+use ragwortfold::steer::fleet::{Ask, End, Fleet, Seen};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 
 const RATE: u64 = 50;
 /// Spreads keys over all numbers.
@@ -79,3 +85,61 @@
     assert!(drift.holds(start + Duration::from_secs(2), 1));
     assert!(!drift.holds(start + Duration::from_secs(40), 1));
 }
+
+/// The part of a second's requests after the first 0.3 s that goes away, at a host of a region that has a tenth of all targets and
+/// gets `rate` requests a second, a fifth of its region's.
+fn away_of_a_small_region(rate: u64) -> f64 {
+    let regions: BTreeMap<Arc<str>, Arc<str>> = [("n-a", "n"), ("s-a", "s")]
+        .map(|(zone, region)| (zone.into(), region.into()))
+        .into();
+    let start = Instant::now();
+    let mut fleet = Fleet::new(start, "own".into(), "n-a".into(), regions, 1.0);
+    for index in 0..1000 {
+        let registration = Registration {
+            id: format!("t{index}").into(),
+            service: "books".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            zone: if index < 100 { "n-a" } else { "s-a" }.into(),
+            slots: 4,
+            state: State::Ready,
+            cold_left: Duration::ZERO,
+            born: None,
+        };
+        fleet.register(start, registration);
+    }
+    fleet.set_goal("books".into(), Duration::from_millis(800));
+    fleet.set_share(Some(0.2));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let (mut away, mut all) = (0, 0);
+    for request in 0..rate {
+        let now = start + Duration::from_millis(request * 1000 / rate);
+        let ask = Ask {
+            service: &"books".into(),
+            key: request.wrapping_mul(STRIDE),
+            object: None,
+            homes: &BTreeSet::new(),
+            tried: Vec::new(),
+            bytes: 0,
+        };
+        let target = fleet.choose(now, &ask, |_| true).unwrap();
+        let is_away = &**fleet.member(target).unwrap().region() == "s";
+        fleet.finish(now, target, End::Cancelled, Seen::default(), &mut rng);
+        if now >= start + Duration::from_millis(300) {
+            all += 1;
+            away += u32::from(is_away);
+        }
+    }
+    f64::from(away) / f64::from(all)
+}
+
+#[test]
+fn a_small_region_that_has_plenty_keeps_its_requests() {
+    let away = away_of_a_small_region(20);
+    assert!(away < 0.1, "{away}");
+}
+
+#[test]
+fn a_small_region_that_needs_more_sends_requests_away() {
+    let away = away_of_a_small_region(100);
+    assert!(away > 0.6, "{away}");
+}
