--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -344,17 +344,19 @@
         .map_err(|_| Broken::Connect)??;
     let known = write(&Message::Known(known));
     socket.send(Packet::Binary(known)).await?;
-    let knows_hosts = host.core.borrow().presence.is_listed();
-    if !knows_hosts {
-        // Without this a host that starts while the store is away takes itself for the only one.
-        socket.send(Packet::Binary(write(&Message::Ask))).await?;
-    }
+    let mut has_asked = false;
     let asks = host.settings.bounds.withdrawal.is_some();
     let mut question = tokio::time::interval(proof::FOLLOWER);
     let mut asked = None;
     let mut heard = now();
     let mut parts = Vec::new();
     loop {
+        // A host that starts while the store is away would take itself for the only one. One that has not read yet who the
+        // others are is about to: all hosts may start at once, and to tell each of all others takes as much as its copy.
+        let needs_hosts = host.joined.get() && !host.core.borrow().presence.is_listed();
+        if needs_hosts && !std::mem::replace(&mut has_asked, true) {
+            socket.send(Packet::Binary(write(&Message::Ask))).await?;
+        }
         let until = (heard + SILENCE).into();
         let packet = tokio::select! {
             packet = tokio::time::timeout_at(until, socket.next()) => packet.map_err(|_| Broken::Silent)?,
