The list of hosts is read as it may have been, until it has the own registration

Each host that starts read the newest list of all hosts, some five pages of 200 at the full price: the square of the hosts. Now it reads what may be some seconds old at a tenth, again after 1 s while its own registration is not in it, and once more after 10 s; the sixth read is of the newest. What is old is enough to know most others at once after a common restart. Registrations are removed and the own one is missed only by a list that is complete. A host introduces itself once to each other, not to all after each list.

--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -1,6 +1,7 @@
 //! The host's own registration in the store, and how it learns of the other hosts.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +13,11 @@
 
 /// How often the registrations of hosts are read again, to find hosts whose heartbeats are lost.
 const HOSTS: Duration = Duration::from_secs(120);
+/// Time until they are read again if the own one was not among them yet, and how often what may be old is read then.
+const AGAIN: Duration = Duration::from_secs(1);
+const OLD_READS: u32 = 5;
+/// Time until they are read once more after that, as the pages of an answer that may be old need not be equally old.
+const CONFIRM: Duration = Duration::from_secs(10);
 /// Writes of the own registration are tried so many times on conflicts.
 const WRITES: usize = 8;
 /// How long a host that has just started waits for answers to its first heartbeat: some round
@@ -19,27 +25,54 @@
 const MEET: Duration = Duration::from_millis(40);
 
 /// Registers the host and learns of the others; looks again now and then.
+///
+/// The list of hosts is read as it may have been some seconds ago, at a tenth of the price: if each of all hosts that start at
+/// once read the newest one, that would be the square of the hosts. Read again until it has the own registration it has all that
+/// are older, and who registers later finds this one.
 pub(crate) async fn run(host: Rc<Host>) {
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
+    let mut introduced = BTreeSet::new();
+    let mut reads = 0;
+    let mut is_confirmed = false;
     loop {
         let known = async {
             if host.core.borrow().registered.is_none() {
                 register(&host, &mut client).await?;
             }
-            sync::read(&mut client, Kind::Hosts, Age::Latest).await
+            let age = if reads < OLD_READS {
+                Age::Some
+            } else {
+                Age::Latest
+            };
+            sync::read(&mut client, Kind::Hosts, age).await
         };
         match known.await {
             Ok((entries, _)) => {
-                tidy(&host, &mut client, &entries).await;
-                host.core.borrow_mut().meet(now(), entries);
-                beat::send_to_all(&host).await;
-                if !host.joined.get() {
-                    tokio::time::sleep(MEET).await;
-                    host.joined.set(true);
-                }
+                reads += 1;
                 pause = Pause::new();
-                tokio::time::sleep(HOSTS).await;
+                let is_complete = reads > OLD_READS || has_own(&host, &entries);
+                if is_complete {
+                    tidy(&host, &mut client, &entries).await;
+                }
+                if is_complete || has_others(&host, &entries) {
+                    host.core.borrow_mut().meet(now(), entries);
+                    introduce(&host, &mut introduced).await;
+                    if !host.joined.get() {
+                        tokio::time::sleep(MEET).await;
+                        host.joined.set(true);
+                    }
+                }
+                let wait = match (is_complete, is_confirmed) {
+                    (false, _) => AGAIN,
+                    (true, false) => CONFIRM,
+                    (true, true) => HOSTS,
+                };
+                is_confirmed = is_complete;
+                if is_complete {
+                    reads = 0;
+                }
+                tokio::time::sleep(wait).await;
             }
             Err(error) => {
                 spdlog::debug!("sync: the other hosts are not known yet: {error}");
@@ -50,6 +83,28 @@
     }
 }
 
+/// Whether a list of hosts has this one as it has registered.
+fn has_own(host: &Host, entries: &[Entry]) -> bool {
+    let core = host.core.borrow();
+    let name = &core.presence.own().host;
+    let own = entries.iter().find(|entry| entry.name == *name);
+    own.is_some_and(|entry| Some(entry.version) >= core.registered)
+}
+
+/// Whether a list of hosts has others than this one.
+fn has_others(host: &Host, entries: &[Entry]) -> bool {
+    let core = host.core.borrow();
+    let name = &core.presence.own().host;
+    entries.iter().any(|entry| entry.name != *name)
+}
+
+/// Introduces this host to those that it has not been introduced to.
+async fn introduce(host: &Host, introduced: &mut BTreeSet<SocketAddr>) {
+    let peers = beat::all(host).into_iter();
+    let new: Vec<SocketAddr> = peers.filter(|peer| introduced.insert(*peer)).collect();
+    beat::introduce_to(host, &new).await;
+}
+
 /// Removes registrations of hosts that died, which nobody else does, and notices when the own one
 /// is gone, so that it is written again: this host may have been taken for dead.
 async fn tidy(host: &Rc<Host>, client: &mut Client, entries: &[Entry]) {
