--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -2,9 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
+
 use super::log::Event;
 use super::store::{Client, Error};
 use super::sync::{self, Pause};
@@ -16,8 +19,9 @@
 /// Time until they are read again if the own one was not among them yet, and how often what may be old is read then.
 const AGAIN: Duration = Duration::from_secs(1);
 const OLD_READS: u32 = 5;
-/// Time until they are read once more after that, as the pages of an answer that may be old need not be equally old.
-const CONFIRM: Duration = Duration::from_secs(10);
+/// Time until they are read once more after that, as the pages of an answer that may be old need not be equally old; and until
+/// the next try if that fails. It varies, as all hosts may have started at once.
+const CONFIRM: Range<f64> = 10.0..20.0;
 /// Writes of the own registration are tried so many times on conflicts.
 const WRITES: usize = 8;
 /// How long a host that has just started waits for answers to its first heartbeat: some round
@@ -65,7 +69,7 @@
                 }
                 let wait = match (is_complete, is_confirmed) {
                     (false, _) => AGAIN,
-                    (true, false) => CONFIRM,
+                    (true, false) => later(&host),
                     (true, true) => HOSTS,
                 };
                 is_confirmed = is_complete;
@@ -75,14 +79,24 @@
                 tokio::time::sleep(wait).await;
             }
             Err(error) => {
-                spdlog::debug!("sync: the other hosts are not known yet: {error}");
-                pause.wait(&host).await;
+                spdlog::debug!("sync: the hosts could not be read: {error}");
+                if host.core.borrow().presence.is_listed() {
+                    // A store that fails is not to be asked by all hosts again and again for what they know.
+                    tokio::time::sleep(later(&host)).await;
+                } else {
+                    pause.wait(&host).await;
+                }
                 host.joined.set(true);
             }
         }
     }
 }
 
+fn later(host: &Host) -> Duration {
+    let seconds = host.core.borrow_mut().rng.random_range(CONFIRM);
+    Duration::from_secs_f64(seconds)
+}
+
 /// Whether a list of hosts has this one as it has registered.
 fn has_own(host: &Host, entries: &[Entry]) -> bool {
     let core = host.core.borrow();
