--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant};
+use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,7 @@
 use tokio_tungstenite::tungstenite::{self, Bytes, Message as Packet};
 use tokio_tungstenite::WebSocketStream;
 
+use super::copy::{self, Copy};
 use super::log::Event;
 use super::{beat, client, now, proof, serve, Error, Gap, Host};
 use crate::control::presence::{Record, Sight};
@@ -30,10 +31,6 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Updates that may wait for a slow follower; one that falls further behind has to start anew.
 const QUEUE: usize = 64;
-/// Objects in one message of a copy. Each follower's connection buffers one message, not a copy.
-const PART: usize = 256;
-/// How long a whole copy is used for further followers. Cold targets are told to be cold for so much longer.
-const KEPT: Duration = Duration::from_millis(500);
 /// Buffer of a connection, in bytes: most updates are a few hundred.
 const BUFFER: usize = 4 << 10;
 /// The longest message, in bytes: the store holds no larger objects, and a copy has many small ones.
@@ -44,7 +41,7 @@
 
 /// What a feed says.
 #[derive(Debug, Serialize, Deserialize)]
-enum Message {
+pub(super) enum Message {
     /// What the sender knows of the store.
     Sight(Sight),
     /// What a follower has, the first thing that it says: the revision of each kind.
@@ -101,14 +98,7 @@
 pub(crate) struct Followers {
     queues: Vec<Sender<Bytes>>,
     /// Whole copies that are on their way to some of them.
-    copies: BTreeMap<Kind, Copy>,
-}
-
-/// A whole copy of a kind, as messages that all followers share that are sent it.
-struct Copy {
-    made: Instant,
-    revision: u64,
-    messages: Weak<[Bytes]>,
+    pub(super) copies: BTreeMap<Kind, Copy>,
 }
 
 impl Followers {
@@ -132,7 +122,7 @@
     }
 }
 
-fn write(message: &Message) -> Bytes {
+pub(super) fn write(message: &Message) -> Bytes {
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(message, &mut bytes) {
         spdlog::error!("feed: cannot write a message: {error}");
@@ -199,8 +189,8 @@
     let mut queue = host.followers.borrow_mut().add();
     for kind in KINDS {
         let messages = match known.get(&kind) {
-            Some(revision) => difference(host, kind, *revision),
-            None => whole(host, kind),
+            Some(revision) => copy::difference(host, kind, *revision),
+            None => copy::whole(host, kind),
         };
         for bytes in messages.iter() {
             socket.send(Packet::Binary(bytes.clone())).await?;
@@ -236,57 +226,6 @@
     }
 }
 
-/// The messages that bring a follower up to date that has a kind as it was at a revision.
-fn difference(host: &Host, kind: Kind, revision: u64) -> Rc<[Bytes]> {
-    let core = host.core.borrow();
-    let away = core.presence.was_store_away(now());
-    let update = core.replica.since(now(), kind, revision, away);
-    update.map_or_else(Default::default, |update| {
-        messages(update, core.replica.digest(kind))
-    })
-}
-
-/// The messages of a whole copy of a kind. Followers that come at the same time get the same ones: after a common start they are
-/// many, and each copy is as large as all targets together.
-fn whole(host: &Host, kind: Kind) -> Rc<[Bytes]> {
-    let core = host.core.borrow();
-    let Some(revision) = core.replica.revision(kind) else {
-        return Rc::default();
-    };
-    let copies = &mut host.followers.borrow_mut().copies;
-    let kept = copies.get(&kind).filter(|copy| {
-        copy.revision == revision && now().saturating_duration_since(copy.made) < KEPT
-    });
-    if let Some(messages) = kept.and_then(|copy| copy.messages.upgrade()) {
-        return messages;
-    }
-    let away = core.presence.was_store_away(now());
-    let Some(update) = core.replica.whole(now(), kind, away) else {
-        return Rc::default();
-    };
-    let messages = messages(update, core.replica.digest(kind));
-    let copy = Copy {
-        made: now(),
-        revision,
-        messages: Rc::downgrade(&messages),
-    };
-    copies.insert(kind, copy);
-    messages
-}
-
-/// An update in parts, and the digest of what it leads to.
-fn messages(mut update: Update, digest: u64) -> Rc<[Bytes]> {
-    let (kind, revision) = (update.kind, update.to);
-    let mut messages = Vec::new();
-    while update.entries.len() > PART {
-        let rest = update.entries.len() - PART;
-        messages.push(write(&Message::Part(update.entries.split_off(rest))));
-    }
-    messages.push(write(&Message::Update(update)));
-    messages.push(write(&Message::Digest(kind, revision, digest)));
-    messages.into()
-}
-
 /// What a follower's message is answered with.
 fn reply(host: &Host, packet: Packet) -> Result<Option<Bytes>, Broken> {
     let Packet::Binary(bytes) = packet else {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -9,6 +9,7 @@
 mod begin;
 mod body;
 mod client;
+mod copy;
 mod core;
 mod error;
 mod exchange;
