--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -37,25 +37,12 @@
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
     let mut introduced = BTreeSet::new();
-    let mut reads = 0;
-    let mut is_confirmed = false;
+    let mut course = Course::default();
     loop {
-        let known = async {
-            if host.core.borrow().registered.is_none() {
-                register(&host, &mut client).await?;
-            }
-            let age = if reads < OLD_READS {
-                Age::Some
-            } else {
-                Age::Latest
-            };
-            sync::read(&mut client, Kind::Hosts, age).await
-        };
-        match known.await {
-            Ok((entries, _)) => {
-                reads += 1;
+        match read(&host, &mut client, course.age()).await {
+            Ok(entries) => {
                 pause = Pause::new();
-                let is_complete = reads > OLD_READS || has_own(&host, &entries);
+                let is_complete = course.age() == Age::Latest || has_own(&host, &entries);
                 if is_complete {
                     tidy(&host, &mut client, &entries).await;
                 }
@@ -67,16 +54,7 @@
                         host.joined.set(true);
                     }
                 }
-                let wait = match (is_complete, is_confirmed) {
-                    (false, _) => AGAIN,
-                    (true, false) => later(&host),
-                    (true, true) => HOSTS,
-                };
-                is_confirmed = is_complete;
-                if is_complete {
-                    reads = 0;
-                }
-                tokio::time::sleep(wait).await;
+                tokio::time::sleep(course.pause(&host, is_complete)).await;
             }
             Err(error) => {
                 spdlog::debug!("sync: the hosts could not be read: {error}");
@@ -92,6 +70,47 @@
     }
 }
 
+/// Registers the host if it is not, and reads the list of hosts.
+async fn read(host: &Rc<Host>, client: &mut Client, age: Age) -> Result<Vec<Entry>, Error> {
+    if host.core.borrow().registered.is_none() {
+        register(host, client).await?;
+    }
+    let (entries, _) = sync::read(client, Kind::Hosts, age).await?;
+    Ok(entries)
+}
+
+/// How far the reading of the list of hosts has come.
+#[derive(Default)]
+struct Course {
+    /// Lists in a row that were not complete.
+    incomplete: u32,
+    /// Whether the last list was complete.
+    is_complete: bool,
+}
+
+impl Course {
+    /// How old the next list may be.
+    fn age(&self) -> Age {
+        if self.incomplete < OLD_READS {
+            Age::Some
+        } else {
+            Age::Latest
+        }
+    }
+
+    /// Notes a list; gives the time until the next one.
+    fn pause(&mut self, host: &Host, is_complete: bool) -> Duration {
+        let was_complete = std::mem::replace(&mut self.is_complete, is_complete);
+        self.incomplete = if is_complete { 0 } else { self.incomplete + 1 };
+        match (is_complete, was_complete) {
+            (false, _) => AGAIN,
+            (true, false) => later(host),
+            (true, true) => HOSTS,
+        }
+    }
+}
+
+/// The time until a list is read that is not urgent.
 fn later(host: &Host) -> Duration {
     let seconds = host.core.borrow_mut().rng.random_range(CONFIRM);
     Duration::from_secs_f64(seconds)
