--- a/src/host/beat.rs
+++ b/src/host/beat.rs
@@ -178,9 +178,9 @@
     ledger.hear(now(), teller, tallies);
 }
 
-/// Introduces this host to others.
-pub(crate) async fn introduce_to(host: &Host, peers: &[SocketAddr]) {
-    beat(host, peers).await;
+/// Introduces this host to all others.
+pub(crate) async fn send_to_all(host: &Host) {
+    beat(host, &all(host)).await;
 }
 
 /// Tells those whom it concerns what this host knows of the store, which was `before` until now.
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -333,7 +333,7 @@
                     hosts = records.len()
                 });
                 host.core.borrow_mut().hear_of(now(), records);
-                beat::introduce_to(host, &beat::all(host)).await;
+                beat::send_to_all(host).await;
             }
             Message::Part(entries) => parts.push(entries),
             Message::Update(mut update) => {
