A region that lost its watchers follows another region before its hosts watch the store

A host begins to watch after 1 s now if anybody sees the store, after 0.3 s as before if nobody does.

--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -9,6 +9,12 @@
 /// Hosts of a region for each one that watches the store. More followers would load its link at each
 /// large change.
 const FOLLOWERS: usize = 60;
+/// How long a host is to be one of those that watch before it begins, if nobody sees the store: heartbeats come one after the
+/// other.
+const BEGIN: Duration = Duration::from_millis(300);
+/// The same if hosts of other regions see it. To follow one of them takes several round trips; where that took longer, all hosts
+/// of a region that lost its watchers began to watch.
+const BEGIN_BESIDE: Duration = Duration::from_millis(1000);
 /// Hosts of all regions that watch the store at the least: the store may turn one away, and another one
 /// has to see it then. Each more is paid for: six in place of three lowered the mean worth by 0.0015.
 const LEAST: usize = 3;
@@ -59,6 +65,15 @@
         before.count() < self.watchers()
     }
 
+    /// How long this host is to be one of those that watch the store before it begins.
+    pub fn watch_delay(&self, now: Instant) -> Duration {
+        if self.is_store_seen(now) {
+            BEGIN_BESIDE
+        } else {
+            BEGIN
+        }
+    }
+
     /// How many hosts of the own region are to watch the store.
     fn watchers(&self) -> usize {
         let zones = self.zones.keys().chain([&self.own.zone]);
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -85,7 +85,8 @@
         if host.joined.get() && !wanted {
             reach.look(&host, now);
         }
-        let watch = steady.turn(wanted);
+        let begin = host.core.borrow().presence.watch_delay(now);
+        let watch = steady.turn(now, wanted, begin);
         if watch && watchers.is_empty() {
             log::watching(true);
             watchers = KINDS
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -12,9 +12,8 @@
 use super::Host;
 use crate::port::{Call, Kind};
 
-/// Decisions in a row until a host begins to watch the store, and until it leaves it to others.
-const BEGIN: u32 = 3;
-const END: u32 = 15;
+/// How long it is decided so until a host leaves the watching to others.
+const END: Duration = Duration::from_millis(1500);
 /// How long a host tries to watch a store that it reached so.
 const REACHED: Duration = Duration::from_secs(3);
 
@@ -97,25 +96,27 @@
     }
 }
 
-/// A decision that changes only after it was asked for some times in a row: each change costs calls to
-/// the store, and hosts see the beats of the others one after the other.
+/// A decision that changes only after it was asked for some time without a break: each change costs calls to the store, and hosts
+/// see the beats of the others one after the other.
 #[derive(Default)]
 pub(crate) struct Steady {
     on: bool,
-    asked: u32,
+    /// Since when the other decision was asked for.
+    since: Option<Instant>,
 }
 
 impl Steady {
-    pub(crate) fn turn(&mut self, wanted: bool) -> bool {
+    /// Whether to watch the store; a host begins to do so after `begin`.
+    pub(crate) fn turn(&mut self, now: Instant, wanted: bool, begin: Duration) -> bool {
         if wanted == self.on {
-            self.asked = 0;
+            self.since = None;
             return self.on;
         }
-        self.asked += 1;
-        let enough = if wanted { BEGIN } else { END };
-        if self.asked >= enough {
+        let since = *self.since.get_or_insert(now);
+        let enough = if wanted { begin } else { END };
+        if now.saturating_duration_since(since) >= enough {
             self.on = wanted;
-            self.asked = 0;
+            self.since = None;
         }
         self.on
     }
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -863,3 +863,18 @@
         0
     );
 }
+
+#[test]
+fn a_host_follows_another_region_before_it_watches_the_store() {
+    let now = Instant::now();
+    // To connect, to open a feed, to tell what is known and to be told what is new.
+    let to_follow = Duration::from_millis(110) * 4;
+    let mut presence = presence(now, &[("h1", "s-a")]);
+    presence.see(Sight::Stale);
+    assert!(
+        presence.watch_delay(now) < to_follow,
+        "nobody sees the store"
+    );
+    presence.hear(now, beat(record("h1", "s-a", 1), Sight::Store));
+    assert!(presence.watch_delay(now) >= to_follow * 2);
+}
