The count of open slots is asked for by its own name

slots_near was a second name for it, and its comment said all slots where only those of targets that are open are counted. No change of behaviour.

--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -166,7 +166,7 @@
             self.drifts.insert(service.clone(), drift);
         }
         let (goal, share) = (self.goals.get(service).copied(), self.share);
-        let slots = self.slots_near(service);
+        let slots = self.counted_slots(service).unwrap_or_default();
         let drift = self.drifts.entry(service.clone());
         let drift = drift.or_insert_with(|| Drift::new(now));
         drift.judge(now, |rate| {
@@ -179,11 +179,6 @@
         drift
     }
 
-    /// The slots of all targets of the own region.
-    fn slots_near(&self, service: &str) -> u32 {
-        self.counted_slots(service).unwrap_or_default()
-    }
-
     /// The time until one of the first choices of a request is expected to have room for it.
     pub fn room_in(&self, now: Instant, ask: &Ask<'_>) -> Duration {
         let habit = self.habit(ask.service);
