A host sees the store only as far as its answers show

Cause: a watch that waits when the store or its connection falls silent gets no answer for up to 18 s; meanwhile a check, a call of its own that may be answered from an old copy, vouched for all watches. Everybody who followed such a host took what it knew for new. Now one inquiry asks for the short list of evacuated zones as it is now, and so for the store's revision; a kind whose copy is behind it is asked for its changes. Only these answers make a host claim to see the store, and an unanswered one ends the claim. Watches only make changes come sooner; they are asked anew after an outage, and when an inquiry finds what they should have told. Where accounts ask for a proof, the inquiry is that proof too.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod delegate;
 pub mod detector;
 pub mod digest;
+pub mod freshness;
 pub mod lease;
 mod member;
 pub mod membership;
--- a/src/control/proof.rs
+++ b/src/control/proof.rs
@@ -26,6 +26,11 @@
         Self { steady, awake }
     }
 
+    /// What the runtime's clock said.
+    pub fn steady(self) -> Instant {
+        self.steady
+    }
+
     /// The time since an earlier moment, by the clock that says more.
     pub fn since(self, earlier: Self) -> Duration {
         let steady = self.steady.saturating_duration_since(earlier.steady);
--- /dev/null
+++ b/src/host/inquiry.rs
@@ -0,0 +1,133 @@
+//! Asks the store whether this host's copy of it is current, and brings the copy up to date if not.
+//!
+//! The list of evacuated availability zones is short, and its answer names the store's revision. A copy of another kind that has
+//! this revision lacks nothing; of others the changes are asked for. So what a watch should have told is found though the watch
+//! hangs, and an answer that is ready is never taken for more than it shows.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::log::Event;
+use super::store::{Client, Error};
+use super::sync::{self, News};
+use super::{proof, Host};
+use crate::control::proof::Moment;
+use crate::port::{Age, Kind};
+
+/// Time between an answer and the next question of a host that watches the store.
+const INTERVAL: Duration = Duration::from_millis(600);
+/// How long the store may take for an answer. A host that has lost it has to notice, and its followers have to find another
+/// source, well before a change has to be in force.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// How long the copy counts as current after a question: until the next question has its answers.
+pub(super) const TERM: Duration = Duration::from_millis(2400);
+
+/// What asks.
+pub(super) struct Inquiry {
+    host: Rc<Host>,
+    client: Client,
+    configs: Client,
+    targets: Client,
+}
+
+impl Inquiry {
+    pub(super) fn new(host: &Rc<Host>) -> Self {
+        let client = || Client::new(host);
+        Self {
+            host: host.clone(),
+            client: client(),
+            configs: client(),
+            targets: client(),
+        }
+    }
+
+    /// Asks once, and notes what the answer shows.
+    pub(super) async fn ask(&mut self) -> Result<(), Error> {
+        let asked = proof::moment();
+        let host = &self.host;
+        let list = sync::list(host, &mut self.client, Kind::Evacuations, Age::Latest);
+        let revision = in_time(list).await?;
+        host.watching.show(Kind::Evacuations, asked.steady());
+        let configs = bring(host, &mut self.configs, Kind::Config, asked, revision);
+        let targets = bring(host, &mut self.targets, Kind::Targets, asked, revision);
+        let (configs, targets) = tokio::join!(in_time(configs), in_time(targets));
+        configs.and(targets)
+    }
+}
+
+async fn in_time<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    let result = tokio::time::timeout(PATIENCE, call).await;
+    result.unwrap_or(Err(Error::Timeout))
+}
+
+/// Brings the copy of a kind at least to the store's revision.
+async fn bring(
+    host: &Rc<Host>,
+    client: &mut Client,
+    kind: Kind,
+    asked: Moment,
+    revision: u64,
+) -> Result<(), Error> {
+    let is_behind = || host.core.borrow().replica.revision(kind) < Some(revision);
+    if is_behind() {
+        let _turn = host.watching.turn(kind).await;
+        if is_behind() && catch_up(host, client, kind).await? == News::Some {
+            // The watch should have told; its connection may be silent.
+            host.watching.renew(kind);
+        }
+    }
+    host.watching.show(kind, asked.steady());
+    if kind == Kind::Config && !host.watching.config_unread.get() {
+        proof::shown(host, asked);
+    }
+    Ok(())
+}
+
+/// Asks for the changes of a kind, or for all of it if they can't be had.
+pub(super) async fn catch_up(
+    host: &Rc<Host>,
+    client: &mut Client,
+    kind: Kind,
+) -> Result<News, Error> {
+    let known = host.core.borrow().replica.revision(kind);
+    if let Some(revision) = known {
+        let news = sync::watch(host, client, kind, revision, Duration::ZERO).await?;
+        if news != News::Unknown {
+            return Ok(news);
+        }
+    }
+    sync::list(host, client, kind, Age::Latest).await?;
+    Ok(News::Some)
+}
+
+/// Asks for ever, as a host that watches the store.
+pub(super) async fn run(host: Rc<Host>) {
+    let mut inquiry = Inquiry::new(&host);
+    loop {
+        let result = inquiry.ask().await;
+        note(&host, result).await;
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Notes whether the store answered all questions.
+pub(super) async fn note(host: &Rc<Host>, result: Result<(), Error>) {
+    let answers = result.is_ok();
+    if !answers {
+        host.watching.forget();
+    }
+    if host.watching.answers.replace(answers) != answers {
+        let error = result.err().map(|error| error.to_string());
+        spdlog::info!("inquiry: the store answers otherwise", kv: {
+            event = Event::Reach.as_str(),
+            answers,
+            error = error.as_deref().unwrap_or_default()
+        });
+        if answers {
+            // Watches that waited when the store fell silent may never be answered.
+            host.watching.renew_all();
+        }
+    }
+    sync::note_sight(host).await;
+}
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -112,6 +112,8 @@
     Differs => "store.differs",
     /// The store answers no more, or again.
     Reach => "store.reach",
+    /// A host that does not watch the store asked whether it answers, as nobody is known to see it.
+    Look => "store.look",
     /// A kind of objects is no longer told by the store, or is again.
     Kind => "store.kind",
     /// An object in the store can't be read.
@@ -216,6 +218,16 @@
     });
 }
 
+/// A host asked a store that nobody is known to see.
+pub(crate) fn looked(result: &Result<(), super::store::Error>) {
+    let error = result.as_ref().err().map(ToString::to_string);
+    spdlog::info!("a look at the store has ended", kv: {
+        event = Event::Look.as_str(),
+        answers = result.is_ok(),
+        error = error.as_deref().unwrap_or_default()
+    });
+}
+
 /// The store tells a kind of objects no longer, because of `error`, or again.
 pub(crate) fn kind(kind: Kind, error: Option<&super::store::Error>) {
     let error = error.map(ToString::to_string);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod feed;
 mod front;
+mod inquiry;
 mod join;
 mod log;
 mod lookup;
@@ -148,7 +149,7 @@
         beats: RefCell::new(None),
         followers: RefCell::default(),
         followed: Cell::new(None),
-        watching: watcher::Watching::default(),
+        watching: watcher::Watching::new(),
         begin: begin::Begin::new(now(), &settings),
         joined: Cell::new(false),
         failed: RefCell::default(),
--- a/src/host/proof.rs
+++ b/src/host/proof.rs
@@ -9,20 +9,16 @@
 use nix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 
-use super::store::{Client, Error};
-use super::{now, sync, Host};
+use super::inquiry::Inquiry;
+use super::{now, Host};
 use crate::control::proof::{Moment, CAUTION};
-use crate::port::{Age, Kind};
 
-/// Time between two questions of a host that watches the store. With the time between two questions of a follower, it is what a
-/// follower's proof is old when the next one comes: half of a usual term of 5 s.
-const WATCHER: Duration = Duration::from_millis(1200);
 /// Time between two questions of a follower.
 pub(super) const FOLLOWER: Duration = Duration::from_secs(1);
-/// How often a host looks whether its own proof has become old, and time between two questions then.
+/// How often a host looks whether its own proof has become old.
 const LOOK: Duration = Duration::from_millis(250);
-/// How long a question may take.
-const PATIENCE: Duration = Duration::from_millis(800);
+/// Time between two questions of a host whose own proof has become old.
+const PAUSE: Duration = Duration::from_millis(800);
 
 /// What a host tells its followers.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -75,40 +71,13 @@
     }
 }
 
-/// Asks the store whether there is news of the configuration.
-async fn ask(host: &Rc<Host>, client: &mut Client) -> Result<(), Error> {
-    let known = host.core.borrow().replica.revision(Kind::Config);
-    if let Some(revision) = known {
-        if sync::watch(host, client, Kind::Config, revision, Duration::ZERO).await? {
-            return Ok(());
-        }
-    }
-    sync::list(host, client, Kind::Config, Age::Latest).await
-}
-
-async fn ask_in_time(host: &Rc<Host>, client: &mut Client) {
-    let result = tokio::time::timeout(PATIENCE, ask(host, client)).await;
-    if let Err(error) = result.unwrap_or(Err(Error::Timeout)) {
-        spdlog::debug!("proof: the store does not tell whether there is news: {error}");
-    }
-}
-
-/// Asks for ever, as a host that watches the store.
-pub(super) async fn watch(host: Rc<Host>) {
-    let mut client = Client::new(&host);
-    loop {
-        ask_in_time(&host, &mut client).await;
-        tokio::time::sleep(WATCHER).await;
-    }
-}
-
 /// Asks whenever the own proof has become old although some host reaches the store. If none does, that is left to those that look
 /// for the store's return.
 pub(super) async fn assure(host: Rc<Host>) {
     let Some(term) = host.settings.bounds.withdrawal else {
         return;
     };
-    let mut client = Client::new(&host);
+    let mut inquiry = Inquiry::new(&host);
     let caution = term.mul_f64(CAUTION);
     loop {
         tokio::time::sleep(LOOK).await;
@@ -118,8 +87,10 @@
             is_old && host.joined.get() && core.presence.is_store_seen(now())
         };
         if needed {
-            ask_in_time(&host, &mut client).await;
-            tokio::time::sleep(PATIENCE).await;
+            if let Err(error) = inquiry.ask().await {
+                spdlog::debug!("proof: the store does not tell whether there is news: {error}");
+            }
+            tokio::time::sleep(PAUSE).await;
         }
     }
 }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -8,11 +8,11 @@
 use rand::RngExt;
 use tokio::task::AbortHandle;
 
-use super::feed::{self, KINDS};
+use super::feed;
 use super::log::{self, Event};
 use super::store::{Client, Error};
-use super::watcher::{Reach, Steady};
-use super::{beat, join, now, proof, Host};
+use super::watcher::{Reach, Steady, WATCHED};
+use super::{beat, inquiry, join, now, proof, Host};
 use crate::control::presence::{Record, Sight};
 use crate::control::replica::Update;
 use crate::port::{Age, Call, Entry, Kind, Reply};
@@ -29,13 +29,6 @@
 /// How often it is decided whether to watch the store and whom to follow.
 const DECIDE: Duration = Duration::from_millis(100);
 
-/// Time between two checks that the store still answers. A store that is away may leave watches
-/// waiting, so that they don't show it.
-const CHECK: Duration = Duration::from_millis(600);
-/// How long the store may take to answer a check. A host that has lost it has to notice, and its
-/// followers have to find another source, well before a change has to be in force.
-pub(super) const CHECK_PATIENCE: Duration = Duration::from_millis(800);
-
 /// How long a feed that failed is passed over: until a host that died is known to be dead.
 const FAILED: Duration = Duration::from_secs(3);
 
@@ -89,23 +82,21 @@
         let watch = steady.turn(now, wanted, begin);
         if watch && watchers.is_empty() {
             log::watching(true);
-            watchers = KINDS
+            host.watching.begin();
+            watchers = WATCHED
                 .iter()
                 .map(|kind| {
                     tokio::task::spawn_local(watch_kind(host.clone(), *kind)).abort_handle()
                 })
                 .collect();
-            watchers.push(tokio::task::spawn_local(check(host.clone())).abort_handle());
-            if host.settings.bounds.withdrawal.is_some() {
-                watchers.push(tokio::task::spawn_local(proof::watch(host.clone())).abort_handle());
-            }
+            watchers.push(tokio::task::spawn_local(inquiry::run(host.clone())).abort_handle());
         }
         if !watch && !watchers.is_empty() {
             log::watching(false);
             watchers.drain(..).for_each(|task| task.abort());
-            host.watching.clear();
+            host.watching.end();
         }
-        let sees = host.watching.is_complete();
+        let sees = host.watching.sees(now);
         let wanted = if sees { None } else { source(&host, now) };
         let over = following
             .as_ref()
@@ -160,7 +151,7 @@
 /// Sets what this host knows of the store, and tells others if that is news.
 pub(super) async fn note_sight(host: &Rc<Host>) {
     let known = host.knows_store();
-    let sees = host.watching.is_complete();
+    let sees = host.watching.sees(now());
     let relayed = host.followed.get() == Some(Sight::Store) || host.begin.is_fresh(now());
     let news = {
         let core = &mut *host.core.borrow_mut();
@@ -188,90 +179,71 @@
     }
 }
 
-/// Checks for ever that the store answers.
-async fn check(host: Rc<Host>) {
-    let mut client = Client::new(&host);
-    loop {
-        tokio::time::sleep(CHECK).await;
-        let call = client.call(&Call::Check);
-        let result = tokio::time::timeout(CHECK_PATIENCE, call)
-            .await
-            .unwrap_or(Err(Error::Timeout));
-        let silent = result.is_err();
-        if host.watching.silent.replace(silent) != silent {
-            let error = result.err().map(|error| error.to_string());
-            spdlog::info!("sync: a check of the store ended otherwise", kv: {
-                event = Event::Reach.as_str(),
-                answers = !silent,
-                error = error.as_deref().unwrap_or_default()
-            });
-        }
-    }
-}
-
-/// Lists and watches one kind for ever.
+/// Watches one kind for ever.
+///
+/// What is known is brought up to date by its changes: a target that said that it leaves and then left is only missing in a
+/// list, as one that may return.
 async fn watch_kind(host: Rc<Host>, kind: Kind) {
     let mut client = Client::new(&host);
     let mut pause = Pause::new();
     let mut lost = false;
-    // What was read at the start, or told by another host, is brought up to date by its changes: a target that said that it
-    // leaves and then left is only missing in a list, as one that may return.
-    let mut listed = true;
-    let mut seen = host.begin.is_fresh(now());
-    if seen {
-        host.watching.set(kind, true);
-    }
     loop {
-        let known = host.core.borrow().replica.revision(kind);
-        let result = match known {
-            Some(revision) if listed => {
-                let wait = host.core.borrow_mut().rng.random_range(WAIT);
-                // What is known may be old: the first answer is to come at once.
-                let wait = if seen { wait } else { 0.0 };
-                watch(
-                    &host,
-                    &mut client,
-                    kind,
-                    revision,
-                    Duration::from_secs_f64(wait),
-                )
-                .await
+        if !host.watching.answers.get() {
+            // It is asked by one inquiry for all kinds, and not by each of them.
+            host.watching.renewed(kind).await;
+        }
+        let result = tokio::select! {
+            result = wait(&host, &mut client, kind) => result,
+            () = host.watching.renewed(kind) => {
+                client = Client::new(&host);
+                continue;
             }
-            _ => list(&host, &mut client, kind, Age::Latest)
-                .await
-                .map(|()| true),
         };
         match result {
-            Ok(go_on) => {
+            Ok(()) => {
                 if std::mem::take(&mut lost) {
                     log::kind(kind, None);
                 }
-                listed = go_on;
-                seen |= go_on;
-                host.watching.set(kind, seen);
                 pause = Pause::new();
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
                     log::kind(kind, Some(&error));
                 }
-                host.watching.set(kind, false);
                 pause.wait(&host).await;
             }
         }
     }
 }
 
-/// Reads all objects of a kind.
+/// Waits for changes of a kind, or reads all of it if they can't be had.
+async fn wait(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
+    let known = host.core.borrow().replica.revision(kind);
+    if let Some(revision) = known {
+        let wait = host.core.borrow_mut().rng.random_range(WAIT);
+        let wait = Duration::from_secs_f64(wait);
+        if watch(host, client, kind, revision, wait).await? != News::Unknown {
+            return Ok(());
+        }
+    }
+    let _turn = host.watching.turn(kind).await;
+    inquiry::catch_up(host, client, kind).await?;
+    Ok(())
+}
+
+/// Reads all objects of a kind; gives the store's revision.
 pub(super) async fn list(
     host: &Rc<Host>,
     client: &mut Client,
     kind: Kind,
     age: Age,
-) -> Result<(), Error> {
+) -> Result<u64, Error> {
     let asked = proof::moment();
     let (entries, revision) = read(client, kind, age).await?;
     let is_whole = !client.left_out;
+    if kind == Kind::Config {
+        host.watching.config_unread.set(!is_whole);
+    }
     let away = host.core.borrow().presence.was_store_away(now());
     let whole = Update {
         kind,
@@ -285,7 +257,7 @@
     if kind == Kind::Config && age == Age::Latest && is_whole {
         proof::shown(host, asked);
     }
-    Ok(())
+    Ok(revision)
 }
 
 /// Reads all pages of a kind; also gives the revision to watch from, the earliest of all pages: what may be old need not be
@@ -317,46 +289,61 @@
     }
 }
 
-/// Waits for changes; says whether to go on, or to list again as the history is gone.
+/// What a question for changes has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum News {
+    /// Nothing has changed.
+    None,
+    /// What has changed is taken in.
+    Some,
+    /// The store has forgotten what has changed.
+    Unknown,
+}
+
+/// Asks for changes, and waits for them for a while.
 pub(super) async fn watch(
     host: &Rc<Host>,
     client: &mut Client,
     kind: Kind,
     revision: u64,
     wait: Duration,
-) -> Result<bool, Error> {
+) -> Result<News, Error> {
     let asked = proof::moment();
     let call = Call::Watch {
         kind,
         revision,
         wait,
     };
-    match client.call(&call).await? {
-        Reply::Changes {
-            entries,
-            revision: to,
-        } => {
-            let any = !entries.is_empty();
-            let away = host.core.borrow().presence.was_store_away(now());
-            let update = Update {
-                kind,
-                from: Some(revision),
-                to,
-                entries,
-                away,
-            };
-            let fits = host.take(update).is_ok();
-            if kind == Kind::Config && fits && !client.left_out {
-                proof::shown(host, asked);
-            }
-            if any && !wait.is_zero() {
-                tokio::time::sleep(GATHER).await;
-            }
-            Ok(fits)
-        }
-        Reply::Expired => Ok(false),
-        _ => Err(Error::Unexpected),
+    let (entries, to) = match client.call(&call).await? {
+        Reply::Changes { entries, revision } => (entries, revision),
+        Reply::Expired => return Ok(News::Unknown),
+        _ => return Err(Error::Unexpected),
+    };
+    let any = !entries.is_empty();
+    if kind == Kind::Config && (any || client.left_out) {
+        host.watching.config_unread.set(client.left_out);
+    }
+    let away = host.core.borrow().presence.was_store_away(now());
+    let update = Update {
+        kind,
+        from: Some(revision),
+        to,
+        entries,
+        away,
+    };
+    if host.take(update).is_err() {
+        return Ok(News::Unknown);
+    }
+    if kind == Kind::Config && !host.watching.config_unread.get() {
+        proof::shown(host, asked);
+    }
+    if !any {
+        return Ok(News::None);
+    }
+    if !wait.is_zero() {
+        tokio::time::sleep(GATHER).await;
     }
+    Ok(News::Some)
 }
 
 /// Sees to what time alone changes.
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -1,55 +1,104 @@
 //! Whether a host watches the store itself, and what it sees there.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
+use tokio::sync::{Mutex, MutexGuard, Notify};
 
 use super::feed::KINDS;
-use super::store::Client;
-use super::sync::CHECK_PATIENCE;
-use super::Host;
-use crate::port::{Call, Kind};
+use super::inquiry::{Inquiry, TERM};
+use super::{log, Host};
+use crate::control::freshness::Evidence;
+use crate::port::Kind;
 
 /// How long it is decided so until a host leaves the watching to others.
 const END: Duration = Duration::from_millis(1500);
 /// How long a host tries to watch a store that it reached so.
 const REACHED: Duration = Duration::from_secs(3);
 
-/// Which kinds the store tells this host, while it watches.
+/// Kinds of objects that are watched, beside those that are listed with each question.
+pub(super) const WATCHED: [Kind; 2] = [Kind::Config, Kind::Targets];
+
+/// What a host that watches the store knows of its own watching.
 #[derive(Default)]
 pub(crate) struct Watching {
-    seen: Cell<u8>,
-    lost: Cell<u8>,
-    /// The last check of the store was not answered.
-    pub(crate) silent: Cell<bool>,
+    is_on: Cell<bool>,
+    evidence: RefCell<Evidence>,
+    /// Whether the store answered the last question.
+    pub(super) answers: Cell<bool>,
+    /// The last configuration could not be read.
+    pub(super) config_unread: Cell<bool>,
+    /// Held while a kind is brought up to date, so that it is not read twice at once.
+    turns: BTreeMap<Kind, Mutex<()>>,
+    /// Tells the watch of a kind to be asked anew, on another connection.
+    renewals: BTreeMap<Kind, Notify>,
 }
 
 impl Watching {
-    fn bit(kind: Kind) -> u8 {
-        1 << kind as u8
+    pub(super) fn new() -> Self {
+        Self {
+            turns: WATCHED.map(|kind| (kind, Mutex::default())).into(),
+            renewals: WATCHED.map(|kind| (kind, Notify::new())).into(),
+            ..Self::default()
+        }
+    }
+
+    /// Begins to watch.
+    pub(super) fn begin(&self) {
+        self.is_on.set(true);
+    }
+
+    /// Leaves the watching to others.
+    pub(super) fn end(&self) {
+        self.is_on.set(false);
+        self.answers.set(false);
+        self.forget();
+    }
+
+    /// The copy of a kind is as new as the store was at `asked`.
+    pub(super) fn show(&self, kind: Kind, asked: Instant) {
+        self.evidence.borrow_mut().show(kind, asked);
     }
 
-    pub(crate) fn set(&self, kind: Kind, seen: bool) {
-        let bit = Self::bit(kind);
-        if seen {
-            self.seen.set(self.seen.get() | bit);
-            self.lost.set(self.lost.get() & !bit);
-        } else {
-            self.lost.set(self.lost.get() | bit);
+    /// The store did not answer.
+    pub(super) fn forget(&self) {
+        self.evidence.borrow_mut().clear();
+    }
+
+    /// Whether the host watches the store and its copy is surely current, up to the time that questions take.
+    pub(super) fn sees(&self, now: Instant) -> bool {
+        self.is_on.get() && self.evidence.borrow().holds(now, &KINDS, TERM)
+    }
+
+    /// Waits for the turn to bring a kind up to date.
+    pub(super) async fn turn(&self, kind: Kind) -> Option<MutexGuard<'_, ()>> {
+        match self.turns.get(&kind) {
+            Some(turn) => Some(turn.lock().await),
+            None => None,
         }
     }
 
-    pub(crate) fn clear(&self) {
-        self.seen.set(0);
-        self.lost.set(0);
-        self.silent.set(false);
+    /// The watch of a kind is to be asked anew.
+    pub(super) fn renew(&self, kind: Kind) {
+        if let Some(renewal) = self.renewals.get(&kind) {
+            renewal.notify_waiters();
+        }
+    }
+
+    /// All watches are to be asked anew.
+    pub(super) fn renew_all(&self) {
+        self.renewals.values().for_each(Notify::notify_waiters);
     }
 
-    pub(crate) fn is_complete(&self) -> bool {
-        let all = KINDS.iter().fold(0, |bits, kind| bits | Self::bit(*kind));
-        self.seen.get() & all == all && self.lost.get() == 0 && !self.silent.get()
+    /// Waits until the watch of a kind is to be asked anew.
+    pub(super) async fn renewed(&self, kind: Kind) {
+        match self.renewals.get(&kind) {
+            Some(renewal) => renewal.notified().await,
+            None => std::future::pending().await,
+        }
     }
 }
 
@@ -85,11 +134,12 @@
             return;
         }
         self.next.set(Some(now + interval));
-        let mut client = Client::new(host);
+        let mut inquiry = Inquiry::new(host);
         let reached = self.reached.clone();
         tokio::task::spawn_local(async move {
-            let call = client.call(&Call::Check);
-            if let Ok(Ok(_)) = tokio::time::timeout(CHECK_PATIENCE, call).await {
+            let result = inquiry.ask().await;
+            log::looked(&result);
+            if result.is_ok() {
                 reached.set(Some(super::now()));
             }
         });
--- a/src/port.rs
+++ b/src/port.rs
@@ -155,8 +155,6 @@
         /// How long the store may wait for a change.
         wait: Duration,
     },
-    /// Something small and cheap that may be old: only whether there is an answer counts.
-    Check,
     /// Registers an entry host that is not registered yet.
     Create(presence::Record),
     /// Replaces the registration of an entry host, if it still has the given version.
