Only a store that nobody saw for long has let registrations run out

What callers saw: requests to targets that had left, 2.6 to 2.9 s after the store had acknowledged it. Cause: that no host saw the store, be it for one tick of 0.1 s while the few hosts that watch it had lost it, counted as an outage of the store. For 2.5 s from then on each target that was removed was taken for one whose registration had run out, and got requests for 2 s more. A registration lasts three heartbeats of its target, so an outage of less than two can't end any. Now the store counts as away only after that long, less the time that hosts take to notice; the interval comes from the settings. After a shorter gap targets that are missing have left, unless a service would lose most of them at once.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -49,6 +49,9 @@
 /// A gap between two looks at the clock that means that this process was paused.
 const PAUSE: Duration = Duration::from_millis(1500);
 
+/// Time between two heartbeats of a target to the store, unless the settings say otherwise.
+pub const HEARTBEAT: Duration = Duration::from_millis(1500);
+
 /// How far away another host is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Distance {
@@ -101,8 +104,14 @@
     started: Instant,
     /// Whether the registrations of the others were read.
     listed: bool,
-    /// When no host saw the store, the last time that was looked at.
+    /// Since when no host sees the store.
     unseen: Option<Instant>,
+    /// When no host saw the store, the last time that was looked at.
+    last_unseen: Option<Instant>,
+    /// When that had lasted so long that registrations of targets may have run out.
+    last_away: Option<Instant>,
+    /// Time between two heartbeats of a target to the store.
+    heartbeat: Duration,
     beats: u64,
     /// The requests that this host gets.
     rate: Rate,
@@ -128,6 +137,9 @@
             started: now,
             listed: false,
             unseen: None,
+            last_unseen: None,
+            last_away: None,
+            heartbeat: HEARTBEAT,
             beats: 0,
             rate: Rate::new(now),
             few_watchers: Switch::On,
@@ -136,6 +148,12 @@
         }
     }
 
+    /// Targets show the store that they live at this interval.
+    pub fn with_heartbeat(mut self, interval: Duration) -> Self {
+        self.heartbeat = interval;
+        self
+    }
+
     /// Without the choice of few watchers all hosts watch the store.
     pub fn with_few_watchers(mut self, switch: Switch) -> Self {
         self.few_watchers = switch;
--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -5,6 +5,7 @@
 
 use super::{rank, Peer, Presence, Record, Sight};
 use crate::border::settings::Switch;
+use crate::control::replica::Outage;
 
 /// Hosts of a region for each one that watches the store. More followers would load its link at each
 /// large change.
@@ -21,6 +22,11 @@
 /// How long after its return the store counts as having been away: targets that it dropped register
 /// again within two seconds.
 const AWAY: Duration = Duration::from_millis(2500);
+/// After how much time without a heartbeat, in intervals, a target's registration runs out at the least if the store goes away: of the
+/// three that it lasts one may have passed before.
+const LAPSE: u32 = 2;
+/// How long it takes at the most until no host claims any more to see a store that has gone away.
+const NOTICE: Duration = Duration::from_millis(1400);
 /// Time between two looks of a host at a store that nobody sees, in a small fleet.
 const LOOK: Duration = Duration::from_secs(2);
 /// Hosts that look so often; more share the same number of looks, ten a second. That finds a store that has returned, or
@@ -127,17 +133,31 @@
 
     /// Notes whether any host sees the store.
     pub fn watch_store(&mut self, now: Instant) {
-        if !self.is_store_seen(now) {
-            self.unseen = Some(now);
+        if self.is_store_seen(now) {
+            self.unseen = None;
+            return;
+        }
+        let since = *self.unseen.get_or_insert(now);
+        self.last_unseen = Some(now);
+        let lapse = self.heartbeat * LAPSE;
+        if now.saturating_duration_since(since) >= lapse.saturating_sub(NOTICE) {
+            self.last_away = Some(now);
         }
     }
 
     /// Whether the store was away just before, so that what is missing there may be about to return.
     /// It is not enough that this host did not see it: then the store itself goes on, and what is
-    /// missing has left.
-    pub fn was_store_away(&self, now: Instant) -> bool {
-        self.unseen
-            .is_some_and(|unseen| now.saturating_duration_since(unseen) < AWAY)
+    /// missing has left. Nor is it that the few that watch it lost it, until others do.
+    pub fn outage(&self, now: Instant) -> Outage {
+        let is_recent =
+            |at: Option<Instant>| at.is_some_and(|at| now.saturating_duration_since(at) < AWAY);
+        if is_recent(self.last_away) {
+            Outage::Long
+        } else if is_recent(self.last_unseen) {
+            Outage::Brief
+        } else {
+            Outage::None
+        }
     }
 
     /// Whether any host has lost the store.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -15,6 +15,18 @@
 /// Removals of a kind that are kept for copies that missed them.
 const REMOVALS: usize = 4096;
 
+/// Whether the store was away just before, so that registrations may have run out there though their targets live.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Outage {
+    /// Some host saw the store all the time: what is missing has left.
+    #[default]
+    None,
+    /// No host saw it for a moment, in which no registration runs out by itself. Those that watched it may have lost it alone.
+    Brief,
+    /// No host saw it for so long that registrations may have run out.
+    Long,
+}
+
 /// What has changed in one kind of objects.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
@@ -30,9 +42,9 @@
     /// Objects in the order of their changes; those without a value were removed.
     #[serde(rename = "e")]
     pub entries: Vec<Entry>,
-    /// The store was away just before: what is missing may be about to return.
-    #[serde(rename = "a")]
-    pub away: bool,
+    /// Whether what is missing may be about to return.
+    #[serde(rename = "a", default)]
+    pub outage: Outage,
 }
 
 /// What an update did.
@@ -134,8 +146,8 @@
     }
 
     /// An update that leads from an earlier revision of a kind to that of this copy. It may lack removals that happened long
-    /// ago, or before this copy was begun: [`Replica::digest`] tells. `away` as for [`Replica::whole`].
-    pub fn since(&self, now: Instant, kind: Kind, revision: u64, away: bool) -> Option<Update> {
+    /// ago, or before this copy was begun: [`Replica::digest`] tells. `outage` as for [`Replica::whole`].
+    pub fn since(&self, now: Instant, kind: Kind, revision: u64, outage: Outage) -> Option<Update> {
         let shelf = self.shelves.get(&kind)?;
         let removed = shelf.removed.iter().filter(|(at, _)| *at > revision);
         let removed = removed.map(|(at, name)| Entry {
@@ -153,12 +165,12 @@
             to: shelf.revision,
             // A name that was removed and came back is among both: the removal is to come first.
             entries: removed.chain(changed).collect(),
-            away,
+            outage,
         })
     }
 
-    /// An update that holds all objects of a kind. `away` tells whether the store was away just before.
-    pub fn whole(&self, now: Instant, kind: Kind, away: bool) -> Option<Update> {
+    /// An update that holds all objects of a kind. `outage` tells whether the store was away just before.
+    pub fn whole(&self, now: Instant, kind: Kind, outage: Outage) -> Option<Update> {
         let shelf = self.shelves.get(&kind)?;
         let objects = shelf.objects.iter();
         let entries = objects.map(|(name, object)| entry(now, name, object));
@@ -167,7 +179,7 @@
             from: None,
             to: shelf.revision,
             entries: entries.collect(),
-            away,
+            outage,
         })
     }
 }
--- a/src/host/copy.rs
+++ b/src/host/copy.rs
@@ -25,8 +25,8 @@
 /// The messages that bring a follower up to date that has a kind as it was at a revision.
 pub(super) fn difference(host: &Host, kind: Kind, revision: u64) -> Rc<[Bytes]> {
     let core = host.core.borrow();
-    let away = core.presence.was_store_away(now());
-    let update = core.replica.since(now(), kind, revision, away);
+    let outage = core.presence.outage(now());
+    let update = core.replica.since(now(), kind, revision, outage);
     update.map_or_else(Default::default, |update| {
         messages(update, core.replica.digest(kind))
     })
@@ -46,8 +46,8 @@
     if let Some(messages) = kept.and_then(|copy| copy.messages.upgrade()) {
         return messages;
     }
-    let away = core.presence.was_store_away(now());
-    let Some(update) = core.replica.whole(now(), kind, away) else {
+    let outage = core.presence.outage(now());
+    let Some(update) = core.replica.whole(now(), kind, outage) else {
         return Rc::default();
     };
     let messages = messages(update, core.replica.digest(kind));
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -11,7 +11,7 @@
 use crate::account::Knowledge;
 use crate::control::presence::{self, Naming, Presence, Record, Sight};
 use crate::control::proof::{Moment, Proof, CAUTION};
-use crate::control::replica::{Effect, Replica, Update};
+use crate::control::replica::{Effect, Outage, Replica, Update};
 use crate::inventory::{Config, Registration, Route, State, Table};
 use crate::port::{Bounds, Entry, Kind, Settings, Value};
 use crate::steer::allowance::Ledger;
@@ -92,6 +92,7 @@
             )
             .with_switches(settings.switches),
             presence: Presence::new(now, own, settings.regions.clone())
+                .with_heartbeat(settings.bounds.heartbeat)
                 .with_few_watchers(settings.switches.few_watchers)
                 .with_few_hosts(settings.switches.few_hosts)
                 .with_naming(if term.is_some() {
@@ -113,19 +114,30 @@
         self.budgets.set_terms(bounds.repeats);
     }
 
-    /// Takes in what changed in the store. `away` tells that the store was away just before.
+    /// Takes in what changed in the store.
     pub(crate) fn change(&mut self, now: Instant, update: Update) -> Effect {
-        let Update { kind, away, .. } = update;
+        let Update { kind, outage, .. } = update;
         self.told.insert(kind, now);
         let effect = self.replica.apply(now, update);
         let Effect::Changed(entries) = &effect else {
             return effect;
         };
+        let gone = entries.iter().filter(|entry| entry.value.is_none());
+        let lapsing = match (kind, outage) {
+            (Kind::Targets, Outage::Brief) => {
+                self.fleet.losing_most(gone.map(|entry| &*entry.name))
+            }
+            _ => BTreeSet::new(),
+        };
         for entry in entries {
             match (&entry.value, kind) {
                 (Some(Value::Config(config)), _) => self.configure(now, Config::clone(config)),
                 (Some(Value::Target(registration)), _) => self.register(now, registration),
-                (None, Kind::Targets) => self.withdraw(now, &entry.name, away),
+                (None, Kind::Targets) => {
+                    let service = self.fleet.service_of(&entry.name);
+                    let lapses = service.is_some_and(|service| lapsing.contains(service));
+                    self.withdraw(now, &entry.name, lapses || outage == Outage::Long);
+                }
                 _ => {}
             }
         }
@@ -191,8 +203,9 @@
         self.fleet.register(now, registration.clone());
     }
 
-    fn withdraw(&mut self, now: Instant, id: &str, away: bool) {
-        if away {
+    /// A target is missing in the store; `lapses` tells that its registration may have run out in an outage.
+    fn withdraw(&mut self, now: Instant, id: &str, lapses: bool) {
+        if lapses {
             spdlog::info!("core: a target is missing since the store was away", kv: {
                 event = Event::Missing.as_str(),
                 target = id
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -84,7 +84,9 @@
 impl Host {
     /// Takes in what changed in the store, and passes it on.
     fn take(&self, update: Update) -> Result<(), Gap> {
-        let Update { kind, to, away, .. } = update;
+        let Update {
+            kind, to, outage, ..
+        } = update;
         let known = self.core.borrow().replica.revision(kind);
         let effect = self.core.borrow_mut().change(now(), update);
         match effect {
@@ -97,7 +99,7 @@
                     from: known,
                     to,
                     entries,
-                    away,
+                    outage,
                 };
                 feed::publish(self, difference);
             }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -244,13 +244,13 @@
     if kind == Kind::Config {
         host.watching.config_unread.set(!is_whole);
     }
-    let away = host.core.borrow().presence.was_store_away(now());
+    let outage = host.core.borrow().presence.outage(now());
     let whole = Update {
         kind,
         from: None,
         to: revision,
         entries,
-        away,
+        outage,
     };
     // A whole list fits onto anything.
     let _ = host.take(whole);
@@ -323,13 +323,13 @@
     if kind == Kind::Config && (any || client.left_out) {
         host.watching.config_unread.set(client.left_out);
     }
-    let away = host.core.borrow().presence.was_store_away(now());
+    let outage = host.core.borrow().presence.outage(now());
     let update = Update {
         kind,
         from: Some(revision),
         to,
         entries,
-        away,
+        outage,
     };
     if host.take(update).is_err() {
         return Ok(News::Unknown);
--- a/src/port.rs
+++ b/src/port.rs
@@ -69,6 +69,8 @@
     pub repeats: Terms,
     /// Requests that a cold target bears at once beyond its rate, from all hosts together.
     pub cold_burst: f64,
+    /// Time between two heartbeats of a target to the store; its registration runs out after three without one.
+    pub heartbeat: Duration,
     /// After how long no host may use a key that was withdrawn, whether it has heard of that or not; without it hosts go on with
     /// what they know.
     pub withdrawal: Option<Duration>,
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -37,7 +37,7 @@
 use super::eject::{Eject, Sign, Standing};
 use super::throttle::{Fit, Throttle};
 use crate::border::settings::Switch;
-use crate::inventory::{Keys, Registration, TargetKey};
+use crate::inventory::{Keys, Registration, State, TargetKey};
 
 pub use self::charge::{CARETAKERS, LEAST, SPARE};
 pub use self::member::{Belief, Load, Member};
@@ -288,6 +288,32 @@
         self.leave_rankings(member.service(), key);
     }
 
+    /// The service of a target.
+    pub fn service_of(&self, id: &str) -> Option<&Arc<str>> {
+        let member = self.members.get(self.ids.get(id)?)?;
+        Some(member.service())
+    }
+
+    /// Services that lose most of the targets that did not say that they leave, if those of these identities go. So many don't
+    /// leave at once.
+    pub fn losing_most<'a>(&self, ids: impl Iterator<Item = &'a str>) -> BTreeSet<Arc<str>> {
+        let going: BTreeSet<_> = ids.filter_map(|id| self.ids.get(id)).collect();
+        let stays = |key: &&TargetKey| {
+            let member = self.members.get(key);
+            member.is_some_and(|member| member.registration.state != State::Draining)
+        };
+        let loses_most = |keys: &[TargetKey]| {
+            let all = keys.iter().filter(stays).count();
+            let going = keys.iter().filter(stays).filter(|key| going.contains(key));
+            2 * going.count() > all
+        };
+        let services = self.services.iter();
+        services
+            .filter(|(_, keys)| loses_most(keys))
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
     /// Keeps a target whose registration ran out while the store was away; it is forgotten at
     /// `until` unless it registers again.
     pub fn lapse(&mut self, id: &str, until: Instant) {
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -619,6 +619,31 @@
     assert_eq!(used_while_missing(12), 12);
 }
 
+/// Whether a service of twelve targets, of which some drain already, loses most of the others if some go.
+fn loses_most(draining: usize, going: usize) -> bool {
+    let mut world = World::new("h1", "n-a");
+    for number in 0..12 {
+        let mut one = registration(&format!("t{number:02}"), "n-a");
+        if number < draining {
+            one.state = State::Draining;
+        }
+        world.fleet.register(world.now, one);
+    }
+    let ids: Vec<String> = (0..draining + going)
+        .map(|number| format!("t{number:02}"))
+        .collect();
+    let lost = world.fleet.losing_most(ids.iter().map(String::as_str));
+    !lost.is_empty()
+}
+
+#[test]
+fn most_targets_do_not_leave_at_once_unless_they_said_so() {
+    assert!(!loses_most(0, 6));
+    assert!(loses_most(0, 7));
+    assert!(!loses_most(8, 2));
+    assert!(loses_most(8, 3));
+}
+
 #[test]
 fn a_missing_target_that_returns_is_used_again() {
     let mut world = World::with_targets("h1", "n-a");
