Another host watches the store as soon as it has answered a look

What callers saw: when all hosts that watch the store lost it, nobody heard of changes for 2.4 s and more, so that a confirmed route was answered with 404, or a target that had left got requests, 2.6 s after the acknowledgement. Cause: the others looked for the first time after up to 2 s, each for itself; one that was answered waited 0.3 s more before it opened connections of its own. Now first looks fall within a quarter of that time. A look asks all that an inquiry asks, so one that is answered has brought the copy up to date, and its host claims to see the store at once.

--- a/src/host/inquiry.rs
+++ b/src/host/inquiry.rs
@@ -101,9 +101,12 @@
     Ok(News::Some)
 }
 
-/// Asks for ever, as a host that watches the store.
+/// Asks for ever, as a host that watches the store. The first question comes at once, unless a look has just been answered.
 pub(super) async fn run(host: Rc<Host>) {
     let mut inquiry = Inquiry::new(&host);
+    if host.watching.answers.get() {
+        tokio::time::sleep(INTERVAL).await;
+    }
     loop {
         let result = inquiry.ask().await;
         note(&host, result).await;
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -70,7 +70,10 @@
     let mut steady = Steady::default();
     let mut interval = tokio::time::interval(DECIDE);
     loop {
-        interval.tick().await;
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = host.watching.reached.notified() => {}
+        }
         let now = now();
         host.core.borrow_mut().presence.watch_store(now);
         let first = host.core.borrow().presence.is_watcher(now);
@@ -78,11 +81,16 @@
         if host.joined.get() && !wanted {
             reach.look(&host, now);
         }
-        let begin = host.core.borrow().presence.watch_delay(now);
+        let begin = if reach.is_fresh(now) {
+            // The store has just answered this host, while nobody else was known to see it.
+            Duration::ZERO
+        } else {
+            host.core.borrow().presence.watch_delay(now)
+        };
         let watch = steady.turn(now, wanted, begin);
         if watch && watchers.is_empty() {
             log::watching(true);
-            host.watching.begin();
+            host.watching.begin(now);
             watchers = WATCHED
                 .iter()
                 .map(|kind| {
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -16,6 +16,8 @@
 
 /// How long it is decided so until a host leaves the watching to others.
 const END: Duration = Duration::from_millis(1500);
+/// The part of the time between two looks of a host within which its first one falls.
+const FIRST: f64 = 0.25;
 /// How long a host tries to watch a store that it reached so.
 const REACHED: Duration = Duration::from_secs(3);
 
@@ -29,6 +31,8 @@
     evidence: RefCell<Evidence>,
     /// Whether the store answered the last question.
     pub(super) answers: Cell<bool>,
+    /// A look at the store was answered.
+    pub(super) reached: Notify,
     /// The last configuration could not be read.
     pub(super) config_unread: Cell<bool>,
     /// Held while a kind is brought up to date, so that it is not read twice at once.
@@ -46,9 +50,10 @@
         }
     }
 
-    /// Begins to watch.
-    pub(super) fn begin(&self) {
+    /// Begins to watch; a look may just have shown that the copy is current.
+    pub(super) fn begin(&self, now: Instant) {
         self.is_on.set(true);
+        self.answers.set(self.sees(now));
     }
 
     /// Leaves the watching to others.
@@ -126,8 +131,9 @@
             return;
         }
         let interval = core.presence.look_interval();
-        // All hosts lose the store at once, and are not to look at the same moment.
-        let first = now + interval.mul_f64(core.rng.random_range(0.0..1.0));
+        // All hosts lose the store at once, and are not to look at the same moment. Those that watched it may have lost it alone,
+        // and nobody hears of changes until another one has looked.
+        let first = now + interval.mul_f64(core.rng.random_range(0.0..FIRST));
         let next = self.next.get().unwrap_or(first);
         if now < next {
             self.next.set(Some(next));
@@ -136,11 +142,13 @@
         self.next.set(Some(now + interval));
         let mut inquiry = Inquiry::new(host);
         let reached = self.reached.clone();
+        let host = host.clone();
         tokio::task::spawn_local(async move {
             let result = inquiry.ask().await;
             log::looked(&result);
             if result.is_ok() {
                 reached.set(Some(super::now()));
+                host.watching.reached.notify_one();
             }
         });
     }
