Own interface: a watch that hangs hides a change for less than the time in which it has to be in force

A change took 10.0 s to be in force. Cause: a delegate's watch of the configuration waits 10 s and its call 2 s more; if its connection falls silent it is not answered, and the other hosts rely on delegates. A watch waits 1.5 s now, so the head is read anew within 4 s whatever becomes of the watch.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -25,8 +25,9 @@
 use crate::store::guard::Guard;
 use crate::store::publication::{self, Fetched};
 
-/// How long one watch waits.
-const WATCH: Duration = Duration::from_secs(10);
+/// How long one watch waits. One whose connection falls silent hides a change until it is given up, which has to be well within
+/// the time in which a change is to be in force.
+const WATCH: Duration = Duration::from_millis(1500);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Mean time between the questions of a host that does not watch.
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -67,6 +67,8 @@
     pub repeat_events: bool,
     /// The host list stays as it was when the fault began.
     pub stale_hosts: bool,
+    /// Watches that wait when the fault begins are never answered, and their connections stay open.
+    pub hang_watches: bool,
 }
 
 /// Whether a host is in use.
@@ -132,6 +134,8 @@
     calls: Calls,
     writes: u64,
     watch_answers: u64,
+    /// How often the watches that waited were left hanging.
+    hung: u64,
     stopped: bool,
 }
 
@@ -240,6 +244,7 @@
         if fault.stale_hosts && !state.fault.stale_hosts {
             state.stale_hosts = state.hosts.clone();
         }
+        state.hung += u64::from(fault.hang_watches && !state.fault.hang_watches);
         state.fault = fault;
         let refused = state.fault.availability == Availability::Refused;
         drop(state);
@@ -384,10 +389,16 @@
         let end = Instant::now() + timeout;
         let mut state = lock(&self.state);
         state.calls.watch += 1;
+        let begun = state.hung;
         loop {
             if state.stopped || state.fault.availability != Availability::Up {
                 return Reply::Close;
             }
+            if state.hung > begun {
+                let waited = self.changed.wait(state);
+                state = waited.unwrap_or_else(PoisonError::into_inner);
+                continue;
+            }
             let mut events = changes(&state, prefix(request), after);
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -18,6 +18,8 @@
 
 /// Time in which a leaving target must stop getting new work.
 const LEAVE: Duration = Duration::from_secs(2);
+/// Time in which a change must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
 /// Allowance for a crowded machine.
 const ALLOWANCE: Duration = Duration::from_secs(1);
 
@@ -212,6 +214,23 @@
         .tells(&["platform/tune.json", "4321"]);
 }
 
+/// A watch whose connection falls silent is never answered; what has changed since it was asked is found all the same.
+#[test]
+fn a_watch_that_hangs_does_not_hide_a_change() {
+    let (world, operator) = run(4);
+    // By now the hosts that watch wait for a change.
+    thread::sleep(Duration::from_secs(1));
+    world.platform.fault(Fault {
+        hang_watches: true,
+        ..Fault::default()
+    });
+    operator.set_deadline("tune.json", "lookups", 4321);
+    let begun = Instant::now();
+    let report = operator.apply(&["--wait", "30"]);
+    assert_in_force(&report, 4);
+    assert!(begun.elapsed() < IN_FORCE, "{:?}", begun.elapsed());
+}
+
 #[test]
 fn a_host_that_does_not_answer_lags_and_is_named() {
     let (mut world, operator) = run(4);
