What a host that fell silent said last counts no more

What callers saw, in a test: hosts whose three watchers fell silent together answered a new route with 404 for more than 2.5 s. Cause: a dead host seems alive for 2.5 s, in another region for 7.5 s, and as long its last heartbeat, that it sees the store, kept the others from looking for themselves. They tried its feed and those of the other dead hosts one after the other instead, 1 s each. A host whose feed is silent counts as one of which nothing is known until it is heard again, and its follower asks the store once for what it may not have been told.

--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -1,6 +1,7 @@
 //! Which hosts watch the platform's store, and whom the others follow.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use super::{rank, Peer, Presence, Record, Sight};
@@ -131,6 +132,13 @@
             .map(|(peer, sight)| (&peer.record, sight))
     }
 
+    /// The host with this feed has fallen silent: what it said of the store last counts no more, until it is heard again.
+    pub fn doubt(&mut self, feed: SocketAddr) {
+        let peers = self.peers.values_mut();
+        let doubted = peers.filter(|peer| peer.record.feed == feed);
+        doubted.for_each(|peer| peer.sight = None);
+    }
+
     /// Notes whether any host sees the store.
     pub fn watch_store(&mut self, now: Instant) {
         if self.is_store_seen(now) {
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -27,8 +27,8 @@
 /// followers have to find another feed, within some 0.3 s, before a change has to be in force, which is 2.5 s at
 /// the least.
 pub const SILENCE: Duration = Duration::from_millis(1700);
-/// How long connecting may take.
-const CONNECT: Duration = Duration::from_secs(1);
+/// How long connecting may take: some round trips between regions. Hosts that lost power together are tried one after the other.
+const CONNECT: Duration = Duration::from_millis(500);
 /// Updates that may wait for a slow follower; one that falls further behind has to start anew.
 const QUEUE: usize = 64;
 /// Buffer of a connection, in bytes: most updates are a few hundred.
@@ -87,6 +87,16 @@
     Unintroduced,
 }
 
+impl Broken {
+    /// Whether the other host said nothing, as one does that lost power or is cut off.
+    pub(crate) fn is_mute(&self) -> bool {
+        matches!(
+            self,
+            Self::Silent | Self::Connect | Self::Open(client::Error::Timeout)
+        )
+    }
+}
+
 impl From<tungstenite::Error> for Broken {
     fn from(error: tungstenite::Error) -> Self {
         Self::WebSocket(Box::new(error))
--- a/src/host/inquiry.rs
+++ b/src/host/inquiry.rs
@@ -50,7 +50,7 @@
         let host = &self.host;
         let list = sync::list(host, &mut self.client, Kind::Evacuations, Age::Latest);
         let revision = in_time(list).await?;
-        host.watching.show(Kind::Evacuations, asked.steady());
+        show(host, Kind::Evacuations, asked);
         let configs = bring(host, &mut self.configs, Kind::Config, asked, revision);
         let targets = bring(host, &mut self.targets, Kind::Targets, asked, revision);
         let (configs, targets) = tokio::join!(in_time(configs), in_time(targets));
@@ -85,11 +85,17 @@
             host.watching.renew(kind);
         }
     }
+    show(host, kind, asked);
+    Ok(())
+}
+
+/// The copy of a kind lacks nothing that was acknowledged before `asked`.
+fn show(host: &Host, kind: Kind, asked: Moment) {
     host.watching.show(kind, asked.steady());
+    host.core.borrow_mut().told.insert(kind, asked.steady());
     if kind == Kind::Config && !host.watching.config_unread.get() {
         proof::shown(host, asked);
     }
-    Ok(())
 }
 
 /// Asks for the changes of a kind, or for all of it if they can't be had.
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -112,6 +112,8 @@
     Differs => "store.differs",
     /// The store answers no more, or again.
     Reach => "store.reach",
+    /// The feed of the host that this one followed has ended.
+    Unfollowed => "feed.ended",
     /// A host that does not watch the store asked whether it answers, as nobody is known to see it.
     Look => "store.look",
     /// A kind of objects is no longer told by the store, or is again.
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -9,10 +9,11 @@
 use tokio::task::AbortHandle;
 
 use super::feed;
+use super::inquiry::{self, Inquiry};
 use super::log::{self, Event};
 use super::store::{Client, Error};
 use super::watcher::{Reach, Steady, WATCHED};
-use super::{beat, inquiry, join, now, proof, Host};
+use super::{beat, join, now, proof, Host};
 use crate::control::presence::{Record, Sight};
 use crate::control::replica::Update;
 use crate::port::{Age, Call, Entry, Kind, Reply};
@@ -149,11 +150,29 @@
 
 async fn follow(host: Rc<Host>, address: SocketAddr) {
     let broken = feed::follow(&host, address).await;
-    spdlog::debug!("sync: the feed of {address} ended: {broken}");
+    spdlog::info!("sync: a feed has ended", kv: {
+        event = Event::Unfollowed.as_str(),
+        source = address.to_string().as_str(),
+        error = broken.to_string().as_str()
+    });
     let now = now();
-    let mut failed = host.failed.borrow_mut();
-    failed.retain(|_, at| now.saturating_duration_since(*at) < FAILED);
-    failed.insert(address, now);
+    let is_mute = broken.is_mute();
+    {
+        let mut failed = host.failed.borrow_mut();
+        failed.retain(|_, at| now.saturating_duration_since(*at) < FAILED);
+        failed.insert(address, now);
+    }
+    if is_mute {
+        host.core.borrow_mut().presence.doubt(address);
+        tokio::task::spawn_local(look_for_itself(host));
+    }
+}
+
+/// Asks the store once for what a source that fell silent may not have told. It may take longer to find another one than a change
+/// may take, as hosts that lost power seem alive for a while.
+async fn look_for_itself(host: Rc<Host>) {
+    let result = Inquiry::new(&host).ask().await;
+    log::looked(&result);
 }
 
 /// Sets what this host knows of the store, and tells others if that is news.
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -406,6 +406,21 @@
     assert_eq!(presence.outage(end + Duration::from_secs(3)), Outage::None);
 }
 
+#[test]
+fn a_host_that_fell_silent_does_not_see_the_store_until_it_is_heard_again() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    presence.see(Sight::Relayed);
+    let other = record("h1", "n-b", 1);
+    presence.hear(now, beat(other.clone(), Sight::Store));
+    assert!(presence.is_store_seen(now));
+    presence.doubt(other.feed);
+    assert!(!presence.is_store_seen(now));
+    assert!(presence.source(now, |_| false).is_none());
+    presence.hear(now + INTERVAL, beat(other, Sight::Store));
+    assert!(presence.is_store_seen(now + INTERVAL));
+}
+
 #[test]
 fn a_host_whose_feed_failed_is_passed_over() {
     let now = Instant::now();
