An inquiry takes new connections for what it lacks, and as long as that takes

Found by reading the change: a connection kept from an earlier question may be silent, so an inquiry that used it hung for 3 s; and the 0.8 s within which the store has to answer held for reading all targets too, which takes seconds in a large fleet, so that it would never have ended. If the store's watch tells less than the store has acknowledged, all of the kind is read.

--- a/src/host/inquiry.rs
+++ b/src/host/inquiry.rs
@@ -11,6 +11,7 @@
 use super::log::Event;
 use super::store::{Client, Error};
 use super::sync::{self, News};
+use super::watcher::WATCHED;
 use super::{proof, Host};
 use crate::control::proof::Moment;
 use crate::port::{Age, Kind};
@@ -29,18 +30,13 @@
 pub(super) struct Inquiry {
     host: Rc<Host>,
     client: Client,
-    configs: Client,
-    targets: Client,
 }
 
 impl Inquiry {
     pub(super) fn new(host: &Rc<Host>) -> Self {
-        let client = || Client::new(host);
         Self {
             host: host.clone(),
-            client: client(),
-            configs: client(),
-            targets: client(),
+            client: Client::new(host),
         }
     }
 
@@ -51,9 +47,8 @@
         let list = sync::list(host, &mut self.client, Kind::Evacuations, Age::Latest);
         let revision = in_time(list).await?;
         show(host, Kind::Evacuations, asked);
-        let configs = bring(host, &mut self.configs, Kind::Config, asked, revision);
-        let targets = bring(host, &mut self.targets, Kind::Targets, asked, revision);
-        let (configs, targets) = tokio::join!(in_time(configs), in_time(targets));
+        let [configs, targets] = WATCHED.map(|kind| bring(host, kind, asked, revision));
+        let (configs, targets) = tokio::join!(configs, targets);
         configs.and(targets)
     }
 
@@ -69,21 +64,21 @@
     result.unwrap_or(Err(Error::Timeout))
 }
 
-/// Brings the copy of a kind at least to the store's revision.
-async fn bring(
-    host: &Rc<Host>,
-    client: &mut Client,
-    kind: Kind,
-    asked: Moment,
-    revision: u64,
-) -> Result<(), Error> {
+/// Brings the copy of a kind at least to the store's revision. That takes a connection of its own, as one that was kept may have fallen
+/// silent, and as much time as what the store has to tell.
+async fn bring(host: &Rc<Host>, kind: Kind, asked: Moment, revision: u64) -> Result<(), Error> {
     let is_behind = || host.core.borrow().replica.revision(kind) < Some(revision);
     if is_behind() {
         let _turn = host.watching.turn(kind).await;
+        let client = &mut Client::new(host);
         if is_behind() && catch_up(host, client, kind).await? == News::Some {
             // The watch should have told; its connection may be silent.
             host.watching.renew(kind);
         }
+        if is_behind() {
+            // The store tells watches less than it has acknowledged.
+            sync::list(host, client, kind, Age::Latest).await?;
+        }
     }
     show(host, kind, asked);
     Ok(())
