A lost store is noticed within 1.1 s; a slow one still answers watches

When all hosts that watch the store lose it at once, noticing it (1.4 s), a look, and following the host that looked may take longer than the 2.5 s within which a change has to be in force. Questions come each 0.4 s now, two of three of them at a tenth of the price, and an answer may take 0.7 s. The bound from which an outage may have let registrations run out follows from these. Watches no longer wait for the inquiry to be answered in time: a store that takes longer than 0.7 s told nothing at all.

--- a/src/control/freshness.rs
+++ b/src/control/freshness.rs
@@ -8,6 +8,12 @@
 
 use crate::port::Kind;
 
+/// Time between an answer and the next question of a host that watches the store.
+pub const INTERVAL: Duration = Duration::from_millis(400);
+/// How long the store may take to show that it answers. A host that has lost it has to notice, and its followers have to find another
+/// source, well before a change has to be in force.
+pub const PATIENCE: Duration = Duration::from_millis(700);
+
 /// When the store was asked the last question about each kind of objects after whose answer the copy lacked nothing.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -6,6 +6,7 @@
 
 use super::{rank, Peer, Presence, Record, Sight};
 use crate::border::settings::Switch;
+use crate::control::freshness;
 use crate::control::replica::Outage;
 
 /// Hosts of a region for each one that watches the store. More followers would load its link at each
@@ -27,7 +28,7 @@
 /// three that it lasts one may have passed before.
 const LAPSE: u32 = 2;
 /// How long it takes at the most until no host claims any more to see a store that has gone away.
-const NOTICE: Duration = Duration::from_millis(1400);
+const NOTICE: Duration = freshness::INTERVAL.saturating_add(freshness::PATIENCE);
 /// Time between two looks of a host at a store that nobody sees, in a small fleet.
 const LOOK: Duration = Duration::from_secs(2);
 /// Hosts that look so often; more share the same number of looks, ten a second. That finds a store that has returned, or
--- a/src/host/inquiry.rs
+++ b/src/host/inquiry.rs
@@ -13,16 +13,12 @@
 use super::sync::{self, News};
 use super::watcher::WATCHED;
 use super::{proof, Host};
+use crate::control::freshness::{INTERVAL, PATIENCE};
 use crate::control::proof::Moment;
 use crate::port::{Age, Kind};
 
-/// Time between an answer and the next question of a host that watches the store.
-const INTERVAL: Duration = Duration::from_millis(600);
-/// How long the store may take for an answer. A host that has lost it has to notice, and its followers have to find another
-/// source, well before a change has to be in force.
-const PATIENCE: Duration = Duration::from_millis(800);
 /// Every which question asks for what is new; the others only whether the store answers, which costs it a tenth.
-const NEW: u32 = 2;
+const NEW: u32 = 3;
 /// How long the copy counts as current after a question: until the next one for what is new has its answers.
 pub(super) const TERM: Duration = Duration::from_millis(3000);
 
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -216,8 +216,11 @@
     let mut lost = false;
     loop {
         if !host.watching.answers.get() {
-            // It is asked by one inquiry for all kinds, and not by each of them.
-            host.watching.renewed(kind).await;
+            // A store that is slow may yet answer a watch.
+            tokio::select! {
+                () = pause.wait(&host) => {}
+                () = host.watching.renewed(kind) => {}
+            }
         }
         let result = tokio::select! {
             result = wait(&host, &mut client, kind) => result,
