--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 const END: Duration = Duration::from_millis(1500);
 /// The part of the time between two looks of a host within which its first one falls.
 const FIRST: f64 = 0.25;
+/// How long the pauses between two looks of a host are, in parts of the time that they are to be in the mean.
+const PAUSES: Range<f64> = 0.5..1.5;
 /// How long a host tries to watch a store that it reached so.
 const REACHED: Duration = Duration::from_secs(3);
 
@@ -139,7 +142,9 @@
             self.next.set(Some(next));
             return;
         }
-        self.next.set(Some(now + interval));
+        // The first looks fall close together; later ones are spread again, so that the store's return is found soon.
+        let pause = interval.mul_f64(core.rng.random_range(PAUSES));
+        self.next.set(Some(now + pause));
         let mut inquiry = Inquiry::new(host);
         let reached = self.reached.clone();
         let host = host.clone();
