Hosts without a copy, and those that only lack a proof, read no targets for it

Found by reading the change: an inquiry brings all kinds up to date. A host whose proof of the configuration has become old asks for the configuration alone, as before; one that has no copy yet leaves it to its next source when a feed falls silent.

--- a/src/host/proof.rs
+++ b/src/host/proof.rs
@@ -9,16 +9,17 @@
 use nix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 
-use super::inquiry::Inquiry;
-use super::{now, Host};
+use super::store::{Client, Error};
+use super::{inquiry, now, Host};
 use crate::control::proof::{Moment, CAUTION};
+use crate::port::Kind;
 
 /// Time between two questions of a follower.
 pub(super) const FOLLOWER: Duration = Duration::from_secs(1);
 /// How often a host looks whether its own proof has become old.
 const LOOK: Duration = Duration::from_millis(250);
-/// Time between two questions of a host whose own proof has become old.
-const PAUSE: Duration = Duration::from_millis(800);
+/// How long its question may take then, and time until the next one.
+const PATIENCE: Duration = Duration::from_millis(800);
 
 /// What a host tells its followers.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -77,7 +78,7 @@
     let Some(term) = host.settings.bounds.withdrawal else {
         return;
     };
-    let mut inquiry = Inquiry::new(&host);
+    let mut client = Client::new(&host);
     let caution = term.mul_f64(CAUTION);
     loop {
         tokio::time::sleep(LOOK).await;
@@ -87,10 +88,12 @@
             is_old && host.joined.get() && core.presence.is_store_seen(now())
         };
         if needed {
-            if let Err(error) = inquiry.ask().await {
+            let question = inquiry::catch_up(&host, &mut client, Kind::Config);
+            let result = tokio::time::timeout(PATIENCE, question).await;
+            if let Err(error) = result.unwrap_or(Err(Error::Timeout)) {
                 spdlog::debug!("proof: the store does not tell whether there is news: {error}");
             }
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(PATIENCE).await;
         }
     }
 }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -164,7 +164,10 @@
     }
     if is_mute {
         host.core.borrow_mut().presence.doubt(address);
-        tokio::task::spawn_local(look_for_itself(host));
+        // One that has no copy yet would read all targets.
+        if host.knows_store() {
+            tokio::task::spawn_local(look_for_itself(host));
+        }
     }
 }
 
