What an update says of outages is understood by hosts of earlier versions

A roll-out runs both versions side by side; a host that can't read the feeds of the others would neither follow them nor, as they see the store, look for itself. Only a brief outage, which earlier versions don't know, has a form that they can't read.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -16,7 +16,10 @@
 const REMOVALS: usize = 4096;
 
 /// Whether the store was away just before, so that registrations may have run out there though their targets live.
+///
+/// Hosts tell it as a truth value, which those that know of no brief outage understand too; a brief one has none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "Option<bool>", into = "Option<bool>")]
 pub enum Outage {
     /// Some host saw the store all the time: what is missing has left.
     #[default]
@@ -27,6 +30,26 @@
     Long,
 }
 
+impl From<Option<bool>> for Outage {
+    fn from(told: Option<bool>) -> Self {
+        match told {
+            Some(false) => Self::None,
+            Some(true) => Self::Long,
+            None => Self::Brief,
+        }
+    }
+}
+
+impl From<Outage> for Option<bool> {
+    fn from(outage: Outage) -> Self {
+        match outage {
+            Outage::None => Some(false),
+            Outage::Long => Some(true),
+            Outage::Brief => None,
+        }
+    }
+}
+
 /// What has changed in one kind of objects.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
@@ -43,7 +66,7 @@
     #[serde(rename = "e")]
     pub entries: Vec<Entry>,
     /// Whether what is missing may be about to return.
-    #[serde(rename = "a", default)]
+    #[serde(rename = "a")]
     pub outage: Outage,
 }
 
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -210,3 +210,20 @@
         watcher.digest(Kind::Targets)
     );
 }
+
+/// How an update tells of an outage: as hosts of earlier versions do, which know a truth value alone.
+#[test]
+fn outages_are_told_as_earlier_versions_do() {
+    for (outage, told) in [
+        (Outage::None, Some(false)),
+        (Outage::Long, Some(true)),
+        (Outage::Brief, None::<bool>),
+    ] {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&outage, &mut bytes).unwrap();
+        let read: Option<bool> = ciborium::from_reader(&bytes[..]).unwrap();
+        assert_eq!(read, told);
+        let back: Outage = ciborium::from_reader(&bytes[..]).unwrap();
+        assert_eq!(back, outage);
+    }
+}
