Targets are asked whether they are cold until they had time to tell a store that is back

Now that its return is noticed sooner, hosts ended their questions at once, but a target's news reaches the store up to two seconds later. Hosts ask on for as long as they leave missing targets to return. Part of the cause only: an answer that waits behind the queue of a cold target still comes late.

--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -169,9 +169,10 @@
         }
     }
 
-    /// Whether any host has lost the store.
+    /// Whether any host has lost the store, or all had lost it just before: what targets tell it comes some time after its return.
     pub fn is_store_doubtful(&self, now: Instant) -> bool {
-        self.sight == Sight::Stale
+        self.outage(now) != Outage::None
+            || self.sight == Sight::Stale
             || self
                 .present(now)
                 .any(|peer| peer.sight == Some(Sight::Stale))
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -353,6 +353,24 @@
     assert!(presence.is_store_doubtful(now));
 }
 
+/// A store that is back does not tell yet which targets have turned cold meanwhile.
+#[test]
+fn a_store_is_in_doubt_until_targets_had_time_to_tell_it_their_news() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[("h1", "n-b")]);
+    presence.see(Sight::Stale);
+    presence.watch_store(now);
+    presence.see(Sight::Store);
+    let back = now + Duration::from_millis(100);
+    presence.watch_store(back);
+    assert!(presence.is_store_doubtful(back + Duration::from_secs(2)));
+    presence.hear(
+        back + Duration::from_secs(3),
+        beat(record("h1", "n-b", 1), Sight::Relayed),
+    );
+    assert!(!presence.is_store_doubtful(back + Duration::from_secs(3)));
+}
+
 /// What a host takes for an outage, looked at each 0.1 s, when no host sees the store for so many milliseconds.
 fn outage_after(unseen: u64) -> Outage {
     let start = Instant::now();
