Retries of a suspected request wait for the answer that clears it

What callers saw: idempotent requests whose target had just crashed for reasons of its own were answered 502 or 503 with 'quarantined', while the same request was answered elsewhere (a_popular_request_is_not_quarantined_when_racks_fail, _in_a_fast_rolling_restart).

Cause: at the third rack's crash the request breaks off at targets in several zones within some 40 ms and is suspected. Hosts clear it as soon as one of them has an answer; in the failed runs' logs that took 60 to 216 ms ('broke off at two targets' 33.017 to 33.082, 'answered' 33.146 to 33.235). First attempts wait for that, up to 500 ms; retries were refused at once, and just these retries belong to the requests that the crash had broken off. So it is not lateness that does it, a busy machine only lengthens the time in which retries are refused.

Now a retry waits like a first attempt while the suspicion is younger than the clearing delay or an isolated copy runs, and runs in isolation if nothing clears it. That crashes no target more: an isolated attempt that breaks off refuses the request. A retry that finds an older suspicion without a copy in flight is refused as before (suspected_request_is_not_retried, unchanged). The holder of the isolated copy is repeated in isolation if its target was not reached.

The same at the platform's hosts (host::exchange), where the request ended with 502.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -209,10 +209,7 @@
                 Err(pause) => break StopReason::Quarantined(pause),
             }
             if permit.is_some() {
-                // Sends the suspected request to a target chosen by its fingerprint, apart from the
-                // target of the other requests for its object.
-                query.affinity_key = exchange.fingerprint.0;
-                query.object = None;
+                isolate(query, exchange);
             }
         }
         let target = match choose_target(host, query).await {
@@ -264,7 +261,16 @@
         }
         let stop = if was_sent {
             sent += 1;
-            stop_after_send(host, exchange, query, sent)
+            match quarantine::wait_for_retry(host, exchange, permit.as_ref()).await {
+                Ok(granted) => {
+                    if granted.is_some() {
+                        isolate(query, exchange);
+                        permit = granted;
+                    }
+                    stop_after_send(host, exchange, query, sent)
+                }
+                Err(quarantine::Suspected) => Some(StopReason::Suspected),
+            }
         } else {
             stop_after_unreachable(exchange, query, sent)
         };
@@ -285,6 +291,13 @@
     }
 }
 
+/// Directs a suspected request to a target chosen by its fingerprint, apart from the target of the
+/// other requests for its object.
+fn isolate(query: &mut TargetQuery<'_>, exchange: &Exchange) {
+    query.affinity_key = exchange.fingerprint.0;
+    query.object = None;
+}
+
 /// How long the caller of a request that did not run should wait before it retries.
 fn retry_after(
     host: &Host,
@@ -322,15 +335,7 @@
     sent: usize,
 ) -> Option<StopReason> {
     let time_left = exchange.deadline.saturating_duration_since(now());
-    if !host
-        .core
-        .borrow()
-        .quarantine
-        .may_retry(exchange.fingerprint)
-    {
-        // Another attempt could crash one more target.
-        Some(StopReason::Suspected)
-    } else if sent >= exchange.route.attempts as usize {
+    if sent >= exchange.route.attempts as usize {
         Some(StopReason::Attempts)
     } else if time_left < MIN_ATTEMPT_TIME {
         Some(StopReason::Time)
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -27,6 +27,9 @@
     }
 }
 
+/// A request is suspected to crash targets and is not sent again.
+pub(crate) struct Suspected;
+
 /// Waits until a request may be sent. Returns a permit for a suspected request, or the retry delay
 /// of a quarantined one as an error.
 pub(crate) async fn wait_for_permit<'a>(
@@ -50,6 +53,27 @@
     }
 }
 
+/// Waits until a request may be sent again. Returns `Err` if it is suspected and was not about to be
+/// cleared; `held` is the permit of its last attempt, whose holder would wait for itself.
+pub(crate) async fn wait_for_retry<'a>(
+    host: &'a Rc<Host>,
+    exchange: &Exchange,
+    held: Option<&Permit<'_>>,
+) -> Result<Option<Permit<'a>>, Suspected> {
+    let verdict = {
+        let quarantine = &host.core.borrow().quarantine;
+        quarantine.check_retry(now(), exchange.fingerprint)
+    };
+    match verdict {
+        Verdict::Allowed => Ok(None),
+        Verdict::Wait if held.is_none() => {
+            let permit = wait_for_permit(host, exchange).await;
+            permit.map_err(|_| Suspected)
+        }
+        _ => Err(Suspected),
+    }
+}
+
 /// Records how an attempt ended and informs other hosts of changes.
 pub(crate) fn record_attempt_end(host: &Rc<Host>, exchange: &Exchange, in_flight: &InFlight) {
     let fingerprint = exchange.fingerprint;
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -473,12 +473,9 @@
         if let Some(refusal) = self.charge_budgets(now, &request) {
             return Some(Verdict::Refused(refusal));
         }
-        if request.kind != AttemptKind::First {
-            // A retry or hedge of a request that crashes targets would crash another target.
-            return match self.quarantine.may_retry(request.fingerprint) {
-                true => self.dispatch(now, request, rng),
-                false => Some(Verdict::refused(Reason::Quarantined)),
-            };
+        if request.kind == AttemptKind::Hedge && !self.quarantine.may_retry(request.fingerprint) {
+            // A hedge of a request that crashes targets would crash another target.
+            return Some(Verdict::refused(Reason::Quarantined));
         }
         self.admit_unless_quarantined(now, now + MAX_VERDICT_WAIT, request, rng)
     }
@@ -975,7 +972,7 @@
         let mut decisions = self.dispatch_ready(now, ready);
         for (until, request) in std::mem::take(&mut self.undecided) {
             let id = request.id;
-            let verdict = self.admit_unless_quarantined(now, until, request, rng);
+            let verdict = self.admit_isolated(now, until, request, rng);
             decisions.extend(verdict.map(|verdict| (id, verdict)));
         }
         self.quarantine.expire(now);
--- a/src/steer/engine/permit.rs
+++ b/src/steer/engine/permit.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use super::{Engine, Id, Refusal, RouteRequest, Verdict};
+use super::{AttemptKind, Engine, Id, Refusal, RouteRequest, Verdict};
 use crate::catalog::TargetKey;
 use crate::steer::attempt::Reason;
 use crate::steer::fingerprint::Fingerprint;
@@ -13,14 +13,40 @@
 };
 
 impl Engine {
-    /// Dispatches a first attempt unless the quarantine refuses it. A request whose status is still undecided at `until` is
-    /// dispatched.
+    /// Dispatches an attempt unless the quarantine refuses it. A retry of a suspected request is refused unless an answer may be
+    /// about to clear it; then it waits like a first attempt.
     pub(super) fn admit_unless_quarantined(
         &mut self,
         now: Instant,
         until: Instant,
         request: RouteRequest,
         rng: &mut impl Rng,
+    ) -> Option<Verdict> {
+        // An isolated attempt that failed without crashing its target is repeated in isolation.
+        let was_isolated = self.suspect_permits.contains_key(&request.id);
+        self.release_suspect_permit(request.id);
+        if request.kind == AttemptKind::First || was_isolated {
+            return self.admit_isolated(now, until, request, rng);
+        }
+        match self.quarantine.check_retry(now, request.fingerprint) {
+            QuarantineVerdict::Allowed => self.dispatch(now, request, rng),
+            QuarantineVerdict::Wait => {
+                self.undecided.push((until, request));
+                None
+            }
+            // An attempt could crash another target, and no answer is about to clear the request.
+            _ => Some(Verdict::refused(Reason::Quarantined)),
+        }
+    }
+
+    /// Dispatches an attempt unless the quarantine refuses it; in isolation if its request is suspected. An attempt that is still
+    /// undecided at `until` is dispatched.
+    pub(super) fn admit_isolated(
+        &mut self,
+        now: Instant,
+        until: Instant,
+        request: RouteRequest,
+        rng: &mut impl Rng,
     ) -> Option<Verdict> {
         let (verdict, notices) = self.quarantine.check(now, request.fingerprint);
         self.quarantine_notices.extend(notices);
--- a/src/steer/quarantine.rs
+++ b/src/steer/quarantine.rs
@@ -345,7 +345,28 @@
         }
     }
 
-    /// Whether a request is neither suspected nor refused, so that it may be retried.
+    /// Returns whether a request may be retried. The verdict is [`Verdict::Wait`] while an answer may
+    /// still clear a suspected request, and never [`Verdict::Isolated`]: a retry that has waited is
+    /// sent as first attempts are, see [`Quarantine::check`].
+    pub fn check_retry(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
+        let Some(case) = self.cases.get(&fingerprint) else {
+            return Verdict::Allowed;
+        };
+        match case.stage {
+            Stage::Cleared | Stage::BrokenOnce => Verdict::Allowed,
+            Stage::Suspected if case.is_expired(now) => Verdict::Allowed,
+            Stage::Suspected if case.in_flight || now < case.stage_since + CLEARING_DELAY => {
+                Verdict::Wait
+            }
+            Stage::Suspected => Verdict::Refused(MAX_VERDICT_WAIT),
+            Stage::Refused => {
+                let left = case.due.saturating_duration_since(now);
+                Verdict::Refused(left.max(CLEARING_DELAY))
+            }
+        }
+    }
+
+    /// Whether a request is neither suspected nor refused.
     pub fn may_retry(&self, fingerprint: Fingerprint) -> bool {
         let case = self.cases.get(&fingerprint);
         case.is_none_or(|case| case.stage < Stage::Suspected)
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -559,6 +559,42 @@
     relayed_quarantined_request_is_refused: 3, AttemptKind::First, Origin::Host => "quarantined";
 }
 
+/// A retry whose request was suspected a moment ago waits for an answer that clears it; it must not be refused while other hosts
+/// may have answered the same request.
+#[test]
+fn a_retry_waits_until_its_request_is_cleared() {
+    for is_answered in [true, false] {
+        let mut rig = rig_with_crashes(1);
+        let begun = rig.now;
+        rig.advance_ms(10);
+        let target = rig.own_targets()[1];
+        rig.engine.record_crash(rig.now, CRASHING, target, begun);
+        let submit_retry = |rig: &mut Rig| {
+            let mut retry = rig.request();
+            retry.fingerprint = CRASHING;
+            retry.kind = AttemptKind::Retry;
+            assert!(rig.submit(retry).is_none());
+        };
+        submit_retry(&mut rig);
+        submit_retry(&mut rig);
+        rig.advance_ms(100);
+        assert!(rig.engine.tick(rig.now, &mut rig.rng).is_empty());
+        if is_answered {
+            rig.engine.record_answer(rig.now, CRASHING);
+        }
+        rig.advance_ms(100);
+        let decisions = rig.engine.tick(rig.now, &mut rig.rng);
+        let sent = decisions
+            .iter()
+            .filter(|(_, verdict)| matches!(verdict, Verdict::Target { .. }));
+        // Without an answer one of them runs in isolation.
+        assert_eq!(sent.count(), if is_answered { 2 } else { 1 });
+        assert!(!decisions
+            .iter()
+            .any(|(_, verdict)| matches!(verdict, Verdict::Refused(_))));
+    }
+}
+
 #[test]
 fn suspected_requests_are_sent_one_at_a_time() {
     let mut rig = rig_with_crashes(2);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -65,6 +65,20 @@
     assert_eq!(host.check(end + ms(180), POPULAR).0, Verdict::Allowed);
 }
 
+#[test]
+fn a_retry_of_a_suspected_request_waits_for_an_answer() {
+    let (mut host, end) = host_with_breaks(&[(1, 0, 100), (2, 100, 200)]);
+    assert_eq!(host.check_retry(end + ms(100), POISON), Verdict::Wait);
+    assert!(matches!(
+        host.check_retry(end + ms(160), POISON),
+        Verdict::Refused(_)
+    ));
+    assert_eq!(host.check(end + ms(160), POISON).0, Verdict::Isolated);
+    assert_eq!(host.check_retry(end + ms(170), POISON), Verdict::Wait);
+    host.record_answer(end + ms(180), POISON);
+    assert_eq!(host.check_retry(end + ms(180), POISON), Verdict::Allowed);
+}
+
 #[test]
 fn an_answer_clears_for_a_while() {
     let (mut host, end) = host_with_breaks(&[(1, 0, 100), (2, 100, 200)]);
