Targets of a zone that turned cold are paused before their own probe is answered

Cause: a zone is emptied while the store is away, so hosts go on using its targets, and all of them are cold when it returns. Hosts learn that from probes. A target answers a probe like any request, behind its queue.

Change: once half of a zone's targets of a service, two at least, are known to be cold, the others get no requests for a second; their own probes confirm it or end it. Targets turn cold together, as zones do. Registrations do not start this, so a release's new targets do not pause the old ones.

The new test failed before (t3 and t4 get their usual requests).

--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -11,10 +11,17 @@
 
 use super::member::Member;
 use super::Fleet;
+use crate::inventory::TargetKey;
 
 /// Time for which a target receives no requests after it was found to be cold: the span over which
 /// requests to a cold target are counted.
 const INITIAL_COLD_PAUSE: Duration = Duration::from_secs(1);
+/// Number of targets of a service and zone that have to turn cold until the others are assumed to
+/// be cold as well.
+const MIN_COLD_NEIGHBORS: usize = 2;
+/// Time for which a target is assumed to be cold because its neighbors are: the time in which its
+/// own probe is answered or times out.
+const ASSUMED_COLD_TIME: Duration = Duration::from_secs(1);
 
 /// A host as ranked for a target.
 #[derive(Clone, Debug)]
@@ -68,9 +75,45 @@
             member.last_cold_request = Some(now + INITIAL_COLD_PAUSE);
         }
         member.cold_until = Some(now + remaining);
+        if has_changed {
+            let (service, zone) = (member.service().clone(), member.registration.zone.clone());
+            self.assume_cold_zone(now, &service, &zone);
+        }
         has_changed
     }
 
+    /// Pauses the targets of a service and zone of which at least half are cold. Targets turn cold
+    /// together when their zone returns, and a busy one answers its probe only after the requests
+    /// that are queued there.
+    fn assume_cold_zone(&mut self, now: Instant, service: &str, zone: &str) {
+        let keys: Vec<TargetKey> = self
+            .services
+            .get(service)
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|key| {
+                let member = self.members.get(key);
+                member.is_some_and(|member| &*member.registration.zone == zone)
+            })
+            .collect();
+        let is_cold = |key: &&TargetKey| {
+            let member = self.members.get(key);
+            member.is_some_and(|member| member.is_cold(now))
+        };
+        let cold_count = keys.iter().filter(is_cold).count();
+        if cold_count < MIN_COLD_NEIGHBORS || cold_count * 2 < keys.len() {
+            return;
+        }
+        for key in keys {
+            let member = self.members.get_mut(&key);
+            if let Some(member) = member.filter(|member| !member.is_cold(now)) {
+                member.cold_until = Some(now + ASSUMED_COLD_TIME);
+                member.last_cold_request = Some(now + INITIAL_COLD_PAUSE);
+            }
+        }
+    }
+
     /// Whether this host may send a request to a cold target now.
     pub(super) fn may_use_cold(&self, now: Instant, member: &Member) -> bool {
         if !self.is_cold_user(member) {
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -363,6 +363,32 @@
         .unwrap_or(0)
 }
 
+/// A busy target of a zone whose targets have all turned cold answers its probe late, after it has got its usual load. It must get no
+/// requests once half of its zone is known to be cold, and its usual ones again if its own probe does not confirm that.
+#[test]
+fn targets_of_a_zone_that_turned_cold_are_paused() {
+    let mut world = World::new("h1", "n-a");
+    for id in ["t1", "t2", "t3", "t4"] {
+        world.fleet.register(world.now, registration(id, "n-b"));
+    }
+    world.fleet.register(world.now, registration("t5", "n-a"));
+    let chosen = |world: &mut World| -> BTreeSet<Arc<str>> {
+        (0..200u64)
+            .filter_map(|key| world.choose_and_finish(key.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+            .collect()
+    };
+    let cold_time = Duration::from_secs(9);
+    world.fleet.mark_cold(world.now, "t1", cold_time);
+    assert!(chosen(&mut world).contains("t3"));
+    world.fleet.mark_cold(world.now, "t2", cold_time);
+    assert_eq!(chosen(&mut world), BTreeSet::from(["t5".into()]));
+    world.advance(Duration::from_millis(990));
+    assert_eq!(chosen(&mut world), BTreeSet::from(["t5".into()]));
+    world.advance(Duration::from_millis(20));
+    let after = chosen(&mut world);
+    assert!(after.contains("t3") && after.contains("t4"), "{after:?}");
+}
+
 macro_rules! cold {
     ($($name:ident: $hosts:expr, $is_reported:expr;)*) => {$(
         #[test]
