Targets count as overloaded from 2 in 100 requests out of time

Cause: 2 in 1,000 requests out of time already limited a region's queues. That many run out of time in any burst, for reasons of their own.

Now the limit begins at 2 in 100 and is reached at 6 in 100.

--- a/src/steer/fleet/region_stats.rs
+++ b/src/steer/fleet/region_stats.rs
@@ -22,8 +22,8 @@
 /// Weight of one request in the share of those that run out of time.
 const TIMEOUT_WEIGHT: f64 = 0.01;
 /// Shares of requests that run out of time from which targets count as overloaded, and in full.
-const TIMEOUT_SHARE_LOW: f64 = 0.002;
-const TIMEOUT_SHARE_HIGH: f64 = 0.005;
+const TIMEOUT_SHARE_LOW: f64 = 0.02;
+const TIMEOUT_SHARE_HIGH: f64 = 0.06;
 /// Time without any report after which nothing is assumed: requests have to be sent to learn more.
 const MEAN_LIFETIME: Duration = Duration::from_secs(4);
 
