--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -18,6 +18,7 @@
 use super::admission::Admitted;
 use super::body::{self, Body, ReceivedBody};
 use super::client::{self, Connection, Unanswered};
+use super::quarantine::Permit;
 use super::request_log::{self, RequestTrace, StopReason};
 use super::{answer, log, message, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
@@ -261,15 +262,9 @@
         }
         let stop = if was_sent {
             sent += 1;
-            match quarantine::wait_for_retry(host, exchange, permit.as_ref()).await {
-                Ok(granted) => {
-                    if granted.is_some() {
-                        isolate(query, exchange);
-                        permit = granted;
-                    }
-                    stop_after_send(host, exchange, query, sent)
-                }
-                Err(quarantine::Suspected) => Some(StopReason::Suspected),
+            match stop_after_send(exchange, sent) {
+                None => wait_to_retry(host, exchange, query, &mut permit).await,
+                stop => stop,
             }
         } else {
             stop_after_unreachable(exchange, query, sent)
@@ -326,33 +321,43 @@
     .retry_after(core.rng.random_range(0.0..1.0))
 }
 
-/// Returns why a request is not sent to a further target, or `None` if it is. The retry budget is
-/// charged last, so that only retries that take place are counted.
-fn stop_after_send(
-    host: &Host,
-    exchange: &Exchange,
-    query: &TargetQuery<'_>,
-    sent: usize,
-) -> Option<StopReason> {
-    let time_left = exchange.deadline.saturating_duration_since(now());
+/// Returns why a request is not sent to a further target, or `None` if it may be.
+fn stop_after_send(exchange: &Exchange, sent: usize) -> Option<StopReason> {
     if sent >= exchange.route.attempts as usize {
         Some(StopReason::Attempts)
-    } else if time_left < MIN_ATTEMPT_TIME {
+    } else if exchange.deadline.saturating_duration_since(now()) < MIN_ATTEMPT_TIME {
         Some(StopReason::Time)
     } else if exchange.buffered == Buffered::Prefix {
         Some(StopReason::Body)
-    } else if !host
-        .core
-        .borrow_mut()
-        .budgets
-        .try_take(now(), query.service)
-    {
-        Some(StopReason::Budget)
     } else {
         None
     }
 }
 
+/// Waits until a request may be sent to a further target, with a permit if it is suspected to crash
+/// targets. Returns why it is not sent. The retry budget is charged last, so that only retries that
+/// take place are counted.
+async fn wait_to_retry<'a>(
+    host: &'a Rc<Host>,
+    exchange: &Exchange,
+    query: &mut TargetQuery<'_>,
+    permit: &mut Option<Permit<'a>>,
+) -> Option<StopReason> {
+    match quarantine::wait_for_retry(host, exchange, permit.as_ref()).await {
+        Ok(Some(granted)) => {
+            isolate(query, exchange);
+            *permit = Some(granted);
+        }
+        Ok(None) => {}
+        Err(quarantine::Suspected) => return Some(StopReason::Suspected),
+    }
+    if exchange.deadline.saturating_duration_since(now()) < MIN_ATTEMPT_TIME {
+        return Some(StopReason::Time);
+    }
+    let budgets = &mut host.core.borrow_mut().budgets;
+    (!budgets.try_take(now(), query.service)).then_some(StopReason::Budget)
+}
+
 /// Returns why no further target is tried after an unreachable one, or `None` if one is. Half of
 /// the request's time is reserved for a target that can be reached.
 fn stop_after_unreachable(
