Hosts log and export whether they reach any target

The logs of the incident show single requests only: not whether a host still had an answer from any target, nor since when. Where requests go is as before.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -42,6 +42,7 @@
     rate: Gauge<f64>,
     age: Gauge<f64>,
     hosts: Gauge<u64>,
+    reaches_targets: Gauge<u64>,
 }
 
 /// The measurements of one completed request.
@@ -97,6 +98,7 @@
             cold_rate: meter.f64_gauge("ragwortfold_target_cold_rate").build(),
             age: meter.f64_gauge("ragwortfold_age_seconds").build(),
             hosts: meter.u64_gauge("ragwortfold_hosts").build(),
+            reaches_targets: meter.u64_gauge("ragwortfold_reaches_targets").build(),
             registry,
             _provider: provider,
         })
@@ -186,6 +188,11 @@
             .record(count as u64, &[KeyValue::new("state", state)]);
     }
 
+    /// Sets whether this host reaches targets.
+    pub(crate) fn set_reaches_targets(&self, reaches_targets: bool) {
+        self.reaches_targets.record(u64::from(reaches_targets), &[]);
+    }
+
     /// Encodes all metrics in the text format.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut buffer = Vec::new();
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -83,7 +83,14 @@
     /// Whether the line is about the state of the host rather than a single target.
     fn is_host_state(&self) -> bool {
         let event = self.field("event");
-        let prefixes = ["configuration.", "zones.", "store.", "host.", "settings."];
+        let prefixes = [
+            "configuration.",
+            "zones.",
+            "store.",
+            "host.",
+            "settings.",
+            "targets.",
+        ];
         prefixes.iter().any(|prefix| event.starts_with(prefix))
     }
 }
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -20,7 +20,7 @@
 use super::client::{self, Connection, Unanswered};
 use super::quarantine::Permit;
 use super::request_log::{self, RequestTrace, StopReason};
-use super::{answer, log, message, now, quarantine, throttle, Host};
+use super::{answer, links, log, message, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
@@ -114,17 +114,20 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let core = &mut *self.host.core.borrow_mut();
-        let change = core.fleet.finish(
-            now(),
-            self.target,
-            self.end,
-            self.observation,
-            &mut core.rng,
-        );
-        if let (Some(change), Some(member)) = (change, core.fleet.member(self.target)) {
-            log::ejection_changed(member.id(), change);
+        {
+            let core = &mut *self.host.core.borrow_mut();
+            let change = core.fleet.finish(
+                now(),
+                self.target,
+                self.end,
+                self.observation,
+                &mut core.rng,
+            );
+            if let (Some(change), Some(member)) = (change, core.fleet.member(self.target)) {
+                log::ejection_changed(member.id(), change);
+            }
         }
+        links::update(&self.host);
     }
 }
 
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -82,6 +82,10 @@
     Ejected => "target.ejected",
     /// An ejected target gets requests again.
     Restored => "target.restored",
+    /// No target can be reached from this host any more.
+    TargetsLost => "targets.lost",
+    /// Targets can be reached from this host again.
+    TargetsReached => "targets.reached",
     /// A request is suspected to crash targets.
     Suspected => "request.suspected",
     /// A request crashed several targets and is not sent to targets for now.
@@ -260,6 +264,13 @@
     spdlog::info!("a target was ejected or restored", kv: { event = event.as_str(), target = id });
 }
 
+/// Logs that this host has lost its links to all targets, or reaches targets again.
+pub(crate) fn links_changed(event: Event) {
+    spdlog::info!("links: the links to all targets are lost or back", kv: {
+        event = event.as_str()
+    });
+}
+
 /// Logs a notice on a request suspected to crash targets.
 pub(crate) fn request_standing(notice: &Notice) {
     let event = match notice {
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -45,6 +45,7 @@
     for (kind, at) in &core.confirmed_at {
         metrics.set_age(kind.as_str(), now.saturating_duration_since(*at));
     }
+    metrics.set_reaches_targets(core.fleet.reaches_targets());
     metrics.set_host_count("alive", core.presence.alive(now).count());
     metrics.set_host_count("known", core.presence.peers().count() + 1);
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -16,6 +16,7 @@
 mod feed;
 mod front;
 mod join;
+mod links;
 mod log;
 mod lookup;
 mod message;
@@ -74,6 +75,7 @@
     startup: startup::Startup,
     /// Whether the host has registered, or has tried to.
     has_joined: Cell<bool>,
+    links: links::Links,
     /// Feeds that ended, and when.
     failed_feeds: RefCell<BTreeMap<SocketAddr, Instant>>,
     pending_claims: throttle::PendingClaims,
@@ -158,6 +160,7 @@
         watch_state: watcher::WatchState::new(),
         startup: startup::Startup::new(now(), &settings),
         has_joined: Cell::new(false),
+        links: links::Links::new(),
         failed_feeds: RefCell::default(),
         pending_claims: throttle::PendingClaims::default(),
         unknown_headers: RefCell::default(),
@@ -173,6 +176,7 @@
     startup::start(&host);
     sync::start(&host);
     tokio::task::spawn_local(probe::run(host.clone()));
+    tokio::task::spawn_local(links::run(host.clone()));
     tokio::task::spawn_local(proof::run_renewal(host.clone()));
     tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
     spdlog::info!("host: listening", kv: {
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -14,7 +14,9 @@
 use http::{HeaderValue, Request, Uri};
 use http_body_util::BodyExt;
 
-use super::{body, client, datagram, exchange, log, now, throttle, Host};
+use super::client::{self, Connection};
+use super::core::Core;
+use super::{body, datagram, exchange, log, now, throttle, Host};
 use crate::inventory::TargetKey;
 use crate::steer::throttle::Assignment;
 
@@ -25,6 +27,22 @@
 /// How long a target may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Whether a target answers a probe on a new connection.
+pub(crate) async fn is_answered(host: &Host, target: TargetKey) -> bool {
+    let Some(probe) = Probe::new(&host.core.borrow(), target) else {
+        return false;
+    };
+    if !throttle::request_permit(host, target, Assignment::Primary).await {
+        return false;
+    }
+    let answer = async {
+        let stream = client::connect(probe.address, PROBE_TIMEOUT).await?;
+        query_health(host, &probe, Connection::new(stream).await?).await
+    };
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, answer).await;
+    matches!(answer, Ok(Ok(_)))
+}
+
 /// A target to probe.
 struct Probe {
     target: TargetKey,
@@ -33,6 +51,20 @@
     path: Arc<str>,
 }
 
+impl Probe {
+    /// Returns `None` if the target or its service is not known any more.
+    fn new(core: &Core, target: TargetKey) -> Option<Self> {
+        let member = core.fleet.member(target)?;
+        let service = core.table.service(member.service())?;
+        Some(Self {
+            target,
+            id: member.id().clone(),
+            address: member.address(),
+            path: service.health_path.clone(),
+        })
+    }
+}
+
 /// Probes targets periodically while changes in the store may arrive late.
 pub(crate) async fn run(host: Rc<Host>) {
     let mut interval = tokio::time::interval(PROBE_INTERVAL);
@@ -50,17 +82,10 @@
         return Vec::new();
     }
     let targets = core.fleet.next_checks();
-    let probes = targets.into_iter().filter_map(|target| {
-        let member = core.fleet.member(target)?;
-        let service = core.table.service(member.service())?;
-        Some(Probe {
-            target,
-            id: member.id().clone(),
-            address: member.address(),
-            path: service.health_path.clone(),
-        })
-    });
-    probes.collect()
+    let probes = targets.into_iter();
+    probes
+        .filter_map(|target| Probe::new(core, target))
+        .collect()
 }
 
 async fn run_probe(host: Rc<Host>, probe: Probe) {
@@ -68,7 +93,12 @@
     if !throttle::request_permit(&host, probe.target, Assignment::Primary).await {
         return;
     }
-    let answer = tokio::time::timeout(PROBE_TIMEOUT, query_health(&host, &probe)).await;
+    let answer = async {
+        let connection =
+            exchange::open_connection(&host, probe.target, probe.address, PROBE_TIMEOUT).await?;
+        query_health(&host, &probe, connection).await
+    };
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, answer).await;
     let cold = match answer {
         Ok(Ok(cold)) => cold,
         Ok(Err(error)) => {
@@ -95,9 +125,11 @@
 }
 
 /// Requests a target's health and returns its remaining cold time.
-async fn query_health(host: &Host, probe: &Probe) -> Result<Option<Duration>, client::Error> {
-    let mut connection =
-        exchange::open_connection(host, probe.target, probe.address, PROBE_TIMEOUT).await?;
+async fn query_health(
+    host: &Host,
+    probe: &Probe,
+    mut connection: Connection,
+) -> Result<Option<Duration>, client::Error> {
     let mut request = Request::new(body::full(Bytes::new()));
     if let Ok(path) = probe.path.parse::<Uri>() {
         *request.uri_mut() = path;
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -18,6 +18,7 @@
 mod object_locations;
 mod ranking;
 mod rate_limit;
+mod reach;
 mod region_stats;
 mod service_stats;
 mod silence;
@@ -35,6 +36,7 @@
 use self::member::LoadReport;
 use self::object_locations::ObjectLocations;
 use self::ranking::Rankings;
+use self::reach::Reach;
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
 use super::drift::Drift;
@@ -174,6 +176,7 @@
     throttle: Throttle,
     /// Sequence number of this host's last claim.
     claim_count: u32,
+    reach: Reach,
 }
 
 impl Fleet {
@@ -204,6 +207,7 @@
             last_checked: None,
             throttle: Throttle::new(),
             claim_count: 0,
+            reach: Reach::default(),
             lapsed_counts: BTreeMap::new(),
             own_host,
             switches: Switches::default(),
@@ -527,6 +531,7 @@
         if let (End::Answered, Some(response_time)) = (end, observation.response_time) {
             self.record_answer(now, key, response_time, &observation);
         }
+        self.record_reach(now, key, end);
         let load = observation.load;
         if end == End::TimedOut {
             self.record_timeout(key);
