--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -65,6 +65,8 @@
     Join,
     /// They are refused.
     Refuse,
+    /// Attempts to connect get no reply.
+    Ignore,
     /// They are accepted and reset.
     Reset,
 }
@@ -250,7 +252,8 @@
     }
 
     /// Replaces the faults of connections from `source`, to which the link's own faults no longer
-    /// apply. [`Accept::Refuse`] has no effect here, since the listener is shared; [`Accept::Reset`] has.
+    /// apply. [`Accept::Refuse`] and [`Accept::Ignore`] have no effect here, since the listener is
+    /// shared; [`Accept::Reset`] has.
     pub fn set_fault_from(&self, source: IpAddr, fault: Fault) {
         let mut paths = lock(&self.source_paths);
         let path = paths
@@ -327,16 +330,17 @@
         self.update_listener();
     }
 
-    /// Refuses new connections if the fault requires it or the far end refuses them.
+    /// Refuses or ignores new connections if the fault requires it or the far end refuses them.
     fn update_listener(&self) {
         let state = lock(&self.state);
-        let is_closed = state.far_refuses || state.fault.accept == Accept::Refuse;
+        let listener_state = match state.fault.accept {
+            Accept::Ignore => ListenerState::Unreachable,
+            Accept::Refuse => ListenerState::Closed,
+            _ if state.far_refuses => ListenerState::Closed,
+            _ => ListenerState::Open,
+        };
         if let Some(set_listener_state) = self.set_listener_state.get() {
-            set_listener_state(if is_closed {
-                ListenerState::Closed
-            } else {
-                ListenerState::Open
-            });
+            set_listener_state(listener_state);
         }
     }
 
--- a/standin/src/listen.rs
+++ b/standin/src/listen.rs
@@ -18,6 +18,8 @@
 use crate::{lock, runtime, Error};
 
 const BACKLOG: i32 = 1024;
+/// Connections that fill the shortest queue that the kernel keeps.
+const QUEUE_FILLERS: usize = 2;
 /// Pause after a failed accept; the pause after a failed bind is ten times as long.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
@@ -28,6 +30,8 @@
     Open,
     /// Connections are refused by the kernel.
     Closed,
+    /// The kernel ignores attempts to connect, as if the listener were unreachable.
+    Unreachable,
     /// The listener has ended and can't be opened again.
     Stopped,
 }
@@ -35,6 +39,8 @@
 struct State {
     status: ListenerState,
     listener: Option<Arc<TcpListener>>,
+    /// A listening socket whose queue of new connections is full, and the connections that fill it.
+    full_queue: Option<(Socket, Vec<Socket>)>,
 }
 
 struct Shared {
@@ -70,6 +76,7 @@
             state: Mutex::new(State {
                 status: ListenerState::Open,
                 listener: Some(Arc::new(first)),
+                full_queue: None,
             }),
             changed: Notify::new(),
             runtime: runtime.clone(),
@@ -109,14 +116,17 @@
         return;
     }
     state.status = status;
-    match (status, &state.listener) {
-        (ListenerState::Open, None) => state.listener = shared.listen(),
-        (ListenerState::Closed | ListenerState::Stopped, Some(listener)) => {
-            // Closes the listening socket at once and wakes the accepting task.
-            let _ = SockRef::from(&**listener).shutdown(Shutdown::Both);
-            state.listener = None;
+    state.full_queue = None;
+    if status == ListenerState::Open {
+        if state.listener.is_none() {
+            state.listener = shared.listen();
         }
-        _ => {}
+    } else if let Some(listener) = state.listener.take() {
+        // Closes the listening socket at once and wakes the accepting task.
+        let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+    }
+    if status == ListenerState::Unreachable {
+        state.full_queue = full_queue(shared.address).ok();
     }
     shared.changed.notify_one();
 }
@@ -137,6 +147,22 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Listens on `address` and fills the queue of new connections, so that the kernel drops further
+/// attempts to connect.
+fn full_queue(address: SocketAddr) -> io::Result<(Socket, Vec<Socket>)> {
+    let listener = bind(address)?;
+    listener.listen(0)?;
+    let connections = (0..QUEUE_FILLERS).map(|_| {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_nonblocking(true)?;
+        // The connections that find the queue full stay in progress.
+        let _ = socket.connect(&address.into());
+        Ok(socket)
+    });
+    let connections = connections.collect::<io::Result<_>>()?;
+    Ok((listener, connections))
+}
+
 impl Shared {
     fn listen(&self) -> Option<Arc<TcpListener>> {
         listen(&self.runtime, self.address).ok().map(Arc::new)
--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -123,6 +123,14 @@
         link.set_fault(Fault { reset_open: true, ..Fault::default() });
         assert_eq!(stream.read(&mut [0]).unwrap_err().kind(), ErrorKind::ConnectionReset);
     };
+    new_connections_are_ignored_and_later_accepted: |link: &Link| {
+        link.set_fault(Fault { accept: Accept::Ignore, ..Fault::default() });
+        let ignored = TcpStream::connect_timeout(&link.address(), Duration::from_millis(300));
+        assert_eq!(ignored.unwrap_err().kind(), ErrorKind::TimedOut);
+        link.set_fault(Fault::default());
+        let accepted = TcpStream::connect_timeout(&link.address(), Duration::from_secs(5));
+        assert!(accepted.is_ok());
+    };
     new_connections_are_refused_or_reset: |link: &Link| {
         link.set_fault(Fault { accept: Accept::Refuse, ..Fault::default() });
         let refused = TcpStream::connect(link.address()).unwrap_err();
