--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -15,6 +15,7 @@
 
 mod lookup;
 mod record;
+mod relay;
 mod watching;
 
 use std::collections::BTreeMap;
@@ -76,6 +77,8 @@
     is_leaving: bool,
     store_view: Option<StoreView>,
     rate: u32,
+    /// Until when it counts as unable to reach targets.
+    cut_off_until: Option<Instant>,
 }
 
 impl Peer {
@@ -121,6 +124,8 @@
     few_watchers: Switch,
     few_hosts: Switch,
     lookup_filter: LookupFilter,
+    /// Whether this host is unable to reach targets.
+    is_cut_off: bool,
 }
 
 impl Presence {
@@ -149,6 +154,7 @@
             few_watchers: Switch::On,
             few_hosts: Switch::On,
             lookup_filter: LookupFilter::All,
+            is_cut_off: false,
         }
     }
 
@@ -320,6 +326,7 @@
             is_leaving: false,
             store_view: None,
             rate: 0,
+            cut_off_until: None,
             record,
         };
         self.zones_last_heard.insert(peer.record.zone.clone(), now);
--- a/src/control/presence/lookup.rs
+++ b/src/control/presence/lookup.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::{HostRecord, Presence, StoreView};
+use super::{HostRecord, Presence, StoreView, Strength};
 use crate::border::settings::Switch;
 use crate::control::active_hosts::{self, Candidate};
 use crate::port::Question;
@@ -79,7 +79,8 @@
     }
 
     /// The hosts that may be named to a caller: those of its availability zone if there are enough,
-    /// else those of its region, else all.
+    /// else those of its region, else all. Hosts that can't reach targets are left out while others
+    /// of the region can.
     fn candidates(&self, now: Instant, question: &Question) -> Vec<Candidate> {
         let distance = |record: &HostRecord| -> u8 {
             if record.zone == question.zone {
@@ -97,16 +98,20 @@
         } else {
             StoreView::Nothing
         };
-        let own = Some((&self.own, self.request_rate.last_peak()));
+        let own = Some((&self.own, self.request_rate.last_peak(), self.is_cut_off));
         let own = own.filter(|_| !self.is_leaving && self.store_view > min_view);
         let others = self
             .live_peers(now)
             .filter(|peer| peer.store_view.is_none_or(|view| view > min_view))
-            .map(|peer| (&peer.record, peer.rate));
-        let all: Vec<(u8, Candidate)> = own
+            .map(|peer| (&peer.record, peer.rate, peer.is_cut_off(now)));
+        let serving: Vec<_> = own.into_iter().chain(others).collect();
+        let reaches_targets = serving
+            .iter()
+            .any(|(record, _, is_cut_off)| !is_cut_off && distance(record) <= 1);
+        let all: Vec<(u8, Candidate)> = serving
             .into_iter()
-            .chain(others)
-            .map(|(record, rate)| (distance(record), candidate(record, rate)))
+            .filter(|(_, _, is_cut_off)| !(reaches_targets && *is_cut_off))
+            .map(|(record, rate, _)| (distance(record), candidate(record, rate)))
             .collect();
         let in_zone = all.iter().filter(|(distance, _)| *distance == 0).count();
         let in_region = all.iter().filter(|(distance, _)| *distance <= 1).count();
@@ -155,7 +160,7 @@
 fn draw_hosts(candidates: Vec<Candidate>, caller: IpAddr) -> Vec<SocketAddr> {
     let mut ranked: Vec<(f64, Candidate)> = candidates
         .into_iter()
-        .map(|candidate| (hash_distance(&candidate, caller), candidate))
+        .map(|candidate| (caller_distance(&candidate, caller), candidate))
         .collect();
     ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
     ranked.truncate(MAX_NAMED_HOSTS);
@@ -173,12 +178,22 @@
 
 /// The distance of a host from a caller in weighted rendezvous hashing. The nearest hosts are
 /// drawn.
-fn hash_distance(candidate: &Candidate, caller: IpAddr) -> f64 {
+fn caller_distance(candidate: &Candidate, caller: IpAddr) -> f64 {
     let seed = candidate.order;
     let draw = match caller {
         IpAddr::V4(address) => xxh3_64_with_seed(&address.octets(), seed),
         IpAddr::V6(address) => xxh3_64_with_seed(&address.octets(), seed),
     };
+    weighted_distance(draw, candidate.strength)
+}
+
+/// The distance of a host from a key in weighted rendezvous hashing.
+pub(super) fn hash_distance(record: &HostRecord, key: u64) -> f64 {
+    let draw = xxh3_64_with_seed(record.host.as_bytes(), key);
+    weighted_distance(draw, record.strength)
+}
+
+fn weighted_distance(draw: u64, strength: Strength) -> f64 {
     let part = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    -part.ln() / active_hosts::comfortable_rate(candidate.strength).max(f64::EPSILON)
+    -part.ln() / active_hosts::comfortable_rate(strength).max(f64::EPSILON)
 }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -186,6 +186,11 @@
         "time" => "its deadline, or its route's timeout, had passed",
         "budget" => "the retry budget was used up",
         "body" => "its body was too long to be buffered for another target",
+        "cut-off" => {
+            "its host had lost its links to all targets, and no other host could take the request"
+        }
+        "relayed" => "its host had lost its links to all targets, and the host that took the request refused it",
+        "older-configuration" => "the host that relayed it had a newer configuration; another host was asked",
         "caller-left" => "its caller disconnected, perhaps because its own timeout had passed, before it had an answer",
         "no-route" => "no route of the configuration in force matches its host name and path",
         "no-configuration" => "the host had no configuration yet",
--- a/src/host/admission.rs
+++ b/src/host/admission.rs
@@ -21,11 +21,24 @@
     pub(crate) caller: Caller,
     /// The only regions that may serve it; any, if empty.
     pub(crate) homes: BTreeSet<Arc<str>>,
+    charge: Charge,
+}
+
+/// Whether a request counts towards its account's quota at this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Charge {
+    /// It does.
+    Here,
+    /// The host that relays it has counted it.
+    Relaying,
 }
 
 impl Admitted {
     /// Returns the request to its account's quota, since it did not run and will not.
     pub(crate) fn refund(&self, host: &Host) {
+        if self.charge == Charge::Relaying {
+            return;
+        }
         let core = &mut *host.core.borrow_mut();
         if let (Some(ledger), Some(account)) = (&mut core.ledger, self.caller.account()) {
             ledger.refund(account);
@@ -84,8 +97,14 @@
     }
 }
 
-/// Decides whether a request on `route` may run. If so, charges it to its account's quota.
-pub(crate) fn admit(host: &Host, route: &Route, head: &Head) -> Result<Admitted, AdmissionError> {
+/// Decides whether a request on `route` may run. If so, charges it to its account's quota, unless
+/// `charge` says that this was done elsewhere.
+pub(crate) fn admit(
+    host: &Host,
+    route: &Route,
+    head: &Head,
+    charge: Charge,
+) -> Result<Admitted, AdmissionError> {
     let core = &mut *host.core.borrow_mut();
     let freshness = core.config_freshness(moment());
     let caller = core
@@ -99,11 +118,12 @@
         return Ok(Admitted {
             caller,
             homes: route.homes.clone(),
+            charge,
         });
     };
     let homes = account::allowed_regions(&route.homes, &account.homes)
         .map_err(|_| AdmissionError::NoHome(account.name.clone()))?;
-    if let Some(ledger) = &mut core.ledger {
+    if let Some(ledger) = core.ledger.as_mut().filter(|_| charge == Charge::Here) {
         if let Err(refusal) = ledger.admit(now(), account) {
             // Randomized, so that rejected callers don't all return at once and exceed the quota
             // again.
@@ -117,5 +137,9 @@
             });
         }
     }
-    Ok(Admitted { caller, homes })
+    Ok(Admitted {
+        caller,
+        homes,
+        charge,
+    })
 }
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use http::header::CONNECTION;
-use http::{response, Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -167,9 +167,9 @@
     read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-/// Whether a target closes the connection after its answer.
-pub(crate) fn closes_connection(parts: &response::Parts) -> bool {
-    let mut values = parts.headers.get_all(CONNECTION).iter();
+/// Whether a server closes the connection after an answer with these headers.
+pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(CONNECTION).iter();
     values.any(|value| {
         value
             .to_str()
@@ -177,9 +177,9 @@
     })
 }
 
-/// The time after which a target closes an idle connection, if it announces one.
-pub(crate) fn idle_timeout(parts: &response::Parts) -> Option<Duration> {
-    let value = parts.headers.get("keep-alive")?.to_str().ok()?;
+/// The time after which a server closes an idle connection, if it announces one.
+pub(crate) fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value
         .split(',')
         .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
--- a/src/host/datagram.rs
+++ b/src/host/datagram.rs
@@ -60,6 +60,9 @@
     /// The response to a [`Datagram::Claim`].
     #[serde(rename = "g")]
     Grant(Grant),
+    /// Whether the sender is unable to reach targets.
+    #[serde(rename = "u")]
+    CutOff(bool),
 }
 
 /// Requests per account at a host.
@@ -239,6 +242,12 @@
     send(host, &Datagram::Grant(grant), &[claimant]).await;
 }
 
+/// Notifies the hosts of the region whether this host is unable to reach targets.
+pub(crate) async fn send_cut_off(host: &Host, is_cut_off: bool) {
+    let peers = host.core.borrow().presence.cut_off_recipients();
+    send(host, &Datagram::CutOff(is_cut_off), &peers).await;
+}
+
 /// Notifies all hosts that a target is cold.
 pub(crate) async fn send_cold(host: &Host, id: &Arc<str>, left: Duration) {
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
@@ -309,6 +318,10 @@
             Ok(Datagram::Rates(rates)) => throttle::apply_rates(&host, &rates),
             Ok(Datagram::Claim(claim)) => throttle::answer_claim(&host, sender, &claim).await,
             Ok(Datagram::Grant(grant)) => throttle::apply_grant(&host, sender, &grant),
+            Ok(Datagram::CutOff(is_cut_off)) => {
+                let presence = &mut host.core.borrow_mut().presence;
+                presence.receive_cut_off(now(), sender, is_cut_off);
+            }
             Err(error) => {
                 spdlog::warn!("datagram: cannot decode a datagram from {sender}: {error}")
             }
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -19,6 +19,7 @@
 use super::body::{self, Body, ReceivedBody};
 use super::client::{self, Connection, Unanswered};
 use super::quarantine::Permit;
+use super::relay::{self, Disposition, Relay};
 use super::request_log::{self, RequestTrace, StopReason};
 use super::{answer, links, log, message, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
@@ -39,6 +40,13 @@
 /// route's limit, since nothing was sent: many targets may be down while they are still registered.
 const MAX_UNREACHABLE_TARGETS: usize = 8;
 
+/// Unreachable targets after which another host is asked to send a request: this host may have lost
+/// its links.
+const MIN_UNREACHABLE_FOR_RELAY: usize = 2;
+
+/// Retry delay while neither this host nor any other reaches targets.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Limit on the time spent asking hosts for permission to send: enough for several queries within
 /// the region or one to another region. A request without a permitted target is refused soon after.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(50);
@@ -57,6 +65,12 @@
     pub(crate) fingerprint: Fingerprint,
     /// Whether the caller aborted the body while it was being streamed to a target.
     pub(crate) caller_aborted: Rc<Cell<bool>>,
+    /// Number of targets that it may be sent to.
+    pub(crate) attempts: usize,
+    /// Whether the retry budget has counted it.
+    pub(crate) is_counted: Cell<bool>,
+    /// What the host that relays it said, if it was not sent by a caller.
+    pub(crate) context: Option<relay::Context>,
 }
 
 /// How much of a request's body is buffered.
@@ -140,16 +154,12 @@
     let Some(service) = host.core.borrow_mut().choose_service(&exchange.route) else {
         return answer::not_run(host, "no service for this route\n");
     };
-    host.core
-        .borrow_mut()
-        .budgets
-        .record_request(now(), &service);
     let query = TargetQuery {
         service: &service,
         affinity_key: affinity_hash(&exchange),
         object: affinity_object(&exchange, &service),
         homes: &exchange.admitted.homes,
-        tried: Vec::new(),
+        tried: tried_elsewhere(host, &exchange),
         body_bytes: body.length(),
     };
     let mut active = ActiveRequest {
@@ -190,8 +200,69 @@
     }
 }
 
-/// Tries targets one after the other. Without a successful answer, the caller gets the last server
-/// error that a target returned, if there is one.
+/// The targets that the host that relays a request has sent it to.
+fn tried_elsewhere(host: &Host, exchange: &Exchange) -> Vec<TargetKey> {
+    let core = host.core.borrow();
+    let tried = exchange.context.iter().flat_map(|context| &context.tried);
+    tried.filter_map(|id| core.fleet.key(id)).collect()
+}
+
+/// How a request is sent next.
+enum Path {
+    /// To a target.
+    Target,
+    /// To another host.
+    Relay(Relay),
+    /// Not at all.
+    Stop(StopReason),
+}
+
+/// The progress of a request from one attempt to the next.
+struct Progress<'a> {
+    body: Option<ReceivedBody>,
+    failed_response: Option<Response<Body>>,
+    may_have_run: bool,
+    permit: Option<Permit<'a>>,
+    has_checked_quarantine: bool,
+    /// Targets that the request was sent to.
+    sent_to: Vec<TargetKey>,
+    /// Targets that were tried, and could not be reached.
+    unreachable: usize,
+    /// Hosts that the request was to be relayed by.
+    relays: Vec<Arc<str>>,
+}
+
+impl Progress<'_> {
+    fn new(body: ReceivedBody) -> Self {
+        Self {
+            body: Some(body),
+            failed_response: None,
+            may_have_run: false,
+            permit: None,
+            has_checked_quarantine: false,
+            sent_to: Vec::new(),
+            unreachable: 0,
+            relays: Vec::new(),
+        }
+    }
+
+    /// What became of the request, if it was not answered.
+    fn disposition(&self, exchange: &Exchange) -> Disposition {
+        if self.failed_response.is_some() {
+            Disposition::Failed
+        } else if !self.may_have_run {
+            Disposition::NotServed
+        } else if now() >= exchange.deadline {
+            Disposition::TimedOut
+        } else {
+            Disposition::Unknown
+        }
+    }
+}
+
+/// Tries targets one after the other, or other hosts while this one can't reach targets. Without a
+/// successful answer, the caller gets the last server error that a target returned, if there is
+/// one.
 async fn try_targets(active: &mut ActiveRequest<'_>, body: ReceivedBody) -> Response<Body> {
     let ActiveRequest {
         host,
@@ -200,93 +271,194 @@
         trace,
         ..
     } = active;
-    let mut body = Some(body);
-    let mut failed_response = None;
-    let mut may_have_run = false;
-    let must_run_once = exchange.route.repeat == Repeat::Never;
-    let mut permit = None;
-    let mut sent = 0;
-    trace.stop_reason = loop {
-        if query.tried.is_empty() {
+    let mut progress = Progress::new(body);
+    let stop = loop {
+        if !std::mem::replace(&mut progress.has_checked_quarantine, true) {
             match quarantine::wait_for_permit(host, exchange).await {
-                Ok(granted) => permit = granted,
+                Ok(granted) => progress.permit = granted,
                 Err(pause) => break StopReason::Quarantined(pause),
             }
-            if permit.is_some() {
+            if progress.permit.is_some() {
                 isolate(query, exchange);
             }
         }
-        let target = match choose_target(host, query).await {
-            Ok(target) => target,
-            Err(refusal) => break StopReason::Refused(refusal),
-        };
-        let observation = Observation {
-            object: query.object,
-            goal: Some(exchange.route.goal),
-            ..Observation::default()
-        };
-        let mut in_flight = InFlight::new(host, target, observation);
-        in_flight.sent_before = sent;
-        trace.start_attempt(host, &in_flight);
-        let connected = connect_target(host, exchange, &mut in_flight).await;
-        let was_sent = connected.is_ok();
-        let outcome = match connected {
-            Ok((connection, id)) => {
-                let Some(payload) = take_body(&mut body) else {
-                    break StopReason::Body;
-                };
-                send(
-                    host,
-                    exchange,
-                    query,
-                    &mut in_flight,
-                    (connection, id, payload),
-                )
-                .await
-            }
-            Err(outcome) => outcome,
+        let attempted = match choose_path(host, exchange, query, &progress) {
+            Path::Target => try_target(host, exchange, query, trace, &mut progress).await,
+            Path::Relay(relay) => try_relay(host, exchange, trace, &mut progress, &relay).await,
+            Path::Stop(stop) => Err(stop),
         };
-        trace.finish_attempt(&in_flight);
-        quarantine::record_attempt_end(host, exchange, &in_flight);
-        drop(in_flight);
-        query.tried.push(target);
-        match outcome {
-            Outcome::Answered(response) => return response,
-            Outcome::Failed(response) => failed_response = Some(response),
-            Outcome::NotRun => {}
-            Outcome::Unknown => may_have_run = true,
-            Outcome::TimedOut => {
-                may_have_run = true;
-                break StopReason::Time;
-            }
+        match attempted {
+            Ok(Some(response)) => return with_disposition(response, Disposition::Answered),
+            Ok(None) => {}
+            Err(stop) => break stop,
         }
-        if must_run_once && (may_have_run || failed_response.is_some()) {
-            break StopReason::MayHaveRun;
+    };
+    trace.stop_reason = stop;
+    progress.permit = None;
+    let disposition = progress.disposition(exchange);
+    match (progress.failed_response, disposition) {
+        (Some(response), _) => with_disposition(response, disposition),
+        (None, Disposition::TimedOut) => with_disposition(answer::timed_out(), disposition),
+        (None, Disposition::Unknown) => {
+            let response = answer::outcome_unknown("the target broke off\n");
+            with_disposition(response, disposition)
         }
-        let stop = if was_sent {
-            sent += 1;
-            match stop_after_send(exchange, sent) {
-                None => wait_to_retry(host, exchange, query, &mut permit).await,
-                stop => stop,
+        (None, _) => {
+            exchange.admitted.refund(host);
+            let delay = retry_after(host, exchange, query, stop);
+            let response = answer::not_run_retry_after(host, "no target has room\n", delay);
+            if host.core.borrow().fleet.reaches_targets() {
+                let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+                with_disposition(response, Disposition::NotRun(delay_ms))
+            } else {
+                with_disposition(response, Disposition::NotServed)
             }
-        } else {
-            stop_after_unreachable(exchange, query, sent)
-        };
-        if let Some(stop) = stop {
-            break stop;
         }
+    }
+}
+
+fn with_disposition(mut response: Response<Body>, disposition: Disposition) -> Response<Body> {
+    response.extensions_mut().insert(disposition);
+    response
+}
+
+/// Decides whether a request is sent to a target, or to another host since this one can't reach
+/// targets.
+fn choose_path(
+    host: &Host,
+    exchange: &Exchange,
+    query: &TargetQuery<'_>,
+    progress: &Progress<'_>,
+) -> Path {
+    let is_cut_off = !host.core.borrow().fleet.reaches_targets();
+    let may_be_cut_off = progress.unreachable >= MIN_UNREACHABLE_FOR_RELAY;
+    let may_relay = exchange.context.is_none() && progress.relays.len() < relay::MAX_HOSTS;
+    let relay = (may_relay && (is_cut_off || may_be_cut_off))
+        .then(|| relay::choose(host, query, &progress.relays))
+        .flatten();
+    match relay {
+        Some(relay) => Path::Relay(relay),
+        None if is_cut_off => Path::Stop(StopReason::CutOff),
+        None => Path::Target,
+    }
+}
+
+/// Sends a request to a target. Returns the response if the request is answered, or why no further
+/// attempt is made.
+async fn try_target<'a>(
+    host: &'a Rc<Host>,
+    exchange: &Exchange,
+    query: &mut TargetQuery<'_>,
+    trace: &mut RequestTrace,
+    progress: &mut Progress<'a>,
+) -> Result<Option<Response<Body>>, StopReason> {
+    if !exchange.is_counted.replace(true) {
+        let budgets = &mut host.core.borrow_mut().budgets;
+        budgets.record_request(now(), query.service);
+    }
+    let target = choose_target(host, query)
+        .await
+        .map_err(StopReason::Refused)?;
+    let observation = Observation {
+        object: query.object,
+        goal: Some(exchange.route.goal),
+        ..Observation::default()
     };
-    drop(permit);
-    match failed_response {
-        Some(response) => response,
-        None if !may_have_run => {
-            exchange.admitted.refund(host);
-            let delay = retry_after(host, exchange, query, trace.stop_reason);
-            answer::not_run_retry_after(host, "no target has room\n", delay)
+    let mut in_flight = InFlight::new(host, target, observation);
+    in_flight.sent_before = progress.sent_to.len();
+    trace.start_attempt(host, &in_flight);
+    let connected = connect_target(host, exchange, &mut in_flight).await;
+    let was_sent = connected.is_ok();
+    let outcome = match connected {
+        Ok((connection, id)) => {
+            let payload = take_body(&mut progress.body).ok_or(StopReason::Body)?;
+            let message = (connection, id, payload);
+            send(host, exchange, query, &mut in_flight, message).await
+        }
+        Err(outcome) => outcome,
+    };
+    trace.finish_attempt(&in_flight);
+    quarantine::record_attempt_end(host, exchange, &in_flight);
+    drop(in_flight);
+    query.tried.push(target);
+    match outcome {
+        Outcome::Answered(response) => return Ok(Some(response)),
+        Outcome::Failed(response) => progress.failed_response = Some(response),
+        Outcome::NotRun => {}
+        Outcome::Unknown => progress.may_have_run = true,
+        Outcome::TimedOut => {
+            progress.may_have_run = true;
+            return Err(StopReason::Time);
         }
-        None if now() >= exchange.deadline => answer::timed_out(),
-        None => answer::outcome_unknown("the target broke off\n"),
     }
+    if exchange.route.repeat == Repeat::Never
+        && (progress.may_have_run || progress.failed_response.is_some())
+    {
+        return Err(StopReason::MayHaveRun);
+    }
+    let stop = if was_sent {
+        progress.sent_to.push(target);
+        match stop_after_send(exchange, progress.sent_to.len()) {
+            None => wait_to_retry(host, exchange, query, &mut progress.permit).await,
+            stop => stop,
+        }
+    } else {
+        progress.unreachable += 1;
+        stop_after_unreachable(exchange, progress.unreachable)
+    };
+    stop.map_or(Ok(None), Err)
+}
+
+/// Sends a request to another host. Returns the response if the request is answered, or why no
+/// further attempt is made.
+async fn try_relay(
+    host: &Host,
+    exchange: &Exchange,
+    trace: &mut RequestTrace,
+    progress: &mut Progress<'_>,
+    relay: &Relay,
+) -> Result<Option<Response<Body>>, StopReason> {
+    if exchange.deadline.saturating_duration_since(now()) < MIN_ATTEMPT_TIME {
+        return Err(StopReason::Time);
+    }
+    progress.relays.push(relay.host.clone());
+    trace.start_relay(&relay.host);
+    let outcome = relay::send(host, exchange, relay, &progress.sent_to, &mut progress.body).await;
+    trace.finish_relay(&outcome);
+    match outcome {
+        relay::Outcome::Responded(disposition, response) => match disposition {
+            Disposition::Answered => return Ok(Some(response)),
+            Disposition::Failed => progress.failed_response = Some(response),
+            Disposition::NotRun(delay_ms) => {
+                return Err(StopReason::Relayed(Duration::from_millis(delay_ms)));
+            }
+            Disposition::NotServed => {
+                host.relays.avoid(relay);
+                return Ok(None);
+            }
+            Disposition::Unknown => progress.may_have_run = true,
+            Disposition::TimedOut => {
+                progress.may_have_run = true;
+                return Err(StopReason::Time);
+            }
+        },
+        relay::Outcome::NotSent => {
+            host.relays.avoid(relay);
+            return Ok(None);
+        }
+        relay::Outcome::Unknown => progress.may_have_run = true,
+        relay::Outcome::TimedOut => {
+            progress.may_have_run = true;
+            return Err(StopReason::Time);
+        }
+        relay::Outcome::NoBody => return Err(StopReason::Body),
+    }
+    // The other host has made all attempts that were left.
+    Err(if exchange.route.repeat == Repeat::Never {
+        StopReason::MayHaveRun
+    } else {
+        StopReason::Attempts
+    })
 }
 
 /// Directs a suspected request to a target chosen by its fingerprint, apart from the target of the
@@ -303,8 +475,10 @@
     query: &TargetQuery<'_>,
     stop: StopReason,
 ) -> Duration {
-    if let StopReason::Quarantined(pause) = stop {
-        return pause;
+    match stop {
+        StopReason::Quarantined(pause) | StopReason::Relayed(pause) => return pause,
+        StopReason::CutOff => return CUT_OFF_RETRY_AFTER,
+        _ => {}
     }
     if host.settings.switches.room_pause == Switch::Off {
         return answer::DEFAULT_RETRY_AFTER;
@@ -326,7 +500,7 @@
 
 /// Returns why a request is not sent to a further target, or `None` if it may be.
 fn stop_after_send(exchange: &Exchange, sent: usize) -> Option<StopReason> {
-    if sent >= exchange.route.attempts as usize {
+    if sent >= exchange.attempts {
         Some(StopReason::Attempts)
     } else if exchange.deadline.saturating_duration_since(now()) < MIN_ATTEMPT_TIME {
         Some(StopReason::Time)
@@ -361,17 +535,13 @@
     (!budgets.try_take(now(), query.service)).then_some(StopReason::Budget)
 }
 
-/// Returns why no further target is tried after an unreachable one, or `None` if one is. Half of
+/// Returns why no further target is tried after some unreachable ones, or `None` if one is. Half of
 /// the request's time is reserved for a target that can be reached.
-fn stop_after_unreachable(
-    exchange: &Exchange,
-    query: &TargetQuery<'_>,
-    sent: usize,
-) -> Option<StopReason> {
+fn stop_after_unreachable(exchange: &Exchange, unreachable: usize) -> Option<StopReason> {
     let total_time = exchange
         .deadline
         .saturating_duration_since(exchange.started_at);
-    if query.tried.len() >= sent + MAX_UNREACHABLE_TARGETS {
+    if unreachable >= MAX_UNREACHABLE_TARGETS {
         Some(StopReason::Attempts)
     } else if now() > exchange.started_at + total_time / 2 {
         Some(StopReason::Time)
@@ -431,7 +601,7 @@
 
 /// The body for the next attempt: a copy if it is complete, else the original, which can be sent
 /// only once.
-fn take_body(body: &mut Option<ReceivedBody>) -> Option<ReceivedBody> {
+pub(crate) fn take_body(body: &mut Option<ReceivedBody>) -> Option<ReceivedBody> {
     match body.take() {
         Some(ReceivedBody::Complete(bytes)) => {
             *body = Some(ReceivedBody::Complete(bytes.clone()));
@@ -549,7 +719,7 @@
 fn can_retry(host: &Host, exchange: &Exchange, query: &TargetQuery<'_>, sent: usize) -> bool {
     exchange.route.repeat != Repeat::Never
         && exchange.buffered == Buffered::Complete
-        && sent + 1 < exchange.route.attempts as usize
+        && sent + 1 < exchange.attempts
         && host
             .core
             .borrow_mut()
@@ -585,11 +755,11 @@
     connection: Connection,
     parts: &response::Parts,
 ) {
-    if client::closes_connection(parts) {
+    if client::closes_connection(&parts.headers) {
         return;
     }
     if let Some(stream) = connection.release().await {
-        let idle = client::idle_timeout(parts);
+        let idle = client::idle_timeout(&parts.headers);
         host.pool.borrow_mut().put(now(), target, stream, idle);
     }
 }
@@ -680,7 +850,7 @@
 }
 
 /// Reads the body of an answer, or the beginning of a long one.
-async fn read_body(exchange: &Exchange, incoming: Incoming) -> Option<ReceivedBody> {
+pub(crate) async fn read_body(exchange: &Exchange, incoming: Incoming) -> Option<ReceivedBody> {
     let read = body::read(incoming, u64::MAX);
     match tokio::time::timeout_at(exchange.deadline.into(), read).await {
         Ok(Ok(payload)) => Some(payload),
@@ -693,7 +863,13 @@
 }
 
 /// A task that drives a connection; dropping this aborts the task and closes the connection.
-struct ConnectionTask(AbortHandle);
+pub(crate) struct ConnectionTask(AbortHandle);
+
+impl ConnectionTask {
+    pub(crate) fn new(connection: Connection) -> Self {
+        Self(tokio::task::spawn_local(connection.run()).abort_handle())
+    }
+}
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
@@ -714,9 +890,8 @@
         .borrow_mut()
         .fleet
         .count_request(now(), in_flight.target);
-    let connection_task = ConnectionTask(tokio::task::spawn_local(connection.run()).abort_handle());
     let guard = (
-        connection_task,
+        ConnectionTask::new(connection),
         InFlight::new(host, in_flight.target, Observation::default()),
     );
     body::with_guard(body::stream(start, rest, u64::MAX), guard)
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' requests, finds the route of each and forwards it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,10 +9,10 @@
 use http::{request, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::admission::{admit, Admitted};
+use super::admission::{admit, Admitted, Charge};
 use super::body::{self, Body, BodyError};
 use super::exchange::{self, Buffered, Exchange};
-use super::{answer, now, request_log, serve, startup, Error, Host};
+use super::{answer, now, relay, request_log, serve, startup, Error, Host};
 use crate::inventory::Route;
 use crate::port::Head;
 use crate::steer::fingerprint::{Content, Fingerprint};
@@ -24,19 +25,40 @@
 }
 
 async fn handle(host: Rc<Host>, request: Request<Incoming>) -> Response<Body> {
-    let mut response = handle_request(&host, request).await;
+    host.core.borrow_mut().presence.count_request(now());
+    let mut response = handle_request(&host, request, None).await;
+    close_if_leaving(&host, &mut response);
+    response
+}
+
+/// Handles a request that another host relays.
+pub(crate) async fn handle_relayed(
+    host: &Rc<Host>,
+    request: Request<Incoming>,
+    context: relay::Context,
+) -> Response<Body> {
+    handle_request(host, request, Some(context)).await
+}
+
+/// Ends the connection with this response if the host is shutting down.
+pub(crate) fn close_if_leaving(host: &Host, response: &mut Response<Body>) {
     if host.shutdown.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response
 }
 
-async fn handle_request(host: &Rc<Host>, request: Request<Incoming>) -> Response<Body> {
+/// Handles a request of a caller, or of another host that relays it with `context`.
+async fn handle_request(
+    host: &Rc<Host>,
+    request: Request<Incoming>,
+    context: Option<relay::Context>,
+) -> Response<Body> {
     let started_at = now();
-    host.core.borrow_mut().presence.count_request(started_at);
     let (parts, incoming) = request.into_parts();
-    startup::wait_for_copy(host).await;
+    if context.is_none() {
+        startup::wait_for_copy(host).await;
+    }
     let limits = host.core.borrow().table.limits();
     let reject = |parts: &request::Parts, response: Response<Body>, reason, detail: &str| {
         request_log::log_rejected(host, parts, started_at, response.status(), reason, detail);
@@ -47,12 +69,23 @@
         return reject(&parts, answer, "no-configuration", "");
     };
     let site = site_name(&parts).unwrap_or_default();
+    if context
+        .as_ref()
+        .is_some_and(|context| context.configuration > host.core.borrow().table.version())
+    {
+        let answer = answer::not_run(host, "an older configuration\n");
+        return reject(&parts, answer, "older-configuration", "");
+    }
     let Some(route) = find_route(host, &site, &parts) else {
         let answer = answer::plain_text(StatusCode::NOT_FOUND, "no such route\n");
         return reject(&parts, answer, "no-route", "");
     };
     let head = (host.platform.wire.head)(&parts);
-    let timeout = head.deadline.unwrap_or(Duration::MAX).min(route.timeout);
+    let timeout = match &context {
+        Some(context) => context.time_left(),
+        None => head.deadline.unwrap_or(Duration::MAX),
+    };
+    let timeout = timeout.min(route.timeout);
     let deadline = started_at + timeout;
     let body = match read_body(incoming, limits.body_bytes, deadline).await {
         Ok(body) => body,
@@ -70,7 +103,11 @@
         body::ReceivedBody::Complete(_) => Buffered::Complete,
         body::ReceivedBody::Prefix(..) => Buffered::Prefix,
     };
-    let admitted = match admit(host, &route, &head) {
+    let charge = match context {
+        Some(_) => Charge::Relaying,
+        None => Charge::Here,
+    };
+    let admitted = match admit(host, &route, &head, charge) {
         Ok(admitted) => admitted,
         Err(error) => {
             let detail = error.to_string();
@@ -80,6 +117,11 @@
     let fingerprint = compute_fingerprint(&site, &parts, &head, &admitted, &body);
     let exchange = Exchange {
         fingerprint,
+        attempts: context
+            .as_ref()
+            .map_or(route.attempts as usize, |context| context.attempts),
+        is_counted: Cell::new(context.as_ref().is_some_and(|context| context.is_counted)),
+        context,
         caller_aborted: Rc::default(),
         route,
         admitted,
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -1,7 +1,7 @@
 //! Prepares requests and responses for forwarding, without hop-by-hop headers.
 
 use http::header::{
-    HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{response, HeaderMap, HeaderValue, Request, Response};
 use http_body_util::BodyExt;
@@ -41,6 +41,27 @@
             (host.platform.wire.replace_credential)(&mut headers, Some(&account.name))
         }
     }
+    build_request(exchange, headers, body)
+}
+
+/// Builds the request for another host, with an additional header.
+pub(crate) fn build_relay_request(
+    exchange: &Exchange,
+    body: ReceivedBody,
+    (name, value): (HeaderName, HeaderValue),
+) -> Request<Body> {
+    let mut headers = forwarded_headers(&exchange.parts.headers);
+    headers.insert(name, value);
+    // A request with an absolute URI names its site there.
+    if let Some(authority) = exchange.parts.uri.authority() {
+        if let Ok(site) = HeaderValue::from_str(authority.as_str()) {
+            headers.insert(HOST, site);
+        }
+    }
+    build_request(exchange, headers, body)
+}
+
+fn build_request(exchange: &Exchange, mut headers: HeaderMap, body: ReceivedBody) -> Request<Body> {
     let body = match body {
         ReceivedBody::Complete(bytes) => {
             let has_body = exchange.parts.headers.contains_key(CONTENT_LENGTH)
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -26,6 +26,7 @@
 mod proof;
 mod quarantine;
 mod refresh;
+mod relay;
 mod reload;
 mod request_log;
 mod serve;
@@ -51,6 +52,7 @@
 use crate::control::presence::StoreView;
 use crate::control::replica::{Effect, Update};
 use crate::entry::metrics::Metrics;
+use crate::inventory::TargetKey;
 use crate::port::{Platform, Settings};
 
 pub use error::Error;
@@ -63,7 +65,8 @@
     platform: Platform,
     settings: Settings,
     core: RefCell<core::Core>,
-    pool: RefCell<pool::Pool>,
+    pool: RefCell<pool::Pool<TargetKey>>,
+    relays: relay::Relays,
     shutdown: shutdown::Shutdown,
     metrics: Metrics,
     log_limits: RefCell<log::RateLimits>,
@@ -150,7 +153,8 @@
 async fn start(platform: Platform, settings: Settings, path: &Path) -> Result<(), Error> {
     let host = Rc::new(Host {
         core: RefCell::new(core::Core::new(now(), &settings)),
-        pool: RefCell::new(pool::Pool::default()),
+        pool: RefCell::new(pool::Pool::new()),
+        relays: relay::Relays::new(),
         shutdown: shutdown::Shutdown::new(),
         metrics: Metrics::new()?,
         log_limits: RefCell::default(),
@@ -172,6 +176,7 @@
     lookup::listen(&host).await?;
     metrics::listen(&host).await?;
     feed::listen(&host).await?;
+    relay::listen(&host).await?;
     datagram::start(&host).await?;
     startup::start(&host);
     sync::start(&host);
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -1,4 +1,4 @@
-//! A pool of idle connections to targets.
+//! Pools of idle connections, to targets and to other hosts.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -6,15 +6,14 @@
 use tokio::net::TcpStream;
 
 use super::client;
-use crate::inventory::TargetKey;
 
-/// How long an idle connection is kept if its target announces no idle timeout.
+/// How long an idle connection is kept if its server announces no idle timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(8);
-/// How long before a target closes an idle connection it is no longer used: a request that crosses
+/// How long before a server closes an idle connection it is no longer used: a request that crosses
 /// the close may or may not have run.
 const CLOSE_MARGIN: Duration = Duration::from_millis(1500);
-/// Maximum idle connections to one target.
-const MAX_IDLE_PER_TARGET: usize = 6;
+/// Maximum idle connections to one server.
+const MAX_IDLE_PER_SERVER: usize = 6;
 /// Maximum idle connections in all: less than half of the file descriptors of the smallest hosts in
 /// use, as callers need the rest.
 const MAX_IDLE: usize = 1500;
@@ -24,16 +23,22 @@
     expires_at: Instant,
 }
 
-/// The idle connections of a host.
-#[derive(Default)]
-pub(crate) struct Pool {
-    idle: BTreeMap<TargetKey, Vec<Idle>>,
+/// The idle connections of a host to servers that `K` identifies.
+pub(crate) struct Pool<K> {
+    idle: BTreeMap<K, Vec<Idle>>,
 }
 
-impl Pool {
-    /// Takes the most recently used open connection to `target`.
-    pub(crate) fn take(&mut self, now: Instant, target: TargetKey) -> Option<TcpStream> {
-        let idle = self.idle.get_mut(&target)?;
+impl<K: Ord + Copy> Pool<K> {
+    /// Creates an empty pool.
+    pub(crate) fn new() -> Self {
+        Self {
+            idle: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the most recently used open connection to `server`.
+    pub(crate) fn take(&mut self, now: Instant, server: K) -> Option<TcpStream> {
+        let idle = self.idle.get_mut(&server)?;
         while let Some(next) = idle.pop() {
             if now < next.expires_at && client::is_reusable(&next.stream) {
                 return Some(next.stream);
@@ -42,17 +47,17 @@
         None
     }
 
-    /// Whether there is an idle connection to `target`.
-    pub(crate) fn has(&self, target: TargetKey) -> bool {
-        self.idle.get(&target).is_some_and(|idle| !idle.is_empty())
+    /// Whether there is an idle connection to `server`.
+    pub(crate) fn has(&self, server: K) -> bool {
+        self.idle.get(&server).is_some_and(|idle| !idle.is_empty())
     }
 
-    /// Keeps a connection whose last answer is complete. `idle_timeout` is the one that the target
+    /// Keeps a connection whose last answer is complete. `idle_timeout` is the one that the server
     /// announced.
     pub(crate) fn put(
         &mut self,
         now: Instant,
-        target: TargetKey,
+        server: K,
         stream: TcpStream,
         idle_timeout: Option<Duration>,
     ) {
@@ -63,8 +68,8 @@
             self.sweep(now);
         }
         let is_full = self.count() >= MAX_IDLE;
-        let connections = self.idle.entry(target).or_default();
-        if is_full || connections.len() >= MAX_IDLE_PER_TARGET || keep_time.is_zero() {
+        let connections = self.idle.entry(server).or_default();
+        if is_full || connections.len() >= MAX_IDLE_PER_SERVER || keep_time.is_zero() {
             return;
         }
         connections.push(Idle {
@@ -77,7 +82,7 @@
         self.idle.values().map(Vec::len).sum()
     }
 
-    /// Closes connections that have expired or were closed by their targets.
+    /// Closes connections that have expired or were closed by their servers.
     pub(crate) fn sweep(&mut self, now: Instant) {
         self.idle.retain(|_, idle| {
             idle.retain(|idle| now < idle.expires_at && client::is_reusable(&idle.stream));
--- /dev/null
+++ b/src/host/relay.rs
@@ -0,0 +1,307 @@
+//! Forwards requests to other hosts while this host can't reach targets, and serves such requests
+//! of other hosts.
+//!
+//! A relayed request is an HTTP request at the address that receives a host's datagrams. It is
+//! relayed once: the other host sends it to targets or refuses it. Each limit is applied by one of
+//! the two: the host that the caller asked charges the account's quota, the one that sends to
+//! targets applies their limits and rates and the retry budget.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use super::body::{self, Body, ReceivedBody};
+use super::client::{self, Connection, Unanswered};
+use super::exchange::{self, Exchange};
+use super::pool::Pool;
+use super::{answer, front, message, now, serve, Error, Host};
+use crate::inventory::TargetKey;
+use crate::steer::fleet::TargetQuery;
+
+/// Header of a relayed request, with a [`Context`] in JSON.
+const CONTEXT: HeaderName = HeaderName::from_static("relay-context");
+/// Header of the response to a relayed request, with a [`Disposition`] in JSON.
+const DISPOSITION: HeaderName = HeaderName::from_static("relay-disposition");
+/// Header of a response with the time for which its connection is kept open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Connect timeout to a host of the same region: some round trips between zones.
+const NEAR_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Connect timeout to a host of another region.
+const FAR_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a host is not used after it could not be reached or could not serve a request.
+const AVOIDANCE: Duration = Duration::from_millis(500);
+/// Maximum number of hosts that a request is sent to until one takes it.
+pub(crate) const MAX_HOSTS: usize = 3;
+
+/// What a host needs to know about a relayed request besides the request itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Context {
+    /// Milliseconds left until its deadline.
+    left_ms: u64,
+    /// Number of targets that it may still be sent to.
+    pub(crate) attempts: usize,
+    /// Whether the retry budget has counted it already.
+    pub(crate) is_counted: bool,
+    /// Version of the configuration at the host that relays it.
+    pub(crate) configuration: Option<u64>,
+    /// Targets that it was sent to.
+    pub(crate) tried: Vec<Arc<str>>,
+}
+
+impl Context {
+    /// The time left until the request's deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        Duration::from_millis(self.left_ms)
+    }
+}
+
+/// What became of a request at the host that sent it to targets. It is attached to the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Disposition {
+    /// A target answered.
+    Answered,
+    /// A target answered with a server error.
+    Failed,
+    /// It did not run and will not. Its caller may retry after this many milliseconds.
+    NotRun(u64),
+    /// It did not run, but may be sent to another host.
+    NotServed,
+    /// It may have run.
+    Unknown,
+    /// It may have run, and its deadline has passed.
+    TimedOut,
+}
+
+/// Result of an attempt to have another host serve a request.
+pub(crate) enum Outcome {
+    /// That host's response and what it says about the request.
+    Responded(Disposition, Response<Body>),
+    /// The request was not sent.
+    NotSent,
+    /// It may have run, and the connection broke off.
+    Unknown,
+    /// It may have run, and its deadline has passed.
+    TimedOut,
+    /// Its body can't be sent again.
+    NoBody,
+}
+
+impl Outcome {
+    /// Describes it in a word, for the log.
+    pub(crate) fn describe(&self) -> Arc<str> {
+        match self {
+            Self::Responded(Disposition::Answered, _) => "answered".into(),
+            Self::Responded(Disposition::Failed, _) => "failed".into(),
+            Self::Responded(Disposition::NotRun(_), _) => "refused".into(),
+            Self::Responded(Disposition::NotServed, _) => "unserved".into(),
+            Self::Responded(Disposition::Unknown, _) | Self::Unknown => "unknown".into(),
+            Self::Responded(Disposition::TimedOut, _) | Self::TimedOut => "timedout".into(),
+            Self::NotSent => "unreached".into(),
+            Self::NoBody => "unsent".into(),
+        }
+    }
+}
+
+/// A host that takes requests of this one.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    pub(crate) host: Arc<str>,
+    address: SocketAddr,
+    connect_timeout: Duration,
+}
+
+/// Connections to other hosts, and hosts that are not used for a while.
+pub(crate) struct Relays {
+    pool: RefCell<Pool<SocketAddr>>,
+    avoided_until: RefCell<BTreeMap<SocketAddr, Instant>>,
+}
+
+impl Relays {
+    pub(crate) fn new() -> Self {
+        Self {
+            pool: RefCell::new(Pool::new()),
+            avoided_until: RefCell::default(),
+        }
+    }
+
+    fn is_avoided(&self, address: SocketAddr) -> bool {
+        let avoided_until = self.avoided_until.borrow();
+        avoided_until
+            .get(&address)
+            .is_some_and(|until| now() < *until)
+    }
+
+    /// Prefers other hosts for a while.
+    pub(crate) fn avoid(&self, relay: &Relay) {
+        let mut avoided_until = self.avoided_until.borrow_mut();
+        avoided_until.retain(|_, until| now() < *until);
+        avoided_until.insert(relay.address, now() + AVOIDANCE);
+    }
+
+    /// Closes connections that have expired.
+    pub(crate) fn sweep(&self) {
+        self.pool.borrow_mut().sweep(now());
+    }
+}
+
+/// Chooses a host for a request, none of `tried`.
+pub(crate) fn choose(host: &Host, query: &TargetQuery<'_>, tried: &[Arc<str>]) -> Option<Relay> {
+    let core = host.core.borrow();
+    let record = core
+        .presence
+        .relay_host(now(), query.affinity_key, query.homes, |record| {
+            tried.contains(&record.host) || host.relays.is_avoided(record.peers)
+        })?;
+    Some(Relay {
+        host: record.host.clone(),
+        address: record.peers,
+        connect_timeout: if core.presence.is_near(record) {
+            NEAR_CONNECT_TIMEOUT
+        } else {
+            FAR_CONNECT_TIMEOUT
+        },
+    })
+}
+
+/// Sends a request to another host and waits for its response. `sent_to` are the targets that the
+/// request was sent to before.
+pub(crate) async fn send(
+    host: &Host,
+    exchange: &Exchange,
+    relay: &Relay,
+    sent_to: &[TargetKey],
+    body: &mut Option<ReceivedBody>,
+) -> Outcome {
+    let mut connection = match connect(host, relay).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            spdlog::debug!("relay: cannot connect to host {}: {error}", relay.host);
+            return Outcome::NotSent;
+        }
+    };
+    let Some(payload) = exchange::take_body(body) else {
+        return Outcome::NoBody;
+    };
+    let Some(context) = encode(&context(host, exchange, sent_to)) else {
+        return Outcome::NotSent;
+    };
+    let request = message::build_relay_request(exchange, payload, (CONTEXT, context));
+    let response = connection.send(request);
+    match tokio::time::timeout_at(exchange.deadline.into(), response).await {
+        Ok(Ok(response)) => receive(host, exchange, relay, connection, response).await,
+        Ok(Err(Unanswered::NotSent)) => Outcome::NotSent,
+        Ok(Err(Unanswered::Sent)) => Outcome::Unknown,
+        Err(_) => Outcome::TimedOut,
+    }
+}
+
+fn context(host: &Host, exchange: &Exchange, sent_to: &[TargetKey]) -> Context {
+    let core = host.core.borrow();
+    let left = exchange.deadline.saturating_duration_since(now());
+    let tried = sent_to.iter().filter_map(|key| core.fleet.member(*key));
+    Context {
+        left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        attempts: exchange.attempts.saturating_sub(sent_to.len()),
+        is_counted: exchange.is_counted.get(),
+        configuration: core.table.version(),
+        tried: tried.map(|member| member.id().clone()).collect(),
+    }
+}
+
+async fn connect(host: &Host, relay: &Relay) -> Result<Connection, client::Error> {
+    let idle = host.relays.pool.borrow_mut().take(now(), relay.address);
+    let stream = match idle {
+        Some(stream) => stream,
+        None => client::connect(relay.address, relay.connect_timeout).await?,
+    };
+    Connection::new(stream).await
+}
+
+async fn receive(
+    host: &Host,
+    exchange: &Exchange,
+    relay: &Relay,
+    mut connection: Connection,
+    response: Response<Incoming>,
+) -> Outcome {
+    let (mut parts, incoming) = response.into_parts();
+    let disposition = parts.headers.remove(DISPOSITION);
+    let Some(disposition) = disposition.and_then(|value| decode(&value)) else {
+        spdlog::warn!("relay: host {} sent no valid disposition", relay.host);
+        return Outcome::Unknown;
+    };
+    let read = connection.read(exchange::read_body(exchange, incoming));
+    let response = match read.await {
+        Some(ReceivedBody::Complete(bytes)) => {
+            return_to_pool(host, relay, connection, &parts.headers).await;
+            let keep_length = exchange.parts.method == Method::HEAD;
+            message::build_caller_response(parts, body::full(bytes), keep_length)
+        }
+        Some(ReceivedBody::Prefix(start, rest)) => {
+            let task = exchange::ConnectionTask::new(connection);
+            let body = body::with_guard(body::stream(start, rest, u64::MAX), task);
+            message::build_caller_response(parts, body, true)
+        }
+        None if now() >= exchange.deadline => return Outcome::TimedOut,
+        None => return Outcome::Unknown,
+    };
+    Outcome::Responded(disposition, response)
+}
+
+async fn return_to_pool(host: &Host, relay: &Relay, connection: Connection, headers: &HeaderMap) {
+    if client::closes_connection(headers) {
+        return;
+    }
+    if let Some(stream) = connection.release().await {
+        let idle = client::idle_timeout(headers);
+        let pool = &mut *host.relays.pool.borrow_mut();
+        pool.put(now(), relay.address, stream, idle);
+    }
+}
+
+/// Listens for requests that other hosts relay.
+pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
+    let listener = serve::bind(host.settings.peers)?;
+    tokio::task::spawn_local(serve::accept(host.clone(), listener, handle));
+    Ok(())
+}
+
+async fn handle(host: Rc<Host>, mut request: Request<Incoming>) -> Response<Body> {
+    let context = request.headers_mut().remove(CONTEXT);
+    let Some(context) = context.and_then(|value| decode(&value)) else {
+        return answer::plain_text(StatusCode::BAD_REQUEST, "no valid relay context\n");
+    };
+    let mut response = front::handle_relayed(&host, request, context).await;
+    // A request that was rejected before a target was chosen may be served by another host.
+    let disposition = response.extensions_mut().remove::<Disposition>();
+    let disposition = disposition.unwrap_or(Disposition::NotServed);
+    if let Some(value) = encode(&disposition) {
+        response.headers_mut().insert(DISPOSITION, value);
+    }
+    if let Some(limits) = host.core.borrow().table.limits() {
+        let timeout = format!("timeout={}", limits.idle_timeout.as_secs());
+        if let Ok(value) = HeaderValue::from_str(&timeout) {
+            response.headers_mut().insert(KEEP_ALIVE, value);
+        }
+    }
+    front::close_if_leaving(&host, &mut response);
+    response
+}
+
+fn encode<T: Serialize>(item: &T) -> Option<HeaderValue> {
+    let text = serde_json::to_string(item).ok()?;
+    HeaderValue::from_str(&text).ok()
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(value: &HeaderValue) -> Option<T> {
+    serde_json::from_slice(value.as_bytes()).ok()
+}
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -8,7 +8,7 @@
 
 use super::exchange::{Exchange, InFlight};
 use super::log::Event;
-use super::{now, serve, Host};
+use super::{now, relay, serve, Host};
 use crate::entry::metrics::RequestSample;
 use crate::inventory::TargetKey;
 use crate::steer::fleet::{End, Refusal, TargetQuery};
@@ -16,14 +16,35 @@
 /// Maximum names of unknown headers that are logged: a target could send any number of them.
 const MAX_UNKNOWN_HEADERS: usize = 32;
 
-/// One attempt of a request.
+/// One attempt of a request, at a target or by way of another host.
 pub(crate) struct Attempt {
-    target: Arc<str>,
+    /// The target, or `host` and the other host's name.
+    to: Arc<str>,
     started_at: Instant,
-    end: End,
+    end: Arc<str>,
     took: Duration,
 }
 
+impl Attempt {
+    fn new(to: Arc<str>, started_at: Instant) -> Self {
+        Self {
+            to,
+            started_at,
+            end: describe_end(End::Cancelled),
+            took: Duration::ZERO,
+        }
+    }
+
+    fn finish(&mut self, end: Arc<str>) {
+        self.end = end;
+        self.took = now().saturating_duration_since(self.started_at);
+    }
+}
+
+fn describe_end(end: End) -> Arc<str> {
+    format!("{end:?}").to_lowercase().into()
+}
+
 /// Why no further target was tried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopReason {
@@ -45,6 +66,10 @@
     Left,
     /// The request is suspected to crash targets and is not sent again.
     Suspected,
+    /// This host can't reach targets, and no other host takes the request.
+    CutOff,
+    /// The host that the request was relayed to refused it; it may be sent again after this time.
+    Relayed(Duration),
     /// The request crashed several targets and may be sent again after this time.
     Quarantined(Duration),
 }
@@ -61,6 +86,8 @@
             Self::Budget => "budget",
             Self::Body => "body",
             Self::Left => "caller-left",
+            Self::CutOff => "cut-off",
+            Self::Relayed(_) => "relayed",
             Self::Suspected => "suspected",
             Self::Quarantined(_) => "quarantined",
         }
@@ -87,19 +114,28 @@
     pub(crate) fn start_attempt(&mut self, host: &Host, in_flight: &InFlight) {
         let core = host.core.borrow();
         let target = core.fleet.member(in_flight.target);
-        self.attempts.push(Attempt {
-            target: target.map_or_else(|| "gone".into(), |member| member.id().clone()),
-            started_at: in_flight.started_at,
-            end: End::Cancelled,
-            took: Duration::ZERO,
-        });
+        let target = target.map_or_else(|| "gone".into(), |member| member.id().clone());
+        self.attempts
+            .push(Attempt::new(target, in_flight.started_at));
     }
 
     /// Records the end of the last attempt.
     pub(crate) fn finish_attempt(&mut self, in_flight: &InFlight) {
         if let Some(last) = self.attempts.last_mut() {
-            last.end = in_flight.end;
-            last.took = now().saturating_duration_since(last.started_at);
+            last.finish(describe_end(in_flight.end));
+        }
+    }
+
+    /// Adds an attempt by way of another host that starts.
+    pub(crate) fn start_relay(&mut self, host: &str) {
+        let to = format!("host {host}").into();
+        self.attempts.push(Attempt::new(to, now()));
+    }
+
+    /// Records the end of the last attempt, which was by way of another host.
+    pub(crate) fn finish_relay(&mut self, outcome: &relay::Outcome) {
+        if let Some(last) = self.attempts.last_mut() {
+            last.finish(outcome.describe());
         }
     }
 
@@ -115,10 +151,10 @@
 
     fn describe_attempts(&self) -> String {
         let attempts = self.attempts.iter().map(|attempt| {
-            let end = format!("{:?}", attempt.end).to_lowercase();
             format!(
-                "{} {end} after {} ms",
-                attempt.target,
+                "{} {} after {} ms",
+                attempt.to,
+                attempt.end,
                 attempt.took.as_millis()
             )
         });
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -403,6 +403,7 @@
         interval.tick().await;
         let now = now();
         host.pool.borrow_mut().sweep(now);
+        host.relays.sweep();
         for id in host.core.borrow_mut().fleet.expire(now) {
             log::target_gone(&id);
         }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -496,6 +496,11 @@
         })
     }
 
+    /// Returns the key of a target.
+    pub fn key(&self, id: &str) -> Option<TargetKey> {
+        self.ids.get(id).copied()
+    }
+
     /// Returns a target, unless it was removed.
     pub fn member(&self, key: TargetKey) -> Option<&Member> {
         self.members.get(&key)
@@ -568,6 +573,10 @@
             }
             End::Refused | End::TimedOut | End::Cancelled => return None,
         };
+        if outcome == Outcome::Bad && !self.reaches_targets() {
+            return None;
+        }
+        let member = self.members.get_mut(&key)?;
         if !member.outlier_detector.is_in_use() {
             let restored = member.outlier_detector.record_probe(now, outcome, rng);
             return restored.then_some(EjectionChange::Restored);
@@ -585,6 +594,7 @@
             return None;
         }
         self.members.get_mut(&key)?.outlier_detector.eject(now, rng);
+        self.record_ejection(key);
         Some(EjectionChange::Ejected)
     }
 }
--- a/src/steer/fleet/reach.rs
+++ b/src/steer/fleet/reach.rs
@@ -27,6 +27,8 @@
     failed: BTreeMap<TargetKey, Instant>,
     /// Targets that answered a probe since the host was cut off.
     reached: BTreeSet<TargetKey>,
+    /// Targets that were ejected since the last answer of any target.
+    ejected: BTreeSet<TargetKey>,
     is_cut_off: bool,
 }
 
@@ -45,14 +47,14 @@
 
     fn record_answer(&mut self) {
         self.failed.clear();
+        self.ejected.clear();
     }
 
-    /// Records that a target, one of `total`, answered a probe on a new connection.
-    fn record_probe_answer(&mut self, target: TargetKey, total: usize) {
+    /// Records that a target, one of `total`, answered a probe on a new connection. Returns whether
+    /// the host is no longer cut off.
+    fn record_probe_answer(&mut self, target: TargetKey, total: usize) -> bool {
         self.reached.insert(target);
-        if self.reached.len() >= MIN_REACHED_TARGETS.min(total) {
-            *self = Self::default();
-        }
+        self.is_cut_off && self.reached.len() >= MIN_REACHED_TARGETS.min(total)
     }
 }
 
@@ -73,8 +75,27 @@
     }
 
     /// Records that a target answered a probe on a new connection.
-    pub fn record_probe_answer(&mut self, target: TargetKey) {
-        self.reach.record_probe_answer(target, self.members.len());
+    pub fn record_probe_answer(&mut self, now: Instant, target: TargetKey) {
+        if self.reach.record_probe_answer(target, self.members.len()) {
+            let reach = std::mem::take(&mut self.reach);
+            self.forget_failures(now, &reach.ejected);
+        }
+    }
+
+    /// Drops what the loss of this host's links made targets look like.
+    fn forget_failures(&mut self, now: Instant, ejected: &BTreeSet<TargetKey>) {
+        for (key, member) in &mut self.members {
+            member.connect_failed_at = None;
+            member.silent_since = member.silent_since.map(|_| now);
+            if ejected.contains(key) {
+                member.outlier_detector.restore(now);
+            }
+        }
+    }
+
+    /// Records that a target is ejected.
+    pub(super) fn record_ejection(&mut self, key: TargetKey) {
+        self.reach.ejected.insert(key);
     }
 
     /// Records what the end of a request shows about this host's links.
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -115,3 +115,30 @@
 fn a_request_in_no_log_has_no_explanation() {
     assert!(explain("r9", &[("a.log", &[line(1, FAILED)])]).is_empty());
 }
+
+#[test]
+fn a_relayed_request_is_explained_by_the_lines_of_both_hosts() {
+    let first = [
+        line(9_000, r#""event":"targets.lost""#),
+        line(
+            10_050,
+            r#""event":"request.refused","id":"r1","reason":"relayed","tries":"host h2 refused after 40 ms","total_ms":45"#,
+        ),
+    ];
+    let second = [line(
+        10_040,
+        r#""event":"request.refused","id":"r1","reason":"full","total_ms":30"#,
+    )];
+    let explanation = explain("r1", &[("h1.log", &first), ("h2.log", &second)]);
+    let parts = [
+        "9000 h1.log",
+        "10040 h2.log",
+        "10050 h1.log",
+        "=> relayed: ",
+    ];
+    let places: Vec<_> = parts.iter().map(|part| explanation.find(part)).collect();
+    assert!(
+        places.iter().all(Option::is_some) && places.is_sorted(),
+        "{explanation}"
+    );
+}
