--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -36,11 +36,11 @@
 use self::member::LoadReport;
 use self::object_locations::ObjectLocations;
 use self::ranking::Rankings;
-use self::reach::Reach;
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
+use super::reach::Reach;
 use super::throttle::{Assignment, Throttle};
 use crate::border::settings::Switch;
 use crate::inventory::{Registration, State, TargetKey, TargetKeyAllocator};
@@ -176,7 +176,10 @@
     throttle: Throttle,
     /// Sequence number of this host's last claim.
     claim_count: u32,
-    reach: Reach,
+    /// Whether this host reaches its targets.
+    reach: Reach<TargetKey>,
+    /// Targets that were ejected since the last answer of any target.
+    ejected_unanswered: BTreeSet<TargetKey>,
 }
 
 impl Fleet {
@@ -207,7 +210,8 @@
             last_checked: None,
             throttle: Throttle::new(),
             claim_count: 0,
-            reach: Reach::default(),
+            reach: Reach::new(),
+            ejected_unanswered: BTreeSet::new(),
             lapsed_counts: BTreeMap::new(),
             own_host,
             switches: Switches::default(),
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -20,6 +20,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod reach;
 pub mod relay_permit;
 pub mod retry;
 pub mod shift;
