Own interface: hosts that lose their links to the targets of their zone send requests to other hosts

At most half of a zone's targets are ejected, so a host whose links are lost goes on trying the rest; requests go to another host only if their zone is another one. Change: health checks tell 'no answer' from 'not well'; with failed connects they show that no target of the zone is reached. Until two targets answer checks, requests go to another host of the zone, which is no move of traffic, else to another zone as for a zone that is unreachable. A host of the zone that refuses is left alone for a second; relayed requests are refused at once. Limit: zones of one or two targets, as their failure looks the same.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -293,7 +293,7 @@
         result
     }
 
-    /// Makes one attempt through an entry host of another zone.
+    /// Makes one attempt through another entry host.
     fn try_host(&self, shared: &Shared, permit: RelayPermit) -> Step {
         let started = Instant::now();
         let attempt_id = match self
@@ -315,6 +315,13 @@
             Err(relay::Failure { cause, .. }) if relay::is_not_sent(*cause) => PermitUsage::Unused,
             _ => PermitUsage::Used { bytes },
         };
+        if let Err(relay::Failure {
+            cause: FailurePoint::RelayRefused,
+            ..
+        }) = &result
+        {
+            shared.core.send(Event::RelayRefused(permit.host));
+        }
         shared.core.send(Event::RelayFinished(permit, usage));
         self.handle_host_result(shared, attempt_id, result)
     }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -73,8 +73,10 @@
     TargetRate(TargetKey, Instant, Rate),
     /// A request has ended.
     RequestDone(Id),
-    /// A relay to an entry host of another zone ended.
+    /// A relay to another entry host ended.
     RelayFinished(RelayPermit, PermitUsage),
+    /// Another entry host refused a relayed request.
+    RelayRefused(HostKey),
     /// A request no longer waits for its verdict.
     Cancel(Id),
     /// Hedge a request after this time unless it has been answered by then.
@@ -257,6 +259,8 @@
     waiting: BTreeMap<Id, Sender<Verdict>>,
     /// Targets whose unreadable rate has been logged.
     unreadable_rates: BTreeSet<TargetKey>,
+    /// Whether targets could be reached when that was last logged.
+    reaches_targets: bool,
 }
 
 impl Core {
@@ -269,6 +273,7 @@
             rng: Pcg64Mcg::seed_from_u64(dependencies.incarnation),
             waiting: BTreeMap::new(),
             unreadable_rates: BTreeSet::new(),
+            reaches_targets: true,
             control: Control::new(
                 &dependencies.settings.host,
                 dependencies.incarnation,
@@ -285,6 +290,19 @@
         })
     }
 
+    /// Logs when the links to all targets of the zone are lost, and when they are back.
+    fn log_links(&mut self) {
+        let reaches_targets = self.engine.reaches_targets();
+        if std::mem::replace(&mut self.reaches_targets, reaches_targets) == reaches_targets {
+            return;
+        }
+        if reaches_targets {
+            spdlog::info!("core: targets can be reached again");
+        } else {
+            spdlog::warn!("core: no target of the zone can be reached from this host");
+        }
+    }
+
     fn handle_event(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
         match event {
@@ -292,6 +310,7 @@
             Event::TargetFinished(grant, report) => {
                 let decisions = self.engine.finish(now, grant, report, &mut self.rng);
                 self.send_verdicts(decisions);
+                self.log_links();
             }
             Event::AttemptBroken(fingerprint, target, begun) => {
                 self.engine.record_crash(now, fingerprint, target, begun);
@@ -304,6 +323,7 @@
             Event::TargetRate(target, at, rate) => self.apply_target_rate(now, target, at, &rate),
             Event::RequestDone(id) => self.engine.release_suspect_permit(id),
             Event::RelayFinished(permit, usage) => self.engine.finish_relay(now, &permit, usage),
+            Event::RelayRefused(host) => self.engine.record_relay_refusal(now, host),
             Event::Hedge(call, after) => {
                 after!(after, [cx], hedge(call));
             }
@@ -340,6 +360,7 @@
             Event::HostList(hosts) => self.control.apply_host_list(now, &hosts),
             Event::Health(target, health, state) => {
                 self.engine.set_health(now, target, health, state);
+                self.log_links();
             }
             Event::Leave => {
                 self.is_leaving = true;
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -95,7 +95,7 @@
         .get(format!("http://{}/health", target.address))
         .call();
     let Ok(mut answer) = answer else {
-        return (Health::Down, None);
+        return (Health::Unreached, None);
     };
     let health = if answer.status().is_success() {
         Health::Up
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -21,6 +21,7 @@
 use super::hedge;
 use super::lookup::Snapshot;
 use super::quarantine::{Notice, Quarantine, MAX_VERDICT_WAIT};
+use super::reach::Reach;
 use super::relay_permit::{PermitUsage, RelayPermit, RelayQuotas};
 use super::shift::{self, Caps, MoveKind, SplitController};
 use super::split::Split;
@@ -39,6 +40,9 @@
 const EXHAUSTED_BUDGET_BACKOFF: Duration = Duration::from_millis(20);
 /// Maximum number of hosts of one zone that a request is sent to.
 const MAX_HOSTS_PER_ZONE: usize = 2;
+/// How long a host of this zone that refused a request is not sent another one: it may have lost its
+/// links too, and each refusal costs a retry.
+const REFUSING_HOST_BACKOFF: Duration = Duration::from_secs(1);
 /// Weight of one measurement in the moving average of the slot hold time.
 const HOLD_SECONDS_WEIGHT: f64 = 0.05;
 /// Time that a recovered zone must stay healthy before it receives traffic again.
@@ -173,6 +177,10 @@
     host: Arc<str>,
     /// Rate limits announced by targets of this zone.
     throttle: Throttle,
+    /// Whether this host reaches the targets of this zone.
+    reach: Reach<TargetKey>,
+    /// Other hosts of this zone that refused requests of this host, and until when they are avoided.
+    avoided_hosts: BTreeMap<HostKey, Instant>,
 }
 
 impl Engine {
@@ -206,6 +214,8 @@
             quarantine_notices: Vec::new(),
             host: "".into(),
             throttle: Throttle::new(),
+            reach: Reach::new(),
+            avoided_hosts: BTreeMap::new(),
         }
     }
 
@@ -283,6 +293,13 @@
         state: Option<group::State>,
     ) {
         let service = self.catalog.target(target).service;
+        let total = self.target_count();
+        match health {
+            group::Health::Unreached => self.reach.record_failure(now, target, total),
+            group::Health::Up | group::Health::Down => {
+                self.reach.record_probe_answer(target, total);
+            }
+        }
         if let Some(group) = self.groups.get_mut(&service) {
             group.set_health(target, health);
             if let Some(state) = state {
@@ -291,6 +308,24 @@
         }
     }
 
+    /// Whether this host reaches targets of this zone, as far as it knows.
+    pub fn reaches_targets(&self) -> bool {
+        !self.reach.is_cut_off()
+    }
+
+    /// Returns the number of targets of this zone.
+    fn target_count(&self) -> usize {
+        self.groups.values().map(Group::target_count).sum()
+    }
+
+    /// Records that another host refused a request that this host relayed.
+    pub fn record_relay_refusal(&mut self, now: Instant, host: HostKey) {
+        self.avoided_hosts.retain(|_, until| now < *until);
+        if Some(self.catalog.host(host).zone) == self.zone {
+            self.avoided_hosts.insert(host, now + REFUSING_HOST_BACKOFF);
+        }
+    }
+
     /// Replaces the reported free slots of other zones.
     pub fn set_free_slots(&mut self, free: BTreeMap<(ServiceKey, ZoneKey), u32>) {
         self.free_slots = free;
@@ -528,6 +563,9 @@
             return Some(self.admit_hedge(now, request, rng));
         }
         let zone = self.home_zone(now, &request);
+        if zone == self.zone && self.reach.is_cut_off() {
+            return Some(self.route_around(now, &request));
+        }
         if zone == self.zone {
             let (id, retained) = (request.id, request.clone());
             return match self.admit_locally(now, request, rng) {
@@ -550,6 +588,16 @@
         })
     }
 
+    /// Routes a request of this zone while this host has lost its links to the zone's targets: to
+    /// another host of the zone, else to another zone.
+    fn route_around(&mut self, now: Instant, request: &RouteRequest) -> Verdict {
+        let permit = self.zone.map(|zone| self.issue_permit(now, request, zone));
+        match permit {
+            Some(Ok(permit)) => Verdict::Host(permit),
+            _ => self.spill_over(now, request, Refusal::new(Reason::Unreachable)),
+        }
+    }
+
     /// Admits a hedge to a target of this zone, or refuses it instead of queueing it. Hedges are requested
     /// only while the queue is empty, so no other queued request has the same id.
     fn admit_hedge(&mut self, now: Instant, request: RouteRequest, rng: &mut impl Rng) -> Verdict {
@@ -644,6 +692,9 @@
         request: RouteRequest,
         rng: &mut impl Rng,
     ) -> Option<Verdict> {
+        if self.reach.is_cut_off() {
+            return Some(Verdict::refused(Reason::NoTarget));
+        }
         let Some(group) = self.groups.get_mut(&request.service) else {
             return Some(Verdict::refused(Reason::NoTarget));
         };
@@ -798,7 +849,7 @@
         request: &RouteRequest,
         zone: ZoneKey,
     ) -> Result<RelayPermit, Refusal> {
-        let host = self.choose_host(request, zone)?;
+        let host = self.choose_host(now, request, zone)?;
         let region = self.catalog.region_of(zone);
         let own_region = self.zone.map(|zone| self.catalog.region_of(zone));
         let hold_seconds = self.mean_hold_seconds(request.service);
@@ -831,7 +882,12 @@
     /// Returns the live host of a zone with the fewest outstanding requests of this host. A request is sent
     /// to at most [`MAX_HOSTS_PER_ZONE`] hosts of a zone. Their refusals do not mark the zone as lost, so
     /// the reason is `Crowded`.
-    fn choose_host(&self, request: &RouteRequest, zone: ZoneKey) -> Result<HostKey, Refusal> {
+    fn choose_host(
+        &self,
+        now: Instant,
+        request: &RouteRequest,
+        zone: ZoneKey,
+    ) -> Result<HostKey, Refusal> {
         let hosts = self
             .serving_hosts
             .get(&zone)
@@ -842,7 +898,7 @@
         }
         hosts
             .iter()
-            .filter(|host| !request.hosts.contains(host))
+            .filter(|host| !request.hosts.contains(host) && !self.is_avoided(now, **host))
             .min_by_key(|&host| {
                 let load = self.relays_by_host.get(host).copied().unwrap_or_default();
                 (
@@ -854,6 +910,12 @@
             .ok_or(Refusal::new(Reason::Crowded))
     }
 
+    /// Whether a host is this one, or one of this zone that refused a request lately.
+    fn is_avoided(&self, now: Instant, host: HostKey) -> bool {
+        let avoided_until = self.avoided_hosts.get(&host);
+        self.catalog.host(host).name == self.host || avoided_until.is_some_and(|until| now < *until)
+    }
+
     fn mean_hold_seconds(&self, service: ServiceKey) -> f64 {
         self.hold_seconds
             .get(&service)
@@ -923,6 +985,14 @@
         rng: &mut impl Rng,
     ) -> Vec<Decision> {
         let service = self.catalog.target(grant.target()).service;
+        match report.end {
+            group::End::Answered | group::End::Refused => self.reach.record_answer(),
+            group::End::ConnectFailed | group::End::Broken => {
+                let total = self.target_count();
+                self.reach.record_failure(now, grant.target(), total);
+            }
+            group::End::TimedOut | group::End::Cancelled => {}
+        }
         if report.end == group::End::Answered {
             self.record_latency(now, service, report.latency);
         }
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -587,7 +587,7 @@
             latency_ratio: member.estimate.latency_ratio(stats.median_latency),
             latency_samples: member.estimate.samples(),
             group_success_rate: stats.mean_success_rate,
-            is_down: member.health == Health::Down,
+            is_down: member.health != Health::Up,
             is_warming_up: member.slow_start.is_cold(),
         };
         let ejected_after = f64::from(stats.ejected + member.slots);
@@ -676,6 +676,11 @@
         backoffs.chain(ejections).filter(|&at| at > now).min()
     }
 
+    /// Returns the number of targets.
+    pub fn target_count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Returns the group's summary.
     pub fn headroom(&self) -> Headroom {
         Headroom {
--- a/src/steer/group/request.rs
+++ b/src/steer/group/request.rs
@@ -32,8 +32,10 @@
 pub enum Health {
     /// The target can serve requests.
     Up,
-    /// The target cannot serve requests, or cannot be reached.
+    /// The target cannot serve requests.
     Down,
+    /// The target gave no answer.
+    Unreached,
 }
 
 /// A request for a target.
