A loss of links is confirmed by probes of other targets

Cause: four targets in a row without an answer are not rare when many are down or lose answers. Change: such failures are a suspicion only. Four other targets are probed by connecting at once, and only if none accepts, and no answer arrives meanwhile, the links count as lost. The connections are kept for requests; health probes are no longer sent. A request goes to another host on a suspicion of its own only after eight targets it could not reach.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -40,10 +40,6 @@
 /// route's limit, since nothing was sent: many targets may be down while they are still registered.
 const MAX_UNREACHABLE_TARGETS: usize = 8;
 
-/// Unreachable targets after which another host is asked to send a request: this host may have lost
-/// its links.
-const MIN_UNREACHABLE_FOR_RELAY: usize = 2;
-
 /// Retry delay while neither this host nor any other reaches targets.
 const CUT_OFF_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -323,7 +319,7 @@
 }
 
 /// Decides whether a request is sent to a target, or to another host since this one can't reach
-/// targets.
+/// targets, or none of many that this request tried.
 fn choose_path(
     host: &Host,
     exchange: &Exchange,
@@ -331,15 +327,17 @@
     progress: &Progress<'_>,
 ) -> Path {
     let is_cut_off = !host.core.borrow().fleet.reaches_targets();
-    let may_be_cut_off = progress.unreachable >= MIN_UNREACHABLE_FOR_RELAY;
+    if !is_cut_off && progress.unreachable < MAX_UNREACHABLE_TARGETS {
+        return Path::Target;
+    }
     let may_relay = exchange.context.is_none() && progress.relays.len() < relay::MAX_HOSTS;
-    let relay = (may_relay && (is_cut_off || may_be_cut_off))
+    let relay = may_relay
         .then(|| relay::choose(host, query, &progress.relays))
         .flatten();
     match relay {
         Some(relay) => Path::Relay(relay),
         None if is_cut_off => Path::Stop(StopReason::CutOff),
-        None => Path::Target,
+        None => Path::Stop(StopReason::Attempts),
     }
 }
 
@@ -404,7 +402,7 @@
         }
     } else {
         progress.unreachable += 1;
-        stop_after_unreachable(exchange, progress.unreachable)
+        stop_after_unreachable(exchange)
     };
     stop.map_or(Ok(None), Err)
 }
@@ -535,19 +533,13 @@
     (!budgets.try_take(now(), query.service)).then_some(StopReason::Budget)
 }
 
-/// Returns why no further target is tried after some unreachable ones, or `None` if one is. Half of
+/// Returns why nothing more is tried after an unreachable target, or `None` if something is. Half of
 /// the request's time is reserved for a target that can be reached.
-fn stop_after_unreachable(exchange: &Exchange, unreachable: usize) -> Option<StopReason> {
+fn stop_after_unreachable(exchange: &Exchange) -> Option<StopReason> {
     let total_time = exchange
         .deadline
         .saturating_duration_since(exchange.started_at);
-    if unreachable >= MAX_UNREACHABLE_TARGETS {
-        Some(StopReason::Attempts)
-    } else if now() > exchange.started_at + total_time / 2 {
-        Some(StopReason::Time)
-    } else {
-        None
-    }
+    (now() > exchange.started_at + total_time / 2).then_some(StopReason::Time)
 }
 
 /// Chooses a target that permits the request. One that does not is skipped and the next best one is
--- a/src/host/links.rs
+++ b/src/host/links.rs
@@ -1,5 +1,5 @@
-//! This host's links to the targets: notices when all of them are lost, and probes targets until
-//! they are back.
+//! This host's links to the targets: finds out whether all of them are lost, and announces that to
+//! other hosts until they are back.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -12,13 +12,11 @@
 use super::{datagram, now, probe, Host};
 use crate::control::presence;
 use crate::inventory::TargetKey;
+use crate::steer::reach::MAX_FAILED_TARGETS;
 
 /// Interval of the probes while no target can be reached. Callers' requests take a detour until
-/// the probes are answered.
+/// targets accept them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
-/// Targets that are probed at a time: enough for a single round to find the links back.
-const TARGETS_PER_PROBE: usize = 2;
-
 /// How long targets have to be within reach until look-ups name this host again. Callers that move
 /// back and forth open new connections each time.
 const NAMING_DELAY: Duration = Duration::from_secs(2);
@@ -26,37 +24,46 @@
 /// The last known state of the links.
 pub(crate) struct Links {
     reaches_targets: Cell<bool>,
-    lost: Notify,
+    is_suspected: Cell<bool>,
+    suspected: Notify,
 }
 
 impl Links {
     pub(crate) fn new() -> Self {
         Self {
             reaches_targets: Cell::new(true),
-            lost: Notify::new(),
+            is_suspected: Cell::new(false),
+            suspected: Notify::new(),
         }
     }
 }
 
-/// Logs a change of whether this host reaches targets, and starts the probes if it does not.
+/// Logs a change of whether this host reaches targets, and starts probes once it may not.
 pub(crate) fn update(host: &Host) {
-    let reaches_targets = host.core.borrow().fleet.reaches_targets();
-    if host.links.reaches_targets.replace(reaches_targets) == reaches_targets {
-        return;
+    let (reaches_targets, is_suspected) = {
+        let fleet = &host.core.borrow().fleet;
+        (fleet.reaches_targets(), fleet.suspects_links())
+    };
+    if !host.links.is_suspected.replace(is_suspected) && is_suspected {
+        host.links.suspected.notify_one();
     }
-    if reaches_targets {
-        log::links_changed(Event::TargetsReached);
-    } else {
-        log::links_changed(Event::TargetsLost);
-        host.links.lost.notify_one();
+    if host.links.reaches_targets.replace(reaches_targets) != reaches_targets {
+        log::links_changed(if reaches_targets {
+            Event::TargetsReached
+        } else {
+            Event::TargetsLost
+        });
     }
 }
 
-/// Whenever the links are lost, probes targets until they are back, and announces that this host
-/// can't reach targets.
+/// Probes targets whenever the links may be lost. If they are, announces that this host can't reach
+/// targets, until they are back.
 pub(crate) async fn run(host: Rc<Host>) {
     loop {
-        host.links.lost.notified().await;
+        host.links.suspected.notified().await;
+        while host.links.is_suspected.get() {
+            probe_targets(&host).await;
+        }
         if host.links.reaches_targets.get() {
             continue;
         }
@@ -85,6 +92,8 @@
         if !host.links.reaches_targets.get() {
             back_at = None;
             probe_targets(host).await;
+        } else if host.links.is_suspected.get() {
+            probe_targets(host).await;
         } else if now() >= *back_at.get_or_insert_with(now) + NAMING_DELAY {
             return;
         }
@@ -92,21 +101,21 @@
     }
 }
 
+/// Probes some targets at a time and records the results.
 async fn probe_targets(host: &Rc<Host>) {
     let targets: Vec<TargetKey> = {
         let core = &mut *host.core.borrow_mut();
-        core.fleet
-            .probe_candidates()
-            .sample(&mut core.rng, TARGETS_PER_PROBE)
+        let candidates = core.fleet.probe_candidates().into_iter();
+        candidates.sample(&mut core.rng, MAX_FAILED_TARGETS)
     };
+    if targets.is_empty() {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
     let probes = targets.into_iter().map(|target| async move {
-        if probe::is_answered(host, target).await {
-            host.core
-                .borrow_mut()
-                .fleet
-                .record_probe_answer(now(), target);
-            update(host);
-        }
+        let is_answered = probe::is_connectable(host, target).await;
+        let fleet = &mut host.core.borrow_mut().fleet;
+        fleet.record_probe(now(), target, is_answered);
     });
     futures_util::future::join_all(probes).await;
+    update(host);
 }
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -18,29 +18,41 @@
 use super::core::Core;
 use super::{body, datagram, exchange, log, now, throttle, Host};
 use crate::inventory::TargetKey;
+use crate::steer::fleet::Member;
 use crate::steer::throttle::Assignment;
 
 /// Interval of the probes of one host to a target. Several hosts probe each target: the requests
 /// that it gets between two probes, including those in flight, must stay below what a cold target
 /// can take in a second, also after one of these hosts has stopped.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Timeout of a connection that only shows whether a target is within reach: some round trips
+/// between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a connection is watched for a reset.
+const RESET_WAIT: Duration = Duration::from_millis(50);
 /// How long a target may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Whether a target answers a probe on a new connection.
-pub(crate) async fn is_answered(host: &Host, target: TargetKey) -> bool {
-    let Some(probe) = Probe::new(&host.core.borrow(), target) else {
+/// Whether a target accepts a new connection and does not reset it. The connection is kept for
+/// requests.
+pub(crate) async fn is_connectable(host: &Host, target: TargetKey) -> bool {
+    let address = host.core.borrow().fleet.member(target).map(Member::address);
+    let Some(address) = address else {
         return false;
     };
-    if !throttle::request_permit(host, target, Assignment::Primary).await {
-        return false;
-    }
-    let answer = async {
-        let stream = client::connect(probe.address, PROBE_TIMEOUT).await?;
-        query_health(host, &probe, Connection::new(stream).await?).await
+    let stream = match client::connect(address, CONNECT_TIMEOUT).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            spdlog::debug!("probe: cannot connect to target at {address}: {error}");
+            return false;
+        }
     };
-    let answer = tokio::time::timeout(PROBE_TIMEOUT, answer).await;
-    matches!(answer, Ok(Ok(_)))
+    tokio::time::sleep(RESET_WAIT).await;
+    let is_open = client::is_reusable(&stream);
+    if is_open {
+        host.pool.borrow_mut().put(now(), target, stream, None);
+    }
+    is_open
 }
 
 /// A target to probe.
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -295,7 +295,10 @@
         let service = self.catalog.target(target).service;
         let total = self.target_count();
         match health {
-            group::Health::Unreached => self.reach.record_failure(now, target, total),
+            group::Health::Unreached => {
+                self.reach.record_failure(now, target, total);
+                self.reach.record_probe_failure(target, total);
+            }
             group::Health::Up | group::Health::Down => {
                 self.reach.record_probe_answer(target, total);
             }
--- a/src/steer/fleet/reach.rs
+++ b/src/steer/fleet/reach.rs
@@ -5,6 +5,7 @@
 
 use super::{End, Fleet};
 use crate::inventory::{State, TargetKey};
+use crate::steer::reach::MAX_FAILED_TARGETS;
 
 impl Fleet {
     /// Whether this host reaches targets, as far as it knows. If not, it has lost its own links
@@ -13,18 +14,34 @@
         !self.reach.is_cut_off()
     }
 
-    /// Returns the targets that may be probed to find out whether this host reaches any.
-    pub fn probe_candidates(&self) -> impl Iterator<Item = TargetKey> + '_ {
+    /// Whether this host may have lost its links, so that targets have to be probed.
+    pub fn suspects_links(&self) -> bool {
+        self.reach.is_suspected()
+    }
+
+    /// Returns the targets to probe to find out whether this host reaches any: those that have not
+    /// just failed, as far as there are enough.
+    pub fn probe_candidates(&self) -> Vec<TargetKey> {
         let ready = self.members.iter().filter(|(_, member)| {
             member.registration.state == State::Ready
                 && !self.evacuated_zones.contains(&member.registration.zone)
         });
-        ready.map(|(key, _)| *key)
+        let (failed, others): (Vec<_>, Vec<_>) = ready
+            .map(|(key, _)| *key)
+            .partition(|key| self.reach.has_failed(*key));
+        if others.len() >= MAX_FAILED_TARGETS {
+            others
+        } else {
+            [failed, others].concat()
+        }
     }
 
-    /// Records that a target answered a probe on a new connection.
-    pub fn record_probe_answer(&mut self, now: Instant, target: TargetKey) {
-        if self.reach.record_probe_answer(target, self.members.len()) {
+    /// Records whether a target accepted a probe on a new connection.
+    pub fn record_probe(&mut self, now: Instant, target: TargetKey, is_answered: bool) {
+        let total = self.members.len();
+        if !is_answered {
+            self.reach.record_probe_failure(target, total);
+        } else if self.reach.record_probe_answer(target, total) {
             self.forget_failures(now);
         }
     }
