--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -98,16 +98,16 @@
 
 impl Outcome {
     /// Describes it in a word, for the log.
-    pub(crate) fn describe(&self) -> Arc<str> {
+    pub(crate) fn describe(&self) -> &'static str {
         match self {
-            Self::Responded(Disposition::Answered, _) => "answered".into(),
-            Self::Responded(Disposition::Failed, _) => "failed".into(),
-            Self::Responded(Disposition::NotRun(_), _) => "refused".into(),
-            Self::Responded(Disposition::NotServed, _) => "unserved".into(),
-            Self::Responded(Disposition::Unknown, _) | Self::Unknown => "unknown".into(),
-            Self::Responded(Disposition::TimedOut, _) | Self::TimedOut => "timedout".into(),
-            Self::NotSent => "unreached".into(),
-            Self::NoBody => "unsent".into(),
+            Self::Responded(Disposition::Answered, _) => "answered",
+            Self::Responded(Disposition::Failed, _) => "failed",
+            Self::Responded(Disposition::NotRun(_), _) => "refused",
+            Self::Responded(Disposition::NotServed, _) => "unserved",
+            Self::Responded(Disposition::Unknown, _) | Self::Unknown => "unknown",
+            Self::Responded(Disposition::TimedOut, _) | Self::TimedOut => "timedout",
+            Self::NotSent => "unreached",
+            Self::NoBody => "unsent",
         }
     }
 }
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -1,5 +1,6 @@
 //! Logs each request and updates its metrics.
 
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,30 +23,44 @@
     /// The target, or `host` and the other host's name.
     to: Arc<str>,
     started_at: Instant,
-    end: Arc<str>,
+    end: AttemptEnd,
     took: Duration,
 }
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+enum AttemptEnd {
+    /// At a target.
+    Target(End),
+    /// By way of another host, in a word.
+    Relay(&'static str),
+}
+
+impl Display for AttemptEnd {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Target(end) => f.write_str(&format!("{end:?}").to_lowercase()),
+            Self::Relay(end) => f.write_str(end),
+        }
+    }
+}
+
 impl Attempt {
     fn new(to: Arc<str>, started_at: Instant) -> Self {
         Self {
             to,
             started_at,
-            end: describe_end(End::Cancelled),
+            end: AttemptEnd::Target(End::Cancelled),
             took: Duration::ZERO,
         }
     }
 
-    fn finish(&mut self, end: Arc<str>) {
+    fn finish(&mut self, end: AttemptEnd) {
         self.end = end;
         self.took = now().saturating_duration_since(self.started_at);
     }
 }
 
-fn describe_end(end: End) -> Arc<str> {
-    format!("{end:?}").to_lowercase().into()
-}
-
 /// Why no further target was tried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopReason {
@@ -123,7 +138,7 @@
     /// Records the end of the last attempt.
     pub(crate) fn finish_attempt(&mut self, in_flight: &InFlight) {
         if let Some(last) = self.attempts.last_mut() {
-            last.finish(describe_end(in_flight.end));
+            last.finish(AttemptEnd::Target(in_flight.end));
         }
     }
 
@@ -136,7 +151,7 @@
     /// Records the end of the last attempt, which was by way of another host.
     pub(crate) fn finish_relay(&mut self, outcome: &relay::Outcome) {
         if let Some(last) = self.attempts.last_mut() {
-            last.finish(outcome.describe());
+            last.finish(AttemptEnd::Relay(outcome.describe()));
         }
     }
 
