Own interface: loads are reported only once they are measured

What callers saw: 503 no-target for services of a zone whose host had just started; two tests of tests/path.rs failed in 6 of 10 runs each beside four busy processes, three at once. Cause: the report before the first measurement has no services, and others take a service without an entry for one without slots. Evidence: the engine's view printed at the refusal, both zones alive, 0 free slots.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -130,7 +130,8 @@
     digest: digest::Sender,
     /// The loads that the host measured at its own targets, and the time of the measurement.
     loads: BTreeMap<ServiceKey, Load>,
-    loads_measured_at: Instant,
+    /// `None` until they are measured for the first time.
+    loads_measured_at: Option<Instant>,
     unsettled_services: BTreeSet<ServiceKey>,
     quota_needs: BTreeMap<(HostKey, RegionKey), f32>,
     /// Load reports of the hosts in the own zone.
@@ -172,7 +173,7 @@
             summary: Sender::new(own, incarnation),
             digest: digest::Sender::new(own, incarnation),
             loads: BTreeMap::new(),
-            loads_measured_at: now,
+            loads_measured_at: None,
             unsettled_services: BTreeSet::new(),
             quota_needs: BTreeMap::new(),
             zone_reports: Table::new(),
@@ -217,7 +218,7 @@
         unsettled_services: BTreeSet<ServiceKey>,
     ) {
         self.loads = loads;
-        self.loads_measured_at = now;
+        self.loads_measured_at = Some(now);
         self.unsettled_services = unsettled_services;
     }
 
@@ -728,9 +729,14 @@
         ));
     }
 
+    /// Reports the loads, once they have been measured: other hosts take a service without a load
+    /// for one without slots.
     fn send_load_report(&mut self, now: Instant) {
+        let Some(measured_at) = self.loads_measured_at else {
+            return;
+        };
         let sample = Sample {
-            age: now.saturating_duration_since(self.loads_measured_at),
+            age: now.saturating_duration_since(measured_at),
             hosts: (1, 1),
             applied: self.record.stamp,
             unsettled_services: self.unsettled_services.clone(),
@@ -880,7 +886,7 @@
         }
         if zone == self.zone {
             let load = *self.loads.get(&service)?;
-            return Some((load, now.saturating_duration_since(self.loads_measured_at)));
+            return Some((load, now.saturating_duration_since(self.loads_measured_at?)));
         }
         let level = self.levels.level(service, zone)?;
         let slots = self.catalog.site(service, zone)?.slots as f32;
