Outcomes of relayed requests are one flat list; times go along as durations

What the other host says was matched inside what became of the connection, with two arms twice; it is now translated once. Times were converted to milliseconds and back in three places.

--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -236,8 +236,7 @@
             };
             let response = answer::not_run_retry_after(host, text, delay);
             if host.core.borrow().fleet.reaches_targets() {
-                let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
-                with_disposition(response, Disposition::NotRun(delay_ms))
+                with_disposition(response, Disposition::NotRun(delay))
             } else {
                 with_disposition(response, Disposition::NotServed)
             }
@@ -356,23 +355,10 @@
     let outcome = relay::send(host, exchange, relay, &progress.sent_to, &mut progress.body).await;
     trace.finish_relay(&outcome);
     match outcome {
-        relay::Outcome::Responded(disposition, response) => match disposition {
-            Disposition::Answered => return Ok(Some(response)),
-            Disposition::Failed => progress.failed_response = Some(response),
-            Disposition::NotRun(delay_ms) => {
-                return Err(StopReason::Relayed(Duration::from_millis(delay_ms)));
-            }
-            Disposition::NotServed => {
-                host.relays.avoid(relay);
-                return Ok(None);
-            }
-            Disposition::Unknown => progress.may_have_run = true,
-            Disposition::TimedOut => {
-                progress.may_have_run = true;
-                return Err(StopReason::Time);
-            }
-        },
-        relay::Outcome::NotSent => {
+        relay::Outcome::Answered(response) => return Ok(Some(response)),
+        relay::Outcome::Failed(response) => progress.failed_response = Some(response),
+        relay::Outcome::Refused(retry_after) => return Err(StopReason::Relayed(retry_after)),
+        relay::Outcome::NotServed | relay::Outcome::NotSent => {
             host.relays.avoid(relay);
             return Ok(None);
         }
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -82,7 +82,7 @@
     };
     let head = (host.platform.wire.head)(&parts);
     let timeout = match &context {
-        Some(context) => context.time_left(),
+        Some(context) => context.time_left,
         None => head.deadline.unwrap_or(Duration::MAX),
     };
     let timeout = timeout.min(route.timeout);
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -46,8 +46,8 @@
 /// What a host needs to know about a relayed request besides the request itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Context {
-    /// Milliseconds left until its deadline.
-    left_ms: u64,
+    /// Time left until its deadline.
+    pub(crate) time_left: Duration,
     /// Number of targets that it may still be sent to.
     pub(crate) attempts: usize,
     /// Whether the retry budget has counted it already.
@@ -58,13 +58,6 @@
     pub(crate) tried: Vec<Arc<str>>,
 }
 
-impl Context {
-    /// The time left until the request's deadline.
-    pub(crate) fn time_left(&self) -> Duration {
-        Duration::from_millis(self.left_ms)
-    }
-}
-
 /// What became of a request at the host that sent it to targets. It is attached to the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Disposition {
@@ -72,8 +65,8 @@
     Answered,
     /// A target answered with a server error.
     Failed,
-    /// It did not run and will not. Its caller may retry after this many milliseconds.
-    NotRun(u64),
+    /// It did not run and will not. Its caller may retry after this time.
+    NotRun(Duration),
     /// It did not run, but may be sent to another host.
     NotServed,
     /// It may have run.
@@ -84,11 +77,17 @@
 
 /// Result of an attempt to have another host serve a request.
 pub(crate) enum Outcome {
-    /// That host's response and what it says about the request.
-    Responded(Disposition, Response<Body>),
+    /// A target answered; the response for the caller.
+    Answered(Response<Body>),
+    /// A target answered with a server error.
+    Failed(Response<Body>),
+    /// The other host refused the request. Its caller may retry after this time.
+    Refused(Duration),
+    /// The other host can't serve the request, which may be sent to a further one.
+    NotServed,
     /// The request was not sent.
     NotSent,
-    /// It may have run, and the connection broke off.
+    /// It may have run.
     Unknown,
     /// It may have run, and its deadline has passed.
     TimedOut,
@@ -97,16 +96,27 @@
 }
 
 impl Outcome {
+    fn new(disposition: Disposition, response: Response<Body>) -> Self {
+        match disposition {
+            Disposition::Answered => Self::Answered(response),
+            Disposition::Failed => Self::Failed(response),
+            Disposition::NotRun(retry_after) => Self::Refused(retry_after),
+            Disposition::NotServed => Self::NotServed,
+            Disposition::Unknown => Self::Unknown,
+            Disposition::TimedOut => Self::TimedOut,
+        }
+    }
+
     /// Describes it in a word, for the log.
     pub(crate) fn describe(&self) -> &'static str {
         match self {
-            Self::Responded(Disposition::Answered, _) => "answered",
-            Self::Responded(Disposition::Failed, _) => "failed",
-            Self::Responded(Disposition::NotRun(_), _) => "refused",
-            Self::Responded(Disposition::NotServed, _) => "unserved",
-            Self::Responded(Disposition::Unknown, _) | Self::Unknown => "unknown",
-            Self::Responded(Disposition::TimedOut, _) | Self::TimedOut => "timedout",
+            Self::Answered(_) => "answered",
+            Self::Failed(_) => "failed",
+            Self::Refused(_) => "refused",
+            Self::NotServed => "unserved",
             Self::NotSent => "unreached",
+            Self::Unknown => "unknown",
+            Self::TimedOut => "timedout",
             Self::NoBody => "unsent",
         }
     }
@@ -207,10 +217,9 @@
 
 fn context(host: &Host, exchange: &Exchange, sent_to: &[TargetKey]) -> Context {
     let core = host.core.borrow();
-    let left = exchange.deadline.saturating_duration_since(now());
     let tried = sent_to.iter().filter_map(|key| core.fleet.member(*key));
     Context {
-        left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        time_left: exchange.deadline.saturating_duration_since(now()),
         attempts: exchange.attempts.saturating_sub(sent_to.len()),
         is_counted: exchange.is_counted.get(),
         configuration: core.table.version(),
@@ -255,7 +264,7 @@
         None if now() >= exchange.deadline => return Outcome::TimedOut,
         None => return Outcome::Unknown,
     };
-    Outcome::Responded(disposition, response)
+    Outcome::new(disposition, response)
 }
 
 async fn return_to_pool(host: &Host, relay: &Relay, connection: Connection, headers: &HeaderMap) {
