Log what targets state about their processes in answers

The adapter reads both headers, and target.leaving and target.resting say what a host was told, by which target. Nothing is decided from them yet.

--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -14,7 +14,7 @@
 use super::body::{self, Body, ReceivedBody};
 use super::client::{self, Connection, Unanswered};
 use super::exchange::{Buffered, Exchange};
-use super::{links, log, message, now, request_log, throttle, Host};
+use super::{announcement, links, log, message, now, request_log, throttle, Host};
 use crate::catalog::Repeat;
 use crate::inventory::TargetKey;
 use crate::port::Answer;
@@ -264,6 +264,11 @@
     let target_answer = (host.platform.wire.answer)(&parts);
     in_flight.observation.load = target_answer.load;
     in_flight.observation.body_bytes = incoming.size_hint().exact();
+    announcement::record(
+        host,
+        announcement::source(host, in_flight, &target_answer),
+        &target_answer.announcement,
+    );
     if target_answer.misdirected {
         in_flight.end = End::Misdirected;
         return Outcome::NotRun;
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -70,6 +70,12 @@
     Unlimited => "target.unlimited",
     /// A target announces a rate limit that can't be parsed.
     UnreadableRate => "target.unreadable-rate",
+    /// A target states in an answer that it is shutting down.
+    TargetLeaving => "target.leaving",
+    /// A target asks this host to send it nothing for some time.
+    Resting => "target.resting",
+    /// A target asks for a rest that can't be parsed.
+    UnreadableRest => "target.unreadable-rest",
     /// A target's registration says that it is draining.
     Draining => "target.draining",
     /// A target reports that it is cold.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -6,6 +6,7 @@
 //! point.
 
 mod admission;
+mod announcement;
 mod answer;
 mod attempt;
 mod body;
--- a/src/port.rs
+++ b/src/port.rs
@@ -21,6 +21,7 @@
 use crate::control::presence;
 use crate::inventory::{Config, Registration};
 use crate::steer::allowance::Excess;
+use crate::steer::announcement::Announcement;
 use crate::steer::fleet::{Load, Switches};
 use crate::steer::retry::RetryLimits;
 use crate::steer::throttle::Rate;
@@ -252,6 +253,8 @@
 pub struct Answer {
     /// The request that it answers.
     pub id: Option<Arc<str>>,
+    /// The identity of the process that answers, if the answer contains it.
+    pub target: Option<Arc<str>>,
     /// The target states that it did not run the request.
     pub not_run: bool,
     /// The target is not the intended process, and did not run the request.
@@ -260,6 +263,8 @@
     pub load: Option<Load>,
     /// The requests per second that it accepts from all hosts together.
     pub rate: Rate,
+    /// What it states about its process.
+    pub announcement: Announcement,
 }
 
 /// The content of a target's health answer.
@@ -269,6 +274,8 @@
     pub target: Option<Arc<str>>,
     /// How much longer it remains cold.
     pub cold_left: Option<Duration>,
+    /// What it states about its process.
+    pub announcement: Announcement,
 }
 
 /// The headers of requests and answers.
--- /dev/null
+++ b/src/steer/announcement.rs
@@ -0,0 +1,51 @@
+//! What a target states about its own process in any of its answers: that it is shutting down, or
+//! that it wants no requests from this host for some time.
+//!
+//! Such a statement concerns the process that made it, not the request that it is attached to nor
+//! the registration of the target. A process that shuts down does not come back, whatever its
+//! registration says: another process of the same target is another target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::throttle::decimal;
+
+/// What an answer states about the target's process.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Announcement {
+    /// It is shutting down and wants no further requests.
+    pub is_leaving: bool,
+    /// It wants no requests from this host for some time.
+    pub rest: Rest,
+}
+
+/// The rest that an answer asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Rest {
+    /// The answer asks for none.
+    #[default]
+    Absent,
+    /// No requests for this time.
+    For(Duration),
+    /// The value is no decimal number of seconds.
+    Unreadable(Arc<str>),
+}
+
+impl Rest {
+    /// Parses the values of an answer's headers, in seconds. The longest of several counts.
+    pub fn new<'a>(values: impl IntoIterator<Item = Option<&'a str>>) -> Self {
+        let mut rest = Self::Absent;
+        for value in values {
+            let text = value.unwrap_or("(not text)");
+            let Some(seconds) = decimal(text.trim()) else {
+                return Self::Unreadable(text.into());
+            };
+            let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+            rest = match rest {
+                Self::For(longest) => Self::For(longest.max(time)),
+                _ => Self::For(time),
+            };
+        }
+        rest
+    }
+}
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_counts;
 pub mod allowance;
+pub mod announcement;
 pub mod attempt;
 mod budgets;
 pub mod dedupe;
--- a/src/steer/throttle.rs
+++ b/src/steer/throttle.rs
@@ -88,7 +88,7 @@
 }
 
 /// Parses a number that consists of digits and at most one point.
-fn decimal(text: &str) -> Option<f64> {
+pub(super) fn decimal(text: &str) -> Option<f64> {
     let is_plain = text
         .bytes()
         .all(|byte| byte.is_ascii_digit() || byte == b'.');
