Targets that state in answers that they leave receive nothing new

Callers' requests reached targets up to 13 s after their answers had said that they were shutting down, as hosts only went by the store, and that was silent; requests that were there when such a target exited were lost.

Cause: the header was not read. What an answer says about the process that sent it is now a fact about this process, apart from its registration: an entry that says ready ends it as little as a late or restored one, a later process of the target does. First attempts, retries, requests that waited for a permission or a connection, relayed ones and health checks ask one place, steer::fleet::availability. Hosts tell each other; who starts later hears it too, and a host that had a request relayed learns it from the answer.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -42,6 +42,7 @@
     rate: Gauge<f64>,
     age: Gauge<f64>,
     hosts: Gauge<u64>,
+    leaving: Gauge<u64>,
     reaches_targets: Gauge<u64>,
 }
 
@@ -98,6 +99,7 @@
             cold_rate: meter.f64_gauge("ragwortfold_target_cold_rate").build(),
             age: meter.f64_gauge("ragwortfold_age_seconds").build(),
             hosts: meter.u64_gauge("ragwortfold_hosts").build(),
+            leaving: meter.u64_gauge("ragwortfold_target_leaving").build(),
             reaches_targets: meter.u64_gauge("ragwortfold_reaches_targets").build(),
             registry,
             _provider: provider,
@@ -169,6 +171,7 @@
         self.load.record(estimate.load, &labels);
         self.service_time.record(estimate.service_time, &labels);
         self.usable.record(estimate.is_in_use.into(), &labels);
+        self.leaving.record(estimate.is_leaving.into(), &labels);
         // The rate of a warm target is not limited.
         let rate = estimate.cold_rate.unwrap_or(f64::INFINITY);
         self.cold_rate.record(rate, &labels);
--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -1,15 +1,22 @@
 //! Records what targets state about their processes in their answers.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+
 use super::attempt::InFlight;
-use super::log::Event;
-use super::{now, Host};
+use super::log::{self, Event};
+use super::{datagram, now, Host};
 use crate::inventory::TargetKey;
 use crate::port::Answer;
 use crate::steer::announcement::{Announcement, Rest};
 
+/// Processes that are named in one datagram, drawn at random: as many as fit.
+const PROCESSES_PER_DATAGRAM: usize = 64;
+
 /// The target whose process sent an answer: the one that the answer names, or the one that the
 /// request was sent to unless the answer says that another one has its address.
 pub(crate) fn source(host: &Host, in_flight: &InFlight, answer: &Answer) -> Option<TargetKey> {
@@ -19,31 +26,66 @@
     }
 }
 
-/// Records the statements in an answer of a target.
-pub(crate) fn record(host: &Host, target: Option<TargetKey>, announcement: &Announcement) {
+/// Records the statements in an answer of a target, and tells all hosts if it is shutting down.
+pub(crate) fn record(host: &Rc<Host>, target: Option<TargetKey>, announcement: &Announcement) {
     let Some(target) = target else {
         return;
     };
     if announcement.is_leaving {
-        log_change(host, Event::TargetLeaving, target, None);
+        record_leaving(host, target);
     }
     match &announcement.rest {
         Rest::Absent => {}
-        Rest::For(time) => log_change(host, Event::Resting, target, Some(*time)),
+        Rest::For(time) => log_rest(host, target, *time),
         Rest::Unreadable(text) => log_unreadable_rest(host, target, text),
     }
 }
 
-/// Logs that a target is shutting down, or asks for a rest of some time.
-fn log_change(host: &Host, event: Event, target: TargetKey, rest: Option<Duration>) {
+/// Records that a target is shutting down, and tells all hosts if that is new.
+pub(crate) fn record_leaving(host: &Rc<Host>, target: TargetKey) {
+    let process = host.core.borrow_mut().fleet.record_leaving(now(), target);
+    let Some(process) = process else {
+        return;
+    };
+    log::target_leaving(&target_id(host, target), "answer");
+    let host = host.clone();
+    tokio::task::spawn_local(async move {
+        let peers = datagram::peer_addresses(&host);
+        datagram::send_leaving_targets(&host, &[process], &peers).await;
+    });
+}
+
+/// Records the processes that another host knows to shut down.
+pub(crate) fn apply_leaving(host: &Host, processes: &[u64]) {
+    let fleet = &mut host.core.borrow_mut().fleet;
+    for process in processes {
+        if let Some(target) = fleet.merge_leaving(now(), *process) {
+            log::target_leaving(&target, "host");
+        }
+    }
+}
+
+/// Sends the processes that are shutting down to some hosts, which may not know about them.
+pub(crate) async fn send_leaving(host: &Host, peers: &[SocketAddr]) {
+    let processes: Vec<u64> = {
+        let core = &mut *host.core.borrow_mut();
+        let recent = core.fleet.leaving_processes(now());
+        recent.sample(&mut core.rng, PROCESSES_PER_DATAGRAM)
+    };
+    if !processes.is_empty() {
+        datagram::send_leaving_targets(host, &processes, peers).await;
+    }
+}
+
+/// Logs that a target asks for a rest.
+fn log_rest(host: &Host, target: TargetKey, rest: Duration) {
+    let event = Event::Resting;
     let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
         return;
     };
     let id = target_id(host, target);
-    let rest_ms = rest.map_or(0, |rest| {
-        u64::try_from(rest.as_millis()).unwrap_or(u64::MAX)
-    });
-    spdlog::info!("a target announces that it leaves or rests", kv: {
+    let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+    spdlog::info!("a target asks for a rest", kv: {
         event = event.as_str(),
         target = &*id,
         rest_ms,
--- a/src/host/datagram.rs
+++ b/src/host/datagram.rs
@@ -15,7 +15,7 @@
 use crate::steer::quarantine::Notice;
 use crate::steer::throttle::{Claim, Grant, RateUpdate};
 
-use super::{now, quarantine, throttle, Error, Host};
+use super::{announcement, now, quarantine, throttle, Error, Host};
 
 /// Size of the receive buffer for a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -60,6 +60,9 @@
     /// The response to a [`Datagram::Claim`].
     #[serde(rename = "g")]
     Grant(Grant),
+    /// Processes of targets that are shutting down.
+    #[serde(rename = "d")]
+    Leaving(Vec<u64>),
     /// Whether the sender is unable to reach targets.
     #[serde(rename = "u")]
     CutOff(bool),
@@ -108,8 +111,10 @@
     }
 }
 
-/// Sends the standings of requests suspected to crash targets, and the rate limits of targets.
+/// Sends the standings of requests suspected to crash targets, the rate limits of targets, and the
+/// processes that are shutting down.
 async fn send_state(host: &Host, peers: &[SocketAddr]) {
+    announcement::send_leaving(host, peers).await;
     quarantine::send_standings(host, peers).await;
     throttle::send_rates(host, peers).await;
 }
@@ -232,6 +237,11 @@
     send(host, &Datagram::Rates(rates.to_vec()), peers).await;
 }
 
+/// Sends the processes of targets that are shutting down.
+pub(crate) async fn send_leaving_targets(host: &Host, processes: &[u64], peers: &[SocketAddr]) {
+    send(host, &Datagram::Leaving(processes.to_vec()), peers).await;
+}
+
 /// Asks a keeper of a rate-limited target for permission to send to it.
 pub(crate) async fn send_claim(host: &Host, claim: Claim, keeper: SocketAddr) {
     send(host, &Datagram::Claim(claim), &[keeper]).await;
@@ -318,6 +328,7 @@
             Ok(Datagram::Rates(rates)) => throttle::apply_rates(&host, &rates),
             Ok(Datagram::Claim(claim)) => throttle::answer_claim(&host, sender, &claim).await,
             Ok(Datagram::Grant(grant)) => throttle::apply_grant(&host, sender, &grant),
+            Ok(Datagram::Leaving(processes)) => announcement::apply_leaving(&host, &processes),
             Ok(Datagram::CutOff(is_cut_off)) => {
                 let presence = &mut host.core.borrow_mut().presence;
                 presence.receive_cut_off(now(), sender, is_cut_off);
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -311,8 +311,12 @@
     drop(in_flight);
     query.tried.push(target);
     match outcome {
-        Outcome::Answered(response) => return Ok(Some(response)),
-        Outcome::Failed(response) => progress.failed_response = Some(response),
+        Outcome::Answered(response) => {
+            return Ok(Some(relay::with_source(host, target, response)));
+        }
+        Outcome::Failed(response) => {
+            progress.failed_response = Some(relay::with_source(host, target, response));
+        }
         Outcome::NotRun => {}
         Outcome::Unknown => progress.may_have_run = true,
         Outcome::TimedOut => {
@@ -341,7 +345,7 @@
 /// Sends a request to another host. Returns the response if the request is answered, or why no
 /// further attempt is made.
 async fn try_relay(
-    host: &Host,
+    host: &Rc<Host>,
     exchange: &Exchange,
     trace: &mut RequestTrace,
     progress: &mut Progress<'_>,
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -209,6 +209,15 @@
     }
 }
 
+/// Logs that a target states that it is shutting down. `from` is as for [`target_rate`].
+pub(crate) fn target_leaving(id: &str, from: &str) {
+    spdlog::info!("a target states that it is shutting down", kv: {
+        event = Event::TargetLeaving.as_str(),
+        target = id,
+        from
+    });
+}
+
 /// Logs that a target's rate limit can't be parsed; the previous one stays in force.
 pub(crate) fn unreadable_rate(host: &Host, target: TargetKey, value: &str) {
     let Some(left_out) = host
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -16,7 +16,7 @@
 
 use super::client::{self, Connection};
 use super::core::Core;
-use super::{attempt, body, datagram, log, now, throttle, Host};
+use super::{announcement, attempt, body, datagram, log, now, throttle, Host};
 use crate::inventory::TargetKey;
 use crate::steer::fleet::Member;
 use crate::steer::throttle::Assignment;
@@ -138,7 +138,7 @@
 
 /// Requests a target's health and returns its remaining cold time.
 async fn query_health(
-    host: &Host,
+    host: &Rc<Host>,
     probe: &Probe,
     mut connection: Connection,
 ) -> Result<Option<Duration>, client::Error> {
@@ -154,8 +154,11 @@
     };
     let (parts, incoming) = response.into_parts();
     let health = (host.platform.wire.health)(&parts);
+    let is_same_process = health.target.is_none_or(|target| target == probe.id);
+    if is_same_process {
+        announcement::record(host, Some(probe.target), &health.announcement);
+    }
     connection.read(incoming.collect()).await?;
     attempt::return_to_pool(host, probe.target, connection, &parts).await;
-    let is_same_process = health.target.is_none_or(|target| target == probe.id);
     Ok(health.cold_left.filter(|_| is_same_process))
 }
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use http::header::{HeaderName, HeaderValue};
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{response, HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
@@ -23,7 +23,7 @@
 use super::client::{self, Connection, Unanswered};
 use super::exchange::Exchange;
 use super::pool::Pool;
-use super::{answer, front, message, now, serve, Error, Host};
+use super::{announcement, answer, front, message, now, serve, Error, Host};
 use crate::inventory::TargetKey;
 use crate::steer::fleet::TargetQuery;
 
@@ -31,6 +31,8 @@
 const CONTEXT: HeaderName = HeaderName::from_static("relay-context");
 /// Header of the response to a relayed request, with a [`Disposition`] in JSON.
 const DISPOSITION: HeaderName = HeaderName::from_static("relay-disposition");
+/// Header of the response to a relayed request, with the identity of the target that answered.
+const SOURCE: HeaderName = HeaderName::from_static("relay-source");
 /// Header of a response with the time for which its connection is kept open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -75,6 +77,24 @@
     TimedOut,
 }
 
+/// The target whose answer a response is. It is attached to the response.
+#[derive(Clone, Debug)]
+struct Source(Arc<str>);
+
+/// Attaches the target that answered to a response.
+pub(crate) fn with_source(
+    host: &Host,
+    target: TargetKey,
+    mut response: Response<Body>,
+) -> Response<Body> {
+    if let Some(member) = host.core.borrow().fleet.member(target) {
+        response
+            .extensions_mut()
+            .insert(Source(member.id().clone()));
+    }
+    response
+}
+
 /// Result of an attempt to have another host serve a request.
 pub(crate) enum Outcome {
     /// A target answered; the response for the caller.
@@ -186,7 +206,7 @@
 /// Sends a request to another host and waits for its response. `sent_to` are the targets that the
 /// request was sent to before.
 pub(crate) async fn send(
-    host: &Host,
+    host: &Rc<Host>,
     exchange: &Exchange,
     relay: &Relay,
     sent_to: &[TargetKey],
@@ -237,13 +257,14 @@
 }
 
 async fn receive(
-    host: &Host,
+    host: &Rc<Host>,
     exchange: &Exchange,
     relay: &Relay,
     mut connection: Connection,
     response: Response<Incoming>,
 ) -> Outcome {
     let (mut parts, incoming) = response.into_parts();
+    record_announcement(host, &mut parts);
     let disposition = parts.headers.remove(DISPOSITION);
     let Some(disposition) = disposition.and_then(|value| decode(&value)) else {
         spdlog::warn!("relay: host {} sent no valid disposition", relay.host);
@@ -267,6 +288,22 @@
     Outcome::new(disposition, response)
 }
 
+/// Records what the target that answered states about its process. A rest that it asks for concerns
+/// the other host only.
+fn record_announcement(host: &Rc<Host>, parts: &mut response::Parts) {
+    let Some(source) = parts.headers.remove(SOURCE) else {
+        return;
+    };
+    let target = source
+        .to_str()
+        .ok()
+        .and_then(|id| host.core.borrow().fleet.key(id));
+    let is_leaving = (host.platform.wire.answer)(parts).announcement.is_leaving;
+    if let Some(target) = target.filter(|_| is_leaving) {
+        announcement::record_leaving(host, target);
+    }
+}
+
 async fn return_to_pool(host: &Host, relay: &Relay, connection: Connection, headers: &HeaderMap) {
     if client::closes_connection(headers) {
         return;
@@ -297,6 +334,11 @@
     if let Some(value) = encode(&disposition) {
         response.headers_mut().insert(DISPOSITION, value);
     }
+    if let Some(Source(id)) = response.extensions_mut().remove::<Source>() {
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(SOURCE, value);
+        }
+    }
     if let Some(limits) = host.core.borrow().table.limits() {
         let timeout = format!("timeout={}", limits.idle_timeout.as_secs());
         if let Ok(value) = HeaderValue::from_str(&timeout) {
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -10,6 +10,7 @@
 //! of its cache made more targets cold for its key than it relieved.
 
 mod admission;
+mod availability;
 mod choice;
 mod cold;
 mod cold_checks;
@@ -38,12 +39,13 @@
 use self::ranking::Rankings;
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
+use super::departures::Departures;
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
 use super::reach::Reach;
 use super::throttle::{Assignment, Throttle};
 use crate::border::settings::Switch;
-use crate::inventory::{Registration, State, TargetKey, TargetKeyAllocator};
+use crate::inventory::{Registration, TargetKey, TargetKeyAllocator};
 
 pub use self::cold_checks::{CHECKERS_PER_TARGET, MAX_CHECK_FACTOR, MIN_CHECKS};
 pub use self::member::{Load, Member, TargetEstimate};
@@ -150,6 +152,8 @@
     /// Number of targets that were inspected during selection.
     inspected: Cell<u64>,
     evacuated_zones: BTreeSet<Arc<str>>,
+    /// Processes that have stated that they are shutting down.
+    departures: Departures,
     /// Share of requests that leave the region, by service.
     drifts: BTreeMap<Arc<str>, Drift>,
     cold_rates: BTreeMap<Arc<str>, f64>,
@@ -225,6 +229,7 @@
             rankings: BTreeMap::new(),
             inspected: Cell::new(0),
             evacuated_zones: BTreeSet::new(),
+            departures: Departures::new(),
             drifts: BTreeMap::new(),
         }
     }
@@ -314,7 +319,7 @@
         Some(member.service())
     }
 
-    /// Returns the services that would lose most of their targets that are not draining if the
+    /// Returns the services that would lose most of their targets that are not leaving if the
     /// targets `ids` were removed. That many targets do not leave at the same time, so the caller
     /// should not remove them at once.
     pub fn services_losing_most<'a>(
@@ -324,7 +329,7 @@
         let leaving: BTreeSet<_> = ids.filter_map(|id| self.ids.get(id)).collect();
         let is_staying = |key: &&TargetKey| {
             let member = self.members.get(key);
-            member.is_some_and(|member| member.registration.state != State::Draining)
+            member.is_some_and(|member| !self.is_leaving(member))
         };
         let loses_most = |keys: &[TargetKey]| {
             let total = keys.iter().filter(is_staying).count();
@@ -495,6 +500,7 @@
             load: self.load(now, member),
             service_time: member.service_time(now, self.stats(member.service()).service_time),
             is_in_use: member.outlier_detector.is_in_use(),
+            is_leaving: self.is_leaving(member),
             rate: self.throttle.rate(member.digest()),
             cold_rate: member.is_cold(now).then(|| self.cold_rate(member)),
         })
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -14,7 +14,7 @@
 use super::ranking::rendezvous_weight;
 use super::{Fleet, Refusal, TargetQuery};
 use crate::border::settings::Switch;
-use crate::inventory::{State, TargetKey};
+use crate::inventory::TargetKey;
 use crate::steer::drift::Drift;
 use crate::steer::throttle::Assignment;
 
@@ -469,11 +469,7 @@
 
     /// Whether a target may receive new requests at all.
     fn accepts_requests(&self, now: Instant, member: &Member, homes: &BTreeSet<Arc<str>>) -> bool {
-        if member.registration.state != State::Ready
-            || member.is_misdirected
-            || self.evacuated_zones.contains(&member.registration.zone)
-            || !(homes.is_empty() || homes.contains(&member.region))
-        {
+        if !self.is_available(member) || !(homes.is_empty() || homes.contains(&member.region)) {
             return false;
         }
         let may_probe = member.outlier_detector.is_probe_due(now) && member.in_flight == 0;
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -132,6 +132,8 @@
     pub service_time: f64,
     /// Whether it is not ejected.
     pub is_in_use: bool,
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
     /// The requests a second that it accepts from all hosts, if it announces a rate.
     pub rate: Option<f64>,
     /// If it is cold, the requests a second that this host may send to it.
--- a/src/steer/fleet/rate_limit.rs
+++ b/src/steer/fleet/rate_limit.rs
@@ -32,7 +32,8 @@
         (key, assignment): (TargetKey, Assignment),
         rng: &mut impl Rng,
     ) -> Permission {
-        let Some(member) = self.members.get(&key) else {
+        let member = self.members.get(&key);
+        let Some(member) = member.filter(|member| self.is_available(member)) else {
             return Permission::Denied;
         };
         let target = member.digest();
@@ -76,7 +77,11 @@
     /// Whether a request may be sent after its claim was answered: it was granted, or the target no
     /// longer announces a rate.
     pub fn use_grant(&mut self, now: Instant, key: TargetKey) -> bool {
-        let Some(target) = self.members.get(&key).map(Member::digest) else {
+        let member = self.members.get(&key);
+        let Some(target) = member
+            .filter(|member| self.is_available(member))
+            .map(Member::digest)
+        else {
             return false;
         };
         self.throttle.rate(target).is_none() || self.throttle.spend(now, target)
--- a/src/steer/fleet/reach.rs
+++ b/src/steer/fleet/reach.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::{End, Fleet};
-use crate::inventory::{State, TargetKey};
+use crate::inventory::TargetKey;
 use crate::steer::reach::MAX_FAILED_TARGETS;
 
 impl Fleet {
@@ -22,11 +22,11 @@
     /// Returns the targets to probe to find out whether this host reaches any: those that have not
     /// just failed, as far as there are enough.
     pub fn probe_candidates(&self) -> Vec<TargetKey> {
-        let ready = self.members.iter().filter(|(_, member)| {
-            member.registration.state == State::Ready
-                && !self.evacuated_zones.contains(&member.registration.zone)
-        });
-        let (failed, others): (Vec<_>, Vec<_>) = ready
+        let available = self
+            .members
+            .iter()
+            .filter(|(_, member)| self.is_available(member));
+        let (failed, others): (Vec<_>, Vec<_>) = available
             .map(|(key, _)| *key)
             .partition(|key| self.reach.has_failed(*key));
         if others.len() >= MAX_FAILED_TARGETS {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 mod budgets;
 pub mod dedupe;
+pub mod departures;
 pub mod drift;
 pub mod eject;
 pub mod engine;
--- /dev/null
+++ b/tests/departures.rs
@@ -0,0 +1,151 @@
+//! Targets that stated that they are shutting down receive nothing, whatever their registrations
+//! say.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ragwortfold::inventory::{Registration, State};
+use ragwortfold::steer::fleet::{Fleet, Permission, Refusal, TargetQuery};
+use ragwortfold::steer::throttle::Assignment;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+fn registration(id: &str, born: Option<u64>) -> Registration {
+    Registration {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "z".into(),
+        slots: 4,
+        state: State::Ready,
+        cold_left: Duration::ZERO,
+        born,
+    }
+}
+
+struct World {
+    now: Instant,
+    fleet: Fleet,
+    service: Arc<str>,
+    homes: BTreeSet<Arc<str>>,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::now();
+        let zone: Arc<str> = "z".into();
+        let mut fleet = Fleet::new(now, "h".into(), zone.clone(), BTreeMap::new(), 5.0);
+        fleet.set_live_hosts(vec![("h".into(), zone)]);
+        fleet.register(now, registration("a", None));
+        Self {
+            now,
+            fleet,
+            service: "s".into(),
+            homes: BTreeSet::new(),
+        }
+    }
+
+    fn record_leaving(&mut self, id: &str) -> Option<u64> {
+        let key = self.fleet.key(id).unwrap();
+        self.fleet.record_leaving(self.now, key)
+    }
+
+    /// The target that a request is sent to.
+    fn chosen(&mut self) -> Result<Arc<str>, Refusal> {
+        let query = TargetQuery {
+            service: &self.service,
+            affinity_key: 7,
+            object: Some(7),
+            homes: &self.homes,
+            tried: Vec::new(),
+            body_bytes: 0,
+        };
+        let key = self.fleet.choose(self.now, &query, |_| true)?;
+        Ok(self.fleet.member(key).unwrap().id().clone())
+    }
+}
+
+#[test]
+fn a_target_that_leaves_is_not_chosen() {
+    let mut world = World::new();
+    assert_eq!(world.chosen(), Ok("a".into()));
+    world.record_leaving("a");
+    assert_eq!(world.chosen(), Err(Refusal::NoTarget));
+    world.fleet.register(world.now, registration("b", None));
+    assert_eq!(world.chosen(), Ok("b".into()));
+}
+
+#[test]
+fn a_request_that_was_permitted_before_is_not_sent() {
+    let mut world = World::new();
+    let key = world.fleet.key("a").unwrap();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut request = |fleet: &mut Fleet, now| {
+        fleet.request_permission(now, (key, Assignment::Primary), &mut rng)
+    };
+    assert_eq!(request(&mut world.fleet, world.now), Permission::Granted);
+    assert!(world.fleet.may_send(key));
+    world.record_leaving("a");
+    assert_eq!(request(&mut world.fleet, world.now), Permission::Denied);
+    assert!(!world.fleet.use_grant(world.now, key));
+    assert!(!world.fleet.may_send(key));
+}
+
+#[test]
+fn a_registration_that_says_ready_changes_nothing() {
+    let mut world = World::new();
+    world.record_leaving("a");
+    let again = Registration {
+        slots: 5,
+        ..registration("a", None)
+    };
+    world.fleet.register(world.now, again.clone());
+    assert_eq!(world.chosen(), Err(Refusal::NoTarget));
+    world.fleet.withdraw("a");
+    world.fleet.register(world.now, again);
+    assert_eq!(world.chosen(), Err(Refusal::NoTarget));
+}
+
+#[test]
+fn a_later_process_of_the_target_is_used() {
+    let mut world = World::new();
+    world.fleet.register(world.now, registration("b", Some(1)));
+    world.record_leaving("a");
+    world.record_leaving("b");
+    assert_eq!(world.chosen(), Err(Refusal::NoTarget));
+    world.fleet.register(world.now, registration("b", Some(2)));
+    assert_eq!(world.chosen(), Ok("b".into()));
+}
+
+#[test]
+fn hosts_learn_it_from_each_other_once() {
+    let mut world = World::new();
+    let process = world.record_leaving("a").unwrap();
+    assert_eq!(world.record_leaving("a"), None);
+    assert_eq!(
+        world.fleet.leaving_processes(world.now).collect::<Vec<_>>(),
+        [process]
+    );
+    let mut other = World::new();
+    assert_eq!(
+        other.fleet.merge_leaving(other.now, process),
+        Some("a".into())
+    );
+    assert_eq!(other.fleet.merge_leaving(other.now, process), None);
+    assert_eq!(other.chosen(), Err(Refusal::NoTarget));
+}
+
+#[test]
+fn a_host_may_learn_it_before_the_registration() {
+    let mut world = World::new();
+    world.fleet.register(world.now, registration("b", None));
+    let process = world.record_leaving("b").unwrap();
+    let mut other = World::new();
+    assert_eq!(other.fleet.merge_leaving(other.now, process), None);
+    other.record_leaving("a");
+    other.fleet.register(other.now, registration("b", None));
+    assert_eq!(other.chosen(), Err(Refusal::NoTarget));
+}
