Targets that ask for a rest get it

A target that refused with 503 and asked for 3 s of rest got up to 36 requests of one host in 0.8 s; callers' requests were used up on targets that refuse all, and when all of them did, callers were told to return after 0.15 to 0.20 s.

Cause: the header was not read, so such a target was skipped by one request and chosen again by the next. The latest end counts. Afterwards the load returns with the answers, from one request at a time on. If all targets rest, requests are refused at once, and callers return after the first end, urgent ones first.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -43,6 +43,7 @@
     age: Gauge<f64>,
     hosts: Gauge<u64>,
     leaving: Gauge<u64>,
+    rest: Gauge<f64>,
     reaches_targets: Gauge<u64>,
 }
 
@@ -99,6 +100,7 @@
             cold_rate: meter.f64_gauge("ragwortfold_target_cold_rate").build(),
             age: meter.f64_gauge("ragwortfold_age_seconds").build(),
             hosts: meter.u64_gauge("ragwortfold_hosts").build(),
+            rest: meter.f64_gauge("ragwortfold_target_rest_seconds").build(),
             leaving: meter.u64_gauge("ragwortfold_target_leaving").build(),
             reaches_targets: meter.u64_gauge("ragwortfold_reaches_targets").build(),
             registry,
@@ -171,6 +173,8 @@
         self.load.record(estimate.load, &labels);
         self.service_time.record(estimate.service_time, &labels);
         self.usable.record(estimate.is_in_use.into(), &labels);
+        let rest_left = estimate.rest_left.as_secs_f64();
+        self.rest.record(rest_left, &labels);
         self.leaving.record(estimate.is_leaving.into(), &labels);
         // The rate of a warm target is not limited.
         let rate = estimate.cold_rate.unwrap_or(f64::INFINITY);
--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -12,7 +12,7 @@
 use super::{datagram, now, Host};
 use crate::inventory::TargetKey;
 use crate::port::Answer;
-use crate::steer::announcement::{Announcement, Rest};
+use crate::steer::announcement::{Announcement, RequestedRest};
 
 /// Processes that are named in one datagram, drawn at random: as many as fit.
 const PROCESSES_PER_DATAGRAM: usize = 64;
@@ -35,9 +35,9 @@
         record_leaving(host, target);
     }
     match &announcement.rest {
-        Rest::Absent => {}
-        Rest::For(time) => log_rest(host, target, *time),
-        Rest::Unreadable(text) => log_unreadable_rest(host, target, text),
+        RequestedRest::Absent => {}
+        RequestedRest::For(time) => record_rest(host, target, *time),
+        RequestedRest::Unreadable(text) => log_unreadable_rest(host, target, text),
     }
 }
 
@@ -77,20 +77,21 @@
     }
 }
 
-/// Logs that a target asks for a rest.
-fn log_rest(host: &Host, target: TargetKey, rest: Duration) {
-    let event = Event::Resting;
-    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
-        return;
-    };
-    let id = target_id(host, target);
-    let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
-    spdlog::info!("a target asks for a rest", kv: {
-        event = event.as_str(),
-        target = &*id,
-        rest_ms,
-        left_out
-    });
+fn record_rest(host: &Host, target: TargetKey, rest: Duration) {
+    let is_new = host
+        .core
+        .borrow_mut()
+        .fleet
+        .record_rest(now(), target, rest);
+    if is_new {
+        let id = target_id(host, target);
+        let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+        spdlog::info!("a target asks for a rest", kv: {
+            event = Event::Resting.as_str(),
+            target = &*id,
+            rest_ms
+        });
+    }
 }
 
 /// Logs that a rest can't be parsed; it has no effect.
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -129,7 +129,9 @@
     .await
     {
         // The target may have stated meanwhile that it wants no requests.
-        Ok(_) if !host.core.borrow().fleet.may_send(in_flight.target) => Err(Outcome::NotRun),
+        Ok(_) if !host.core.borrow().fleet.may_send(now(), in_flight.target) => {
+            Err(Outcome::NotRun)
+        }
         Ok(connection) => Ok((connection, id)),
         Err(error) => {
             spdlog::debug!("exchange: cannot connect to target at {address}: {error}");
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -34,6 +34,10 @@
 /// Expected time until a host reaches targets again while no other host does either.
 const CUT_OFF_PAUSE: Duration = Duration::from_secs(1);
 
+/// Expected time until a service has a target again whose targets are all shutting down or must not
+/// be used.
+const NO_TARGET_PAUSE: Duration = Duration::from_secs(1);
+
 /// Limit on the time spent asking hosts for permission to send: enough for several queries within
 /// the region or one to another region. A request without a permitted target is refused soon after.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(50);
@@ -403,6 +407,9 @@
     }
     let core = &mut *host.core.borrow_mut();
     let room = match stop {
+        StopReason::Refused(_) if core.fleet.has_no_available_target(query.service) => {
+            NO_TARGET_PAUSE
+        }
         StopReason::Refused(_) => core.fleet.time_until_room(now(), query),
         StopReason::CutOff => CUT_OFF_PAUSE,
         _ => Duration::ZERO,
@@ -410,11 +417,12 @@
     let rank = core
         .table
         .relative_priority(&exchange.route, &exchange.admitted.caller);
+    let rest = core.fleet.time_until_rest_ends(now(), query);
     RefusedRequest {
         time_until_room: room,
         rank,
     }
-    .retry_after(core.rng.random_range(0.0..1.0))
+    .retry_after_rest(rest.unwrap_or_default(), core.rng.random_range(0.0..1.0))
 }
 
 /// Returns why a request is not sent to a further target, or `None` if it may be.
--- a/src/steer/announcement.rs
+++ b/src/steer/announcement.rs
@@ -16,12 +16,12 @@
     /// It is shutting down and wants no further requests.
     pub is_leaving: bool,
     /// It wants no requests from this host for some time.
-    pub rest: Rest,
+    pub rest: RequestedRest,
 }
 
 /// The rest that an answer asks for.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub enum Rest {
+pub enum RequestedRest {
     /// The answer asks for none.
     #[default]
     Absent,
@@ -31,7 +31,7 @@
     Unreadable(Arc<str>),
 }
 
-impl Rest {
+impl RequestedRest {
     /// Parses the values of an answer's headers, in seconds. The longest of several counts.
     pub fn new<'a>(values: impl IntoIterator<Item = Option<&'a str>>) -> Self {
         let mut rest = Self::Absent;
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -43,6 +43,7 @@
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
 use super::reach::Reach;
+use super::rest::Rest;
 use super::throttle::{Assignment, Throttle};
 use crate::border::settings::Switch;
 use crate::inventory::{Registration, TargetKey, TargetKeyAllocator};
@@ -290,6 +291,7 @@
             service_time: None,
             silent_since: None,
             connect_failed_at: None,
+            rest: Rest::default(),
         };
         self.members.insert(key, member);
         self.add_to_rankings(key);
@@ -501,6 +503,7 @@
             service_time: member.service_time(now, self.stats(member.service()).service_time),
             is_in_use: member.outlier_detector.is_in_use(),
             is_leaving: self.is_leaving(member),
+            rest_left: member.rest.time_left(now).unwrap_or_default(),
             rate: self.throttle.rate(member.digest()),
             cold_rate: member.is_cold(now).then(|| self.cold_rate(member)),
         })
@@ -556,6 +559,10 @@
         if !matches!(end, End::Cancelled | End::Silent | End::TimedOut) {
             member.silent_since = Some(now);
         }
+        if matches!(end, End::Answered | End::Failed) {
+            let slots = member.registration.slots;
+            member.rest.record_answer(now, slots);
+        }
         match end {
             End::Unreached => member.connect_failed_at = Some(now),
             End::Cancelled | End::Silent | End::TimedOut => {}
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -2,10 +2,10 @@
 //! here, however its target was chosen.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::member::Member;
-use super::Fleet;
+use super::{Fleet, TargetQuery};
 use crate::inventory::{State, TargetKey};
 
 impl Fleet {
@@ -21,11 +21,49 @@
         member.registration.state != State::Ready || self.departures.contains(member.digest())
     }
 
+    /// Returns the time until a target may receive one more request after a rest that it asked for,
+    /// or `None` if it may now.
+    pub(super) fn rests_for(&self, now: Instant, member: &Member) -> Option<Duration> {
+        if let Some(left) = member.rest.time_left(now) {
+            return Some(left);
+        }
+        // The next request may be sent after an answer.
+        let service_time = self.stats(member.service()).service_time;
+        let wait = Duration::try_from_secs_f64(service_time).unwrap_or_default();
+        (!member.rest.admits(now, member.in_flight)).then_some(wait)
+    }
+
     /// Whether a request that was permitted may still be sent to its target.
-    pub fn may_send(&self, key: TargetKey) -> bool {
+    pub fn may_send(&self, now: Instant, key: TargetKey) -> bool {
         self.members
             .get(&key)
-            .is_some_and(|member| self.is_available(member))
+            .is_some_and(|member| self.is_available(member) && member.rest.time_left(now).is_none())
+    }
+
+    /// Whether there are targets of a service, and all of them are shutting down or must not be
+    /// used.
+    pub fn has_no_available_target(&self, service: &str) -> bool {
+        let keys = self.services.get(service).into_iter().flatten();
+        let mut members = keys.filter_map(|key| self.members.get(key)).peekable();
+        members.peek().is_some() && members.all(|member| !self.is_available(member))
+    }
+
+    /// Returns the time until the first of the targets that a request may use ends its rest, if all
+    /// of them rest.
+    pub fn time_until_rest_ends(&self, now: Instant, query: &TargetQuery<'_>) -> Option<Duration> {
+        let keys = self.services.get(query.service).into_iter().flatten();
+        let members = keys.filter_map(|key| self.members.get(key));
+        let mut usable = members.filter(|member| self.accepts_requests(now, member, query.homes));
+        let first = usable.next()?.rest.time_left(now)?;
+        usable.try_fold(first, |shortest, member| {
+            Some(shortest.min(member.rest.time_left(now)?))
+        })
+    }
+
+    /// Records that a target asks this host for a rest. Returns whether it was not resting before.
+    pub fn record_rest(&mut self, now: Instant, key: TargetKey, time: Duration) -> bool {
+        let member = self.members.get_mut(&key);
+        member.is_some_and(|member| member.rest.begin(now, time))
     }
 
     /// Records that a target states that it is shutting down. Returns its process if that is new,
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -468,7 +468,12 @@
     }
 
     /// Whether a target may receive new requests at all.
-    fn accepts_requests(&self, now: Instant, member: &Member, homes: &BTreeSet<Arc<str>>) -> bool {
+    pub(super) fn accepts_requests(
+        &self,
+        now: Instant,
+        member: &Member,
+        homes: &BTreeSet<Arc<str>>,
+    ) -> bool {
         if !self.is_available(member) || !(homes.is_empty() || homes.contains(&member.region)) {
             return false;
         }
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -6,6 +6,7 @@
 
 use crate::inventory::Registration;
 use crate::steer::eject::OutlierDetector;
+use crate::steer::rest::Rest;
 
 /// Time for which a target's load report is used; it loses weight with age.
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
@@ -57,6 +58,8 @@
     pub(super) silent_since: Option<Instant>,
     /// When a connection to it last failed, if none was opened since.
     pub(super) connect_failed_at: Option<Instant>,
+    /// The rest that it asked this host for.
+    pub(super) rest: Rest,
 }
 
 impl Member {
@@ -134,6 +137,8 @@
     pub is_in_use: bool,
     /// Whether it is shutting down.
     pub is_leaving: bool,
+    /// How much longer it wants no requests from this host.
+    pub rest_left: Duration,
     /// The requests a second that it accepts from all hosts, if it announces a rate.
     pub rate: Option<f64>,
     /// If it is cold, the requests a second that this host may send to it.
--- a/src/steer/fleet/rate_limit.rs
+++ b/src/steer/fleet/rate_limit.rs
@@ -36,6 +36,9 @@
         let Some(member) = member.filter(|member| self.is_available(member)) else {
             return Permission::Denied;
         };
+        if self.rests_for(now, member).is_some() {
+            return Permission::Denied;
+        }
         let target = member.digest();
         let Some(update) = self.throttle.current_update(now, target) else {
             return Permission::Granted;
@@ -79,7 +82,7 @@
     pub fn use_grant(&mut self, now: Instant, key: TargetKey) -> bool {
         let member = self.members.get(&key);
         let Some(target) = member
-            .filter(|member| self.is_available(member))
+            .filter(|member| self.is_available(member) && self.rests_for(now, member).is_none())
             .map(Member::digest)
         else {
             return false;
@@ -152,20 +155,22 @@
     }
 
     /// Returns the time until a target may receive requests, or `None` if it is not closed by its
-    /// rate.
+    /// rate or its rest.
     pub(super) fn closed_for(
         &self,
         now: Instant,
         member: &Member,
         assignment: Assignment,
     ) -> Option<Duration> {
-        self.throttle
-            .closed_for(now, member.digest(), assignment, self.live_hosts.len())
+        let until_granted =
+            self.throttle
+                .closed_for(now, member.digest(), assignment, self.live_hosts.len());
+        self.rests_for(now, member).max(until_granted)
     }
 
-    /// Whether a target announces a rate.
+    /// Whether a target may be closed by its rate or its rest.
     pub(super) fn is_limited(&self, member: &Member) -> bool {
-        self.throttle.rate(member.digest()).is_some()
+        member.rest.is_active() || self.throttle.rate(member.digest()).is_some()
     }
 
     /// Returns the hosts that allocate a target's rate: the first of all live hosts, or none while
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -24,6 +24,7 @@
 pub mod quota;
 pub mod reach;
 pub mod relay_permit;
+pub mod rest;
 pub mod retry;
 pub mod shift;
 pub mod slow_start;
--- a/src/steer/pause.rs
+++ b/src/steer/pause.rs
@@ -27,8 +27,14 @@
 impl RefusedRequest {
     /// Returns the delay after which its caller may retry; `random` is a number from 0 to 1.
     pub fn retry_after(self, random: f64) -> Duration {
+        self.retry_after_rest(Duration::ZERO, random)
+    }
+
+    /// Returns the delay if all its targets rest for `rest`: no caller returns before its end, and
+    /// they return one after the other.
+    pub fn retry_after_rest(self, rest: Duration, random: f64) -> Duration {
         let start = self.time_until_room.clamp(MIN_PAUSE, MAX_PAUSE);
         let position = self.rank.clamp(0.0, 1.0) + random;
-        start.mul_f64(1.0 + position / 2.0)
+        start.max(rest) + start.mul_f64(position / 2.0)
     }
 }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -87,11 +87,11 @@
         fleet.request_permission(now, (key, Assignment::Primary), &mut rng)
     };
     assert_eq!(request(&mut world.fleet, world.now), Permission::Granted);
-    assert!(world.fleet.may_send(key));
+    assert!(world.fleet.may_send(world.now, key));
     world.record_leaving("a");
     assert_eq!(request(&mut world.fleet, world.now), Permission::Denied);
     assert!(!world.fleet.use_grant(world.now, key));
-    assert!(!world.fleet.may_send(key));
+    assert!(!world.fleet.may_send(world.now, key));
 }
 
 #[test]
