Own interface: targets that ask for a rest get it

The same fault as on the platform: hosts of the product's own interface read no Retry-After of a target either, so a target that refused everything for 3 s was asked again at the end of each backoff, up to every 0.6 s by requests and every 0.75 s by health checks.

steer::rest is one piece for both: groups keep such targets out of the choice, refuse at once what only they could serve, and let the load return with the answers; health checks leave them alone and apply what they are told themselves.

tests/rest.rs hosts_of_the_own_interface_give_a_target_its_rest failed before (over ten requests in the rest), passes now; tests/group.rs has the group's cases.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -226,6 +226,7 @@
                 if !answer.refused || answer.rate != Rate::Absent {
                     shared.core.send_rate(target, started, &answer.rate);
                 }
+                shared.core.send_rest(target, &answer.rest);
                 self.handle_answer(shared, attempt_id, grant, answer, started)
             }
             Err(error) => {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -30,6 +30,7 @@
 use crate::control::wire::Frame;
 use crate::control::{lease, publish};
 use crate::peer::mesh::{self, Mesh};
+use crate::steer::announcement::RequestedRest;
 use crate::steer::attempt::Reason;
 use crate::steer::dedupe::{Admission, IdempotencyTable, Identity, RunOutcome, RunPermit};
 use crate::steer::engine::{AttemptKind, Decision, Engine, Id, Refusal, RouteRequest, Verdict};
@@ -71,6 +72,8 @@
     RequestAnswered(Fingerprint),
     /// The rate in a target's answer to a request that was sent at the given time.
     TargetRate(TargetKey, Instant, Rate),
+    /// The rest that a target's answer asks for.
+    TargetRest(TargetKey, RequestedRest),
     /// A request has ended.
     RequestDone(Id),
     /// A relay to another entry host ended.
@@ -129,6 +132,8 @@
     waiting: Arc<AtomicUsize>,
     /// Targets of this host's zone that state a rate.
     rate_limited: Arc<ArcSwap<BTreeSet<TargetKey>>>,
+    /// Targets of this host's zone that rest.
+    resting: Arc<ArcSwap<BTreeSet<TargetKey>>>,
 }
 
 impl Handle {
@@ -168,6 +173,18 @@
         self.rate_limited.load().contains(&target)
     }
 
+    /// Sends the rest that an answer asks for to the core.
+    pub(crate) fn send_rest(&self, target: TargetKey, rest: &RequestedRest) {
+        if *rest != RequestedRest::Absent {
+            self.send(Event::TargetRest(target, rest.clone()));
+        }
+    }
+
+    /// Whether a target wants no health checks: it rests, or they would count against its rate.
+    pub(crate) fn wants_no_checks(&self, target: TargetKey) -> bool {
+        self.is_rate_limited(target) || self.resting.load().contains(&target)
+    }
+
     /// Sends an event to the core.
     pub(crate) fn send(&self, event: Event) {
         // Sending fails only while the process ends: the core outlives all other senders.
@@ -210,6 +227,7 @@
         events: sender,
         waiting: Arc::default(),
         rate_limited: Arc::default(),
+        resting: Arc::default(),
     };
     let own_handle = handle.clone();
     thread::Builder::new()
@@ -259,6 +277,8 @@
     waiting: BTreeMap<Id, Sender<Verdict>>,
     /// Targets whose unreadable rate has been logged.
     unreadable_rates: BTreeSet<TargetKey>,
+    /// Targets whose unreadable rest has been logged.
+    unreadable_rests: BTreeSet<TargetKey>,
     /// Whether targets could be reached when that was last logged.
     reaches_targets: bool,
 }
@@ -273,6 +293,7 @@
             rng: Pcg64Mcg::seed_from_u64(dependencies.incarnation),
             waiting: BTreeMap::new(),
             unreadable_rates: BTreeSet::new(),
+            unreadable_rests: BTreeSet::new(),
             reaches_targets: true,
             control: Control::new(
                 &dependencies.settings.host,
@@ -321,6 +342,7 @@
                 self.broadcast_notices();
             }
             Event::TargetRate(target, at, rate) => self.apply_target_rate(now, target, at, &rate),
+            Event::TargetRest(target, rest) => self.apply_rest(now, target, &rest),
             Event::RequestDone(id) => self.engine.release_suspect_permit(id),
             Event::RelayFinished(permit, usage) => self.engine.finish_relay(now, &permit, usage),
             Event::RelayRefused(host) => self.engine.record_relay_refusal(now, host),
@@ -428,6 +450,32 @@
         self.publish_rate_limited_targets();
     }
 
+    /// Applies the rest that a target asks for.
+    fn apply_rest(&mut self, now: Instant, target: TargetKey, rest: &RequestedRest) {
+        let is_new = match rest {
+            RequestedRest::Absent => false,
+            RequestedRest::For(time) => self.engine.record_rest(now, target, *time),
+            RequestedRest::Unreadable(text) => {
+                if self.unreadable_rests.insert(target) {
+                    let name = &self.engine.catalog().target(target).name;
+                    spdlog::warn!("core: the rest '{text}' that target {name} asks for is no decimal number of seconds and changes nothing");
+                }
+                return;
+            }
+        };
+        if is_new {
+            let name = &self.engine.catalog().target(target).name;
+            spdlog::info!("core: target {name} wants no requests from this host for a time");
+        }
+        self.publish_resting_targets(now);
+    }
+
+    /// Publishes the targets that rest to the health checks.
+    fn publish_resting_targets(&self, now: Instant) {
+        let resting = self.engine.resting_targets(now);
+        self.handle.resting.store(Arc::new(resting));
+    }
+
     /// Merges target rates received from other hosts and forwards those that changed.
     fn merge_rates(&mut self, now: Instant, rates: Vec<(HostKey, RateUpdate)>) {
         for (source, update) in rates {
@@ -496,6 +544,7 @@
         self.engine.set_free_slots(free);
         self.engine.set_view(now, view);
         self.publish_rate_limited_targets();
+        self.publish_resting_targets(now);
         self.dependencies.published.set(State {
             catalog: self.engine.catalog().clone(),
             lookup: self.engine.lookup_snapshot(),
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -15,9 +15,11 @@
 use super::classify::to_state;
 use super::core::{Event, Handle};
 use super::published::Published;
+use super::target::requested_rest;
 use super::Error;
 use crate::catalog::{Catalog, State, Target, TargetKey};
 use crate::literal::LiteralResolver;
+use crate::steer::announcement::RequestedRest;
 use crate::steer::group::{self, Health};
 
 /// Time between two health checks of one target.
@@ -65,11 +67,12 @@
         let started = Instant::now();
         let catalog = published.get().catalog.clone();
         for (key, target) in zone_targets(&catalog, zone).skip(index).step_by(THREADS) {
-            if core.is_rate_limited(key) {
-                // A check would count against the target's rate, and the answers to requests report the target's state anyway.
+            if core.wants_no_checks(key) {
+                // The answers to requests report the target's state anyway.
                 continue;
             }
-            let (health, state) = check(&agent, target);
+            let (health, state, rest) = check(&agent, target);
+            core.send_rest(key, &rest);
             core.send(Event::Health(key, health, state));
             if stop.load(Ordering::Relaxed) {
                 return;
@@ -90,18 +93,23 @@
         .filter(move |(_, target)| Some(target.zone) == zone && target.state != State::Off)
 }
 
-fn check(agent: &Agent, target: &Target) -> (Health, Option<group::State>) {
+fn check(agent: &Agent, target: &Target) -> (Health, Option<group::State>, RequestedRest) {
     let answer = agent
         .get(format!("http://{}/health", target.address))
         .call();
     let Ok(mut answer) = answer else {
-        return (Health::Unreached, None);
+        return (Health::Unreached, None, RequestedRest::Absent);
     };
     let health = if answer.status().is_success() {
         Health::Up
     } else {
         Health::Down
     };
+    let rest = requested_rest(answer.status(), answer.headers());
     let state: Option<Answer> = serde_json::from_reader(answer.body_mut().as_reader()).ok();
-    (health, state.and_then(|answer| to_state(&answer.state)))
+    (
+        health,
+        state.and_then(|answer| to_state(&answer.state)),
+        rest,
+    )
 }
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -13,6 +13,7 @@
 use super::head::{self, Header};
 use super::stage::{self, Stage};
 use crate::literal::LiteralResolver;
+use crate::steer::announcement::RequestedRest;
 use crate::steer::throttle::Rate;
 
 /// Maximum number of idle connections to each target.
@@ -72,6 +73,8 @@
     pub(crate) state: Option<Arc<str>>,
     /// The request rate that the target states.
     pub(crate) rate: Rate,
+    /// The rest that the target asks this host for.
+    pub(crate) rest: RequestedRest,
     /// Whether the target reported that the request did not run.
     pub(crate) refused: bool,
 }
@@ -324,6 +327,7 @@
                 .iter()
                 .map(|value| value.to_str().ok()),
         ),
+        rest: requested_rest(parts.status, &parts.headers),
         refused,
         reader: Box::new(body.into_reader()),
     })
@@ -344,6 +348,17 @@
             .any(|internal| name.eq_ignore_ascii_case(internal))
 }
 
+/// Returns the rest that an answer asks for; only a 503 does.
+pub(crate) fn requested_rest(status: http::StatusCode, headers: &http::HeaderMap) -> RequestedRest {
+    let values = headers.get_all(http::header::RETRY_AFTER).iter();
+    let is_overloaded = status == http::StatusCode::SERVICE_UNAVAILABLE;
+    RequestedRest::new(
+        values
+            .filter(|_| is_overloaded)
+            .map(|value| value.to_str().ok()),
+    )
+}
+
 fn parse_load(text: &str) -> Option<(u32, u32)> {
     let (in_flight, slots) = text.split_once('/')?;
     Some((in_flight.trim().parse().ok()?, slots.trim().parse().ok()?))
--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -311,6 +311,21 @@
         }
     }
 
+    /// Sends nothing to a target for `time`, as it asked. Returns whether it was not resting before.
+    pub fn record_rest(&mut self, now: Instant, target: TargetKey, time: Duration) -> bool {
+        let service = self.catalog.target(target).service;
+        let group = self.groups.get_mut(&service);
+        group.is_some_and(|group| group.begin_rest(now, target, time))
+    }
+
+    /// Returns the targets of this zone that rest.
+    pub fn resting_targets(&self, now: Instant) -> BTreeSet<TargetKey> {
+        let groups = self.groups.values();
+        groups
+            .flat_map(|group| group.resting_targets(now))
+            .collect()
+    }
+
     /// Whether this host reaches targets of this zone, as far as it knows.
     pub fn reaches_targets(&self) -> bool {
         !self.reach.is_cut_off()
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -27,10 +27,12 @@
         if let Some(left) = member.rest.time_left(now) {
             return Some(left);
         }
+        if member.in_flight < member.rest.max_in_flight(now)? {
+            return None;
+        }
         // The next request may be sent after an answer.
         let service_time = self.stats(member.service()).service_time;
-        let wait = Duration::try_from_secs_f64(service_time).unwrap_or_default();
-        (!member.rest.admits(now, member.in_flight)).then_some(wait)
+        Some(Duration::try_from_secs_f64(service_time).unwrap_or_default())
     }
 
     /// Whether a request that was permitted may still be sent to its target.
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -125,7 +125,7 @@
     median_foreign_load: f64,
     mean_success_rate: f64,
     is_probe_due: bool,
-    /// Earliest end of a backoff or an ejection.
+    /// Earliest end of a backoff, an ejection or a rest.
     next_change: Option<Instant>,
 }
 
@@ -298,7 +298,7 @@
         if let Some(position) = self.choose_target(now, &request, rng) {
             return Verdict::Admit(self.grant(now, position));
         }
-        if let Some(wait) = self.rate_limit_wait(now, &request) {
+        if let Some(wait) = self.closed_for(now, &request) {
             return Verdict::Refuse(Refusal {
                 reason: Reason::Overload,
                 retry_after: wait.max(MIN_RETRY_AFTER),
@@ -307,12 +307,12 @@
         self.enqueue(now, request)
     }
 
-    /// Returns the time until a target may take a request if all untried targets have used up their rate limits. Targets without a
-    /// rate limit become free with each answer; these don't, and a request queued for one of them would block those behind it.
-    fn rate_limit_wait(&self, now: Instant, request: &TargetRequest) -> Option<Duration> {
+    /// Returns the time until a target may take a request if all untried targets rest or have used up their rate limits. Other
+    /// targets become free with each answer; these don't, and a request queued for one of them would block those behind it.
+    fn closed_for(&self, now: Instant, request: &TargetRequest) -> Option<Duration> {
         let mut shortest = None;
         for member in in_rotation(&self.members).filter(|member| !member.has_tried(request)) {
-            let wait = member.rate_limit_wait(now);
+            let wait = member.closed_for(now);
             if wait.is_zero() {
                 return None;
             }
@@ -321,6 +321,24 @@
         shortest
     }
 
+    /// Sends nothing to a target for `time`, as it asked. Returns whether it was not resting before.
+    pub fn begin_rest(&mut self, now: Instant, target: TargetKey, time: Duration) -> bool {
+        let Some(&position) = self.index.get(&target) else {
+            return false;
+        };
+        let is_new = self.members[position].rest.begin(now, time);
+        self.refresh_stats(now);
+        is_new
+    }
+
+    /// Returns the targets that rest.
+    pub fn resting_targets(&self, now: Instant) -> impl Iterator<Item = TargetKey> + '_ {
+        let members = self.members.iter();
+        members
+            .filter(move |member| member.rest.time_left(now).is_some())
+            .map(|member| member.key)
+    }
+
     /// Sets this host's share of the rate limit that a target announces, in requests per second; `None` if it announces none.
     pub fn set_rate_share(&mut self, now: Instant, target: TargetKey, rate: Option<f64>) {
         let Some(&position) = self.index.get(&target) else {
@@ -443,7 +461,7 @@
                 let is_usable = candidate.is_free()
                     && (cold || candidate.warm_fraction >= 1.0)
                     && (request.exclude.is_empty() || !members[position].has_tried(request))
-                    && members[position].rate_limit_wait(now).is_zero();
+                    && members[position].closed_for(now).is_zero();
                 let factor = if preferred == Some(position) {
                     AFFINITY_COST_FACTOR
                 } else {
@@ -482,7 +500,7 @@
                 && member.limit.connection_share() > 0
                 && member.outlier_detector.is_probe_due(now)
                 && !member.has_tried(request)
-                && member.rate_limit_wait(now).is_zero()
+                && member.closed_for(now).is_zero()
                 && seconds_left > PROBE_SLACK_LATENCIES * self.stats.median_latency
         })
     }
@@ -521,6 +539,7 @@
                 .next_change
                 .into_iter()
                 .chain(member.backoff_until)
+                .chain(member.rest.time_left(now).map(|left| now + left))
                 .min();
         }
         self.ready(now, rng)
@@ -541,6 +560,7 @@
                 member.backoff_until = None;
                 member.estimate.record_latency(now, report.latency);
                 member.slow_start.record_answer(now);
+                member.rest.record_answer(now, member.slots);
                 let ratio = member.estimate.latency_ratio(self.baseline_latency);
                 member.limit.record_answer(now, is_full, ratio, report.load);
                 self.mean_hold_seconds += (seconds - self.mean_hold_seconds) * HOLD_SECONDS_WEIGHT;
@@ -663,7 +683,7 @@
         self.queue.next_expiry().into_iter().chain(change).min()
     }
 
-    /// Returns the earliest end of a target's backoff or ejection.
+    /// Returns the earliest end of a target's backoff, ejection or rest.
     fn next_change(&self, now: Instant) -> Option<Instant> {
         let backoffs = self
             .members
@@ -673,7 +693,12 @@
             .members
             .iter()
             .filter_map(|member| member.outlier_detector.ejected_until());
-        backoffs.chain(ejections).filter(|&at| at > now).min()
+        let rests = self.members.iter().filter_map(|member| {
+            let left = member.rest.time_left(now)?;
+            Some(now + left)
+        });
+        let changes = backoffs.chain(ejections).chain(rests);
+        changes.filter(|&at| at > now).min()
     }
 
     /// Returns the number of targets.
--- a/src/steer/group/member.rs
+++ b/src/steer/group/member.rs
@@ -8,6 +8,7 @@
 use crate::steer::eject::OutlierDetector;
 use crate::steer::limit::Limit;
 use crate::steer::pick::Estimate;
+use crate::steer::rest::Rest;
 use crate::steer::slow_start::SlowStart;
 use crate::steer::throttle::{Assignment, Bucket};
 
@@ -34,6 +35,8 @@
     pub(super) backoff_until: Option<Instant>,
     /// This host's share of the rate limit that the target announces, if it announces one.
     pub(super) rate_share: Option<RateShare>,
+    /// The rest that the target asked this host for.
+    pub(super) rest: Rest,
 }
 
 /// This host's share of the rate limit that a target announces.
@@ -61,16 +64,19 @@
             consecutive_failures: 0,
             backoff_until: None,
             rate_share: None,
+            rest: Rest::default(),
         }
     }
 
-    /// Returns the time until the target's rate limit allows this host to send a request.
-    pub(super) fn rate_limit_wait(&self, now: Instant) -> Duration {
-        self.rate_share.map_or(Duration::ZERO, |share| {
+    /// Returns the time until the target's rest ends and its rate limit allows this host to send a
+    /// request.
+    pub(super) fn closed_for(&self, now: Instant) -> Duration {
+        let until_token = self.rate_share.map_or(Duration::ZERO, |share| {
             share
                 .bucket
                 .time_to_token(now, share.rate, Assignment::Primary)
-        })
+        });
+        until_token.max(self.rest.time_left(now).unwrap_or_default())
     }
 
     /// Charges a request to this host's share of the target's rate limit.
@@ -120,7 +126,8 @@
         Self {
             in_flight: member.in_flight,
             max_in_flight: if is_usable(config, member, now) {
-                max_in_flight(config, member)
+                let after_rest = member.rest.max_in_flight(now).unwrap_or(u32::MAX);
+                max_in_flight(config, member).min(after_rest)
             } else {
                 0
             },
--- a/src/steer/rest.rs
+++ b/src/steer/rest.rs
@@ -39,9 +39,13 @@
         self.until.is_some()
     }
 
-    /// Whether one more request may be sent beside `in_flight` others.
-    pub fn admits(&self, now: Instant, in_flight: u32) -> bool {
-        self.until.is_none() || (self.time_left(now).is_none() && in_flight <= self.answers)
+    /// Returns the number of requests that the target may have at the same time, if it is limited.
+    pub fn max_in_flight(&self, now: Instant) -> Option<u32> {
+        self.until?;
+        Some(match self.time_left(now) {
+            Some(_) => 0,
+            None => self.answers.saturating_add(1),
+        })
     }
 
     /// Records that the target answered a request. Its load has returned completely once it may
--- a/standin/src/rate_limit.rs
+++ b/standin/src/rate_limit.rs
@@ -45,6 +45,8 @@
     headers: Headers,
     /// The rates that responses name, each in a header of its own.
     rates: Mutex<Vec<String>>,
+    /// The headers of the refusals that it sends, while it refuses all requests.
+    refusal: Mutex<Option<Vec<(&'static str, String)>>>,
     arrivals: Mutex<Vec<Instant>>,
 }
 
@@ -64,6 +66,7 @@
         let shared = Arc::new(Shared {
             headers,
             rates: Mutex::default(),
+            refusal: Mutex::default(),
             arrivals: Mutex::default(),
         });
         let inner = shared.clone();
@@ -84,6 +87,14 @@
         *lock(&self.shared.rates) = rates.iter().map(|rate| (*rate).to_owned()).collect();
     }
 
+    /// Refuses all requests with 503 and these headers.
+    pub fn refuse_all(&self, headers: &[(&'static str, &str)]) {
+        let headers = headers
+            .iter()
+            .map(|(name, value)| (*name, (*value).to_owned()));
+        *lock(&self.shared.refusal) = Some(headers.collect());
+    }
+
     /// The arrival time of each request.
     pub fn arrivals(&self) -> Vec<Instant> {
         lock(&self.shared.arrivals).clone()
@@ -131,7 +142,12 @@
     fn serve(&self, request: &Request) -> Reply {
         lock(&self.arrivals).push(Instant::now());
         thread::sleep(SERVICE_TIME);
-        let mut response = Response::new(200, b"hello".to_vec());
+        let refusal = lock(&self.refusal).clone();
+        let status = if refusal.is_some() { 503 } else { 200 };
+        let mut response = Response::new(status, b"hello".to_vec());
+        for (name, value) in refusal.into_iter().flatten() {
+            response = response.with_header(name, value);
+        }
         if let Some(value) = request.header(self.headers.echo) {
             response = response.with_header(self.headers.echo, value);
         }
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -236,6 +236,24 @@
         rig.set_state(0, Source::Health, State::Serving);
         assert!(rig.serve_in_sequence(20, &BTreeMap::new()).contains(&rig.keys[0]));
     };
+    a_target_gets_nothing_during_its_rest_and_one_request_after_it: {
+        let mut rig = Rig::new(1);
+        assert!(rig.group.begin_rest(rig.now, rig.keys[0], Duration::from_secs(3)));
+        rig.advance_ms(2_999);
+        assert_eq!(reason(rig.submit(1000, 5, vec![])), Some(Reason::Overload));
+        rig.advance_ms(1);
+        let mut grants = rig.fill();
+        assert_eq!(grants.len(), 1);
+        rig.advance_ms(10);
+        let ready = rig.finish(grants.remove(0), report(End::Answered, 10));
+        assert_eq!((ready.len(), rig.fill().len()), (1, 1));
+    };
+    the_other_targets_take_the_requests_during_a_rest: {
+        let mut rig = Rig::new(2);
+        rig.group.begin_rest(rig.now, rig.keys[0], Duration::from_secs(3));
+        let served = rig.serve_in_sequence(20, &BTreeMap::new());
+        assert!(served.iter().all(|&key| key == rig.keys[1]));
+    };
     queued_requests_are_refused_when_the_last_target_drains: {
         let mut rig = Rig::new(1);
         rig.fill();
--- a/tests/rest.rs
+++ b/tests/rest.rs
@@ -2,16 +2,21 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod cluster;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cluster::{send, TestCluster};
 use ragwortfold::inventory::{Registration, State, TargetKey};
 use ragwortfold::steer::fleet::{End, Fleet, Observation, Permission, Refusal, TargetQuery};
 use ragwortfold::steer::pause::RefusedRequest;
 use ragwortfold::steer::throttle::Assignment;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use standin::rate_limit::{run_callers, Headers, Target};
 
 const REST: Duration = Duration::from_secs(3);
 const STEP: Duration = Duration::from_millis(1);
@@ -244,3 +249,46 @@
     let together = first.filter(|at| *at < REST + 50 * STEP).count();
     assert!(together <= 20, "{together} of 200 within 50 ms");
 }
+
+#[test]
+fn hosts_of_the_own_interface_give_a_target_its_rest() {
+    let headers = Headers {
+        rate: "ragwortfold-rate",
+        echo: "ragwortfold-request-id",
+    };
+    let target = Target::new(headers).unwrap();
+    target.refuse_all(&[("ragwortfold-outcome", "not-run"), ("retry-after", "3")]);
+    let lookups = json!({"class": "pass-lookup", "idempotent": true, "deadline_ms": 2000});
+    let cluster = TestCluster::new()
+        .without_services()
+        .with_service("lookups", lookups)
+        .with_zone("lima", "lima-a")
+        .with_host("lima-a", "h-a")
+        .with_target_at("lima-a", "lookups", "t", target.address())
+        .start_all();
+    let host = cluster.hosts.values().next().unwrap();
+    let calls = run_callers(REST, |number| {
+        let url = host.url(&format!("/v1/services/lookups/{number}"));
+        let answer = send("GET", &url, &[], b"").unwrap();
+        let retry_after = answer.headers.get("retry-after");
+        let seconds = retry_after.map(|seconds| seconds.parse().unwrap());
+        (answer.status, seconds)
+    });
+    let arrivals = target.arrivals();
+    let first = *arrivals.first().unwrap();
+    let noticed = first + Duration::from_millis(500);
+    let in_rest = arrivals
+        .iter()
+        .filter(|at| **at > noticed && **at < first + REST);
+    assert!(in_rest.count() <= 2, "{arrivals:?}");
+    let later = calls.iter().filter(|call| call.sent_at > noticed);
+    for call in later.filter(|call| call.sent_at + call.duration < first + REST) {
+        assert_eq!(call.status, 503);
+        assert!(call.duration < Duration::from_millis(300), "{call:?}");
+        let left = (first + REST).saturating_duration_since(call.sent_at + call.duration);
+        assert!(
+            call.retry_after >= Some(left.as_secs_f64()),
+            "{call:?}, {left:?} left"
+        );
+    }
+}
