Own interface: an answer to an earlier request does not end a target's draining

Answers that were on their way when a target began to drain say serving, and the last one that arrived counted: the target got new requests until its next answer. Requests sent before the target stated that it drains can't show that it has ended. an_answer_to_an_earlier_request_does_not_end_draining failed before.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -526,7 +526,8 @@
         report: Report,
         rng: &mut impl Rng,
     ) -> Vec<(Id, Grant)> {
-        if let Some(state) = report.state {
+        let is_news = |state: &State| *state == State::Draining || !self.precedes_draining(&grant);
+        if let Some(state) = report.state.filter(is_news) {
             self.set_state(now, grant.target, Source::Header, state);
         }
         if let Some(&position) = self.index.get(&grant.target) {
@@ -545,6 +546,15 @@
         self.ready(now, rng)
     }
 
+    /// Whether a request was sent before its target last stated that it is draining. The answer may
+    /// have been on its way since before that.
+    fn precedes_draining(&self, grant: &Grant) -> bool {
+        let position = self.index.get(&grant.target);
+        let member = position.map(|&position| &self.members[position]);
+        let stated_at = member.and_then(|member| member.draining_sources.get(&Source::Header));
+        stated_at.is_some_and(|at| grant.at <= *at)
+    }
+
     fn record_report(&mut self, now: Instant, position: usize, report: &Report) {
         let member = &mut self.members[position];
         let is_full = member.in_flight >= member.limit.max_in_flight(member.slow_start.fraction());
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -236,6 +236,20 @@
         rig.set_state(0, Source::Health, State::Serving);
         assert!(rig.serve_in_sequence(20, &BTreeMap::new()).contains(&rig.keys[0]));
     };
+    an_answer_to_an_earlier_request_does_not_end_draining: {
+        let mut rig = Rig::new(2);
+        let [early, late] = [(); 2].map(|()| match rig.submit(1000, 5, vec![rig.keys[1]]) {
+            Verdict::Admit(grant) => grant,
+            _ => panic!("not admitted"),
+        });
+        let say = |state| Report { state: Some(state), ..report(End::Answered, 10) };
+        rig.advance_ms(10);
+        rig.finish(late, say(State::Draining));
+        rig.advance_ms(1);
+        rig.finish(early, say(State::Serving));
+        let served = rig.serve_in_sequence(20, &BTreeMap::new());
+        assert!(served.iter().all(|&key| key == rig.keys[1]));
+    };
     a_target_gets_nothing_during_its_rest_and_one_request_after_it: {
         let mut rig = Rig::new(1);
         assert!(rig.group.begin_rest(rig.now, rig.keys[0], Duration::from_secs(3)));
