Log that the store was restored, and updates that are dropped as outdated

No line told which of two hypotheses holds for the restored store: hosts that take what it shows for old, or followers that are left behind. The adapter reads the era of each answer; store.restored says that it rose, store.outdated what is dropped in favour of which revision.

--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -130,6 +130,10 @@
     /// The host probed the store once: no host was known to reach it, or the followed feed timed
 /// out.
     StoreProbed => "store.look",
+    /// The store was restored from a copy.
+    StoreRestored => "store.restored",
+    /// An update is older than the copy of the store, and is dropped.
+    OutdatedUpdate => "store.outdated",
     /// Watching a kind of objects fails, or succeeds again.
     KindChanged => "store.kind",
     /// An object in the store can't be decoded.
@@ -260,6 +264,29 @@
     });
 }
 
+/// Logs that the store was restored from a copy.
+pub(crate) fn store_restored(era: u64) {
+    spdlog::info!("the store was restored from a copy", kv: {
+        event = Event::StoreRestored.as_str(),
+        era
+    });
+}
+
+/// Logs that an update of a kind of objects is dropped, as it is older than the copy.
+pub(crate) fn outdated_update(host: &Host, kind: Kind, revision: u64, known: Option<u64>) {
+    let event = Event::OutdatedUpdate;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    spdlog::info!("an update is older than the copy of the store", kv: {
+        event = event.as_str(),
+        kind = kind.as_str(),
+        revision,
+        known = known.unwrap_or_default(),
+        left_out
+    });
+}
+
 /// Logs that watching a kind of objects fails with `error`, or succeeds again.
 pub(crate) fn kind_changed(kind: Kind, error: Option<&super::store::Error>) {
     let error = error.map(ToString::to_string);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -86,6 +86,8 @@
     pending_claims: throttle::PendingClaims,
     /// Names of unknown headers in targets' answers that were already logged.
     unknown_headers: RefCell<BTreeSet<Arc<str>>>,
+    /// The highest era of the store that is known.
+    store_era: Cell<u64>,
     /// Faults in the store's objects that were already logged.
     logged_store_faults: RefCell<BTreeSet<String>>,
 }
@@ -100,7 +102,12 @@
         let effect = self.core.borrow_mut().apply(now(), update);
         match effect {
             Effect::Gap => return Err(Gap),
-            Effect::Old => return Ok(()),
+            Effect::Old => {
+                if known > Some(to) {
+                    log::outdated_update(self, kind, to, known);
+                }
+                return Ok(());
+            }
             Effect::Changed(entries) => {
                 // Followers have the same objects as this host, so only the changes of a full list
                 // are sent on.
@@ -118,6 +125,18 @@
         Ok(())
     }
 
+    /// Records the store's era, which rises when the store has been restored from a copy.
+    fn note_era(&self, era: u64) {
+        let known = self.store_era.get();
+        if era <= known {
+            return;
+        }
+        self.store_era.set(era);
+        if known > 0 {
+            log::store_restored(era);
+        }
+    }
+
     /// Whether the host has a copy of all kinds of objects, however old.
     fn has_full_copy(&self) -> bool {
         let core = self.core.borrow();
@@ -170,6 +189,7 @@
         failed_feeds: RefCell::default(),
         pending_claims: throttle::PendingClaims::default(),
         unknown_headers: RefCell::default(),
+        store_era: Cell::new(0),
         logged_store_faults: RefCell::default(),
         platform,
         settings,
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -46,6 +46,8 @@
     idle: Option<TcpStream>,
     /// Whether an object in the last answer could not be decoded.
     pub(crate) has_skipped: bool,
+    /// The store's era as of the last answer; 0 if the answer did not contain it.
+    pub(crate) era: u64,
 }
 
 impl Client {
@@ -54,6 +56,7 @@
             host: host.clone(),
             idle: None,
             has_skipped: false,
+            era: 0,
         }
     }
 
@@ -66,8 +69,10 @@
         let idle = self.idle.take();
         let exchange = self.exchange(idle, call);
         let answered = tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await;
-        let (idle, status, bytes) = answered.map_err(|_| Error::Timeout)??;
+        let (idle, (status, era), bytes) = answered.map_err(|_| Error::Timeout)??;
         self.idle = idle;
+        self.era = era;
+        self.host.note_era(era);
         let (reply, skipped) = (self.host.platform.store.decode)(call, status, &bytes)?;
         self.has_skipped = !skipped.is_empty();
         for malformed in skipped {
@@ -100,7 +105,7 @@
         &self,
         idle: Option<TcpStream>,
         call: &Call,
-    ) -> Result<(Option<TcpStream>, StatusCode, Bytes), Error> {
+    ) -> Result<(Option<TcpStream>, (StatusCode, u64), Bytes), Error> {
         let stream = match idle.filter(client::is_reusable) {
             Some(stream) => stream,
             None => client::connect(self.host.settings.store, CONNECT_TIMEOUT).await?,
@@ -111,8 +116,9 @@
             return Err(client::Error::Unanswered.into());
         };
         let status = response.status();
+        let era = (self.host.platform.store.era)(response.headers()).unwrap_or_default();
         let body = response.into_body().collect();
         let bytes = connection.read(body).await?.to_bytes();
-        Ok((connection.release().await, status, bytes))
+        Ok((connection.release().await, (status, era), bytes))
     }
 }
--- a/src/port.rs
+++ b/src/port.rs
@@ -230,6 +230,8 @@
     pub encode: fn(&Call) -> Result<Request<Bytes>, Malformed>,
     /// Decodes the answer to a call. Unreadable objects are left out.
     pub decode: fn(&Call, StatusCode, &[u8]) -> Decoded,
+    /// How often the store that sent an answer with these headers has been restored from a copy.
+    pub era: fn(&HeaderMap) -> Option<u64>,
 }
 
 /// A decoded answer of the store: the reply, and an error for each object that was left out.
