Revisions of the store belong to an era, also between hosts

After the store had been away and had come back from an older copy, no host applied what it showed, until its revisions passed the former ones: versions were in force after up to 3 s, targets that left in between never seen to leave, and two watchers called the store 330 times a second, as what they listed was dropped and counted as current.

Cause: revisions were compared by their numbers, which a restored store gives out again, and an answer that was dropped still served as proof that the copy is current. Now the era, which the store states in each answer, is part of each comparison (control::revision): copies enter a later era only with all objects of a kind, drop what is of an earlier one, and followers get a full copy, as no changes lead there. An answer that the copy does not contain is an error, with a pause before the next call. Versions of objects are compared in one era only.

What is known beyond the copy (control::carryover): targets that left stay out, targets that joined may return like after an outage, evacuations and their ends hold, until they are written again or 2 s and three heartbeats have passed; configurations never go back, and while the store has an older one than the one in force it proves nothing.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod active_hosts;
 pub mod agent;
+pub mod carryover;
 pub mod delegate;
 pub mod detector;
 pub mod digest;
@@ -17,5 +18,6 @@
 pub mod proof;
 pub mod publish;
 pub mod replica;
+pub mod revision;
 pub mod summary;
 pub mod wire;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -2,7 +2,8 @@
 //!
 //! Updates come from the store itself or from hosts that received them from there. Each names the
 //! revisions from which and to which it leads, so a copy never goes back and detects missed
-//! updates.
+//! updates. A copy enters a later era of the store only with all objects of a kind, and drops
+//! whatever belongs to an earlier one.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::revision::Revision;
 use crate::port::{Entry, Kind, Value};
 
 /// Number of removals of each kind that are kept for copies that missed them.
@@ -63,9 +65,12 @@
     /// The revision that it starts from; none if it contains all objects of the kind.
     #[serde(rename = "f")]
     pub from: Option<u64>,
-    /// The revision that it leads to.
+    /// The number of the revision that it leads to, see [`Update::revision`].
     #[serde(rename = "t")]
     pub to: u64,
+    /// The era of both revisions; 0 if the sender knows of no eras.
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero")]
+    pub era: u64,
     /// Objects in the order of their changes. Those without a value were removed.
     #[serde(rename = "e")]
     pub entries: Vec<Entry>,
@@ -74,11 +79,25 @@
     pub outage: Outage,
 }
 
+impl Update {
+    /// The revision that it leads to.
+    pub fn revision(&self) -> Revision {
+        Revision::new(self.era, self.to)
+    }
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// The effect of an update.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     /// These objects changed.
     Changed(Vec<Entry>),
+    /// These objects changed, as the store was restored from a copy: what is missing or older now
+    /// may be written again.
+    Restored(Vec<Entry>),
     /// Nothing: the update is older than the copy.
     Old,
     /// Nothing: updates between the copy and this one are missing.
@@ -95,9 +114,9 @@
 
 #[derive(Debug, Default)]
 struct Collection {
-    revision: u64,
+    revision: Revision,
     objects: BTreeMap<Arc<str>, Object>,
-    /// The last removals, oldest first, with the revisions up to which they happened.
+    /// The last removals of the era, oldest first, with the revisions up to which they happened.
     removed: VecDeque<(u64, Arc<str>)>,
     /// A digest of the names and versions of all objects, in any order.
     digest: u64,
@@ -116,7 +135,7 @@
     }
 
     /// The revision of a kind, if any update of it was applied.
-    pub fn revision(&self, kind: Kind) -> Option<u64> {
+    pub fn revision(&self, kind: Kind) -> Option<Revision> {
         self.collections.get(&kind).map(|shelf| shelf.revision)
     }
 
@@ -128,6 +147,27 @@
             .flat_map(|shelf| shelf.objects.keys())
     }
 
+    /// An object, as an entry.
+    pub fn entry(&self, now: Instant, kind: Kind, name: &str) -> Option<Entry> {
+        let (name, object) = self.collections.get(&kind)?.objects.get_key_value(name)?;
+        Some(entry(now, name, object))
+    }
+
+    /// The values of all objects of a kind.
+    pub fn values(&self, kind: Kind) -> impl Iterator<Item = &Value> {
+        let collection = self.collections.get(&kind).into_iter();
+        collection.flat_map(|collection| collection.objects.values().map(|object| &object.value))
+    }
+
+    /// The version of the configuration that the store has.
+    pub fn config_version(&self) -> Option<u64> {
+        let versions = self.values(Kind::Config).filter_map(|value| match value {
+            Value::Config(config) => Some(config.version),
+            _ => None,
+        });
+        versions.max()
+    }
+
     /// A digest of the names and versions of all objects of a kind. Copies with the same revision
     /// and different digests differ.
     pub fn digest(&self, kind: Kind) -> u64 {
@@ -136,24 +176,29 @@
 
     /// Applies an update.
     pub fn apply(&mut self, now: Instant, update: Update) -> Effect {
+        let to = update.revision();
         let Update {
             kind,
             from,
-            to,
             mut entries,
             ..
         } = update;
         let known = self.revision(kind);
         match (from, known) {
             (Some(_), None) => return Effect::Gap,
-            (Some(from), Some(known)) if from > known => return Effect::Gap,
             (_, Some(known)) if to < known => return Effect::Old,
             (Some(_), Some(known)) if to == known => return Effect::Old,
+            (Some(from), Some(known)) if Revision::new(to.era, from) > known => return Effect::Gap,
             _ => {}
         }
         let advanced = known != Some(to);
+        let is_restored = known.is_some_and(|known| known.era < to.era);
         let shelf = self.collections.entry(kind).or_default();
         shelf.revision = to;
+        if is_restored {
+            shelf.removed.clear();
+            shelf.forget_versions();
+        }
         let mut changed = match from {
             Some(_) => Vec::new(),
             None => shelf.remove_unlisted(&entries),
@@ -170,12 +215,16 @@
             // forever.
             return Effect::Old;
         }
-        Effect::Changed(changed)
+        if is_restored {
+            Effect::Restored(changed)
+        } else {
+            Effect::Changed(changed)
+        }
     }
 
-    /// Returns an update that leads from an earlier revision of a kind to that of this copy. It may
-    /// lack removals that happened long ago, or before this copy was created; [`Replica::digest`]
-    /// reveals that. `outage` is as for [`Replica::snapshot`].
+    /// Returns an update that leads from an earlier revision of a kind in this era to that of this
+    /// copy. It may lack removals that happened long ago, or before this copy was created;
+    /// [`Replica::digest`] reveals that. `outage` is as for [`Replica::snapshot`].
     pub fn changes_since(
         &self,
         now: Instant,
@@ -184,6 +233,7 @@
         outage: Outage,
     ) -> Option<Update> {
         let shelf = self.collections.get(&kind)?;
+        let Revision { era, number: to } = shelf.revision;
         let removed = shelf.removed.iter().filter(|(at, _)| *at > revision);
         let removed = removed.map(|(at, name)| Entry {
             name: name.clone(),
@@ -197,7 +247,8 @@
         Some(Update {
             kind,
             from: Some(revision),
-            to: shelf.revision,
+            to,
+            era,
             // A name that was removed and created again is in both lists: its removal comes first.
             entries: removed.chain(changed).collect(),
             outage,
@@ -213,7 +264,8 @@
         Some(Update {
             kind,
             from: None,
-            to: shelf.revision,
+            to: shelf.revision.number,
+            era: shelf.revision.era,
             entries: entries.collect(),
             outage,
         })
@@ -221,6 +273,15 @@
 }
 
 impl Collection {
+    /// Forgets the versions of all objects, which can't be compared with those of another era.
+    fn forget_versions(&mut self) {
+        self.digest = 0;
+        for (name, object) in &mut self.objects {
+            object.version = 0;
+            self.digest ^= object_digest(name, 0);
+        }
+    }
+
     /// Removes the objects that are not in `entries` and returns the removals.
     fn remove_unlisted(&mut self, entries: &[Entry]) -> Vec<Entry> {
         let listed: BTreeSet<&Arc<str>> = entries.iter().map(|entry| &entry.name).collect();
@@ -250,7 +311,7 @@
 
     /// Records that an object was removed up to the current revision of this collection.
     fn record_removal(&mut self, name: &Arc<str>) {
-        self.removed.push_back((self.revision, name.clone()));
+        self.removed.push_back((self.revision.number, name.clone()));
         if self.removed.len() > MAX_KEPT_REMOVALS {
             self.removed.pop_front();
         }
@@ -276,9 +337,12 @@
             Some(known) if known.version == object.version && known.value == object.value => false,
             known => {
                 let before = known.map_or(0, |known| object_digest(&entry.name, known.version));
+                // Only the version differs in the first list of an era.
+                let has_changed =
+                    known.is_none_or(|known| known.version != 0 || known.value != object.value);
                 self.digest ^= before ^ object_digest(&entry.name, object.version);
                 self.objects.insert(entry.name.clone(), object);
-                true
+                has_changed
             }
         }
     }
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -10,6 +10,7 @@
 
 use super::log::{self, Event};
 use crate::account::ConfigFreshness;
+use crate::control::carryover::Carryover;
 use crate::control::presence::{self, HostRecord, LookupFilter, Presence, StoreView};
 use crate::control::proof::{Moment, Proof, RENEWAL_FRACTION};
 use crate::control::replica::{Effect, Outage, Replica, Update};
@@ -23,6 +24,9 @@
 /// How long targets that are missing after a store outage may take to register again.
 const REREGISTRATION_GRACE: Duration = Duration::from_secs(2);
 
+/// Number of intervals without a heartbeat after which the registration of a target expires.
+const EXPIRY_INTERVALS: u32 = 3;
+
 /// Silence after which another host certainly serves no callers any more, if no withdrawal time is
 /// configured after which it refuses keys: its registration is removed by then.
 const DEFAULT_GONE_AFTER: Duration = presence::REMOVAL_SILENCE;
@@ -47,6 +51,10 @@
     max_proof_age: Option<Duration>,
     /// When the copy of each kind of objects was last confirmed, also without a change.
     pub(crate) confirmed_at: BTreeMap<Kind, Instant>,
+    /// What is known beyond a store that was restored from a copy.
+    carryovers: BTreeMap<Kind, Carryover>,
+    /// Time within which whatever is in use is written again to a restored store.
+    rewrite_time: Duration,
     /// For each route split between several services, how far each service is behind its weight.
     deficits: BTreeMap<Arc<str>, Vec<f64>>,
 }
@@ -108,6 +116,8 @@
             budgets,
             quarantine: Quarantine::new(seed),
             confirmed_at: BTreeMap::new(),
+            carryovers: BTreeMap::new(),
+            rewrite_time: REREGISTRATION_GRACE + settings.bounds.heartbeat * EXPIRY_INTERVALS,
             deficits: BTreeMap::new(),
         }
     }
@@ -120,10 +130,27 @@
     /// Applies an update from the store.
     pub(crate) fn apply(&mut self, now: Instant, update: Update) -> Effect {
         let Update { kind, outage, .. } = update;
-        self.confirmed_at.insert(kind, now);
+        let revision = update.revision();
+        let known = self.replica.revision(kind);
+        let before = match known {
+            Some(known) if known.era < revision.era => (self.names(kind), self.leaving(kind)),
+            _ => Default::default(),
+        };
         let effect = self.replica.apply(now, update);
-        let Effect::Changed(entries) = &effect else {
-            return effect;
+        let known = self.replica.revision(kind);
+        if known.is_some_and(|known| known.includes(revision)) {
+            self.confirmed_at.insert(kind, now);
+        }
+        let (entries, outage) = match &effect {
+            Effect::Changed(entries) => {
+                self.record_writes(now, kind, entries);
+                (entries, outage)
+            }
+            Effect::Restored(entries) => {
+                self.restore(now, kind, (&before.0, &before.1));
+                (entries, Outage::Long)
+            }
+            Effect::Old | Effect::Gap => return effect,
         };
         let removed = entries.iter().filter(|entry| entry.value.is_none());
         let lapsing_services = match (kind, outage) {
@@ -135,6 +162,7 @@
         for entry in entries {
             match (&entry.value, kind) {
                 (Some(Value::Config(config)), _) => self.apply_config(now, Config::clone(config)),
+                (Some(Value::Target(_)), _) if self.carryover(kind).hides(&entry.name) => {}
                 (Some(Value::Target(registration)), _) => self.register_target(now, registration),
                 (None, Kind::Targets) => {
                     let service = self.fleet.service_of(&entry.name);
@@ -155,6 +183,67 @@
         effect
     }
 
+    /// The names of all objects of a kind of which differences to a restored store are kept.
+    fn names(&self, kind: Kind) -> BTreeSet<Arc<str>> {
+        match kind {
+            Kind::Targets | Kind::Evacuations => self.replica.names(kind).cloned().collect(),
+            Kind::Config | Kind::Hosts => BTreeSet::new(),
+        }
+    }
+
+    /// The names of the targets that announced that they are leaving.
+    fn leaving(&self, kind: Kind) -> BTreeSet<Arc<str>> {
+        let values = self.replica.values(kind);
+        let targets = values.filter_map(|value| match value {
+            Value::Target(registration) => Some(registration),
+            _ => None,
+        });
+        let leaving = targets.filter(|registration| registration.state == State::Draining);
+        leaving
+            .map(|registration| registration.id.clone())
+            .collect()
+    }
+
+    fn carryover(&mut self, kind: Kind) -> &mut Carryover {
+        self.carryovers.entry(kind).or_default()
+    }
+
+    fn record_writes(&mut self, now: Instant, kind: Kind, entries: &[Entry]) {
+        let carryover = self.carryover(kind);
+        for entry in entries {
+            match entry.value {
+                Some(_) => carryover.record_write(&entry.name),
+                None => carryover.record_removal(now, &entry.name),
+            }
+        }
+    }
+
+    /// Keeps what is known beyond the copy that the store was restored from. Targets that the copy
+    /// lacks are kept like those whose registrations expired in an outage.
+    fn restore(
+        &mut self,
+        now: Instant,
+        kind: Kind,
+        before: (&BTreeSet<Arc<str>>, &BTreeSet<Arc<str>>),
+    ) {
+        let restored = self.names(kind);
+        let until = now + self.rewrite_time;
+        self.carryover(kind).restore(now, until, before, &restored);
+    }
+
+    /// Ends what is kept beyond a restored store once nobody has written it again in time.
+    pub(crate) fn expire_carryovers(&mut self, now: Instant) {
+        for name in self.carryover(Kind::Targets).expire(now) {
+            let entry = self.replica.entry(now, Kind::Targets, &name);
+            if let Some(Value::Target(registration)) = entry.and_then(|entry| entry.value) {
+                self.register_target(now, &registration);
+            }
+        }
+        if !self.carryover(Kind::Evacuations).expire(now).is_empty() {
+            self.update_evacuations(now);
+        }
+    }
+
     fn apply_config(&mut self, now: Instant, config: Config) {
         let services = config.services.clone();
         let goals = service_goals(&config);
@@ -188,6 +277,12 @@
             .is_younger_than(moment, max_age.mul_f64(RENEWAL_FRACTION))
     }
 
+    /// Whether the store has the configuration in force. A store that was restored from a copy may
+    /// have an earlier one, and then shows nothing about later ones.
+    pub(crate) fn is_config_in_store(&self) -> bool {
+        self.replica.config_version() >= self.table.version()
+    }
+
     /// How current the configuration is known to be.
     pub(crate) fn config_freshness(&self, moment: Moment) -> ConfigFreshness {
         match self.max_proof_age {
@@ -231,7 +326,10 @@
     }
 
     fn update_evacuations(&mut self, now: Instant) {
-        let zones: BTreeSet<_> = self.replica.names(Kind::Evacuations).cloned().collect();
+        let mut zones = self.names(Kind::Evacuations);
+        let carryover = self.carryover(Kind::Evacuations);
+        zones.retain(|zone| !carryover.hides(zone));
+        zones.extend(carryover.kept().cloned());
         let names: Vec<_> = zones.iter().map(|zone| &**zone).collect();
         spdlog::info!("core: the evacuated zones have changed", kv: {
             event = Event::ZonesEvacuated.as_str(),
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -29,6 +29,7 @@
 use crate::control::presence::HostRecord;
 use crate::control::presence::StoreView;
 use crate::control::replica::Update;
+use crate::control::revision::Revision;
 use crate::port::{Entry, Kind};
 
 /// Interval of the keepalive messages.
@@ -94,6 +95,8 @@
     Ended,
     #[error("an update is missing")]
     Gap,
+    #[error("the other host's copy is of a later era of the store")]
+    LaterEra,
     #[error("the digests of {0:?} differ at the same revision")]
     CopyDiffers(Kind),
     #[error("the follower did not send its revisions")]
@@ -136,7 +139,10 @@
         if self.queues.is_empty() {
             return;
         }
-        let bytes = encode(message);
+        self.send_bytes(&encode(message));
+    }
+
+    fn send_bytes(&mut self, bytes: &Bytes) {
         self.queues.retain(|queue| {
             !matches!(
                 queue.try_send(bytes.clone()),
@@ -159,6 +165,15 @@
     host.followers.borrow_mut().send(&Message::Update(update));
 }
 
+/// Sends a full copy of a kind to all followers, which can't have changes that lead to it.
+pub(crate) fn publish_copy(host: &Host, kind: Kind) {
+    let messages = snapshot::full_copy(host, kind);
+    let followers = &mut *host.followers.borrow_mut();
+    messages
+        .iter()
+        .for_each(|bytes| followers.send_bytes(bytes));
+}
+
 /// Sends this host's view of the store to all followers.
 pub(crate) fn publish_store_view(host: &Host) {
     let view = host.core.borrow().presence.store_view();
@@ -270,11 +285,15 @@
 pub(crate) async fn follow(host: &Rc<Host>, address: SocketAddr) -> FeedError {
     let known = {
         let core = host.core.borrow();
-        let known = SYNCED_KINDS.map(|kind| Some((kind, core.replica.revision(kind)?)));
+        let known = SYNCED_KINDS.map(|kind| Some((kind, core.replica.revision(kind)?.number)));
         known.into_iter().flatten().collect()
     };
     match follow_once(host, address, known).await {
         Ok(never) => match never {},
+        Err(FeedError::LaterEra) => match follow_once(host, address, Vec::new()).await {
+            Ok(never) => match never {},
+            Err(error) => error,
+        },
         Err(FeedError::CopyDiffers(kind)) => {
             spdlog::info!("feed: the copy differs from that of another host and is read again", kv: {
                 event = Event::CopyDiffers.as_str(),
@@ -290,6 +309,28 @@
     }
 }
 
+/// Applies an update of the followed host.
+fn apply_update(host: &Rc<Host>, mut update: Update) -> Result<(), FeedError> {
+    update.era = known_era(host, update.era);
+    host.note_era(update.era);
+    let known = host.core.borrow().replica.revision(update.kind);
+    let is_later = known.is_some_and(|known| known.era < update.era);
+    let error = if is_later {
+        FeedError::LaterEra
+    } else {
+        FeedError::Gap
+    };
+    host.apply_update(update).map_err(|Gap| error)
+}
+
+/// The era of an update from another host. Hosts that know of no eras see the current one.
+fn known_era(host: &Host, era: u64) -> u64 {
+    match era {
+        0 => host.store_era.get(),
+        era => era,
+    }
+}
+
 /// Follows the host at `address`, starting from the `known` revision of each kind.
 async fn follow_once(
     host: &Rc<Host>,
@@ -314,6 +355,7 @@
     let mut proof_asked_at = None;
     let mut last_received = now();
     let mut pending_parts = Vec::new();
+    let mut era = 0;
     loop {
         // Without the list, a host that starts while the store is unreachable would assume that it
         // is the only one. It asks only after it has tried to read the registrations: all hosts may
@@ -370,10 +412,13 @@
                 for entries in pending_parts.drain(..).rev() {
                     update.entries.extend(entries);
                 }
-                host.apply_update(update).map_err(|Gap| FeedError::Gap)?;
+                era = update.era;
+                apply_update(host, update)?;
             }
-            Message::Digest(kind, revision, digest) => {
+            Message::Digest(kind, number, digest) => {
                 let replica = &host.core.borrow().replica;
+                // It belongs to the update before it.
+                let revision = Revision::new(known_era(host, era), number);
                 if replica.revision(kind) == Some(revision) && replica.digest(kind) != digest {
                     return Err(FeedError::CopyDiffers(kind));
                 }
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -15,6 +15,7 @@
 use spdlog::{Logger, ThreadPool};
 
 use super::{now, Host};
+use crate::control::revision::Revision;
 use crate::inventory::TargetKey;
 use crate::port::Kind;
 use crate::steer::fleet::EjectionChange;
@@ -273,7 +274,12 @@
 }
 
 /// Logs that an update of a kind of objects is dropped, as it is older than the copy.
-pub(crate) fn outdated_update(host: &Host, kind: Kind, revision: u64, known: Option<u64>) {
+pub(crate) fn outdated_update(
+    host: &Host,
+    kind: Kind,
+    revision: Revision,
+    known: Option<Revision>,
+) {
     let event = Event::OutdatedUpdate;
     let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
         return;
@@ -281,8 +287,8 @@
     spdlog::info!("an update is older than the copy of the store", kv: {
         event = event.as_str(),
         kind = kind.as_str(),
-        revision,
-        known = known.unwrap_or_default(),
+        revision = revision.to_string().as_str(),
+        known = known.unwrap_or_default().to_string().as_str(),
         left_out
     });
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -49,13 +49,15 @@
 use std::time::Instant;
 
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
 use crate::control::presence::StoreView;
 use crate::control::replica::{Effect, Update};
+use crate::control::revision::Revision;
 use crate::entry::metrics::Metrics;
 use crate::inventory::TargetKey;
-use crate::port::{Platform, Settings};
+use crate::port::{Kind, Platform, Settings};
 
 pub use error::Error;
 pub use feed::FEED_TIMEOUT;
@@ -88,6 +90,8 @@
     unknown_headers: RefCell<BTreeSet<Arc<str>>>,
     /// The highest era of the store that is known.
     store_era: Cell<u64>,
+    /// Signals that the era has risen.
+    restored: Notify,
     /// Faults in the store's objects that were already logged.
     logged_store_faults: RefCell<BTreeSet<String>>,
 }
@@ -95,9 +99,8 @@
 impl Host {
     /// Applies an update from the store and publishes it to followers.
     fn apply_update(&self, update: Update) -> Result<(), Gap> {
-        let Update {
-            kind, to, outage, ..
-        } = update;
+        let to = update.revision();
+        let Update { kind, outage, .. } = update;
         let known = self.core.borrow().replica.revision(kind);
         let effect = self.core.borrow_mut().apply(now(), update);
         match effect {
@@ -113,18 +116,35 @@
                 // are sent on.
                 let changes = Update {
                     kind,
-                    from: known,
-                    to,
+                    from: known.map(|known| known.number),
+                    to: to.number,
+                    era: to.era,
                     entries,
                     outage,
                 };
                 feed::publish_update(self, changes);
             }
+            Effect::Restored(_) => feed::publish_copy(self, kind),
         }
         self.startup.notify_update();
         Ok(())
     }
 
+    /// Whether the copy of a kind contains all changes up to a revision.
+    fn has_revision(&self, kind: Kind, revision: Revision) -> bool {
+        let known = self.core.borrow().replica.revision(kind);
+        known.is_some_and(|known| known.includes(revision))
+    }
+
+    /// Whether the copies of all kinds are of the store's latest known era.
+    fn has_current_era(&self) -> bool {
+        let core = self.core.borrow();
+        let mut revisions = feed::SYNCED_KINDS
+            .iter()
+            .filter_map(|kind| core.replica.revision(*kind));
+        revisions.all(|revision| revision.era >= self.store_era.get())
+    }
+
     /// Records the store's era, which rises when the store has been restored from a copy.
     fn note_era(&self, era: u64) {
         let known = self.store_era.get();
@@ -134,6 +154,9 @@
         self.store_era.set(era);
         if known > 0 {
             log::store_restored(era);
+            // The store counts its revisions anew, and may lack this host's registration.
+            self.watch_state.renew_all();
+            self.restored.notify_waiters();
         }
     }
 
@@ -190,6 +213,7 @@
         pending_claims: throttle::PendingClaims::default(),
         unknown_headers: RefCell::default(),
         store_era: Cell::new(0),
+        restored: Notify::new(),
         logged_store_faults: RefCell::default(),
         platform,
         settings,
--- a/src/host/proof.rs
+++ b/src/host/proof.rs
@@ -48,10 +48,10 @@
 /// Records that the store, queried at `asked_at`, showed that the host's configuration is the
 /// newest one.
 pub(super) fn record_query(host: &Host, asked_at: Moment) {
-    host.core
-        .borrow_mut()
-        .proof
-        .record(moment(), asked_at, Duration::ZERO);
+    let core = &mut *host.core.borrow_mut();
+    if core.is_config_in_store() {
+        core.proof.record(moment(), asked_at, Duration::ZERO);
+    }
 }
 
 /// The report for followers; `None` without a proof.
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -16,6 +16,7 @@
 use super::{proof, Host};
 use crate::control::freshness::{ANSWER_TIMEOUT, INTERVAL};
 use crate::control::proof::Moment;
+use crate::control::revision::Revision;
 use crate::port::{Age, Kind};
 
 /// Every how many polls a full refresh is made. The polls in between only check whether the store
@@ -69,7 +70,7 @@
     host: &Rc<Host>,
     kind: Kind,
     asked_at: Moment,
-    revision: u64,
+    revision: Revision,
 ) -> Result<(), Error> {
     let is_behind = || host.core.borrow().replica.revision(kind) < Some(revision);
     if is_behind() {
@@ -84,6 +85,9 @@
             sync::list(host, client, kind, Age::Latest).await?;
         }
     }
+    if !host.has_revision(kind, revision) {
+        return Err(Error::Superseded);
+    }
     mark_current(host, kind, asked_at);
     Ok(())
 }
@@ -127,7 +131,8 @@
     }
     for number in (0..REFRESH_EVERY).cycle() {
         // After an outage the store may have changed.
-        let is_refresh = number == 0 || !host.watch_state.is_answering.get();
+        let is_refresh =
+            number == 0 || !host.watch_state.is_answering.get() || !host.has_current_era();
         let result = if is_refresh {
             refresher.refresh().await
         } else {
--- a/src/host/snapshot.rs
+++ b/src/host/snapshot.rs
@@ -8,6 +8,7 @@
 use super::feed::{encode, Message};
 use super::{now, Host};
 use crate::control::replica::Update;
+use crate::control::revision::Revision;
 use crate::port::Kind;
 
 /// Objects in one message of a copy. Each follower's connection buffers one message rather than the
@@ -20,7 +21,7 @@
 /// An encoded full copy of a kind, shared by the followers that are receiving it.
 pub(super) struct FullCopy {
     created_at: Instant,
-    revision: u64,
+    revision: Revision,
     messages: Weak<[Bytes]>,
 }
 
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -38,6 +38,9 @@
     Busy,
     #[error("the answer does not match the call")]
     Unexpected,
+    /// The answer is from before the store was restored from a copy, or partly.
+    #[error("the answer is from an earlier era of the store")]
+    Superseded,
 }
 
 /// A client for the store that connects on demand.
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the copy of the platform's store current, by watching the store or by following the feed
 //! of another host that does.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use super::{datagram, join, now, proof, Host};
 use crate::control::presence::{HostRecord, StoreView};
 use crate::control::replica::Update;
+use crate::control::revision::Revision;
 use crate::port::{Age, Call, Entry, Kind, Reply};
 
 /// How long a watch waits for a change, in seconds: somewhat less than the history that the store
@@ -284,7 +286,7 @@
     client: &mut Client,
     kind: Kind,
     age: Age,
-) -> Result<u64, Error> {
+) -> Result<Revision, Error> {
     let asked_at = proof::moment();
     let (entries, revision) = read_pages(client, kind, age).await?;
     let is_complete = !client.has_skipped;
@@ -295,12 +297,16 @@
     let update = Update {
         kind,
         from: None,
-        to: revision,
+        to: revision.number,
+        era: revision.era,
         entries,
         outage,
     };
     // A complete list can be applied to any state.
     let _ = host.apply_update(update);
+    if !host.has_revision(kind, revision) {
+        return Err(Error::Superseded);
+    }
     if kind == Kind::Config && age == Age::Latest && is_complete {
         proof::record_query(host, asked_at);
     }
@@ -308,14 +314,14 @@
 }
 
 /// Reads all pages of a kind. Also returns the revision to watch from, the earliest of all pages:
-/// stale pages may be of different ages.
+/// stale pages may be of different ages. All pages are of one era.
 pub(super) async fn read_pages(
     client: &mut Client,
     kind: Kind,
     age: Age,
-) -> Result<(Vec<Entry>, u64), Error> {
+) -> Result<(Vec<Entry>, Revision), Error> {
     let mut all_entries: Vec<Entry> = Vec::new();
-    let mut earliest = u64::MAX;
+    let mut earliest: Option<Revision> = None;
     loop {
         let after = all_entries.last().map(|entry| entry.name.clone());
         let Reply::Page {
@@ -326,12 +332,17 @@
         else {
             return Err(Error::Unexpected);
         };
+        let revision = Revision::new(client.era, revision);
+        if earliest.is_some_and(|earliest| earliest.era != revision.era) {
+            return Err(Error::Superseded);
+        }
         // Watches from the earliest revision, so that a change is seen whichever page it falls on.
-        earliest = earliest.min(revision);
+        let start = earliest.map_or(revision, |earliest| earliest.min(revision));
+        earliest = Some(start);
         let is_last = entries.is_empty() || !more;
         all_entries.extend(entries);
         if is_last {
-            return Ok((all_entries, earliest));
+            return Ok((all_entries, start));
         }
     }
 }
@@ -352,16 +363,23 @@
     host: &Rc<Host>,
     client: &mut Client,
     kind: Kind,
-    revision: u64,
+    revision: Revision,
     wait: Duration,
 ) -> Result<WatchResult, Error> {
     let asked_at = proof::moment();
     let call = Call::Watch {
         kind,
-        revision,
+        revision: revision.number,
         wait,
     };
-    let (entries, to) = match client.call(&call).await? {
+    let reply = client.call(&call).await?;
+    match client.era.cmp(&revision.era) {
+        Ordering::Less => return Err(Error::Superseded),
+        Ordering::Equal => {}
+        // The store counts its revisions anew.
+        Ordering::Greater => return Ok(WatchResult::Unavailable),
+    }
+    let (entries, to) = match reply {
         Reply::Changes { entries, revision } => (entries, revision),
         Reply::Expired => return Ok(WatchResult::Unavailable),
         _ => return Err(Error::Unexpected),
@@ -375,14 +393,19 @@
     let outage = host.core.borrow().presence.outage(now());
     let update = Update {
         kind,
-        from: Some(revision),
+        from: Some(revision.number),
         to,
+        era: revision.era,
         entries,
         outage,
     };
+    let shown = update.revision();
     if host.apply_update(update).is_err() {
         return Ok(WatchResult::Unavailable);
     }
+    if !host.has_revision(kind, shown) {
+        return Err(Error::Superseded);
+    }
     if kind == Kind::Config && !host.watch_state.is_config_unreadable.get() {
         proof::record_query(host, asked_at);
     }
@@ -404,8 +427,10 @@
         let now = now();
         host.pool.borrow_mut().sweep(now);
         host.relays.sweep();
-        for id in host.core.borrow_mut().fleet.expire(now) {
+        let core = &mut *host.core.borrow_mut();
+        for id in core.fleet.expire(now) {
             log::target_gone(&id);
         }
+        core.expire_carryovers(now);
     }
 }
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -41,6 +41,7 @@
         kind: Kind::Targets,
         from: None,
         to: targets as u64,
+        era: 0,
         entries: kept.clone(),
         outage: Outage::None,
     };
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ragwortfold::control::replica::{Effect, Outage, Replica, Update};
+use ragwortfold::control::revision::Revision;
 use ragwortfold::inventory::{Registration, State};
 use ragwortfold::port::{Entry, Kind, Value};
 
@@ -39,6 +40,7 @@
         kind: Kind::Targets,
         from,
         to,
+        era: 0,
         entries,
         outage: Outage::None,
     }
@@ -49,7 +51,7 @@
     match effect {
         Effect::Old => "old".into(),
         Effect::Gap => "gap".into(),
-        Effect::Changed(entries) => {
+        Effect::Changed(entries) | Effect::Restored(entries) => {
             let names = entries.iter().map(|entry| match entry.value {
                 Some(_) => entry.name.to_string(),
                 None => format!("-{}", entry.name),
@@ -69,7 +71,7 @@
             let first = update(None, 10, vec![target("a", 3, 0), target("b", 9, 0)]);
             assert_eq!(summary(&replica.apply(now, first)), "a b");
             assert_eq!(summary(&replica.apply(now, $update)), $summary);
-            assert_eq!(replica.revision(Kind::Targets), Some($revision));
+            assert_eq!(replica.revision(Kind::Targets), Some(Revision::new(0, $revision)));
         }
     )*};
 }
@@ -163,7 +165,10 @@
         follower.digest(Kind::Targets),
         watcher.digest(Kind::Targets)
     );
-    assert_eq!(follower.revision(Kind::Targets), Some(revision + 12));
+    assert_eq!(
+        follower.revision(Kind::Targets),
+        Some(Revision::new(0, revision + 12))
+    );
     count_sent
 }
 
@@ -205,7 +210,7 @@
             .changes_since(now, Kind::Targets, 5, Outage::None)
             .unwrap(),
     );
-    assert_eq!(follower.revision(Kind::Targets), Some(9));
+    assert_eq!(follower.revision(Kind::Targets), Some(Revision::new(0, 9)));
     assert_ne!(
         follower.digest(Kind::Targets),
         watcher.digest(Kind::Targets)
@@ -237,3 +242,166 @@
         assert_eq!(back, outage);
     }
 }
+
+fn update_in(era: u64, from: Option<u64>, to: u64, entries: Vec<Entry>) -> Update {
+    Update {
+        era,
+        ..update(from, to, entries)
+    }
+}
+
+/// A copy that contains `a` and `b` at revision 10 of era 1 receives one more update.
+macro_rules! eras {
+    ($($name:ident: $update:expr => $summary:expr, $is_restored:expr, $revision:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let mut replica = Replica::new();
+            let first = update_in(1, None, 10, vec![target("a", 3, 0), target("b", 9, 0)]);
+            replica.apply(now, first);
+            let effect = replica.apply(now, $update);
+            assert_eq!(summary(&effect), $summary);
+            assert_eq!(matches!(effect, Effect::Restored(_)), $is_restored);
+            let (era, number) = $revision;
+            assert_eq!(replica.revision(Kind::Targets), Some(Revision::new(era, number)));
+        }
+    )*};
+}
+
+eras! {
+    all_objects_of_a_later_era_with_a_lower_revision: update_in(2, None, 7, vec![target("a", 3, 0), target("c", 7, 0)])
+        => "-b c", true, (2, 7);
+    all_objects_of_a_later_era_with_the_same_revision: update_in(2, None, 10, vec![target("a", 3, 0), target("b", 9, 0)])
+        => "", true, (2, 10);
+    the_same_version_of_another_object: update_in(2, None, 10, vec![target("a", 3, 700), target("b", 9, 0)])
+        => "a", true, (2, 10);
+    a_lower_version_of_an_object: update_in(2, None, 7, vec![target("a", 2, 700), target("b", 5, 0)]) => "a", true, (2, 7);
+    changes_of_a_later_era: update_in(2, Some(10), 12, vec![target("a", 12, 0)]) => "gap", false, (1, 10);
+    changes_of_a_later_era_with_lower_revisions: update_in(2, Some(4), 5, vec![target("a", 5, 0)]) => "gap", false, (1, 10);
+    all_objects_of_an_earlier_era: update_in(0, None, 99, vec![]) => "old", false, (1, 10);
+    changes_of_an_earlier_era: update_in(0, Some(10), 99, vec![target("a", 99, 0)]) => "old", false, (1, 10);
+}
+
+#[test]
+fn a_follower_of_a_restored_copy_has_the_same_objects() {
+    let now = Instant::now();
+    let mut watcher = Replica::new();
+    watcher.apply(
+        now,
+        update_in(1, None, 10, vec![target("a", 3, 0), target("b", 9, 0)]),
+    );
+    watcher.apply(
+        now,
+        update_in(1, Some(10), 11, vec![removed_target("a", 11)]),
+    );
+    let mut follower = Replica::new();
+    let snapshot = |replica: &Replica| replica.snapshot(now, Kind::Targets, Outage::None).unwrap();
+    follower.apply(now, snapshot(&watcher));
+    watcher.apply(
+        now,
+        update_in(2, None, 10, vec![target("a", 3, 0), target("b", 9, 0)]),
+    );
+    let effect = follower.apply(now, snapshot(&watcher));
+    assert!(matches!(effect, Effect::Restored(_)));
+    watcher.apply(now, update_in(2, Some(10), 11, vec![target("c", 11, 0)]));
+    let changes = watcher.changes_since(now, Kind::Targets, 10, Outage::None);
+    assert_eq!(summary(&follower.apply(now, changes.unwrap())), "c");
+    assert_eq!(
+        follower.digest(Kind::Targets),
+        watcher.digest(Kind::Targets)
+    );
+    assert_eq!(follower.names(Kind::Targets).count(), 3);
+}
+
+#[test]
+fn eras_that_rise_twice_are_one_restoration() {
+    let now = Instant::now();
+    let mut replica = Replica::new();
+    replica.apply(now, update_in(1, None, 10, vec![target("a", 3, 0)]));
+    let effect = replica.apply(now, update_in(3, None, 4, vec![target("b", 4, 0)]));
+    assert_eq!(summary(&effect), "-a b");
+    let late = update_in(2, None, 50, vec![target("c", 50, 0)]);
+    assert_eq!(replica.apply(now, late), Effect::Old);
+}
+
+/// The message of a host that knows of no eras.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct UpdateWithoutEra {
+    k: Kind,
+    f: Option<u64>,
+    t: u64,
+    e: Vec<Entry>,
+    a: Outage,
+}
+
+#[test]
+fn hosts_that_know_of_no_eras_understand_updates() {
+    let mut bytes = Vec::new();
+    let sent = update_in(2, None, 7, vec![target("a", 3, 0)]);
+    ciborium::into_writer(&sent, &mut bytes).unwrap();
+    let mut read: UpdateWithoutEra = ciborium::from_reader(&bytes[..]).unwrap();
+    assert_eq!(
+        (read.k, read.f, read.t, read.e.len()),
+        (Kind::Targets, None, 7, 1)
+    );
+    read.t = 8;
+    bytes.clear();
+    ciborium::into_writer(&read, &mut bytes).unwrap();
+    let answer: Update = ciborium::from_reader(&bytes[..]).unwrap();
+    assert_eq!(answer.revision(), Revision::new(0, 8));
+}
+
+mod carryover {
+    use super::*;
+    use ragwortfold::control::carryover::Carryover;
+    use std::collections::BTreeSet;
+
+    const HOLD: Duration = Duration::from_secs(6);
+
+    fn names(names: &[&str]) -> BTreeSet<Arc<str>> {
+        names.iter().map(|name| (*name).into()).collect()
+    }
+
+    /// `left` was removed and `joined` created after the copy was taken.
+    fn restored(now: Instant) -> Carryover {
+        let mut carryover = Carryover::new();
+        carryover.record_removal(now, &"left".into());
+        let before = names(&["stays", "joined", "leaves"]);
+        let after = names(&["stays", "left", "leaves", "new"]);
+        carryover.restore(now, now + HOLD, (&before, &names(&["leaves"])), &after);
+        carryover
+    }
+
+    #[test]
+    fn differences_hold_until_they_are_written_again() {
+        let mut carryover = restored(Instant::now());
+        assert_eq!(carryover.kept().collect::<Vec<_>>(), [&Arc::from("joined")]);
+        assert!(carryover.hides("left") && carryover.hides("leaves"));
+        assert!(!carryover.hides("new") && !carryover.hides("stays"));
+        carryover.record_write("left");
+        carryover.record_write("joined");
+        assert!(!carryover.hides("left") && carryover.kept().next().is_none());
+    }
+
+    #[test]
+    fn differences_hold_for_a_limited_time() {
+        let now = Instant::now();
+        let mut carryover = restored(now);
+        assert!(carryover.expire(now + HOLD / 2).is_empty());
+        let mut expired = carryover.expire(now + HOLD);
+        expired.sort();
+        assert_eq!(expired, ["joined", "leaves", "left"].map(Arc::from));
+        assert!(!carryover.hides("left") && carryover.kept().next().is_none());
+    }
+
+    #[test]
+    fn a_removal_long_ago_does_not_count() {
+        let now = Instant::now();
+        let mut carryover = Carryover::new();
+        carryover.record_removal(now, &"left".into());
+        let later = now + Duration::from_secs(3600);
+        let none = names(&[]);
+        carryover.restore(later, later + HOLD, (&none, &none), &names(&["left"]));
+        assert!(!carryover.hides("left"));
+    }
+}
