Hosts that a restored store lacks register again

A host that had registered after the copy was taken was missing in the store from then on, and hosts that started later did not learn about it: registrations were read again after 120 s, and a missing one written after 120 s more. When the era rises all hosts read the registrations, spread by their number, and whoever is missing, or registered by an earlier process of its own, registers at once. hosts_that_the_copy_lacks_register_again failed before.

--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -4,15 +4,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt;
+
 use super::log::Event;
 use super::store::{Client, Error};
 use super::sync::{self, Backoff};
 use super::{datagram, now, Host};
-use crate::port::{Age, Call, Entry, Kind, Reply};
+use crate::port::{Age, Call, Entry, Kind, Reply, Value};
 
 /// Interval at which the registrations of hosts are read again, to find hosts whose heartbeats are
 /// lost.
 const LIST_INTERVAL: Duration = Duration::from_secs(120);
+/// Mean time between two hosts that read the registrations after the store was restored.
+const MEAN_LIST_SPACING: Duration = Duration::from_millis(25);
 /// Attempts to write or remove the own registration when writes conflict.
 const MAX_WRITES: usize = 8;
 /// How long a host that has just started waits for responses to its first heartbeat: some round
@@ -40,7 +44,11 @@
                     host.has_joined.set(true);
                 }
                 backoff = Backoff::new();
-                tokio::time::sleep(LIST_INTERVAL).await;
+                if host.core.borrow().registered_version.is_some() {
+                    wait_for_next_list(&host).await;
+                } else {
+                    backoff.wait(&host).await;
+                }
             }
             Err(error) => {
                 spdlog::debug!(
@@ -53,18 +61,36 @@
     }
 }
 
+/// Waits until the registrations are due to be read again. After the store was restored from a copy
+/// they may lack hosts, and all hosts read them, one after the other.
+async fn wait_for_next_list(host: &Host) {
+    let restored = host.restored.notified();
+    if tokio::time::timeout(LIST_INTERVAL, restored).await.is_err() {
+        return;
+    }
+    let delay = {
+        let core = &mut *host.core.borrow_mut();
+        let hosts = core.presence.peers().count() + 1;
+        MEAN_LIST_SPACING
+            .mul_f64(hosts as f64)
+            .mul_f64(core.rng.random_range(0.0..1.0))
+    };
+    tokio::time::sleep(delay).await;
+}
+
 /// Removes the registrations of dead hosts, which nothing else does. If the own registration is
-/// missing, marks it to be written again: another host may have removed it, taking this one for
-/// dead.
+/// missing, or that of an earlier process, marks it to be written again: another host may have
+/// removed it, taking this one for dead, or the store was restored from a copy.
 async fn remove_departed(host: &Rc<Host>, client: &mut Client, entries: &[Entry]) {
     let departed: Vec<Call> = {
         let core = &mut *host.core.borrow_mut();
         // After this process was suspended, the silence of other hosts must not count.
         core.presence.tick(now());
-        let name = &core.presence.own().host;
-        if !entries.iter().any(|entry| entry.name == *name) {
-            core.registered_version = None;
-        }
+        let own = core.presence.own();
+        let registered = entries
+            .iter()
+            .find(|entry| matches!(&entry.value, Some(Value::Host(record)) if **record == *own));
+        core.registered_version = registered.map(|entry| entry.version);
         let departed: BTreeSet<_> = core.presence.removable_hosts(now()).collect();
         let entries = entries.iter();
         entries
