A process of a target is told apart by its address too

A registration with the same identity at another address is another process, as everywhere else, so that a statement about the former one does not count for it. a_registration_at_another_address_is_another_process failed before.

--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -34,7 +34,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::cold::FleetHost;
-use self::member::LoadReport;
+use self::member::{process_digest, LoadReport};
 use self::object_locations::ObjectLocations;
 use self::ranking::Rankings;
 use self::region_stats::RegionStats;
@@ -280,6 +280,7 @@
             is_local: region == self.region,
             region,
             id_hash: xxh3_64(registration.id.as_bytes()),
+            process: process_digest(&registration),
             registration,
             in_flight: 0,
             report: None,
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -18,7 +18,7 @@
 
     /// Whether a target shuts down, by its registration or its answers.
     pub(super) fn is_leaving(&self, member: &Member) -> bool {
-        member.registration.state != State::Ready || self.departures.contains(member.digest())
+        member.registration.state != State::Ready || self.departures.contains(member.process)
     }
 
     /// Returns the time until a target may receive one more request after a rest that it asked for,
@@ -71,7 +71,7 @@
     /// Records that a target states that it is shutting down. Returns its process if that is new,
     /// for the other hosts.
     pub fn record_leaving(&mut self, now: Instant, key: TargetKey) -> Option<u64> {
-        let process = self.members.get(&key)?.digest();
+        let process = self.members.get(&key)?.process;
         self.departures.record(now, process).then_some(process)
     }
 
@@ -81,7 +81,7 @@
             return None;
         }
         let mut members = self.members.values();
-        let member = members.find(|member| member.digest() == process)?;
+        let member = members.find(|member| member.process == process)?;
         Some(member.id().clone())
     }
 
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::inventory::Registration;
 use crate::steer::eject::OutlierDetector;
 use crate::steer::rest::Rest;
@@ -41,6 +43,8 @@
     /// Whether it is in the region of this host.
     pub(super) is_local: bool,
     pub(super) id_hash: u64,
+    /// Digest of its process.
+    pub(super) process: u64,
     pub(super) in_flight: u32,
     pub(super) report: Option<LoadReport>,
     pub(super) cold_until: Option<Instant>,
@@ -62,6 +66,14 @@
     pub(super) rest: Rest,
 }
 
+/// Returns a digest of the process of a registered target. Registrations of one process have the
+/// same digest, see [`Registration::is_same_process`].
+pub(super) fn process_digest(registration: &Registration) -> u64 {
+    let address = xxh3_64(registration.address.to_string().as_bytes());
+    let start = address ^ registration.born.unwrap_or_default();
+    xxh3_64_with_seed(registration.id.as_bytes(), start)
+}
+
 impl Member {
     /// Returns a digest of its identity and process.
     pub fn digest(&self) -> u64 {
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -149,3 +149,15 @@
     other.fleet.register(other.now, registration("b", None));
     assert_eq!(other.chosen(), Err(Refusal::NoTarget));
 }
+
+#[test]
+fn a_registration_at_another_address_is_another_process() {
+    let mut world = World::new();
+    world.record_leaving("a");
+    let moved = Registration {
+        address: "127.0.0.1:2".parse().unwrap(),
+        ..registration("a", None)
+    };
+    world.fleet.register(world.now, moved);
+    assert_eq!(world.chosen(), Ok("a".into()));
+}
