Targets that send bytes without end take little memory and time

A connection now fails after 256 KiB without a complete head, and bodies of health checks and answers of the store are bounded.

--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -3,6 +3,7 @@
 //! Their results may be outdated or wrong: a target that reports itself healthy is not trusted for that
 //! alone, but one that reports that it is leaving gets no new requests.
 
+use std::io::Read;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -26,6 +27,8 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(750);
 /// Time limit of one health check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest body of a health answer that is read, in bytes.
+const MAX_BODY_BYTES: u64 = 64 << 10;
 /// Number of threads, so that one target that does not answer does not delay all others.
 const THREADS: usize = 4;
 /// Shortest pause between two rounds of checks.
@@ -106,7 +109,8 @@
         Health::Down
     };
     let rest = requested_rest(answer.status(), answer.headers());
-    let state: Option<Answer> = serde_json::from_reader(answer.body_mut().as_reader()).ok();
+    let body = answer.body_mut().as_reader().take(MAX_BODY_BYTES);
+    let state: Option<Answer> = serde_json::from_reader(body).ok();
     (
         health,
         state.and_then(|answer| to_state(&answer.state)),
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -3,10 +3,13 @@
 //! The buffers of an HTTP connection account for most of its memory, so they exist only during an
 //! exchange: between exchanges only the socket is kept.
 
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
-use std::task::Poll;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use http::header::CONNECTION;
@@ -15,6 +18,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::body::Body;
@@ -28,6 +32,9 @@
 /// Read buffer, in bytes: most answers of a few kilobytes take two reads.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
+/// Bytes that may be received before the head of a response is complete, interim responses included.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
 /// Why a connection could not be used.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -58,11 +65,69 @@
 pub(crate) struct Connection {
     sender: SendRequest<Body>,
     driver: Driver,
+    /// Bytes that may still be received.
+    allowance: Rc<Cell<usize>>,
+}
+
+/// A socket that fails once more bytes were received than allowed: a server may send heads or
+/// interim responses without end, faster than they can be parsed.
+struct Metered {
+    stream: TcpStream,
+    allowance: Rc<Cell<usize>>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let left = self.allowance.get();
+        if left == 0 {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "a head without end");
+            return Poll::Ready(Err(error));
+        }
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let received = buffer.filled().len() - before;
+        self.allowance.set(left.saturating_sub(received));
+        result
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
 }
 
 /// Drives the transfer between a connection's buffers and its socket.
 struct Driver {
-    connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    connection: http1::Connection<TokioIo<Metered>, Body>,
     ended: bool,
 }
 
@@ -88,15 +153,24 @@
 impl Connection {
     /// Sets up an HTTP client connection on `stream`.
     pub(crate) async fn new(stream: TcpStream) -> Result<Self, Error> {
+        let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
+        let metered = Metered {
+            stream,
+            allowance: allowance.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(metered))
             .await?;
         let driver = Driver {
             connection,
             ended: false,
         };
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            allowance,
+        })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -116,7 +190,10 @@
                 None => Unanswered::Sent,
             })
         };
-        self.driver.drive_until(exchange).await
+        let response = self.driver.drive_until(exchange).await;
+        // Whoever reads the body limits it.
+        self.allowance.set(usize::MAX);
+        response
     }
 
     /// Waits for `reading`, which reads a response body from this connection.
@@ -136,7 +213,8 @@
             return None;
         }
         let parts = self.driver.connection.into_parts();
-        parts.read_buf.is_empty().then(|| parts.io.into_inner())
+        let stream = parts.io.into_inner().stream;
+        parts.read_buf.is_empty().then_some(stream)
     }
 }
 
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Request, Uri};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 
 use super::client::{self, Connection};
 use super::core::Core;
@@ -55,6 +55,9 @@
     is_open
 }
 
+/// Longest body of a health answer in bytes.
+const MAX_HEALTH_BYTES: usize = 64 << 10;
+
 /// A target to probe.
 struct Probe {
     target: TargetKey,
@@ -158,7 +161,9 @@
     if is_same_process {
         announcement::record(host, Some(probe.target), &health.announcement);
     }
-    connection.read(incoming.collect()).await?;
+    let body = Limited::new(incoming, MAX_HEALTH_BYTES).collect();
+    let read = connection.read(body).await;
+    read.map_err(|_| client::Error::Unanswered)?;
     attempt::return_to_pool(host, probe.target, connection, &parts).await;
     Ok(health.cold_left.filter(|_| is_same_process))
 }
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use tokio::net::TcpStream;
 
 use super::body::full;
@@ -19,6 +19,9 @@
 /// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest answer in bytes: pages of lists are about one megabyte long, watches may bring many changes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// Faults of objects that are remembered so that each is logged once: many more than a store has in
 /// practice.
 const MAX_LOGGED_FAULTS: usize = 1024;
@@ -28,8 +31,8 @@
 pub(crate) enum Error {
     #[error(transparent)]
     Connect(#[from] client::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
+    #[error("the answer broke off or is too long")]
+    Broken,
     #[error("no answer in time")]
     Timeout,
     #[error("{0}")]
@@ -120,8 +123,9 @@
         };
         let status = response.status();
         let era = (self.host.platform.store.era)(response.headers()).unwrap_or_default();
-        let body = response.into_body().collect();
-        let bytes = connection.read(body).await?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+        let bytes = connection.read(body).await.map_err(|_| Error::Broken)?;
+        let bytes = bytes.to_bytes();
         Ok((connection.release().await, (status, era), bytes))
     }
 }
