A host that is leaving does not register again

The store's return from a copy, or another host that took it for dead, could have a host that had removed its registration write it again before its end. Read, not seen.

--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -29,7 +29,8 @@
     let mut backoff = Backoff::new();
     loop {
         let registrations = async {
-            if host.core.borrow().registered_version.is_none() {
+            let is_registered = host.core.borrow().registered_version.is_some();
+            if !is_registered && !host.shutdown.is_leaving() {
                 register(&host, &mut client).await?;
             }
             sync::read_pages(&mut client, Kind::Hosts, Age::Latest).await
@@ -44,7 +45,8 @@
                     host.has_joined.set(true);
                 }
                 backoff = Backoff::new();
-                if host.core.borrow().registered_version.is_some() {
+                let is_registered = host.core.borrow().registered_version.is_some();
+                if is_registered || host.shutdown.is_leaving() {
                     wait_for_next_list(&host).await;
                 } else {
                     backoff.wait(&host).await;
