Requests are relayed for registered hosts only, with the route's attempts

Whoever reached the port on which hosts relay requests, with a valid key, had no quota and could have a request sent to as many targets as it claimed: the context that comes with a request was believed.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -19,7 +19,7 @@
 mod watching;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -420,6 +420,12 @@
         Some(&peer.record)
     }
 
+    /// Whether another host is registered with this IP address.
+    pub fn is_peer_address(&self, address: IpAddr) -> bool {
+        let mut addresses = self.hosts_by_address.keys();
+        addresses.any(|known| known.ip() == address)
+    }
+
     /// Whether no other host is known to be alive.
     pub fn is_alone(&self, now: Instant) -> bool {
         self.live_peers(now).next().is_none()
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -6,7 +6,7 @@
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::body::Body;
 
@@ -239,6 +239,27 @@
     Ok(stream)
 }
 
+/// The same from an address of this host, so that the server can tell which host connects.
+pub(crate) async fn connect_from(
+    source: IpAddr,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<TcpStream, Error> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Err(error) = socket.bind(SocketAddr::new(source, 0)) {
+        // The route to the server may lead to the same source address.
+        spdlog::debug!("client: cannot bind to {source}: {error}");
+    }
+    let stream = tokio::time::timeout(timeout, socket.connect(address))
+        .await
+        .map_err(|_| Error::Timeout)??;
+    configure_socket(&stream)?;
+    Ok(stream)
+}
+
 /// Whether an idle socket can be reused: it is open and holds no unexpected bytes.
 pub(crate) fn is_reusable(stream: &TcpStream) -> bool {
     let read = stream.try_read(&mut [0]);
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -119,7 +119,8 @@
         fingerprint,
         attempts: context
             .as_ref()
-            .map_or(route.attempts as usize, |context| context.attempts),
+            .map_or(usize::MAX, |context| context.attempts)
+            .min(route.attempts as usize),
         is_counted: Cell::new(context.as_ref().is_some_and(|context| context.is_counted)),
         context,
         caller_aborted: Rc::default(),
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -4,7 +4,8 @@
 //! A relayed request is an HTTP request at the address that receives a host's datagrams. It is
 //! relayed once: the other host sends it to targets or refuses it. Each limit is applied by one of
 //! the two: the host that the caller asked charges the account's quota, the one that sends to
-//! targets applies their limits and rates and the retry budget.
+//! targets applies their limits and rates and the retry budget. It takes requests of registered hosts
+//! only, and no more attempts or time than the route has.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -251,7 +252,10 @@
     let idle = host.relays.pool.borrow_mut().take(now(), relay.address);
     let stream = match idle {
         Some(stream) => stream,
-        None => client::connect(relay.address, relay.connect_timeout).await?,
+        None => {
+            let source = host.settings.peers.ip();
+            client::connect_from(source, relay.address, relay.connect_timeout).await?
+        }
     };
     Connection::new(stream).await
 }
@@ -323,6 +327,12 @@
 }
 
 async fn handle(host: Rc<Host>, mut request: Request<Incoming>) -> Response<Body> {
+    let sender = serve::caller_address(request.extensions());
+    if !host.core.borrow().presence.is_peer_address(sender) {
+        // A host that has just started may not be known yet, and can ask another one.
+        let response = answer::plain_text(StatusCode::FORBIDDEN, "not a registered host\n");
+        return with_disposition_header(response, Disposition::NotServed);
+    }
     let context = request.headers_mut().remove(CONTEXT);
     let Some(context) = context.and_then(|value| decode(&value)) else {
         return answer::plain_text(StatusCode::BAD_REQUEST, "no valid relay context\n");
@@ -331,9 +341,7 @@
     // A request that was rejected before a target was chosen may be served by another host.
     let disposition = response.extensions_mut().remove::<Disposition>();
     let disposition = disposition.unwrap_or(Disposition::NotServed);
-    if let Some(value) = encode(&disposition) {
-        response.headers_mut().insert(DISPOSITION, value);
-    }
+    response = with_disposition_header(response, disposition);
     if let Some(Source(id)) = response.extensions_mut().remove::<Source>() {
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(SOURCE, value);
@@ -349,6 +357,16 @@
     response
 }
 
+fn with_disposition_header(
+    mut response: Response<Body>,
+    disposition: Disposition,
+) -> Response<Body> {
+    if let Some(value) = encode(&disposition) {
+        response.headers_mut().insert(DISPOSITION, value);
+    }
+    response
+}
+
 fn encode<T: Serialize>(item: &T) -> Option<HeaderValue> {
     let text = serde_json::to_string(item).ok()?;
     HeaderValue::from_str(&text).ok()
