One reading of the rest in an answer; less work for each answer

Both interfaces read Retry-After of 503 answers on their own; RequestedRest::new does it for both. The source of an answer is attached for relayed requests only, resting targets are published when a rest is new, and both ways to connect share the time limit and the socket's options.

--- a/src/control/revision.rs
+++ b/src/control/revision.rs
@@ -21,7 +21,7 @@
         Self { era, number }
     }
 
-    /// Whether this revision and all changes up to `other` are in one history.
+    /// Whether the contents at this revision contain all changes up to `other`.
     pub fn includes(self, other: Self) -> bool {
         self.era == other.era && self.number >= other.number
     }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -466,8 +466,8 @@
         if is_new {
             let name = &self.engine.catalog().target(target).name;
             spdlog::info!("core: target {name} wants no requests from this host for a time");
+            self.publish_resting_targets(now);
         }
-        self.publish_resting_targets(now);
     }
 
     /// Publishes the targets that rest to the health checks.
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -16,7 +16,6 @@
 use super::classify::to_state;
 use super::core::{Event, Handle};
 use super::published::Published;
-use super::target::requested_rest;
 use super::Error;
 use crate::catalog::{Catalog, State, Target, TargetKey};
 use crate::literal::LiteralResolver;
@@ -108,7 +107,7 @@
     } else {
         Health::Down
     };
-    let rest = requested_rest(answer.status(), answer.headers());
+    let rest = RequestedRest::new(answer.status(), answer.headers());
     let body = answer.body_mut().as_reader().take(MAX_BODY_BYTES);
     let state: Option<Answer> = serde_json::from_reader(body).ok();
     (
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -327,7 +327,7 @@
                 .iter()
                 .map(|value| value.to_str().ok()),
         ),
-        rest: requested_rest(parts.status, &parts.headers),
+        rest: RequestedRest::new(parts.status, &parts.headers),
         refused,
         reader: Box::new(body.into_reader()),
     })
@@ -348,17 +348,6 @@
             .any(|internal| name.eq_ignore_ascii_case(internal))
 }
 
-/// Returns the rest that an answer asks for; only a 503 does.
-pub(crate) fn requested_rest(status: http::StatusCode, headers: &http::HeaderMap) -> RequestedRest {
-    let values = headers.get_all(http::header::RETRY_AFTER).iter();
-    let is_overloaded = status == http::StatusCode::SERVICE_UNAVAILABLE;
-    RequestedRest::new(
-        values
-            .filter(|_| is_overloaded)
-            .map(|value| value.to_str().ok()),
-    )
-}
-
 fn parse_load(text: &str) -> Option<(u32, u32)> {
     let (in_flight, slots) = text.split_once('/')?;
     Some((in_flight.trim().parse().ok()?, slots.trim().parse().ok()?))
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -232,7 +232,14 @@
 
 /// Connects to `address` within `timeout`.
 pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, Error> {
-    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
+    establish(TcpStream::connect(address), timeout).await
+}
+
+async fn establish(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    timeout: Duration,
+) -> Result<TcpStream, Error> {
+    let stream = tokio::time::timeout(timeout, connecting)
         .await
         .map_err(|_| Error::Timeout)??;
     configure_socket(&stream)?;
@@ -253,11 +260,7 @@
         // The route to the server may lead to the same source address.
         spdlog::debug!("client: cannot bind to {source}: {error}");
     }
-    let stream = tokio::time::timeout(timeout, socket.connect(address))
-        .await
-        .map_err(|_| Error::Timeout)??;
-    configure_socket(&stream)?;
-    Ok(stream)
+    establish(socket.connect(address), timeout).await
 }
 
 /// Whether an idle socket can be reused: it is open and holds no unexpected bytes.
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -316,10 +316,10 @@
     query.tried.push(target);
     match outcome {
         Outcome::Answered(response) => {
-            return Ok(Some(relay::with_source(host, target, response)));
+            return Ok(Some(relay::with_source(host, exchange, target, response)));
         }
         Outcome::Failed(response) => {
-            progress.failed_response = Some(relay::with_source(host, target, response));
+            progress.failed_response = Some(relay::with_source(host, exchange, target, response));
         }
         Outcome::NotRun => {}
         Outcome::Unknown => progress.may_have_run = true,
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -82,12 +82,16 @@
 #[derive(Clone, Debug)]
 struct Source(Arc<str>);
 
-/// Attaches the target that answered to a response.
+/// Attaches the target that answered to the response to a relayed request.
 pub(crate) fn with_source(
     host: &Host,
+    exchange: &Exchange,
     target: TargetKey,
     mut response: Response<Body>,
 ) -> Response<Body> {
+    if exchange.context.is_none() {
+        return response;
+    }
     if let Some(member) = host.core.borrow().fleet.member(target) {
         response
             .extensions_mut()
--- a/src/steer/announcement.rs
+++ b/src/steer/announcement.rs
@@ -8,6 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, StatusCode};
+
 use super::throttle::decimal;
 
 /// What an answer states about the target's process.
@@ -32,11 +35,15 @@
 }
 
 impl RequestedRest {
-    /// Parses the values of an answer's headers, in seconds. The longest of several counts.
-    pub fn new<'a>(values: impl IntoIterator<Item = Option<&'a str>>) -> Self {
+    /// Reads the rest that an answer asks for, in seconds. Only a 503 asks for one; the longest of
+    /// several counts.
+    pub fn new(status: StatusCode, headers: &HeaderMap) -> Self {
         let mut rest = Self::Absent;
-        for value in values {
-            let text = value.unwrap_or("(not text)");
+        if status != StatusCode::SERVICE_UNAVAILABLE {
+            return rest;
+        }
+        for value in headers.get_all(RETRY_AFTER) {
+            let text = value.to_str().unwrap_or("(not text)");
             let Some(seconds) = decimal(text.trim()) else {
                 return Self::Unreadable(text.into());
             };
