Changes since a stale first copy are read before it counts as current

Cause: a host reads the targets at its start from a list that may be seconds old, and took that copy for current for two seconds: it sent requests to targets that had left, and hosts that followed it believed it. Change: a kind whose copy is older than what the store has shown meanwhile is brought up to date by one query of its changes; store.first-copy logs both revisions.

--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -133,6 +133,8 @@
     StoreProbed => "store.look",
     /// The store was restored from a copy.
     StoreRestored => "store.restored",
+    /// The first copy of a kind of objects was read from the store.
+    FirstCopy => "store.first-copy",
     /// An update is older than the copy of the store, and is dropped.
     OutdatedUpdate => "store.outdated",
     /// Watching a kind of objects fails, or succeeds again.
@@ -273,6 +275,17 @@
     });
 }
 
+/// Logs the revision of the first copy of a kind of objects, and the `newest` one that the store has
+/// shown meanwhile.
+pub(crate) fn first_copy(kind: Kind, known: Option<Revision>, newest: Option<Revision>) {
+    spdlog::info!("begin: a kind of objects was read", kv: {
+        event = Event::FirstCopy.as_str(),
+        kind = kind.as_str(),
+        revision = known.unwrap_or_default().to_string().as_str(),
+        newest = newest.unwrap_or_default().to_string().as_str()
+    });
+}
+
 /// Logs that an update of a kind of objects is dropped, as it is older than the copy.
 pub(crate) fn outdated_update(
     host: &Host,
--- a/src/host/startup.rs
+++ b/src/host/startup.rs
@@ -13,9 +13,10 @@
 use tokio::sync::Notify;
 
 use super::feed::SYNCED_KINDS;
-use super::store::Client;
-use super::{now, sync, Host};
+use super::store::{Client, Error};
+use super::{log, now, refresh, sync, Host};
 use crate::border::settings::Switch;
+use crate::control::revision::Revision;
 use crate::port::{Age, Kind, Settings};
 
 /// Default limit, from the host's start, on how long requests wait: a quarter of the shortest
@@ -117,16 +118,41 @@
             spdlog::info!("begin: {kind:?} could not be read yet: {error}");
         }
     }
+    let newest = results.iter().flatten().max().copied();
+    let is_complete = results.iter().all(Result::is_ok);
+    let is_current = is_complete && catch_up_stale_copies(&host, newest).await;
     host.startup.reading_since.set(None);
-    if results.iter().all(Result::is_ok) {
+    if is_current {
         host.startup.read_at.set(Some(now()));
         sync::update_store_view(&host).await;
     }
 }
 
+/// Queries the changes of kinds whose first copy is older than the `newest` revision that the store
+/// has shown. Returns whether all copies include that revision: a stale copy may list targets that
+/// left seconds ago, and does not count as current.
+async fn catch_up_stale_copies(host: &Rc<Host>, newest: Option<Revision>) -> bool {
+    for kind in SYNCED_KINDS {
+        let known = host.core.borrow().replica.revision(kind);
+        log::first_copy(kind, known, newest);
+        if known >= newest || required_age(kind) == Age::Latest {
+            continue;
+        }
+        let _lock = host.watch_state.lock_kind(kind).await;
+        let mut client = Client::new(host);
+        let caught_up = refresh::catch_up(host, &mut client, kind);
+        let result = tokio::time::timeout(FRESH_FOR, caught_up).await;
+        if let Err(error) = result.unwrap_or(Err(Error::Timeout)) {
+            spdlog::info!("begin: the changes of {kind:?} could not be read yet: {error}");
+            return false;
+        }
+    }
+    true
+}
+
 /// How stale the objects read at startup may be. There are many targets, and all hosts may start at
-/// once: for a stale read the store charges only a hundred calls out of a thousand. Later changes
-/// arrive with the first changes that the host follows.
+/// once: for a stale read the store charges only a hundred calls out of a thousand. Changes since
+/// then are queried afterwards.
 fn required_age(kind: Kind) -> Age {
     match kind {
         Kind::Targets => Age::Some,
