Settings: sharing of insufficient capacity, by the deployment's terms

Whether requests share insufficient capacity by urgency and account is to follow from the deployment's own settings only.

--- a/src/port.rs
+++ b/src/port.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::account::Credential;
+use crate::border::settings::Switch;
 use crate::control::presence;
 use crate::inventory::{Config, Registration};
 use crate::steer::allowance::Excess;
@@ -59,6 +60,8 @@
     pub switches: Switches,
     /// The capacity of the host.
     pub strength: presence::Strength,
+    /// Whether requests share insufficient capacity by their urgency and their accounts.
+    pub sharing: Switch,
 }
 
 /// Limits that a deployment guarantees to its callers.
