Share insufficient capacity by urgency and by account

At full targets all requests had the same load limit, so urgent requests were refused while less urgent ones were admitted, and an account that floods took slots from all others in proportion to how often it asks.

With the setting `sharing`, the limit at a target whose load was at the usual limit within the last second rises for urgent requests and falls for less urgent ones, never below the slots. Within a rank, accounts that have had their max-min fair share of what this host lately admitted come last; a refusal for that alone is `fair-share`. Shares are asked only before the first attempt, so that such a request has never been sent. With `sharing` off nothing changes: the new code is not reached.

--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -101,7 +101,8 @@
                 settings.regions.clone(),
                 settings.bounds.cold_burst,
             )
-            .with_switches(settings.switches),
+            .with_switches(settings.switches)
+            .with_sharing(settings.sharing),
             presence: Presence::new(now, own, settings.regions.clone())
                 .with_heartbeat(settings.bounds.heartbeat)
                 .with_few_watchers(settings.switches.few_watchers)
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -82,6 +82,12 @@
     let Some(service) = host.core.borrow_mut().choose_service(&exchange.route) else {
         return answer::not_run(host, "no service for this route\n");
     };
+    let caller = &exchange.admitted.caller;
+    let rank = host
+        .core
+        .borrow()
+        .table
+        .relative_priority(&exchange.route, caller);
     let query = TargetQuery {
         service: &service,
         affinity_key: affinity_hash(&exchange),
@@ -89,6 +95,10 @@
         homes: &exchange.admitted.homes,
         tried: tried_elsewhere(host, &exchange),
         body_bytes: body.length(),
+        rank,
+        account: caller
+            .account()
+            .map(|account| xxh3_64(account.name.as_bytes())),
     };
     let mut active = ActiveRequest {
         host,
@@ -233,9 +243,10 @@
         }
         (None, _) => {
             exchange.admitted.refund(host);
-            let delay = retry_after(host, exchange, query, stop);
+            let delay = retry_after(host, query, stop);
             let text = match stop {
                 StopReason::CutOff => "no target can be reached\n",
+                StopReason::Refused(Refusal::FairShare) => "the account has had its share\n",
                 _ => "no target has room\n",
             };
             let response = answer::not_run_retry_after(host, text, delay);
@@ -393,12 +404,7 @@
 }
 
 /// How long the caller of a request that did not run should wait before it retries.
-fn retry_after(
-    host: &Host,
-    exchange: &Exchange,
-    query: &TargetQuery<'_>,
-    stop: StopReason,
-) -> Duration {
+fn retry_after(host: &Host, query: &TargetQuery<'_>, stop: StopReason) -> Duration {
     if let StopReason::Quarantined(pause) | StopReason::Relayed(pause) = stop {
         return pause;
     }
@@ -414,13 +420,10 @@
         StopReason::CutOff => CUT_OFF_PAUSE,
         _ => Duration::ZERO,
     };
-    let rank = core
-        .table
-        .relative_priority(&exchange.route, &exchange.admitted.caller);
     let rest = core.fleet.time_until_rest_ends(now(), query);
     RefusedRequest {
         time_until_room: room,
-        rank,
+        rank: query.rank,
     }
     .retry_after_rest(rest.unwrap_or_default(), core.rng.random_range(0.0..1.0))
 }
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -97,6 +97,7 @@
             Self::MayHaveRun => "may-have-run",
             Self::Refused(Refusal::NoTarget) => "no-target",
             Self::Refused(Refusal::Full) => "full",
+            Self::Refused(Refusal::FairShare) => "fair-share",
             Self::Attempts => "attempts",
             Self::Time => "time",
             Self::Budget => "budget",
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -22,6 +22,7 @@
 mod reach;
 mod region_stats;
 mod service_stats;
+mod sharing;
 mod silence;
 mod switches;
 
@@ -39,6 +40,7 @@
 use self::ranking::Rankings;
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
+use self::sharing::Sharing;
 use super::departures::Departures;
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
@@ -69,6 +71,10 @@
     pub tried: Vec<TargetKey>,
     /// Size of its body in bytes.
     pub body_bytes: u64,
+    /// Relative priority among all requests, from 0 for the most urgent to 1 for the least urgent.
+    pub rank: f64,
+    /// Hash of the client account that sends it, if there is one.
+    pub account: Option<u64>,
 }
 
 /// Why no target was selected.
@@ -78,6 +84,8 @@
     NoTarget,
     /// All targets that do are full.
     Full,
+    /// All targets that do have no free slot, and the request's account has had its share.
+    FairShare,
 }
 
 /// How a request at a target ended, as far as it indicates the state of the target.
@@ -167,6 +175,8 @@
     max_cold_hosts: usize,
     own_host: FleetHost,
     switches: Switches,
+    /// Recent requests by service, if they share insufficient capacity.
+    sharing: Option<BTreeMap<Arc<str>, Sharing>>,
     /// Number of selections so far.
     query_count: u64,
     /// All live hosts including this one; empty while they are not known.
@@ -220,6 +230,7 @@
             lapsed_counts: BTreeMap::new(),
             own_host,
             switches: Switches::default(),
+            sharing: None,
             query_count: 0,
             region,
             regions,
@@ -293,6 +304,7 @@
             silent_since: None,
             connect_failed_at: None,
             rest: Rest::default(),
+            full_at: None,
         };
         self.members.insert(key, member);
         self.add_to_rankings(key);
@@ -454,11 +466,30 @@
         is_connected: impl Fn(TargetKey) -> bool,
     ) -> Result<(TargetKey, Assignment), Refusal> {
         self.query_count += 1;
-        self.pick(now, query, is_connected)
+        self.record_ask(now, query);
+        let position = self.position(now, query);
+        let picked = self.pick(now, query, position, &is_connected);
+        let Err(refusal) = picked else {
+            return picked;
+        };
+        // A request that would be refused in any case is not refused for its account's share.
+        let is_for_share = refusal == Refusal::Full
+            && self.is_share_used_up(now, query)
+            && self
+                .pick(now, query, self.rank_position(now, query), &is_connected)
+                .is_ok();
+        let refusal = if is_for_share {
+            Refusal::FairShare
+        } else {
+            refusal
+        };
+        self.record_decision(now, query, Some(refusal));
+        Err(refusal)
     }
 
     /// Counts a request at the target that was selected for it until [`Fleet::finish`].
     pub fn begin(&mut self, now: Instant, query: &TargetQuery<'_>, chosen: TargetKey) {
+        self.record_decision(now, query, None);
         if let Some(member) = self.members.get_mut(&chosen) {
             // Requests that are bound to regions are no measure of the drift of the others.
             let drift = self.drifts.get_mut(query.service);
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -12,6 +12,7 @@
 
 use super::member::Member;
 use super::ranking::rendezvous_weight;
+use super::sharing::Position;
 use super::{Fleet, Refusal, TargetQuery};
 use crate::border::settings::Switch;
 use crate::inventory::TargetKey;
@@ -108,6 +109,7 @@
         &mut self,
         now: Instant,
         query: &TargetQuery<'_>,
+        position: Position,
         is_connected: impl Fn(TargetKey) -> bool,
     ) -> Result<(TargetKey, Assignment), Refusal> {
         self.ensure_ranking(query);
@@ -124,7 +126,8 @@
         let (local_slots, overflow) = (choices.local_slots, choices.overflow);
         let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
         choices.extend(self.caching_targets(now, query, &first));
-        choices.retain(|key| self.has_room(now, *key));
+        self.record_full_targets(now, &choices);
+        choices.retain(|key| self.has_room(now, *key, position));
         if self.switches.drift == Switch::On && !has_no_local {
             choices = self.limit_drift(now, query, choices, local_slots);
         }
@@ -206,11 +209,13 @@
     pub fn time_until_room(&self, now: Instant, query: &TargetQuery<'_>) -> Duration {
         let stats = self.stats(query.service);
         let choices = self.first_choices(now, query);
+        let position = self.position(now, query);
         let wait_times = choices.keys().filter_map(|key| {
             let member = self.members.get(&key)?;
             let slots = f64::from(member.registration.slots.max(1));
-            let queued =
-                (self.load(now, member) + 1.0 - slots * self.max_load_factor(member)).max(0.0);
+            let queued = (self.load(now, member) + 1.0
+                - slots * self.load_limit(now, member, position))
+            .max(0.0);
             Some(queued * member.service_time(now, stats.service_time) / slots)
         });
         let opens_in = choices.opens_in.map(|time| time.as_secs_f64());
@@ -485,13 +490,14 @@
         ignores_cold_rate || !member.is_cold(now) || self.may_use_cold(now, member)
     }
 
-    /// Whether a target's load is below the admission limit.
-    fn has_room(&self, now: Instant, key: TargetKey) -> bool {
+    /// Whether a target's load is below the admission limit of a request.
+    fn has_room(&self, now: Instant, key: TargetKey, position: Position) -> bool {
         if self.switches.early_refusal == Switch::Off {
             return true;
         }
         self.members.get(&key).is_some_and(|member| {
-            let max_load = f64::from(member.registration.slots) * self.max_load_factor(member);
+            let max_load =
+                f64::from(member.registration.slots) * self.load_limit(now, member, position);
             self.load(now, member) < max_load
         })
     }
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -64,6 +64,8 @@
     pub(super) connect_failed_at: Option<Instant>,
     /// The rest that it asked this host for.
     pub(super) rest: Rest,
+    /// When its load was last seen at its limit, if requests share insufficient capacity.
+    pub(super) full_at: Option<Instant>,
 }
 
 /// Returns a digest of the process of a registered target. Registrations of one process have the
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -10,6 +10,7 @@
 pub mod drift;
 pub mod eject;
 pub mod engine;
+pub mod fair_share;
 pub mod fingerprint;
 pub mod fleet;
 pub mod goal;
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -84,6 +84,8 @@
             homes: &self.homes,
             tried: tried.to_vec(),
             body_bytes: 0,
+            rank: 0.0,
+            account: None,
         };
         self.fleet.choose(self.now, &query, |_| true)
     }
@@ -220,6 +222,8 @@
         homes: &BTreeSet::new(),
         tried: Vec::new(),
         body_bytes: 0,
+        rank: 0.0,
+        account: None,
     };
     let unconnected = world
         .fleet
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -62,6 +62,8 @@
             homes: &self.homes,
             tried: Vec::new(),
             body_bytes: 0,
+            rank: 0.0,
+            account: None,
         };
         let key = self.fleet.choose(self.now, &query, |_| true)?;
         Ok(self.fleet.member(key).unwrap().id().clone())
--- a/tests/drift.rs
+++ b/tests/drift.rs
@@ -122,6 +122,8 @@
             homes: &BTreeSet::new(),
             tried: Vec::new(),
             body_bytes: 0,
+            rank: 0.0,
+            account: None,
         };
         let target = fleet.choose(now, &query, |_| true).unwrap();
         let is_remote = &**fleet.member(target).unwrap().region() == "s";
--- a/tests/ranking.rs
+++ b/tests/ranking.rs
@@ -68,6 +68,8 @@
             homes: &BTreeSet::new(),
             tried: Vec::new(),
             body_bytes: 0,
+            rank: 0.0,
+            account: None,
         };
         let target = self.fleet.choose(self.now, &query, |_| true)?;
         let id = self.fleet.member(target).unwrap().id().clone();
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -15,6 +15,7 @@
 use ragwortfold::steer::fleet::{
     End, Fleet, Load, Observation, Permission, Refusal, Switches, TargetQuery,
 };
+use ragwortfold::steer::retry::Switch;
 use ragwortfold::steer::throttle::{Claim, Grant, RateUpdate};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -30,6 +31,8 @@
 const MAX_SEARCH_TIME: Duration = Duration::from_millis(200);
 /// How long hosts take to detect that another host was killed, cut off or reconnected.
 const DETECTION_DELAY: Duration = Duration::from_millis(1500);
+/// Time within which a less urgent request that a host sent shows that it preferred it.
+const INVERSION_WINDOW: Duration = Duration::from_millis(10);
 /// Interval at which hosts send the target rates that they know to other hosts.
 const GOSSIP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -78,6 +81,10 @@
     pub retry_pause: Option<fn(Duration, f64) -> Duration>,
     /// The mechanisms that hosts use.
     pub switches: Switches,
+    /// Whether hosts share insufficient capacity by the ranks and accounts of `clients`.
+    pub sharing: Switch,
+    /// Who sends the requests of each region. If empty, all requests are of one rank and no account.
+    pub clients: Vec<Client>,
     pub seed: u64,
 }
 
@@ -99,11 +106,21 @@
             max_attempts: 2,
             retry_pause: None,
             switches: Switches::default(),
+            sharing: Switch::Off,
+            clients: Vec::new(),
             seed: 1,
         }
     }
 }
 
+/// A client account that sends a part of the requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Client {
+    /// Its part of the requests, relative to the other clients.
+    pub weight: f64,
+    pub rank: f64,
+}
+
 /// Numbers of requests by outcome.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestCounts {
@@ -142,6 +159,8 @@
 
 struct Request {
     host: usize,
+    /// Index of its client, and the client's rank.
+    client: Option<(usize, f64)>,
     object: u64,
     started_at: Instant,
     /// The targets that it was sent to.
@@ -174,6 +193,8 @@
             tried: self.tried.clone(),
             object: Some(hash),
             body_bytes: 0,
+            rank: self.client.map_or(0.0, |(_, rank)| rank),
+            account: self.client.map(|(client, _)| client as u64),
         }
     }
 }
@@ -263,6 +284,14 @@
     request_rates: Vec<f64>,
     /// Number of datagrams that hosts sent each other.
     datagrams: u64,
+    /// The last target that a request for each object was first sent to, and when each host last
+    /// sent one to each target, by rank in percent.
+    first_targets: BTreeMap<u64, usize>,
+    last_sent: BTreeMap<(usize, usize, u32), Instant>,
+    /// Refusals while the object's target had a free slot, and refusals while the same host had
+    /// just sent a less urgent request there.
+    idle_refusals: u32,
+    inverted_refusals: u32,
 }
 
 impl Simulation {
@@ -279,6 +308,10 @@
             rng: Pcg64Mcg::seed_from_u64(scenario.seed),
             request_rates: vec![scenario.rate; scenario.targets.len()],
             datagrams: 0,
+            first_targets: BTreeMap::new(),
+            last_sent: BTreeMap::new(),
+            idle_refusals: 0,
+            inverted_refusals: 0,
             scenario,
         };
         for region in 0..simulation.scenario.targets.len() {
@@ -306,7 +339,8 @@
         Host {
             region,
             fleet: Fleet::new(self.now, name, zone(region), regions, 5.0)
-                .with_switches(self.scenario.switches),
+                .with_switches(self.scenario.switches)
+                .with_sharing(self.scenario.sharing),
             connected: BTreeSet::new(),
             is_up: true,
             is_isolated: false,
@@ -537,10 +571,19 @@
     /// Counts the requests that began between two times after the start by outcome. Requests that have
     /// not ended yet count as failed.
     pub fn count_requests(&self, from: Duration, to: Duration) -> RequestCounts {
+        self.count_matching(from, to, |_| true)
+    }
+
+    fn count_matching(
+        &self,
+        from: Duration,
+        to: Duration,
+        is_counted: impl Fn(&Request) -> bool,
+    ) -> RequestCounts {
         let mut counts = RequestCounts::default();
         for request in &self.requests {
             let at = request.started_at - self.started_at;
-            if at < from || at >= to {
+            if at < from || at >= to || !is_counted(request) {
                 continue;
             }
             counts.total += 1;
@@ -558,6 +601,24 @@
         counts
     }
 
+    /// Counts the requests of each client that began between two times after the start.
+    pub fn count_by_client(&self, from: Duration, to: Duration) -> Vec<RequestCounts> {
+        let clients = 0..self.scenario.clients.len();
+        clients
+            .map(|index| {
+                self.count_matching(from, to, |request| {
+                    request.client.is_some_and(|(client, _)| client == index)
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the refusals while the object's target had a free slot, and those while the same host
+    /// had sent a less urgent request there within [`INVERSION_WINDOW`].
+    pub fn wrong_refusals(&self) -> (u32, u32) {
+        (self.idle_refusals, self.inverted_refusals)
+    }
+
     /// Returns the largest share of a region's requests that moved to other target regions from one
     /// `window` to the next. Considers requests that began between two times after the start and ran.
     pub fn largest_shift(
@@ -674,8 +735,10 @@
                 .unwrap();
         }
         let object = region as u64 * 1_000_000 + self.rng.random_range(0..self.scenario.objects);
+        let client = self.draw_client();
         self.requests.push(Request {
             host,
+            client,
             object,
             started_at: self.now,
             tried: Vec::new(),
@@ -690,6 +753,40 @@
         self.send_request(self.requests.len() - 1);
     }
 
+    /// Draws the client of a request by the clients' weights.
+    fn draw_client(&mut self) -> Option<(usize, f64)> {
+        let clients = &self.scenario.clients;
+        if clients.is_empty() {
+            return None;
+        }
+        let total: f64 = clients.iter().map(|client| client.weight).sum();
+        let mut left = self.rng.random_range(0.0..total);
+        let index = clients.iter().position(|client| {
+            left -= client.weight;
+            left < 0.0
+        });
+        let index = index.unwrap_or(clients.len() - 1);
+        Some((index, clients[index].rank))
+    }
+
+    /// Counts a refusal that its host should not have made.
+    fn record_refusal(&mut self, request_index: usize) {
+        let request = &self.requests[request_index];
+        let Some(target_index) = self.first_targets.get(&request.object) else {
+            return;
+        };
+        if self.targets[*target_index].running < self.scenario.slots as usize {
+            self.idle_refusals += 1;
+        }
+        let rank = request.client.map_or(0, percent);
+        let less_urgent =
+            (request.host, *target_index, rank + 1)..=(request.host, *target_index, u32::MAX);
+        let mut sent = self.last_sent.range(less_urgent);
+        if sent.any(|(_, at)| self.now - *at <= INVERSION_WINDOW) {
+            self.inverted_refusals += 1;
+        }
+    }
+
     /// Sends a datagram to another host; it is lost if one of them is isolated.
     fn send_datagram(&mut self, from: usize, to: usize, event: Event) {
         self.datagrams += 1;
@@ -852,7 +949,10 @@
                 self.schedule(CLAIM_TIMEOUT, timeout);
             }
             Ok((target, _)) => self.dispatch(request_index, target),
-            Err(_) => self.refuse(request_index),
+            Err(_) => {
+                self.record_refusal(request_index);
+                self.refuse(request_index);
+            }
         }
     }
 
@@ -895,6 +995,12 @@
         if host.connected.insert(target) {
             host.fleet.record_connect(target, 2 * delay);
         }
+        if request.tried.is_empty() {
+            let rank = request.client.map_or(0, percent);
+            self.first_targets.insert(request.object, target_index);
+            self.last_sent
+                .insert((request.host, target_index, rank), self.now);
+        }
         request.tried.push(target);
         request.target = Some((target, self.now));
         let attempt = request.tried.len();
@@ -1081,6 +1187,11 @@
     }
 }
 
+/// Returns the rank of a client in percent.
+fn percent((_, rank): (usize, f64)) -> u32 {
+    (rank * 100.0) as u32
+}
+
 /// Returns the hash that identifies an object to the fleet.
 fn hash_object(object: u64) -> u64 {
     xxhash_rust::xxh3::xxh3_64(&object.to_le_bytes())
--- a/tests/rest.rs
+++ b/tests/rest.rs
@@ -73,6 +73,8 @@
             homes: &self.homes,
             tried: Vec::new(),
             body_bytes: 0,
+            rank: 0.0,
+            account: None,
         }
     }
 
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -417,6 +417,8 @@
             homes: &BTreeSet::new(),
             tried: Vec::new(),
             body_bytes: 0,
+            rank: 0.0,
+            account: None,
         };
         fleet.propose(now, &query, |_| true).map(|(key, _)| key)
     };
