Return the terms of the cost of a target separately

The cost of a request at a target was computed as one number, so neither the log nor a preview could show what it consists of. `Fleet::cost_terms` returns a `Copy` struct of the terms, and `Cost::total` adds them in the same order as before, so no result changes.

--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -49,6 +49,7 @@
 use crate::inventory::{Registration, TargetKey, TargetKeyAllocator};
 
 pub use self::cold_checks::{CHECKERS_PER_TARGET, MAX_CHECK_FACTOR, MIN_CHECKS};
+pub use self::cost::Cost;
 pub use self::member::{Load, Member, TargetEstimate};
 pub use self::rate_limit::Permission;
 pub use self::switches::Switches;
--- a/src/steer/fleet/cost.rs
+++ b/src/steer/fleet/cost.rs
@@ -21,32 +21,67 @@
 /// Cost of a byte between regions, in seconds of waiting.
 const REGION_BYTE_COST_S: f64 = 2.2e-6;
 
+/// Terms of the cost of a request at a target, in seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Round trip to the region of the target.
+    pub round_trip: f64,
+    /// Time to open a connection.
+    pub connect: f64,
+    /// Wait for a free slot.
+    pub wait: f64,
+    /// Bytes on the network, weighed as time.
+    pub bytes: f64,
+    /// Additional processing of an object that the target does not have cached.
+    pub first_visit: f64,
+}
+
+impl Cost {
+    /// Returns the sum of all terms.
+    pub fn total(&self) -> f64 {
+        self.round_trip + self.connect + self.wait + self.bytes + self.first_visit
+    }
+}
+
 impl Fleet {
-    /// Returns the time in seconds until a target is expected to start on a request, plus the cost
-    /// of its bytes.
-    pub(super) fn cost(
+    /// Returns the terms of the cost of a request at a target: the time until the target is
+    /// expected to start on it, and the cost of its bytes. `None` for an unknown target.
+    pub(super) fn cost_terms(
         &self,
         now: Instant,
         key: TargetKey,
         query: &TargetQuery<'_>,
         is_connected: bool,
-    ) -> f64 {
-        let Some(member) = self.members.get(&key) else {
-            return f64::INFINITY;
-        };
+    ) -> Option<Cost> {
+        let member = self.members.get(&key)?;
         let stats = self.stats(query.service);
         let round_trip = self.round_trip(member);
-        let connect_time = if is_connected { 0.0 } else { round_trip };
         let service_time = member.service_time(now, stats.service_time);
         let slots = f64::from(member.registration.slots.max(1));
-        let wait = service_time * (self.load(now, member) + 1.0 - slots).max(0.0) / slots;
-        let bytes = (query.body_bytes as f64 + stats.answer_bytes) * self.byte_cost(member);
-        let first_visit = if self.may_be_uncached(key, query) {
-            stats.first_visit_penalty()
-        } else {
-            0.0
-        };
-        round_trip + connect_time + wait + bytes + first_visit
+        Some(Cost {
+            round_trip,
+            connect: if is_connected { 0.0 } else { round_trip },
+            wait: service_time * (self.load(now, member) + 1.0 - slots).max(0.0) / slots,
+            bytes: (query.body_bytes as f64 + stats.answer_bytes) * self.byte_cost(member),
+            first_visit: if self.may_be_uncached(key, query) {
+                stats.first_visit_penalty()
+            } else {
+                0.0
+            },
+        })
+    }
+
+    /// Returns the total cost of a request at a target in seconds, which is infinite for an unknown
+    /// target.
+    pub(super) fn cost(
+        &self,
+        now: Instant,
+        key: TargetKey,
+        query: &TargetQuery<'_>,
+        is_connected: bool,
+    ) -> f64 {
+        self.cost_terms(now, key, query, is_connected)
+            .map_or(f64::INFINITY, |cost| cost.total())
     }
 
     /// Whether the object of a request may be new to a target, as the target is not known to have
