Take the current speed of targets into account

Targets share their machines with others, and the fourth figure of their load header states how long processing currently takes there. It was dropped, so requests queued at targets that were 2.5 times as slow as usual, and late answers of these targets counted as overload of the service.

The adapter decodes the figure into `Load::slowdown`. It is a term of the cost (processing beyond the usual time), scales the wait for a slot, the limit on the queue and the silence limit, and the means of the service and of first visits are those at the usual speed. Late answers are compared with the goal at the usual speed, and requests that run out of time in a slow period are not counted as overload. The term of the cost decides within a region only. An unreadable figure is logged (target.unreadable-slowdown) and the other three figures count. The switch `speed` turns the mechanism off.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -37,6 +37,7 @@
     repeats_left: Gauge<u64>,
     load: Gauge<f64>,
     service_time: Gauge<f64>,
+    slowdown: Gauge<f64>,
     usable: Gauge<u64>,
     cold_rate: Gauge<f64>,
     rate: Gauge<f64>,
@@ -95,6 +96,7 @@
             repeats_left: meter.u64_gauge("ragwortfold_repeats_left").build(),
             load: meter.f64_gauge("ragwortfold_target_load").build(),
             service_time: meter.f64_gauge("ragwortfold_target_work_seconds").build(),
+            slowdown: meter.f64_gauge("ragwortfold_target_slowdown").build(),
             usable: meter.u64_gauge("ragwortfold_target_usable").build(),
             rate: meter.f64_gauge("ragwortfold_target_rate").build(),
             cold_rate: meter.f64_gauge("ragwortfold_target_cold_rate").build(),
@@ -172,6 +174,7 @@
         ];
         self.load.record(estimate.load, &labels);
         self.service_time.record(estimate.service_time, &labels);
+        self.slowdown.record(estimate.slowdown, &labels);
         self.usable.record(estimate.is_in_use.into(), &labels);
         let rest_left = estimate.rest_left.as_secs_f64();
         self.rest.record(rest_left, &labels);
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -267,6 +267,9 @@
     request_log::log_unknown_headers(host, in_flight.target, &parts.headers);
     let target_answer = (host.platform.wire.answer)(&parts);
     in_flight.observation.load = target_answer.load;
+    if let Some(value) = &target_answer.unreadable_slowdown {
+        log::unreadable_slowdown(host, in_flight.target, value);
+    }
     in_flight.observation.body_bytes = incoming.size_hint().exact();
     announcement::record(
         host,
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -71,6 +71,8 @@
     Unlimited => "target.unlimited",
     /// A target announces a rate limit that can't be parsed.
     UnreadableRate => "target.unreadable-rate",
+    /// A target reports a slowdown that can't be parsed or is not plausible.
+    UnreadableSlowdown => "target.unreadable-slowdown",
     /// A target states in an answer that it is shutting down.
     TargetLeaving => "target.leaving",
     /// A target asks this host to send it nothing for some time.
@@ -242,6 +244,23 @@
     });
 }
 
+/// Logs that a target's slowdown can't be parsed or is not plausible; the rest of its load report
+/// is used.
+pub(crate) fn unreadable_slowdown(host: &Host, target: TargetKey, value: &str) {
+    let event = Event::UnreadableSlowdown;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    let core = host.core.borrow();
+    let target = core.fleet.member(target);
+    spdlog::warn!("cannot parse a target's slowdown", kv: {
+        event = event.as_str(),
+        target = target.map(|member| &**member.id()).unwrap_or_default(),
+        value,
+        left_out
+    });
+}
+
 /// Logs that a target has left.
 pub(crate) fn target_gone(id: &str) {
     spdlog::info!("a target is gone", kv: { event = Event::Gone.as_str(), target = id });
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -18,6 +18,7 @@
 use super::core::Core;
 use super::{announcement, attempt, body, datagram, log, now, throttle, Host};
 use crate::inventory::TargetKey;
+use crate::port::Health;
 use crate::steer::fleet::Member;
 use crate::steer::throttle::Assignment;
 
@@ -139,6 +140,17 @@
     datagram::send_cold(&host, &probe.id, left).await;
 }
 
+/// Records the current speed of a target that its health answer reports.
+fn record_slowdown(host: &Host, target: TargetKey, health: &Health) {
+    if let Some(value) = &health.unreadable_slowdown {
+        log::unreadable_slowdown(host, target, value);
+    }
+    if let Some(slowdown) = health.load.and_then(|load| load.slowdown) {
+        let core = &mut *host.core.borrow_mut();
+        core.fleet.record_slowdown(now(), target, slowdown);
+    }
+}
+
 /// Requests a target's health and returns its remaining cold time.
 async fn query_health(
     host: &Rc<Host>,
@@ -157,9 +169,11 @@
     };
     let (parts, incoming) = response.into_parts();
     let health = (host.platform.wire.health)(&parts);
-    let is_same_process = health.target.is_none_or(|target| target == probe.id);
+    let process = health.target.as_ref();
+    let is_same_process = process.is_none_or(|target| *target == probe.id);
     if is_same_process {
         announcement::record(host, Some(probe.target), &health.announcement);
+        record_slowdown(host, probe.target, &health);
     }
     let body = Limited::new(incoming, MAX_HEALTH_BYTES).collect();
     let read = connection.read(body).await;
--- a/src/port.rs
+++ b/src/port.rs
@@ -263,6 +263,8 @@
     pub misdirected: bool,
     /// The target's load.
     pub load: Option<Load>,
+    /// The target's slowdown, if it can't be parsed; `load` is without it.
+    pub unreadable_slowdown: Option<Arc<str>>,
     /// The requests per second that it accepts from all hosts together.
     pub rate: Rate,
     /// What it states about its process.
@@ -276,6 +278,10 @@
     pub target: Option<Arc<str>>,
     /// How much longer it remains cold.
     pub cold_left: Option<Duration>,
+    /// The target's load.
+    pub load: Option<Load>,
+    /// The target's slowdown, if it can't be parsed; `load` is without it.
+    pub unreadable_slowdown: Option<Arc<str>>,
     /// What it states about its process.
     pub announcement: Announcement,
 }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -23,6 +23,7 @@
 mod region_stats;
 mod service_stats;
 mod silence;
+mod speed;
 mod switches;
 
 use std::cell::Cell;
@@ -52,6 +53,7 @@
 pub use self::cost::Cost;
 pub use self::member::{Load, Member, TargetEstimate};
 pub use self::rate_limit::Permission;
+pub use self::speed::parse_slowdown;
 pub use self::switches::Switches;
 
 /// A request for which a target is to be selected.
@@ -285,12 +287,14 @@
             registration,
             in_flight: 0,
             report: None,
+            slowdown_report: None,
             cold_until,
             last_cold_request: None,
             outlier_detector: OutlierDetector::new(),
             lapsed_until: None,
             is_misdirected: false,
             service_time: None,
+            measured_slowdown: 1.0,
             silent_since: None,
             connect_failed_at: None,
             rest: Rest::default(),
@@ -484,8 +488,14 @@
             });
             let rate = self.throttle.rate(member.digest());
             let rate = rate.map_or(String::new(), |rate| format!(", takes {rate} a second"));
+            let slowdown = member.slowdown(now);
+            let speed = if slowdown == 1.0 {
+                String::new()
+            } else {
+                format!(", takes {slowdown:.1} times as long as usual")
+            };
             Some(format!(
-                "{} in {} has {:.1} of {} slots, {} of this host, load reported {report}{rate}",
+                "{} in {} has {:.1} of {} slots, {} of this host, load reported {report}{rate}{speed}",
                 member.id(),
                 member.region,
                 self.load(now, member),
@@ -503,6 +513,7 @@
             service: member.service(),
             load: self.load(now, member),
             service_time: member.service_time(now, self.stats(member.service()).service_time),
+            slowdown: member.slowdown(now),
             is_in_use: member.outlier_detector.is_in_use(),
             is_leaving: self.is_leaving(member),
             rest_left: member.rest.time_left(now).unwrap_or_default(),
@@ -554,7 +565,14 @@
         self.record_reach(now, key, end);
         let load = observation.load;
         if end == End::TimedOut {
-            self.record_timeout(key);
+            self.record_timeout(now, key);
+        }
+        // The other process at the address, or the other request, has another load.
+        if let Some(slowdown) = self
+            .reported_slowdown(load)
+            .filter(|_| !matches!(end, End::Misdirected | End::Stray))
+        {
+            self.record_slowdown(now, key, slowdown);
         }
         let member = self.members.get_mut(&key)?;
         member.in_flight = member.in_flight.saturating_sub(1);
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -10,6 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::cost::Cost;
 use super::member::Member;
 use super::ranking::rendezvous_weight;
 use super::{Fleet, Refusal, TargetQuery};
@@ -128,11 +129,12 @@
         if self.switches.drift == Switch::On && !has_no_local {
             choices = self.limit_drift(now, query, choices, local_slots);
         }
-        choices
-            .into_iter()
-            .map(|key| (self.cost(now, key, query, is_connected(key)), key))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other))
-            .map(|(_, key)| {
+        let costs = choices.into_iter().filter_map(|key| {
+            let cost = self.cost_terms(now, key, query, is_connected(key))?;
+            Some((cost, key))
+        });
+        self.cheapest(costs.collect())
+            .map(|key| {
                 let is_overflow = overflow.contains(&key);
                 (
                     key,
@@ -146,6 +148,26 @@
             .ok_or(Refusal::Full)
     }
 
+    /// Returns the target with the lowest cost. The current speed of targets decides within a region
+    /// only: slow periods are short, and the objects of requests that left would be cold elsewhere.
+    fn cheapest(&self, mut costs: Vec<(Cost, TargetKey)>) -> Option<TargetKey> {
+        let lowest = |costs: &[(Cost, TargetKey)], total: fn(&Cost) -> f64| {
+            let lowest = costs
+                .iter()
+                .min_by(|(one, _), (other, _)| total(one).total_cmp(&total(other)));
+            lowest.map(|(_, key)| *key)
+        };
+        let best = lowest(&costs, Cost::total)?;
+        if self.is_local(best) {
+            return Some(best);
+        }
+        let usually_best = lowest(&costs, Cost::usual)?;
+        if self.is_local(usually_best) {
+            costs.retain(|(_, key)| self.is_local(*key));
+        }
+        lowest(&costs, Cost::total)
+    }
+
     /// Returns the targets with room that a request may use without moving too much of a region's
     /// load at once. `local_slots` are all usable slots of the own region: when some of them are
     /// lost, their requests leave at once.
@@ -210,8 +232,8 @@
             let member = self.members.get(&key)?;
             let slots = f64::from(member.registration.slots.max(1));
             let queued =
-                (self.load(now, member) + 1.0 - slots * self.max_load_factor(member)).max(0.0);
-            Some(queued * member.service_time(now, stats.service_time) / slots)
+                (self.load(now, member) + 1.0 - slots * self.max_load_factor(now, member)).max(0.0);
+            Some(queued * member.current_service_time(now, stats.service_time) / slots)
         });
         let opens_in = choices.opens_in.map(|time| time.as_secs_f64());
         let shortest = wait_times.chain(opens_in).min_by(f64::total_cmp);
@@ -491,7 +513,7 @@
             return true;
         }
         self.members.get(&key).is_some_and(|member| {
-            let max_load = f64::from(member.registration.slots) * self.max_load_factor(member);
+            let max_load = f64::from(member.registration.slots) * self.max_load_factor(now, member);
             self.load(now, member) < max_load
         })
     }
--- a/src/steer/fleet/cost.rs
+++ b/src/steer/fleet/cost.rs
@@ -32,13 +32,20 @@
     pub wait: f64,
     /// Bytes on the network, weighed as time.
     pub bytes: f64,
-    /// Additional processing of an object that the target does not have cached.
+    /// Additional processing of an object that the target does not have cached, at the usual speed.
     pub first_visit: f64,
+    /// Processing beyond the usual time at the current speed; negative if the target is faster.
+    pub slowdown: f64,
 }
 
 impl Cost {
     /// Returns the sum of all terms.
     pub fn total(&self) -> f64 {
+        self.usual() + self.slowdown
+    }
+
+    /// Returns the sum of the terms other than the slowdown.
+    pub fn usual(&self) -> f64 {
         self.round_trip + self.connect + self.wait + self.bytes + self.first_visit
     }
 }
@@ -56,34 +63,23 @@
         let member = self.members.get(&key)?;
         let stats = self.stats(query.service);
         let round_trip = self.round_trip(member);
-        let service_time = member.service_time(now, stats.service_time);
+        let service_time = member.current_service_time(now, stats.service_time);
+        let may_be_uncached = self.may_be_uncached(key, query);
         let slots = f64::from(member.registration.slots.max(1));
         Some(Cost {
             round_trip,
             connect: if is_connected { 0.0 } else { round_trip },
             wait: service_time * (self.load(now, member) + 1.0 - slots).max(0.0) / slots,
             bytes: (query.body_bytes as f64 + stats.answer_bytes) * self.byte_cost(member),
-            first_visit: if self.may_be_uncached(key, query) {
+            first_visit: if may_be_uncached {
                 stats.first_visit_penalty()
             } else {
                 0.0
             },
+            slowdown: stats.processing_time(may_be_uncached) * (member.slowdown(now) - 1.0),
         })
     }
 
-    /// Returns the total cost of a request at a target in seconds, which is infinite for an unknown
-    /// target.
-    pub(super) fn cost(
-        &self,
-        now: Instant,
-        key: TargetKey,
-        query: &TargetQuery<'_>,
-        is_connected: bool,
-    ) -> f64 {
-        self.cost_terms(now, key, query, is_connected)
-            .map_or(f64::INFINITY, |cost| cost.total())
-    }
-
     /// Whether the object of a request may be new to a target, as the target is not known to have
     /// it.
     fn may_be_uncached(&self, key: TargetKey, query: &TargetQuery<'_>) -> bool {
@@ -149,17 +145,24 @@
             return;
         };
         let service_time = (elapsed.as_secs_f64() - self.round_trip(member)).max(0.0);
+        let slowdown = self.reported_slowdown(observation.load);
+        let usual_time = service_time / slowdown.unwrap_or(1.0);
         let (service, region) = (member.service().clone(), member.region.clone());
         let stats = self.service_stats.entry(service.clone()).or_default();
-        stats.record_service_time(service_time);
+        stats.record_service_time(service_time, usual_time);
         if let Some(bytes) = observation.body_bytes {
             stats.record_answer_bytes(bytes);
         }
         if let Some(object) = observation.object {
             let is_first = !self.object_locations.is_holder(object, key);
-            stats.record_visit(is_first, service_time);
+            stats.record_visit(is_first, usual_time);
             if let (false, Some(goal)) = (is_first, observation.goal) {
-                stats.admission.record_answer(elapsed > goal);
+                // A slow period makes answers late whatever the queue.
+                let usual_elapsed = match slowdown.filter(|slowdown| *slowdown > 1.0) {
+                    Some(slowdown) => elapsed.div_f64(slowdown),
+                    None => elapsed,
+                };
+                stats.admission.record_answer(usual_elapsed > goal);
             }
             self.object_locations.record(now, object, key);
         }
@@ -167,6 +170,10 @@
         let stats = self.region_stats_mut(service, region);
         stats.record_end(RequestEnd::Answered);
         if let Some(member) = self.members.get_mut(&key) {
+            let previous_slowdown = member.mean_slowdown(now);
+            let measured_slowdown = slowdown.unwrap_or(1.0);
+            member.measured_slowdown =
+                previous_slowdown + (measured_slowdown - previous_slowdown) * SERVICE_TIME_WEIGHT;
             let previous = member.service_time(now, mean);
             member.service_time = Some((
                 previous + (service_time - previous) * SERVICE_TIME_WEIGHT,
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -6,6 +6,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::speed::SlowdownReport;
 use crate::inventory::Registration;
 use crate::steer::eject::OutlierDetector;
 use crate::steer::rest::Rest;
@@ -17,7 +18,7 @@
 /// service.
 const SERVICE_TIME_LIFETIME: Duration = Duration::from_secs(4);
 /// Load that a target reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Requests that it is processing.
     pub running: u32,
@@ -25,6 +26,8 @@
     pub waiting: u32,
     /// Requests that it processes concurrently.
     pub slots: u32,
+    /// How long processing currently takes, in multiples of the usual time, if it reports that.
+    pub slowdown: Option<f64>,
 }
 
 /// Load report that a target attached to an answer.
@@ -47,6 +50,7 @@
     pub(super) process: u64,
     pub(super) in_flight: u32,
     pub(super) report: Option<LoadReport>,
+    pub(super) slowdown_report: Option<SlowdownReport>,
     pub(super) cold_until: Option<Instant>,
     /// When this host last sent a request while the target was cold; in the future during the pause
     /// that follows a report that it is cold.
@@ -58,6 +62,8 @@
     pub(super) is_misdirected: bool,
     /// Its mean service time in seconds, and when that was last measured.
     pub(super) service_time: Option<(f64, Instant)>,
+    /// Its mean slowdown over the same answers.
+    pub(super) measured_slowdown: f64,
     /// Since when it has sent no answer, while it has requests.
     pub(super) silent_since: Option<Instant>,
     /// When a connection to it last failed, if none was opened since.
@@ -74,6 +80,12 @@
     xxh3_64_with_seed(registration.id.as_bytes(), start)
 }
 
+/// Returns the weight of a target's mean service time against that of its service.
+fn service_time_weight(now: Instant, measured: Instant) -> f64 {
+    let age = now.saturating_duration_since(measured);
+    (1.0 - age.as_secs_f64() / SERVICE_TIME_LIFETIME.as_secs_f64()).max(0.0)
+}
+
 impl Member {
     /// Returns a digest of its identity and process.
     pub fn digest(&self) -> u64 {
@@ -123,9 +135,14 @@
     /// are no answers.
     pub(super) fn service_time(&self, now: Instant, mean: f64) -> f64 {
         self.service_time.map_or(mean, |(service_time, measured)| {
-            let age = now.saturating_duration_since(measured);
-            let weight = (1.0 - age.as_secs_f64() / SERVICE_TIME_LIFETIME.as_secs_f64()).max(0.0);
-            mean + (service_time - mean) * weight
+            mean + (service_time - mean) * service_time_weight(now, measured)
+        })
+    }
+
+    /// Returns its mean slowdown over the answers that [`Member::service_time`] is measured from.
+    pub(super) fn mean_slowdown(&self, now: Instant) -> f64 {
+        self.service_time.map_or(1.0, |(_, measured)| {
+            1.0 + (self.measured_slowdown - 1.0) * service_time_weight(now, measured)
         })
     }
 
@@ -145,6 +162,8 @@
     pub load: f64,
     /// Service time in seconds.
     pub service_time: f64,
+    /// Expected duration of processing in multiples of the usual one.
+    pub slowdown: f64,
     /// Whether it is not ejected.
     pub is_in_use: bool,
     /// Whether it is shutting down.
--- a/src/steer/fleet/region_stats.rs
+++ b/src/steer/fleet/region_stats.rs
@@ -87,20 +87,29 @@
         member.load(now, stats.map_or(0.0, |stats| stats.assumed_load(now)))
     }
 
-    /// Returns the current maximum load of a target in multiples of its slots.
-    pub(super) fn max_load_factor(&self, member: &Member) -> f64 {
+    /// Returns the current maximum load of a target in multiples of its slots. A slow target gets
+    /// through its queue more slowly, so less may be queued there.
+    pub(super) fn max_load_factor(&self, now: Instant, member: &Member) -> f64 {
         let overload = self.region_stats(member).map_or(0.0, RegionStats::overload);
         let admission = self.stats(member.service()).admission;
-        admission.max_load_factor(overload)
+        let limit = admission.max_load_factor(overload);
+        let slowdown = member.slowdown(now);
+        if slowdown > 1.0 {
+            1.0 + (limit - 1.0) / slowdown
+        } else {
+            limit
+        }
     }
 
-    /// Records that a request ran out of time at a target. Without the detection of silent targets it
+    /// Records that a request ran out of time at a target, unless the target is in a slow period.
+    /// Without the detection of silent targets it
     /// is not known whether the target is busy or does not answer at all.
-    pub(super) fn record_timeout(&mut self, key: TargetKey) {
+    pub(super) fn record_timeout(&mut self, now: Instant, key: TargetKey) {
         if self.switches.silence == Switch::Off {
             return;
         }
-        if let Some(member) = self.members.get(&key) {
+        let member = self.members.get(&key);
+        if let Some(member) = member.filter(|member| !self.is_slow(now, member)) {
             let (service, region) = (member.service().clone(), member.region.clone());
             let stats = self.region_stats_mut(service, region);
             stats.record_end(RequestEnd::TimedOut);
--- a/src/steer/fleet/service_stats.rs
+++ b/src/steer/fleet/service_stats.rs
@@ -20,7 +20,7 @@
 /// Statistics of one service, measured from its answers.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServiceStats {
-    /// Mean service time in seconds.
+    /// Mean service time in seconds, at the usual speed of targets.
     pub(super) service_time: f64,
     /// Mean size of an answer's body in bytes.
     pub(super) answer_bytes: f64,
@@ -51,14 +51,15 @@
 }
 
 impl ServiceStats {
-    /// Records the service time of a request.
-    pub(super) fn record_service_time(&mut self, service_time: f64) {
-        update_mean(&mut self.service_time, service_time, MEAN_WEIGHT);
+    /// Records the service time of a request, and what it would have been at the target's usual
+    /// speed. The peak contains slow periods: a target that is slow is not silent.
+    pub(super) fn record_service_time(&mut self, service_time: f64, usual_time: f64) {
+        update_mean(&mut self.service_time, usual_time, MEAN_WEIGHT);
         self.peak_service_time = service_time.max(self.peak_service_time * PEAK_DECAY);
         self.answer_count = self.answer_count.saturating_add(1);
     }
 
-    /// Records the service time of an object, and whether it was new to the target.
+    /// Records the service time of an object at the usual speed, and whether it was new to the target.
     pub(super) fn record_visit(&mut self, is_first: bool, service_time: f64) {
         let mean = if is_first {
             &mut self.first_visit
@@ -81,6 +82,16 @@
         }
     }
 
+    /// Returns the mean service time of an object in seconds by whether it may be new to the target.
+    pub(super) fn processing_time(&self, may_be_first: bool) -> f64 {
+        let visit = if may_be_first {
+            self.first_visit
+        } else {
+            self.repeat_visit
+        };
+        visit.unwrap_or(self.service_time)
+    }
+
     /// Returns the peak service time over the last few hundred answers, in seconds; `None` until
     /// there were enough.
     pub(super) fn longest_service_time(&self) -> Option<f64> {
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -50,13 +50,20 @@
         since.is_some_and(|since| now.saturating_duration_since(since) < UNREACHABLE_PAUSE)
     }
 
-    /// Whether it has sent no answer for longer than `silence_limit`; `false` without a limit.
+    /// Whether it has sent no answer for longer than `silence_limit`, or a multiple of it while it is
+    /// slow; `false` without a limit.
     pub(super) fn is_silent(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
         if self.in_flight < MIN_SILENT_REQUESTS {
             return false;
         }
         match (self.silent_since, silence_limit) {
             (Some(since), Some(silence_limit)) => {
+                let slowdown = self.slowdown(now);
+                let silence_limit = if slowdown > 1.0 {
+                    silence_limit.mul_f64(slowdown)
+                } else {
+                    silence_limit
+                };
                 now.saturating_duration_since(since) > silence_limit
             }
             _ => false,
--- a/src/steer/fleet/switches.rs
+++ b/src/steer/fleet/switches.rs
@@ -36,6 +36,8 @@
     pub few_hosts: Switch,
     /// Refused callers retry when there may be room; off: after a fixed time.
     pub room_pause: Switch,
+    /// The current speed that targets report is taken into account.
+    pub speed: Switch,
 }
 
 impl Default for Switches {
@@ -56,6 +58,7 @@
             strength: on,
             few_hosts: on,
             room_pause: on,
+            speed: on,
         }
     }
 }
