Find the cheapest target in one pass

The comparison with and without the slowdown collected all costs and went over them up to three times. One pass keeps the three lowest costs.

--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -102,6 +102,13 @@
     }
 }
 
+/// Replaces the target with the lowest cost so far if another one costs less.
+fn keep_lowest(lowest: &mut Option<(f64, TargetKey)>, cost: f64, key: TargetKey) {
+    if lowest.is_none_or(|(known, _)| cost.total_cmp(&known).is_lt()) {
+        *lowest = Some((cost, key));
+    }
+}
+
 impl Fleet {
     /// Returns the target that is expected to answer first, among those that a request may use and
     /// that have room.
@@ -133,7 +140,7 @@
             let cost = self.cost_terms(now, key, query, is_connected(key))?;
             Some((cost, key))
         });
-        self.cheapest(costs.collect())
+        self.cheapest(costs)
             .map(|key| {
                 let is_overflow = overflow.contains(&key);
                 (
@@ -150,22 +157,19 @@
 
     /// Returns the target with the lowest cost. The current speed of targets decides within a region
     /// only: slow periods are short, and the objects of requests that left would be cold elsewhere.
-    fn cheapest(&self, mut costs: Vec<(Cost, TargetKey)>) -> Option<TargetKey> {
-        let lowest = |costs: &[(Cost, TargetKey)], total: fn(&Cost) -> f64| {
-            let lowest = costs
-                .iter()
-                .min_by(|(one, _), (other, _)| total(one).total_cmp(&total(other)));
-            lowest.map(|(_, key)| *key)
-        };
-        let best = lowest(&costs, Cost::total)?;
-        if self.is_local(best) {
-            return Some(best);
-        }
-        let usually_best = lowest(&costs, Cost::usual)?;
-        if self.is_local(usually_best) {
-            costs.retain(|(_, key)| self.is_local(*key));
+    fn cheapest(&self, costs: impl Iterator<Item = (Cost, TargetKey)>) -> Option<TargetKey> {
+        let (mut best, mut best_local, mut usually_best) = (None, None, None);
+        for (cost, key) in costs {
+            let total = cost.total();
+            keep_lowest(&mut best, total, key);
+            keep_lowest(&mut usually_best, cost.usual(), key);
+            if self.is_local(key) {
+                keep_lowest(&mut best_local, total, key);
+            }
         }
-        lowest(&costs, Cost::total)
+        let usually_stays = usually_best.is_some_and(|(_, key)| self.is_local(key));
+        let chosen = if usually_stays { best_local } else { best };
+        chosen.map(|(_, key)| key)
     }
 
     /// Returns the targets with room that a request may use without moving too much of a region's
