--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -136,40 +136,48 @@
         if self.switches.drift == Switch::On && !has_no_local {
             choices = self.limit_drift(now, query, choices, local_slots);
         }
-        let costs = choices.into_iter().filter_map(|key| {
-            let cost = self.cost_terms(now, key, query, is_connected(key))?;
-            Some((cost, key))
-        });
-        self.cheapest(costs)
-            .map(|key| {
-                let is_overflow = overflow.contains(&key);
-                (
-                    key,
-                    if is_overflow {
-                        Assignment::Overflow
-                    } else {
-                        Assignment::Primary
-                    },
-                )
-            })
-            .ok_or(Refusal::Full)
+        self.cheapest(&choices, |key| {
+            self.cost_terms(now, key, query, is_connected(key))
+        })
+        .map(|key| {
+            let is_overflow = overflow.contains(&key);
+            (
+                key,
+                if is_overflow {
+                    Assignment::Overflow
+                } else {
+                    Assignment::Primary
+                },
+            )
+        })
+        .ok_or(Refusal::Full)
     }
 
     /// Returns the target with the lowest cost. The current speed of targets decides within a region
     /// only: slow periods are short, and the objects of requests that left would be cold elsewhere.
-    fn cheapest(&self, costs: impl Iterator<Item = (Cost, TargetKey)>) -> Option<TargetKey> {
-        let (mut best, mut best_local, mut usually_best) = (None, None, None);
-        for (cost, key) in costs {
-            let total = cost.total();
-            keep_lowest(&mut best, total, key);
-            keep_lowest(&mut usually_best, cost.usual(), key);
-            if self.is_local(key) {
-                keep_lowest(&mut best_local, total, key);
+    fn cheapest(
+        &self,
+        choices: &[TargetKey],
+        cost: impl Fn(TargetKey) -> Option<Cost>,
+    ) -> Option<TargetKey> {
+        let (mut best, mut usually_best) = (None, None);
+        for key in choices {
+            if let Some(cost) = cost(*key) {
+                keep_lowest(&mut best, cost.total(), *key);
+                keep_lowest(&mut usually_best, cost.usual(), *key);
+            }
+        }
+        let (best, usually_best) = (best?.1, usually_best?.1);
+        if best == usually_best || self.is_local(best) || !self.is_local(usually_best) {
+            return Some(best);
+        }
+        let mut best_local = None;
+        for key in choices.iter().filter(|key| self.is_local(**key)) {
+            if let Some(cost) = cost(*key) {
+                keep_lowest(&mut best_local, cost.total(), *key);
             }
         }
-        let usually_stays = usually_best.is_some_and(|(_, key)| self.is_local(key));
-        let chosen = if usually_stays { best_local } else { best };
-        chosen.map(|(_, key)| key)
+        best_local.map(|(_, key)| key)
     }
 
     /// Returns the targets with room that a request may use without moving too much of a region's
