--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -10,6 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::cost::Cost;
 use super::member::Member;
 use super::ranking::rendezvous_weight;
 use super::sharing::Position;
@@ -102,6 +103,13 @@
     }
 }
 
+/// Replaces the target with the lowest cost so far if another one costs less.
+fn keep_lowest(lowest: &mut Option<(f64, TargetKey)>, cost: f64, key: TargetKey) {
+    if lowest.is_none_or(|(known, _)| cost.total_cmp(&known).is_lt()) {
+        *lowest = Some((cost, key));
+    }
+}
+
 impl Fleet {
     /// Returns the target that is expected to answer first, among those that a request may use and
     /// that have room.
@@ -131,22 +139,48 @@
         if self.switches.drift == Switch::On && !has_no_local {
             choices = self.limit_drift(now, query, choices, local_slots);
         }
-        choices
-            .into_iter()
-            .map(|key| (self.cost(now, key, query, is_connected(key)), key))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other))
-            .map(|(_, key)| {
-                let is_overflow = overflow.contains(&key);
-                (
-                    key,
-                    if is_overflow {
-                        Assignment::Overflow
-                    } else {
-                        Assignment::Primary
-                    },
-                )
-            })
-            .ok_or(Refusal::Full)
+        self.cheapest(&choices, |key| {
+            self.cost_terms(now, key, query, is_connected(key))
+        })
+        .map(|key| {
+            let is_overflow = overflow.contains(&key);
+            (
+                key,
+                if is_overflow {
+                    Assignment::Overflow
+                } else {
+                    Assignment::Primary
+                },
+            )
+        })
+        .ok_or(Refusal::Full)
+    }
+
+    /// Returns the target with the lowest cost. The current speed of targets decides within a region
+    /// only: slow periods are short, and the objects of requests that left would be cold elsewhere.
+    fn cheapest(
+        &self,
+        choices: &[TargetKey],
+        cost: impl Fn(TargetKey) -> Option<Cost>,
+    ) -> Option<TargetKey> {
+        let (mut best, mut usually_best) = (None, None);
+        for key in choices {
+            if let Some(cost) = cost(*key) {
+                keep_lowest(&mut best, cost.total(), *key);
+                keep_lowest(&mut usually_best, cost.usual(), *key);
+            }
+        }
+        let (best, usually_best) = (best?.1, usually_best?.1);
+        if best == usually_best || self.is_local(best) || !self.is_local(usually_best) {
+            return Some(best);
+        }
+        let mut best_local = None;
+        for key in choices.iter().filter(|key| self.is_local(**key)) {
+            if let Some(cost) = cost(*key) {
+                keep_lowest(&mut best_local, cost.total(), *key);
+            }
+        }
+        best_local.map(|(_, key)| key)
     }
 
     /// Returns the targets with room that a request may use without moving too much of a region's
@@ -216,7 +250,7 @@
             let queued = (self.load(now, member) + 1.0
                 - slots * self.load_limit(now, member, position))
             .max(0.0);
-            Some(queued * member.service_time(now, stats.service_time) / slots)
+            Some(queued * member.current_service_time(now, stats.service_time) / slots)
         });
         let opens_in = choices.opens_in.map(|time| time.as_secs_f64());
         let shortest = wait_times.chain(opens_in).min_by(f64::total_cmp);
--- a/src/steer/fleet/sharing.rs
+++ b/src/steer/fleet/sharing.rs
@@ -210,7 +210,8 @@
         }
         for key in keys {
             let is_full = self.members.get(key).is_some_and(|member| {
-                let limit = f64::from(member.registration.slots) * self.max_load_factor(member);
+                let limit =
+                    f64::from(member.registration.slots) * self.max_load_factor(now, member);
                 self.load(now, member) >= limit
             });
             if let Some(member) = self.members.get_mut(key).filter(|_| is_full) {
@@ -222,7 +223,7 @@
     /// Returns the current maximum load of a target in multiples of its slots, for a request at a
     /// position among those that share its capacity.
     pub(super) fn load_limit(&self, now: Instant, member: &Member, position: Position) -> f64 {
-        let usual = self.max_load_factor(member);
+        let usual = self.max_load_factor(now, member);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < FULL_TIME;
         if member.full_at.is_some_and(is_recent) {
             position.load_limit(usual)
--- a/tests/fair_share.rs
+++ b/tests/fair_share.rs
@@ -233,6 +233,7 @@
                 running: requests.min(4),
                 waiting: requests.saturating_sub(4),
                 slots: 4,
+                slowdown: None,
             }),
             ..Observation::default()
         };
