Log the account of a refusal beyond its quota

Refusals over-quota named the account only within the text of `detail`, so they could not be counted by account.

--- a/src/host/admission.rs
+++ b/src/host/admission.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// The account whose quota is used up, otherwise empty.
+    pub(crate) fn account_over_quota(&self) -> &str {
+        match self {
+            Self::OverQuota { account, .. } => account,
+            _ => "",
+        }
+    }
+
     /// The response for the caller.
     pub(crate) fn response(&self, host: &Host) -> Response<Body> {
         match self {
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -12,6 +12,7 @@
 use super::admission::{admit, Admitted, Charge};
 use super::body::{self, Body, BodyError};
 use super::exchange::{self, Buffered, Exchange};
+use super::request_log::Rejection;
 use super::{answer, now, relay, request_log, serve, startup, Error, Host};
 use crate::inventory::Route;
 use crate::port::Head;
@@ -61,7 +62,12 @@
     }
     let limits = host.core.borrow().table.limits();
     let reject = |parts: &request::Parts, response: Response<Body>, reason, detail: &str| {
-        request_log::log_rejected(host, parts, started_at, response.status(), reason, detail);
+        let rejection = Rejection {
+            reason,
+            detail,
+            account: "",
+        };
+        request_log::log_rejected(host, parts, started_at, response.status(), rejection);
         response
     };
     let Some(limits) = limits else {
@@ -111,7 +117,14 @@
         Ok(admitted) => admitted,
         Err(error) => {
             let detail = error.to_string();
-            return reject(&parts, error.response(host), error.reason(), &detail);
+            let response = error.response(host);
+            let rejection = Rejection {
+                reason: error.reason(),
+                detail: &detail,
+                account: error.account_over_quota(),
+            };
+            request_log::log_rejected(host, &parts, started_at, response.status(), rejection);
+            return response;
         }
     };
     let fingerprint = compute_fingerprint(&site, &parts, &head, &admitted, &body);
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -216,14 +216,22 @@
     });
 }
 
+/// Why a request was answered before a target was chosen.
+#[derive(Clone, Copy)]
+pub(crate) struct Rejection<'a> {
+    pub(crate) reason: &'a str,
+    pub(crate) detail: &'a str,
+    /// The account whose quota is used up, otherwise empty.
+    pub(crate) account: &'a str,
+}
+
 /// Logs a request that was answered before a target was chosen.
 pub(crate) fn log_rejected(
     host: &Host,
     parts: &request::Parts,
     started_at: Instant,
     status: StatusCode,
-    reason: &str,
-    detail: &str,
+    rejection: Rejection<'_>,
 ) {
     let Some(left_out) = host.log_limits.borrow_mut().take(now(), Event::Rejected) else {
         return;
@@ -234,8 +242,9 @@
         event = Event::Rejected.as_str(),
         id = head.id.as_deref().unwrap_or_default(),
         status = status.as_u16(),
-        reason,
-        detail,
+        reason = rejection.reason,
+        detail = rejection.detail,
+        account = rejection.account,
         name = name.and_then(Result::ok).unwrap_or_default(),
         path = parts.uri.path(),
         total_ms = now().saturating_duration_since(started_at).as_millis() as u64,
