Number of holders of an object by the demand for it

A request could use four targets, so that an object with more demand than these can serve was refused while most targets were idle. Each host now estimates the demand for the most requested objects in its region and uses as many targets as it needs, the first ones by hash; if these are full, the next ones. Requests for a popular object leave a region one by one instead of all at once. Switch: `copies`.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -9,7 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use super::Error;
-use crate::steer::fleet::TargetEstimate;
+use crate::steer::fleet::{PopularObjects, TargetEstimate};
 
 /// Bounds of latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 16] = [
@@ -45,6 +45,8 @@
     leaving: Gauge<u64>,
     rest: Gauge<f64>,
     reaches_targets: Gauge<u64>,
+    popular_objects: Gauge<u64>,
+    popular_holders: Gauge<u64>,
 }
 
 /// The measurements of one completed request.
@@ -102,6 +104,8 @@
             hosts: meter.u64_gauge("ragwortfold_hosts").build(),
             rest: meter.f64_gauge("ragwortfold_target_rest_seconds").build(),
             leaving: meter.u64_gauge("ragwortfold_target_leaving").build(),
+            popular_objects: meter.u64_gauge("ragwortfold_popular_objects").build(),
+            popular_holders: meter.u64_gauge("ragwortfold_popular_holders").build(),
             reaches_targets: meter.u64_gauge("ragwortfold_reaches_targets").build(),
             registry,
             _provider: provider,
@@ -183,6 +187,13 @@
         self.rate.record(rate, &labels);
     }
 
+    /// Sets the number of popular objects of a service, and the sum of their holders.
+    pub(crate) fn set_popular_objects(&self, popular: &PopularObjects<'_>) {
+        let labels = [label("service", popular.service)];
+        self.popular_objects.record(popular.objects as u64, &labels);
+        self.popular_holders.record(popular.holders as u64, &labels);
+    }
+
     /// Sets the time since the last update of some kind of data.
     pub(crate) fn set_age(&self, of: &'static str, age: Duration) {
         self.age
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -42,6 +42,9 @@
     for belief in core.fleet.estimates(now) {
         metrics.set_target_estimate(&belief);
     }
+    for popular in core.fleet.popular_objects(now) {
+        metrics.set_popular_objects(&popular);
+    }
     for (kind, at) in &core.confirmed_at {
         metrics.set_age(kind.as_str(), now.saturating_duration_since(*at));
     }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -17,6 +17,7 @@
 mod cost;
 mod member;
 mod object_locations;
+mod popularity;
 mod ranking;
 mod rate_limit;
 mod reach;
@@ -36,6 +37,7 @@
 use self::cold::FleetHost;
 use self::member::{process_digest, LoadReport};
 use self::object_locations::ObjectLocations;
+use self::popularity::Popularity;
 use self::ranking::Rankings;
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
@@ -50,6 +52,7 @@
 
 pub use self::cold_checks::{CHECKERS_PER_TARGET, MAX_CHECK_FACTOR, MIN_CHECKS};
 pub use self::member::{Load, Member, TargetEstimate};
+pub use self::popularity::PopularObjects;
 pub use self::rate_limit::Permission;
 pub use self::switches::Switches;
 
@@ -144,6 +147,8 @@
     /// Statistics of each service's targets in each region.
     region_stats: BTreeMap<Arc<str>, BTreeMap<Arc<str>, RegionStats>>,
     object_locations: ObjectLocations,
+    /// Demand for the most requested objects, by service.
+    popularities: BTreeMap<Arc<str>, Popularity>,
     key_allocator: TargetKeyAllocator,
     ids: BTreeMap<Arc<str>, TargetKey>,
     members: BTreeMap<TargetKey, Member>,
@@ -171,6 +176,8 @@
     query_count: u64,
     /// All live hosts including this one; empty while they are not known.
     live_hosts: Vec<FleetHost>,
+    /// Number of live hosts of the own region; zero while they are not known.
+    region_host_count: usize,
     /// Number of hosts, live or not, once received from the store or another host.
     reported_host_count: Option<usize>,
     /// Number of lapsed targets by service.
@@ -206,11 +213,13 @@
             service_stats: BTreeMap::new(),
             region_stats: BTreeMap::new(),
             object_locations: ObjectLocations::new(now),
+            popularities: BTreeMap::new(),
             cold_rates: BTreeMap::new(),
             latency_goals: BTreeMap::new(),
             caller_share: None,
             max_cold_hosts: (cold_burst as usize).max(1),
             live_hosts: Vec::new(),
+            region_host_count: 0,
             reported_host_count: None,
             last_checked: None,
             throttle: Throttle::new(),
@@ -459,6 +468,7 @@
 
     /// Counts a request at the target that was selected for it until [`Fleet::finish`].
     pub fn begin(&mut self, now: Instant, query: &TargetQuery<'_>, chosen: TargetKey) {
+        self.record_demand(now, query);
         if let Some(member) = self.members.get_mut(&chosen) {
             // Requests that are bound to regions are no measure of the drift of the others.
             let drift = self.drifts.get_mut(query.service);
@@ -475,6 +485,8 @@
     /// Describes the first choices of a request and their estimated load, for the log.
     pub fn describe_choices(&self, now: Instant, query: &TargetQuery<'_>) -> String {
         let choices = self.first_choices(now, query);
+        let holders = self.holder_count(now, query);
+        let holders = holders.map(|holders| format!("popular object with {holders} holders"));
         let descriptions = choices.keys().filter_map(|key| {
             let member = self.members.get(&key)?;
             let report = member.report.map_or("never".into(), |report| {
@@ -492,6 +504,7 @@
                 member.in_flight,
             ))
         });
+        let descriptions = descriptions.chain(holders);
         descriptions.collect::<Vec<_>>().join("; ")
     }
 
--- a/src/steer/fleet/admission.rs
+++ b/src/steer/fleet/admission.rs
@@ -34,11 +34,16 @@
         self.late_share += (value - self.late_share) * LATE_WEIGHT;
     }
 
+    /// Returns how far late answers reduce the limit, from 0 to 1.
+    pub(super) fn reduction(&self) -> f64 {
+        let reduction = (self.late_share - LATE_SHARE_LOW) / (LATE_SHARE_HIGH - LATE_SHARE_LOW);
+        reduction.clamp(0.0, 1.0)
+    }
+
     /// Returns the current maximum load of a target in multiples of its slots. `overload` is the
     /// overload of the target's region, from 0 to 1.
     pub(super) fn max_load_factor(&self, overload: f64) -> f64 {
-        let reduction = ((self.late_share - LATE_SHARE_LOW) / (LATE_SHARE_HIGH - LATE_SHARE_LOW))
-            .clamp(overload, 1.0);
+        let reduction = self.reduction().max(overload);
         MAX_LOAD_FACTOR - (MAX_LOAD_FACTOR - MIN_LOAD_FACTOR) * reduction
     }
 }
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -86,7 +86,7 @@
 struct Inconclusive;
 
 /// Reasons for which otherwise usable targets of a service are skipped.
-struct Exclusions {
+pub(super) struct Exclusions {
     /// Maximum time without an answer.
     silence_limit: Option<Duration>,
     /// Whether targets that are missing in the store are skipped.
@@ -95,7 +95,7 @@
 
 impl Exclusions {
     /// Whether none of the reasons applies to a target.
-    fn admits(&self, now: Instant, member: &Member) -> bool {
+    pub(super) fn admits(&self, now: Instant, member: &Member) -> bool {
         let is_missing = self.excludes_lapsed && member.lapsed_until.is_some();
         !(is_missing || member.is_silent(now, self.silence_limit) || member.is_unreachable(now))
     }
@@ -112,6 +112,7 @@
     ) -> Result<(TargetKey, Assignment), Refusal> {
         self.ensure_ranking(query);
         self.refresh_slot_count(now, query);
+        let holders = self.prepare_holders(now, query);
         let choices = self.first_choices(now, query);
         let first = [choices.local, choices.remote];
         if first == [None; 2] {
@@ -121,18 +122,36 @@
             });
         }
         let has_no_local = choices.local.is_none() && !choices.is_local_closed;
-        let (local_slots, overflow) = (choices.local_slots, choices.overflow);
-        let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
-        choices.extend(self.caching_targets(now, query, &first));
-        choices.retain(|key| self.has_room(now, *key));
+        let (local_slots, mut overflow) = (choices.local_slots, choices.overflow);
+        let popular = holders.map(|holders| self.popular_choices(now, query, holders));
+        let popular = popular.filter(|popular| !popular.targets.is_empty());
+        let is_popular = popular.is_some();
+        let mut choices = if let Some(popular) = popular {
+            overflow.extend(popular.overflow);
+            popular.targets
+        } else {
+            let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
+            choices.extend(self.caching_targets(now, query, &first));
+            choices.retain(|key| self.has_room(now, *key));
+            choices
+        };
         if self.switches.drift == Switch::On && !has_no_local {
             choices = self.limit_drift(now, query, choices, local_slots);
         }
         choices
             .into_iter()
-            .map(|key| (self.cost(now, key, query, is_connected(key)), key))
-            .min_by(|(one, _), (other, _)| one.total_cmp(other))
-            .map(|(_, key)| {
+            .map(|key| {
+                let cost = self.cost(now, key, query, is_connected(key));
+                // The holders of a popular object have the same cost while none has a queue.
+                let load = if is_popular {
+                    self.load_share(now, key)
+                } else {
+                    0.0
+                };
+                (cost, load, key)
+            })
+            .min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.total_cmp(&other.1)))
+            .map(|(_, _, key)| {
                 let is_overflow = overflow.contains(&key);
                 (
                     key,
@@ -158,11 +177,12 @@
     ) -> Vec<TargetKey> {
         let (local, remote): (Vec<_>, Vec<_>) =
             choices.iter().partition(|key| self.is_local(**key));
+        let drift_key = self.drift_key(now, query);
         let drift = self.drift(now, query.service);
         let has_lost = drift.detect_slot_loss(now, local_slots);
         if remote.is_empty() || (local.is_empty() && has_lost) {
             choices
-        } else if !local.is_empty() && drift.has_to_leave(now, query.affinity_key) {
+        } else if !local.is_empty() && drift.has_to_leave(now, drift_key) {
             remote
         } else if drift.may_leave(now) {
             choices
@@ -366,7 +386,7 @@
     /// If only a few targets are missing in the store they have more likely left than lapsed by an
     /// outage of the store. Hosts that lost the store can't distinguish the two cases, and targets
     /// that have left should receive no requests until it is known whether they return.
-    fn exclusions(&self, service: &str) -> Exclusions {
+    pub(super) fn exclusions(&self, service: &str) -> Exclusions {
         let lapsed = self.lapsed_counts.get(service).copied().unwrap_or_default();
         let count = self.services.get(service).map_or(0, Vec::len);
         Exclusions {
@@ -486,7 +506,7 @@
     }
 
     /// Whether a target's load is below the admission limit.
-    fn has_room(&self, now: Instant, key: TargetKey) -> bool {
+    pub(super) fn has_room(&self, now: Instant, key: TargetKey) -> bool {
         if self.switches.early_refusal == Switch::Off {
             return true;
         }
--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -60,6 +60,8 @@
             .into_iter()
             .map(|(name, region)| FleetHost::new(name, region))
             .collect();
+        let of_region = |host: &&FleetHost| host.region == self.region;
+        self.region_host_count = self.live_hosts.iter().filter(of_region).count();
     }
 
     /// Records that a target reports that it is cold. Returns whether this is a change. The target
--- a/src/steer/fleet/cost.rs
+++ b/src/steer/fleet/cost.rs
@@ -41,7 +41,7 @@
         let slots = f64::from(member.registration.slots.max(1));
         let wait = service_time * (self.load(now, member) + 1.0 - slots).max(0.0) / slots;
         let bytes = (query.body_bytes as f64 + stats.answer_bytes) * self.byte_cost(member);
-        let first_visit = if self.may_be_uncached(key, query) {
+        let first_visit = if self.may_be_uncached(now, key, query) {
             stats.first_visit_penalty()
         } else {
             0.0
@@ -51,9 +51,12 @@
 
     /// Whether the object of a request may be new to a target, as the target is not known to have
     /// it.
-    fn may_be_uncached(&self, key: TargetKey, query: &TargetQuery<'_>) -> bool {
+    fn may_be_uncached(&self, now: Instant, key: TargetKey, query: &TargetQuery<'_>) -> bool {
         let object = query.object.filter(|_| self.switches.warmth == Switch::On);
-        object.is_some_and(|object| !self.object_locations.is_holder(object, key))
+        object.is_some_and(|object| {
+            !self.object_locations.is_holder(object, key)
+                && !self.is_shared_holder(now, query.service, object, key)
+        })
     }
 
     /// Returns the cost of a byte to or from a target in seconds of waiting: links between
@@ -115,18 +118,24 @@
         };
         let service_time = (elapsed.as_secs_f64() - self.round_trip(member)).max(0.0);
         let (service, region) = (member.service().clone(), member.region.clone());
+        let is_first = observation.object.is_some_and(|object| {
+            !self.object_locations.is_holder(object, key)
+                && !self.is_shared_holder(now, &service, object, key)
+        });
+        let max_holders = observation
+            .object
+            .map_or(0, |object| self.max_holders(now, &service, object));
         let stats = self.service_stats.entry(service.clone()).or_default();
         stats.record_service_time(service_time);
         if let Some(bytes) = observation.body_bytes {
             stats.record_answer_bytes(bytes);
         }
         if let Some(object) = observation.object {
-            let is_first = !self.object_locations.is_holder(object, key);
             stats.record_visit(is_first, service_time);
             if let (false, Some(goal)) = (is_first, observation.goal) {
                 stats.admission.record_answer(elapsed > goal);
             }
-            self.object_locations.record(now, object, key);
+            self.object_locations.record(now, object, key, max_holders);
         }
         let mean = stats.service_time;
         let stats = self.region_stats_mut(service, region);
--- a/src/steer/fleet/object_locations.rs
+++ b/src/steer/fleet/object_locations.rs
@@ -25,6 +25,10 @@
 pub(super) struct ObjectLocations {
     recent: BTreeMap<u64, Holders>,
     previous: BTreeMap<u64, Holders>,
+    /// All holders of popular objects, the latest first, in two generations as well. Their number
+    /// is bounded by the counters of the demand.
+    popular: BTreeMap<u64, Vec<TargetKey>>,
+    previous_popular: BTreeMap<u64, Vec<TargetKey>>,
     rotated: Instant,
 }
 
@@ -33,6 +37,8 @@
         Self {
             recent: BTreeMap::new(),
             previous: BTreeMap::new(),
+            popular: BTreeMap::new(),
+            previous_popular: BTreeMap::new(),
             rotated: now,
         }
     }
@@ -48,16 +54,36 @@
 
     /// Whether a target is known to have an object.
     pub(super) fn is_holder(&self, object: u64, target: TargetKey) -> bool {
+        let is_one_of = |holders: &BTreeMap<u64, Vec<TargetKey>>| {
+            let holders = holders.get(&object);
+            holders.is_some_and(|holders| holders.contains(&target))
+        };
         self.holders(object).any(|holder| holder == target)
+            || is_one_of(&self.popular)
+            || is_one_of(&self.previous_popular)
     }
 
-    /// Records that a target has handled an object.
-    pub(super) fn record(&mut self, now: Instant, object: u64, target: TargetKey) {
+    /// Records that a target has handled an object. A popular object has up to `max_holders`; zero
+    /// for others.
+    pub(super) fn record(
+        &mut self,
+        now: Instant,
+        object: u64,
+        target: TargetKey,
+        max_holders: usize,
+    ) {
         let age = now.saturating_duration_since(self.rotated);
         if self.recent.len() >= MAX_OBJECTS || age >= GENERATION_LIFETIME {
             self.previous = std::mem::take(&mut self.recent);
+            self.previous_popular = std::mem::take(&mut self.popular);
             self.rotated = now;
         }
+        if max_holders > 0 {
+            let holders = self.popular.entry(object).or_default();
+            holders.retain(|holder| *holder != target);
+            holders.insert(0, target);
+            holders.truncate(max_holders);
+        }
         let others = self.holders(object).filter(|other| *other != target);
         let mut holders = Holders::default();
         let kept = std::iter::once(target).chain(others);
--- a/src/steer/fleet/ranking.rs
+++ b/src/steer/fleet/ranking.rs
@@ -20,6 +20,9 @@
 const MAX_RANKED: usize = 8;
 /// Keys of a service in one generation; two generations are kept, some 1 MB.
 const MAX_KEYS: usize = 4096;
+/// Keys of popular objects of a service for which all targets are ranked: 80 KB each with 10,000
+/// targets.
+const MAX_COMPLETE: usize = 256;
 /// Lifetime of the slot count for each target that counting inspects, so that counting takes a
 /// constant share of processor time however many targets there are.
 const SLOT_COUNT_LIFETIME: Duration = Duration::from_micros(40);
@@ -36,16 +39,19 @@
     targets: Vec<TargetKey>,
     /// Whether the side has no other targets.
     is_complete: bool,
+    /// Maximum number of targets that are stored.
+    limit: usize,
 }
 
 impl RankedSide {
-    fn new(mut weights: Vec<(u64, TargetKey)>) -> Self {
-        let is_complete = weights.len() <= MAX_RANKED;
+    fn new(mut weights: Vec<(u64, TargetKey)>, limit: usize) -> Self {
+        let is_complete = weights.len() <= limit;
         weights.sort_unstable_by(|one, other| other.cmp(one));
-        weights.truncate(MAX_RANKED);
+        weights.truncate(limit);
         Self {
             targets: weights.into_iter().map(|(_, key)| key).collect(),
             is_complete,
+            limit,
         }
     }
 
@@ -95,6 +101,8 @@
 pub(super) struct Rankings {
     recent: BTreeMap<u64, Ranking>,
     previous: BTreeMap<u64, Ranking>,
+    /// Rankings of all targets, for the keys of popular objects.
+    complete: BTreeMap<u64, Ranking>,
     slot_count: Option<SlotCount>,
 }
 
@@ -111,7 +119,13 @@
     }
 
     fn all_mut(&mut self) -> impl Iterator<Item = (&u64, &mut Ranking)> {
-        self.recent.iter_mut().chain(&mut self.previous)
+        let stored = self.recent.iter_mut().chain(&mut self.previous);
+        stored.chain(&mut self.complete)
+    }
+
+    /// Returns the ranking of all targets for the key of a popular object.
+    pub(super) fn complete(&self, key: u64) -> Option<&Ranking> {
+        self.complete.get(&key)
     }
 }
 
@@ -130,6 +144,33 @@
         if known.is_some_and(|known| !known.local.is_depleted() && !known.remote.is_depleted()) {
             return;
         }
+        let ranking = self.compute_ranking(query, MAX_RANKED);
+        let rankings = self.rankings.entry(query.service.clone()).or_default();
+        rankings.insert(query.affinity_key, ranking);
+    }
+
+    /// Returns the ranking of all targets for a request's key, if its object is popular.
+    pub(super) fn complete_ranking(&self, query: &TargetQuery<'_>) -> Option<&Ranking> {
+        self.rankings
+            .get(query.service)?
+            .complete(query.affinity_key)
+    }
+
+    /// Ranks all targets for a request's key unless that is stored.
+    pub(super) fn ensure_complete_ranking(&mut self, query: &TargetQuery<'_>) {
+        if self.complete_ranking(query).is_some() {
+            return;
+        }
+        let ranking = self.compute_ranking(query, usize::MAX);
+        let rankings = self.rankings.entry(query.service.clone()).or_default();
+        if rankings.complete.len() >= MAX_COMPLETE {
+            rankings.complete.clear();
+        }
+        rankings.complete.insert(query.affinity_key, ranking);
+    }
+
+    /// Ranks the targets of a service for a request's key, with up to `limit` targets a side.
+    fn compute_ranking(&self, query: &TargetQuery<'_>, limit: usize) -> Ranking {
         let (mut local, mut remote) = (Vec::new(), Vec::new());
         for key in self.services.get(query.service).into_iter().flatten() {
             self.inspected.set(self.inspected.get() + 1);
@@ -142,12 +183,10 @@
                 side.push((rendezvous_weight(query.affinity_key, member.id_hash), *key));
             }
         }
-        let ranking = Ranking {
-            local: RankedSide::new(local),
-            remote: RankedSide::new(remote),
-        };
-        let rankings = self.rankings.entry(query.service.clone()).or_default();
-        rankings.insert(query.affinity_key, ranking);
+        Ranking {
+            local: RankedSide::new(local, limit),
+            remote: RankedSide::new(remote, limit),
+        }
     }
 
     /// Inserts a target that has joined into the cached rankings.
@@ -169,9 +208,9 @@
             });
             // Behind the last cached target there may be uncached ones that come before it.
             if position < side.targets.len() || side.is_complete {
-                side.is_complete &= side.targets.len() < MAX_RANKED;
+                side.is_complete &= side.targets.len() < side.limit;
                 side.targets.insert(position, target);
-                side.targets.truncate(MAX_RANKED);
+                side.targets.truncate(side.limit);
             }
         }
     }
--- a/src/steer/fleet/service_stats.rs
+++ b/src/steer/fleet/service_stats.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Returns the service time of objects that the target has cached, in seconds; that of all
+    /// requests until it is known.
+    pub(super) fn repeat_time(&self) -> f64 {
+        self.repeat_visit.unwrap_or(self.service_time)
+    }
+
     /// Returns the peak service time over the last few hundred answers, in seconds; `None` until
     /// there were enough.
     pub(super) fn longest_service_time(&self) -> Option<f64> {
--- a/src/steer/fleet/switches.rs
+++ b/src/steer/fleet/switches.rs
@@ -36,6 +36,8 @@
     pub few_hosts: Switch,
     /// Refused callers retry when there may be room; off: after a fixed time.
     pub room_pause: Switch,
+    /// Popular objects have as many holders as their demand needs.
+    pub copies: Switch,
 }
 
 impl Default for Switches {
@@ -56,6 +58,7 @@
             strength: on,
             few_hosts: on,
             room_pause: on,
+            copies: on,
         }
     }
 }
--- a/tests/replay/mod.rs
+++ b/tests/replay/mod.rs
@@ -64,6 +64,8 @@
     pub cache_size: usize,
     /// Number of distinct objects that are requested from each region.
     pub objects: u64,
+    /// Exponent of Zipf's law by which objects are requested; `None`: all are requested alike.
+    pub zipf_exponent: Option<f64>,
     /// Requests a second from each region.
     pub rate: f64,
     /// Time within which an answer counts as in time, and time after which a host cancels the request.
@@ -92,6 +94,7 @@
             cached_time: Duration::from_millis(144),
             cache_size: 74,
             objects: 60,
+            zipf_exponent: None,
             rate: 60.0,
             goal: Duration::from_millis(400),
             deadline: Duration::from_millis(2500),
@@ -261,6 +264,12 @@
     rng: Pcg64Mcg,
     /// Requests a second from each region.
     request_rates: Vec<f64>,
+    /// Sums of the shares of the objects up to each one, if they differ.
+    popularity: Vec<f64>,
+    /// Added to the rank of a popular object, so that others become popular.
+    popularity_offset: u64,
+    /// Number of requests that ran without their object in the target's cache.
+    pub first_visits: u32,
     /// Number of datagrams that hosts sent each other.
     datagrams: u64,
 }
@@ -278,6 +287,9 @@
             event_count: 0,
             rng: Pcg64Mcg::seed_from_u64(scenario.seed),
             request_rates: vec![scenario.rate; scenario.targets.len()],
+            popularity: cumulative_shares(&scenario),
+            popularity_offset: 0,
+            first_visits: 0,
             datagrams: 0,
             scenario,
         };
@@ -673,7 +685,7 @@
                 .min_by_key(|host_index| host_index.abs_diff(host))
                 .unwrap();
         }
-        let object = region as u64 * 1_000_000 + self.rng.random_range(0..self.scenario.objects);
+        let object = region as u64 * 1_000_000 + self.draw_object();
         self.requests.push(Request {
             host,
             object,
@@ -690,6 +702,22 @@
         self.send_request(self.requests.len() - 1);
     }
 
+    /// Returns a random object, by their popularity.
+    fn draw_object(&mut self) -> u64 {
+        let objects = self.scenario.objects;
+        if self.popularity.is_empty() {
+            return self.rng.random_range(0..objects);
+        }
+        let draw = self.rng.random_range(0.0..1.0);
+        let rank = self.popularity.partition_point(|share| *share < draw) as u64;
+        (rank + self.popularity_offset) % objects
+    }
+
+    /// Makes other objects popular: each takes the rank of the one `offset` before it.
+    pub fn move_popularity(&mut self, offset: u64) {
+        self.popularity_offset += offset;
+    }
+
     /// Sends a datagram to another host; it is lost if one of them is isolated.
     fn send_datagram(&mut self, from: usize, to: usize, event: Event) {
         self.datagrams += 1;
@@ -956,6 +984,7 @@
             Mode::Slow(factor) => factor,
             _ => 1.0,
         };
+        self.first_visits += u32::from(cached_at.is_none());
         let service_time = if cached_at.is_some() {
             self.scenario.cached_time
         } else {
@@ -1081,6 +1110,21 @@
     }
 }
 
+/// Returns the sums of the shares of requests of the objects up to each one, by Zipf's law.
+fn cumulative_shares(scenario: &Scenario) -> Vec<f64> {
+    let Some(exponent) = scenario.zipf_exponent else {
+        return Vec::new();
+    };
+    let weights = (1..=scenario.objects).map(|rank| (rank as f64).powf(-exponent));
+    let total: f64 = weights.clone().sum();
+    weights
+        .scan(0.0, |sum, weight| {
+            *sum += weight / total;
+            Some(*sum)
+        })
+        .collect()
+}
+
 /// Returns the hash that identifies an object to the fleet.
 fn hash_object(object: u64) -> u64 {
     xxhash_rust::xxh3::xxh3_64(&object.to_le_bytes())
