--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -88,7 +88,7 @@
 struct Inconclusive;
 
 /// Reasons for which otherwise usable targets of a service are skipped.
-struct Exclusions {
+pub(super) struct Exclusions {
     /// Maximum time without an answer.
     silence_limit: Option<Duration>,
     /// Whether targets that are missing in the store are skipped.
@@ -97,7 +97,7 @@
 
 impl Exclusions {
     /// Whether none of the reasons applies to a target.
-    fn admits(&self, now: Instant, member: &Member) -> bool {
+    pub(super) fn admits(&self, now: Instant, member: &Member) -> bool {
         let is_missing = self.excludes_lapsed && member.lapsed_until.is_some();
         !(is_missing || member.is_silent(now, self.silence_limit) || member.is_unreachable(now))
     }
@@ -122,6 +122,7 @@
     ) -> Result<(TargetKey, Assignment), Refusal> {
         self.ensure_ranking(query);
         self.refresh_slot_count(now, query);
+        let holders = self.prepare_holders(now, query);
         let choices = self.first_choices(now, query);
         let first = [choices.local, choices.remote];
         if first == [None; 2] {
@@ -131,11 +132,28 @@
             });
         }
         let has_no_local = choices.local.is_none() && !choices.is_local_closed;
-        let (local_slots, overflow) = (choices.local_slots, choices.overflow);
-        let mut choices: Vec<TargetKey> = first.into_iter().flatten().collect();
-        choices.extend(self.caching_targets(now, query, &first));
-        self.record_full_targets(now, &choices);
-        choices.retain(|key| self.has_room(now, *key, position));
+        let (local_slots, mut overflow) = (choices.local_slots, choices.overflow);
+        let mut usable: Vec<TargetKey> = first.into_iter().flatten().collect();
+        let popular = holders.map(|holders| self.popular_choices(now, query, position, holders));
+        let mut choices = match popular.filter(|popular| !popular.targets.is_empty()) {
+            Some(mut popular) => {
+                self.record_full_targets(now, &usable);
+                overflow.extend(popular.overflow);
+                // The holders of a popular object have the same cost while none has a queue.
+                let by_load = |one: &TargetKey, other: &TargetKey| {
+                    let [one, other] = [one, other].map(|key| self.load_share(now, *key));
+                    one.total_cmp(&other)
+                };
+                popular.targets.sort_by(by_load);
+                popular.targets
+            }
+            None => {
+                usable.extend(self.caching_targets(now, query, &first));
+                self.record_full_targets(now, &usable);
+                usable.retain(|key| self.has_room(now, *key, position));
+                usable
+            }
+        };
         if self.switches.drift == Switch::On && !has_no_local {
             choices = self.limit_drift(now, query, choices, local_slots);
         }
@@ -195,11 +213,12 @@
     ) -> Vec<TargetKey> {
         let (local, remote): (Vec<_>, Vec<_>) =
             choices.iter().partition(|key| self.is_local(**key));
+        let drift_key = self.drift_key(now, query);
         let drift = self.drift(now, query.service);
         let has_lost = drift.detect_slot_loss(now, local_slots);
         if remote.is_empty() || (local.is_empty() && has_lost) {
             choices
-        } else if !local.is_empty() && drift.has_to_leave(now, query.affinity_key) {
+        } else if !local.is_empty() && drift.has_to_leave(now, drift_key) {
             remote
         } else if drift.may_leave(now) {
             choices
@@ -405,7 +424,7 @@
     /// If only a few targets are missing in the store they have more likely left than lapsed by an
     /// outage of the store. Hosts that lost the store can't distinguish the two cases, and targets
     /// that have left should receive no requests until it is known whether they return.
-    fn exclusions(&self, service: &str) -> Exclusions {
+    pub(super) fn exclusions(&self, service: &str) -> Exclusions {
         let lapsed = self.lapsed_counts.get(service).copied().unwrap_or_default();
         let count = self.services.get(service).map_or(0, Vec::len);
         Exclusions {
@@ -525,7 +544,7 @@
     }
 
     /// Whether a target's load is below the admission limit of a request.
-    fn has_room(&self, now: Instant, key: TargetKey, position: Position) -> bool {
+    pub(super) fn has_room(&self, now: Instant, key: TargetKey, position: Position) -> bool {
         if self.switches.early_refusal == Switch::Off {
             return true;
         }
--- a/src/steer/fleet/cost.rs
+++ b/src/steer/fleet/cost.rs
@@ -64,7 +64,7 @@
         let stats = self.stats(query.service);
         let round_trip = self.round_trip(member);
         let service_time = member.current_service_time(now, stats.service_time);
-        let may_be_uncached = self.may_be_uncached(key, query);
+        let may_be_uncached = self.may_be_uncached(now, key, query);
         let slots = f64::from(member.registration.slots.max(1));
         Some(Cost {
             round_trip,
@@ -82,9 +82,12 @@
 
     /// Whether the object of a request may be new to a target, as the target is not known to have
     /// it.
-    fn may_be_uncached(&self, key: TargetKey, query: &TargetQuery<'_>) -> bool {
+    fn may_be_uncached(&self, now: Instant, key: TargetKey, query: &TargetQuery<'_>) -> bool {
         let object = query.object.filter(|_| self.switches.warmth == Switch::On);
-        object.is_some_and(|object| !self.object_locations.is_holder(object, key))
+        object.is_some_and(|object| {
+            !self.object_locations.is_holder(object, key)
+                && !self.is_shared_holder(now, query.service, object, key)
+        })
     }
 
     /// Returns the cost of a byte to or from a target in seconds of waiting: links between
@@ -148,13 +151,19 @@
         let slowdown = self.reported_slowdown(observation.load);
         let usual_time = service_time / slowdown.unwrap_or(1.0);
         let (service, region) = (member.service().clone(), member.region.clone());
+        let is_first = observation.object.is_some_and(|object| {
+            !self.object_locations.is_holder(object, key)
+                && !self.is_shared_holder(now, &service, object, key)
+        });
+        let max_holders = observation
+            .object
+            .map_or(0, |object| self.max_holders(now, &service, object));
         let stats = self.service_stats.entry(service.clone()).or_default();
         stats.record_service_time(service_time, usual_time);
         if let Some(bytes) = observation.body_bytes {
             stats.record_answer_bytes(bytes);
         }
         if let Some(object) = observation.object {
-            let is_first = !self.object_locations.is_holder(object, key);
             stats.record_visit(is_first, usual_time);
             if let (false, Some(goal)) = (is_first, observation.goal) {
                 // A slow period makes answers late whatever the queue.
@@ -164,7 +173,7 @@
                 };
                 stats.admission.record_answer(usual_elapsed > goal);
             }
-            self.object_locations.record(now, object, key);
+            self.object_locations.record(now, object, key, max_holders);
         }
         let mean = stats.service_time;
         let stats = self.region_stats_mut(service, region);
--- a/src/steer/fleet/switches.rs
+++ b/src/steer/fleet/switches.rs
@@ -38,6 +38,8 @@
     pub room_pause: Switch,
     /// The current speed that targets report is taken into account.
     pub speed: Switch,
+    /// Popular objects have as many holders as their demand needs.
+    pub copies: Switch,
 }
 
 impl Default for Switches {
@@ -59,6 +61,7 @@
             few_hosts: on,
             room_pause: on,
             speed: on,
+            copies: on,
         }
     }
 }
