Holders by demand only for objects that load a target more than others do

Flat objects got second holders while all targets were busy. Change: an object is popular if it fills more slots of a target than the mean load that the region's targets report; the search is bounded; answers of holders not known here are no samples; substitutes overflow; times are divided by 0.5 to 4 at most.

--- a/src/steer/fleet/admission.rs
+++ b/src/steer/fleet/admission.rs
@@ -35,7 +35,7 @@
     }
 
     /// Returns how far late answers reduce the limit, from 0 to 1.
-    pub(super) fn reduction(&self) -> f64 {
+    fn reduction(&self) -> f64 {
         let reduction = (self.late_share - LATE_SHARE_LOW) / (LATE_SHARE_HIGH - LATE_SHARE_LOW);
         reduction.clamp(0.0, 1.0)
     }
--- a/src/steer/fleet/cost.rs
+++ b/src/steer/fleet/cost.rs
@@ -21,6 +21,11 @@
 /// Cost of a byte between regions, in seconds of waiting.
 const REGION_BYTE_COST_S: f64 = 2.2e-6;
 
+/// Bounds of the slowdown by which measured times are divided, so that wrong reports of one target
+/// do not distort the means of its service.
+const MIN_CORRECTION: f64 = 0.5;
+const MAX_CORRECTION: f64 = 4.0;
+
 /// Terms of the cost of a request at a target, in seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Cost {
@@ -149,12 +154,15 @@
         };
         let service_time = (elapsed.as_secs_f64() - self.round_trip(member)).max(0.0);
         let slowdown = self.reported_slowdown(observation.load);
-        let usual_time = service_time / slowdown.unwrap_or(1.0);
+        let usual_time = service_time
+            / slowdown.map_or(1.0, |slowdown| {
+                slowdown.clamp(MIN_CORRECTION, MAX_CORRECTION)
+            });
         let (service, region) = (member.service().clone(), member.region.clone());
-        let is_first = observation.object.is_some_and(|object| {
-            !self.object_locations.is_holder(object, key)
-                && !self.is_shared_holder(now, &service, object, key)
-        });
+        let object = observation.object;
+        let is_known = object.is_some_and(|object| self.object_locations.is_holder(object, key));
+        let is_shared =
+            object.is_some_and(|object| self.is_shared_holder(now, &service, object, key));
         let max_holders = observation
             .object
             .map_or(0, |object| self.max_holders(now, &service, object));
@@ -164,14 +172,17 @@
             stats.record_answer_bytes(bytes);
         }
         if let Some(object) = observation.object {
-            stats.record_visit(is_first, usual_time);
-            if let (false, Some(goal)) = (is_first, observation.goal) {
+            // Whether another host has sent a request for the object to a shared holder is not known.
+            if is_known || !is_shared {
+                stats.record_visit(!is_known, usual_time);
+            }
+            if let (true, Some(goal)) = (is_known, observation.goal) {
                 // A slow period makes answers late whatever the queue.
-                let usual_elapsed = match slowdown.filter(|slowdown| *slowdown > 1.0) {
-                    Some(slowdown) => elapsed.div_f64(slowdown),
-                    None => elapsed,
-                };
-                stats.admission.record_answer(usual_elapsed > goal);
+                let beyond_usual = (service_time - usual_time).max(0.0);
+                let usual_elapsed = elapsed.as_secs_f64() - beyond_usual;
+                stats
+                    .admission
+                    .record_answer(usual_elapsed > goal.as_secs_f64());
             }
             self.object_locations.record(now, object, key, max_holders);
         }
--- a/src/steer/fleet/popularity.rs
+++ b/src/steer/fleet/popularity.rs
@@ -35,9 +35,9 @@
 /// Share of their slots that the requests of a popular object may fill at its holders: the other
 /// slots serve other objects and fluctuations.
 const FILLED_SLOTS_SHARE: f64 = 0.4;
-/// Reduction of the holders for each unit by which the limit on queues is reduced: no object has
-/// several holders once 0.4 of the answers are late.
-const LATE_REDUCTION_SLOPE: f64 = 2.0;
+/// Targets that are inspected at most beyond twice the holders when none of them has room, so that a
+/// choice takes bounded time while all targets are full.
+const MAX_INSPECTED: usize = 8;
 /// Time for which an object keeps its holders after the demand has fallen: load peaks return, and
 /// each new holder costs a first visit.
 const HOLD_TIME: Duration = Duration::from_secs(3);
@@ -123,6 +123,8 @@
     time_per_slot: f64,
     /// Share of the region's requests that this host receives.
     caller_share: f64,
+    /// Number of targets whose permitted slots an object has to fill for several holders.
+    min_targets: f64,
     /// Upper bound of the number of holders.
     max_holders: usize,
 }
@@ -145,8 +147,14 @@
         };
         counter.count(now);
         let busy_targets = counter.rate() / demand.caller_share * demand.time_per_slot;
-        let needed = (busy_targets / FILLED_SLOTS_SHARE).ceil() as usize;
-        counter.update_holders(now, needed.clamp(1, demand.max_holders.max(1)));
+        let needed = if busy_targets > demand.min_targets {
+            (busy_targets / FILLED_SLOTS_SHARE).ceil() as usize
+        } else {
+            1
+        };
+        // Doubling bounds the first visits that a short burst can cause.
+        let max_holders = demand.max_holders.min(2 * counter.holders).max(1);
+        counter.update_holders(now, needed.clamp(1, max_holders));
     }
 
     /// Returns the counter of an object, which replaces the one with the lowest count if there is
@@ -215,6 +223,28 @@
     pub holders: usize,
 }
 
+impl PopularChoices {
+    /// Adds the target at a place of a ranking, if there is one.
+    fn add(&mut self, target: Option<(usize, TargetKey)>, holders: usize) {
+        let Some((place, key)) = target else {
+            return;
+        };
+        self.targets.push(key);
+        if assignment(place, holders) == Assignment::Overflow {
+            self.overflow.push(key);
+        }
+    }
+}
+
+/// Returns how the target at a place of a ranking serves a request for an object with `holders`.
+fn assignment(place: usize, holders: usize) -> Assignment {
+    if place < holders {
+        Assignment::Primary
+    } else {
+        Assignment::Overflow
+    }
+}
+
 /// How a request selects among the holders of one side of a ranking.
 #[derive(Clone, Copy, Debug)]
 struct Selection {
@@ -261,9 +291,15 @@
         let member = first.and_then(|key| self.members.get(key))?;
         let slots = f64::from(member.registration.slots.max(1));
         let hosts = self.region_host_count.max(1);
+        let caller_share = self.caller_share.filter(|share| *share > 0.0);
+        let stats = self.region_stats(member);
+        let mean_load = stats.map_or(0.0, |stats| stats.reported_load(now));
         let demand = Demand {
             time_per_slot: self.stats(query.service).repeat_time() / slots,
-            caller_share: self.caller_share.unwrap_or(1.0 / hosts as f64),
+            caller_share: caller_share.unwrap_or(1.0 / hosts as f64),
+            // An object that loads a target no more than the others do makes no hot spot. While all
+            // are busy, another holder would only add first visits.
+            min_targets: FILLED_SLOTS_SHARE.max(mean_load / slots),
             max_holders: self.services.get(query.service).map_or(1, Vec::len),
         };
         if !self.popularities.contains_key(query.service) {
@@ -282,10 +318,9 @@
         now: Instant,
         query: &TargetQuery<'_>,
     ) -> Option<usize> {
-        let holders = self.holder_count(now, query)? as f64;
-        let reduced = holders * (1.0 - self.late_reduction(query.service));
+        let holders = self.holder_count(now, query)?;
         self.ensure_complete_ranking(query);
-        Some((reduced.ceil() as usize).max(1))
+        Some(holders)
     }
 
     /// Whether popular objects may have several holders.
@@ -396,41 +431,24 @@
         let known = choices.targets.len();
         for position in sample_positions(selection.draw, holders, selection.samples) {
             // The next position takes the place of a holder that must not be used.
-            let mut places = ranked.iter().skip(position).step_by(holders);
-            let usable = places.find(|key| self.is_usable(now, query, **key, Assignment::Primary));
-            if let Some(key) = usable.filter(|key| self.has_room(now, **key, selection.position)) {
-                choices.targets.push(*key);
-            }
+            let places = [position, position + holders];
+            let usable = places
+                .into_iter()
+                .filter_map(|place| Some((place, *ranked.get(place)?)))
+                .find(|(place, key)| self.is_usable(now, query, *key, assignment(*place, holders)));
+            let with_room = usable.filter(|(_, key)| self.has_room(now, *key, selection.position));
+            choices.add(with_room, holders);
         }
         if choices.targets.len() > known {
             return;
         }
-        let max_other_load = 1.0 - self.late_reduction(query.service);
-        let with_room = ranked.iter().enumerate().find(|(position, key)| {
-            let assignment = if *position < holders {
-                Assignment::Primary
-            } else {
-                Assignment::Overflow
-            };
-            self.has_room(now, **key, selection.position)
-                && (*position < holders || self.load_share(now, **key) < max_other_load)
-                && self.is_usable(now, query, **key, assignment)
+        let inspected = ranked.iter().copied().take(2 * holders + MAX_INSPECTED);
+        let with_room = inspected.enumerate().find(|(place, key)| {
+            self.has_room(now, *key, selection.position)
+                && (*place < holders || self.load_share(now, *key) < 1.0)
+                && self.is_usable(now, query, *key, assignment(*place, holders))
         });
-        if let Some((position, key)) = with_room {
-            choices.targets.push(*key);
-            choices
-                .overflow
-                .extend((position >= holders).then_some(*key));
-        }
-    }
-
-    /// Returns by how much the holders of popular objects are reduced because answers are late,
-    /// from 0 to 1. While all targets are busy, another holder adds no capacity: its first visits
-    /// and its queue delay the requests for other objects. Without the reduction the share in time
-    /// at 2.7 times the load that is served in time fell from 0.34 to 0.13, with it to 0.30.
-    fn late_reduction(&self, service: &Arc<str>) -> f64 {
-        let reduction = self.stats(service).admission.reduction();
-        (reduction * LATE_REDUCTION_SLOPE).min(1.0)
+        choices.add(with_room, holders);
     }
 
     /// Returns the estimated load of a target as a share of its slots.
--- a/src/steer/fleet/region_stats.rs
+++ b/src/steer/fleet/region_stats.rs
@@ -72,10 +72,16 @@
 
     /// Returns how many requests of other hosts a target has that reported nothing lately.
     fn assumed_load(&self, now: Instant) -> f64 {
+        self.reported_load(now) * self.overload()
+    }
+
+    /// Returns the mean number of other hosts' requests that targets reported; it falls while there
+    /// are no reports.
+    pub(super) fn reported_load(&self, now: Instant) -> f64 {
         self.mean_load.map_or(0.0, |(mean, reported_at)| {
             let age = now.saturating_duration_since(reported_at);
             let weight = (1.0 - age.as_secs_f64() / MEAN_LIFETIME.as_secs_f64()).max(0.0);
-            mean * weight * self.overload()
+            mean * weight
         })
     }
 }
