Popular objects fill a third of the slots of their holders

Change: holders are filled to 0.33 in place of 0.4; an object is popular from 0.45 of one target's slots.

--- a/src/steer/fleet/popularity.rs
+++ b/src/steer/fleet/popularity.rs
@@ -34,7 +34,10 @@
 const FAST_COUNT_MARGIN: f64 = 1.0;
 /// Share of their slots that the requests of a popular object may fill at its holders: the other
 /// slots serve other objects and fluctuations.
-const FILLED_SLOTS_SHARE: f64 = 0.4;
+const FILLED_SLOTS_SHARE: f64 = 0.33;
+/// Share of the slots of one target that an object has to fill for several holders. An object that
+/// fills less gains less from a second holder than the first visits there cost.
+const MIN_POPULAR_SHARE: f64 = 0.45;
 /// Targets that are inspected at most beyond twice the holders when none of them has room, so that a
 /// choice takes bounded time while all targets are full.
 const MAX_INSPECTED: usize = 8;
@@ -123,7 +126,7 @@
     time_per_slot: f64,
     /// Share of the region's requests that this host receives.
     caller_share: f64,
-    /// Number of targets whose permitted slots an object has to fill for several holders.
+    /// Number of targets whose slots an object has to fill for several holders.
     min_targets: f64,
     /// Upper bound of the number of holders.
     max_holders: usize,
@@ -299,7 +302,7 @@
             caller_share: caller_share.unwrap_or(1.0 / hosts as f64),
             // An object that loads a target no more than the others do makes no hot spot. While all
             // are busy, another holder would only add first visits.
-            min_targets: FILLED_SLOTS_SHARE.max(mean_load / slots),
+            min_targets: MIN_POPULAR_SHARE.max(mean_load / slots),
             max_holders: self.services.get(query.service).map_or(1, Vec::len),
         };
         if !self.popularities.contains_key(query.service) {
