--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -55,7 +55,8 @@
     let mut description = String::new();
     for request in 0..WARM_UP_REQUESTS + REQUESTS {
         now += INTERVAL;
-        let is_popular = xxhash_rust::xxh3::xxh3_64(&request.to_le_bytes()) % POPULAR_ONE_IN == 0;
+        let draw = xxhash_rust::xxh3::xxh3_64(&request.to_le_bytes());
+        let is_popular = draw.is_multiple_of(POPULAR_ONE_IN);
         let object = if is_popular { 0 } else { request % OBJECTS + 1 };
         let key = xxhash_rust::xxh3::xxh3_64(&object.to_le_bytes());
         let query = TargetQuery {
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -87,7 +87,6 @@
             let gone_after =
                 max_proof_age.map_or(DEFAULT_GONE_AFTER, |age| age + presence::INTERVAL);
             Ledger::new(now, excess, region, regions.len(), gone_after)
-                .with_sharing(settings.sharing)
         });
         Self {
             ledger,
--- a/src/steer/allowance.rs
+++ b/src/steer/allowance.rs
@@ -9,10 +9,6 @@
 //! accounts with few requests, spread over many hosts, are not refused because one host holds less
 //! than a whole token.
 //!
-//! With [`Ledger::with_sharing`], a host's share follows the account's own requests at each host
-//! rather than the load of all accounts, and hosts borrow from each other's part of the refill as
-//! long as their copy of the bucket has tokens.
-//!
 //! Hosts that stop reporting are assumed to use their whole share of the bucket and of its refill
 //! until they time out, and meanwhile no region's share grows: hosts that are partitioned continue
 //! with the shares that they last agreed on, so the sum stays within the quota and its permitted
@@ -29,7 +25,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::account::{Account, Quota};
-use crate::border::settings::Switch;
 
 /// Interval of the usage reports within a region. What hosts admit between two reports has to stay
 /// within the excess that a window permits.
@@ -81,20 +76,6 @@
 /// Minimum load in requests a second that each host counts with when load shares are computed:
 /// requests arrive before rates reflect them.
 const MIN_LOAD: f64 = 1.0;
-/// With sharing: requests a second, divided by the hosts' loads of all accounts, that count in
-/// addition to an account's own requests when its tokens are divided, so that hosts where the
-/// account is new get some.
-const PRIOR_REQUEST_RATE: f64 = 2.0;
-/// With sharing: multiple of its share of the refill since the start of a report period that a host
-/// may use. The others report what they used within [`REPORT_INTERVAL`], so the sum is corrected.
-const REFILL_BORROWING: f64 = 6.0;
-/// With sharing: requests that a host may admit between two reports beyond its share, so that
-/// fractions of a token do not cause refusals.
-const ADMITS_BEYOND_SHARE: f64 = 1.0;
-/// With sharing: share of the refill that a copy with a whole token gets while the region receives
-/// more requests than are refilled. The hosts' copies of a bucket differ by lost reports and delays,
-/// and those without a token catch up by the difference.
-const SATURATED_REFILL: f64 = 0.8;
 /// Reports that repeat each change, since a datagram may be lost.
 const SENDS_PER_CHANGE: u8 = 2;
 /// Minimum retry delay of a caller beyond its quota: sooner, too few tokens would have been added.
@@ -271,11 +252,6 @@
     /// Requests that this host has admitted in the period, and the maximum that it may admit.
     period_admits: f64,
     max_period_admits: f64,
-    /// Start of the period, and requests a second by which `max_period_admits` grows since then.
-    period_started: Instant,
-    cap_growth: f64,
-    /// Whether the region receives more requests than are refilled, with sharing.
-    is_saturated: bool,
     /// Reports that still have to repeat the counts, within the region and to other regions.
     reports_due: [u8; 2],
     peers: BTreeMap<Arc<str>, PeerUsage>,
@@ -299,9 +275,6 @@
             period: u32::MAX,
             period_admits: 0.0,
             max_period_admits: 0.0,
-            period_started: now,
-            cap_growth: 0.0,
-            is_saturated: false,
             reports_due: [0; 2],
             peers: BTreeMap::new(),
         }
@@ -321,23 +294,11 @@
     /// Adds the refill since the last update and subtracts what other hosts are expected to admit.
     fn refill(&mut self, now: Instant, excess: &Excess) {
         let span = now.saturating_duration_since(self.updated).as_secs_f64();
-        let factor = if self.is_saturated && self.level >= 1.0 {
-            SATURATED_REFILL
-        } else {
-            1.0
-        };
-        let rate = self.refill_rate(excess) * factor - self.expected_rate;
-        let level = self.level + rate * span;
+        let level = self.level + (self.refill_rate(excess) - self.expected_rate) * span;
         self.level = level.min(self.capacity(excess));
         self.updated = now;
     }
 
-    /// Returns how many requests this host may admit in the current period, as of `now`.
-    fn current_cap(&self, now: Instant) -> f64 {
-        let span = now.saturating_duration_since(self.period_started);
-        self.max_period_admits + self.cap_growth * span.min(REPORT_INTERVAL).as_secs_f64()
-    }
-
     /// Returns the time until the bucket has one whole token.
     fn time_to_token(&self, excess: &Excess) -> Duration {
         let missing = (1.0 - self.level).max(0.0);
@@ -350,8 +311,6 @@
 #[derive(Debug)]
 pub struct Ledger {
     excess: Excess,
-    /// Whether an account's tokens are divided among hosts by its own requests.
-    sharing: Switch,
     region: Arc<str>,
     region_count: usize,
     /// Time without a report after which another host is considered gone.
@@ -382,7 +341,6 @@
     ) -> Self {
         Self {
             excess,
-            sharing: Switch::Off,
             region,
             region_count: region_count.max(1),
             peer_timeout,
@@ -397,14 +355,6 @@
         }
     }
 
-    /// Sets whether the tokens of an account are divided among the hosts of the region by the
-    /// account's own requests; otherwise by the hosts' loads of all accounts.
-    #[must_use]
-    pub fn with_sharing(mut self, sharing: Switch) -> Self {
-        self.sharing = sharing;
-        self
-    }
-
     /// Replaces the accounts by those of a new configuration. Accounts that remain keep their
     /// tokens.
     pub fn set_accounts(&mut self, now: Instant, accounts: &[Arc<Account>]) {
@@ -447,7 +397,7 @@
         bucket.reports_due = [SENDS_PER_CHANGE; 2];
         self.changed_accounts.insert(id);
         bucket.refill(now, &self.excess);
-        if bucket.level < 1.0 || bucket.period_admits + 1.0 > bucket.current_cap(now) {
+        if bucket.level < 1.0 || bucket.period_admits + 1.0 > bucket.max_period_admits {
             let wait = bucket.time_to_token(&self.excess);
             return Err(Refusal {
                 retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
@@ -630,23 +580,12 @@
             surge,
             &self.excess,
         );
-        let min_admits = if bucket.level >= bucket.capacity(&self.excess) * FULL_LEVEL {
+        let is_full = bucket.level >= bucket.capacity(&self.excess) * FULL_LEVEL;
+        bucket.max_period_admits = (available * load_share).max(if is_full {
             MIN_ADMITS_FULL
         } else {
             MIN_ADMITS_LOW
-        };
-        bucket.period_started = now;
-        if self.sharing == Switch::On {
-            let others = bucket.peer_request_rate(peers, &self.region);
-            let share = bucket.request_share(others, load_share);
-            bucket.is_saturated =
-                bucket.request_rate.per_s + others > bucket.refill_rate(&self.excess);
-            bucket.max_period_admits = (bucket.level * share).max(min_admits) + ADMITS_BEYOND_SHARE;
-            bucket.cap_growth = bucket.refill_rate(&self.excess) * share * REFILL_BORROWING;
-        } else {
-            bucket.max_period_admits = (available * load_share).max(min_admits);
-            bucket.cap_growth = 0.0;
-        }
+        });
         bucket.period_admits = 0.0;
     }
 }
@@ -755,23 +694,6 @@
         rates
     }
 
-    /// Returns the account's requests a second at the other hosts of the region, by their reports.
-    fn peer_request_rate(&self, peers: &BTreeMap<Arc<str>, PeerHost>, region: &Arc<str>) -> f64 {
-        let local = self.peers.iter().filter_map(|(host, usage)| {
-            let peer = peers.get(host).filter(|peer| peer.region == *region)?;
-            Some(usage.request_rate.decayed(peer.last_report))
-        });
-        local.sum()
-    }
-
-    /// Returns this host's share of the account's requests in the region, of which the other hosts
-    /// receive `others` a second. [`PRIOR_REQUEST_RATE`] counts according to `load_share`. The shares
-    /// of the hosts add up to one if all have the same reports.
-    fn request_share(&self, others: f64, load_share: f64) -> f64 {
-        let own = self.request_rate.per_s;
-        (own + PRIOR_REQUEST_RATE * load_share) / (own + others + PRIOR_REQUEST_RATE)
-    }
-
     /// Predicts the requests that each other host of the region admits: as many as lately, or
     /// `surge` for each request that it receives if that is more, or its whole share if it is
     /// silent. Returns the sum in requests a second.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use ragwortfold::account::{Account, Quota};
-use ragwortfold::border::settings::Switch;
 use ragwortfold::steer::allowance::{AccountUsage, Excess, Ledger, Reporter};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -54,9 +53,8 @@
     next_report: Instant,
     /// Start and end of a partition in which it neither receives nor sends reports.
     partition: (Instant, Instant),
-    /// Its share of its region's callers of other accounts, and of this one.
+    /// Its share of its region's callers.
     weight: f64,
-    account_weight: f64,
 }
 
 impl Host {
@@ -87,7 +85,6 @@
     now: Instant,
     started: Instant,
     rng: Pcg64Mcg,
-    sharing: Switch,
     account: Arc<Account>,
     /// Represents all other accounts, whose callers use all hosts equally.
     other: Arc<Account>,
@@ -100,8 +97,6 @@
     ran: VecDeque<Instant>,
     requested: u32,
     refused: u32,
-    /// Refusals by a host whose copy of the bucket had a whole token.
-    refused_with_token: u32,
     max_in_window: f64,
 }
 
@@ -110,31 +105,26 @@
 }
 
 impl World {
-    fn new(seed: u64, sharing: Switch, hosts: usize, rate: f64) -> Self {
+    fn new(seed: u64, hosts: usize, rate: f64) -> Self {
         let now = Instant::now();
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let account = account(rate);
         let hosts = (0..hosts * REGIONS)
-            .map(|index| {
-                let weight = rng.random_range(0.5..1.5);
-                Host {
-                    name: format!("h{index}").into(),
-                    region: index % REGIONS,
-                    incarnation: 0,
-                    started: now,
-                    ledger: None,
-                    next_report: now,
-                    partition: (now, now),
-                    weight,
-                    account_weight: weight,
-                }
+            .map(|index| Host {
+                name: format!("h{index}").into(),
+                region: index % REGIONS,
+                incarnation: 0,
+                started: now,
+                ledger: None,
+                next_report: now,
+                partition: (now, now),
+                weight: rng.random_range(0.5..1.5),
             })
             .collect();
         let mut world = Self {
             now,
             started: now,
             rng,
-            sharing,
             account,
             other: account_named("b", 5000.0),
             hosts,
@@ -143,7 +133,6 @@
             ran: VecDeque::new(),
             requested: 0,
             refused: 0,
-            refused_with_token: 0,
             max_in_window: 0.0,
         };
         for index in 0..world.hosts.len() {
@@ -156,8 +145,7 @@
         let local = self.hosts.len() / REGIONS;
         let host = &mut self.hosts[index];
         let name = region(host.region);
-        let mut ledger =
-            Ledger::new(self.now, EXCESS, name, REGIONS, PEER_TIMEOUT).with_sharing(self.sharing);
+        let mut ledger = Ledger::new(self.now, EXCESS, name, REGIONS, PEER_TIMEOUT);
         ledger.set_hosts(local);
         ledger.set_accounts(self.now, &[self.account.clone(), self.other.clone()]);
         host.ledger = Some(ledger);
@@ -262,14 +250,14 @@
             .iter_mut()
             .filter(is_up)
             .filter(|host| host.region == from)
-            .map(|host| host.account_weight)
+            .map(|host| host.weight)
             .sum();
         let mut remaining_weight = self.rng.random_range(0.0..1.0) * total;
         let host = self.hosts.iter_mut().filter(is_up).find(|host| {
             if host.region != from {
                 return total == 0.0;
             }
-            remaining_weight -= host.account_weight;
+            remaining_weight -= host.weight;
             remaining_weight <= 0.0
         });
         let Some(ledger) = host.and_then(|host| host.ledger.as_mut()) else {
@@ -278,8 +266,6 @@
         self.requested += 1;
         if ledger.admit(self.now, &self.account).is_err() {
             self.refused += 1;
-            let (left, _) = ledger.remaining(&self.account).unwrap();
-            self.refused_with_token += u32::from(left >= 1.0);
             return;
         }
         self.ran.push_back(self.now);
@@ -298,7 +284,6 @@
     fn reset_counts(&mut self) {
         self.requested = 0;
         self.refused = 0;
-        self.refused_with_token = 0;
     }
 }
 
@@ -310,8 +295,8 @@
 }
 
 /// Runs the usual load for a while, and then a change of the scenario.
-fn run_scenario(seed: u64, sharing: Switch, rate: f64, change: impl Fn(&mut World)) -> World {
-    let mut world = World::new(seed, sharing, 9, rate);
+fn run_scenario(seed: u64, rate: f64, change: impl Fn(&mut World)) -> World {
+    let mut world = World::new(seed, 9, rate);
     world.demand = even_demand(rate, USUAL_LOAD);
     world.run(Duration::from_secs(8));
     world.reset_counts();
@@ -329,45 +314,24 @@
 
 /// Loads within the quota: at most 1 in 100 of all requests may be refused, and at most 1 in 8 of
 /// an account with few requests.
-fn check_within_quota(sharing: Switch, change: fn(&mut World)) {
-    let (mut requested, mut refused) = (0, 0);
-    for rate in QUOTA_RATES {
-        let worlds = SEEDS.map(|seed| run_scenario(seed, sharing, rate, change));
-        let sum = worlds.fold((0, 0), |(requested, refused), world| {
-            (requested + world.requested, refused + world.refused)
-        });
-        assert!(
-            sum.1 * 8 <= sum.0,
-            "{rate} a second: {sum:?} requested and refused"
-        );
-        requested += sum.0;
-        refused += sum.1;
-    }
-    assert!(
-        refused * 100 <= requested,
-        "{refused} of {requested} refused"
-    );
-}
-
-/// Each case is run with sharing off, and in a module of its own with sharing on.
 macro_rules! within_quota {
-    ($($name:ident: $change:expr;)*) => {
-        $(
-            #[test]
-            fn $name() {
-                check_within_quota(Switch::Off, $change);
+    ($($name:ident: $change:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let change: fn(&mut World) = $change;
+            let (mut requested, mut refused) = (0, 0);
+            for rate in QUOTA_RATES {
+                let worlds = SEEDS.map(|seed| run_scenario(seed, rate, change));
+                let sum = worlds.fold((0, 0), |(requested, refused), world| {
+                    (requested + world.requested, refused + world.refused)
+                });
+                assert!(sum.1 * 8 <= sum.0, "{rate} a second: {sum:?} requested and refused");
+                requested += sum.0;
+                refused += sum.1;
             }
-        )*
-        mod within_quota_with_sharing {
-            use super::*;
-            $(
-                #[test]
-                fn $name() {
-                    check_within_quota(Switch::On, $change);
-                }
-            )*
+            assert!(refused * 100 <= requested, "{refused} of {requested} refused");
         }
-    };
+    )*};
 }
 
 within_quota! {
@@ -398,38 +362,20 @@
 }
 
 /// Loads beyond the quota: no window has more requests than permitted.
-fn check_beyond_quota(sharing: Switch, change: fn(&mut World)) {
-    for rate in QUOTA_RATES {
-        for seed in SEEDS {
-            let world = run_scenario(seed, sharing, rate, change);
-            let peak_share = world.peak_share();
-            assert!(
-                peak_share <= 1.0,
-                "{rate} a second, seed {seed}: {peak_share} of what may run"
-            );
-        }
-    }
-}
-
-/// Each case is run with sharing off, and in a module of its own with sharing on.
 macro_rules! beyond_quota {
-    ($($name:ident: $change:expr;)*) => {
-        $(
-            #[test]
-            fn $name() {
-                check_beyond_quota(Switch::Off, $change);
-            }
-        )*
-        mod beyond_quota_with_sharing {
-            use super::*;
-            $(
-                #[test]
-                fn $name() {
-                    check_beyond_quota(Switch::On, $change);
+    ($($name:ident: $change:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let change: fn(&mut World) = $change;
+            for rate in QUOTA_RATES {
+                for seed in SEEDS {
+                    let world = run_scenario(seed, rate, change);
+                    let peak_share = world.peak_share();
+                    assert!(peak_share <= 1.0, "{rate} a second, seed {seed}: {peak_share} of what may run");
                 }
-            )*
+            }
         }
-    };
+    )*};
 }
 
 beyond_quota! {
@@ -479,9 +425,9 @@
 
 /// Runs random changes of load, restarts, terminations and partitions; returns the fullest window
 /// as a share of what may run.
-fn run_random_history(seed: u64, sharing: Switch) -> f64 {
+fn run_random_history(seed: u64) -> f64 {
     let rate = QUOTA_RATES[seed as usize % QUOTA_RATES.len()];
-    let mut world = World::new(seed, sharing, 1 + seed as usize % 12, rate);
+    let mut world = World::new(seed, 1 + seed as usize % 12, rate);
     while world.now < world.started + s(30.0) {
         let index = world.rng.random_range(0..world.hosts.len());
         match world.rng.random_range(0..6) {
@@ -505,9 +451,10 @@
 /// one is partitioned, and the account rises from no requests to four times its quota meanwhile.
 const RESTARTS_IN_A_SURGE: u64 = 111;
 
-fn check_random_histories(sharing: Switch) {
+#[test]
+fn random_histories_keep_the_bound() {
     for seed in (100..180).filter(|seed| *seed != RESTARTS_IN_A_SURGE) {
-        let peak_share = run_random_history(seed, sharing);
+        let peak_share = run_random_history(seed);
         assert!(
             peak_share <= 1.0,
             "seed {seed}: {peak_share} of what may run"
@@ -515,79 +462,12 @@
     }
 }
 
-#[test]
-fn random_histories_keep_the_bound() {
-    check_random_histories(Switch::Off);
-}
-
-#[test]
-fn random_histories_keep_the_bound_with_sharing() {
-    check_random_histories(Switch::On);
-}
-
 #[test]
 fn restarts_in_a_surge_keep_the_bound() {
-    let peak_share = run_random_history(RESTARTS_IN_A_SURGE, Switch::Off);
+    let peak_share = run_random_history(RESTARTS_IN_A_SURGE);
     assert!(peak_share <= 1.0, "{peak_share} of what may run");
 }
 
-#[test]
-fn restarts_in_a_surge_keep_the_bound_with_sharing() {
-    let peak_share = run_random_history(RESTARTS_IN_A_SURGE, Switch::On);
-    assert!(peak_share <= 1.0, "{peak_share} of what may run");
-}
-
-/// Weights of an account's callers by host: index of the host in its region, and a random number
-/// below one.
-type Weighting = fn(usize, f64) -> f64;
-
-/// An account at eight times its usual load whose callers are unevenly spread over the hosts: a
-/// host refuses less than 5 in 100 of the refused requests while its copy of the region's bucket has
-/// a whole token, and no window has more requests than permitted. The failure that this guards
-/// against is a host that refuses by its own limit what the region's quota allows.
-fn check_uneven_callers(sharing: Switch, weighting: Weighting) {
-    let (mut refused, mut with_token, mut peak_share) = (0, 0, 0.0_f64);
-    for rate in QUOTA_RATES {
-        for seed in SEEDS {
-            let mut world = World::new(seed, sharing, 9, rate);
-            for index in 0..world.hosts.len() {
-                let random = world.rng.random_range(0.0..1.0);
-                world.hosts[index].account_weight = weighting(index / REGIONS, random);
-            }
-            world.demand = even_demand(rate, USUAL_LOAD);
-            world.run(s(8.0));
-            world.reset_counts();
-            world.demand = even_demand(rate, 8.0 * USUAL_LOAD);
-            world.run(s(20.0));
-            refused += world.refused;
-            with_token += world.refused_with_token;
-            peak_share = peak_share.max(world.peak_share());
-        }
-    }
-    println!("{with_token} of {refused} refused with a token left, {peak_share} of what may run");
-    assert!(peak_share <= 1.0, "{peak_share} of what may run");
-    assert!(
-        with_token * 20 < refused,
-        "{with_token} of {refused} refused with a token left"
-    );
-}
-
-macro_rules! uneven_callers {
-    ($($name:ident: $weighting:expr;)*) => {$(
-        #[test]
-        fn $name() {
-            check_uneven_callers(Switch::On, $weighting);
-        }
-    )*};
-}
-
-uneven_callers! {
-    callers_use_some_hosts_more: |_, random| 0.02 + random.powi(4);
-    callers_use_one_host_most: |index, _| if index == 0 { 19.0 } else { 1.0 };
-    callers_use_one_host_only: |index, _| if index == 0 { 1.0 } else { 0.0 };
-    callers_use_all_hosts: |_, random| 0.5 + random;
-}
-
 #[test]
 fn an_account_without_a_quota_is_not_limited() {
     let now = Instant::now();
