Log unacknowledged bytes of attempts, the copy of the targets, and targets that are ready again

For the incident of late requests: no line told whether a request that was given up was still on its way (hypothesis 1), how old the list of targets was that a target was chosen from (2), or that a draining target is registered as ready again (3). Logic is unchanged.

- tries: "with N bytes unacknowledged", from the socket's send queue when the connection is closed; ragwortfold_undelivered_total counts such attempts
- request lines: targets_revision, targets_age_ms
- target.ready-again

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -31,6 +31,7 @@
     attempts: Histogram<u64>,
     refusals: Counter<u64>,
     late_answers: Counter<u64>,
+    undelivered: Counter<u64>,
     rebuilds: Counter<u64>,
     headroom: Gauge<f64>,
     revision: Gauge<u64>,
@@ -91,6 +92,7 @@
                 .build(),
             refusals: meter.u64_counter("ragwortfold_refusals").build(),
             late_answers: meter.u64_counter("ragwortfold_late_answers").build(),
+            undelivered: meter.u64_counter("ragwortfold_undelivered").build(),
             headroom: meter.f64_gauge("ragwortfold_headroom").build(),
             revision: meter
                 .u64_gauge("ragwortfold_configuration_revision")
@@ -148,6 +150,11 @@
         self.late_answers.add(1, &[]);
     }
 
+    /// Counts an attempt that ended before its target had acknowledged the request.
+    pub(crate) fn count_undelivered(&self, service: &Arc<str>) {
+        self.undelivered.add(1, &[label("service", service)]);
+    }
+
     /// Counts a rebuild of the HTTP server, which could not accept a connection.
     pub(crate) fn count_rebuild(&self) {
         self.rebuilds.add(1, &[]);
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -7,6 +7,7 @@
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::os::fd::{AsRawFd, RawFd};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -61,8 +62,39 @@
     Sent,
 }
 
+/// The socket of a connection in use.
+struct Socket {
+    file: RawFd,
+    /// Set when this is dropped.
+    unacknowledged: Rc<Cell<usize>>,
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.unacknowledged.set(count_unacknowledged(self.file));
+    }
+}
+
+nix::ioctl_read_bad!(
+    /// Reads the number of bytes in a socket's send queue.
+    read_send_queue,
+    nix::libc::TIOCOUTQ,
+    nix::libc::c_int
+);
+
+/// Returns how many of the bytes written to a socket its peer has not acknowledged.
+fn count_unacknowledged(file: RawFd) -> usize {
+    let mut count = 0;
+    // SAFETY: `count` is valid for the call. The call only reads; for a descriptor that is not an
+    // open socket, it fails.
+    let result = unsafe { read_send_queue(file, &mut count) };
+    result.map_or(0, |_| usize::try_from(count).unwrap_or(0))
+}
+
 /// An HTTP connection in use; it is closed when dropped, whatever its state.
 pub(crate) struct Connection {
+    // Dropped before the driver, which owns the stream.
+    socket: Socket,
     sender: SendRequest<Body>,
     driver: Driver,
     /// Bytes that may still be received.
@@ -154,6 +186,10 @@
     /// Sets up an HTTP client connection on `stream`.
     pub(crate) async fn new(stream: TcpStream) -> Result<Self, Error> {
         let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
+        let socket = Socket {
+            file: stream.as_raw_fd(),
+            unacknowledged: Rc::default(),
+        };
         let metered = Metered {
             stream,
             allowance: allowance.clone(),
@@ -167,12 +203,18 @@
             ended: false,
         };
         Ok(Self {
+            socket,
             sender,
             driver,
             allowance,
         })
     }
 
+    /// Returns a cell that holds the bytes that the peer has not acknowledged once this is dropped.
+    pub(crate) fn unacknowledged(&self) -> Rc<Cell<usize>> {
+        self.socket.unacknowledged.clone()
+    }
+
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
         &mut self,
@@ -212,6 +254,7 @@
         if self.driver.ended || !self.sender.is_ready() {
             return None;
         }
+        drop(self.socket);
         let parts = self.driver.connection.into_parts();
         let stream = parts.io.into_inner().stream;
         parts.read_buf.is_empty().then_some(stream)
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -303,6 +303,11 @@
                 event = Event::Draining.as_str(),
                 target = &**id
             });
+        } else if self.fleet.is_draining(id) {
+            spdlog::warn!("core: a draining target is registered as ready again", kv: {
+                event = Event::ReadyAgain.as_str(),
+                target = &**id
+            });
         }
         if !registration.cold_left.is_zero() {
             let left = registration.cold_left;
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -315,6 +315,7 @@
     let was_sent = connected.is_ok();
     let outcome = match connected {
         Ok((connection, id)) => {
+            trace.observe(&connection);
             let payload = take_body(&mut progress.body).ok_or(StopReason::Body)?;
             let message = (connection, id, payload);
             attempt::send(host, exchange, query, &mut in_flight, message).await
@@ -371,7 +372,8 @@
     }
     progress.relays.push(relay.host.clone());
     trace.start_relay(&relay.host);
-    let outcome = relay::send(host, exchange, relay, &progress.sent_to, &mut progress.body).await;
+    let (sent_to, body) = (&progress.sent_to, &mut progress.body);
+    let outcome = relay::send(host, exchange, trace, relay, sent_to, body).await;
     trace.finish_relay(&outcome);
     match outcome {
         relay::Outcome::Answered(response) => return Ok(Some(response)),
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -81,6 +81,8 @@
     UnreadableRest => "target.unreadable-rest",
     /// A target's registration says that it is draining.
     Draining => "target.draining",
+    /// A target's registration that said that it is draining says that it is ready.
+    ReadyAgain => "target.ready-again",
     /// A target reports that it is cold.
     Cold => "target.cold",
     /// A target's registration may have expired during a store outage.
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -24,6 +24,7 @@
 use super::client::{self, Connection, Unanswered};
 use super::exchange::Exchange;
 use super::pool::Pool;
+use super::request_log::RequestTrace;
 use super::{announcement, answer, front, message, now, serve, Error, Host};
 use crate::inventory::TargetKey;
 use crate::steer::fleet::TargetQuery;
@@ -213,6 +214,7 @@
 pub(crate) async fn send(
     host: &Rc<Host>,
     exchange: &Exchange,
+    trace: &mut RequestTrace,
     relay: &Relay,
     sent_to: &[TargetKey],
     body: &mut Option<ReceivedBody>,
@@ -224,6 +226,7 @@
             return Outcome::NotSent;
         }
     };
+    trace.observe(&connection);
     let Some(payload) = attempt::take_body(body) else {
         return Outcome::NoBody;
     };
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -1,6 +1,8 @@
 //! Logs each request and updates its metrics.
 
+use std::cell::Cell;
 use std::fmt::{self, Display, Formatter};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,11 +10,14 @@
 use http::{request, HeaderMap, StatusCode};
 
 use super::attempt::InFlight;
+use super::client::Connection;
 use super::exchange::Exchange;
 use super::log::Event;
 use super::{now, relay, serve, Host};
+use crate::control::revision::Revision;
 use crate::entry::metrics::RequestSample;
 use crate::inventory::TargetKey;
+use crate::port::Kind;
 use crate::steer::fleet::{End, Refusal, TargetQuery};
 
 /// Maximum names of unknown headers that are logged: a target could send any number of them.
@@ -25,6 +30,8 @@
     started_at: Instant,
     end: AttemptEnd,
     took: Duration,
+    /// Bytes sent that were not acknowledged when the connection was closed.
+    unacknowledged: Rc<Cell<usize>>,
 }
 
 /// How an attempt ended.
@@ -45,6 +52,17 @@
     }
 }
 
+impl Display for Attempt {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let milliseconds = self.took.as_millis();
+        write!(f, "{} {} after {milliseconds} ms", self.to, self.end)?;
+        match self.unacknowledged.get() {
+            0 => Ok(()),
+            count => write!(f, " with {count} bytes unacknowledged"),
+        }
+    }
+}
+
 impl Attempt {
     fn new(to: Arc<str>, started_at: Instant) -> Self {
         Self {
@@ -52,6 +70,7 @@
             started_at,
             end: AttemptEnd::Target(End::Cancelled),
             took: Duration::ZERO,
+            unacknowledged: Rc::default(),
         }
     }
 
@@ -111,9 +130,19 @@
     }
 }
 
+/// The copy of the registered targets that a target was chosen from.
+#[derive(Clone, Copy, Default)]
+struct TargetsCopy {
+    revision: Revision,
+    /// Time since the store last confirmed it.
+    age: Duration,
+}
+
 /// The attempts of one request, and why no further one was made.
 pub(crate) struct RequestTrace {
     pub(crate) started_at: Instant,
+    /// The copy of the targets at the start of the last attempt.
+    targets: TargetsCopy,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) stop_reason: StopReason,
 }
@@ -122,6 +151,7 @@
     pub(crate) fn new(started_at: Instant) -> Self {
         Self {
             started_at,
+            targets: TargetsCopy::default(),
             attempts: Vec::new(),
             stop_reason: StopReason::Answered,
         }
@@ -132,10 +162,22 @@
         let core = host.core.borrow();
         let target = core.fleet.member(in_flight.target);
         let target = target.map_or_else(|| "gone".into(), |member| member.id().clone());
+        let confirmed_at = core.confirmed_at.get(&Kind::Targets);
+        self.targets = TargetsCopy {
+            revision: core.replica.revision(Kind::Targets).unwrap_or_default(),
+            age: confirmed_at.map_or(Duration::MAX, |at| now().saturating_duration_since(*at)),
+        };
         self.attempts
             .push(Attempt::new(target, in_flight.started_at));
     }
 
+    /// Observes the connection of the last attempt.
+    pub(crate) fn observe(&mut self, connection: &Connection) {
+        if let Some(last) = self.attempts.last_mut() {
+            last.unacknowledged = connection.unacknowledged();
+        }
+    }
+
     /// Records the end of the last attempt.
     pub(crate) fn finish_attempt(&mut self, in_flight: &InFlight) {
         if let Some(last) = self.attempts.last_mut() {
@@ -167,14 +209,7 @@
     }
 
     fn describe_attempts(&self) -> String {
-        let attempts = self.attempts.iter().map(|attempt| {
-            format!(
-                "{} {} after {} ms",
-                attempt.to,
-                attempt.end,
-                attempt.took.as_millis()
-            )
-        });
+        let attempts = self.attempts.iter().map(Attempt::to_string);
         attempts.collect::<Vec<_>>().join(", ")
     }
 }
@@ -208,6 +243,8 @@
         account = exchange.admitted.caller.account().map_or("", |account| &account.name),
         service = &**query.service,
         tries = trace.describe_attempts().as_str(),
+        targets_revision = trace.targets.revision.to_string().as_str(),
+        targets_age_ms = u64::try_from(trace.targets.age.as_millis()).unwrap_or(u64::MAX),
         choices = core.fleet.describe_choices(now(), query).as_str(),
         total_ms = total.as_millis() as u64,
         left_ms = left.as_millis() as u64,
@@ -324,6 +361,11 @@
         queued: Duration::ZERO,
         attempts: trace.attempts.len() as u32,
     });
+    for attempt in &trace.attempts {
+        if attempt.unacknowledged.get() > 0 {
+            host.metrics.count_undelivered(service);
+        }
+    }
     if event == Event::Refused {
         host.metrics
             .count_refusal(service, trace.stop_reason.as_str());
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -16,6 +16,12 @@
             && !self.evacuated_zones.contains(&member.registration.zone)
     }
 
+    /// Whether the known registration of a target says that it is draining.
+    pub fn is_draining(&self, id: &str) -> bool {
+        let member = self.key(id).and_then(|key| self.members.get(&key));
+        member.is_some_and(|member| member.registration.state == State::Draining)
+    }
+
     /// Whether a target shuts down, by its registration or its answers.
     pub(super) fn is_leaving(&self, member: &Member) -> bool {
         member.registration.state != State::Ready || self.departures.contains(member.process)
