Failing tests: requests that were given up reach their targets later

A request is given up while a link or a receive buffer holds its bytes: its time is over, its caller leaves, another target answers, its host is killed.

The stand-in link loses what a black hole holds when its sender resets the connection, as the kernel discards what it would retransmit; until now it delivered that. Checked against the kernel with a peer that does not read (300 and 100,000 bytes, closed and reset): acknowledged bytes are read in all cases, the 95,904 others only after a close.

--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -7,7 +7,8 @@
 //! link in front of a busy host has thousands of them.
 //!
 //! While a direction is a black hole, its bytes are held; they arrive after it ends, as they would
-//! with TCP retransmission. New connections are accepted meanwhile, since the kernel accepts them
+//! with TCP retransmission, also if their sender has closed the connection. If it has reset the
+//! connection they are lost, since the kernel then discards what it would retransmit. New connections are accepted meanwhile, since the kernel accepts them
 //! too. When the far end refuses a connection, the link resets the connection that it was for and
 //! refuses new ones until the far end accepts again.
 //!
@@ -118,6 +119,8 @@
     near: TcpStream,
     far: TcpStream,
     is_reset: AtomicBool,
+    /// Whether the sender of each direction has reset the connection.
+    reset_by_sender: [AtomicBool; 2],
 }
 
 impl Connection {
@@ -383,13 +386,15 @@
         sent_at + Duration::from_micros(flow.delay_us)
     }
 
-    /// Waits until a chunk may be sent; returns [`Flow::cut_after`] and the fault's generation.
+    /// Waits until a chunk may be sent; returns the flow, the fault's generation and whether a black
+    /// hole held the chunk.
     async fn wait_until_due(
         &self,
         direction: Direction,
         due: Instant,
-    ) -> io::Result<(Option<u64>, u64)> {
+    ) -> io::Result<(Flow, u64, bool)> {
         let mut changes = self.changed.subscribe();
+        let mut was_held = false;
         loop {
             let (flow, generation) = {
                 let state = lock(&self.state);
@@ -399,8 +404,9 @@
                 (state.fault.flow(direction), state.generation)
             };
             if due <= Instant::now() && !flow.black_hole {
-                return Ok((flow.cut_after, generation));
+                return Ok((flow, generation, was_held));
             }
+            was_held |= flow.black_hole;
             let wait = async {
                 if flow.black_hole {
                     std::future::pending().await
@@ -472,6 +478,7 @@
         near,
         far,
         is_reset: AtomicBool::new(false),
+        reset_by_sender: Default::default(),
     });
     lock(&shared.state)
         .connections
@@ -510,7 +517,10 @@
         let chunk = match receive(from).await {
             Ok(bytes) if bytes.is_empty() => Chunk::End,
             Ok(bytes) => Chunk::Bytes(bytes),
-            Err(_) => Chunk::Reset,
+            Err(_) => {
+                connection.reset_by_sender[direction as usize].store(true, Ordering::Relaxed);
+                Chunk::Reset
+            }
         };
         let length = if let Chunk::Bytes(bytes) = &chunk {
             bytes.len()
@@ -552,20 +562,25 @@
     let mut sent = 0;
     let mut last_generation = 0;
     while let Some((due, chunk)) = chunks.recv().await {
-        let (cut_after, generation) = shared.wait_until_due(direction, due).await?;
+        let (flow, generation, was_held) = shared.wait_until_due(direction, due).await?;
+        let reset_by_sender = &connection.reset_by_sender[direction as usize];
+        if was_held && reset_by_sender.load(Ordering::Relaxed) {
+            connection.reset();
+            return Ok(());
+        }
         if generation != last_generation {
             last_generation = generation;
             sent = 0;
         }
         match chunk {
             Chunk::Bytes(bytes) => {
-                let allowed = cut_after.map_or(u64::MAX, |limit| limit - sent);
+                let allowed = flow.cut_after.map_or(u64::MAX, |limit| limit - sent);
                 let length = (bytes.len() as u64).min(allowed) as usize;
                 let write = send(to, &bytes[..length]);
                 tokio::time::timeout(WRITE_TIMEOUT, write).await??;
                 sent += length as u64;
                 lock(&shared.state).bytes[direction as usize] += length as u64;
-                if cut_after == Some(sent) {
+                if flow.cut_after == Some(sent) {
                     return Err(io::ErrorKind::ConnectionAborted.into());
                 }
             }
--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use standin::link::{Accept, Fault, Flow, Link};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -116,6 +117,23 @@
         stream.read_exact(&mut byte).unwrap();
         assert_eq!(&byte, b"b");
     };
+    a_black_hole_delivers_bytes_of_a_closed_connection_and_loses_those_of_a_reset_one: |link: &Link| {
+        for (linger, expected) in [(None, 1), (Some(Duration::ZERO), 0)] {
+            let mut stream = connect(link);
+            stream.write_all(b"a").unwrap();
+            stream.read_exact(&mut [0]).unwrap();
+            link.set_fault(Fault::default().with_black_hole());
+            let before = link.bytes()[0];
+            stream.write_all(b"b").unwrap();
+            thread::sleep(Duration::from_millis(50));
+            SockRef::from(&stream).set_linger(linger).unwrap();
+            drop(stream);
+            thread::sleep(Duration::from_millis(50));
+            link.set_fault(Fault::default());
+            thread::sleep(Duration::from_millis(100));
+            assert_eq!(link.bytes()[0] - before, expected, "{linger:?}");
+        }
+    };
     open_connections_are_reset: |link: &Link| {
         let mut stream = connect(link);
         stream.write_all(b"a").unwrap();
--- /dev/null
+++ b/tests/late_requests.rs
@@ -0,0 +1,124 @@
+//! The product's own interface: a request that is given up while its bytes are on the way, to a target or to another host,
+//! does not run once the link works again.
+
+#![allow(clippy::unwrap_used)]
+
+mod cluster;
+mod scripted;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use cluster::{send, TestCluster};
+use scripted::{Behavior, Occurrence, ScriptedTargets};
+use serde_json::json;
+use standin::link::{Fault, Link};
+
+const ZONES: [&str; 2] = ["lima-a", "lima-b"];
+/// Time for bytes that are not held any more to arrive.
+const DELIVERY: Duration = Duration::from_millis(500);
+const DEADLINE_MS: &str = "400";
+/// Time for which bytes are held: less than the host's limit for bytes that are not acknowledged.
+const HOLD: Duration = Duration::from_millis(1200);
+
+fn link_to(address: SocketAddr) -> Link {
+    Link::new("127.0.0.1:0".parse().unwrap(), address).unwrap()
+}
+
+/// A cluster of one service, whose requests may run twice if they are look-ups.
+fn cluster_with(service: &str) -> TestCluster {
+    let idempotent = service == "lookups";
+    let record = json!({"class": "c", "idempotent": idempotent, "deadline_ms": 5000});
+    TestCluster::new()
+        .without_services()
+        .with_service(service, record)
+}
+
+/// Sends a request; returns its status.
+fn call(cluster: &TestCluster, service: &str, call: &str) -> u16 {
+    let url = cluster.hosts["ent-1"].url(&format!("/v1/services/{service}/x"));
+    let headers = [
+        ("Standin-Call", call),
+        ("Ragwortfold-Deadline-Ms", DEADLINE_MS),
+    ];
+    let answer = send("POST", &url, &headers, b"hello");
+    answer.map_or(0, |answer| answer.status)
+}
+
+/// Sends requests until one is answered.
+fn wait_until_served(cluster: &TestCluster, service: &str) {
+    let until = Instant::now() + cluster::TEST_TIMEOUT;
+    for number in 0.. {
+        if call(cluster, service, &format!("early-{number}")) == 200 {
+            return;
+        }
+        assert!(Instant::now() < until, "{}", cluster.log("ent-1"));
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Sends a request while all links hold their bytes, and releases these later.
+fn give_up(cluster: &TestCluster, links: &[Link], service: &str) {
+    for link in links {
+        link.set_fault(Fault::default().with_black_hole());
+    }
+    let held_at = Instant::now();
+    assert_eq!(call(cluster, service, "late"), 504);
+    thread::sleep(HOLD.saturating_sub(held_at.elapsed()));
+    for link in links {
+        link.set_fault(Fault::default());
+    }
+    thread::sleep(DELIVERY);
+}
+
+/// A request of a service whose time is over before its bytes have left the link to the target.
+macro_rules! to_a_target {
+    ($($name:ident: $service:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let targets = ScriptedTargets::new(Behavior::Serve, Occurrence::Always);
+            let links = targets.addresses.map(link_to);
+            let mut cluster = cluster_with($service).with_zone("lima", ZONES[0]).with_host(ZONES[0], "ent-1");
+            for (number, link) in links.iter().enumerate() {
+                let name = format!("target-{number}");
+                cluster = cluster.with_target_at(ZONES[0], $service, &name, link.address());
+            }
+            let cluster = cluster.start_all();
+            wait_until_served(&cluster, $service);
+            give_up(&cluster, &links, $service);
+            assert_eq!(targets.executions("late"), 0, "{}", cluster.log("ent-1"));
+        }
+    )*};
+}
+
+to_a_target! {
+    a_booking_whose_time_is_over_is_not_delivered_later: "bookings";
+    a_lookup_whose_time_is_over_is_not_delivered_later: "lookups";
+}
+
+#[test]
+fn a_relayed_booking_whose_time_is_over_is_not_delivered_later() {
+    let targets = ScriptedTargets::new(Behavior::Serve, Occurrence::Always);
+    let mut cluster = cluster_with("bookings");
+    for (zone, host) in ZONES.into_iter().zip(["ent-1", "ent-2"]) {
+        cluster = cluster.with_zone("lima", zone).with_host(zone, host);
+    }
+    for (number, address) in targets.addresses.into_iter().enumerate() {
+        let name = format!("target-{number}");
+        cluster = cluster.with_target_at(ZONES[1], "bookings", &name, address);
+    }
+    cluster.publish(1);
+    cluster.start("ent-2");
+    // The first host reaches the other one by a link only.
+    let peer = cluster.hosts["ent-2"].peer_address;
+    let links = [link_to(peer)];
+    cluster.configuration["hosts"]["ent-2"]["peer_address"] = links[0].address().to_string().into();
+    cluster.publish(2);
+    cluster.start("ent-1");
+    cluster.wait_ready("ent-1");
+    cluster.wait_ready("ent-2");
+    wait_until_served(&cluster, "bookings");
+    give_up(&cluster, &links, "bookings");
+    assert_eq!(targets.executions("late"), 0, "{}", cluster.log("ent-2"));
+}
