Reset connections to targets and hosts whose exchange is not complete

What callers saw: a request that was answered with 504, or whose caller had left, still reached its target seconds later, also after the target had announced its shutdown (DRAIN), and ran there if it was not to run twice. Cause: a host that gave up a request closed the connection. Closing delivers what the peer has not received yet whenever the path allows it again; only a reset discards it. Why this holds: SO_LINGER of zero is set before the first byte of a request is written and taken back when its response was read, so every way out between, also a killed process, resets. Requests, retries, probes, relays to other hosts and calls of the store share this client. What it can't do: bytes that the target's kernel has acknowledged are read after a reset too.

--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -247,10 +247,8 @@
     connection: Connection,
     parts: &response::Parts,
 ) {
-    if client::closes_connection(&parts.headers) {
-        return;
-    }
-    if let Some(stream) = connection.release().await {
+    let released = connection.release().await;
+    if let Some(stream) = released.filter(|_| !client::closes_connection(&parts.headers)) {
         let idle = client::idle_timeout(&parts.headers);
         host.pool.borrow_mut().put(now(), target, stream, idle);
     }
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -2,6 +2,10 @@
 //!
 //! The buffers of an HTTP connection account for most of its memory, so they exist only during an
 //! exchange: between exchanges only the socket is kept.
+//!
+//! A connection that is dropped before the response was read is reset, also if its process ends. If
+//! it were closed, what the peer has not received yet would still be delivered, at any later time:
+//! after the caller was told that its request failed, and after the target announced its shutdown.
 
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
@@ -91,7 +95,12 @@
     result.map_or(0, |_| usize::try_from(count).unwrap_or(0))
 }
 
-/// An HTTP connection in use; it is closed when dropped, whatever its state.
+/// Sets whether a socket is reset when it is closed, which discards what its peer has not received.
+fn set_reset_on_close(stream: &TcpStream, is_reset: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO))
+}
+
+/// An HTTP connection in use; it is reset when dropped, see [`Connection::release`].
 pub(crate) struct Connection {
     // Dropped before the driver, which owns the stream.
     socket: Socket,
@@ -185,6 +194,7 @@
 impl Connection {
     /// Sets up an HTTP client connection on `stream`.
     pub(crate) async fn new(stream: TcpStream) -> Result<Self, Error> {
+        set_reset_on_close(&stream, true)?;
         let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
         let socket = Socket {
             file: stream.as_raw_fd(),
@@ -248,16 +258,19 @@
         self.driver.drive_until(std::future::pending::<()>()).await;
     }
 
-    /// Returns the socket, if the last exchange is complete and no further bytes were received.
+    /// Ends an exchange whose response was read. Returns the socket, if the request was sent
+    /// completely as well and no further bytes were received.
     pub(crate) async fn release(mut self) -> Option<TcpStream> {
         self.driver.drive_until(std::future::ready(())).await;
-        if self.driver.ended || !self.sender.is_ready() {
-            return None;
-        }
+        let is_complete = !self.driver.ended && self.sender.is_ready();
         drop(self.socket);
         let parts = self.driver.connection.into_parts();
         let stream = parts.io.into_inner().stream;
-        parts.read_buf.is_empty().then_some(stream)
+        if let Err(error) = set_reset_on_close(&stream, false) {
+            spdlog::debug!("client: cannot configure a socket: {error}");
+            return None;
+        }
+        (is_complete && parts.read_buf.is_empty()).then_some(stream)
     }
 }
 
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -316,10 +316,8 @@
 }
 
 async fn return_to_pool(host: &Host, relay: &Relay, connection: Connection, headers: &HeaderMap) {
-    if client::closes_connection(headers) {
-        return;
-    }
-    if let Some(stream) = connection.release().await {
+    let released = connection.release().await;
+    if let Some(stream) = released.filter(|_| !client::closes_connection(headers)) {
         let idle = client::idle_timeout(headers);
         let pool = &mut *host.relays.pool.borrow_mut();
         pool.put(now(), relay.address, stream, idle);
