A registration that says draining holds for good

What callers saw: requests that reached a target later than 2.5 s after it had announced its shutdown, and that are lost if it ends while it works on them (DRAIN). Cause: the last registration that the store shows counted. A write that the target made before its announcement, and that reaches the store after it, made hosts use it again. Why this holds: processes that said in answers that they leave are remembered by id, address and start, apart from registrations; what a registration says of its process is now recorded there too. An id never returns, so a later process is not affected. Hosts do not tell each other of it, as all of them read the store: traffic between hosts is unchanged.

--- a/src/steer/departures.rs
+++ b/src/steer/departures.rs
@@ -1,8 +1,9 @@
-//! Processes of targets that have stated that they are shutting down.
+//! Processes of targets that have stated that they are shutting down, in answers or in their
+//! registrations.
 //!
-//! Such a process never takes requests again, also if its registration says otherwise: the
-//! registration may be older than the statement. Processes are remembered after their targets are
-//! removed, as a registration may be delivered late.
+//! Such a process never takes requests again, also if its registration says otherwise: it may have
+//! been written before the statement. Processes are remembered after their targets are removed, as
+//! a registration may be delivered late.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -13,11 +14,26 @@
 /// registration says the same.
 const REPEAT_FOR: Duration = Duration::from_secs(60);
 
+/// How a process that shuts down became known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// It stated so in an answer, to this host or to another one.
+    Answer,
+    /// Its registration said so, which all hosts read.
+    Registration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    known_at: Instant,
+    source: Source,
+}
+
 /// The processes that are known to shut down.
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
-    /// When each process became known, by its digest.
-    known: BTreeMap<u64, Instant>,
+    /// By the digest of the process.
+    known: BTreeMap<u64, Departure>,
 }
 
 impl Departures {
@@ -26,18 +42,25 @@
         Self::default()
     }
 
-    /// Records that a process shuts down. Returns whether that is new.
-    pub fn record(&mut self, now: Instant, process: u64) -> bool {
-        if self.known.contains_key(&process) {
+    /// Records that a process shuts down. Returns whether that is new, also if only its
+    /// registration has said so until now: other hosts may not read the same one.
+    pub fn record(&mut self, now: Instant, process: u64, source: Source) -> bool {
+        let known = self.known.get(&process);
+        if known.is_some_and(|known| known.source == Source::Answer || known.source == source) {
             return false;
         }
-        if self.known.len() >= MAX_PROCESSES {
-            let oldest = self.known.iter().min_by_key(|(_, at)| **at);
+        if known.is_none() && self.known.len() >= MAX_PROCESSES {
+            let known = self.known.iter();
+            let oldest = known.min_by_key(|(_, departure)| departure.known_at);
             if let Some(oldest) = oldest.map(|(process, _)| *process) {
                 self.known.remove(&oldest);
             }
         }
-        self.known.insert(process, now);
+        let departure = Departure {
+            known_at: now,
+            source,
+        };
+        self.known.insert(process, departure);
         true
     }
 
@@ -50,7 +73,10 @@
     pub fn recent(&self, now: Instant) -> impl Iterator<Item = u64> + '_ {
         let known = self.known.iter();
         known
-            .filter(move |(_, at)| now.saturating_duration_since(**at) < REPEAT_FOR)
+            .filter(move |(_, departure)| {
+                let age = now.saturating_duration_since(departure.known_at);
+                departure.source == Source::Answer && age < REPEAT_FOR
+            })
             .map(|(process, _)| *process)
     }
 }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -44,14 +44,14 @@
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
 use self::sharing::Sharing;
-use super::departures::Departures;
+use super::departures::{Departures, Source};
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
 use super::reach::Reach;
 use super::rest::Rest;
 use super::throttle::{Assignment, Throttle};
 use crate::border::settings::Switch;
-use crate::inventory::{Registration, TargetKey, TargetKeyAllocator};
+use crate::inventory::{Registration, State, TargetKey, TargetKeyAllocator};
 
 pub use self::cold_checks::{CHECKERS_PER_TARGET, MAX_CHECK_FACTOR, MIN_CHECKS};
 pub use self::cost::Cost;
@@ -265,9 +265,14 @@
     }
 
     /// Adds a target or updates its registration. A registration of an earlier process than the
-    /// known one is ignored; a later process of the same identity is another target.
+    /// known one is ignored; a later process of the same identity is another target. One that says
+    /// that its process is draining holds for good, see [`Departures`].
     pub fn register(&mut self, now: Instant, registration: impl Into<Arc<Registration>>) {
         let registration = registration.into();
+        if registration.state == State::Draining {
+            let process = process_digest(&registration);
+            self.departures.record(now, process, Source::Registration);
+        }
         let cold_until = Some(registration.cold_left)
             .filter(|left| !left.is_zero())
             .map(|left| now + left);
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -7,6 +7,7 @@
 use super::member::Member;
 use super::{Fleet, TargetQuery};
 use crate::inventory::{State, TargetKey};
+use crate::steer::departures::Source;
 
 impl Fleet {
     /// Whether a target may receive requests, as far as its state does not change by itself.
@@ -78,12 +79,14 @@
     /// for the other hosts.
     pub fn record_leaving(&mut self, now: Instant, key: TargetKey) -> Option<u64> {
         let process = self.members.get(&key)?.process;
-        self.departures.record(now, process).then_some(process)
+        self.departures
+            .record(now, process, Source::Answer)
+            .then_some(process)
     }
 
     /// Records a process that another host knows to shut down. Returns its target if that is new.
     pub fn merge_leaving(&mut self, now: Instant, process: u64) -> Option<Arc<str>> {
-        if !self.departures.record(now, process) {
+        if !self.departures.record(now, process, Source::Answer) {
             return None;
         }
         let mut members = self.members.values();
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -111,6 +111,36 @@
     assert_eq!(world.chosen(), Err(Refusal::NoTarget));
 }
 
+/// The draining registration of the target `a`.
+fn draining() -> Registration {
+    Registration {
+        state: State::Draining,
+        ..registration("a", None)
+    }
+}
+
+#[test]
+fn a_registration_that_says_draining_is_not_undone_by_an_older_one() {
+    let mut world = World::new();
+    world.fleet.register(world.now, draining());
+    world.fleet.register(world.now, registration("a", None));
+    assert_eq!(world.chosen(), Err(Refusal::NoTarget));
+    world.fleet.withdraw("a");
+    world.fleet.register(world.now, registration("a", None));
+    assert_eq!(world.chosen(), Err(Refusal::NoTarget));
+}
+
+#[test]
+fn hosts_tell_each_other_what_answers_say_and_not_what_registrations_say() {
+    let mut world = World::new();
+    world.fleet.register(world.now, draining());
+    assert_eq!(world.fleet.leaving_processes(world.now).count(), 0);
+    assert!(world.record_leaving("a").is_some());
+    assert_eq!(world.fleet.leaving_processes(world.now).count(), 1);
+    world.fleet.register(world.now, draining());
+    assert_eq!(world.fleet.leaving_processes(world.now).count(), 1);
+}
+
 #[test]
 fn a_later_process_of_the_target_is_used() {
     let mut world = World::new();
