Own interface: reset connections to targets when they are dropped

What callers saw: a booking that was answered with 504 ran 0.8 s later, when the link to its target worked again; nothing bounded that time. Cause: ureq closes a connection that it gives up, and the kernel delivers what the target has not received.

--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -10,7 +10,6 @@
 use std::time::{Duration, Instant};
 
 use serde::Deserialize;
-use ureq::unversioned::transport::TcpConnector;
 use ureq::Agent;
 
 use super::classify::to_state;
@@ -21,6 +20,7 @@
 use crate::literal::LiteralResolver;
 use crate::steer::announcement::RequestedRest;
 use crate::steer::group::{self, Health};
+use crate::transport::Dialer;
 
 /// Time between two health checks of one target.
 const CHECK_PERIOD: Duration = Duration::from_millis(750);
@@ -64,7 +64,7 @@
         .timeout_global(Some(CHECK_TIMEOUT))
         .max_idle_connections_per_host(1)
         .build();
-    let agent = Agent::with_parts(config, TcpConnector::default(), LiteralResolver::default());
+    let agent = Agent::with_parts(config, Dialer, LiteralResolver::default());
     while !stop.load(Ordering::Relaxed) {
         let started = Instant::now();
         let catalog = published.get().catalog.clone();
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ureq::http::{self, Method};
-use ureq::unversioned::transport::{Connector, TcpConnector};
+use ureq::unversioned::transport::Connector;
 use ureq::{Agent, SendBody};
 
 use super::body::Stream;
@@ -15,6 +15,7 @@
 use crate::literal::LiteralResolver;
 use crate::steer::announcement::RequestedRest;
 use crate::steer::throttle::Rate;
+use crate::transport::Dialer;
 
 /// Maximum number of idle connections to each target.
 const MAX_IDLE_PER_TARGET: usize = 16;
@@ -252,7 +253,7 @@
         .proxy(None)
         .build();
     let connector = stage::RecordDial
-        .chain(TcpConnector::default())
+        .chain(Dialer)
         .chain(stage::RecordTransport);
     Agent::with_parts(config, connector, LiteralResolver::default())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod port;
 pub mod steer;
 pub mod store;
+mod transport;
