Relayed requests: time spent on a stalled link counts against their deadline

What callers saw: a booking that its host had answered with 504 ran 0.8 s later at a target of another zone. Cause: an open frame carries the time left as a duration, so a request that waited on the link between two hosts seemed to have all of it left when it arrived; its cancel frame came behind it. Why this holds: the frame says when it was queued on the sender's clock; the receiver compares the two clocks' difference with the smallest one of the link, and what is above that counts as waiting. Nothing is assumed of the clocks but their speed; a frozen receiver counts its freeze. Older builds leave the field out and ignore it. The first frame of a link sets the mark and can't be checked.

--- a/src/border/frame.rs
+++ b/src/border/frame.rs
@@ -283,7 +283,7 @@
     pub block: ::std::option::Option<::std::string::String>,
     ///The traffic class.
     pub class: ::std::string::String,
-    ///Time left, in milliseconds.
+    ///Time left when the frame was queued, in milliseconds.
     pub deadline_ms: u64,
     pub headers: ::std::vec::Vec<Header>,
     ///The caller's idempotency key.
@@ -300,6 +300,9 @@
     pub path: ::std::string::String,
     ///Rank in a full queue, 0 (dropped first) to 9.
     pub priority: u8,
+    ///When the frame was queued, in milliseconds since the sender set up the link.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub queued_ms: ::std::option::Option<u64>,
     ///The request's identifier.
     pub request: ::std::string::String,
     pub service: ::std::string::String,
--- a/src/peer/count.rs
+++ b/src/peer/count.rs
@@ -89,6 +89,8 @@
     streams_in,
     /// Streams refused because the peer had too many.
     streams_refused,
+    /// Streams refused because the time of their requests was over when they arrived.
+    expired,
     /// Bodies that did not have their declared length.
     wrong_length,
     /// Control messages not sent because too many bytes were queued.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,6 +1,7 @@
 //! One authenticated connection: the task that reads and writes it, and its streams.
 
 mod inbound;
+mod transit;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -23,6 +24,7 @@
 use super::mesh::Core;
 use super::outbox::{Outbox, OutboxItem, Phase};
 use super::stream::{Open, Stream};
+use transit::Transit;
 
 /// The socket type of links.
 pub(crate) type Socket = WebSocketStream<TcpStream>;
@@ -64,6 +66,10 @@
     incoming_stream_count: Arc<AtomicUsize>,
     has_received_goodbye: AtomicBool,
     is_confirmed: AtomicBool,
+    /// When this side set up the link.
+    started: Instant,
+    /// How long frames with requests were on their way.
+    transit: Mutex<Transit>,
     /// Wakes the writer.
     wake: Notify,
     /// Ends the link's task.
@@ -96,6 +102,8 @@
             incoming_stream_count: Arc::default(),
             has_received_goodbye: AtomicBool::new(false),
             is_confirmed: AtomicBool::new(side == Side::Dialling),
+            started: Instant::now(),
+            transit: Mutex::default(),
             wake: Notify::new(),
             aborted: Notify::new(),
             abort_reason: Mutex::new(None),
@@ -123,7 +131,7 @@
         open: &Open,
         left: Duration,
     ) -> Option<Result<Stream, OpenError>> {
-        let bytes = frame::encode(&open.to_frame(left));
+        let bytes = frame::encode(&open.to_frame(left, self.started.elapsed()));
         if bytes.len() > self.peer_max_frame_bytes {
             return Some(Err(OpenError::Oversize(bytes.len())));
         }
--- a/src/peer/link/inbound.rs
+++ b/src/peer/link/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::SplitStream;
@@ -168,28 +169,44 @@
         if self.has_received_goodbye() {
             return Err(Fault::Violation);
         }
+        let queued = open.queued_ms.map(Duration::from_millis);
         let count = self.accepted_streams.fetch_add(1, Ordering::Relaxed);
         let stream = stream_number(opposite_side(self.side), count);
         let Some(permit) = Permit::take(&self.incoming_stream_count, self.core.config.max_streams)
         else {
             self.core.counters.streams_refused.increment();
-            self.queue_frame(&Frame::Refused(frame::Refused {
-                stream,
-                reason: "streams".to_owned(),
-                retry_after_ms: STREAM_LIMIT_RETRY_AFTER.as_millis() as u64,
-            }));
+            self.refuse(stream, "streams", STREAM_LIMIT_RETRY_AFTER);
             return Ok(());
         };
+        let mut open = Open::from_frame(open);
+        if let Some(queued) = queued {
+            let delay = lock(&self.transit).record(queued, self.started.elapsed());
+            open.deadline = open.deadline.saturating_sub(delay);
+        }
+        if open.deadline.is_zero() {
+            self.core.counters.expired.increment();
+            self.refuse(stream, "time", Duration::ZERO);
+            return Ok(());
+        }
         let channel = Channel::new(stream, Role::Server, permit, self.windows.clone());
         let channel = Arc::new(channel);
         channel.set_expected_length(open.length);
         lock(&self.streams).insert(stream, channel.clone());
         self.core.counters.streams_in.increment();
-        let incoming = Incoming::new(self.clone(), channel, Open::from_frame(open));
+        let incoming = Incoming::new(self.clone(), channel, open);
         (self.core.event_handler)(Event::Open(incoming));
         Ok(())
     }
 
+    /// Refuses a stream that the peer has opened.
+    fn refuse(&self, stream: u64, reason: &str, retry_after: Duration) {
+        self.queue_frame(&Frame::Refused(frame::Refused {
+            stream,
+            reason: reason.to_owned(),
+            retry_after_ms: retry_after.as_millis() as u64,
+        }));
+    }
+
     /// Finds the stream of a frame. None if the stream has ended, an error if it was never opened or this
     /// end has another role in it.
     fn find_stream(&self, stream: u64, role: Role) -> Result<Option<Arc<Channel>>, Fault> {
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -74,7 +74,8 @@
         self
     }
 
-    pub(crate) fn to_frame(&self, left: Duration) -> Frame {
+    /// Builds the frame for a request that has the time `left`, on a link that is `link_age` old.
+    pub(crate) fn to_frame(&self, left: Duration, link_age: Duration) -> Frame {
         let text = |text: &Option<Arc<str>>| text.as_deref().map(str::to_owned);
         Frame::Open(frame::Open {
             request: self.request.to_string(),
@@ -85,6 +86,7 @@
             headers: headers_to_frame(&self.headers),
             length: self.length,
             deadline_ms: millis(left),
+            queued_ms: Some(millis(link_age)),
             priority: self.priority,
             key: text(&self.key),
             ticket: text(&self.ticket),
--- a/tests/peer/raw.rs
+++ b/tests/peer/raw.rs
@@ -149,6 +149,7 @@
         headers: Vec::new(),
         length: None,
         deadline_ms: 30_000,
+        queued_ms: None,
         priority: 5,
         key: None,
         ticket: None,
--- a/tests/peer/relay.rs
+++ b/tests/peer/relay.rs
@@ -587,6 +587,40 @@
     });
 }
 
+/// An open frame that its sender queued at this age of the link, with this time left.
+fn open_frame_queued_at(queued_ms: u64, deadline_ms: u64) -> Frame {
+    let Frame::Open(open) = open_frame() else {
+        unreachable!("an open frame")
+    };
+    Frame::Open(frame::Open {
+        deadline_ms,
+        queued_ms: Some(queued_ms),
+        ..open
+    })
+}
+
+#[test]
+fn a_request_whose_time_was_over_before_the_link_delivered_it_is_refused() {
+    let node = Node::new("ent-a");
+    let mut raw = RawPeer::connect_authenticated(node.mesh.address());
+    // The clocks of the two sides have nothing in common but their speed.
+    raw.send(&open_frame_queued_at(60_000, 1000));
+    let first = node.wait_incoming();
+    raw.send(&open_frame_queued_at(58_500, 1000));
+    raw.send(&open_frame_queued_at(58_500, 30_000));
+    let third = node.wait_incoming();
+    let left = third.open.deadline.as_millis();
+    assert!((27_000..=28_500).contains(&left), "{left}");
+    let refused = loop {
+        if let Some(Frame::Refused(refused)) = raw.next_frame() {
+            break refused;
+        }
+    };
+    assert_eq!((refused.stream, &*refused.reason), (3, "time"));
+    assert_eq!(node.counter("expired"), 1);
+    drop(first);
+}
+
 #[test]
 fn a_head_too_large_for_a_frame_is_not_sent() {
     let (a, b) = pair();
