--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,7 +1,6 @@
 //! One authenticated connection: the task that reads and writes it, and its streams.
 
 mod inbound;
-mod transit;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -24,7 +23,7 @@
 use super::mesh::Core;
 use super::outbox::{Outbox, OutboxItem, Phase};
 use super::stream::{Open, Stream};
-use transit::Transit;
+use super::transit::Transit;
 
 /// The socket type of links.
 pub(crate) type Socket = WebSocketStream<TcpStream>;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -16,6 +16,7 @@
 pub mod frame;
 pub mod mesh;
 pub mod stream;
+pub mod transit;
 
 mod channel;
 mod connect;
--- a/tests/peer/main.rs
+++ b/tests/peer/main.rs
@@ -11,3 +11,4 @@
 mod node;
 mod raw;
 mod relay;
+mod transit;
