Soak: requests that failed do not run later, and a target that was draining returns as a new process

The soak now checks that no at-most-once request begins to run later than 2.5 s, the time that targets have to drain, after its caller was told 500, 502 or 504. A target whose entry went from draining to ready kept its id, which the platform gives to one process only; it now returns under a new one.

--- a/soak/caller.rs
+++ b/soak/caller.rs
@@ -136,6 +136,10 @@
                 lock(&self.ledger).record_not_run(id);
                 return;
             }
+            "500" | "502" | "504" if id.starts_with("once-") => {
+                lock(&self.ledger).record_failure(id);
+                return;
+            }
             "200" | "500" | "502" | "503" | "504" => return,
             _ => "unexpected status",
         };
--- a/soak/fault.rs
+++ b/soak/fault.rs
@@ -60,10 +60,7 @@
         7 => {
             let states = ["ready", "draining", "ready"];
             let state = states[rng.random_range(0..states.len())];
-            let address = world.links[target].address();
-            world
-                .store
-                .put_target(&format!("i-{target}"), address, state);
+            world.set_target_state(target, state);
         }
         8 => world.hosts[host].signal("-HUP"),
         _ => world.links[target].set_fault(random_link_fault(rng)),
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -56,6 +56,10 @@
 seeds! {
     some_faults: 1;
     other_faults: 2;
+    // Links delivered requests that hosts had given up.
+    requests_held_by_links: 5901;
+    requests_held_by_more_links: 5906;
+    requests_held_by_other_links: 5916;
 }
 
 #[test]
--- a/soak/world.rs
+++ b/soak/world.rs
@@ -38,13 +38,20 @@
     Slow,
 }
 
-/// The requests that targets ran and that callers were told were not run, and the mode of each target.
+/// Time within which a request that its caller was told failed can still begin to run: the time that targets have to drain.
+const LATE_RUN_LIMIT: Duration = Duration::from_millis(2500);
+
+/// The requests that targets ran and that callers were told were not run or failed, and the mode of each target.
 #[derive(Default)]
 pub struct Ledger {
     /// Number of runs of each request.
     runs: BTreeMap<String, usize>,
     /// At-most-once requests that were refused with the assurance that they have not run and never will.
     reported_not_run: BTreeSet<String>,
+    /// When callers were told that their at-most-once requests failed.
+    failed_at: BTreeMap<String, Instant>,
+    /// How long after that requests began to run, if it was too late.
+    late_runs: BTreeMap<String, Duration>,
     target_modes: BTreeMap<usize, TargetMode>,
 }
 
@@ -65,6 +72,20 @@
         self.runs.get(id).copied().unwrap_or_default()
     }
 
+    /// Records that a target runs a request.
+    fn record_run(&mut self, id: &str) {
+        *self.runs.entry(id.into()).or_default() += 1;
+        let since_failure = self.failed_at.get(id).map(Instant::elapsed);
+        if let Some(time) = since_failure.filter(|time| *time > LATE_RUN_LIMIT) {
+            self.late_runs.insert(id.into(), time);
+        }
+    }
+
+    /// Records that a caller was told that a request failed and may have run.
+    pub fn record_failure(&mut self, id: &str) {
+        self.failed_at.insert(id.into(), Instant::now());
+    }
+
     /// Records that a caller was told that a request has not run and never will.
     pub fn record_not_run(&mut self, id: &str) {
         self.reported_not_run.insert(id.into());
@@ -76,6 +97,10 @@
     pub ledger: SharedLedger,
     pub links: Vec<Link>,
     pub hosts: Vec<Host>,
+    /// The processes that each target had before the current one.
+    past_processes: Vec<usize>,
+    /// The targets that announced their shutdown.
+    draining: BTreeSet<usize>,
 }
 
 impl World {
@@ -89,30 +114,47 @@
                 Link::new(SocketAddr::from(([127, 0, 0, 1], 0)), address).unwrap()
             })
             .collect();
-        for (index, link) in links.iter().enumerate() {
-            store.put_target(&format!("i-{index}"), link.address(), "ready");
-        }
-        let hosts = (0..HOST_COUNT)
-            .map(|index| Host::with_name(&store, &format!("h{index}")))
-            .collect();
-        let world = Self {
+        let past_processes = vec![0; links.len()];
+        let mut world = Self {
             store,
             ledger,
             links,
-            hosts,
+            hosts: Vec::new(),
+            past_processes,
+            draining: BTreeSet::new(),
         };
+        for target in 0..TARGET_COUNT {
+            world.set_target_state(target, "ready");
+        }
+        let hosts =
+            (0..HOST_COUNT).map(|index| Host::with_name(&world.store, &format!("h{index}")));
+        world.hosts = hosts.collect();
         world.wait_until_serving().unwrap();
         world
     }
 
+    /// Registers a target with a state. If it was draining and is ready, a new process has replaced it.
+    pub fn set_target_state(&mut self, target: usize, state: &str) {
+        let id = |process: usize| format!("i-{target}-{process}");
+        if state == "draining" {
+            self.draining.insert(target);
+        } else if self.draining.remove(&target) {
+            self.store
+                .remove("servers", &id(self.past_processes[target]));
+            self.past_processes[target] += 1;
+        }
+        let address = self.links[target].address();
+        self.store
+            .put_target(&id(self.past_processes[target]), address, state);
+    }
+
     /// Ends all faults: resumes or restarts hosts, and resets the store, links and targets.
     pub fn end_faults(&mut self) {
         self.store.set_mode(Mode::Up);
-        for (index, link) in self.links.iter().enumerate() {
-            link.set_fault(Fault::default());
+        for index in 0..self.links.len() {
+            self.links[index].set_fault(Fault::default());
             lock(&self.ledger).set_target_mode(index, TargetMode::Normal);
-            self.store
-                .put_target(&format!("i-{index}"), link.address(), "ready");
+            self.set_target_state(index, "ready");
         }
         for host in &mut self.hosts {
             host.signal("-CONT");
@@ -146,8 +188,8 @@
         Ok(())
     }
 
-    /// Returns descriptions of at-most-once requests that ran twice, or ran although callers were told
-    /// that they had not.
+    /// Returns descriptions of at-most-once requests that ran twice, long after their callers were told that they failed, or
+    /// although callers were told that they had not.
     pub fn find_violations(&self) -> Vec<String> {
         let ledger = lock(&self.ledger);
         let is_at_most_once = |id: &str| id.starts_with("once-");
@@ -161,7 +203,10 @@
             .iter()
             .filter(|id| ledger.runs(id) > 0)
             .map(|id| format!("{id} ran although its caller was told that it was not run"));
-        repeated.chain(false_not_run).collect()
+        let late = ledger.late_runs.iter().map(|(id, time)| {
+            format!("{id} ran {time:?} after its caller was told that it failed")
+        });
+        repeated.chain(false_not_run).chain(late).collect()
     }
 }
 
@@ -185,7 +230,7 @@
         if mode == TargetMode::Slow {
             thread::sleep(Duration::from_millis(300));
         }
-        *lock(&ledger).runs.entry(id).or_default() += 1;
+        lock(&ledger).record_run(&id);
         match mode {
             TargetMode::Normal | TargetMode::Slow | TargetMode::Refuse => {
                 Some(ok_response(headers))
