--- a/soak/main.rs
+++ b/soak/main.rs
@@ -26,8 +26,10 @@
     fault::inject_faults(&mut world, seed, FAULT_DURATION);
     world.end_faults();
     let recovery = world.wait_until_serving();
+    let missed_shutdown = world.find_missed_shutdown();
     let mut violations = callers.stop();
     violations.extend(world.find_violations());
+    violations.extend(missed_shutdown);
     if let Err(problem) = recovery {
         violations.push(problem);
     }
--- a/soak/world.rs
+++ b/soak/world.rs
@@ -38,8 +38,10 @@
     Slow,
 }
 
-/// Time within which a request that its caller was told failed can still begin to run: the time that targets have to drain.
-const LATE_RUN_LIMIT: Duration = Duration::from_millis(2500);
+/// Time that a target has to drain. A request that its caller was told failed does not begin to run after it either.
+const DRAIN: Duration = Duration::from_millis(2500);
+/// How long a target that has announced its shutdown is observed after that.
+const SHUTDOWN_OBSERVATION: Duration = Duration::from_millis(500);
 
 /// The requests that targets ran and that callers were told were not run or failed, and the mode of each target.
 #[derive(Default)]
@@ -52,6 +54,8 @@
     failed_at: BTreeMap<String, Instant>,
     /// How long after that requests began to run, if it was too late.
     late_runs: BTreeMap<String, Duration>,
+    /// The targets at which requests began to run, and when.
+    arrivals: Vec<(Instant, usize)>,
     target_modes: BTreeMap<usize, TargetMode>,
 }
 
@@ -73,10 +77,11 @@
     }
 
     /// Records that a target runs a request.
-    fn record_run(&mut self, id: &str) {
+    fn record_run(&mut self, target: usize, id: &str) {
+        self.arrivals.push((Instant::now(), target));
         *self.runs.entry(id.into()).or_default() += 1;
         let since_failure = self.failed_at.get(id).map(Instant::elapsed);
-        if let Some(time) = since_failure.filter(|time| *time > LATE_RUN_LIMIT) {
+        if let Some(time) = since_failure.filter(|time| *time > DRAIN) {
             self.late_runs.insert(id.into(), time);
         }
     }
@@ -188,6 +193,27 @@
         Ok(())
     }
 
+    /// Has a target announce its shutdown, and returns a description of the requests that reach it once it had time to drain.
+    /// The callers have to run.
+    pub fn find_missed_shutdown(&mut self) -> Option<String> {
+        let target = 0;
+        self.set_target_state(target, "draining");
+        thread::sleep(DRAIN);
+        let from = Instant::now();
+        thread::sleep(SHUTDOWN_OBSERVATION);
+        let ledger = lock(&self.ledger);
+        let late = ledger
+            .arrivals
+            .iter()
+            .filter(|(at, to)| *at > from && *to == target);
+        let count = late.count();
+        (count > 0).then(|| {
+            format!(
+                "{count} requests reached a target {DRAIN:?} after it had announced its shutdown"
+            )
+        })
+    }
+
     /// Returns descriptions of at-most-once requests that ran twice, long after their callers were told that they failed, or
     /// although callers were told that they had not.
     pub fn find_violations(&self) -> Vec<String> {
@@ -230,7 +256,7 @@
         if mode == TargetMode::Slow {
             thread::sleep(Duration::from_millis(300));
         }
-        lock(&ledger).record_run(&id);
+        lock(&ledger).record_run(index, &id);
         match mode {
             TargetMode::Normal | TargetMode::Slow | TargetMode::Refuse => {
                 Some(ok_response(headers))
--- a/src/steer/departures.rs
+++ b/src/steer/departures.rs
@@ -14,19 +14,20 @@
 /// registration says the same.
 const REPEAT_FOR: Duration = Duration::from_secs(60);
 
-/// How a process that shuts down became known.
+/// Which hosts know that a process shuts down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// It stated so in an answer, to this host or to another one.
-    Answer,
-    /// Its registration said so, which all hosts read.
-    Registration,
+pub enum Audience {
+    /// Those that were told: it stated so in an answer to one of them, or in a registration that was
+    /// replaced.
+    Told,
+    /// All that read its registration.
+    Readers,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     known_at: Instant,
-    source: Source,
+    audience: Audience,
 }
 
 /// The processes that are known to shut down.
@@ -44,9 +45,10 @@
 
     /// Records that a process shuts down. Returns whether that is new, also if only its
     /// registration has said so until now: other hosts may not read the same one.
-    pub fn record(&mut self, now: Instant, process: u64, source: Source) -> bool {
+    pub fn record(&mut self, now: Instant, process: u64, audience: Audience) -> bool {
         let known = self.known.get(&process);
-        if known.is_some_and(|known| known.source == Source::Answer || known.source == source) {
+        if known.is_some_and(|known| known.audience == Audience::Told || known.audience == audience)
+        {
             return false;
         }
         if known.is_none() && self.known.len() >= MAX_PROCESSES {
@@ -58,7 +60,7 @@
         }
         let departure = Departure {
             known_at: now,
-            source,
+            audience,
         };
         self.known.insert(process, departure);
         true
@@ -75,7 +77,7 @@
         known
             .filter(move |(_, departure)| {
                 let age = now.saturating_duration_since(departure.known_at);
-                departure.source == Source::Answer && age < REPEAT_FOR
+                departure.audience == Audience::Told && age < REPEAT_FOR
             })
             .map(|(process, _)| *process)
     }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -44,7 +44,7 @@
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
 use self::sharing::Sharing;
-use super::departures::{Departures, Source};
+use super::departures::{Audience, Departures};
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
 use super::reach::Reach;
@@ -269,9 +269,12 @@
     /// that its process is draining holds for good, see [`Departures`].
     pub fn register(&mut self, now: Instant, registration: impl Into<Arc<Registration>>) {
         let registration = registration.into();
+        let process = process_digest(&registration);
         if registration.state == State::Draining {
-            let process = process_digest(&registration);
-            self.departures.record(now, process, Source::Registration);
+            self.departures.record(now, process, Audience::Readers);
+        } else if self.departures.contains(process) {
+            // Hosts that start now read only this registration, and have to be told.
+            self.departures.record(now, process, Audience::Told);
         }
         let cold_until = Some(registration.cold_left)
             .filter(|left| !left.is_zero())
@@ -308,7 +311,7 @@
             is_local: region == self.region,
             region,
             id_hash: xxh3_64(registration.id.as_bytes()),
-            process: process_digest(&registration),
+            process,
             registration,
             in_flight: 0,
             report: None,
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -7,7 +7,7 @@
 use super::member::Member;
 use super::{Fleet, TargetQuery};
 use crate::inventory::{State, TargetKey};
-use crate::steer::departures::Source;
+use crate::steer::departures::Audience;
 
 impl Fleet {
     /// Whether a target may receive requests, as far as its state does not change by itself.
@@ -80,13 +80,13 @@
     pub fn record_leaving(&mut self, now: Instant, key: TargetKey) -> Option<u64> {
         let process = self.members.get(&key)?.process;
         self.departures
-            .record(now, process, Source::Answer)
+            .record(now, process, Audience::Told)
             .then_some(process)
     }
 
     /// Records a process that another host knows to shut down. Returns its target if that is new.
     pub fn merge_leaving(&mut self, now: Instant, process: u64) -> Option<Arc<str>> {
-        if !self.departures.record(now, process, Source::Answer) {
+        if !self.departures.record(now, process, Audience::Told) {
             return None;
         }
         let mut members = self.members.values();
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -141,6 +141,19 @@
     assert_eq!(world.fleet.leaving_processes(world.now).count(), 1);
 }
 
+#[test]
+fn hosts_that_start_after_an_announcement_was_undone_are_told() {
+    let mut world = World::new();
+    world.fleet.register(world.now, draining());
+    world.fleet.register(world.now, registration("a", None));
+    let processes: Vec<u64> = world.fleet.leaving_processes(world.now).collect();
+    assert_eq!(processes.len(), 1);
+    let mut other = World::new();
+    assert_eq!(other.chosen(), Ok("a".into()));
+    other.fleet.merge_leaving(other.now, processes[0]);
+    assert_eq!(other.chosen(), Err(Refusal::NoTarget));
+}
+
 #[test]
 fn a_later_process_of_the_target_is_used() {
     let mut world = World::new();
