A request whose sender has left is not sent to a target

What callers saw: a host that was frozen sent requests to targets although their callers had left meanwhile; one that must not run twice could run seconds after its caller had given it up. Cause: the HTTP server reads a request's head and polls its handler before it reads on and sees the end of the connection. The first poll of the handler could write the request to a kept connection. Why this holds: the handler yields once, so that the connection reads again before anything is done; what has ended by then is dropped.

--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -56,6 +56,9 @@
     context: Option<relay::Context>,
 ) -> Response<Body> {
     let started_at = now();
+    // The connection is polled once more first. A request that was read late, by a host that was
+    // paused or overloaded, is dropped then if its sender has left.
+    tokio::task::yield_now().await;
     let (parts, incoming) = request.into_parts();
     if context.is_none() {
         startup::wait_for_copy(host).await;
