--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -6,7 +6,8 @@
 mod cluster;
 mod scripted;
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -122,3 +123,28 @@
     give_up(&cluster, &links, "bookings");
     assert_eq!(targets.executions("late"), 0, "{}", cluster.log("ent-2"));
 }
+
+#[test]
+fn a_booking_whose_caller_left_a_frozen_host_does_not_run() {
+    let targets = ScriptedTargets::new(Behavior::Serve, Occurrence::Always);
+    let mut cluster = cluster_with("bookings")
+        .with_zone("lima", ZONES[0])
+        .with_host(ZONES[0], "ent-1");
+    for (number, address) in targets.addresses.into_iter().enumerate() {
+        let name = format!("target-{number}");
+        cluster = cluster.with_target_at(ZONES[0], "bookings", &name, address);
+    }
+    let cluster = cluster.start_all();
+    wait_until_served(&cluster, "bookings");
+    let host = &cluster.hosts["ent-1"];
+    host.signal("STOP");
+    let mut caller = TcpStream::connect(host.address).unwrap();
+    let request = "POST /v1/services/bookings/x HTTP/1.1\r\nHost: h\r\nStandin-Call: late\r\n\
+                   Content-Length: 5\r\n\r\nhello";
+    caller.write_all(request.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(300));
+    drop(caller);
+    host.signal("CONT");
+    thread::sleep(DELIVERY);
+    assert_eq!(targets.executions("late"), 0, "{}", cluster.log("ent-1"));
+}
