--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -20,8 +20,8 @@
 /// Time for bytes that are not held any more to arrive.
 const DELIVERY: Duration = Duration::from_millis(500);
 const DEADLINE_MS: &str = "400";
-/// Time for which bytes are held: less than the host's limit for bytes that are not acknowledged.
-const HOLD: Duration = Duration::from_millis(1200);
+/// Time for which bytes are held: longer than the deadline, and shorter than hosts take to end a silent link between them.
+const HOLD: Duration = Duration::from_millis(700);
 
 fn link_to(address: SocketAddr) -> Link {
     Link::new("127.0.0.1:0".parse().unwrap(), address).unwrap()
@@ -109,16 +109,22 @@
         let name = format!("target-{number}");
         cluster = cluster.with_target_at(ZONES[1], "bookings", &name, address);
     }
+    // Whichever host dials the other one, it does so by a link.
+    let links = ["ent-1", "ent-2"].map(|host| {
+        let address = &mut cluster.configuration["hosts"][host]["peer_address"];
+        let own: SocketAddr = address.as_str().unwrap().parse().unwrap();
+        let link = link_to(own);
+        *address = link.address().to_string().into();
+        (host, own, link)
+    });
     cluster.publish(1);
-    cluster.start("ent-2");
-    // The first host reaches the other one by a link only.
-    let peer = cluster.hosts["ent-2"].peer_address;
-    let links = [link_to(peer)];
-    cluster.configuration["hosts"]["ent-2"]["peer_address"] = links[0].address().to_string().into();
-    cluster.publish(2);
-    cluster.start("ent-1");
+    let url = cluster.platform_url.clone();
+    for (host, own, _) in &links {
+        cluster.start_with(host, &url, json!({"peer_listen": own}));
+    }
     cluster.wait_ready("ent-1");
     cluster.wait_ready("ent-2");
+    let links = links.map(|(_, _, link)| link);
     wait_until_served(&cluster, "bookings");
     give_up(&cluster, &links, "bookings");
     assert_eq!(targets.executions("late"), 0, "{}", cluster.log("ent-2"));
