Recall requests that a target has not received when it leaves

What callers saw: a request ran at a target 2.9 s after that had announced its shutdown (2.5 s allowed), and was answered, if its packets were lost until then. The same holds for targets that are gone and zones that are evacuated.

Cause: the decision to send to a target was taken back for everything but the bytes that were already on the way. The host went on waiting, and its kernel went on repeating them, until the deadline or for 4 s (ACK_TIMEOUT).

Fix: while a request waits for its answer, the host asks every 500 ms whether the target may still receive requests (`Fleet::may_receive`), and whether its kernel has acknowledged any byte of this one (`client::Transfer`, TIOCOUTQ). If neither holds, the connection is reset. An idempotent request goes to another target within its budget; one that must not run twice fails with 502, as a lost acknowledgement can't be told from a lost request. `tries` says `recalled`.

Cost: one timer for each request that waits.

--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -12,7 +12,7 @@
 use tokio::task::AbortHandle;
 
 use super::body::{self, Body, ReceivedBody};
-use super::client::{self, Connection, Unanswered};
+use super::client::{self, Connection, Transfer, Unanswered};
 use super::exchange::{Buffered, Exchange};
 use super::{announcement, links, log, message, now, request_log, throttle, Host};
 use crate::catalog::Repeat;
@@ -24,6 +24,10 @@
 /// take longer, but the time is better spent on another target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Interval at which a request that waits for its answer is checked for whether it has to be
+/// recalled: round trips between regions, and the first retransmissions.
+const RECALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Result of one attempt.
 pub(crate) enum Outcome {
     /// The response for the caller.
@@ -151,23 +155,42 @@
 ) -> Outcome {
     let request = message::build_target_request(host, exchange, body, &id);
     let sent_at = now();
-    let response =
-        match await_head(host, exchange, query, in_flight, connection.send(request)).await {
-            Ok(response) => response,
-            Err(outcome) => return outcome,
-        };
+    let recall = wait_for_recall(host, in_flight.target, connection.transfer());
+    let answer = async {
+        tokio::select! {
+            biased;
+            answer = connection.send(request) => Some(answer),
+            () = recall => None,
+        }
+    };
+    let response = match await_head(host, exchange, query, in_flight, answer).await {
+        Ok(response) => response,
+        Err(outcome) => return outcome,
+    };
     in_flight.observation.response_time = Some(now().saturating_duration_since(sent_at));
     receive_response(host, exchange, in_flight, connection, response).await
 }
 
-/// Waits for the head of an answer until the deadline, or until the target counts as silent and
-/// another target may be tried.
+/// Waits until a request has to be recalled: its target wants no more requests, and has received
+/// nothing of it. The bytes would be delivered once the path allows it, at any time until the
+/// deadline.
+async fn wait_for_recall(host: &Host, target: TargetKey, transfer: Rc<Transfer>) {
+    loop {
+        tokio::time::sleep(RECALL_CHECK_INTERVAL).await;
+        if !host.core.borrow().fleet.may_receive(target) && transfer.is_undelivered() {
+            return;
+        }
+    }
+}
+
+/// Waits for the head of an answer, which is none if the request is recalled, until the deadline, or
+/// until the target counts as silent and another target may be tried.
 async fn await_head(
     host: &Host,
     exchange: &Exchange,
     query: &TargetQuery<'_>,
     in_flight: &mut InFlight,
-    answer: impl Future<Output = Result<Response<Incoming>, Unanswered>>,
+    answer: impl Future<Output = Option<Result<Response<Incoming>, Unanswered>>>,
 ) -> Result<Response<Incoming>, Outcome> {
     let mut answer = pin!(answer);
     loop {
@@ -176,8 +199,12 @@
             now() + max_silence.unwrap_or(exchange.deadline.saturating_duration_since(now()));
         let until = check_at.min(exchange.deadline);
         match tokio::time::timeout_at(until.into(), &mut answer).await {
-            Ok(Ok(response)) => return Ok(response),
-            Ok(Err(unanswered)) => {
+            Ok(Some(Ok(response))) => return Ok(response),
+            Ok(None) => {
+                in_flight.end = End::Recalled;
+                return Err(Outcome::Unknown);
+            }
+            Ok(Some(Err(unanswered))) => {
                 let (end, outcome) = match unanswered {
                     Unanswered::NotSent => (End::Closed, Outcome::NotRun),
                     Unanswered::Sent if exchange.caller_aborted.get() => {
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -66,16 +66,39 @@
     Sent,
 }
 
-/// The socket of a connection in use.
-struct Socket {
-    file: RawFd,
-    /// Set when this is dropped.
-    unacknowledged: Rc<Cell<usize>>,
+/// The bytes that were sent on a connection, and how many of them its peer has not acknowledged.
+#[derive(Debug, Default)]
+pub(crate) struct Transfer {
+    /// The socket, while the connection is open.
+    file: Cell<Option<RawFd>>,
+    sent: Cell<usize>,
+    /// Number of bytes when the connection was closed.
+    unacknowledged: Cell<usize>,
 }
 
-impl Drop for Socket {
+impl Transfer {
+    /// The bytes that the peer has not acknowledged, or had not when the connection was closed.
+    pub(crate) fn unacknowledged(&self) -> usize {
+        match self.file.get() {
+            Some(file) => count_unacknowledged(file),
+            None => self.unacknowledged.get(),
+        }
+    }
+
+    /// Whether bytes were sent, and the peer has acknowledged none of them.
+    pub(crate) fn is_undelivered(&self) -> bool {
+        let sent = self.sent.get();
+        sent > 0 && self.unacknowledged() >= sent
+    }
+}
+
+/// A transfer on an open socket.
+struct OpenTransfer(Rc<Transfer>);
+
+impl Drop for OpenTransfer {
     fn drop(&mut self) {
-        self.unacknowledged.set(count_unacknowledged(self.file));
+        self.0.unacknowledged.set(self.0.unacknowledged());
+        self.0.file.set(None);
     }
 }
 
@@ -103,18 +126,29 @@
 /// An HTTP connection in use; it is reset when dropped, see [`Connection::release`].
 pub(crate) struct Connection {
     // Dropped before the driver, which owns the stream.
-    socket: Socket,
+    transfer: OpenTransfer,
     sender: SendRequest<Body>,
     driver: Driver,
     /// Bytes that may still be received.
     allowance: Rc<Cell<usize>>,
 }
 
-/// A socket that fails once more bytes were received than allowed: a server may send heads or
-/// interim responses without end, faster than they can be parsed.
+/// A socket that counts what is sent, and fails once more bytes were received than allowed: a server
+/// may send heads or interim responses without end, faster than they can be parsed.
 struct Metered {
     stream: TcpStream,
     allowance: Rc<Cell<usize>>,
+    transfer: Rc<Transfer>,
+}
+
+impl Metered {
+    fn count_sent(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(count)) = &result {
+            let sent = &self.transfer.sent;
+            sent.set(sent.get().saturating_add(*count));
+        }
+        result
+    }
 }
 
 impl AsyncRead for Metered {
@@ -142,7 +176,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.count_sent(result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -158,7 +193,8 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        self.count_sent(result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -196,13 +232,12 @@
     pub(crate) async fn new(stream: TcpStream) -> Result<Self, Error> {
         set_reset_on_close(&stream, true)?;
         let allowance = Rc::new(Cell::new(MAX_HEAD_BYTES));
-        let socket = Socket {
-            file: stream.as_raw_fd(),
-            unacknowledged: Rc::default(),
-        };
+        let transfer = Rc::new(Transfer::default());
+        transfer.file.set(Some(stream.as_raw_fd()));
         let metered = Metered {
             stream,
             allowance: allowance.clone(),
+            transfer: transfer.clone(),
         };
         let (sender, connection) = http1::Builder::new()
             .read_buf_exact_size(Some(READ_BUFFER_BYTES))
@@ -213,16 +248,16 @@
             ended: false,
         };
         Ok(Self {
-            socket,
+            transfer: OpenTransfer(transfer),
             sender,
             driver,
             allowance,
         })
     }
 
-    /// Returns a cell that holds the bytes that the peer has not acknowledged once this is dropped.
-    pub(crate) fn unacknowledged(&self) -> Rc<Cell<usize>> {
-        self.socket.unacknowledged.clone()
+    /// What is sent on this connection; also after this was dropped.
+    pub(crate) fn transfer(&self) -> Rc<Transfer> {
+        self.transfer.0.clone()
     }
 
     /// Sends a request and waits for the head of its response.
@@ -263,7 +298,7 @@
     pub(crate) async fn release(mut self) -> Option<TcpStream> {
         self.driver.drive_until(std::future::ready(())).await;
         let is_complete = !self.driver.ended && self.sender.is_ready();
-        drop(self.socket);
+        drop(self.transfer);
         let parts = self.driver.connection.into_parts();
         let stream = parts.io.into_inner().stream;
         if let Err(error) = set_reset_on_close(&stream, false) {
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -1,6 +1,5 @@
 //! Logs each request and updates its metrics.
 
-use std::cell::Cell;
 use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,7 +9,7 @@
 use http::{request, HeaderMap, StatusCode};
 
 use super::attempt::InFlight;
-use super::client::Connection;
+use super::client::{Connection, Transfer};
 use super::exchange::Exchange;
 use super::log::Event;
 use super::{now, relay, serve, Host};
@@ -30,8 +29,7 @@
     started_at: Instant,
     end: AttemptEnd,
     took: Duration,
-    /// Bytes sent that were not acknowledged when the connection was closed.
-    unacknowledged: Rc<Cell<usize>>,
+    transfer: Rc<Transfer>,
 }
 
 /// How an attempt ended.
@@ -56,7 +54,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let milliseconds = self.took.as_millis();
         write!(f, "{} {} after {milliseconds} ms", self.to, self.end)?;
-        match self.unacknowledged.get() {
+        match self.transfer.unacknowledged() {
             0 => Ok(()),
             count => write!(f, " with {count} bytes unacknowledged"),
         }
@@ -70,7 +68,7 @@
             started_at,
             end: AttemptEnd::Target(End::Cancelled),
             took: Duration::ZERO,
-            unacknowledged: Rc::default(),
+            transfer: Rc::default(),
         }
     }
 
@@ -174,7 +172,7 @@
     /// Observes the connection of the last attempt.
     pub(crate) fn observe(&mut self, connection: &Connection) {
         if let Some(last) = self.attempts.last_mut() {
-            last.unacknowledged = connection.unacknowledged();
+            last.transfer = connection.transfer();
         }
     }
 
@@ -362,7 +360,7 @@
         attempts: trace.attempts.len() as u32,
     });
     for attempt in &trace.attempts {
-        if attempt.unacknowledged.get() > 0 {
+        if attempt.transfer.unacknowledged() > 0 {
             host.metrics.count_undelivered(service);
         }
     }
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -119,6 +119,8 @@
     TimedOut,
     /// The caller gave up, or another target is tried instead.
     Cancelled,
+    /// It wants no more requests, and had received nothing of this one.
+    Recalled,
 }
 
 /// Change of a target's ejection state.
@@ -628,7 +630,11 @@
         }
         let member = self.members.get_mut(&key)?;
         member.in_flight = member.in_flight.saturating_sub(1);
-        if !matches!(end, End::Cancelled | End::Silent | End::TimedOut) {
+        let is_unheard = matches!(
+            end,
+            End::Cancelled | End::Recalled | End::Silent | End::TimedOut
+        );
+        if !is_unheard {
             member.silent_since = Some(now);
         }
         if matches!(end, End::Answered | End::Failed) {
@@ -637,7 +643,7 @@
         }
         match end {
             End::Unreached => member.connect_failed_at = Some(now),
-            End::Cancelled | End::Silent | End::TimedOut => {}
+            _ if is_unheard => {}
             _ => member.connect_failed_at = None,
         }
         if let Some(load) = load {
@@ -660,7 +666,7 @@
                 member.is_misdirected = true;
                 return None;
             }
-            End::Refused | End::TimedOut | End::Cancelled => return None,
+            End::Refused | End::TimedOut | End::Cancelled | End::Recalled => return None,
         };
         if outcome == Outcome::Bad && !self.reaches_targets() {
             return None;
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -49,6 +49,12 @@
             .is_some_and(|member| self.is_available(member) && member.rest.time_left(now).is_none())
     }
 
+    /// Whether a target may still receive a request that was sent to it.
+    pub fn may_receive(&self, key: TargetKey) -> bool {
+        let member = self.members.get(&key);
+        member.is_some_and(|member| self.is_available(member))
+    }
+
     /// Whether there are targets of a service, and all of them are shutting down or must not be
     /// used.
     pub fn has_no_available_target(&self, service: &str) -> bool {
--- a/src/steer/fleet/reach.rs
+++ b/src/steer/fleet/reach.rs
@@ -76,7 +76,7 @@
                 }
             }
             // Targets may be slow on sound links.
-            End::TimedOut | End::Cancelled => {}
+            End::TimedOut | End::Cancelled | End::Recalled => {}
         }
     }
 }
