Own interface: a request whose caller has left is not sent

What callers saw: a booking whose caller had left 0.3 s before, while the host was frozen, ran at a target once the host went on. The same holds for requests that wait in a queue while their callers leave.

Cause: the HTTP library does not tell that a caller has closed its connection, so nothing asked before a request was sent.

Fix: before each attempt, the host asks the kernel for the state of the caller's connection (TCP_INFO), and refuses the request with `caller-gone` if it is closed; what was granted for the attempt is returned. To find the socket takes a pass over the open files, so only requests are checked that were read more than 200 ms ago, or up to a second after a thread had waited for requests longer than it may, as in a process that was paused. The state shows a close of the caller only: this end shuts down reading when 64 requests of a connection are queued, and these callers still wait for their answers, which a new test holds to (it fails, 503 in place of 200, if the end of reading is taken for the end of the caller).

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -121,6 +121,10 @@
             let requested = Instant::now();
             let verdict = shared.core.route(self.route_request(kind));
             lock(&self.timing).queued += requested.elapsed();
+            if self.has_caller_left() {
+                return_unused(shared, verdict);
+                return self.refuse(shared, Refusal::new(Reason::CallerGone));
+            }
             let step = match verdict {
                 Verdict::Refused(refusal) => return self.refuse(shared, refusal),
                 Verdict::Host(permit) => self.try_host(shared, permit),
@@ -136,6 +140,14 @@
         }
     }
 
+    fn has_caller_left(&self) -> bool {
+        match lock(&self.requester).as_ref() {
+            Some(Requester::Caller(request)) => request.has_caller_left(),
+            // A host cancels the requests that it has relayed.
+            Some(Requester::Host(_)) | None => false,
+        }
+    }
+
     /// Runs the hedge that the core granted; falls usage to retries if it fails.
     pub(crate) fn run_hedge(self: &Arc<Self>, shared: &Arc<Shared>, grant: group::Grant) {
         if self.try_target(shared, grant) == Step::Retry {
@@ -376,7 +388,14 @@
             return;
         };
         let started = Instant::now();
-        let (result, _) = self.call_host(shared, host, relay::Purpose::Home);
+        let result = if self.has_caller_left() {
+            Err(relay::Failure {
+                cause: FailurePoint::CallerGone(Stage::Sent),
+                retry_after: DEFAULT_RETRY_AFTER,
+            })
+        } else {
+            self.call_host(shared, host, relay::Purpose::Home).0
+        };
         lock(&self.timing).in_attempts += started.elapsed();
         // An earlier copy of the request may have reached the home host, so the outcome is unknown.
         let result = result.map_err(|failure| match failure.cause {
@@ -599,6 +618,16 @@
     }
 }
 
+/// Returns what the core granted for an attempt that is not made.
+fn return_unused(shared: &Shared, verdict: Verdict) {
+    let event = match verdict {
+        Verdict::Refused(_) => return,
+        Verdict::Host(permit) => Event::RelayFinished(permit, PermitUsage::Unused),
+        Verdict::Target { grant, .. } => Event::TargetFinished(grant, group::Report::unused()),
+    };
+    shared.core.send(event);
+}
+
 /// Locks a mutex, ignoring poisoning: the protected values are consistent after a panic.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -26,6 +26,9 @@
 /// Size of the buffer for draining a body, in bytes.
 const DRAIN_BUFFER_BYTES: usize = 64 << 10;
 
+/// How long after a request was read its caller is taken to wait for the answer, without a check.
+const CALLER_CHECK_AFTER: Duration = Duration::from_millis(200);
+
 /// A request that has to be answered exactly once.
 pub(crate) struct Request {
     inner: Option<tiny_http::Request>,
@@ -33,6 +36,8 @@
     bytes_read: u64,
     watchdog: Watchdog,
     body_guard: Option<Guard>,
+    /// When it was read, or none if that may have been long after it had arrived.
+    read_at: Option<Instant>,
     // Dropped last: the next request of the connection may be answered only after this one.
     turn: Option<Turn>,
 }
@@ -59,10 +64,29 @@
             bytes_read: 0,
             watchdog: watchdog.clone(),
             body_guard: None,
+            read_at: Some(Instant::now()),
             turn: None,
         }
     }
 
+    /// Marks a request that may have arrived long before it was read.
+    pub(crate) fn with_late_read(mut self, is_late: bool) -> Self {
+        self.read_at = self.read_at.filter(|_| !is_late);
+        self
+    }
+
+    /// Whether the caller has closed the connection, as far as this is worth a check: the library does
+    /// not tell.
+    pub(crate) fn has_caller_left(&self) -> bool {
+        let read_at = self.read_at;
+        let is_recent = read_at.is_some_and(|at| at.elapsed() < CALLER_CHECK_AFTER);
+        !is_recent
+            && self
+                .remote_addr()
+                .copied()
+                .is_some_and(raw_socket::is_closed_by)
+    }
+
     /// Attaches the request's turn on its connection.
     pub(crate) fn with_turn(mut self, turn: Turn) -> Self {
         self.turn = Some(turn);
@@ -219,6 +243,7 @@
                 bytes_read: self.bytes_read,
                 watchdog: self.watchdog.clone(),
                 body_guard: None,
+                read_at: self.read_at,
                 turn: self.turn.take(),
             };
             let _ = unanswered.respond(Response::empty(StatusCode(500)));
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -30,6 +30,11 @@
 
 /// Maximum number of connections waiting to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
+/// How much longer than [`STOP_CHECK_INTERVAL`] a thread may wait for a request before this process
+/// counts as paused.
+const MAX_WAKE_UP_DELAY: Duration = Duration::from_millis(30);
+/// How long after a pause requests are read that arrived during it.
+const LATE_READ_PERIOD: Duration = Duration::from_secs(1);
 /// Pause before a server is rebuilt after `accept` failed.
 const REBUILD_PAUSE: Duration = Duration::from_millis(50);
 /// How long a replaced server is still polled after its last request.
@@ -68,6 +73,8 @@
     /// The flag of the newest server, set when that server is replaced.
     replaced: Mutex<Arc<AtomicBool>>,
     stop: AtomicBool,
+    /// When a pause of this process was last noticed.
+    paused_at: Mutex<Option<Instant>>,
     connections: Arc<ConnectionTable>,
     watchdog: Watchdog,
 }
@@ -108,6 +115,7 @@
             on_rebuild,
             replaced: Mutex::default(),
             stop: AtomicBool::new(false),
+            paused_at: Mutex::default(),
             connections: ConnectionTable::new(ready),
             watchdog: Watchdog::new()?,
         });
@@ -163,6 +171,19 @@
         self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes how long a thread has waited for a request, and returns whether the process was paused so
+    /// recently that requests may be read late.
+    fn note_wait(&self, wait: Duration) -> bool {
+        let mut paused_at = self
+            .paused_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if wait > STOP_CHECK_INTERVAL + MAX_WAKE_UP_DELAY {
+            *paused_at = Some(Instant::now());
+        }
+        paused_at.is_some_and(|at| at.elapsed() < LATE_READ_PERIOD)
+    }
+
     fn rebuild(inner: &Arc<Self>) {
         while !inner.stop.load(Ordering::Relaxed) {
             thread::sleep(REBUILD_PAUSE);
@@ -277,10 +298,13 @@
 
     fn receive(&self) -> io::Result<Received> {
         let server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(request) = server.recv_timeout(STOP_CHECK_INTERVAL)? else {
+        let started = Instant::now();
+        let received = server.recv_timeout(STOP_CHECK_INTERVAL)?;
+        let is_late = self.inner.note_wait(started.elapsed());
+        let Some(request) = received else {
             return Ok(Received::Nothing);
         };
-        let request = Request::new(request, &self.inner.watchdog);
+        let request = Request::new(request, &self.inner.watchdog).with_late_read(is_late);
         let admitted = ConnectionTable::admit(&self.inner.connections, request);
         Ok(admitted.map_or(Received::Queued, |request| {
             Received::Request(Box::new(request))
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -212,6 +212,8 @@
 const BOOKINGS_PATH: &str = "/v1/services/bookings/x";
 const SMALL_PATH: &str = "/v1/services/small/x";
 const CHUNKED_HEADER: &str = "Transfer-Encoding: chunked";
+/// Pipelined requests that a host queues for one connection.
+const QUEUED_REQUESTS: usize = 64;
 
 /// Requests that are refused as not run.
 macro_rules! refused {
@@ -419,6 +421,19 @@
     }
 }
 
+/// Reading from the connection ends when its queue is full, which must not look like a caller that has left.
+#[test]
+fn requests_that_fill_the_queue_of_a_connection_are_answered() {
+    let fixture = shared_fixture();
+    let mut caller = fixture.open();
+    let slow = get_with("/v1/services/lookups/slow", "Standin-Work-Ms: 400");
+    caller.write(slow + &get(LOOKUPS_PATH).repeat(QUEUED_REQUESTS));
+    for _ in 0..=QUEUED_REQUESTS {
+        let raw = caller.read().unwrap();
+        assert_eq!((raw.status, raw.outcome()), (200, "answered"));
+    }
+}
+
 #[test]
 fn connection_close_closes() {
     let fixture = shared_fixture();
