Soak: a series of shutdowns under load

What the record shows, as a run of our own on real hosts: after an outage of the store callers overload all targets (refusals, time-outs), answers fail, are missing or carry the ID of another request, callers leave, hosts get SIGHUP, the configuration changes, and 4 s after the outage targets begin to shut down, one every 0.8 s, with an announcement or without one. Half of the links begin to hold requests up to 0.5 s before that, for 3.5 s. No request may reach a process more than 2.5 s after the store has acknowledged its shutdown.

The check at the end of each other seed is the same one now: it counts requests that arrive, not only those that run.

--- a/soak/caller.rs
+++ b/soak/caller.rs
@@ -14,11 +14,13 @@
 use crate::standin::read_message;
 use crate::world::{lock, SharedLedger, World};
 
-const CALLERS: u64 = 8;
+const CALLERS: usize = 8;
 /// Pause between two requests of a caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a caller waits to connect and for an answer; longer than the timeout of any route.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a caller waits before it leaves.
+const MAX_PATIENCE: Duration = Duration::from_millis(100);
 /// A connection carries fewer requests than this.
 const CONNECTION_REQUEST_LIMIT: u32 = 20;
 
@@ -39,12 +41,19 @@
 
 /// Starts callers that send to all hosts.
 pub fn start(world: &World, seed: u64) -> Callers {
+    start_leaving(world, seed, CALLERS, 0.0)
+}
+
+/// Starts `count` callers, which leave before they have an answer with this share of their requests.
+pub fn start_leaving(world: &World, seed: u64, count: usize, leave_share: f64) -> Callers {
     let stop = Arc::new(AtomicBool::new(false));
     let host_addresses: Vec<SocketAddr> = world.hosts.iter().map(|host| host.front).collect();
-    let threads = (0..CALLERS)
+    let count = count as u64;
+    let threads = (0..count)
         .map(|number| {
             let mut caller = Caller {
-                rng: Pcg64Mcg::seed_from_u64(seed * CALLERS + number),
+                rng: Pcg64Mcg::seed_from_u64(seed * count + number),
+                leave_share,
                 host_addresses: host_addresses.clone(),
                 ledger: world.ledger.clone(),
                 invalid_answers: Vec::new(),
@@ -65,6 +74,8 @@
 
 struct Caller {
     rng: Pcg64Mcg,
+    /// The share of requests after which it leaves before it has an answer.
+    leave_share: f64,
     host_addresses: Vec<SocketAddr>,
     ledger: SharedLedger,
     invalid_answers: Vec<String>,
@@ -99,6 +110,10 @@
             if stream.write_all(request.as_bytes()).is_err() {
                 return;
             }
+            if self.leave_share > 0.0 && self.rng.random_bool(self.leave_share) {
+                thread::sleep(MAX_PATIENCE.mul_f64(self.rng.random_range(0.0..1.0)));
+                return;
+            }
             // Without a complete answer, the request may or may not have run: there is nothing to check.
             let Some((line, headers, body)) = read_message(&mut reader) else {
                 return;
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -1,7 +1,8 @@
 //! Soak test: runs real hosts with a store, targets and links, injects random faults, and checks what
 //! callers and targets observed.
 //!
-//! `SOAK_SEEDS=N` runs N seeds starting at `SOAK_FIRST`, in addition to the few that always run.
+//! `SOAK_SEEDS=N` runs N seeds starting at `SOAK_FIRST`, in addition to the few that always run, and `SOAK_SHUTDOWNS=N` as many
+//! of series of shutdowns, with `SOAK_HOSTS` hosts.
 
 #![allow(clippy::unwrap_used)]
 
@@ -10,8 +11,10 @@
 
 mod caller;
 mod fault;
+mod shutdown;
 mod world;
 
+use std::ops::Range;
 use std::time::Duration;
 
 use world::World;
@@ -26,18 +29,17 @@
     fault::inject_faults(&mut world, seed, FAULT_DURATION);
     world.end_faults();
     let recovery = world.wait_until_serving();
-    let missed_shutdown = world.find_missed_shutdown();
+    world.shut_down_one();
     let mut violations = callers.stop();
     violations.extend(world.find_violations());
-    violations.extend(missed_shutdown);
+    violations.extend(world.find_late_arrivals());
     if let Err(problem) = recovery {
         violations.push(problem);
     }
     violations
 }
 
-fn assert_no_violations(seed: u64) {
-    let violations = run_seed(seed);
+fn assert_no_violations(seed: u64, violations: &[String]) {
     assert!(
         violations.is_empty(),
         "seed {seed}:\n{}",
@@ -50,7 +52,7 @@
     ($($name:ident: $seed:expr;)*) => {$(
         #[test]
         fn $name() {
-            assert_no_violations($seed);
+            assert_no_violations($seed, &run_seed($seed));
         }
     )*};
 }
@@ -64,15 +66,46 @@
     requests_held_by_other_links: 5916;
 }
 
+/// Seeds of series of shutdowns that always run.
+macro_rules! shutdowns {
+    ($($name:ident: $seed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_no_violations($seed, &shutdown::run_seed($seed, shutdown::DEFAULT_HOSTS));
+        }
+    )*};
+}
+
+shutdowns! {
+    // Links delivered requests that hosts had given up.
+    shutdowns_of_targets_behind_links_that_hold_requests: 30;
+    shutdowns_under_overload: 31;
+}
+
+/// The number in an environment variable.
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// As many seeds as this variable says, from `SOAK_FIRST` on.
+fn seeds_from(count: &str) -> Range<u64> {
+    let first = number("SOAK_FIRST").unwrap_or_default();
+    first..first + number(count).unwrap_or_default()
+}
+
 #[test]
 fn seeds_that_are_asked_for() {
-    let number = |name: &str| -> u64 {
-        let text = std::env::var(name).unwrap_or_default();
-        text.parse().unwrap_or_default()
-    };
-    let first = number("SOAK_FIRST");
-    for seed in first..first + number("SOAK_SEEDS") {
+    for seed in seeds_from("SOAK_SEEDS") {
+        println!("seed {seed}");
+        assert_no_violations(seed, &run_seed(seed));
+    }
+}
+
+#[test]
+fn shutdowns_that_are_asked_for() {
+    let hosts = number("SOAK_HOSTS").map_or(shutdown::DEFAULT_HOSTS, |hosts| hosts as usize);
+    for seed in seeds_from("SOAK_SHUTDOWNS") {
         println!("seed {seed}");
-        assert_no_violations(seed);
+        assert_no_violations(seed, &shutdown::run_seed(seed, hosts));
     }
 }
--- a/soak/world.rs
+++ b/soak/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -36,12 +37,18 @@
     WrongId,
     /// Runs them after a delay.
     Slow,
+    /// Runs as many at a time as it has slots, and refuses the others without running them.
+    Limited,
 }
 
+/// Slots of a target, as it registers them.
+const SLOTS: usize = 4;
+/// Time that a target with limited slots works on a request.
+const WORK: Duration = Duration::from_millis(60);
 /// Time that a target has to drain. A request that its caller was told failed does not begin to run after it either.
-const DRAIN: Duration = Duration::from_millis(2500);
-/// How long a target that has announced its shutdown is observed after that.
-const SHUTDOWN_OBSERVATION: Duration = Duration::from_millis(500);
+pub const DRAIN: Duration = Duration::from_millis(2500);
+/// How long a target that shuts down is observed after that.
+pub const SHUTDOWN_OBSERVATION: Duration = Duration::from_millis(500);
 
 /// The requests that targets ran and that callers were told were not run or failed, and the mode of each target.
 #[derive(Default)]
@@ -54,8 +61,8 @@
     failed_at: BTreeMap<String, Instant>,
     /// How long after that requests began to run, if it was too late.
     late_runs: BTreeMap<String, Duration>,
-    /// The targets at which requests began to run, and when.
-    arrivals: Vec<(Instant, usize)>,
+    /// The processes that requests which reached a target were meant for, and when.
+    arrivals: Vec<(Instant, String)>,
     target_modes: BTreeMap<usize, TargetMode>,
 }
 
@@ -77,8 +84,7 @@
     }
 
     /// Records that a target runs a request.
-    fn record_run(&mut self, target: usize, id: &str) {
-        self.arrivals.push((Instant::now(), target));
+    fn record_run(&mut self, id: &str) {
         *self.runs.entry(id.into()).or_default() += 1;
         let since_failure = self.failed_at.get(id).map(Instant::elapsed);
         if let Some(time) = since_failure.filter(|time| *time > DRAIN) {
@@ -106,14 +112,21 @@
     past_processes: Vec<usize>,
     /// The targets that announced their shutdown.
     draining: BTreeSet<usize>,
+    /// When the store acknowledged that a process shuts down.
+    shutdowns: BTreeMap<String, Instant>,
 }
 
 impl World {
     pub fn new() -> Self {
+        Self::with_size(HOST_COUNT, TARGET_COUNT)
+    }
+
+    /// A system with this number of hosts and targets.
+    pub fn with_size(hosts: usize, targets: usize) -> Self {
         let store = Store::new();
         configure(&store, 1);
         let ledger = SharedLedger::default();
-        let links: Vec<Link> = (0..TARGET_COUNT)
+        let links: Vec<Link> = (0..targets)
             .map(|index| {
                 let address = start_recording_target(index, ledger.clone());
                 Link::new(SocketAddr::from(([127, 0, 0, 1], 0)), address).unwrap()
@@ -127,12 +140,12 @@
             hosts: Vec::new(),
             past_processes,
             draining: BTreeSet::new(),
+            shutdowns: BTreeMap::new(),
         };
-        for target in 0..TARGET_COUNT {
+        for target in 0..targets {
             world.set_target_state(target, "ready");
         }
-        let hosts =
-            (0..HOST_COUNT).map(|index| Host::with_name(&world.store, &format!("h{index}")));
+        let hosts = (0..hosts).map(|index| Host::with_name(&world.store, &format!("h{index}")));
         world.hosts = hosts.collect();
         world.wait_until_serving().unwrap();
         world
@@ -140,17 +153,37 @@
 
     /// Registers a target with a state. If it was draining and is ready, a new process has replaced it.
     pub fn set_target_state(&mut self, target: usize, state: &str) {
-        let id = |process: usize| format!("i-{target}-{process}");
         if state == "draining" {
             self.draining.insert(target);
         } else if self.draining.remove(&target) {
-            self.store
-                .remove("servers", &id(self.past_processes[target]));
+            self.store.remove("servers", &self.process(target));
             self.past_processes[target] += 1;
         }
         let address = self.links[target].address();
-        self.store
-            .put_target(&id(self.past_processes[target]), address, state);
+        self.store.put_target(&self.process(target), address, state);
+    }
+
+    /// The ID of the current process of a target.
+    fn process(&self, target: usize) -> String {
+        format!("i-{target}-{}", self.past_processes[target])
+    }
+
+    /// Shuts the current process of a target down: it announces that, or its registration is removed. It goes on serving.
+    pub fn shut_down(&mut self, target: usize, is_announced: bool) {
+        let process = self.process(target);
+        if is_announced {
+            self.set_target_state(target, "draining");
+        } else {
+            self.store.remove("servers", &process);
+        }
+        self.shutdowns.insert(process, Instant::now());
+    }
+
+    /// Starts another process of a target that shuts down, at the same address.
+    pub fn replace(&mut self, target: usize) {
+        self.draining.remove(&target);
+        self.past_processes[target] += 1;
+        self.set_target_state(target, "ready");
     }
 
     /// Ends all faults: resumes or restarts hosts, and resets the store, links and targets.
@@ -193,25 +226,29 @@
         Ok(())
     }
 
-    /// Has a target announce its shutdown, and returns a description of the requests that reach it once it had time to drain.
-    /// The callers have to run.
-    pub fn find_missed_shutdown(&mut self) -> Option<String> {
-        let target = 0;
-        self.set_target_state(target, "draining");
-        thread::sleep(DRAIN);
-        let from = Instant::now();
-        thread::sleep(SHUTDOWN_OBSERVATION);
+    /// Has a target announce its shutdown, and waits until it had time to drain. The callers have to run.
+    pub fn shut_down_one(&mut self) {
+        self.shut_down(0, true);
+        thread::sleep(DRAIN + SHUTDOWN_OBSERVATION);
+    }
+
+    /// Returns descriptions of the requests that reached processes which had had time to drain.
+    pub fn find_late_arrivals(&self) -> Vec<String> {
         let ledger = lock(&self.ledger);
-        let late = ledger
-            .arrivals
-            .iter()
-            .filter(|(at, to)| *at > from && *to == target);
-        let count = late.count();
-        (count > 0).then(|| {
-            format!(
-                "{count} requests reached a target {DRAIN:?} after it had announced its shutdown"
-            )
-        })
+        let mut delays: BTreeMap<&str, Vec<Duration>> = BTreeMap::new();
+        for (at, process) in &ledger.arrivals {
+            let shutdown = self.shutdowns.get(process);
+            let delay = shutdown.map(|shutdown| at.saturating_duration_since(*shutdown));
+            if let Some(delay) = delay.filter(|delay| *delay > DRAIN) {
+                delays.entry(process).or_default().push(delay);
+            }
+        }
+        let delays = delays.iter();
+        delays
+            .map(|(process, delays)| {
+                format!("{process} got requests after its shutdown: {delays:?}")
+            })
+            .collect()
     }
 
     /// Returns descriptions of at-most-once requests that ran twice, long after their callers were told that they failed, or
@@ -238,14 +275,18 @@
 
 /// Starts a target that records its runs in the ledger and handles requests by its current mode.
 fn start_recording_target(index: usize, ledger: SharedLedger) -> SocketAddr {
+    let running = AtomicUsize::new(0);
     start_target(move |headers| {
         let id = headers.get("ragwortfold-request-id")?.clone();
+        let process = headers["ragwortfold-expect-instance"].clone();
+        lock(&ledger).arrivals.push((Instant::now(), process));
         let mode = lock(&ledger)
             .target_modes
             .get(&index)
             .copied()
             .unwrap_or_default();
-        if mode == TargetMode::Refuse {
+        let is_full = mode == TargetMode::Limited && running.load(Ordering::SeqCst) >= SLOTS;
+        if mode == TargetMode::Refuse || is_full {
             return Some(build_response(
                 headers,
                 "503 X",
@@ -256,9 +297,14 @@
         if mode == TargetMode::Slow {
             thread::sleep(Duration::from_millis(300));
         }
-        lock(&ledger).record_run(index, &id);
+        lock(&ledger).record_run(&id);
+        if mode == TargetMode::Limited {
+            running.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(WORK);
+            running.fetch_sub(1, Ordering::SeqCst);
+        }
         match mode {
-            TargetMode::Normal | TargetMode::Slow | TargetMode::Refuse => {
+            TargetMode::Normal | TargetMode::Slow | TargetMode::Refuse | TargetMode::Limited => {
                 Some(ok_response(headers))
             }
             TargetMode::Close => None,
