--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -96,6 +96,33 @@
     assert!(!world.fleet.may_send(world.now, key));
 }
 
+/// Whether the target may still receive a request that was sent to it, after a change.
+macro_rules! sent_requests {
+    ($($name:ident: $change:expr, $may_receive:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut world = World::new();
+            let key = world.fleet.key("a").unwrap();
+            assert!(world.fleet.may_receive(key));
+            $change(&mut world);
+            assert_eq!(world.fleet.may_receive(key), $may_receive);
+        }
+    )*};
+}
+
+sent_requests! {
+    to_a_target_that_leaves: |world: &mut World| world.record_leaving("a"), false;
+    to_a_target_that_drains: |world: &mut World| world.fleet.register(world.now, draining()), false;
+    to_a_target_that_is_gone: |world: &mut World| world.fleet.withdraw("a"), false;
+    to_a_target_of_an_evacuated_zone: |world: &mut World| {
+        world.fleet.set_evacuated_zones(world.now, ["z".into()].into(), Duration::ZERO);
+    }, false;
+    to_a_target_that_rests: |world: &mut World| {
+        let key = world.fleet.key("a").unwrap();
+        world.fleet.record_rest(world.now, key, Duration::from_secs(1))
+    }, true;
+}
+
 #[test]
 fn a_registration_that_says_ready_changes_nothing() {
     let mut world = World::new();
