--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -25,7 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Interval at which a request that waits for its answer is checked for whether it has to be
-/// recalled: round trips between regions, and the first retransmissions.
+/// recalled. An acknowledgement takes less, unless packets are lost repeatedly.
 const RECALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Result of one attempt.
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -92,10 +92,10 @@
     }
 }
 
-/// A transfer on an open socket.
-struct OpenTransfer(Rc<Transfer>);
+/// Records the final state of a transfer when it is dropped.
+struct Recorder(Rc<Transfer>);
 
-impl Drop for OpenTransfer {
+impl Drop for Recorder {
     fn drop(&mut self) {
         self.0.unacknowledged.set(self.0.unacknowledged());
         self.0.file.set(None);
@@ -126,7 +126,7 @@
 /// An HTTP connection in use; it is reset when dropped, see [`Connection::release`].
 pub(crate) struct Connection {
     // Dropped before the driver, which owns the stream.
-    transfer: OpenTransfer,
+    transfer: Recorder,
     sender: SendRequest<Body>,
     driver: Driver,
     /// Bytes that may still be received.
@@ -248,7 +248,7 @@
             ended: false,
         };
         Ok(Self {
-            transfer: OpenTransfer(transfer),
+            transfer: Recorder(transfer),
             sender,
             driver,
             allowance,
