An entry's time that the clock can't represent no longer ends the tasks that follow the store

Cause: `Fleet::register` adds the time to an instant, which panics. Backtraces (test below, debug build of the code before): the first write is received by `sync::watch_kind`, the second by `refresh::refresh_kind`, both through `Host::apply_update` and `Fleet::register`. The panic ends these tasks of the LocalSet and not the process, and nothing starts them again. That tasks end unseen is a fault of its own.

The class: durations from outside are not bounded, and anything that adds them to an instant panics. Found by looking at each of them: - all times of a configuration; a route's timeout fails each request that names no deadline (the connection is closed without an answer), an idle timeout closes kept connections; - times of the settings (multiples of them overflow); - the same values in messages of other hosts: feeds, relayed requests.

Why this holds: `duration` has the one limit, a year. The platform's adapter rejects a longer time where it parses it, with its place, like other unusable fields; what other hosts send is limited when it is deserialized. Sums with such times use `duration::after`, so an adapter of another platform can't bring the panic back.

Before (platform/tests/extreme_values.rs on the code before, debug build): largest_cold_time_of_an_entry, a_timeout_beyond_the_clock and an_idle_timeout_beyond_the_clock failed.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::border::configuration as border;
+use crate::duration;
 
 pub use border::State;
 pub use client::ClientTable;
@@ -413,7 +414,7 @@
                 name: name.clone(),
                 from: self.require_region(&link.from)?,
                 to: self.require_region(&link.to)?,
-                latency: Duration::from_secs_f64(link.latency_ms / 1000.0),
+                latency: duration::from_seconds(link.latency_ms / 1000.0),
                 max_requests_per_s: link.requests_per_s.get(),
                 max_bytes_per_s: link.bytes_per_s.get(),
             };
--- a/src/control/detector.rs
+++ b/src/control/detector.rs
@@ -9,6 +9,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::duration;
+
 /// Interval between the heartbeats of a host to those of its own availability zone.
 pub const INTERVAL: Duration = Duration::from_millis(500);
 /// Number of heartbeats that may be missing before a host counts as dead.
@@ -73,7 +75,7 @@
         let jitter = JITTER_DEVIATIONS * self.variance.sqrt();
         let slack = jitter.max(MIN_JITTER_ALLOWANCE.as_secs_f64());
         let silence = MAX_MISSED * self.interval.as_secs_f64() + slack;
-        Duration::from_secs_f64(silence).min(MAX_SILENCE.max(self.interval.mul_f64(MAX_MISSED)))
+        duration::from_seconds(silence).min(MAX_SILENCE.max(self.interval.mul_f64(MAX_MISSED)))
     }
 
     /// Silence after which the host is suspected: one interval before it counts as dead.
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -14,6 +14,7 @@
 use super::exchange::{self, Buffered, Exchange};
 use super::request_log::Rejection;
 use super::{answer, now, relay, request_log, serve, startup, Error, Host};
+use crate::duration;
 use crate::inventory::Route;
 use crate::port::Head;
 use crate::steer::fingerprint::{Content, Fingerprint};
@@ -95,7 +96,7 @@
         None => head.deadline.unwrap_or(Duration::MAX),
     };
     let timeout = timeout.min(route.timeout);
-    let deadline = started_at + timeout;
+    let deadline = duration::after(started_at, timeout);
     let body = match read_body(incoming, limits.body_bytes, deadline).await {
         Ok(body) => body,
         Err(error) => {
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -26,6 +26,7 @@
 use super::pool::Pool;
 use super::request_log::RequestTrace;
 use super::{announcement, answer, front, message, now, serve, Error, Host};
+use crate::duration;
 use crate::inventory::TargetKey;
 use crate::steer::fleet::TargetQuery;
 
@@ -51,6 +52,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Context {
     /// Time left until its deadline.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub(crate) time_left: Duration,
     /// Number of targets that it may still be sent to.
     pub(crate) attempts: usize,
@@ -70,7 +72,7 @@
     /// A target answered with a server error.
     Failed,
     /// It did not run and will not. Its caller may retry after this time.
-    NotRun(Duration),
+    NotRun(#[serde(deserialize_with = "duration::deserialize")] Duration),
     /// It did not run, but may be sent to another host.
     NotServed,
     /// It may have run.
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -26,6 +26,7 @@
 
 use super::body::{self, Body};
 use super::{client, now, shutdown, Error, Host};
+use crate::duration;
 
 /// Listen backlog: connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -347,12 +348,16 @@
         return ExceededLimit::None;
     };
     let blocked_since = state.blocked_since.get();
-    if blocked_since.is_some_and(|since| now() > since + limits.idle_timeout) {
+    if blocked_since.is_some_and(|since| now() > duration::after(since, limits.idle_timeout)) {
         return ExceededLimit::Caller;
     }
     match state.phase.get() {
-        Phase::Idle(since) if now() > since + limits.idle_timeout => ExceededLimit::Idle,
-        Phase::Head(since) if now() > since + limits.head_timeout => ExceededLimit::Caller,
+        Phase::Idle(since) if now() > duration::after(since, limits.idle_timeout) => {
+            ExceededLimit::Idle
+        }
+        Phase::Head(since) if now() > duration::after(since, limits.head_timeout) => {
+            ExceededLimit::Caller
+        }
         _ => ExceededLimit::None,
     }
 }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -19,6 +19,7 @@
 use crate::control::presence::{HostRecord, StoreView};
 use crate::control::replica::Update;
 use crate::control::revision::Revision;
+use crate::duration;
 use crate::port::{Age, Call, Entry, Kind, Reply};
 
 /// How long a watch waits for a change, in seconds: somewhat less than the history that the store
@@ -270,7 +271,7 @@
     let known = host.core.borrow().replica.revision(kind);
     if let Some(revision) = known {
         let wait = host.core.borrow_mut().rng.random_range(WATCH_WAIT_S);
-        let wait = Duration::from_secs_f64(wait);
+        let wait = duration::from_seconds(wait);
         if watch_once(host, client, kind, revision, wait).await? != WatchResult::Unavailable {
             return Ok(());
         }
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -13,6 +13,7 @@
 
 use crate::account::{Account, Accounts, Caller, ConfigFreshness, Credential, Denial};
 use crate::catalog::Repeat;
+use crate::duration;
 
 /// Identifies a target during the lifetime of this process; never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,8 +42,10 @@
     /// Whether a request may run more than once.
     pub repeat: Repeat,
     /// Maximum time for which a caller waits.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub timeout: Duration,
     /// Latency goal: the time within which an answer is worth most.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub goal: Duration,
     /// Maximum number of targets that one request is sent to.
     pub attempts: u32,
@@ -64,6 +67,7 @@
     /// Connections that one target accepts from all callers together.
     pub max_connections: u32,
     /// Time for which a target stays cold after its start.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub cold: Duration,
     /// Requests a second that a cold target can process.
     pub cold_rate: f64,
@@ -77,8 +81,10 @@
     /// Maximum size of a request body in bytes.
     pub body_bytes: u64,
     /// Maximum time for a request head to arrive.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub head_timeout: Duration,
     /// Maximum time for which a connection may stay idle.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub idle_timeout: Duration,
 }
 
@@ -122,6 +128,7 @@
     /// Whether it accepts new requests.
     pub state: State,
     /// Time for which it stays cold.
+    #[serde(deserialize_with = "duration::deserialize")]
     pub cold_left: Duration,
     /// Start time of its process in Unix milliseconds, if it reports one. A restarted target may
     /// register under its previous identity without any state of the previous process.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod config;
 pub mod control;
+pub mod duration;
 pub mod entry;
 pub mod explain;
 pub mod host;
--- a/src/steer/allowance.rs
+++ b/src/steer/allowance.rs
@@ -25,6 +25,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::account::{Account, Quota};
+use crate::duration;
 
 /// Interval of the usage reports within a region. What hosts admit between two reports has to stay
 /// within the excess that a window permits.
@@ -303,7 +304,7 @@
     fn time_to_token(&self, excess: &Excess) -> Duration {
         let missing = (1.0 - self.level).max(0.0);
         let wait = missing / self.refill_rate(excess).max(f64::MIN_POSITIVE);
-        Duration::try_from_secs_f64(wait).unwrap_or(MAX_RETRY_AFTER)
+        duration::from_seconds(wait).min(MAX_RETRY_AFTER)
     }
 }
 
--- a/src/steer/announcement.rs
+++ b/src/steer/announcement.rs
@@ -13,6 +13,8 @@
 
 use super::throttle::decimal;
 
+use crate::duration;
+
 /// What an answer states about the target's process.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Announcement {
@@ -47,7 +49,7 @@
             let Some(seconds) = decimal(text.trim()) else {
                 return Self::Unreadable(text.into());
             };
-            let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+            let time = duration::from_seconds(seconds);
             rest = match rest {
                 Self::For(longest) => Self::For(longest.max(time)),
                 _ => Self::For(time),
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -51,6 +51,7 @@
 use super::rest::Rest;
 use super::throttle::{Assignment, Throttle};
 use crate::border::settings::Switch;
+use crate::duration;
 use crate::inventory::{Registration, State, TargetKey, TargetKeyAllocator};
 
 pub use self::cold_checks::{CHECKERS_PER_TARGET, MAX_CHECK_FACTOR, MIN_CHECKS};
@@ -280,7 +281,7 @@
         }
         let cold_until = Some(registration.cold_left)
             .filter(|left| !left.is_zero())
-            .map(|left| now + left);
+            .map(|left| duration::after(now, left));
         let known = self.ids.get(&registration.id);
         if let Some(member) = known.and_then(|key| self.members.get_mut(key)) {
             if registration.is_older_than(&member.registration) {
@@ -438,7 +439,7 @@
         for member in self.members.values_mut() {
             let zone = &member.registration.zone;
             if self.evacuated_zones.contains(zone) && !zones.contains(zone) {
-                member.cold_until = Some(now + cold_time);
+                member.cold_until = Some(duration::after(now, cold_time));
             }
         }
         self.evacuated_zones = zones;
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -6,6 +6,7 @@
 
 use super::member::Member;
 use super::{Fleet, TargetQuery};
+use crate::duration;
 use crate::inventory::{State, TargetKey};
 use crate::steer::departures::Audience;
 
@@ -39,7 +40,7 @@
         }
         // The next request may be sent after an answer.
         let service_time = self.stats(member.service()).service_time;
-        Some(Duration::try_from_secs_f64(service_time).unwrap_or_default())
+        Some(duration::from_seconds(service_time))
     }
 
     /// Whether a request that was permitted may still be sent to its target.
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -16,6 +16,7 @@
 use super::sharing::Position;
 use super::{Fleet, Refusal, TargetQuery};
 use crate::border::settings::Switch;
+use crate::duration;
 use crate::inventory::TargetKey;
 use crate::steer::drift::Drift;
 use crate::steer::throttle::Assignment;
@@ -273,7 +274,7 @@
         });
         let opens_in = choices.opens_in.map(|time| time.as_secs_f64());
         let shortest = wait_times.chain(opens_in).min_by(f64::total_cmp);
-        Duration::try_from_secs_f64(shortest.unwrap_or_default()).unwrap_or_default()
+        duration::from_seconds(shortest.unwrap_or_default())
     }
 
     /// Whether a target is in the own region.
--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -11,6 +11,7 @@
 
 use super::member::Member;
 use super::Fleet;
+use crate::duration;
 use crate::inventory::TargetKey;
 
 /// Time for which a target receives no requests after it was found to be cold: the span over which
@@ -76,7 +77,7 @@
         if has_changed {
             member.last_cold_request = Some(now + INITIAL_COLD_PAUSE);
         }
-        member.cold_until = Some(now + remaining);
+        member.cold_until = Some(duration::after(now, remaining));
         if has_changed {
             let (service, zone) = (member.service().clone(), member.registration.zone.clone());
             self.assume_cold_zone(now, &service, &zone);
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -13,6 +13,7 @@
 use super::member::Member;
 use super::Fleet;
 use crate::border::settings::Switch;
+use crate::duration;
 use crate::inventory::TargetKey;
 
 /// Maximum silence of a target in multiples of its service's peak service time.
@@ -33,7 +34,7 @@
             return None;
         }
         let longest = self.stats(service).longest_service_time()?;
-        Some(Duration::from_secs_f64(longest * SILENCE_FACTOR).max(MIN_SILENCE_LIMIT))
+        Some(duration::from_seconds(longest * SILENCE_FACTOR).max(MIN_SILENCE_LIMIT))
     }
 
     /// Whether a target has sent no answer for too long.
--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -22,6 +22,7 @@
 use super::throttle::Bucket;
 use crate::border::settings::Steer;
 use crate::catalog::{self, Catalog, ServiceKey, TargetKey, ZoneKey};
+use crate::duration;
 
 use member::{max_in_flight, warm_fraction, Candidate, Member, RateShare};
 
@@ -373,7 +374,7 @@
     fn enqueue(&mut self, now: Instant, request: TargetRequest) -> Verdict {
         let start_by = request
             .deadline
-            .checked_sub(Duration::from_secs_f64(self.mean_hold_seconds))
+            .checked_sub(duration::from_seconds(self.mean_hold_seconds))
             .unwrap_or(now);
         let expected = self.expected_wait(self.queue.count_ahead(request.priority) + 1);
         if now + expected > start_by {
@@ -406,7 +407,7 @@
     /// Returns the expected time until `count` queued requests have started, at the measured rate.
     fn expected_wait(&self, count: usize) -> Duration {
         let rate = self.stats.limit.max(1.0) / self.mean_hold_seconds;
-        Duration::from_secs_f64(count as f64 / rate)
+        duration::from_seconds(count as f64 / rate)
     }
 
     fn is_overloaded(&self, now: Instant) -> bool {
--- a/src/steer/quota.rs
+++ b/src/steer/quota.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::{Catalog, HostKey, RegionKey, State};
+use crate::duration;
 
 /// Fraction of a static part that is never released.
 pub const MIN_KEPT_SHARE: f64 = 0.5;
@@ -162,7 +163,7 @@
         let wait = (needed - self.tokens) / rate;
         let wait = if wait.is_finite() { wait } else { f64::MAX };
         Err(Refusal {
-            retry_after: Duration::from_secs_f64(wait.min(MAX_RETRY_AFTER.as_secs_f64())),
+            retry_after: duration::from_seconds(wait.min(MAX_RETRY_AFTER.as_secs_f64())),
         })
     }
 
--- a/src/steer/rest.rs
+++ b/src/steer/rest.rs
@@ -6,8 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Longest rest, for times that the clock can't represent.
-const MAX_REST: Duration = Duration::from_secs(365 * 24 * 3600);
+use crate::duration;
 
 /// The rest of one target.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,7 +21,7 @@
     /// Starts a rest of `time`. Returns whether the target was not resting before.
     pub fn begin(&mut self, now: Instant, time: Duration) -> bool {
         let was_resting = self.time_left(now).is_some();
-        let until = now.checked_add(time).unwrap_or_else(|| now + MAX_REST);
+        let until = duration::after(now, time);
         self.until = Some(self.until.map_or(until, |known| known.max(until)));
         self.answers = 0;
         !was_resting
--- a/src/steer/throttle.rs
+++ b/src/steer/throttle.rs
@@ -19,6 +19,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::duration;
+
 /// Hosts that allocate the rate of one target. One that is lost, or one too many while hosts
 /// disagree, changes the rate by a third.
 const ALLOCATORS_PER_TARGET: usize = 3;
@@ -197,7 +199,7 @@
         };
         let missing = (needed - self.level(now, rate)).max(0.0);
         let wait = missing / rate.max(f64::MIN_POSITIVE);
-        let wait = Duration::try_from_secs_f64(wait).unwrap_or(MAX_PAUSE);
+        let wait = duration::from_seconds(wait).min(MAX_PAUSE);
         wait.min(MAX_PAUSE)
     }
 
--- a/src/store/token_bucket.rs
+++ b/src/store/token_bucket.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::duration;
+
 /// A token bucket with one token per call. It starts full.
 #[derive(Clone, Debug)]
 pub struct TokenBucket {
@@ -43,7 +45,7 @@
             return Ok(());
         }
         // Rounded up, so that a caller that waits this long finds a token despite rounding errors.
-        let wait = Duration::from_secs_f64((1.0 - self.tokens) / self.rate);
+        let wait = duration::from_seconds((1.0 - self.tokens) / self.rate);
         Err(wait + Duration::from_micros(1))
     }
 }
