A cold rate close to zero fails no requests

Cause: the interval between two requests is 1 / rate, and `Duration::from_secs_f64` panics beyond 2^64 s. Why this holds: numbers of seconds are converted by `duration::from_seconds`, which gives the closest duration; a test refuses the panicking conversions anywhere else in the sources.

--- a/src/steer/fleet/cold.rs
+++ b/src/steer/fleet/cold.rs
@@ -125,7 +125,7 @@
         let rate = self.cold_rate(member);
         match member.last_cold_request {
             Some(last) if rate > 0.0 => {
-                let interval = Duration::from_secs_f64(1.0 / rate);
+                let interval = duration::from_seconds(1.0 / rate);
                 now.saturating_duration_since(last) >= interval
             }
             Some(_) => false,
--- a/tests/duration.rs
+++ b/tests/duration.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use ragwortfold::duration::{self, OutOfRange, MAX};
@@ -77,3 +78,26 @@
     rest.begin(now, Duration::MAX);
     assert_eq!(rest.time_left(now), Some(MAX));
 }
+
+/// Conversions of the standard library panic for values that are out of range.
+#[test]
+fn seconds_are_converted_in_one_module() {
+    let roots = ["src", "platform/src"].map(PathBuf::from);
+    let mut folders = Vec::from(roots);
+    let mut files_read = 0;
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).unwrap();
+            files_read += 1;
+            let converts = text.contains("from_secs_f64(") || text.contains("from_secs_f32(");
+            let may_convert = path.ends_with("src/duration.rs");
+            assert!(may_convert || !converts, "{}", path.display());
+        }
+    }
+    assert!(files_read > 50);
+}
