A target's idle timeout that the clock can't represent no longer fails requests

What callers saw: a target that announces `Keep-Alive: timeout=` answers, and the caller's connection is closed without the answer.

Cause: `Pool::put` adds the time to an instant, which panics in the task of the caller's connection, after the answer was read. Why this holds: the time is limited where the header is read, and the sum is `duration::after`; connections to other hosts use the same code.

Before: largest_idle_timeout_of_a_target and idle_timeout_beyond_the_range_of_seconds failed (status 0 in place of 200). After: both pass, as do rates, slowdowns and deadlines at their extremes, which passed before.

--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -27,6 +27,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::body::Body;
+use crate::duration;
 
 /// TCP keepalive: idle time before the first probe, and time between probes.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
@@ -376,5 +377,6 @@
     let seconds = value
         .split(',')
         .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
+    let seconds = seconds.parse().ok().map(Duration::from_secs)?;
+    Some(seconds.min(duration::MAX))
 }
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 
 use super::client;
+use crate::duration;
 
 /// How long an idle connection is kept if its server announces no idle timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -74,7 +75,7 @@
         }
         connections.push(Idle {
             stream,
-            expires_at: now + keep_time,
+            expires_at: duration::after(now, keep_time),
         });
     }
 
