Sums of loads and slots are limited to the largest number

Why this holds: the sums stop at the largest number; a load of that size only makes the target count as full.

Before (debug build): largest_load_of_a_target and most_slots_of_all_targets failed with "attempt to add with overflow" in `Fleet::finish` and `Fleet::count_local_slots`. After: both pass.

--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -648,7 +648,7 @@
             _ => member.connect_failed_at = None,
         }
         if let Some(load) = load {
-            let total = load.running + load.waiting;
+            let total = load.running.saturating_add(load.waiting);
             let other_requests = total.saturating_sub(member.in_flight);
             member.report = Some(LoadReport {
                 received: now,
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -417,7 +417,7 @@
                 self.accepts_requests(now, member, &any_region) && exclusions.admits(now, member)
             })
             .map(|member| member.registration.slots)
-            .sum()
+            .fold(0, u32::saturating_add)
     }
 
     /// Returns the reasons for which targets of a service are skipped while there are others.
@@ -446,7 +446,7 @@
             Switch::Off => xxh3_64(&self.query_count.to_le_bytes()),
         };
         let (mut local, mut remote) = (Ranked::default(), Ranked::default());
-        let mut local_slots = 0;
+        let mut local_slots = 0_u32;
         for key in self.services.get(query.service).into_iter().flatten() {
             self.inspected.set(self.inspected.get() + 1);
             let Some(member) = self.members.get(key) else {
@@ -457,7 +457,7 @@
             }
             let is_local = member.is_local;
             if is_local {
-                local_slots += member.registration.slots;
+                local_slots = local_slots.saturating_add(member.registration.slots);
             }
             if query.tried.contains(key) {
                 continue;
