Tests of answers that stop in their head: at every byte, at both interfaces

Other operators reported clients that got a 200 with an empty or short body, framed as whole, from a backend that had stopped in its answer's head and closed.

Tried at every byte of the head, and of bodies that state their end: stated length, chunks, bodies that end with the connection, HTTP/1.0, bare line feeds, redirections, 404, one and two interim answers before the answer; finished and reset; on new and kept connections to the target; for requests that may run twice and ones that must not; directly and for requests that another host sends; at the platform's hosts and at the own interface.

The tests are kept. Not tried: a host, in place of a target, that stops in the head of its response to a relayed request.

The stand-in is shared by both (standin::cut_head).

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod crash;
+pub mod cut_head;
 mod error;
 mod http;
 pub mod link;
