Tasks of a host that panic are logged, counted and started again

A panic while a request was handled closed the caller's connection without an answer.

Cause: tokio keeps a panic of a task in its JoinHandle, and none was kept. Nothing named the task that had ended: standard error had a line of the standard library's time.rs, no log line, no metric.

Now tasks are spawned by `host::task` only: what runs for as long as the host is a function that can't return (its output is `Infallible`) and is started again after a panic, after 50 ms up to 1 s; what is limited in time is logged and counted (`task.failed` with name, message and place; `ragwortfold_task_failures_total`). A request whose handler panics gets 502. Of an update of the store each object is applied by itself, so that one which fails leaves the others in force (`store.object-failed`). Children of the task that chooses what to follow are aborted with it. The links' task looks at the state of the links when it starts, not only at changes.

Evidence: platform/tests/tasks.rs makes each of 21 tasks of a host that watches the store, and four of one that follows another host, fail in turn: callers are served throughout, a new route and a new target are in force within 2.5 s, and the failure is counted once; the list of tasks must be complete.

Also tested: an adapter that panics for a request (502, the connection serves the next one) and for an object in the store (news in time once it is gone).

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -33,6 +33,7 @@
     late_answers: Counter<u64>,
     undelivered: Counter<u64>,
     rebuilds: Counter<u64>,
+    task_failures: Counter<u64>,
     headroom: Gauge<f64>,
     revision: Gauge<u64>,
     repeats_left: Gauge<u64>,
@@ -93,6 +94,7 @@
             refusals: meter.u64_counter("ragwortfold_refusals").build(),
             late_answers: meter.u64_counter("ragwortfold_late_answers").build(),
             undelivered: meter.u64_counter("ragwortfold_undelivered").build(),
+            task_failures: meter.u64_counter("ragwortfold_task_failures").build(),
             headroom: meter.f64_gauge("ragwortfold_headroom").build(),
             revision: meter
                 .u64_gauge("ragwortfold_configuration_revision")
@@ -155,6 +157,12 @@
         self.undelivered.add(1, &[label("service", service)]);
     }
 
+    /// Counts a task or thread that panicked.
+    pub(crate) fn count_task_failure(&self, name: &str) {
+        let labels = [KeyValue::new("task", name.to_owned())];
+        self.task_failures.add(1, &labels);
+    }
+
     /// Counts a rebuild of the HTTP server, which could not accept a connection.
     pub(crate) fn count_rebuild(&self) {
         self.rebuilds.add(1, &[]);
--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::InFlight;
 use super::log::{self, Event};
-use super::{datagram, now, Host};
+use super::{datagram, now, task, Host};
 use crate::inventory::TargetKey;
 use crate::port::Answer;
 use crate::steer::announcement::{Announcement, RequestedRest};
@@ -48,10 +48,10 @@
         return;
     };
     log::target_leaving(&target_id(host, target), "answer");
-    let host = host.clone();
-    tokio::task::spawn_local(async move {
-        let peers = datagram::peer_addresses(&host);
-        datagram::send_leaving_targets(&host, &[process], &peers).await;
+    let state = host.clone();
+    task::spawn(host, "announcement", async move {
+        let peers = datagram::peer_addresses(&state);
+        datagram::send_leaving_targets(&state, &[process], &peers).await;
     });
 }
 
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -2,6 +2,7 @@
 //! from them to route requests.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -9,6 +10,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::log::{self, Event};
+use super::task;
 use crate::account::ConfigFreshness;
 use crate::control::carryover::Carryover;
 use crate::control::presence::{self, HostRecord, LookupFilter, Presence, StoreView};
@@ -31,6 +33,14 @@
 /// configured after which it refuses keys: its registration is removed by then.
 const DEFAULT_GONE_AFTER: Duration = presence::REMOVAL_SILENCE;
 
+/// An object of the store that could not be applied.
+pub(crate) struct FailedObject {
+    pub(crate) kind: Kind,
+    pub(crate) name: Arc<str>,
+    /// The panic's message and place.
+    pub(crate) reason: String,
+}
+
 /// The state of a host.
 pub(crate) struct Core {
     pub(crate) table: RouteTable,
@@ -55,6 +65,8 @@
     carryovers: BTreeMap<Kind, Carryover>,
     /// Time within which whatever is in use is written again to a restored store.
     rewrite_time: Duration,
+    /// Objects that could not be applied, until that is logged.
+    pub(crate) failed_objects: Vec<FailedObject>,
     /// For each route split between several services, how far each service is behind its weight.
     deficits: BTreeMap<Arc<str>, Vec<f64>>,
 }
@@ -119,6 +131,7 @@
             confirmed_at: BTreeMap::new(),
             carryovers: BTreeMap::new(),
             rewrite_time: REREGISTRATION_GRACE + settings.bounds.heartbeat * EXPIRY_INTERVALS,
+            failed_objects: Vec::new(),
             deficits: BTreeMap::new(),
         }
     }
@@ -161,21 +174,14 @@
             _ => BTreeSet::new(),
         };
         for entry in entries {
-            match (&entry.value, kind) {
-                (Some(Value::Config(config)), _) => self.apply_config(now, Config::clone(config)),
-                (Some(Value::Target(_)), _) if self.carryover(kind).hides(&entry.name) => {}
-                (Some(Value::Target(registration)), _) => self.register_target(now, registration),
-                (None, Kind::Targets) => {
-                    let service = self.fleet.service_of(&entry.name);
-                    let may_have_expired =
-                        service.is_some_and(|service| lapsing_services.contains(service));
-                    self.withdraw_target(
-                        now,
-                        &entry.name,
-                        may_have_expired || outage == Outage::Long,
-                    );
-                }
-                _ => {}
+            let apply = || self.apply_entry(now, kind, entry, outage, &lapsing_services);
+            if let Err(panic) = catch_unwind(AssertUnwindSafe(apply)) {
+                // The other objects of the update hold.
+                self.failed_objects.push(FailedObject {
+                    kind,
+                    name: entry.name.clone(),
+                    reason: task::describe_panic(&*panic),
+                });
             }
         }
         if kind == Kind::Evacuations && !entries.is_empty() {
@@ -184,6 +190,30 @@
         effect
     }
 
+    /// Applies a changed object. `lapsing_services` are those of which too many targets are missing
+    /// for all of them to have left.
+    fn apply_entry(
+        &mut self,
+        now: Instant,
+        kind: Kind,
+        entry: &Entry,
+        outage: Outage,
+        lapsing_services: &BTreeSet<Arc<str>>,
+    ) {
+        match (&entry.value, kind) {
+            (Some(Value::Config(config)), _) => self.apply_config(now, Config::clone(config)),
+            (Some(Value::Target(_)), _) if self.carryover(kind).hides(&entry.name) => {}
+            (Some(Value::Target(registration)), _) => self.register_target(now, registration),
+            (None, Kind::Targets) => {
+                let service = self.fleet.service_of(&entry.name);
+                let may_have_expired =
+                    service.is_some_and(|service| lapsing_services.contains(service));
+                self.withdraw_target(now, &entry.name, may_have_expired || outage == Outage::Long);
+            }
+            _ => {}
+        }
+    }
+
     /// The names of all objects of a kind of which differences to a restored store are kept.
     fn names(&self, kind: Kind) -> BTreeSet<Arc<str>> {
         match kind {
--- a/src/host/datagram.rs
+++ b/src/host/datagram.rs
@@ -1,6 +1,7 @@
 //! Datagrams between hosts: heartbeats and other short-lived state. A lost datagram is not sent
 //! again; the state is repeated periodically.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use crate::steer::quarantine::Notice;
 use crate::steer::throttle::{Claim, Grant, RateUpdate};
 
-use super::{announcement, now, quarantine, throttle, Error, Host};
+use super::{announcement, now, quarantine, task, throttle, Error, Host};
 
 /// Size of the receive buffer for a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -88,15 +89,17 @@
         .map_err(|source| Error::Listen { address, source })?;
     let socket = Rc::new(socket);
     *host.peer_socket.borrow_mut() = Some(socket.clone());
-    tokio::task::spawn_local(receive(host.clone(), socket));
-    tokio::task::spawn_local(send_heartbeats(host.clone()));
-    tokio::task::spawn_local(send_tallies(host.clone()));
-    tokio::task::spawn_local(repeat_state(host.clone()));
+    task::start(host, "datagrams", move |host| receive(host, socket.clone()));
+    task::start(host, "heartbeats", send_heartbeats);
+    task::start(host, "repeated-state", repeat_state);
+    if host.core.borrow().ledger.is_some() {
+        task::start(host, "tallies", send_tallies);
+    }
     Ok(())
 }
 
 /// Periodically sends state that may have been missed to a random choice of hosts.
-async fn repeat_state(host: Rc<Host>) {
+async fn repeat_state(host: Rc<Host>) -> Infallible {
     loop {
         tokio::time::sleep(REPEAT_INTERVAL).await;
         let peers: Vec<SocketAddr> = {
@@ -119,7 +122,7 @@
     throttle::send_rates(host, peers).await;
 }
 
-async fn send_heartbeats(host: Rc<Host>) {
+async fn send_heartbeats(host: Rc<Host>) -> Infallible {
     let mut interval = tokio::time::interval(INTERVAL);
     loop {
         interval.tick().await;
@@ -135,19 +138,21 @@
     }
 }
 
-/// Sends the requests per account at this host to other hosts, if quotas are enforced.
-async fn send_tallies(host: Rc<Host>) {
+/// Sends the requests per account at this host to other hosts. Quotas are enforced.
+async fn send_tallies(host: Rc<Host>) -> Infallible {
     loop {
-        let (age, pause, (regional, global)) = {
+        let due = {
             let core = &mut *host.core.borrow_mut();
-            let Some(ledger) = &mut core.ledger else {
-                return;
-            };
-            (
-                ledger.age(now()),
-                ledger.report_interval(now()),
-                ledger.next_reports(now()),
-            )
+            core.ledger.as_mut().map(|ledger| {
+                (
+                    ledger.age(now()),
+                    ledger.report_interval(now()),
+                    ledger.next_reports(now()),
+                )
+            })
+        };
+        let Some((age, pause, (regional, global))) = due else {
+            return std::future::pending().await;
         };
         let to_all = global.is_some();
         send_tallies_to(&host, age, to_all, &regional, true).await;
@@ -296,7 +301,7 @@
     }
 }
 
-async fn receive(host: Rc<Host>, socket: Rc<UdpSocket>) {
+async fn receive(host: Rc<Host>, socket: Rc<UdpSocket>) -> Infallible {
     let mut bytes = [0; MAX_DATAGRAM_BYTES];
     loop {
         let (length, sender) = match socket.recv_from(&mut bytes).await {
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -2,6 +2,7 @@
 //! follower lacks, then each update. The transport is a WebSocket with CBOR messages.
 
 use std::collections::BTreeMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use super::serve;
 use super::snapshot;
 use super::snapshot::FullCopy;
+use super::task;
 use super::Error;
 use super::Gap;
 use super::Host;
@@ -182,13 +184,13 @@
 
 /// Listens for followers.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
-    let listener = serve::bind(host.settings.feed)?;
-    tokio::task::spawn_local(accept(host.clone(), listener));
-    tokio::task::spawn_local(send_keepalives(host.clone()));
+    let listener = Rc::new(serve::bind(host.settings.feed)?);
+    task::start(host, "feed", move |host| accept(host, listener.clone()));
+    task::start(host, "feed-keepalive", send_keepalives);
     Ok(())
 }
 
-async fn send_keepalives(host: Rc<Host>) {
+async fn send_keepalives(host: Rc<Host>) -> Infallible {
     let mut interval = tokio::time::interval(KEEPALIVE_INTERVAL);
     loop {
         interval.tick().await;
@@ -196,16 +198,16 @@
     }
 }
 
-async fn accept(host: Rc<Host>, listener: TcpListener) {
+async fn accept(host: Rc<Host>, listener: Rc<TcpListener>) -> Infallible {
     serve::accept_each(&listener, KEEPALIVE_INTERVAL, |stream, address| {
-        let host = host.clone();
-        tokio::task::spawn_local(async move {
-            if let Err(error) = serve_follower(&host, stream).await {
+        let state = host.clone();
+        task::spawn(&host, "follower", async move {
+            if let Err(error) = serve_follower(&state, stream).await {
                 spdlog::debug!("feed: the connection of follower {address} ended: {error}");
             }
         });
     })
-    .await;
+    .await
 }
 
 fn websocket_config() -> WebSocketConfig {
@@ -336,7 +338,7 @@
     host: &Rc<Host>,
     address: SocketAddr,
     known: Vec<(Kind, u64)>,
-) -> Result<std::convert::Infallible, FeedError> {
+) -> Result<Infallible, FeedError> {
     let connect = async {
         let stream = client::connect(address, CONNECT_TIMEOUT).await?;
         let url = format!("ws://{address}/");
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -22,7 +22,7 @@
 /// Listens for callers.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
     let listener = serve::bind(host.settings.front)?;
-    tokio::task::spawn_local(serve::accept(host.clone(), listener, handle));
+    serve::start(host, "front", listener, handle);
     Ok(())
 }
 
--- a/src/host/join.rs
+++ b/src/host/join.rs
@@ -1,6 +1,7 @@
 //! Maintains the host's registration in the store and the list of the other hosts.
 
 use std::collections::BTreeSet;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
 const INTRODUCTION_WAIT: Duration = Duration::from_millis(40);
 
 /// Registers the host and reads the registrations of the others periodically.
-pub(crate) async fn run(host: Rc<Host>) {
+pub(crate) async fn run(host: Rc<Host>) -> Infallible {
     let mut client = Client::new(&host);
     let mut backoff = Backoff::new();
     loop {
--- a/src/host/links.rs
+++ b/src/host/links.rs
@@ -2,6 +2,7 @@
 //! other hosts until they are back.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use tokio::sync::Notify;
 
 use super::log::{self, Event};
-use super::{datagram, now, probe, Host};
+use super::{datagram, now, probe, task, Host};
 use crate::control::presence;
 use crate::inventory::TargetKey;
 use crate::steer::reach::MAX_FAILED_TARGETS;
@@ -58,9 +59,16 @@
 
 /// Probes targets whenever the links may be lost. If they are, announces that this host can't reach
 /// targets, until they are back.
-pub(crate) async fn run(host: Rc<Host>) {
+pub(crate) fn start(host: &Rc<Host>) {
+    task::start(host, "links", run);
+}
+
+async fn run(host: Rc<Host>) -> Infallible {
     loop {
-        host.links.suspected.notified().await;
+        // A task that replaces a failed one may begin in any state.
+        while host.links.reaches_targets.get() && !host.links.is_suspected.get() {
+            host.links.suspected.notified().await;
+        }
         while host.links.is_suspected.get() {
             probe_targets(&host).await;
         }
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -5,6 +5,7 @@
 //! event, with a count of the lines left out, so that a burst of failures can neither fill the log
 //! nor take up the processor.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{Logger, ThreadPool};
 
+use super::core::FailedObject;
 use super::{now, Host};
 use crate::control::revision::Revision;
 use crate::inventory::TargetKey;
@@ -145,6 +147,10 @@
     KindChanged => "store.kind",
     /// An object in the store can't be decoded.
     UnreadableObject => "store.unread",
+    /// An object of the store could not be applied.
+    ObjectFailed => "store.object-failed",
+    /// A task of the host panicked.
+    TaskFailed => "task.failed",
 }
 
 impl Event {
@@ -374,6 +380,56 @@
     });
 }
 
+/// Logs that an object of the store could not be applied.
+pub(crate) fn object_failed(host: &Host, object: FailedObject) {
+    host.metrics.count_task_failure("object");
+    let event = Event::ObjectFailed;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    spdlog::error!("core: an object of the store could not be applied", kv: {
+        event = event.as_str(),
+        kind = object.kind.as_str(),
+        name = &*object.name,
+        reason = object.reason.as_str(),
+        left_out
+    });
+}
+
+/// Logs that a task panicked, with the message and place of the panic.
+pub(crate) fn task_failed(host: &Host, name: &str, reason: &str) {
+    let event = Event::TaskFailed;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    spdlog::error!("task: a task of the host panicked", kv: {
+        event = event.as_str(),
+        task = name,
+        reason,
+        left_out
+    });
+}
+
+thread_local! {
+    /// Where the last panic of this thread occurred.
+    static PANIC_PLACE: RefCell<Option<String>> = const { RefCell::new(None) };
+}
+
+/// Returns where the last panic of this thread occurred.
+pub(crate) fn take_panic_place() -> Option<String> {
+    PANIC_PLACE.take()
+}
+
+/// Records where panics occur, which is not known any more where they are caught.
+fn record_panic_places() {
+    let previous = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        let place = info.location().map(|place| format!("at {place}"));
+        PANIC_PLACE.replace(place);
+        previous(info);
+    }));
+}
+
 /// Sets up the default logger to write JSON lines.
 pub(crate) fn install() -> Result<(), spdlog::Error> {
     let output: Arc<dyn Sink> = StdStreamSink::builder()
@@ -388,6 +444,7 @@
         .build_arc()?;
     let logger = Logger::builder().sink(sink).build()?;
     spdlog::set_default_logger(Arc::new(logger));
+    record_panic_places();
     Ok(())
 }
 
--- a/src/host/lookup.rs
+++ b/src/host/lookup.rs
@@ -17,10 +17,14 @@
 
 /// Listens for look-ups and readiness checks.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
-    let addresses = [host.settings.lookup, host.settings.ready];
-    for address in addresses.into_iter().flatten() {
-        let listener = serve::bind(address)?;
-        tokio::task::spawn_local(serve::accept(host.clone(), listener, handle));
+    let addresses = [
+        ("lookup", host.settings.lookup),
+        ("ready", host.settings.ready),
+    ];
+    for (name, address) in addresses {
+        if let Some(address) = address {
+            serve::start(host, name, serve::bind(address)?, handle);
+        }
     }
     Ok(())
 }
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -18,7 +18,7 @@
         return Ok(());
     };
     let listener = serve::bind(address)?;
-    tokio::task::spawn_local(serve::accept(host.clone(), listener, handle));
+    serve::start(host, "metrics", listener, handle);
     Ok(())
 }
 
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -37,6 +37,7 @@
 mod startup;
 mod store;
 mod sync;
+mod task;
 mod throttle;
 mod watcher;
 
@@ -63,6 +64,7 @@
 pub use feed::FEED_TIMEOUT;
 pub use log::EVENTS;
 pub use startup::START_WAIT;
+pub use task::Tasks;
 
 /// State shared by all tasks of a host.
 struct Host {
@@ -94,6 +96,7 @@
     restored: Notify,
     /// Faults in the store's objects that were already logged.
     logged_store_faults: RefCell<BTreeSet<String>>,
+    tasks: Tasks,
 }
 
 impl Host {
@@ -103,6 +106,10 @@
         let Update { kind, outage, .. } = update;
         let known = self.core.borrow().replica.revision(kind);
         let effect = self.core.borrow_mut().apply(now(), update);
+        let failed = std::mem::take(&mut self.core.borrow_mut().failed_objects);
+        for object in failed {
+            log::object_failed(self, object);
+        }
         match effect {
             Effect::Gap => return Err(Gap),
             Effect::Old => {
@@ -183,18 +190,32 @@
 ///
 /// The settings can't be used, or an address can't be listened on.
 pub fn run(platform: Platform, path: &Path) -> Result<(), Error> {
+    run_with_tasks(platform, path, &Tasks::default())
+}
+
+/// Runs an entry host as [`run`] does. `tasks` gives access to its tasks.
+///
+/// # Errors
+///
+/// The same as of [`run`].
+pub fn run_with_tasks(platform: Platform, path: &Path, tasks: &Tasks) -> Result<(), Error> {
     log::install()?;
     let settings = (platform.settings)(path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    let result = LocalSet::new().block_on(&runtime, start(platform, settings, path));
+    let result = LocalSet::new().block_on(&runtime, start(platform, settings, path, tasks));
     log::flush();
     result
 }
 
-async fn start(platform: Platform, settings: Settings, path: &Path) -> Result<(), Error> {
+async fn start(
+    platform: Platform,
+    settings: Settings,
+    path: &Path,
+    tasks: &Tasks,
+) -> Result<(), Error> {
     let host = Rc::new(Host {
         core: RefCell::new(core::Core::new(now(), &settings)),
         pool: RefCell::new(pool::Pool::new()),
@@ -215,6 +236,7 @@
         store_era: Cell::new(0),
         restored: Notify::new(),
         logged_store_faults: RefCell::default(),
+        tasks: tasks.clone(),
         platform,
         settings,
     });
@@ -226,10 +248,10 @@
     datagram::start(&host).await?;
     startup::start(&host);
     sync::start(&host);
-    tokio::task::spawn_local(probe::run(host.clone()));
-    tokio::task::spawn_local(links::run(host.clone()));
-    tokio::task::spawn_local(proof::run_renewal(host.clone()));
-    tokio::task::spawn_local(reload::run(host.clone(), path.to_owned()));
+    probe::start(&host);
+    links::start(&host);
+    proof::start(&host);
+    reload::start(&host, path);
     spdlog::info!("host: listening", kv: {
         event = log::Event::Started.as_str(),
         host = &*host.settings.host,
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -4,6 +4,7 @@
 //! in its health answers. So while any host has lost the store, two hosts probe each target and
 //! inform the others; two, since one of them may stop.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 
 use super::client::{self, Connection};
 use super::core::Core;
-use super::{announcement, attempt, body, datagram, log, now, throttle, Host};
+use super::{announcement, attempt, body, datagram, log, now, task, throttle, Host};
 use crate::inventory::TargetKey;
 use crate::port::Health;
 use crate::steer::fleet::Member;
@@ -82,12 +83,16 @@
 }
 
 /// Probes targets periodically while changes in the store may arrive late.
-pub(crate) async fn run(host: Rc<Host>) {
+pub(crate) fn start(host: &Rc<Host>) {
+    task::start(host, "probes", run);
+}
+
+async fn run(host: Rc<Host>) -> Infallible {
     let mut interval = tokio::time::interval(PROBE_INTERVAL);
     loop {
         interval.tick().await;
         for probe in due_probes(&host) {
-            tokio::task::spawn_local(run_probe(host.clone(), probe));
+            task::spawn(&host, "probe", run_probe(host.clone(), probe));
         }
     }
 }
--- a/src/host/proof.rs
+++ b/src/host/proof.rs
@@ -4,6 +4,7 @@
 //! proof. A host whose proof has become old although other hosts reach the store queries it
 //! directly.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::store::{Client, Error};
-use super::{now, refresh, Host};
+use super::{now, refresh, task, Host};
 use crate::control::proof::{Moment, RENEWAL_FRACTION};
 use crate::port::Kind;
 
@@ -76,10 +77,13 @@
 
 /// Queries the store whenever the host's proof has become old although some host reaches the store.
 /// If none does, the hosts that probe for the store's return have to find it first.
-pub(super) async fn run_renewal(host: Rc<Host>) {
-    let Some(max_age) = host.settings.bounds.withdrawal else {
-        return;
-    };
+pub(super) fn start(host: &Rc<Host>) {
+    if let Some(max_age) = host.settings.bounds.withdrawal {
+        task::start(host, "proof", move |host| run_renewal(host, max_age));
+    }
+}
+
+async fn run_renewal(host: Rc<Host>, max_age: Duration) -> Infallible {
     let mut client = Client::new(&host);
     let renewal_age = max_age.mul_f64(RENEWAL_FRACTION);
     loop {
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -7,7 +7,7 @@
 
 use super::attempt::InFlight;
 use super::exchange::Exchange;
-use super::{datagram, log, now, Host};
+use super::{datagram, log, now, task, Host};
 use crate::steer::fingerprint::Fingerprint;
 use crate::steer::fleet::End;
 use crate::steer::quarantine::{Notice, OutgoingNotices, Verdict, MAX_VERDICT_WAIT};
@@ -135,8 +135,8 @@
 }
 
 fn spawn_send(host: &Rc<Host>, notice: Notice, peers: Vec<SocketAddr>) {
-    let host = host.clone();
-    tokio::task::spawn_local(async move {
-        datagram::send_notices(&host, &[notice], &peers).await;
+    let state = host.clone();
+    task::spawn(host, "announcement", async move {
+        datagram::send_notices(&state, &[notice], &peers).await;
     });
 }
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -5,6 +5,7 @@
 //! changes are queried. So changes are found even if a watch hangs, and a response never counts as
 //! evidence for more than it shows.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,12 +125,13 @@
 
 /// Polls the store indefinitely, on a host that watches it. Starts at once, unless a probe of the
 /// store has just succeeded.
-pub(super) async fn run(host: Rc<Host>) {
+pub(super) async fn run(host: Rc<Host>) -> Infallible {
     let mut refresher = Refresher::new(&host);
     if host.watch_state.is_answering.get() {
         tokio::time::sleep(INTERVAL).await;
     }
-    for number in (0..REFRESH_EVERY).cycle() {
+    let mut number = 0;
+    loop {
         // After an outage the store may have changed.
         let is_refresh =
             number == 0 || !host.watch_state.is_answering.get() || !host.has_current_era();
@@ -139,6 +141,7 @@
             refresher.ping().await
         };
         record_poll_result(&host, result).await;
+        number = (number + 1) % REFRESH_EVERY;
         tokio::time::sleep(INTERVAL).await;
     }
 }
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -329,7 +329,7 @@
 /// Listens for requests that other hosts relay.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
     let listener = serve::bind(host.settings.peers)?;
-    tokio::task::spawn_local(serve::accept(host.clone(), listener, handle));
+    serve::start(host, "relayed-requests", listener, handle);
     Ok(())
 }
 
--- a/src/host/reload.rs
+++ b/src/host/reload.rs
@@ -3,25 +3,34 @@
 //! Changed bounds are applied; addresses and zones stay as they were until the next start, which is
 //! logged.
 
-use std::path::PathBuf;
+use std::convert::Infallible;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use tokio::signal::unix::{signal, SignalKind};
 
 use super::log::Event;
-use super::Host;
+use super::{task, Host};
 use crate::port::Settings;
 
 /// Reads the settings at `path` on each SIGHUP.
-pub(crate) async fn run(host: Rc<Host>, path: PathBuf) {
+pub(crate) fn start(host: &Rc<Host>, path: &Path) {
+    let path = path.to_owned();
+    task::start(host, "reload", move |host| run(host, path.clone()));
+}
+
+async fn run(host: Rc<Host>, path: PathBuf) -> Infallible {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
             spdlog::error!("reload: cannot handle SIGHUP, which will end the process: {error}");
-            return;
+            return std::future::pending().await;
         }
     };
-    while hangup.recv().await.is_some() {
+    loop {
+        if hangup.recv().await.is_none() {
+            return std::future::pending().await;
+        }
         match (host.platform.settings)(&path) {
             Ok(settings) => apply(&host, settings),
             Err(error) => {
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -25,7 +25,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::body::{self, Body};
-use super::{client, now, shutdown, Error, Host};
+use super::{answer, client, now, shutdown, task, Error, Host};
 use crate::duration;
 
 /// Listen backlog: connections that may wait to be accepted.
@@ -187,19 +187,29 @@
     listen().map_err(|source| Error::Listen { address, source })
 }
 
-/// Answers requests on all connections that `listener` accepts, until the host stops.
-pub(crate) async fn accept<F, R>(host: Rc<Host>, listener: TcpListener, handler: F)
+/// Answers requests on all connections that `listener` accepts, until the host stops. `name` is that
+/// of the task.
+pub(crate) fn start<F, R>(host: &Rc<Host>, name: &'static str, listener: TcpListener, handler: F)
 where
     F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
-    let all = accept_each(&listener, ACCEPT_PAUSE, |stream, _| {
-        tokio::task::spawn_local(serve_connection(host.clone(), stream, handler));
+    let listener = Rc::new(listener);
+    task::start_until_close(host, name, move |host| {
+        accept(host, listener.clone(), handler)
     });
-    tokio::select! {
-        () = all => {}
-        () = host.shutdown.wait_for_close() => {}
-    }
+}
+
+async fn accept<F, R>(host: Rc<Host>, listener: Rc<TcpListener>, handler: F) -> Infallible
+where
+    F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
+    R: Future<Output = Response<Body>> + 'static,
+{
+    accept_each(&listener, ACCEPT_PAUSE, |stream, _| {
+        let connection = serve_connection(host.clone(), stream, handler);
+        task::spawn(&host, "connection", connection);
+    })
+    .await
 }
 
 /// Passes each connection that `listener` accepts to `handle`, with a pause after a failure.
@@ -207,7 +217,7 @@
     listener: &TcpListener,
     pause: Duration,
     handle: impl Fn(TcpStream, SocketAddr),
-) {
+) -> Infallible {
     loop {
         match listener.accept().await {
             Ok((stream, address)) => handle(stream, address),
@@ -279,7 +289,8 @@
         let guard = AnswerGuard(state.clone());
         let answer = Box::pin(handler(host.clone(), request));
         async move {
-            let response = answer.await;
+            let response = task::catch(host, "request", answer).await;
+            let response = response.unwrap_or_else(|| answer::outcome_unknown("the host failed\n"));
             if response.extensions().get::<BodyConsumed>().is_some() {
                 guard.0.has_unread_body.set(false);
             }
--- a/src/host/startup.rs
+++ b/src/host/startup.rs
@@ -14,7 +14,7 @@
 
 use super::feed::SYNCED_KINDS;
 use super::store::{Client, Error};
-use super::{log, now, refresh, sync, Host};
+use super::{log, now, refresh, sync, task, Host};
 use crate::border::settings::Switch;
 use crate::control::revision::Revision;
 use crate::port::{Age, Kind, Settings};
@@ -79,7 +79,7 @@
 /// Starts reading the store, unless that is switched off.
 pub(crate) fn start(host: &Rc<Host>) {
     if host.settings.switches.start_read == Switch::On {
-        tokio::task::spawn_local(run(host.clone()));
+        task::spawn(host, "startup", run(host.clone()));
     }
 }
 
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -2,18 +2,17 @@
 //! of another host that does.
 
 use std::cmp::Ordering;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
-use tokio::task::AbortHandle;
-
 use super::feed;
 use super::log::{self, Event};
 use super::refresh::{self, Refresher};
 use super::store::{Client, Error};
+use super::task::{self, AbortGuard};
 use super::watcher::{Debounce, StoreProbe, WATCHED_KINDS};
 use super::{datagram, join, now, proof, Host};
 use crate::control::presence::{HostRecord, StoreView};
@@ -21,6 +20,7 @@
 use crate::control::revision::Revision;
 use crate::duration;
 use crate::port::{Age, Call, Entry, Kind, Reply};
+use rand::RngExt;
 
 /// How long a watch waits for a change, in seconds: somewhat less than the history that the store
 /// keeps, so that an interrupted watch can mostly be resumed. Randomized, so that across all hosts
@@ -57,21 +57,21 @@
 
 /// Starts the tasks that keep the copy of the store current.
 pub(crate) fn start(host: &Rc<Host>) {
-    tokio::task::spawn_local(join::run(host.clone()));
-    tokio::task::spawn_local(run_source_selection(host.clone()));
-    tokio::task::spawn_local(run_sweep(host.clone()));
+    task::start(host, "registration", join::run);
+    task::start(host, "source-selection", run_source_selection);
+    task::start(host, "sweep", run_sweep);
 }
 
 /// The feed that this host follows.
 struct FollowedFeed {
     address: SocketAddr,
-    task: AbortHandle,
+    task: AbortGuard,
 }
 
 /// Watches the store if this host is one of its watchers. Otherwise, or while the store is
 /// unreachable, follows another host.
-async fn run_source_selection(host: Rc<Host>) {
-    let mut watchers: Vec<AbortHandle> = Vec::new();
+async fn run_source_selection(host: Rc<Host>) -> Infallible {
+    let mut watchers: Vec<AbortGuard> = Vec::new();
     let mut following: Option<FollowedFeed> = None;
     let store_probe = StoreProbe::default();
     let mut debounce = Debounce::default();
@@ -98,17 +98,11 @@
         if is_watching && watchers.is_empty() {
             log::watching_changed(true);
             host.watch_state.start(now);
-            watchers = WATCHED_KINDS
-                .iter()
-                .map(|kind| {
-                    tokio::task::spawn_local(watch_kind(host.clone(), *kind)).abort_handle()
-                })
-                .collect();
-            watchers.push(tokio::task::spawn_local(refresh::run(host.clone())).abort_handle());
+            watchers = start_watchers(&host);
         }
         if !is_watching && !watchers.is_empty() {
             log::watching_changed(false);
-            watchers.drain(..).for_each(|task| task.abort());
+            watchers.clear();
             host.watch_state.stop();
         }
         let is_current = host.watch_state.is_current(now);
@@ -121,21 +115,36 @@
             current.task.is_finished() || Some(current.address) != wanted_feed
         });
         if is_obsolete {
-            if let Some(current) = following.take() {
-                current.task.abort();
-            }
+            following = None;
             host.source_store_view.set(None);
         }
         if let (None, Some(address)) = (&following, wanted_feed) {
             following = Some(FollowedFeed {
                 address,
-                task: tokio::task::spawn_local(follow_feed(host.clone(), address)).abort_handle(),
+                task: task::spawn_failing_on_request(
+                    &host,
+                    "followed-feed",
+                    follow_feed(host.clone(), address),
+                ),
             });
         }
         update_store_view(&host).await;
     }
 }
 
+/// Starts the tasks of a host that watches the store.
+fn start_watchers(host: &Rc<Host>) -> Vec<AbortGuard> {
+    let watchers = WATCHED_KINDS.map(|kind| {
+        let name = match kind {
+            Kind::Config => "watch-configuration",
+            _ => "watch-targets",
+        };
+        task::supervise(host, name, move |host| watch_kind(host, kind))
+    });
+    let refresh = task::supervise(host, "refresh", refresh::run);
+    watchers.into_iter().chain([refresh]).collect()
+}
+
 /// Chooses the feed to follow: that of the host with the best view of the store, or a seed if no
 /// other host is known.
 fn choose_feed(host: &Host, now: Instant) -> Option<SocketAddr> {
@@ -180,7 +189,8 @@
         host.core.borrow_mut().presence.forget_store_view(address);
         // Without a copy this would read all targets.
         if host.has_full_copy() {
-            tokio::task::spawn_local(refresh_once(host));
+            let refresh = refresh_once(host.clone());
+            task::spawn(&host, "store-probe", refresh);
         }
     }
 }
@@ -230,7 +240,7 @@
 /// The copy is updated by changes rather than replaced by a list: a change shows that a target
 /// announced its shutdown before it left, whereas in a list the target is only missing and could
 /// return.
-async fn watch_kind(host: Rc<Host>, kind: Kind) {
+async fn watch_kind(host: Rc<Host>, kind: Kind) -> Infallible {
     let mut client = Client::new(&host);
     let mut backoff = Backoff::new();
     let mut is_failing = false;
@@ -420,7 +430,7 @@
 }
 
 /// Expires idle connections and targets whose time has run out.
-async fn run_sweep(host: Rc<Host>) {
+async fn run_sweep(host: Rc<Host>) -> Infallible {
     const INTERVAL: Duration = Duration::from_millis(250);
     let mut interval = tokio::time::interval(INTERVAL);
     loop {
--- a/src/host/throttle.rs
+++ b/src/host/throttle.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::attempt::InFlight;
-use super::{datagram, log, now, Host};
+use super::{datagram, log, now, task, Host};
 use crate::inventory::TargetKey;
 use crate::port::Answer;
 use crate::steer::fleet::Permission;
@@ -133,10 +133,10 @@
     if let Some(member) = host.core.borrow().fleet.member(in_flight.target) {
         log::target_rate(member.id(), rate, "answer");
     }
-    let host = host.clone();
-    tokio::task::spawn_local(async move {
-        let peers = datagram::peer_addresses(&host);
-        datagram::send_rates(&host, &[update], &peers).await;
+    let state = host.clone();
+    task::spawn(host, "announcement", async move {
+        let peers = datagram::peer_addresses(&state);
+        datagram::send_rates(&state, &[update], &peers).await;
     });
 }
 
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -12,7 +12,7 @@
 
 use super::feed::SYNCED_KINDS;
 use super::refresh::{Refresher, CURRENT_FOR};
-use super::{log, Host};
+use super::{log, task, Host};
 use crate::control::freshness::FreshnessTracker;
 use crate::port::Kind;
 
@@ -157,13 +157,13 @@
         self.next_probe.set(Some(now + pause));
         let mut refresher = Refresher::new(host);
         let reached_at = self.reached_at.clone();
-        let host = host.clone();
-        tokio::task::spawn_local(async move {
+        let state = host.clone();
+        task::spawn(host, "store-probe", async move {
             let result = refresher.refresh().await;
             log::store_probed(&result);
             if result.is_ok() {
                 reached_at.set(Some(super::now()));
-                host.watch_state.reached.notify_one();
+                state.watch_state.reached.notify_one();
             }
         });
     }
