Own interface: threads that panic are reported and go on

What callers saw: a panic ended the thread that it occurred in for good, with a line on standard error that named it and nothing else. After one of `feed` no configuration came into force, after one of `health-N` the targets of that thread were not checked any more, each one of a worker left a worker less, one of `core` left all requests without a verdict. The same for tasks of the links between hosts: after a panic a link counted as up with nobody serving it, or was never dialled again.

Now threads are started by `supervisor::Supervisor`: a panic is logged (`task: NAME panicked: ...` with its place) and counted (`ragwortfold_task_failures_total`). Work by the piece (requests, relayed requests, configuration events, events and ticks of the core, background tasks) is caught by the piece, so the next one is done at once. If the core's thread itself ends, the daemon ends with exit code 1, since it can't serve. Links whose task panics are ended, and maintained again.

Not tested: a panic in each thread of a running daemon, as nothing from outside is known to cause one any more and the threads have no way to be made to fail; in particular the exit with `core has failed` was not run.

--- a/src/entry/background.rs
+++ b/src/entry/background.rs
@@ -5,7 +5,6 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
-use std::thread;
 use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, Sender};
@@ -14,6 +13,7 @@
 use super::core::Event;
 use super::{Error, Shared};
 use crate::steer::group;
+use crate::supervisor::Supervisor;
 
 /// Threads of the pool.
 const THREADS: usize = 16;
@@ -41,29 +41,36 @@
 }
 
 /// Starts the threads. They end when all senders of the queue are dropped.
-pub(crate) fn start(shared: &Arc<Shared>, tasks: &Receiver<BackgroundTask>) -> Result<(), Error> {
+pub(crate) fn start(
+    shared: &Arc<Shared>,
+    tasks: &Receiver<BackgroundTask>,
+    supervisor: &Supervisor,
+) -> Result<(), Error> {
     for index in 0..THREADS {
         let shared = Arc::downgrade(shared);
         let tasks = tasks.clone();
-        thread::Builder::new()
-            .name(format!("later-{index}"))
-            .spawn(move || run(&shared, &tasks))?;
+        let supervisor = supervisor.clone();
+        supervisor
+            .clone()
+            .spawn(format!("later-{index}"), move || {
+                run(&shared, &tasks, &supervisor)
+            })?;
     }
     Ok(())
 }
 
-fn run(shared: &Weak<Shared>, tasks: &Receiver<BackgroundTask>) {
+fn run(shared: &Weak<Shared>, tasks: &Receiver<BackgroundTask>, supervisor: &Supervisor) {
     for task in tasks {
         let Some(shared) = shared.upgrade() else {
             return;
         };
-        match task {
+        supervisor.catch("background", || match task {
             BackgroundTask::Hedge(call, grant) => call.run_hedge(&shared, grant),
             BackgroundTask::Cancel(address, id) => {
                 shared.targets.cancel(address, &id, CANCEL_TIMEOUT)
             }
             BackgroundTask::Abandon(call) => call.abandon(&shared),
-        }
+        });
     }
 }
 
--- a/src/entry/config_sync.rs
+++ b/src/entry/config_sync.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -18,6 +17,7 @@
 use crate::peer::frame::{Fetch, Files, Message, Revision as Offer};
 use crate::peer::mesh::Mesh;
 use crate::store::publication::{text, Fetched};
+use crate::supervisor::Supervisor;
 
 /// Time limit for the answer of a host that was asked for a revision.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
@@ -88,8 +88,9 @@
     core: Handle,
     current: Arc<CurrentRevision>,
     events: Receiver<ConfigEvent>,
+    supervisor: &Supervisor,
 ) -> Result<(), Error> {
-    let config_sync = ConfigSync {
+    let mut config_sync = ConfigSync {
         core,
         current,
         mesh: None,
@@ -97,18 +98,19 @@
         pending: None,
         rejected: BTreeSet::new(),
     };
-    thread::Builder::new()
-        .name("feed".into())
-        .spawn(move || config_sync.run(&events))?;
+    let own = supervisor.clone();
+    supervisor.spawn("feed", move || config_sync.run(&events, &own))?;
     Ok(())
 }
 
 impl ConfigSync {
-    fn run(mut self, events: &Receiver<ConfigEvent>) {
+    fn run(&mut self, events: &Receiver<ConfigEvent>, supervisor: &Supervisor) {
         loop {
             match events.recv_timeout(FETCH_TIMEOUT) {
                 Ok(ConfigEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(event) => self.handle_event(event),
+                Ok(event) => {
+                    supervisor.catch("configuration", || self.handle_event(event));
+                }
                 Err(RecvTimeoutError::Timeout) => {}
             }
             if self.pending.as_ref().is_some_and(Pending::is_expired) {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -170,7 +170,7 @@
                     let _ = self.config_events.send(ConfigEvent::Message(host, message));
                 }
             },
-            Event::Open(_) => {}
+            Event::Open(_) | Event::TaskFailed { .. } => {}
         }
         update
     }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -41,6 +41,7 @@
 use crate::steer::throttle::{Rate, RateUpdate};
 use crate::steer::ticket::{Generation, Rotation};
 use crate::store::client::Host;
+use crate::supervisor::Supervisor;
 
 /// Maximum number of requests that wait for a verdict at the same time.
 const MAX_WAITING_REQUESTS: usize = 8192;
@@ -218,10 +219,14 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Set while this host is a delegate of its zone.
     pub(crate) is_delegate: Arc<AtomicBool>,
+    pub(crate) supervisor: Supervisor,
 }
 
 /// Starts the core's thread.
-pub(crate) fn start(dependencies: Dependencies) -> Result<Handle, Error> {
+pub(crate) fn start(
+    dependencies: Dependencies,
+    failed: Sender<&'static str>,
+) -> Result<Handle, Error> {
     let (sender, receiver) = unbounded();
     let handle = Handle {
         events: sender,
@@ -230,9 +235,14 @@
         resting: Arc::default(),
     };
     let own_handle = handle.clone();
-    thread::Builder::new()
-        .name("core".into())
-        .spawn(move || run(dependencies, own_handle, &receiver))?;
+    thread::Builder::new().name("core".into()).spawn(move || {
+        let supervisor = dependencies.supervisor.clone();
+        let ended = supervisor.catch("core", || run(dependencies, own_handle, &receiver));
+        if ended.is_none() {
+            // Whoever waits for this learns that the host can't go on.
+            let _ = failed.send("core");
+        }
+    })?;
     Ok(handle)
 }
 
@@ -324,7 +334,13 @@
         }
     }
 
+    /// Handles an event. If that panics the event is lost, and the core goes on with the next one.
     fn handle_event(&mut self, cx: CX![], event: Event) {
+        let supervisor = self.dependencies.supervisor.clone();
+        supervisor.catch("core", || self.apply_event(cx, event));
+    }
+
+    fn apply_event(&mut self, cx: CX![], event: Event) {
         let now = cx.now();
         match event {
             Event::Route(request, reply) => self.route(now, request, reply),
@@ -615,8 +631,16 @@
         }
     }
 
+    /// Does the periodic work, and schedules the next time.
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
+        let supervisor = self.dependencies.supervisor.clone();
+        let delay = supervisor.catch("core", || self.work_periodically(now));
+        after!(delay.unwrap_or(TICK_INTERVAL), [cx], tick());
+    }
+
+    /// Returns the time until the next work is due.
+    fn work_periodically(&mut self, now: Instant) -> Duration {
         let decisions = self.engine.tick(now, &mut self.rng);
         self.send_verdicts(decisions);
         self.broadcast_notices();
@@ -636,10 +660,8 @@
             self.refresh(now);
         }
         let wake = self.engine.next_wake(now).unwrap_or(now + TICK_INTERVAL);
-        let delay = wake
-            .saturating_duration_since(now)
-            .clamp(MIN_TICK_INTERVAL, TICK_INTERVAL);
-        after!(delay, [cx], tick());
+        wake.saturating_duration_since(now)
+            .clamp(MIN_TICK_INTERVAL, TICK_INTERVAL)
     }
 }
 
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -23,6 +23,9 @@
         /// The error of the socket.
         source: io::Error,
     },
+    /// A thread panicked without which the host can't serve.
+    #[error("{0} has failed")]
+    Failed(&'static str),
     /// A thread could not be started.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] io::Error),
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -2,7 +2,6 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
@@ -25,6 +24,7 @@
 use crate::steer::engine::Origin;
 use crate::steer::fingerprint::{Content, Fingerprint};
 use crate::steer::lookup::Snapshot;
+use crate::supervisor::Supervisor;
 
 /// `Retry-After` for requests that this host refuses because it is full, starting or leaving.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -72,7 +72,10 @@
         Ok(Self {
             small: start_pool(&shared, "call", workers)?,
             large: start_pool(&shared, "upload", large)?,
-            refusals: start_refusal_threads(shared.settings.pool.backlog.get() as usize)?,
+            refusals: start_refusal_threads(
+                shared.settings.pool.backlog.get() as usize,
+                &shared.supervisor,
+            )?,
             shared,
         })
     }
@@ -237,26 +240,31 @@
     for index in 0..workers {
         let shared = shared.clone();
         let receiver: Receiver<Job> = receiver.clone();
-        thread::Builder::new()
-            .name(format!("{name}-{index}"))
-            .spawn(move || {
-                for job in receiver {
-                    serve_caller(&shared, job);
+        let supervisor = shared.supervisor.clone();
+        supervisor
+            .clone()
+            .spawn(format!("{name}-{index}"), move || {
+                for job in &receiver {
+                    supervisor.catch("request", || serve_caller(&shared, job));
                 }
             })?;
     }
     Ok(sender)
 }
 
-fn start_refusal_threads(backlog: usize) -> Result<Sender<(Request, Reply)>, Error> {
+fn start_refusal_threads(
+    backlog: usize,
+    supervisor: &Supervisor,
+) -> Result<Sender<(Request, Reply)>, Error> {
     let (sender, receiver) = bounded::<(Request, Reply)>(backlog);
     for index in 0..REFUSAL_THREADS {
         let receiver = receiver.clone();
-        thread::Builder::new()
-            .name(format!("refuse-{index}"))
-            .spawn(move || {
-                for (request, reply) in receiver {
-                    reply.send(request);
+        let supervisor = supervisor.clone();
+        supervisor
+            .clone()
+            .spawn(format!("refuse-{index}"), move || {
+                for (request, reply) in &receiver {
+                    supervisor.catch("request", || reply.send(request));
                 }
             })?;
     }
@@ -362,11 +370,12 @@
         for index in 0..shared.settings.pool.relay_workers.get() {
             let shared = shared.clone();
             let queue = queue.clone();
-            thread::Builder::new()
-                .name(format!("relay-{index}"))
-                .spawn(move || {
-                    for incoming in queue {
-                        serve_relayed(&shared, incoming);
+            let supervisor = shared.supervisor.clone();
+            supervisor
+                .clone()
+                .spawn(format!("relay-{index}"), move || {
+                    for incoming in &queue {
+                        supervisor.catch("relayed-request", || serve_relayed(&shared, incoming));
                     }
                 })?;
         }
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -20,6 +20,7 @@
 use crate::literal::LiteralResolver;
 use crate::steer::announcement::RequestedRest;
 use crate::steer::group::{self, Health};
+use crate::supervisor::Supervisor;
 use crate::transport::Dialer;
 
 /// Time between two health checks of one target.
@@ -45,15 +46,16 @@
     published: &Arc<Published>,
     core: &Handle,
     stop: &Arc<AtomicBool>,
+    supervisor: &Supervisor,
 ) -> Result<(), Error> {
     for index in 0..THREADS {
         let zone: Arc<str> = zone.into();
         let published = published.clone();
         let core = core.clone();
         let stop = stop.clone();
-        thread::Builder::new()
-            .name(format!("health-{index}"))
-            .spawn(move || run(index, &zone, &published, &core, &stop))?;
+        supervisor.spawn(format!("health-{index}"), move || {
+            run(index, &zone, &published, &core, &stop)
+        })?;
     }
     Ok(())
 }
--- a/src/entry/log.rs
+++ b/src/entry/log.rs
@@ -9,6 +9,7 @@
 use crate::border::settings as border;
 
 use super::Error;
+use crate::panic;
 
 /// Installs a default logger with the format and level of `log`.
 ///
@@ -33,6 +34,7 @@
         .build()
         .map_err(Error::log)?;
     spdlog::set_default_logger(Arc::new(logger));
+    panic::record_places();
     Ok(())
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,11 +30,11 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crossbeam_channel::{bounded, unbounded};
+use crossbeam_channel::{bounded, unbounded, Receiver};
 use rlimit::Resource;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -44,6 +44,7 @@
 use crate::peer::config::Listen;
 use crate::peer::mesh::Mesh;
 use crate::steer::ticket::{Issuer, Rotation};
+use crate::supervisor::Supervisor;
 
 pub use error::Error;
 
@@ -80,6 +81,7 @@
     incarnation: u64,
     ids: AtomicU64,
     in_flight: Arc<AtomicUsize>,
+    pub(crate) supervisor: Supervisor,
 }
 
 impl Shared {
@@ -140,6 +142,7 @@
     shared: Arc<Shared>,
     config_events: config_sync::EventSender,
     stop: Arc<AtomicBool>,
+    failed: Receiver<&'static str>,
 }
 
 impl Host {
@@ -164,7 +167,9 @@
         let (store_commands, store_command_receiver) = unbounded();
         let (config_events, config_event_receiver) = unbounded();
         let is_delegate = Arc::new(AtomicBool::new(false));
-        let core = core::start(Dependencies {
+        let supervisor = supervise(&metrics);
+        let (failures, failed) = bounded(1);
+        let dependencies = Dependencies {
             settings: settings.clone(),
             published: published.clone(),
             background: background.clone(),
@@ -174,11 +179,24 @@
             config_events: config_events.clone(),
             metrics: metrics.clone(),
             is_delegate: is_delegate.clone(),
-        })?;
+            supervisor: supervisor.clone(),
+        };
+        let core = core::start(dependencies, failures)?;
         let current = Arc::new(config_sync::CurrentRevision::default());
-        config_sync::start(core.clone(), current.clone(), config_event_receiver)?;
+        config_sync::start(
+            core.clone(),
+            current.clone(),
+            config_event_receiver,
+            &supervisor,
+        )?;
         let (relays, relayed_requests) = RelayPool::new(settings.pool.backlog.get() as usize);
-        let mesh = Arc::new(build_mesh(&settings, incarnation, core.clone(), relays)?);
+        let mesh = Arc::new(build_mesh(
+            &settings,
+            incarnation,
+            core.clone(),
+            relays,
+            supervisor.clone(),
+        )?);
         core.send(core::Event::Mesh(mesh.clone()));
         let stop = Arc::new(AtomicBool::new(false));
         let connect = Duration::from_millis(settings.pool.connect_ms.get().into());
@@ -193,9 +211,10 @@
             incarnation,
             ids: AtomicU64::new(0),
             in_flight: Arc::default(),
+            supervisor: supervisor.clone(),
             settings,
         });
-        background::start(&shared, &tasks)?;
+        background::start(&shared, &tasks, &supervisor)?;
         RelayPool::start(&shared, &relayed_requests)?;
         let front = Front::new(shared.clone())?;
         let platform = platform::PlatformClient {
@@ -207,14 +226,21 @@
             stop: stop.clone(),
             seed: incarnation,
         };
-        platform::start(&platform, store_command_receiver)?;
+        platform::start(&platform, store_command_receiver, &supervisor)?;
         let zone = &shared.settings.availability_zone;
-        health::start(zone, &shared.published, &core, &stop)?;
+        health::start(zone, &shared.published, &core, &stop, &supervisor)?;
         let threads = shared.settings.pool.lookup_workers.get() as usize;
         let handler = Arc::new(move |request| front.handle(request));
         let shared_for_rebuilds = shared.clone();
         let on_rebuild = Box::new(move || shared_for_rebuilds.metrics.count_rebuild());
-        let server = Server::new(listener, threads, idle_timeout, handler, on_rebuild)?;
+        let server = Server::new(
+            listener,
+            threads,
+            idle_timeout,
+            handler,
+            on_rebuild,
+            supervisor,
+        )?;
         spdlog::info!(
             "entry: {} listens on {}",
             shared.settings.host,
@@ -225,9 +251,17 @@
             shared,
             config_events,
             stop,
+            failed,
         })
     }
 
+    /// Waits until a part of the host has failed without which it can't serve; returns its name, or
+    /// `None` once the host has been stopped.
+    pub fn failure(&self) -> impl Fn() -> Option<&'static str> + Send + 'static {
+        let failed = self.failed.clone();
+        move || failed.recv().ok()
+    }
+
     /// Returns the address that callers connect to.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -269,12 +303,22 @@
     }
 }
 
+/// Creates the supervisor of a host's threads, which logs and counts their panics.
+fn supervise(metrics: &Arc<Metrics>) -> Supervisor {
+    let metrics = metrics.clone();
+    Supervisor::new(move |name, reason| {
+        metrics.count_task_failure(name);
+        spdlog::error!("task: {name} panicked: {reason}");
+    })
+}
+
 /// Creates the mesh of links to other hosts.
 fn build_mesh(
     settings: &Settings,
     incarnation: u64,
     core: core::Handle,
     relays: RelayPool,
+    supervisor: Supervisor,
 ) -> Result<Mesh, Error> {
     let listen = parse_address("peer_listen", &settings.peer_listen)?;
     let config = peer::config::Config::new(
@@ -286,6 +330,7 @@
     );
     Mesh::new(config, move |event| match event {
         peer::mesh::Event::Open(incoming) => relays.enqueue(incoming),
+        peer::mesh::Event::TaskFailed { task, reason } => supervisor.report(task, &reason),
         event => core.send(core::Event::Peer(event)),
     })
     .map_err(|error| Error::Peer(error.to_string().into()))
@@ -307,6 +352,15 @@
     raise_file_limit(settings.pool.open_files.into());
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(Error::from)?;
     let host = Host::new(settings)?;
+    let (wait_for_failure, handle) = (host.failure(), signals.handle());
+    let failure = Arc::new(OnceLock::new());
+    let noticed = failure.clone();
+    thread::spawn(move || {
+        if let Some(name) = wait_for_failure() {
+            let _ = noticed.set(name);
+            handle.close();
+        }
+    });
     for signal in signals.forever() {
         if signal != SIGHUP {
             break;
@@ -319,6 +373,9 @@
             Err(error) => spdlog::error!("log: level stays, the settings are faulty: {error}"),
         }
     }
+    if let Some(name) = failure.get() {
+        return Err(Error::Failed(name).into());
+    }
     spdlog::info!("entry: leaving");
     let elapsed = host.drain();
     spdlog::info!("entry: left after {} ms", elapsed.as_millis());
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -24,6 +24,7 @@
 use crate::store::client::{Client, Condition, Error as StoreError, Versioned, Written};
 use crate::store::guarded_client::GuardedClient;
 use crate::store::publication::{self, Fetched};
+use crate::supervisor::Supervisor;
 
 /// Time limit of one watch. If its connection stalls, a change goes unnoticed until the watch times out, which has to be
 /// well within the time in which a change must be in force.
@@ -75,15 +76,12 @@
 pub(crate) fn start(
     client: &PlatformClient,
     commands: Receiver<StoreCommand>,
+    supervisor: &Supervisor,
 ) -> Result<(), Error> {
     let watcher = client.clone();
-    thread::Builder::new()
-        .name("watch".into())
-        .spawn(move || watcher.watch())?;
+    supervisor.spawn("watch", move || watcher.watch())?;
     let executor = client.clone();
-    thread::Builder::new()
-        .name("store".into())
-        .spawn(move || executor.execute_commands(&commands))?;
+    supervisor.spawn("store", move || executor.execute_commands(&commands))?;
     Ok(())
 }
 
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -27,6 +27,7 @@
 use super::pipelining::ConnectionTable;
 use super::request::Request;
 use super::watchdog::{TimeoutAction, Watchdog};
+use crate::supervisor::Supervisor;
 
 /// Maximum number of connections waiting to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
@@ -77,6 +78,7 @@
     paused_at: Mutex<Option<Instant>>,
     connections: Arc<ConnectionTable>,
     watchdog: Watchdog,
+    supervisor: Supervisor,
 }
 
 /// Opens a listening socket whose time-outs each accepted socket inherits.
@@ -103,6 +105,7 @@
         idle_timeout: Duration,
         handler: Handler,
         on_rebuild: RebuildHandler,
+        supervisor: Supervisor,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let (ready, queued) = unbounded();
@@ -117,20 +120,21 @@
             stop: AtomicBool::new(false),
             paused_at: Mutex::default(),
             connections: ConnectionTable::new(ready),
-            watchdog: Watchdog::new()?,
+            watchdog: Watchdog::new(&supervisor)?,
+            supervisor,
         });
         Inner::serve(&inner)?;
         for index in 0..threads {
             let inner = inner.clone();
             let queued = queued.clone();
-            thread::Builder::new()
-                .name(format!("next-{index}"))
-                .spawn(move || inner.handle_queued(&queued))?;
+            let supervisor = inner.supervisor.clone();
+            supervisor.spawn(format!("next-{index}"), move || {
+                inner.handle_queued(&queued)
+            })?;
         }
         let prober = inner.clone();
-        thread::Builder::new()
-            .name("probe".into())
-            .spawn(move || Inner::probe(&prober))?;
+        let supervisor = inner.supervisor.clone();
+        supervisor.spawn("probe", move || Inner::probe(&prober))?;
         Ok(Self { inner })
     }
 
@@ -160,9 +164,9 @@
                 replaced: replaced.clone(),
                 is_first: index == 0,
             };
-            thread::Builder::new()
-                .name(format!("http-{index}"))
-                .spawn(move || receiver.run())?;
+            inner
+                .supervisor
+                .spawn(format!("http-{index}"), move || receiver.run())?;
         }
         Ok(())
     }
@@ -214,7 +218,7 @@
             self.watchdog
                 .guard(peer, HANDLER_TIMEOUT, TimeoutAction::Close)
         });
-        (self.handler)(request);
+        self.supervisor.catch("request", || (self.handler)(request));
     }
 
     /// Sends a probe at regular intervals, so that `accept` never reaches the socket's time-out and a
@@ -273,7 +277,7 @@
 }
 
 impl RequestReceiver {
-    fn run(self) {
+    fn run(&self) {
         let mut last_request = Instant::now();
         while !self.inner.stop.load(Ordering::Relaxed) {
             match self.receive() {
--- a/src/entry/watchdog.rs
+++ b/src/entry/watchdog.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::raw_socket;
+use crate::supervisor::Supervisor;
 
 /// How often expired guards are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -48,18 +49,16 @@
 
 impl Watchdog {
     /// Starts the watchdog's thread.
-    pub(crate) fn new() -> io::Result<Self> {
+    pub(crate) fn new(supervisor: &Supervisor) -> io::Result<Self> {
         let table = Arc::<Table>::default();
         let weak_table = Arc::downgrade(&table);
-        thread::Builder::new()
-            .name("watch".into())
-            .spawn(move || loop {
-                thread::sleep(CHECK_INTERVAL);
-                let Some(table) = weak_table.upgrade() else {
-                    return;
-                };
-                table.iter().for_each(close_expired);
-            })?;
+        supervisor.spawn("watchdog", move || loop {
+            thread::sleep(CHECK_INTERVAL);
+            let Some(table) = weak_table.upgrade() else {
+                return;
+            };
+            table.iter().for_each(close_expired);
+        })?;
         Ok(Self { table })
     }
 
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -10,13 +10,13 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::log::{self, Event};
-use super::task;
 use crate::account::ConfigFreshness;
 use crate::control::carryover::Carryover;
 use crate::control::presence::{self, HostRecord, LookupFilter, Presence, StoreView};
 use crate::control::proof::{Moment, Proof, RENEWAL_FRACTION};
 use crate::control::replica::{Effect, Outage, Replica, Update};
 use crate::inventory::{Config, Registration, Route, RouteTable, State};
+use crate::panic;
 use crate::port::{Bounds, Entry, Kind, Settings, Value};
 use crate::steer::allowance::Ledger;
 use crate::steer::fleet::Fleet;
@@ -180,7 +180,7 @@
                 self.failed_objects.push(FailedObject {
                     kind,
                     name: entry.name.clone(),
-                    reason: task::describe_panic(&*panic),
+                    reason: panic::describe(&*panic),
                 });
             }
         }
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -5,7 +5,6 @@
 //! event, with a count of the lines left out, so that a burst of failures can neither fill the log
 //! nor take up the processor.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::num::NonZeroUsize;
 use std::sync::Arc;
@@ -19,6 +18,7 @@
 use super::{now, Host};
 use crate::control::revision::Revision;
 use crate::inventory::TargetKey;
+use crate::panic;
 use crate::port::Kind;
 use crate::steer::fleet::EjectionChange;
 use crate::steer::quarantine::Notice;
@@ -410,26 +410,6 @@
     });
 }
 
-thread_local! {
-    /// Where the last panic of this thread occurred.
-    static PANIC_PLACE: RefCell<Option<String>> = const { RefCell::new(None) };
-}
-
-/// Returns where the last panic of this thread occurred.
-pub(crate) fn take_panic_place() -> Option<String> {
-    PANIC_PLACE.take()
-}
-
-/// Records where panics occur, which is not known any more where they are caught.
-fn record_panic_places() {
-    let previous = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        let place = info.location().map(|place| format!("at {place}"));
-        PANIC_PLACE.replace(place);
-        previous(info);
-    }));
-}
-
 /// Sets up the default logger to write JSON lines.
 pub(crate) fn install() -> Result<(), spdlog::Error> {
     let output: Arc<dyn Sink> = StdStreamSink::builder()
@@ -444,7 +424,7 @@
         .build_arc()?;
     let logger = Logger::builder().sink(sink).build()?;
     spdlog::set_default_logger(Arc::new(logger));
-    record_panic_places();
+    panic::record_places();
     Ok(())
 }
 
--- a/src/host/task.rs
+++ b/src/host/task.rs
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 
 use super::{log, now, Host};
+use crate::panic;
 
 /// Pause before a failed task is started again, which doubles with each further failure.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
@@ -174,15 +175,7 @@
 }
 
 /// Logs and counts a panic that ended the task `name`.
-pub(super) fn record_panic(host: &Host, name: &'static str, panic: Box<dyn Any + Send>) {
+fn record_panic(host: &Host, name: &'static str, panic: Box<dyn Any + Send>) {
     host.metrics.count_task_failure(name);
-    log::task_failed(host, name, &describe_panic(&*panic));
-}
-
-/// The message of a panic of this thread, and where it occurred.
-pub(super) fn describe_panic(panic: &(dyn Any + Send)) -> String {
-    let text = panic.downcast_ref::<&str>().copied();
-    let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
-    let place = log::take_panic_place().unwrap_or_default();
-    format!("{} {place}", text.unwrap_or("unknown"))
+    log::task_failed(host, name, &panic::describe(&*panic));
 }
--- a/src/peer/connect.rs
+++ b/src/peer/connect.rs
@@ -71,6 +71,16 @@
 
 /// Accepts connections and starts a task for each, until the runtime stops.
 pub(crate) async fn accept_links(core: Arc<Core>, listener: TcpListener) {
+    while core
+        .catch("accepted-links", accept_each(&core, &listener))
+        .await
+        .is_none()
+    {
+        tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+    }
+}
+
+async fn accept_each(core: &Arc<Core>, listener: &TcpListener) {
     let pending = Arc::new(Semaphore::new(core.config.max_pending_handshakes));
     loop {
         let stream = match listener.accept().await {
@@ -87,8 +97,11 @@
         };
         let core = core.clone();
         tokio::spawn(async move {
-            let accepted = accept(&core, stream).await;
+            let accepted = core.catch("link", accept(&core, stream)).await;
             drop(permit);
+            let Some(accepted) = accepted else {
+                return;
+            };
             match accepted {
                 Ok((link, socket)) => run_link(&core, &link, socket).await,
                 Err(failure) => {
@@ -115,8 +128,8 @@
 
 /// Runs a link until it ends.
 async fn run_link(core: &Arc<Core>, link: &Arc<Link>, socket: Socket) {
-    let reason = link.run(socket).await;
-    core.on_ended(link, reason);
+    let ended = core.catch("link", link.run(socket)).await;
+    core.on_ended(link, ended.unwrap_or_else(|| link.fail()));
 }
 
 async fn connect(
@@ -340,21 +353,31 @@
 
 /// Maintains a link with a host for as long as one is needed.
 pub(crate) async fn maintain_link(core: Arc<Core>, host: Arc<str>) {
+    while core
+        .catch("maintained-link", maintain(&core, &host))
+        .await
+        .is_none()
+    {
+        tokio::time::sleep(core.config.backoff.1).await;
+    }
+}
+
+async fn maintain(core: &Arc<Core>, host: &Arc<str>) {
     let (shortest, longest) = core.config.backoff;
     let mut backoff = shortest;
     loop {
-        match core.next_step(&host) {
+        match core.next_step(host) {
             Step::Stop => return,
             Step::Wait(changed) => {
                 changed.notified().await;
-                core.delay_reconnect(&host).await;
+                core.delay_reconnect(host).await;
             }
-            Step::Dial(address) => match dial(&core, &host, address).await {
+            Step::Dial(address) => match dial(core, host, address).await {
                 Ok(()) => backoff = shortest,
                 Err(failure) => {
                     spdlog::debug!("peer: cannot link {host}: {failure}");
                     let pause = jitter(backoff);
-                    core.on_dial_failed(&host, pause);
+                    core.on_dial_failed(host, pause);
                     tokio::time::sleep(pause).await;
                     backoff = (backoff * 2).min(longest);
                 }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -258,6 +258,13 @@
     }
 
     /// Counts why the link ended and fails all of its streams.
+    /// Ends the streams of a link whose task has panicked.
+    pub(crate) fn fail(&self) -> LinkEndReason {
+        let reason = LinkEndReason::Lost;
+        self.end_streams(reason);
+        reason
+    }
+
     fn end_streams(&self, reason: LinkEndReason) {
         match reason {
             LinkEndReason::Silent => self.core.counters.silent.increment(),
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -1,10 +1,13 @@
 //! The mesh: all links of one host, and the events that they cause.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::Notify;
 
@@ -18,6 +21,7 @@
 use super::lock;
 use super::peer_table::{Peer, PeerTable};
 use super::stream::{Incoming, Open, Stream};
+use crate::panic;
 
 /// Time limit for the link tasks to end when a mesh is dropped.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,6 +29,13 @@
 /// An event that a mesh passes to its handler. The handler runs on threads of the mesh and must not
 /// block.
 pub enum Event {
+    /// A task panicked; it is started again, or its link has ended.
+    TaskFailed {
+        /// The name of the task.
+        task: &'static str,
+        /// The message and place of the panic.
+        reason: String,
+    },
     /// A host is linked: the first link with its current incarnation was established.
     Up {
         /// The name of the host.
@@ -426,6 +437,23 @@
         Ok(())
     }
 
+    /// Completes a future; returns `None` if it panics, which is reported under `task`.
+    pub(crate) async fn catch<T>(
+        &self,
+        task: &'static str,
+        future: impl Future<Output = T>,
+    ) -> Option<T> {
+        match AssertUnwindSafe(future).catch_unwind().await {
+            Ok(output) => Some(output),
+            Err(panic) => {
+                let reason = panic::describe(&*panic);
+                lock(&self.pending_events).push_back(Event::TaskFailed { task, reason });
+                self.deliver_events();
+                None
+            }
+        }
+    }
+
     /// Closes surplus links once the other side is known to use the preferred one.
     pub(crate) fn on_confirmed(&self, host: &Arc<str>) {
         if let Some(peer) = lock(&self.table).peers.get(host) {
