--- a/standin/src/cut_head.rs
+++ b/standin/src/cut_head.rs
@@ -94,6 +94,16 @@
     pub id_header: &'static str,
     /// The answer to requests without a call, such as health checks.
     pub health: &'static str,
+    /// A header line of answers that are sent as a whole.
+    pub extra_header: &'static str,
+}
+
+impl Script {
+    /// Adds a header line to the answers that are sent as a whole.
+    pub const fn with_extra_header(mut self, line: &'static str) -> Self {
+        self.extra_header = line;
+        self
+    }
 }
 
 /// The calls that were received, by their names, on new and on kept connections.
@@ -156,7 +166,12 @@
                 Connection::Kept => "\r\n",
             };
             let head = "HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\n{stamp}\r\ncontent-length: 5\r\n";
-            stream.write_all((fill(head) + end + BODY).as_bytes())?;
+            let mut whole = fill(head);
+            if !script.extra_header.is_empty() {
+                whole += script.extra_header;
+                whole += "\r\n";
+            }
+            stream.write_all((whole + end + BODY).as_bytes())?;
             if script.connection == Connection::New {
                 return Ok(());
             }
--- a/tests/cut_heads.rs
+++ b/tests/cut_heads.rs
@@ -29,6 +29,7 @@
         call_header: CALL_HEADER,
         id_header: "ragwortfold-request-id",
         health: "HTTP/1.1 200 OK\r\ncontent-length: 19\r\n\r\n{\"state\":\"serving\"}",
+        extra_header: "",
     }
 }
 
--- a/tests/extreme_values.rs
+++ b/tests/extreme_values.rs
@@ -112,6 +112,7 @@
                 call_header: CALL_HEADER,
                 id_header: "ragwortfold-request-id",
                 health: concat!("HTTP/1.1 200 OK\r\n", $headers, "content-length: 19\r\n\r\n{\"state\":\"serving\"}"),
+                extra_header: "",
             };
             let target = start_target(script, &Runs::default()).unwrap();
             let record = json!({"class": "c", "idempotent": true, "deadline_ms": 5000});
