--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
+
 use super::feed;
 use super::log::{self, Event};
 use super::refresh::{self, Refresher};
@@ -20,7 +22,6 @@
 use crate::control::revision::Revision;
 use crate::duration;
 use crate::port::{Age, Call, Entry, Kind, Reply};
-use rand::RngExt;
 
 /// How long a watch waits for a change, in seconds: somewhat less than the history that the store
 /// keeps, so that an interrupted watch can mostly be resumed. Randomized, so that across all hosts
