Test of callers that never read: wait until each answer was cut

If the first two answers are cut 0.7 s apart, the fourth one is still being written when its caller begins to read, and arrives whole, as it should.

Now it waits until the host has logged four cut answers, then reads as before.

--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -698,6 +698,11 @@
         let answer = send("GET", &fixture.host().url(LOOKUPS_PATH), &[], b"").unwrap();
         answer.status == 200
     });
+    // A caller that reads before its answer was cut receives the whole answer.
+    eventually("all of them are cut", || {
+        let log = fixture.cluster.log("ent-1");
+        log.matches("an answer broke off").count() == hostile.len()
+    });
     for caller in &mut hostile {
         if let Ok(raw) = caller.read() {
             panic!(
