Connections that stream an answer are driven by a task like all others

The last task that tokio was asked for directly: a panic in it is logged and counted now, as 'Tasks of a host that panic ...' says of all tasks. `AbortGuard` does what `ConnectionTask` did.

--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -6,19 +6,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::{response, HeaderValue, Method, Response, StatusCode};
-use hyper::body::{Body as _, Incoming};
-use tokio::task::AbortHandle;
-
 use super::body::{self, Body, ReceivedBody};
 use super::client::{self, Connection, Transfer, Unanswered};
 use super::exchange::{Buffered, Exchange};
+
+use super::task::{self, AbortGuard};
 use super::{announcement, links, log, message, now, request_log, throttle, Host};
 use crate::catalog::Repeat;
 use crate::inventory::TargetKey;
 use crate::port::Answer;
 use crate::steer::fleet::{End, Member, Observation, TargetQuery};
+use bytes::Bytes;
+use http::{response, HeaderValue, Method, Response, StatusCode};
+use hyper::body::{Body as _, Incoming};
 
 /// Connect timeout. A round trip between regions plus the retransmission of a lost first packet may
 /// take longer, but the time is better spent on another target.
@@ -387,19 +387,9 @@
     }
 }
 
-/// A task that drives a connection; dropping this aborts the task and closes the connection.
-pub(crate) struct ConnectionTask(AbortHandle);
-
-impl ConnectionTask {
-    pub(crate) fn new(connection: Connection) -> Self {
-        Self(tokio::task::spawn_local(connection.run()).abort_handle())
-    }
-}
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+/// Starts a task that drives a connection until the returned guard is dropped, which closes it.
+pub(crate) fn drive(host: &Rc<Host>, connection: Connection) -> AbortGuard {
+    task::spawn(host, "outgoing-connection", connection.run()).into()
 }
 
 /// Streams the body of a long answer to the caller. The request counts towards the target's load
@@ -416,7 +406,7 @@
         .fleet
         .count_request(now(), in_flight.target);
     let guard = (
-        ConnectionTask::new(connection),
+        drive(host, connection),
         InFlight::new(host, in_flight.target, Observation::default()),
     );
     body::with_guard(body::stream(start, rest, u64::MAX), guard)
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -291,7 +291,7 @@
             message::build_caller_response(parts, body::full(bytes), keep_length)
         }
         Some(ReceivedBody::Prefix(start, rest)) => {
-            let task = attempt::ConnectionTask::new(connection);
+            let task = attempt::drive(host, connection);
             let body = body::with_guard(body::stream(start, rest, u64::MAX), task);
             message::build_caller_response(parts, body, true)
         }
