--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -9,7 +9,6 @@
 use super::body::{self, Body, ReceivedBody};
 use super::client::{self, Connection, Transfer, Unanswered};
 use super::exchange::{Buffered, Exchange};
-
 use super::task::{self, AbortGuard};
 use super::{announcement, links, log, message, now, request_log, throttle, Host};
 use crate::catalog::Repeat;
