--- a/standin/src/cut_head.rs
+++ b/standin/src/cut_head.rs
@@ -44,6 +44,15 @@
 }
 
 impl Answer {
+    /// A successful answer.
+    pub const fn new(head: &'static str, body: &'static str) -> Self {
+        Self {
+            status: 200,
+            head,
+            body,
+        }
+    }
+
     /// The length of the answer with an ID.
     fn length(&self, id: &str) -> usize {
         let head = self.head.replace("{id}", id).replace("{stamp}", STAMP);
@@ -389,41 +398,29 @@
 }
 
 /// With a stated length.
-pub const SIZED: Answer = Answer {
-    status: 200,
-    head: "HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\n{stamp}\r\nkeep-alive: timeout=15\r\ncontent-length: 5\r\n\r\n",
-    body: BODY,
-};
+pub const SIZED: Answer = Answer::new("HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\n{stamp}\r\nkeep-alive: timeout=15\r\ncontent-length: 5\r\n\r\n", BODY);
 /// The same with the length first.
-pub const SIZED_FIRST: Answer = Answer {
-    status: 200,
-    head: "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nragwortfold-request-id: {id}\r\n{stamp}\r\n\r\n",
-    body: BODY,
-};
+pub const SIZED_FIRST: Answer = Answer::new(
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nragwortfold-request-id: {id}\r\n{stamp}\r\n\r\n",
+    BODY,
+);
 /// In chunks.
-pub const CHUNKED: Answer = Answer {
-    status: 200,
-    head: "HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\ntransfer-encoding: chunked\r\n{stamp}\r\n\r\n",
-    body: "5\r\nhello\r\n0\r\n\r\n",
-};
+pub const CHUNKED: Answer = Answer::new("HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\ntransfer-encoding: chunked\r\n{stamp}\r\n\r\n", "5\r\nhello\r\n0\r\n\r\n");
 /// The body ends with the connection.
-pub const UNSIZED: Answer = Answer {
-    status: 200,
-    head: "HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\nconnection: close\r\n{stamp}\r\n\r\n",
-    body: BODY,
-};
+pub const UNSIZED: Answer = Answer::new(
+    "HTTP/1.1 200 OK\r\nragwortfold-request-id: {id}\r\nconnection: close\r\n{stamp}\r\n\r\n",
+    BODY,
+);
 /// Of the earlier version of the protocol.
-pub const HTTP_1_0: Answer = Answer {
-    status: 200,
-    head: "HTTP/1.0 200 OK\r\nragwortfold-request-id: {id}\r\n{stamp}\r\n\r\n",
-    body: BODY,
-};
+pub const HTTP_1_0: Answer = Answer::new(
+    "HTTP/1.0 200 OK\r\nragwortfold-request-id: {id}\r\n{stamp}\r\n\r\n",
+    BODY,
+);
 /// With line feeds alone.
-pub const BARE_LINE_FEEDS: Answer = Answer {
-    status: 200,
-    head: "HTTP/1.1 200 OK\nragwortfold-request-id: {id}\n{stamp}\ncontent-length: 5\n\n",
-    body: BODY,
-};
+pub const BARE_LINE_FEEDS: Answer = Answer::new(
+    "HTTP/1.1 200 OK\nragwortfold-request-id: {id}\n{stamp}\ncontent-length: 5\n\n",
+    BODY,
+);
 /// After interim answers.
 pub const INTERIM: Answer = Answer {
     status: 200,
@@ -450,3 +447,28 @@
     head: "HTTP/1.1 404 Not Found\r\nragwortfold-request-id: {id}\r\n{stamp}\r\ncontent-length: 5\r\n\r\n",
     body: BODY,
 };
+
+/// Passes the answers to cut, how connections end then, and whether they are kept to a macro that defines a test of each, so that all
+/// interfaces are tested alike.
+#[macro_export]
+macro_rules! cut_head_cases {
+    ($define:ident) => {
+        $define! {
+            a_head_with_a_length: $crate::cut_head::SIZED, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_with_a_length_on_a_new_connection: $crate::cut_head::SIZED, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::New;
+            a_head_with_a_length_that_is_reset: $crate::cut_head::SIZED, $crate::cut_head::Close::Reset, $crate::cut_head::Connection::Kept;
+            a_head_that_begins_with_the_length: $crate::cut_head::SIZED_FIRST, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_of_a_chunked_body: $crate::cut_head::CHUNKED, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_of_a_body_that_ends_with_the_connection: $crate::cut_head::UNSIZED, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_of_a_body_that_ends_with_a_new_connection: $crate::cut_head::UNSIZED, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::New;
+            a_head_of_http_1_0: $crate::cut_head::HTTP_1_0, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_with_bare_line_feeds: $crate::cut_head::BARE_LINE_FEEDS, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_of_a_redirection: $crate::cut_head::REDIRECTION, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            a_head_of_a_failure: $crate::cut_head::NOT_FOUND, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            heads_of_interim_answers: $crate::cut_head::INTERIM, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+            heads_of_interim_answers_on_a_new_connection: $crate::cut_head::INTERIM, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::New;
+            heads_of_interim_answers_that_are_reset: $crate::cut_head::INTERIM, $crate::cut_head::Close::Reset, $crate::cut_head::Connection::Kept;
+            an_interim_answer_before_a_body_that_ends_with_the_connection: $crate::cut_head::INTERIM_UNSIZED, $crate::cut_head::Close::Finish, $crate::cut_head::Connection::Kept;
+        }
+    };
+}
