Log attempts that end after their target's departure was known, and what is in flight when targets leave

New: the event target.after-departure with the request's ID, a note in tries, the fields in_flight, revision and outage of target.draining, target.missing and target.gone, and the counter ragwortfold_after_departure_total by whether the attempt started before the departure was known. No decision changes.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -32,6 +32,7 @@
     refusals: Counter<u64>,
     late_answers: Counter<u64>,
     undelivered: Counter<u64>,
+    after_departure: Counter<u64>,
     rebuilds: Counter<u64>,
     task_failures: Counter<u64>,
     headroom: Gauge<f64>,
@@ -94,6 +95,7 @@
             refusals: meter.u64_counter("ragwortfold_refusals").build(),
             late_answers: meter.u64_counter("ragwortfold_late_answers").build(),
             undelivered: meter.u64_counter("ragwortfold_undelivered").build(),
+            after_departure: meter.u64_counter("ragwortfold_after_departure").build(),
             task_failures: meter.u64_counter("ragwortfold_task_failures").build(),
             headroom: meter.f64_gauge("ragwortfold_headroom").build(),
             revision: meter
@@ -157,6 +159,13 @@
         self.undelivered.add(1, &[label("service", service)]);
     }
 
+    /// Counts an attempt that ended after its target was known to leave, and whether it had started
+    /// before that.
+    pub(crate) fn count_after_departure(&self, was_sent_before: bool) {
+        let sent = if was_sent_before { "before" } else { "after" };
+        self.after_departure.add(1, &[KeyValue::new("sent", sent)]);
+    }
+
     /// Counts a task or thread that panicked.
     pub(crate) fn count_task_failure(&self, name: &str) {
         let labels = [KeyValue::new("task", name.to_owned())];
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -69,10 +69,20 @@
             observation,
         }
     }
+
+    /// How long this host has known that the target leaves or is missing in the store.
+    pub(crate) fn departed_for(&self) -> Option<Duration> {
+        let departed_at = self.host.core.borrow().fleet.departed_at(self.target);
+        departed_at.map(|at| now().saturating_duration_since(at))
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        if let Some(time) = self.departed_for() {
+            let was_sent_before = now().saturating_duration_since(self.started_at) > time;
+            self.host.metrics.count_after_departure(was_sent_before);
+        }
         {
             let core = &mut *self.host.core.borrow_mut();
             let change = core.fleet.finish(
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -208,7 +208,8 @@
                 let service = self.fleet.service_of(&entry.name);
                 let may_have_expired =
                     service.is_some_and(|service| lapsing_services.contains(service));
-                self.withdraw_target(now, &entry.name, may_have_expired || outage == Outage::Long);
+                let may_have_expired = may_have_expired || outage == Outage::Long;
+                self.withdraw_target(now, &entry.name, outage, may_have_expired);
             }
             _ => {}
         }
@@ -329,10 +330,8 @@
     fn register_target(&mut self, now: Instant, registration: &Arc<Registration>) {
         let id = &registration.id;
         if registration.state == State::Draining {
-            spdlog::info!("core: a target is draining", kv: {
-                event = Event::Draining.as_str(),
-                target = &**id
-            });
+            self.fleet.record_departure(now, id);
+            self.log_departure(Event::Draining, id, Outage::None);
         } else if self.fleet.is_draining(id) {
             spdlog::warn!("core: a draining target is registered as ready again", kv: {
                 event = Event::ReadyAgain.as_str(),
@@ -348,19 +347,24 @@
 
     /// Handles a target that is missing in the store. If `may_have_expired`, the target may still
     /// run, as its registration may have expired during a store outage.
-    fn withdraw_target(&mut self, now: Instant, id: &str, may_have_expired: bool) {
+    fn withdraw_target(&mut self, now: Instant, id: &str, outage: Outage, may_have_expired: bool) {
+        self.fleet.record_departure(now, id);
         if may_have_expired {
-            spdlog::info!("core: a target is missing after a store outage", kv: {
-                event = Event::Missing.as_str(),
-                target = id
-            });
+            self.log_departure(Event::Missing, id, outage);
             self.fleet.mark_lapsed(id, now + REREGISTRATION_GRACE);
         } else {
-            log::target_gone(id);
+            self.log_departure(Event::Gone, id, outage);
             self.fleet.withdraw(id);
         }
     }
 
+    /// Logs that a target leaves or is missing, with how many requests of this host it has, and the
+    /// revision of the copy that shows it.
+    fn log_departure(&self, event: Event, id: &str, outage: Outage) {
+        let revision = self.replica.revision(Kind::Targets).unwrap_or_default();
+        log::target_departed(event, id, self.fleet.in_flight(id), revision, outage);
+    }
+
     fn update_evacuations(&mut self, now: Instant) {
         let mut zones = self.names(Kind::Evacuations);
         let carryover = self.carryover(Kind::Evacuations);
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -126,7 +126,7 @@
 impl Drop for ActiveRequest<'_> {
     fn drop(&mut self) {
         if self.status.is_none() {
-            self.trace.abandon(now());
+            self.trace.abandon(self.host);
         }
         request_log::log_request(
             self.host,
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -16,6 +16,7 @@
 
 use super::core::FailedObject;
 use super::{now, Host};
+use crate::control::replica::Outage;
 use crate::control::revision::Revision;
 use crate::inventory::TargetKey;
 use crate::panic;
@@ -63,6 +64,8 @@
     /// A request was rejected: it matches no route, its body could not be read, or it was not
 /// admitted.
     Rejected => "request.rejected",
+    /// An attempt of a request ended after this host had learned that its target leaves.
+    AfterDeparture => "target.after-departure",
     /// A target's answer carries the ID of another request.
     StrayAnswer => "target.stray-answer",
     /// A target's answer has an unknown header.
@@ -159,7 +162,11 @@
     fn limit(self) -> u32 {
         match self {
             Self::Answered => 1,
-            Self::Refused | Self::Failed | Self::Abandoned | Self::Rejected => 25,
+            Self::Refused
+            | Self::Failed
+            | Self::Abandoned
+            | Self::Rejected
+            | Self::AfterDeparture => 25,
             _ => 5,
         }
     }
@@ -276,6 +283,28 @@
     spdlog::info!("a target is gone", kv: { event = Event::Gone.as_str(), target = id });
 }
 
+/// Logs that a target leaves or is missing in the store.
+pub(crate) fn target_departed(
+    event: Event,
+    id: &str,
+    in_flight: u32,
+    revision: Revision,
+    outage: Outage,
+) {
+    let text = match event {
+        Event::Missing => "core: a target is missing after a store outage",
+        Event::Gone => "a target is gone",
+        _ => "core: a target is draining",
+    };
+    spdlog::info!("{text}", kv: {
+        event = event.as_str(),
+        target = id,
+        in_flight,
+        revision = revision.to_string().as_str(),
+        outage = format!("{outage:?}").to_lowercase().as_str()
+    });
+}
+
 /// Logs that the host starts or stops watching the store.
 pub(crate) fn watching_changed(is_watching: bool) {
     spdlog::info!("the host starts or stops watching the store", kv: {
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -26,9 +26,13 @@
 pub(crate) struct Attempt {
     /// The target, or `host` and the other host's name.
     to: Arc<str>,
+    /// The target, if it was sent to one directly.
+    key: Option<TargetKey>,
     started_at: Instant,
     end: AttemptEnd,
     took: Duration,
+    /// How long this host had known at its end that the target leaves or is missing.
+    departed_for: Option<Duration>,
     transfer: Rc<Transfer>,
 }
 
@@ -54,6 +58,9 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let milliseconds = self.took.as_millis();
         write!(f, "{} {} after {milliseconds} ms", self.to, self.end)?;
+        if let Some(time) = self.departed_for {
+            write!(f, ", {} ms after its departure", time.as_millis())?;
+        }
         match self.transfer.unacknowledged() {
             0 => Ok(()),
             count => write!(f, " with {count} bytes unacknowledged"),
@@ -62,12 +69,14 @@
 }
 
 impl Attempt {
-    fn new(to: Arc<str>, started_at: Instant) -> Self {
+    fn new(to: Arc<str>, key: Option<TargetKey>, started_at: Instant) -> Self {
         Self {
             to,
+            key,
             started_at,
             end: AttemptEnd::Target(End::Cancelled),
             took: Duration::ZERO,
+            departed_for: None,
             transfer: Rc::default(),
         }
     }
@@ -165,8 +174,11 @@
             revision: core.replica.revision(Kind::Targets).unwrap_or_default(),
             age: confirmed_at.map_or(Duration::MAX, |at| now().saturating_duration_since(*at)),
         };
-        self.attempts
-            .push(Attempt::new(target, in_flight.started_at));
+        self.attempts.push(Attempt::new(
+            target,
+            Some(in_flight.target),
+            in_flight.started_at,
+        ));
     }
 
     /// Observes the connection of the last attempt.
@@ -180,13 +192,14 @@
     pub(crate) fn finish_attempt(&mut self, in_flight: &InFlight) {
         if let Some(last) = self.attempts.last_mut() {
             last.finish(AttemptEnd::Target(in_flight.end));
+            last.departed_for = in_flight.departed_for();
         }
     }
 
     /// Adds an attempt by way of another host that starts.
     pub(crate) fn start_relay(&mut self, host: &str) {
         let to = format!("host {host}").into();
-        self.attempts.push(Attempt::new(to, now()));
+        self.attempts.push(Attempt::new(to, None, now()));
     }
 
     /// Records the end of the last attempt, which was by way of another host.
@@ -197,10 +210,15 @@
     }
 
     /// Records that the caller disconnected, possibly during the last attempt.
-    pub(crate) fn abandon(&mut self, now: Instant) {
+    pub(crate) fn abandon(&mut self, host: &Host) {
+        let now = now();
         if let Some(last) = self.attempts.last_mut() {
             if last.took.is_zero() {
                 last.took = now.saturating_duration_since(last.started_at);
+                let departed_at = last
+                    .key
+                    .and_then(|key| host.core.borrow().fleet.departed_at(key));
+                last.departed_for = departed_at.map(|at| now.saturating_duration_since(at));
             }
         }
         self.stop_reason = StopReason::Left;
@@ -223,6 +241,7 @@
     let total = now().saturating_duration_since(trace.started_at);
     let event = status.map_or(Event::Abandoned, event_for);
     update_metrics(host, exchange, query.service, trace, event, total);
+    log_after_departure(host, exchange, trace);
     let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
         return;
     };
@@ -252,6 +271,24 @@
     });
 }
 
+/// Logs the attempts of a request that ended after this host had learned that their target leaves.
+fn log_after_departure(host: &Host, exchange: &Exchange, trace: &RequestTrace) {
+    let event = Event::AfterDeparture;
+    let attempts = trace.attempts.iter();
+    for attempt in attempts.filter(|attempt| attempt.departed_for.is_some()) {
+        let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+            return;
+        };
+        spdlog::info!("exchange: an attempt ended after its target's departure was known", kv: {
+            event = event.as_str(),
+            id = exchange.head.id.as_deref().unwrap_or_default(),
+            target = &*attempt.to,
+            attempt = attempt.to_string().as_str(),
+            left_out
+        });
+    }
+}
+
 /// Why a request was answered before a target was chosen.
 #[derive(Clone, Copy)]
 pub(crate) struct Rejection<'a> {
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -174,6 +174,8 @@
     evacuated_zones: BTreeSet<Arc<str>>,
     /// Processes that have stated that they are shutting down.
     departures: Departures,
+    /// When this host learned that targets leave or are missing in the store, for the log.
+    departed_at: BTreeMap<TargetKey, Instant>,
     /// Share of requests that leave the region, by service.
     drifts: BTreeMap<Arc<str>, Drift>,
     cold_rates: BTreeMap<Arc<str>, f64>,
@@ -257,6 +259,7 @@
             inspected: Cell::new(0),
             evacuated_zones: BTreeSet::new(),
             departures: Departures::new(),
+            departed_at: BTreeMap::new(),
             drifts: BTreeMap::new(),
         }
     }
@@ -282,8 +285,8 @@
         let cold_until = Some(registration.cold_left)
             .filter(|left| !left.is_zero())
             .map(|left| duration::after(now, left));
-        let known = self.ids.get(&registration.id);
-        if let Some(member) = known.and_then(|key| self.members.get_mut(key)) {
+        let known = self.ids.get(&registration.id).copied();
+        if let Some(member) = known.and_then(|key| self.members.get_mut(&key)) {
             if registration.is_older_than(&member.registration) {
                 return;
             }
@@ -291,6 +294,7 @@
                 member.cold_until = cold_until;
                 if member.lapsed_until.take().is_some() {
                     decrement_lapsed_count(&mut self.lapsed_counts, &registration.service);
+                    known.and_then(|key| self.departed_at.remove(&key));
                 }
                 member.registration = registration;
                 return;
--- a/src/steer/fleet/availability.rs
+++ b/src/steer/fleet/availability.rs
@@ -10,7 +10,32 @@
 use crate::inventory::{State, TargetKey};
 use crate::steer::departures::Audience;
 
+/// Maximum number of targets whose departure is remembered for the log.
+const MAX_DEPARTED: usize = 4096;
+
 impl Fleet {
+    /// Records that this host has learned that a target leaves, or is missing in the store.
+    pub fn record_departure(&mut self, now: Instant, id: &str) {
+        if let Some(key) = self.key(id) {
+            self.departed_at.entry(key).or_insert(now);
+        }
+        if self.departed_at.len() > MAX_DEPARTED {
+            self.departed_at.pop_first();
+        }
+    }
+
+    /// Returns when this host learned that a target leaves, or is missing in the store; also for
+    /// some time after its removal.
+    pub fn departed_at(&self, key: TargetKey) -> Option<Instant> {
+        self.departed_at.get(&key).copied()
+    }
+
+    /// Returns how many requests of this host are in flight at a target.
+    pub fn in_flight(&self, id: &str) -> u32 {
+        let member = self.key(id).and_then(|key| self.members.get(&key));
+        member.map_or(0, |member| member.in_flight)
+    }
+
     /// Whether a target may receive requests, as far as its state does not change by itself.
     pub(super) fn is_available(&self, member: &Member) -> bool {
         !self.is_leaving(member)
@@ -85,10 +110,13 @@
     /// Records that a target states that it is shutting down. Returns its process if that is new,
     /// for the other hosts.
     pub fn record_leaving(&mut self, now: Instant, key: TargetKey) -> Option<u64> {
-        let process = self.members.get(&key)?.process;
-        self.departures
-            .record(now, process, Audience::Told)
-            .then_some(process)
+        let member = self.members.get(&key)?;
+        let (process, id) = (member.process, member.id().clone());
+        if !self.departures.record(now, process, Audience::Told) {
+            return None;
+        }
+        self.record_departure(now, &id);
+        Some(process)
     }
 
     /// Records a process that another host knows to shut down. Returns its target if that is new.
@@ -98,7 +126,9 @@
         }
         let mut members = self.members.values();
         let member = members.find(|member| member.process == process)?;
-        Some(member.id().clone())
+        let id = member.id().clone();
+        self.record_departure(now, &id);
+        Some(id)
     }
 
     /// Returns the processes that are known to shut down and that other hosts may not know about.
