A target that left requests unanswered gets no more of them until it answers

Callers' requests ran at a target long after their callers had been told that they failed, and after the target had announced its shutdown: what the target's kernel has acknowledged can't be taken back, and a target that reads nothing for some seconds got more of it all the time. A host noticed the silence by two requests in flight. Once it had given these up it forgot it, and sent the next ones.

Now silence lasts until the target answers: requests that were given up after the silence limit go on counting, and the target is skipped while there are others. Instead of requests it gets one health check at a time, every 0.4 to 0.8 s, whose answer ends the silence. Callers that leave within the limit count for nothing.

--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -3,6 +3,8 @@
 //! A cold target that gets its usual requests crashes. It reports that it is cold in the store and
 //! in its health answers. So while any host has lost the store, two hosts probe each target and
 //! inform the others; two, since one of them may stop.
+//!
+//! Targets that have left requests unanswered are probed as well, until they answer.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -35,6 +37,9 @@
 /// How long a target may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The same for a target that was silent. It may be slow, and each check waits for a slot.
+const RECHECK_TIMEOUT: Duration = Duration::from_millis(2000);
+
 /// Whether a target accepts a new connection and does not reset it. The connection is kept for
 /// requests.
 pub(crate) async fn is_connectable(host: &Host, target: TargetKey) -> bool {
@@ -94,6 +99,10 @@
         for probe in due_probes(&host) {
             task::spawn(&host, "probe", run_probe(host.clone(), probe));
         }
+        let silent = host.core.borrow_mut().fleet.begin_rechecks(now());
+        for target in silent {
+            task::spawn(&host, "probe", recheck(host.clone(), target));
+        }
     }
 }
 
@@ -109,28 +118,43 @@
         .collect()
 }
 
-async fn run_probe(host: Rc<Host>, probe: Probe) {
+/// Checks whether a target that was silent answers again.
+async fn recheck(host: Rc<Host>, target: TargetKey) {
+    let probe = Probe::new(&host.core.borrow(), target);
+    let answer = match &probe {
+        Some(probe) => ask(&host, probe, RECHECK_TIMEOUT).await,
+        None => None,
+    };
+    let core = &mut *host.core.borrow_mut();
+    core.fleet.finish_recheck(now(), target, answer.is_some());
+}
+
+/// Asks a target for its health. Returns its remaining cold time if it has answered.
+async fn ask(host: &Rc<Host>, probe: &Probe, timeout: Duration) -> Option<Option<Duration>> {
     // A probe counts as a request towards the target's rate limit.
-    if !throttle::request_permit(&host, probe.target, Assignment::Primary).await {
-        return;
+    if !throttle::request_permit(host, probe.target, Assignment::Primary).await {
+        return None;
     }
     let answer = async {
         let connection =
-            attempt::open_connection(&host, probe.target, probe.address, PROBE_TIMEOUT).await?;
-        query_health(&host, &probe, connection).await
+            attempt::open_connection(host, probe.target, probe.address, timeout).await?;
+        query_health(host, probe, connection).await
     };
-    let answer = tokio::time::timeout(PROBE_TIMEOUT, answer).await;
-    let cold = match answer {
-        Ok(Ok(cold)) => cold,
+    match tokio::time::timeout(timeout, answer).await {
+        Ok(Ok(cold)) => Some(cold),
         Ok(Err(error)) => {
             spdlog::debug!("probe: target {}: {error}", probe.id);
-            return;
+            None
         }
         Err(_) => {
             spdlog::debug!("probe: target {}: no answer in time", probe.id);
-            return;
+            None
         }
-    };
+    }
+}
+
+async fn run_probe(host: Rc<Host>, probe: Probe) {
+    let cold = ask(&host, &probe, PROBE_TIMEOUT).await.flatten();
     let Some(left) = cold.filter(|left| !left.is_zero()) else {
         return;
     };
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -44,6 +44,7 @@
 use self::region_stats::RegionStats;
 use self::service_stats::ServiceStats;
 use self::sharing::Sharing;
+use self::silence::Recheck;
 use super::departures::{Audience, Departures};
 use super::drift::Drift;
 use super::eject::{Comparison, Outcome, OutlierDetector};
@@ -334,6 +335,8 @@
             service_time: None,
             measured_slowdown: 1.0,
             silent_since: None,
+            unanswered: 0,
+            recheck: Recheck::default(),
             connect_failed_at: None,
             rest: Rest::default(),
             full_at: None,
@@ -636,15 +639,18 @@
         {
             self.record_slowdown(now, key, slowdown);
         }
+        let silence_limit = self.silence_limit(self.members.get(&key)?.service());
         let member = self.members.get_mut(&key)?;
-        member.in_flight = member.in_flight.saturating_sub(1);
         let is_unheard = matches!(
             end,
             End::Cancelled | End::Recalled | End::Silent | End::TimedOut
         );
-        if !is_unheard {
-            member.silent_since = Some(now);
+        if is_unheard {
+            member.record_unanswered(now, silence_limit);
+        } else {
+            member.record_sign_of_life(now);
         }
+        member.in_flight = member.in_flight.saturating_sub(1);
         if matches!(end, End::Answered | End::Failed) {
             let slots = member.registration.slots;
             member.rest.record_answer(now, slots);
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -6,6 +6,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::silence::Recheck;
 use super::speed::SlowdownReport;
 use crate::inventory::Registration;
 use crate::steer::eject::OutlierDetector;
@@ -64,8 +65,12 @@
     pub(super) service_time: Option<(f64, Instant)>,
     /// Its mean slowdown over the same answers.
     pub(super) measured_slowdown: f64,
-    /// Since when it has sent no answer, while it has requests.
+    /// Since when it has sent no answer, while it has requests or has left some unanswered.
     pub(super) silent_since: Option<Instant>,
+    /// Requests that were given up after it had been silent for too long, since its last answer.
+    pub(super) unanswered: u32,
+    /// Health checks of the silent target.
+    pub(super) recheck: Recheck,
     /// When a connection to it last failed, if none was opened since.
     pub(super) connect_failed_at: Option<Instant>,
     /// The rest that it asked this host for.
@@ -116,7 +121,7 @@
 
     /// Counts a request that is being sent to it.
     pub(super) fn begin_request(&mut self, now: Instant) {
-        if self.in_flight == 0 {
+        if self.in_flight == 0 && self.unanswered == 0 {
             self.silent_since = Some(now);
         }
         self.in_flight += 1;
--- a/src/steer/fleet/reach.rs
+++ b/src/steer/fleet/reach.rs
@@ -51,7 +51,7 @@
         let ejected = std::mem::take(&mut self.ejected_unanswered);
         for (key, member) in &mut self.members {
             member.connect_failed_at = None;
-            member.silent_since = member.silent_since.map(|_| now);
+            member.record_sign_of_life(now);
             if ejected.contains(key) {
                 member.outlier_detector.restore(now);
             }
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -3,7 +3,10 @@
 //! Requests to a target that has lost power get no answer and no error, and each of them is given
 //! up only at its deadline. Requests that must not run twice are lost then. So a target that has
 //! answered none of several requests for longer than its service ever takes receives no new ones
-//! while there are other targets, and requests that may be repeated are sent elsewhere. Targets to
+//! while there are other targets, and requests that may be repeated are sent elsewhere. That lasts
+//! until it answers, also once all of these requests are given up: its kernel may have acknowledged
+//! them, and whatever it is sent meanwhile is read when it continues, even after it has announced
+//! its shutdown. Health checks find out when it answers again. Targets to
 //! which no connection can be opened are skipped for a moment as well. With two of four targets of
 //! a region without power, at most half as many requests are lost as without this detection (replay
 //! in virtual time).
@@ -27,7 +30,57 @@
 /// takes long.
 const MIN_SILENT_REQUESTS: u32 = 2;
 
+/// Shortest and longest time between two health checks of a silent target.
+const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(400);
+const MAX_RECHECK_INTERVAL: Duration = Duration::from_millis(800);
+
+/// When the next health check of a silent target is due.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Recheck {
+    due_at: Option<Instant>,
+    is_pending: bool,
+    interval: Duration,
+}
+
+impl Recheck {
+    /// Begins a health check if one is due. The interval grows with each.
+    fn begin(&mut self, now: Instant) -> bool {
+        if self.is_pending || self.due_at.is_some_and(|due| now < due) {
+            return false;
+        }
+        self.is_pending = true;
+        self.interval = (self.interval * 2).clamp(MIN_RECHECK_INTERVAL, MAX_RECHECK_INTERVAL);
+        self.due_at = Some(now + self.interval);
+        true
+    }
+}
+
 impl Fleet {
+    /// Begins the health checks that are due of targets that are silent and are not leaving, and
+    /// returns these targets.
+    pub fn begin_rechecks(&mut self, now: Instant) -> Vec<TargetKey> {
+        let silent = self.members.iter().filter(|(_, member)| {
+            let limit = self.silence_limit(member.service());
+            member.unanswered > 0 && member.is_silent(now, limit) && self.is_available(member)
+        });
+        let mut keys: Vec<_> = silent.map(|(key, _)| *key).collect();
+        keys.retain(|key| {
+            let member = self.members.get_mut(key);
+            member.is_some_and(|member| member.recheck.begin(now))
+        });
+        keys
+    }
+
+    /// Records whether a target answered the health check that was begun.
+    pub fn finish_recheck(&mut self, now: Instant, key: TargetKey, is_answered: bool) {
+        if let Some(member) = self.members.get_mut(&key) {
+            member.recheck.is_pending = false;
+            if is_answered {
+                member.record_sign_of_life(now);
+            }
+        }
+    }
+
     /// Returns the maximum silence of a service's targets, once its service times are known.
     pub fn silence_limit(&self, service: &str) -> Option<Duration> {
         if self.switches.silence == Switch::Off {
@@ -54,9 +107,28 @@
     /// Whether it has sent no answer for longer than `silence_limit`, or a multiple of it while it is
     /// slow; `false` without a limit.
     pub(super) fn is_silent(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
-        if self.in_flight < MIN_SILENT_REQUESTS {
+        if self.in_flight.saturating_add(self.unanswered) < MIN_SILENT_REQUESTS {
             return false;
         }
+        self.exceeds_silence(now, silence_limit)
+    }
+
+    /// Records that a request at it was given up without an answer.
+    pub(super) fn record_unanswered(&mut self, now: Instant, silence_limit: Option<Duration>) {
+        if self.exceeds_silence(now, silence_limit) {
+            self.unanswered = self.unanswered.saturating_add(1);
+        }
+    }
+
+    /// Records that it sent an answer, or showed otherwise that it can be reached.
+    pub(super) fn record_sign_of_life(&mut self, now: Instant) {
+        self.silent_since = Some(now);
+        self.unanswered = 0;
+        self.recheck = Recheck::default();
+    }
+
+    /// Whether it has sent no answer for longer than the limit that [`Member::is_silent`] applies.
+    fn exceeds_silence(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
         match (self.silent_since, silence_limit) {
             (Some(since), Some(silence_limit)) => {
                 let slowdown = self.slowdown(now);
--- a/tests/affinity.rs
+++ b/tests/affinity.rs
@@ -76,6 +76,27 @@
         world
     }
 
+    /// The same at a host that knows how long requests take.
+    fn with_known_service_time() -> Self {
+        let mut world = Self::with_targets("h1", "n-a");
+        let observation = Observation {
+            response_time: Some(Duration::from_millis(50)),
+            ..Observation::default()
+        };
+        for key in 0..200 {
+            let target = world.choose(key, &[]).unwrap();
+            world.advance(Duration::from_millis(50));
+            world.fleet.finish(
+                world.now,
+                target,
+                End::Answered,
+                observation,
+                &mut world.rng,
+            );
+        }
+        world
+    }
+
     fn choose(&mut self, key: u64, tried: &[TargetKey]) -> Result<TargetKey, Refusal> {
         let query = TargetQuery {
             service: &"books".into(),
@@ -316,6 +337,61 @@
     };
 }
 
+/// A world in which a target has answered for long and then leaves two requests unanswered, which are given up in this way.
+fn world_with_unanswered_requests(end: End) -> (World, TargetKey, Arc<str>) {
+    let mut world = World::with_known_service_time();
+    let target = world.choose(7, &[]).unwrap();
+    assert_eq!(world.choose(7, &[]), Ok(target));
+    let id = world.id(target);
+    world.advance(Duration::from_secs(2));
+    for _ in 0..2 {
+        world.finish(target, end, None);
+    }
+    (world, target, id)
+}
+
+/// Requests that were given up do not hide that their target answers nothing.
+macro_rules! unanswered {
+    ($($name:ident: $end:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let (mut world, target, id) = world_with_unanswered_requests(End::$end);
+            for _ in 0..5 {
+                assert_ne!(world.choose_and_finish(7).as_ref(), Some(&id));
+                world.advance(Duration::from_secs(1));
+            }
+            assert_eq!(world.fleet.begin_rechecks(world.now), [target]);
+            assert_eq!(world.fleet.begin_rechecks(world.now), [], "one is pending");
+            world.fleet.finish_recheck(world.now, target, false);
+            assert_eq!(world.fleet.begin_rechecks(world.now), [], "too early");
+            world.advance(Duration::from_secs(1));
+            assert_eq!(world.fleet.begin_rechecks(world.now), [target]);
+            world.fleet.finish_recheck(world.now, target, true);
+            assert_eq!(world.choose_and_finish(7).as_ref(), Some(&id));
+            assert_eq!(world.fleet.begin_rechecks(world.now), []);
+        }
+    )*};
+}
+
+unanswered! {
+    a_target_that_let_requests_time_out_is_avoided_until_it_answers: TimedOut;
+    a_target_whose_silence_made_requests_go_elsewhere_is_avoided_until_it_answers: Silent;
+    a_target_whose_callers_left_without_an_answer_is_avoided_until_it_answers: Cancelled;
+}
+
+#[test]
+fn callers_that_leave_soon_do_not_make_a_target_silent() {
+    let mut world = World::with_known_service_time();
+    let id = world.choose_and_finish(7).unwrap();
+    for _ in 0..5 {
+        let target = world.choose(7, &[]).unwrap();
+        world.advance(Duration::from_millis(20));
+        world.finish(target, End::Cancelled, None);
+        world.advance(Duration::from_secs(10));
+    }
+    assert_eq!(world.choose_and_finish(7), Some(id));
+}
+
 #[test]
 fn a_target_that_registers_again_in_time_is_kept() {
     let mut world = World::with_targets("h1", "n-a");
