Own interface: a target that answers no health check any more is not probed with requests

Callers' requests ran at a target that had stopped reading, after their time was over. An ejected target gets a request as a probe after 1, 2, 4 s, also while its health checks, which run anyway, are not answered. Now such a probe waits until a check is answered, unless none ever was.

Two or three requests that are sent before it is noticed remain.

--- a/src/steer/group.rs
+++ b/src/steer/group.rs
@@ -283,10 +283,12 @@
     }
 
     /// Records the result of a target's health check. It may be late or wrong, so it only speeds up
-    /// ejection.
+    /// ejection, and delays the probes after it while the target answers no checks any more.
     pub fn set_health(&mut self, target: TargetKey, health: Health) {
         if let Some(&position) = self.index.get(&target) {
-            self.members[position].health = health;
+            let member = &mut self.members[position];
+            member.health = health;
+            member.has_answered_check |= health != Health::Unreached;
         }
     }
 
@@ -500,6 +502,7 @@
                 && member.in_flight == 0
                 && member.limit.connection_share() > 0
                 && member.outlier_detector.is_probe_due(now)
+                && !member.is_unreached()
                 && !member.has_tried(request)
                 && member.closed_for(now).is_zero()
                 && seconds_left > PROBE_SLACK_LATENCIES * self.stats.median_latency
--- a/src/steer/group/member.rs
+++ b/src/steer/group/member.rs
@@ -26,6 +26,8 @@
     pub(super) draining_sources: BTreeMap<Source, Instant>,
     pub(super) header_state: State,
     pub(super) health: Health,
+    /// Whether it has answered any health check.
+    pub(super) has_answered_check: bool,
     pub(super) in_flight: u32,
     pub(super) limit: Limit,
     pub(super) slow_start: SlowStart,
@@ -48,6 +50,12 @@
 }
 
 impl Member {
+    /// Whether its last health check was not answered, although an earlier one was: a request would
+    /// not be answered either.
+    pub(super) fn is_unreached(&self) -> bool {
+        self.has_answered_check && self.health == Health::Unreached
+    }
+
     pub(super) fn new(key: TargetKey, target: &catalog::Target, hosts: usize) -> Self {
         Self {
             key,
@@ -56,6 +64,7 @@
             draining_sources: BTreeMap::new(),
             header_state: State::Serving,
             health: Health::Up,
+            has_answered_check: false,
             in_flight: 0,
             limit: Limit::new(target.slots, target.connections, hosts),
             slow_start: SlowStart::new(target.warm_up),
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -7,7 +7,9 @@
 mod scripted;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -154,3 +156,102 @@
     thread::sleep(DELIVERY);
     assert_eq!(targets.executions("late"), 0, "{}", cluster.log("ent-1"));
 }
+
+/// Time within which a host notices that a target answers nothing: a health check that fails, two deadlines, and the pauses between.
+const NOTICE_TIME: Duration = Duration::from_millis(2500);
+/// How long a target does not read.
+const STALL: Duration = Duration::from_secs(7);
+
+/// Starts a target that reads nothing while `is_stalled`, and records when the requests that it gets were sent, by their names.
+fn start_stalling_target(
+    is_stalled: Arc<AtomicBool>,
+    sent_at: Arc<Mutex<Vec<u128>>>,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (is_stalled, sent_at) = (is_stalled.clone(), sent_at.clone());
+            thread::spawn(move || {
+                let mut input = Vec::new();
+                while stream.peek(&mut [0]).is_ok_and(|length| length > 0) {
+                    while is_stalled.load(Ordering::SeqCst) {
+                        thread::sleep(Duration::from_millis(5));
+                    }
+                    let Ok(Some(request)) = scripted::read_request(&mut stream, &mut input) else {
+                        return;
+                    };
+                    sent_at
+                        .lock()
+                        .unwrap()
+                        .extend(request.call.parse::<u128>().ok());
+                    let body = r#"{"state":"serving"}"#;
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nRagwortfold-Request-Id: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                        request.id,
+                        body.len()
+                    );
+                    if stream.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A target stops reading for some seconds. What it reads then is what it was sent until the host noticed.
+#[test]
+fn a_target_that_has_stopped_reading_gets_no_more_requests() {
+    let is_stalled = Arc::new(AtomicBool::new(false));
+    let sent_at = Arc::new(Mutex::new(Vec::new()));
+    let never = Arc::new(AtomicBool::new(false));
+    let mut cluster = cluster_with("lookups")
+        .with_zone("lima", ZONES[0])
+        .with_host(ZONES[0], "ent-1");
+    let stalling = start_stalling_target(is_stalled.clone(), sent_at.clone());
+    let others = [0, 1].map(|_| start_stalling_target(never.clone(), Arc::default()));
+    for (number, address) in [stalling].into_iter().chain(others).enumerate() {
+        let name = format!("target-{number}");
+        cluster = cluster.with_target_at(ZONES[0], "lookups", &name, address);
+    }
+    let cluster = cluster.start_all();
+    wait_until_served(&cluster, "lookups");
+    let (start, stop) = (Instant::now(), AtomicBool::new(false));
+    let stalled_at = thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !stop.load(Ordering::SeqCst) {
+                    call(
+                        &cluster,
+                        "lookups",
+                        &start.elapsed().as_millis().to_string(),
+                    );
+                    thread::sleep(Duration::from_millis(10));
+                }
+            });
+        }
+        thread::sleep(Duration::from_secs(2));
+        is_stalled.store(true, Ordering::SeqCst);
+        let stalled_at = start.elapsed();
+        thread::sleep(STALL);
+        stop.store(true, Ordering::SeqCst);
+        stalled_at
+    });
+    let before = sent_at.lock().unwrap().len();
+    is_stalled.store(false, Ordering::SeqCst);
+    thread::sleep(DELIVERY);
+    let noticed = (stalled_at + NOTICE_TIME).as_millis();
+    let sent_at = sent_at.lock().unwrap();
+    let late: Vec<_> = sent_at[before..]
+        .iter()
+        .filter(|at| **at > noticed)
+        .collect();
+    assert!(before > 0);
+    assert!(
+        late.is_empty(),
+        "stalled at {stalled_at:?}; {} requests were read late, and these were sent after it was noticed: {late:?}",
+        sent_at.len() - before
+    );
+}
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -369,15 +369,16 @@
     text + "0\r\n\r\n"
 }
 
-struct Request {
+/// A request that was read.
+pub struct Request {
     head: String,
-    call: String,
-    id: String,
+    pub call: String,
+    pub id: String,
     head_only: bool,
 }
 
 /// Reads one complete request; returns `None` if the connection was closed.
-fn read_request(stream: &mut TcpStream, input: &mut Vec<u8>) -> io::Result<Option<Request>> {
+pub fn read_request(stream: &mut TcpStream, input: &mut Vec<u8>) -> io::Result<Option<Request>> {
     let end = loop {
         if let Some(at) = input.windows(4).position(|four| four == b"\r\n\r\n") {
             break at + 4;
