Lists of the store continue after objects that can't be decoded

Callers' requests were refused, or reached targets that had left: a host that read the targets in a list ended it early at an entry of another writer. A list continued after the last object that could be decoded, and a page of none ended it. An entry whose metadata can't be decoded (a revision that is nested, too large or a text) fills a page alone if it is large, as a page ends at about 1 MB, and so can any number of small ones. The targets on the later pages were missing, at the host's start and whenever the list was read again. Now a list continues after the last name on the page, which is read by itself; one that does not get on is an error.

--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
@@ -335,13 +336,18 @@
 ) -> Result<(Vec<Entry>, Revision), Error> {
     let mut all_entries: Vec<Entry> = Vec::new();
     let mut earliest: Option<Revision> = None;
+    let mut after: Option<Arc<str>> = None;
     loop {
-        let after = all_entries.last().map(|entry| entry.name.clone());
+        let call = Call::List {
+            kind,
+            after: after.clone(),
+            age,
+        };
         let Reply::Page {
             entries,
-            more,
+            next,
             revision,
-        } = client.call(&Call::List { kind, after, age }).await?
+        } = client.call(&call).await?
         else {
             return Err(Error::Unexpected);
         };
@@ -352,11 +358,15 @@
         // Watches from the earliest revision, so that a change is seen whichever page it falls on.
         let start = earliest.map_or(revision, |earliest| earliest.min(revision));
         earliest = Some(start);
-        let is_last = entries.is_empty() || !more;
         all_entries.extend(entries);
-        if is_last {
+        if next.is_none() {
             return Ok((all_entries, start));
         }
+        if next <= after {
+            // The list would never end.
+            return Err(Error::Unexpected);
+        }
+        after = next;
     }
 }
 
--- a/src/port.rs
+++ b/src/port.rs
@@ -181,8 +181,8 @@
     Page {
         /// Objects, in the order of their names.
         entries: Vec<Entry>,
-        /// Whether there are more.
-        more: bool,
+        /// The name to continue after, if there are more. Its object may be unreadable.
+        next: Option<Arc<str>>,
         /// The store's revision.
         revision: u64,
     },
