Errors about objects that can't be decoded are short, however long the input is

Hosts can be made to end by their memory limit: an error about an object quotes the value, and each error is kept so that it is logged once, up to 1,024 of them. An entry with a long text in a field of another type, written with another text each time, costs as much memory each time, and a log line as long. The place and the cause of an error are now cut to 300 characters each.

--- a/src/port.rs
+++ b/src/port.rs
@@ -218,12 +218,23 @@
     pub cause: Arc<str>,
 }
 
+/// Longest place and cause of an error, in characters. Both may quote the input, of any length.
+const MAX_ERROR_CHARS: usize = 300;
+
+/// Cuts a text that is too long for an error.
+fn shorten(text: &str) -> String {
+    match text.char_indices().nth(MAX_ERROR_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
+
 impl Malformed {
     /// Creates an error for a problem at `place`.
-    pub fn new(place: impl Into<Arc<str>>, cause: impl std::fmt::Display) -> Self {
+    pub fn new(place: impl AsRef<str>, cause: impl std::fmt::Display) -> Self {
         Self {
-            place: place.into(),
-            cause: cause.to_string().into(),
+            place: shorten(place.as_ref()).into(),
+            cause: shorten(&cause.to_string()).into(),
         }
     }
 }
