Own interface: an entry that can't be decoded does not hide the others of its list

A daemon's list of hosts, its watch of the configuration and the list of past configurations failed as a whole for one entry with a deeply nested value, a number too large or a key of another type, and each further call failed again. Each entry is now decoded by itself; one that can't be decoded is left out, with a warning.

Tests (tests/store.rs): odd values in key, value and version of objects and events, and in name and state of hosts; both failed before.

--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use serde_json::Value;
 use ureq::http::{Response, StatusCode};
 use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector, Transport};
@@ -167,6 +168,31 @@
     pub state: HostState,
 }
 
+/// A list in an answer. Its entries are decoded one by one: other writers may leave some that can't
+/// be decoded.
+#[derive(Deserialize)]
+struct List {
+    #[serde(alias = "objects", alias = "events", alias = "hosts")]
+    entries: Vec<Box<RawValue>>,
+    #[serde(default)]
+    version: u64,
+}
+
+/// Decodes entries of a list, and leaves out those that can't be decoded.
+fn decode_each<'a, T: DeserializeOwned>(
+    key: &'a str,
+    entries: &'a [Box<RawValue>],
+) -> impl Iterator<Item = T> + 'a {
+    entries.iter().filter_map(move |raw| {
+        let entry = serde_json::from_str(raw.get());
+        entry
+            .inspect_err(|error| {
+                spdlog::warn!("platform: {key}: skipped an entry that cannot be decoded: {error}")
+            })
+            .ok()
+    })
+}
+
 /// Opens TCP connections and wraps connection errors in [`ConnectError`], because a call that fails
 /// before it has a connection had no effect.
 #[derive(Debug, Default)]
@@ -313,10 +339,8 @@
     /// As [`Client::get`].
     pub fn list(&self, prefix: &str) -> Result<Listing, Error> {
         let url = format!("{}/v1/objects?prefix={}", self.url, percent_encode(prefix));
-        let answer: border::Listing = self.get_json(prefix, &url, self.timeout)?;
-        let mut objects: Vec<_> = answer
-            .objects
-            .into_iter()
+        let answer: List = self.get_json(prefix, &url, self.timeout)?;
+        let mut objects: Vec<_> = decode_each::<border::Object>(prefix, &answer.entries)
             .filter(|object| object.key.starts_with(prefix))
             .map(|object| Versioned {
                 key: object.key.into(),
@@ -344,10 +368,8 @@
             percent_encode(prefix),
             timeout.as_millis()
         );
-        let answer: border::Events = self.get_json(prefix, &url, self.timeout + timeout)?;
-        let mut events: Vec<_> = answer
-            .events
-            .into_iter()
+        let answer: List = self.get_json(prefix, &url, self.timeout + timeout)?;
+        let mut events: Vec<_> = decode_each::<border::Event>(prefix, &answer.entries)
             .filter(|event| event.version > after && event.key.starts_with(prefix))
             .map(|event| Versioned {
                 key: event.key.into(),
@@ -371,10 +393,8 @@
     /// As [`Client::get`].
     pub fn hosts(&self) -> Result<Vec<Host>, Error> {
         let url = format!("{}/v1/hosts", self.url);
-        let answer: border::Hosts = self.get_json("hosts", &url, self.timeout)?;
-        Ok(answer
-            .hosts
-            .into_iter()
+        let answer: List = self.get_json("hosts", &url, self.timeout)?;
+        Ok(decode_each::<border::HostEntry>("hosts", &answer.entries)
             .map(|entry| Host {
                 host: entry.host.into(),
                 state: entry.state,
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -4,6 +4,9 @@
 
 mod fake_platform;
 
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use fake_platform::{Fault, Platform};
@@ -81,6 +84,58 @@
     assert_eq!((keys, listing.version), (vec!["a/1", "a/2"], 3));
 }
 
+/// Values that have no type: too deep, and beyond the range of numbers.
+fn odd_values() -> [String; 2] {
+    [
+        format!("{}1{}", "[".repeat(100_000), "]".repeat(100_000)),
+        "1e999".into(),
+    ]
+}
+
+/// A client of a platform that answers one call with this body.
+fn client_of_answer(body: String) -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        let length = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all((head + &body).as_bytes()).unwrap();
+    });
+    Client::new(&url)
+}
+
+fn lists_and_watches_beside_odd_entries() {
+    for text in odd_values() {
+        let entries = format!(
+            r#"[{{"key": "a/1", "value": 1, "version": 1}}, {{"key": "a/odd", "value": {text}, "version": 2}},
+                {{"key": "a/z", "value": 2, "version": 3}}, {{"key": {text}, "value": 3, "version": 4}},
+                {{"key": "a/zz", "value": 3, "version": {text}}}]"#
+        );
+        let client = client_of_answer(format!(r#"{{"objects": {entries}, "version": 5}}"#));
+        let listed = client.list("a/").unwrap();
+        let keys: Vec<_> = listed.objects.iter().map(|object| &*object.key).collect();
+        assert_eq!((keys, listed.version), (vec!["a/1", "a/z"], 5));
+        let client = client_of_answer(format!(r#"{{"events": {entries}, "version": 5}}"#));
+        let seen = client.watch("a/", 0, Duration::ZERO).unwrap();
+        let keys: Vec<_> = seen.events.iter().map(|event| &*event.key).collect();
+        assert_eq!((keys, seen.version), (vec!["a/1", "a/z"], 5));
+    }
+}
+
+fn lists_hosts_beside_odd_entries() {
+    for text in odd_values() {
+        let entries = format!(
+            r#"[{{"host": "odd", "state": {text}}}, {{"host": {text}, "state": "live"}}, {{"host": "h1", "state": "leaving"}}]"#
+        );
+        let client = client_of_answer(format!(r#"{{"hosts": {entries}}}"#));
+        let hosts = client.hosts().unwrap();
+        let names: Vec<_> = hosts.iter().map(|host| &*host.host).collect();
+        assert_eq!(names, ["h1"]);
+    }
+}
+
 fn watches_from_a_version() {
     let platform = Platform::new();
     let client = client(&platform);
@@ -571,5 +626,7 @@
     too_large: large_value_is_not_sent();
     watch_repeats: watch_drops_repeats_and_never_goes_back();
     malformed: malformed_names_the_key();
+    odd_entries: lists_and_watches_beside_odd_entries();
+    odd_hosts: lists_hosts_beside_odd_entries();
     stale_connection: read_survives_a_closed_pooled_connection();
 }
