--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -165,12 +165,13 @@
         };
         let is_outage = result.as_ref().is_err_and(Error::is_outage);
         record_poll_result(&host, result).await;
+        number = (number + 1) % REFRESH_EVERY;
+        // A store that answers pings may still fail refreshes.
+        let pause = tokio::time::sleep(INTERVAL);
         if is_outage {
             await_return(&host).await;
-            continue;
         }
-        number = (number + 1) % REFRESH_EVERY;
-        tokio::time::sleep(INTERVAL).await;
+        pause.await;
     }
 }
 
@@ -179,7 +180,8 @@
 async fn await_return(host: &Rc<Host>) {
     let mut pings = FuturesUnordered::new();
     let mut interval = tokio::time::interval(PING_INTERVAL);
-    let mut newest = None;
+    // The last ping, if no host saw the store when it was sent.
+    let mut previous = None;
     // When the newest ping that was answered was sent, and the one before it.
     let mut answered = None;
     let mut collect_until = None;
@@ -196,9 +198,8 @@
             _ = interval.tick() => {
                 let asked_at = now();
                 let is_seen = host.core.borrow().presence.is_store_seen(asked_at);
-                let sent = (asked_at, newest);
-                // While other hosts see the store, that it does not answer this one shows nothing.
-                newest = (!is_seen).then_some(asked_at);
+                let sent = (asked_at, previous);
+                previous = (!is_seen).then_some(asked_at);
                 pings.push(async move { (sent, Refresher::new(host).ping().await) });
             }
         }
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -5,7 +5,7 @@
 mod fake_platform;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
