--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -32,6 +32,7 @@
     refusals: Counter<u64>,
     late_answers: Counter<u64>,
     store_answers: Histogram<f64>,
+    store_connections: Histogram<f64>,
     undelivered: Counter<u64>,
     after_departure: Counter<u64>,
     rebuilds: Counter<u64>,
@@ -96,6 +97,7 @@
             refusals: meter.u64_counter("ragwortfold_refusals").build(),
             late_answers: meter.u64_counter("ragwortfold_late_answers").build(),
             store_answers: latency_histogram(&meter, "ragwortfold_store_answer_seconds"),
+            store_connections: latency_histogram(&meter, "ragwortfold_store_connect_seconds"),
             undelivered: meter.u64_counter("ragwortfold_undelivered").build(),
             after_departure: meter.u64_counter("ragwortfold_after_departure").build(),
             task_failures: meter.u64_counter("ragwortfold_task_failures").build(),
@@ -161,6 +163,13 @@
         self.store_answers.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records how long a connection to the store took to open, or until it was given up.
+    pub(crate) fn record_store_connection(&self, took: Duration, is_open: bool) {
+        let outcome = if is_open { "open" } else { "failed" };
+        self.store_connections
+            .record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an attempt that ended before its target had acknowledged the request.
     pub(crate) fn count_undelivered(&self, service: &Arc<str>) {
         self.undelivered.add(1, &[label("service", service)]);
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -15,7 +15,7 @@
 use spdlog::{Logger, ThreadPool};
 
 use super::core::FailedObject;
-use super::{now, Host};
+use super::{client, now, Host};
 use crate::control::replica::Outage;
 use crate::control::revision::Revision;
 use crate::inventory::{Registration, TargetKey};
@@ -141,6 +141,8 @@
     Watching => "store.watching",
     /// The copy of the store differs from that of the followed host.
     CopyDiffers => "store.differs",
+    /// A connection to the store opened late or not at all.
+    StoreConnection => "store.connection",
     /// The store stopped responding, or responds again.
     StoreReachability => "store.reach",
     /// The feed of the followed host has ended.
@@ -367,6 +369,21 @@
     });
 }
 
+/// Logs a connection to the store that opened late, or not at all.
+pub(crate) fn store_connection(host: &Host, took: Duration, error: Option<&client::Error>) {
+    let event = Event::StoreConnection;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    let error = error.map(ToString::to_string);
+    spdlog::info!("store: a connection opened late or not at all", kv: {
+        event = event.as_str(),
+        took_ms = took.as_millis() as u64,
+        error = error.as_deref().unwrap_or_default(),
+        left_out
+    });
+}
+
 /// Logs that the store was restored from a copy.
 pub(crate) fn store_restored(era: u64) {
     spdlog::info!("the store was restored from a copy", kv: {
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -10,7 +10,7 @@
 
 use super::body::full;
 use super::client::{self, Connection};
-use super::log::Event;
+use super::log::{self, Event};
 use super::{now, Host};
 use crate::port::{Call, Malformed, Reply};
 
@@ -18,6 +18,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time from which on a connection that opens counts as late in the log.
+const LATE_CONNECTION: Duration = Duration::from_millis(200);
 
 /// Longest answer in bytes: pages of lists are about one megabyte long, watches may bring many changes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -125,6 +127,19 @@
         logged_faults.insert(error);
     }
 
+    async fn connect(&self) -> Result<TcpStream, client::Error> {
+        let began_at = now();
+        let result = client::connect(self.host.settings.store, CONNECT_TIMEOUT).await;
+        let took = now().saturating_duration_since(began_at);
+        self.host
+            .metrics
+            .record_store_connection(took, result.is_ok());
+        if result.is_err() || took >= LATE_CONNECTION {
+            log::store_connection(&self.host, took, result.as_ref().err());
+        }
+        result
+    }
+
     async fn exchange(
         &self,
         idle: Option<TcpStream>,
@@ -132,7 +147,7 @@
     ) -> Result<(Option<TcpStream>, (StatusCode, u64), Bytes), Error> {
         let stream = match idle.filter(client::is_reusable) {
             Some(stream) => stream,
-            None => client::connect(self.host.settings.store, CONNECT_TIMEOUT).await?,
+            None => self.connect().await?,
         };
         let mut connection = Connection::new(stream).await?;
         let request = (self.host.platform.store.encode)(call)?.map(full);
