A store that opens connections late stays the source of news

A host gave a connection up after 1 s, just when the kernel sends a lost SYN again, and began anew; watches, polls, pings, probes and queries for changes each opened their own, and what was given up kept its place in the store's queue.

Connections now belong to the host (host::dialer). An attempt does not end with the call that began it; whatever opens first serves the next call, queries before watches; what opens later is kept. Queries for changes use the connection on which the store has just answered a poll, so one connection of one host is enough for the news of all. The time for a connection does not count as the store's answer time, so a silent store is noticed as before; pings are still sent on connections of their own while the store is silent.

--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -14,6 +14,7 @@
 mod client;
 mod core;
 mod datagram;
+mod dialer;
 mod error;
 mod exchange;
 mod feed;
@@ -74,6 +75,7 @@
     core: RefCell<core::Core>,
     pool: RefCell<pool::Pool<TargetKey>>,
     relays: relay::Relays,
+    dialer: dialer::Dialer,
     shutdown: shutdown::Shutdown,
     metrics: Metrics,
     log_limits: RefCell<log::RateLimits>,
@@ -243,6 +245,7 @@
         core: RefCell::new(core::Core::new(now(), &settings)),
         pool: RefCell::new(pool::Pool::new()),
         relays: relay::Relays::new(),
+        dialer: dialer::Dialer::default(),
         shutdown: shutdown::Shutdown::new(),
         metrics: Metrics::new()?,
         log_limits: RefCell::default(),
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -5,6 +5,7 @@
 //! changes are queried. So changes are found even if a watch hangs, and a response never counts as
 //! evidence for more than it shows.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
@@ -13,12 +14,13 @@
 
 use futures_util::stream::FuturesUnordered;
 use futures_util::StreamExt;
+use tokio::sync::oneshot;
 
 use super::log::Event;
 use super::store::{Client, Error};
 use super::sync::{self, WatchResult};
 use super::watcher::WATCHED_KINDS;
-use super::{datagram, now, proof, Host};
+use super::{datagram, now, proof, task, Host};
 use crate::control::freshness::{ANSWER_TIMEOUT, INTERVAL};
 use crate::control::proof::Moment;
 use crate::control::revision::Revision;
@@ -57,13 +59,27 @@
     /// Queries the store once, updates the copy and records that it is current. The first answer may
     /// take up to `limit`: a later one may show the store as it was before an outage.
     pub(super) async fn refresh(&mut self, limit: Duration) -> Result<(), Error> {
-        let asked_at = proof::moment();
+        let began_at = now();
         let host = self.host.clone();
+        let connected = self.client.connect().await;
+        connected.inspect_err(|error| record_unanswered(&host, began_at, error))?;
+        let asked_at = proof::moment();
         let answer = tokio::time::timeout(limit, self.query(asked_at)).await;
         let revision = answer
             .unwrap_or(Err(Error::Timeout))
             .inspect_err(|error| record_unanswered(&host, asked_at.runtime_clock(), error))?;
-        update_copies(&host, asked_at, revision).await
+        self.update_copies(asked_at, revision).await
+    }
+
+    /// Updates the copies of all kinds that are watched at least to the store's revision.
+    async fn update_copies(&mut self, asked_at: Moment, revision: Revision) -> Result<(), Error> {
+        // The connection on which the store has just answered serves the queries for changes.
+        self.client.release();
+        let [configs, targets] =
+            WATCHED_KINDS.map(|kind| refresh_kind(&self.host, kind, asked_at, revision));
+        let (configs, targets) = tokio::join!(configs, targets);
+        self.client.reserve();
+        configs.and(targets)
     }
 
     /// Checks whether the store responds at all; a stale response suffices. That the answer is late
@@ -92,6 +108,14 @@
         Ok(revision)
     }
 
+    /// Records how long the store took for the answer to a poll, without the time for a connection.
+    fn record_answer<T>(&self, answer: &Result<T, Error>) {
+        if answer.is_ok() {
+            let took = self.client.answer_time;
+            self.host.watch_state.record_answer(took);
+        }
+    }
+
     /// Queries anything of the store.
     async fn query_stale(&mut self) -> Result<(), Error> {
         let list = sync::read_pages(&mut self.client, Kind::Evacuations, Age::Some);
@@ -107,15 +131,8 @@
     }
 }
 
-/// Updates the copies of all kinds that are watched at least to the store's revision.
-async fn update_copies(host: &Rc<Host>, asked_at: Moment, revision: Revision) -> Result<(), Error> {
-    let [configs, targets] = WATCHED_KINDS.map(|kind| refresh_kind(host, kind, asked_at, revision));
-    let (configs, targets) = tokio::join!(configs, targets);
-    configs.and(targets)
-}
-
-/// Updates the copy of a kind at least to the store's revision. Uses a new connection, since a kept
-/// one may be dead, and sets no time limit, since there may be any number of changes to transfer.
+/// Updates the copy of a kind at least to the store's revision. Sets no time limit, since there may
+/// be any number of changes to transfer.
 async fn refresh_kind(
     host: &Rc<Host>,
     kind: Kind,
@@ -176,6 +193,7 @@
 /// store has just succeeded.
 pub(super) async fn run(host: Rc<Host>) -> Infallible {
     let mut refresher = Refresher::new(&host);
+    refresher.client.reserve();
     if host.watch_state.is_answering.get() {
         tokio::time::sleep(INTERVAL).await;
     }
@@ -194,12 +212,16 @@
             refreshed_at = Some(now);
             polls_since = 0;
             let query = await_poll(&host, now, refresher.query(asked_at));
-            match query.await {
-                Ok(revision) => update_copies(&host, asked_at, revision).await,
+            let answer = query.await;
+            refresher.record_answer(&answer);
+            match answer {
+                Ok(revision) => refresher.update_copies(asked_at, revision).await,
                 Err(error) => Err(error),
             }
         } else {
-            await_poll(&host, now, refresher.query_stale()).await
+            let answer = await_poll(&host, now, refresher.query_stale()).await;
+            refresher.record_answer(&answer);
+            answer
         };
         polls_since += 1;
         // A store that answers pings may still fail refreshes.
@@ -222,29 +244,28 @@
 ) -> Result<T, Error> {
     let mut query = pin!(query);
     let limit = host.watch_state.answer_limit();
-    let result = match tokio::time::timeout(limit, &mut query).await {
+    match tokio::time::timeout(limit, &mut query).await {
         Ok(Err(error)) if error.is_outage() => {
             record_unanswered(host, asked_at, &error);
+            host.dialer.discard_spare();
             host.watch_state.clear_evidence();
             report_reachability(host, Some(&error)).await;
             await_return(host).await;
-            return Err(error);
+            Err(error)
         }
-        Ok(result) => result?,
+        Ok(result) => result,
         Err(_) => {
             record_unanswered(host, asked_at, &Error::Timeout);
+            host.dialer.discard_spare();
             host.watch_state.suspend();
             report_reachability(host, Some(&Error::Timeout)).await;
             let answer = await_late_answer(host, query).await?;
             host.watch_state.resume();
             host.core.borrow_mut().presence.forget_outage(asked_at);
             report_reachability(host, None).await;
-            answer
+            Ok(answer)
         }
-    };
-    let took = now().saturating_duration_since(asked_at);
-    host.watch_state.record_answer(took);
-    Ok(result)
+    }
 }
 
 /// Waits for the late answer to a poll. Fails once the store answers pings, as then it was
@@ -275,10 +296,9 @@
 /// Pings a store that did not answer until it does. The pings don't wait for each other: the store
 /// was unavailable when the last one before the one that it answered was sent.
 async fn await_return(host: &Rc<Host>) {
+    let progress = Progress::default();
     let mut pings = FuturesUnordered::new();
     let mut interval = tokio::time::interval(PING_INTERVAL);
-    // The last ping, if no host saw the store when it was sent.
-    let mut previous = None;
     // When the newest ping that was answered was sent, and the one before it.
     let mut answered = None;
     let mut collect_until = None;
@@ -292,12 +312,8 @@
                 }
             }
             () = tokio::time::sleep_until(wait.into()) => {}
-            _ = interval.tick() => {
-                let asked_at = now();
-                let is_seen = host.core.borrow().presence.is_store_seen(asked_at);
-                let sent = (asked_at, previous);
-                previous = (!is_seen).then_some(asked_at);
-                pings.push(async move { (sent, Refresher::new(host).ping().await) });
+            _ = interval.tick(), if !progress.is_connecting.get() => {
+                pings.push(ping_anew(host, &progress));
             }
         }
     }
@@ -309,6 +325,52 @@
     }
 }
 
+/// Progress of the pings to a store that does not answer.
+#[derive(Default)]
+struct Progress {
+    /// Whether a ping waits for its connection.
+    is_connecting: Cell<bool>,
+    /// When the last ping was sent, if no host saw the store then.
+    previous: Cell<Option<Instant>>,
+}
+
+/// Pings the store on a connection of its own, as others may be dead. Returns when the ping was sent,
+/// the last moment before it at which no host could reach the store, and the answer.
+async fn ping_anew(
+    host: &Rc<Host>,
+    progress: &Progress,
+) -> ((Instant, Option<Instant>), Result<(), Error>) {
+    progress.is_connecting.set(true);
+    let mut refresher = Refresher::new(host);
+    let connected = refresher.client.connect().await;
+    progress.is_connecting.set(false);
+    let asked_at = now();
+    let is_seen = host.core.borrow().presence.is_store_seen(asked_at);
+    let previous = progress.previous.replace((!is_seen).then_some(asked_at));
+    let unopened = host.dialer.unopened_since().filter(|_| !is_seen);
+    let sent = (asked_at, previous.max(unopened));
+    if let Err(error) = connected {
+        record_unanswered(host, asked_at, &error);
+        return (sent, Err(error));
+    }
+    // A connection on which the answer is late is of use to the next call.
+    let (sender, mut answer) = oneshot::channel();
+    task::spawn(host, "store-ping", async move {
+        let _ = sender.send(refresher.query_stale().await);
+    });
+    let limit = host.watch_state.answer_limit();
+    let result = match tokio::time::timeout(limit, &mut answer).await {
+        Ok(result) => result,
+        Err(_) => {
+            record_unanswered(host, asked_at, &Error::Timeout);
+            answer.await
+        }
+    };
+    let result = result.unwrap_or(Err(Error::Broken));
+    let result = result.inspect_err(|error| record_unanswered(host, asked_at, error));
+    (sent, result)
+}
+
 /// Records whether the store responded to all queries.
 async fn record_poll_result(host: &Rc<Host>, result: Result<(), Error>) {
     if result.is_err() {
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -1,7 +1,8 @@
 //! Client for the platform's store.
 
+use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -10,16 +11,13 @@
 
 use super::body::full;
 use super::client::{self, Connection};
-use super::log::{self, Event};
+use super::dialer::{self, Purpose};
+use super::log::Event;
 use super::{now, Host};
 use crate::port::{Call, Malformed, Reply};
 
 /// Timeout of a call, in addition to the time that a watch asks the store to wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// Connect timeout.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time from which on a connection that opens counts as late in the log.
-const LATE_CONNECTION: Duration = Duration::from_millis(200);
 
 /// Longest answer in bytes: pages of lists are about one megabyte long, watches may bring many changes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -68,6 +66,14 @@
     pub(crate) has_skipped: bool,
     /// The store's era as of the last answer; 0 if the answer did not contain it.
     pub(crate) era: u64,
+    /// How long the store took for the last answer, once there was a connection.
+    pub(crate) answer_time: Duration,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.release();
+    }
 }
 
 impl Client {
@@ -77,6 +83,31 @@
             idle: None,
             has_skipped: false,
             era: 0,
+            answer_time: Duration::ZERO,
+        }
+    }
+
+    /// Waits for a connection for the next call.
+    pub(crate) async fn connect(&mut self) -> Result<(), Error> {
+        if !self.idle.as_ref().is_some_and(client::is_reusable) {
+            let connecting = dialer::connect(&self.host, Purpose::Query);
+            let connected = tokio::time::timeout(CALL_TIMEOUT, connecting).await;
+            self.idle = Some(connected.map_err(|_| client::Error::Timeout)??);
+        }
+        Ok(())
+    }
+
+    /// Leaves the connection of the last call to other calls.
+    pub(crate) fn release(&mut self) {
+        if let Some(stream) = self.idle.take() {
+            self.host.dialer.put(stream);
+        }
+    }
+
+    /// Takes a connection that no other call uses for the next query, if there is one.
+    pub(crate) fn reserve(&mut self) {
+        if self.idle.is_none() {
+            self.idle = self.host.dialer.take(Purpose::Query);
         }
     }
 
@@ -88,12 +119,13 @@
         };
         let asked_at = now();
         let idle = self.idle.take();
-        let exchange = self.exchange(idle, call);
+        let sent_at = Cell::new(asked_at);
+        let exchange = self.exchange(idle, call, &sent_at);
         let answered = tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await;
         let (idle, (status, era), bytes) = answered.map_err(|_| Error::Timeout)??;
         if wait.is_zero() {
-            let took = now().saturating_duration_since(asked_at);
-            self.host.metrics.record_store_answer(took);
+            self.answer_time = now().saturating_duration_since(sent_at.get());
+            self.host.metrics.record_store_answer(self.answer_time);
         }
         self.idle = idle;
         self.era = era;
@@ -127,28 +159,21 @@
         logged_faults.insert(error);
     }
 
-    async fn connect(&self) -> Result<TcpStream, client::Error> {
-        let began_at = now();
-        let result = client::connect(self.host.settings.store, CONNECT_TIMEOUT).await;
-        let took = now().saturating_duration_since(began_at);
-        self.host
-            .metrics
-            .record_store_connection(took, result.is_ok());
-        if result.is_err() || took >= LATE_CONNECTION {
-            log::store_connection(&self.host, took, result.as_ref().err());
-        }
-        result
-    }
-
     async fn exchange(
         &self,
         idle: Option<TcpStream>,
         call: &Call,
+        sent_at: &Cell<Instant>,
     ) -> Result<(Option<TcpStream>, (StatusCode, u64), Bytes), Error> {
+        let purpose = match call {
+            Call::Watch { wait, .. } if !wait.is_zero() => Purpose::Watch,
+            _ => Purpose::Query,
+        };
         let stream = match idle.filter(client::is_reusable) {
             Some(stream) => stream,
-            None => self.connect().await?,
+            None => dialer::connect(&self.host, purpose).await?,
         };
+        sent_at.set(now());
         let mut connection = Connection::new(stream).await?;
         let request = (self.host.platform.store.encode)(call)?.map(full);
         let Ok(response) = connection.send(request).await else {
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -136,6 +136,8 @@
 
 /// Starts the tasks of a host that watches the store.
 fn start_watchers(host: &Rc<Host>) -> Vec<AbortGuard> {
+    // Polls go first: a single connection is enough for them to find all changes.
+    let refresh = task::supervise(host, "refresh", refresh::run);
     let watchers = WATCHED_KINDS.map(|kind| {
         let name = match kind {
             Kind::Config => "watch-configuration",
@@ -143,8 +145,7 @@
         };
         task::supervise(host, name, move |host| watch_kind(host, kind))
     });
-    let refresh = task::supervise(host, "refresh", refresh::run);
-    watchers.into_iter().chain([refresh]).collect()
+    [refresh].into_iter().chain(watchers).collect()
 }
 
 /// Chooses the feed to follow: that of the host with the best view of the store, or a seed if no
@@ -454,6 +455,7 @@
         let now = now();
         host.pool.borrow_mut().sweep(now);
         host.relays.sweep();
+        host.dialer.sweep(now);
         brief::write_if_due(&host);
         let core = &mut *host.core.borrow_mut();
         for id in core.fleet.expire(now) {
