Answers that are streamed end at their request's deadline

Bodies of more than 512 KB are passed on as they come, and nothing ended that.

A streamed response is cut at its deadline, with a reset: otherwise its caller would read on what the kernel has buffered. Bodies of server errors end after 8 MB. Answers that are complete at the host go out as before, also late.

--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -10,7 +10,7 @@
 use super::client::{self, Connection, Transfer, Unanswered};
 use super::exchange::{Buffered, Exchange};
 use super::task::{self, AbortGuard};
-use super::{announcement, links, log, message, now, request_log, throttle, Host};
+use super::{announcement, links, log, message, now, request_log, serve, throttle, Host};
 use crate::catalog::Repeat;
 use crate::inventory::TargetKey;
 use crate::port::Answer;
@@ -22,6 +22,8 @@
 /// Connect timeout. A round trip between regions plus the retransmission of a lost first packet may
 /// take longer, but the time is better spent on another target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest body of a server error that is passed on, in bytes.
+const MAX_FAILURE_BYTES: u64 = 8 << 20;
 
 /// Interval at which a request that waits for its answer is checked for whether it has to be
 /// recalled. An acknowledgement takes less, unless packets are lost repeatedly.
@@ -340,8 +342,8 @@
             classify_response(exchange, in_flight, &target_answer, response)
         }
         ReceivedBody::Prefix(start, rest) => {
-            let body = stream_body(host, in_flight, connection, start, rest);
-            let response = message::build_caller_response(parts, body, true);
+            let guard = count_stream(host, in_flight, connection);
+            let response = stream_response(exchange, parts, (start, rest), guard);
             classify_response(exchange, in_flight, &target_answer, response)
         }
     }
@@ -401,22 +403,38 @@
     task::spawn(host, "outgoing-connection", connection.run()).into()
 }
 
-/// Streams the body of a long answer to the caller. The request counts towards the target's load
-/// until the body ends. The connection is not reused.
-fn stream_body(
+/// Counts a request whose answer is streamed towards the target's load until the guard is dropped. The
+/// connection is not reused.
+fn count_stream(
     host: &Rc<Host>,
     in_flight: &InFlight,
     connection: Connection,
-    start: Bytes,
-    rest: Incoming,
-) -> Body {
+) -> (AbortGuard, InFlight) {
     host.core
         .borrow_mut()
         .fleet
         .count_request(now(), in_flight.target);
-    let guard = (
+    (
         drive(host, connection),
         InFlight::new(host, in_flight.target, Observation::default()),
-    );
-    body::with_guard(body::stream(start, rest, u64::MAX), guard)
+    )
+}
+
+/// The response to the caller whose body is streamed, until the request's deadline. `guard` is
+/// dropped at its end.
+pub(crate) fn stream_response(
+    exchange: &Exchange,
+    parts: response::Parts,
+    (start, rest): (Bytes, Incoming),
+    guard: impl Unpin + 'static,
+) -> Response<Body> {
+    let max_bytes = match parts.status.is_server_error() {
+        true => MAX_FAILURE_BYTES,
+        false => u64::MAX,
+    };
+    let body = body::with_guard(body::stream(start, rest, max_bytes), guard);
+    let mut response = message::build_caller_response(parts, body, true);
+    let until = serve::StreamUntil(exchange.deadline);
+    response.extensions_mut().insert(until);
+    response
 }
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -292,8 +292,7 @@
         }
         Some(ReceivedBody::Prefix(start, rest)) => {
             let task = attempt::drive(host, connection);
-            let body = body::with_guard(body::stream(start, rest, u64::MAX), task);
-            message::build_caller_response(parts, body, true)
+            attempt::stream_response(exchange, parts, (start, rest), task)
         }
         None if now() >= exchange.deadline => return Outcome::TimedOut,
         None => return Outcome::Unknown,
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -10,7 +10,7 @@
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -63,6 +63,8 @@
     has_unread_body: Cell<bool>,
     /// Since when writes to the caller have been blocked.
     blocked_since: Cell<Option<Instant>>,
+    /// Until when the response that is being sent may be streamed.
+    stream_until: Cell<Option<Instant>>,
 }
 
 impl ConnectionState {
@@ -72,6 +74,7 @@
             is_flushed: Cell::new(true),
             has_unread_body: Cell::new(false),
             blocked_since: Cell::new(None),
+            stream_until: Cell::new(None),
         }
     }
 
@@ -87,12 +90,17 @@
 #[derive(Clone, Copy)]
 pub(crate) struct BodyConsumed;
 
+/// Response extension: the time until which the body may be streamed. It may be endless.
+#[derive(Clone, Copy)]
+pub(crate) struct StreamUntil(pub(crate) Instant);
+
 /// Marks the connection as idle when dropped, after a request has been answered.
 struct AnswerGuard(Rc<ConnectionState>);
 
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
         self.0.phase.set(Phase::Idle(now()));
+        self.0.stream_until.set(None);
     }
 }
 
@@ -294,6 +302,8 @@
             if response.extensions().get::<BodyConsumed>().is_some() {
                 guard.0.has_unread_body.set(false);
             }
+            let until = response.extensions().get::<StreamUntil>();
+            guard.0.stream_until.set(until.map(|until| until.0));
             Ok::<_, Infallible>(response.map(|body| body::with_guard(body, guard)))
         }
     });
@@ -305,23 +315,37 @@
         .auto_date_header(false);
     let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut check_timer = tokio::time::interval_at((now() + CHECK_INTERVAL).into(), CHECK_INTERVAL);
+    let mut deadline = pin!(tokio::time::sleep(Duration::ZERO));
     let mut is_closing = false;
     loop {
         let work = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
-            Poll::Ready(end) => Poll::Ready(Some(end)),
-            Poll::Pending if state.is_idle() && !is_closing => Poll::Ready(None),
-            Poll::Pending => Poll::Pending,
+            Poll::Ready(end) => Poll::Ready(Progress::Ended(end)),
+            Poll::Pending if state.is_idle() && !is_closing => Poll::Ready(Progress::Idle),
+            Poll::Pending => {
+                let Some(until) = state.stream_until.get().map(Into::into) else {
+                    return Poll::Pending;
+                };
+                if deadline.deadline() != until {
+                    deadline.as_mut().reset(until);
+                }
+                deadline.as_mut().poll(cx).map(|()| Progress::TooLate)
+            }
         });
         tokio::select! {
             biased;
-            end = work => match end {
-                None => break,
-                Some(end) => {
+            progress = work => match progress {
+                Progress::Idle => break,
+                Progress::Ended(end) => {
                     if let Err(error) = end {
                         spdlog::debug!("serve: a connection failed: {error}");
                     }
                     return None;
                 }
+                Progress::TooLate => {
+                    // Otherwise the caller would go on reading what the kernel has buffered.
+                    client::reset_on_close(&connection.into_parts().io.into_inner().tcp);
+                    return None;
+                }
             },
             () = host.shutdown.wait_for_close(), if !is_closing => {
                 is_closing = true;
@@ -344,6 +368,15 @@
     Some(stream)
 }
 
+/// Why serving a connection pauses or ends.
+enum Progress {
+    /// The connection waits for a request.
+    Idle,
+    Ended(hyper::Result<()>),
+    /// A response is being streamed after its request's deadline.
+    TooLate,
+}
+
 /// The time limit that a connection has exceeded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ExceededLimit {
