Own interface: a planned stop ends within a grace period and cuts nothing

The new setting grace_ms (30 s) is the time from SIGTERM until the process ends. From SIGTERM on answers tell callers to close their connections; after 0.45 of it, or once callers have dropped the address, the listening socket is closed and requests on open connections and from other hosts are refused as not run; those that were taken have until 0.9 of it, and their deadlines are limited to that. The process ends when all that was read has been answered. It counts requests from reading to answer, also those that wait for a worker.

--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -267,6 +267,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     pub availability_zone: ::std::string::String,
+    ///Time from SIGTERM within which the process ends, in milliseconds.
+    #[serde(default = "defaults::default_u64::<u32, 30000>")]
+    pub grace_ms: u32,
     ///The host's name in the configuration.
     pub host: ::std::string::String,
     ///Where callers connect, IP:PORT.
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -84,6 +84,10 @@
     pub(crate) fn handle(&self, request: Request) {
         let url = request.url();
         if url.starts_with(SERVICES_PREFIX) {
+            if self.shared.is_refusing() {
+                let reply = Reply::not_run(503, "this host is leaving", Some(RETRY_AFTER));
+                return self.reply(request, reply);
+            }
             return self.enqueue(request);
         }
         let (path, query) = url.split_once('?').unwrap_or((url, ""));
@@ -298,6 +302,7 @@
     let record = catalog.service(service);
     let max_buffered = u64::from(shared.settings.pool.buffer_bytes);
     let deadline = arrived + head.deadline.unwrap_or(record.deadline);
+    let deadline = shared.limit_deadline(deadline);
     request.limit_body(deadline);
     let body = Body::read(request, head.length, max_buffered, record.max_body_bytes)
         .map_err(|error| Reply::not_run(error.status(), &error.to_string(), None))?;
@@ -394,6 +399,9 @@
 /// Validates a relayed request and reads its body.
 fn prepare_relayed(shared: &Shared, incoming: &mut Incoming) -> Result<RequestContext, Outcome> {
     let arrived = Instant::now();
+    if shared.is_refusing() {
+        return Err(Outcome::NotRun(Reason::Leaving));
+    }
     let head = Head::from_open(&incoming.open).map_err(|_| Outcome::NotRun(Reason::BadRequest))?;
     let state = shared.published.get();
     let unknown_service = Outcome::NotRun(Reason::UnknownService);
@@ -411,7 +419,7 @@
         .as_deref()
         .and_then(|text| text.parse().ok());
     let max_buffered = u64::from(shared.settings.pool.buffer_bytes);
-    let deadline = incoming.deadline();
+    let deadline = shared.limit_deadline(incoming.deadline());
     let origin = match head.ticket {
         Some(_) => Origin::TicketRelay,
         None => Origin::Host,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -60,8 +60,14 @@
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// How much longer than the look-up TTL a leaving host serves.
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
-/// Longest time that a leaving host waits for its requests to end.
-const MAX_DRAIN_TIME: Duration = Duration::from_secs(3600);
+/// Part of the grace period in which a leaving host still serves callers.
+const SERVE_FRACTION: f64 = 0.45;
+/// Part of the grace period after which no request is carried any more.
+const END_FRACTION: f64 = 0.9;
+/// Time after that for the answers to be sent.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// How long a leaving host that refuses requests must have had none until it ends.
+const QUIET_BEFORE_STOP: Duration = Duration::from_millis(100);
 /// Time without requests after which a leaving host ends. Longer than the 1 s `Retry-After` of a caller that
 /// was refused elsewhere and returns with this host's ticket.
 const IDLE_BEFORE_STOP: Duration = Duration::from_millis(1500);
@@ -81,6 +87,9 @@
     incarnation: u64,
     ids: AtomicU64,
     in_flight: Arc<AtomicUsize>,
+    is_refusing: AtomicBool,
+    /// When this host ends at the latest, once it is leaving.
+    latest_end: OnceLock<Instant>,
     pub(crate) supervisor: Supervisor,
 }
 
@@ -122,14 +131,37 @@
 
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_in_flight(&self) -> InFlightGuard {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard(self.in_flight.clone())
+        InFlightGuard::new(&self.in_flight)
+    }
+
+    /// Begins to leave: no request is carried beyond `latest`.
+    fn leave(&self, latest: Instant) {
+        let _ = self.latest_end.set(latest);
+        self.core.send(core::Event::Leave);
+    }
+
+    /// Whether requests are refused, as this host is about to end.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.is_refusing.load(Ordering::Relaxed)
+    }
+
+    /// Limits the deadline of a request to the end of this host.
+    pub(crate) fn limit_deadline(&self, deadline: Instant) -> Instant {
+        let latest = self.latest_end.get();
+        latest.map_or(deadline, |latest| deadline.min(*latest))
     }
 }
 
 /// Counts a request as in flight until it is dropped.
 pub(crate) struct InFlightGuard(Arc<AtomicUsize>);
 
+impl InFlightGuard {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
@@ -211,6 +243,8 @@
             incarnation,
             ids: AtomicU64::new(0),
             in_flight: Arc::default(),
+            is_refusing: AtomicBool::new(false),
+            latest_end: OnceLock::new(),
             supervisor: supervisor.clone(),
             settings,
         });
@@ -267,14 +301,35 @@
         self.server.address()
     }
 
-    /// Shuts down gracefully: removes this host from look-ups, serves until callers have dropped its address
-    /// and all requests have ended, then stops. Returns how long that took.
+    /// Shuts down gracefully within the grace period: removes this host from look-ups, and serves until
+    /// callers have dropped its address, each answer closing its connection. Then refuses requests and
+    /// connections, and stops when all requests have been answered. Returns how long that took.
     pub fn drain(self) -> Duration {
         let started = Instant::now();
-        self.shared.core.send(core::Event::Leave);
+        let grace = Duration::from_millis(self.shared.settings.grace_ms.into());
+        let latest = started + grace.mul_f64(END_FRACTION);
+        self.server.leave();
+        self.shared.leave(latest);
+        self.await_idle(started, started + grace.mul_f64(SERVE_FRACTION));
+        self.shared.is_refusing.store(true, Ordering::Relaxed);
+        self.server.close();
+        let mut last_open = Instant::now();
+        while Instant::now() < latest + ANSWER_MARGIN && last_open.elapsed() < QUIET_BEFORE_STOP {
+            thread::sleep(DRAIN_CHECK_INTERVAL);
+            let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
+            if in_flight > 0 || self.server.open_requests() > 0 {
+                last_open = Instant::now();
+            }
+        }
+        self.stop();
+        started.elapsed()
+    }
+
+    /// Waits until callers have dropped this host's address and send nothing any more, at most until
+    /// `latest`.
+    fn await_idle(&self, started: Instant, latest: Instant) {
         let ttl = self.shared.published.get().catalog.limits().lookup_ttl;
         let earliest = started + ttl + LEAVE_MARGIN;
-        let latest = started + MAX_DRAIN_TIME;
         let mut last_active = Instant::now();
         let mut last_id = self.shared.ids.load(Ordering::Relaxed);
         loop {
@@ -287,11 +342,9 @@
             last_id = next_id;
             let is_done = now >= earliest && now >= last_active + IDLE_BEFORE_STOP;
             if is_done || now >= latest {
-                break;
+                return;
             }
         }
-        self.stop();
-        started.elapsed()
     }
 
     /// Stops the host's threads immediately, without draining.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -4,9 +4,11 @@
 //! a time limit and into a buffer of that length; it parses the rest of a chunked body as the next
 //! request.
 
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::ops::Deref;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tiny_http::{Response, StatusCode};
@@ -14,6 +16,7 @@
 use super::pipelining::Turn;
 use super::raw_socket;
 use super::watchdog::{Guard, TimeoutAction, Watchdog};
+use super::InFlightGuard;
 
 /// Bodies up to this size are read by the library before it returns the request, in bytes.
 const READ_AHEAD_BYTES: u64 = 1024;
@@ -38,6 +41,10 @@
     body_guard: Option<Guard>,
     /// When it was read, or none if that may have been long after it had arrived.
     read_at: Option<Instant>,
+    /// Whether the answer tells the caller to close the connection, once that is set.
+    is_leaving: Arc<AtomicBool>,
+    /// Counts the request as unanswered.
+    open: Option<InFlightGuard>,
     // Dropped last: the next request of the connection may be answered only after this one.
     turn: Option<Turn>,
 }
@@ -65,10 +72,24 @@
             watchdog: watchdog.clone(),
             body_guard: None,
             read_at: Some(Instant::now()),
+            is_leaving: Arc::default(),
+            open: None,
             turn: None,
         }
     }
 
+    /// Has the answer close the connection if `is_leaving` is set when it is sent, and counts the
+    /// request until then.
+    pub(crate) fn with_shutdown(
+        mut self,
+        is_leaving: Arc<AtomicBool>,
+        open: InFlightGuard,
+    ) -> Self {
+        self.is_leaving = is_leaving;
+        self.open = Some(open);
+        self
+    }
+
     /// Marks a request that may have arrived long before it was read.
     pub(crate) fn with_late_read(mut self, is_late: bool) -> Self {
         self.read_at = self.read_at.filter(|_| !is_late);
@@ -153,8 +174,18 @@
     }
 
     fn respond_now<R: Read>(&mut self, response: Response<R>) -> io::Result<()> {
-        let inner = self.inner.take();
-        inner.map_or(Ok(()), |inner| inner.respond(response))
+        let Some(inner) = self.inner.take() else {
+            return Ok(());
+        };
+        if !self.is_leaving.load(Ordering::Relaxed) {
+            return inner.respond(response);
+        }
+        let version = inner.http_version().clone();
+        let request_headers = inner.headers().to_vec();
+        let is_head = *inner.method() == tiny_http::Method::Head;
+        let mut writer = ClosingWriter::new(inner.into_writer());
+        response.raw_print(&mut writer, version, &request_headers, is_head, None)?;
+        writer.flush()
     }
 
     /// Whether the caller still waits for `100 Continue` before it sends the body.
@@ -244,6 +275,8 @@
                 watchdog: self.watchdog.clone(),
                 body_guard: None,
                 read_at: self.read_at,
+                is_leaving: self.is_leaving.clone(),
+                open: self.open.take(),
                 turn: self.turn.take(),
             };
             let _ = unanswered.respond(Response::empty(StatusCode(500)));
@@ -251,6 +284,45 @@
     }
 }
 
+/// Adds a header to a response that tells the caller to close the connection: the library doesn't
+/// send it.
+struct ClosingWriter<W> {
+    inner: W,
+    has_added: bool,
+}
+
+impl<W: Write> ClosingWriter<W> {
+    const HEADER: &[u8] = b"Connection: close\r\n";
+
+    fn new(inner: W) -> Self {
+        Self {
+            inner,
+            has_added: false,
+        }
+    }
+}
+
+impl<W: Write> Write for ClosingWriter<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.has_added {
+            return self.inner.write(bytes);
+        }
+        // The status line ends with the first line feed.
+        let line = bytes.iter().position(|byte| *byte == b'\n');
+        let Some(end) = line.map(|position| position + 1) else {
+            return self.inner.write(bytes);
+        };
+        self.inner.write_all(&bytes[..end])?;
+        self.inner.write_all(Self::HEADER)?;
+        self.has_added = true;
+        Ok(end)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
+
 fn framing_of(request: &tiny_http::Request) -> Framing {
     let is_chunked = |header: &tiny_http::Header| header.field.equiv("Transfer-Encoding");
     if request.headers().iter().any(is_chunked) {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -15,18 +15,19 @@
 //!   [`super::request`] prevents both.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{unbounded, Receiver as ChannelReceiver, RecvTimeoutError};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use super::pipelining::ConnectionTable;
 use super::request::Request;
 use super::watchdog::{TimeoutAction, Watchdog};
+use super::InFlightGuard;
 use crate::supervisor::Supervisor;
 
 /// Maximum number of connections waiting to be accepted.
@@ -74,6 +75,12 @@
     /// The flag of the newest server, set when that server is replaced.
     replaced: Mutex<Arc<AtomicBool>>,
     stop: AtomicBool,
+    /// Whether answers tell callers to close their connections.
+    is_leaving: Arc<AtomicBool>,
+    /// Whether no connections are accepted any more.
+    is_closed: AtomicBool,
+    /// Requests that have been read and not been answered yet.
+    open: Arc<AtomicUsize>,
     /// When a pause of this process was last noticed.
     paused_at: Mutex<Option<Instant>>,
     connections: Arc<ConnectionTable>,
@@ -118,6 +125,9 @@
             on_rebuild,
             replaced: Mutex::default(),
             stop: AtomicBool::new(false),
+            is_leaving: Arc::default(),
+            is_closed: AtomicBool::new(false),
+            open: Arc::default(),
             paused_at: Mutex::default(),
             connections: ConnectionTable::new(ready),
             watchdog: Watchdog::new(&supervisor)?,
@@ -143,6 +153,25 @@
         self.inner.address
     }
 
+    /// Has all answers from now on tell callers to close their connections.
+    pub(crate) fn leave(&self) {
+        self.inner.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Accepts no connections any more; those that are open are served on.
+    pub(crate) fn close(&self) {
+        self.inner.is_closed.store(true, Ordering::Relaxed);
+        let socket = SockRef::from(&self.inner.listener);
+        if let Err(error) = socket.shutdown(Shutdown::Read) {
+            spdlog::warn!("http: cannot close the listening socket: {error}");
+        }
+    }
+
+    /// The number of requests that have been read and not been answered yet.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.inner.open.load(Ordering::Relaxed)
+    }
+
     /// Ends the server's threads; requests already passed to the handler continue.
     pub(crate) fn stop(&self) {
         self.inner.stop.store(true, Ordering::Relaxed);
@@ -229,7 +258,7 @@
         let mut unanswered = 0;
         while !inner.stop.load(Ordering::Relaxed) {
             thread::sleep(STOP_CHECK_INTERVAL.min(interval));
-            if Instant::now() < next_probe {
+            if Instant::now() < next_probe || inner.is_closed.load(Ordering::Relaxed) {
                 continue;
             }
             inner.connections.purge(Instant::now());
@@ -291,6 +320,8 @@
                         break;
                     }
                 }
+                // The library accepts nothing any more, and returns the requests of open connections.
+                Err(_) if self.inner.is_closed.load(Ordering::Relaxed) => {}
                 Err(error) => {
                     spdlog::warn!("http: accept failed, building the server anew: {error}");
                     self.replaced.store(true, Ordering::Relaxed);
@@ -308,7 +339,10 @@
         let Some(request) = received else {
             return Ok(Received::Nothing);
         };
-        let request = Request::new(request, &self.inner.watchdog).with_late_read(is_late);
+        let open = InFlightGuard::new(&self.inner.open);
+        let request = Request::new(request, &self.inner.watchdog)
+            .with_late_read(is_late)
+            .with_shutdown(self.inner.is_leaving.clone(), open);
         let admitted = ConnectionTable::admit(&self.inner.connections, request);
         Ok(admitted.map_or(Received::Queued, |request| {
             Received::Request(Box::new(request))
