--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -10,12 +10,13 @@
 use std::time::{Duration, Instant};
 
 use serde::Deserialize;
+use ureq::unversioned::transport::Connector;
 use ureq::Agent;
 
 use super::classify::to_state;
 use super::core::{Event, Handle};
 use super::published::Published;
-use super::Error;
+use super::{stage, Error};
 use crate::catalog::{Catalog, State, Target, TargetKey};
 use crate::literal::LiteralResolver;
 use crate::steer::announcement::RequestedRest;
@@ -66,7 +67,8 @@
         .timeout_global(Some(CHECK_TIMEOUT))
         .max_idle_connections_per_host(1)
         .build();
-    let agent = Agent::with_parts(config, Dialer, LiteralResolver::default());
+    let connector = Dialer.chain(stage::RecordTransport);
+    let agent = Agent::with_parts(config, connector, LiteralResolver::default());
     while !stop.load(Ordering::Relaxed) {
         let started = Instant::now();
         let catalog = published.get().catalog.clone();
@@ -98,6 +100,7 @@
 }
 
 fn check(agent: &Agent, target: &Target) -> (Health, Option<group::State>, RequestedRest) {
+    stage::reset();
     let answer = agent
         .get(format!("http://{}/health", target.address))
         .call();
--- a/src/entry/stage.rs
+++ b/src/entry/stage.rs
@@ -2,9 +2,11 @@
 //!
 //! `ureq` reports the same error for a connection that was closed before and after the request ran.
 //! The socket operations tell these cases apart, so each transport is wrapped and records them in a
-//! thread-local value.
+//! thread-local value. It also limits what is received: `ureq` reads trailers, and what else is not
+//! part of a body, for as long as it comes.
 
 use std::cell::Cell;
+use std::io;
 
 use ureq::unversioned::transport::{Buffers, ConnectionDetails, Connector, NextTimeout, Transport};
 use ureq::Error;
@@ -20,20 +22,35 @@
     pub(crate) written: u64,
     /// Whether any byte was received.
     pub(crate) has_read: bool,
+    /// Bytes that may still be received.
+    allowance: u64,
 }
 
+/// Bytes that may be received before the head of an answer is complete, and beyond its body.
+const MAX_HEAD_BYTES: u64 = 256 << 10;
+
 thread_local! {
     static STAGE: Cell<Stage> = const { Cell::new(Stage {
         is_dialled: false,
         is_connected: false,
         written: 0,
         has_read: false,
+        allowance: 0,
     }) };
 }
 
-/// Resets the stage before a call of this thread.
+/// Resets the stage before a call of this thread, which may receive the head of an answer.
 pub(crate) fn reset() {
-    STAGE.with(|stage| stage.set(Stage::default()));
+    let stage = Stage {
+        allowance: MAX_HEAD_BYTES,
+        ..Stage::default()
+    };
+    STAGE.with(|cell| cell.set(stage));
+}
+
+/// Allows the call to receive a body that takes at most so many bytes.
+pub(crate) fn allow_body(bytes: u64) {
+    update(|stage| stage.allowance = bytes.saturating_add(MAX_HEAD_BYTES));
 }
 
 /// Returns the stage of this thread's last call.
@@ -99,10 +116,17 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        let progress = self.inner.await_input(timeout)?;
-        if progress {
-            update(|stage| stage.has_read = true);
+        if get().allowance == 0 {
+            let error = io::Error::new(io::ErrorKind::InvalidData, "the answer is too long");
+            return Err(error.into());
         }
+        let before = self.inner.buffers().input().len();
+        let progress = self.inner.await_input(timeout)?;
+        let received = self.inner.buffers().input().len().saturating_sub(before) as u64;
+        update(|stage| {
+            stage.has_read |= progress;
+            stage.allowance = stage.allowance.saturating_sub(received);
+        });
         Ok(progress)
     }
 
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -27,6 +27,10 @@
 /// How long an idle connection is kept.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
 
+/// Longest body without a stated length, in bytes, with the encoding of its chunks: several times what
+/// is buffered of it.
+const MAX_CHUNKED_BYTES: u64 = 32 << 20;
+
 /// Which connections a call may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Connection {
@@ -313,12 +317,14 @@
         .filter(|(name, _)| !is_not_forwarded(name.as_str(), &connection))
         .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
         .collect();
+    let length = header("content-length").and_then(|text| text.parse().ok());
+    stage::allow_body(length.unwrap_or(MAX_CHUNKED_BYTES));
     let status = parts.status.as_u16();
     let refused = status == 503 && header(head::OUTCOME).as_deref() == Some("not-run");
     Ok(Answer {
         status,
         headers,
-        length: header("content-length").and_then(|text| text.parse().ok()),
+        length,
         load: header(head::LOAD).and_then(|text| parse_load(&text)),
         state: header(head::STATE),
         rate: Rate::new(
