Own interface: a zone that is full as some of its targets are ejected spills over as in a failover

The target was ejected within 0.1 s; what its zone then had no room for was refused, as moves to other zones counted as planned ones, with a cap of 5 % in 60 s. That cap is for zones that work. The cap for failovers held only for zones that had lost all targets.

A request that its zone refuses as full while some of its targets are ejected now counts as failover, within that cap of the operator.

--- a/src/steer/engine.rs
+++ b/src/steer/engine.rs
@@ -671,6 +671,11 @@
             .is_none_or(|group| group.headroom().slots == 0)
     }
 
+    fn has_ejected_targets(&self, service: ServiceKey) -> bool {
+        let group = self.groups.get(&service);
+        group.is_some_and(|group| group.headroom().ejected > 0.0)
+    }
+
     /// Returns the zone that should serve a request.
     fn home_zone(&mut self, now: Instant, request: &RouteRequest) -> Option<ZoneKey> {
         let Some(controller) = self
@@ -803,9 +808,9 @@
         Verdict::Refused(refusal)
     }
 
-    /// Returns the kind of move that a spill-over counts as. It is failover if the zone is unreachable or
-    /// has lost all targets; targets that the configuration removed, or that only failed for this request,
-    /// make it a planned move.
+    /// Returns the kind of move that a spill-over counts as. It is failover if the zone is unreachable, has
+    /// lost all targets, or is full as some of them are ejected; targets that the configuration removed, or
+    /// that only failed for this request, make it a planned move.
     fn move_kind(&self, request: &RouteRequest, reason: Reason) -> MoveKind {
         let serves = |zone| {
             let site = self.catalog.site(request.service, zone);
@@ -813,6 +818,7 @@
         };
         match reason {
             Reason::Unreachable => MoveKind::Failover,
+            Reason::Crowded if self.has_ejected_targets(request.service) => MoveKind::Failover,
             Reason::NoTarget
                 if self.has_no_slots(request.service) && self.zone.is_some_and(serves) =>
             {
