A slow store: the next watch begins when the store ends the one before

It does not depend on the change: a watch ends after 9 to 15 s, its empty answer takes a slow store d to send, and only then came the next one. A change in between is answered by that one, after 2 d. With a store that never ends a watch, hosts cut the answer that was on its way 3 s later, with the same effect.

On a slow store the next watch begins when the one before is due to end, and otherwise 0.4 s later; both are read. Calls: one a watch time, as before.

--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
 use rand::RngExt;
 
 use super::feed;
@@ -31,6 +33,8 @@
 /// Pause after a change, so that further changes are collected into one call: each call to the
 /// store is charged.
 const BATCH_DELAY: Duration = Duration::from_millis(300);
+/// Watches of one kind at a time: one that the store has ended, and the next one.
+const MAX_WATCHES: usize = 2;
 /// Shortest and longest backoff after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 const MAX_BACKOFF: Duration = Duration::from_millis(1200);
@@ -244,8 +248,12 @@
 /// The copy is updated by changes rather than replaced by a list: a change shows that a target
 /// announced its shutdown before it left, whereas in a list the target is only missing and could
 /// return.
+///
+/// The next watch begins when the store ends the one before, not when the answer to that has arrived:
+/// a change in between would take a slow store the time of two answers.
 async fn watch_kind(host: Rc<Host>, kind: Kind) -> Infallible {
-    let mut client = Client::new(&host);
+    let mut watches = FuturesUnordered::new();
+    let mut next_at = now();
     let mut backoff = Backoff::new();
     let mut is_failing = false;
     loop {
@@ -256,10 +264,17 @@
                 () = host.watch_state.wait_for_renewal(kind) => {}
             }
         }
+        if watches.is_empty() || (watches.len() < MAX_WATCHES && now() >= next_at) {
+            let wait = host.core.borrow_mut().rng.random_range(WATCH_WAIT_S);
+            let wait = duration::from_seconds(wait);
+            next_at = now() + wait + host.watch_state.overlap_delay();
+            watches.push(watch_or_catch_up(&host, kind, wait));
+        }
         let result = tokio::select! {
-            result = watch_or_catch_up(&host, &mut client, kind) => result,
+            Some(result) = watches.next() => result,
+            () = tokio::time::sleep_until(next_at.into()), if watches.len() < MAX_WATCHES => continue,
             () = host.watch_state.wait_for_renewal(kind) => {
-                client = Client::new(&host);
+                watches.clear();
                 continue;
             }
         };
@@ -281,11 +296,10 @@
 }
 
 /// Waits for changes of a kind, or reads all objects if the changes are not available.
-async fn watch_or_catch_up(host: &Rc<Host>, client: &mut Client, kind: Kind) -> Result<(), Error> {
+async fn watch_or_catch_up(host: &Rc<Host>, kind: Kind, wait: Duration) -> Result<(), Error> {
+    let client = &mut Client::new(host);
     let known = host.core.borrow().replica.revision(kind);
     if let Some(revision) = known {
-        let wait = host.core.borrow_mut().rng.random_range(WATCH_WAIT_S);
-        let wait = duration::from_seconds(wait);
         let result = watch_once(host, client, kind, revision, wait).await?;
         host.watch_state.record_watch(kind);
         if result != WatchResult::Unavailable {
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -108,13 +108,25 @@
         self.answer_time.get().limit()
     }
 
+    /// How long after the end of a watch its answer is awaited until the next one begins.
+    pub(super) fn overlap_delay(&self) -> Duration {
+        if self.is_slow() {
+            Duration::ZERO
+        } else {
+            INTERVAL
+        }
+    }
+
+    fn is_slow(&self) -> bool {
+        self.answer_time.get().expected() >= INTERVAL
+    }
+
     /// Records that a poll has shown changes of a kind that its watch has not, and restarts the
     /// watch if it should have shown them by now: a slow store may be about to.
     pub(super) fn renew_if_behind(&self, now: Instant, kind: Kind) {
         let since = *self.behind_since.borrow_mut().entry(kind).or_insert(now);
         let expected = self.answer_time.get().expected();
-        let is_slow = expected >= INTERVAL;
-        if !is_slow || now.saturating_duration_since(since) >= expected * 2 {
+        if !self.is_slow() || now.saturating_duration_since(since) >= expected * 2 {
             self.renew(kind);
         }
     }
