Pings: an attempt to connect counts as unanswered after 0.2 s only

An attempt that began a few milliseconds ago says nothing about the store. Two attempts in progress as a lost store returned moved the moment at which it was last unavailable by up to the interval of the pings, and with it the time for which missing targets are used.

--- a/src/host/dialer.rs
+++ b/src/host/dialer.rs
@@ -31,7 +31,7 @@
 /// Maximum connections that are kept without a call, and how long.
 const MAX_SPARE: usize = 4;
 const SPARE_TIME: Duration = Duration::from_secs(8);
-/// Time from which on a connection that opens counts as late in the log.
+/// Time from which on a connection that opens counts as late.
 const LATE_CONNECTION: Duration = Duration::from_millis(200);
 
 /// What a connection is for.
@@ -146,10 +146,13 @@
         spare.retain(|spare| is_usable(now, spare));
     }
 
-    /// When the newest attempt began that has not opened a connection yet.
-    pub(super) fn unopened_since(&self) -> Option<Instant> {
+    /// When the newest attempt began that should have opened a connection by now.
+    pub(super) fn unopened_since(&self, now: Instant) -> Option<Instant> {
         let attempts = self.attempts.borrow();
-        attempts.values().map(|attempt| attempt.began_at).max()
+        let began = attempts.values().map(|attempt| attempt.began_at);
+        began
+            .filter(|at| now.saturating_duration_since(*at) >= LATE_CONNECTION)
+            .max()
     }
 
     fn pause(&self) -> Duration {
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -347,7 +347,8 @@
     let asked_at = now();
     let is_seen = host.core.borrow().presence.is_store_seen(asked_at);
     let previous = progress.previous.replace((!is_seen).then_some(asked_at));
-    let unopened = host.dialer.unopened_since().filter(|_| !is_seen);
+    let unopened = host.dialer.unopened_since(asked_at);
+    let unopened = unopened.filter(|_| !is_seen);
     let sent = (asked_at, previous.max(unopened));
     if let Err(error) = connected {
         record_unanswered(host, asked_at, &error);
