A late answer shows a slow store only if its poll was sent

A poll that waited for a connection through an outage of up to 3 s is answered once the store is back. It was taken for the late answer of a slow store, and the outage was forgotten: targets whose registrations had expired would be dropped at once.

--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -208,18 +208,20 @@
                 .is_none_or(|at| now.saturating_duration_since(at) >= MAX_REFRESH_INTERVAL)
             || !host.watch_state.is_answering.get()
             || !host.has_current_era();
+        let sent_at = refresher.client.sent_at.clone();
         let result = if is_refresh {
             refreshed_at = Some(now);
             polls_since = 0;
-            let query = await_poll(&host, now, refresher.query(asked_at));
-            let answer = query.await;
+            let query = refresher.query(asked_at);
+            let answer = await_poll(&host, now, &sent_at, query).await;
             refresher.record_answer(&answer);
             match answer {
                 Ok(revision) => refresher.update_copies(asked_at, revision).await,
                 Err(error) => Err(error),
             }
         } else {
-            let answer = await_poll(&host, now, refresher.query_stale()).await;
+            let query = refresher.query_stale();
+            let answer = await_poll(&host, now, &sent_at, query).await;
             refresher.record_answer(&answer);
             answer
         };
@@ -236,10 +238,11 @@
 
 /// Waits for the answer to a poll that was sent at `asked_at`. If it is late, the store counts as
 /// unavailable until it answers. A store that does so after all was only slow, and was there all
-/// the time.
+/// the time since the poll was sent; whether it was there before there was a connection is not known.
 async fn await_poll<T>(
     host: &Rc<Host>,
     asked_at: Instant,
+    sent_at: &Cell<Option<Instant>>,
     query: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
     let mut query = pin!(query);
@@ -259,9 +262,14 @@
             host.dialer.discard_spare();
             host.watch_state.suspend();
             report_reachability(host, Some(&Error::Timeout)).await;
+            let was_sent = sent_at.get().is_some();
             let answer = await_late_answer(host, query).await?;
             host.watch_state.resume();
-            host.core.borrow_mut().presence.forget_outage(asked_at);
+            if was_sent {
+                host.core.borrow_mut().presence.forget_outage(asked_at);
+            } else if let Some(sent_at) = sent_at.get() {
+                record_unanswered(host, sent_at, &Error::Timeout);
+            }
             report_reachability(host, None).await;
             Ok(answer)
         }
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -68,6 +68,8 @@
     pub(crate) era: u64,
     /// How long the store took for the last answer, once there was a connection.
     pub(crate) answer_time: Duration,
+    /// When the last call was sent, once there was a connection.
+    pub(crate) sent_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl Drop for Client {
@@ -84,6 +86,7 @@
             has_skipped: false,
             era: 0,
             answer_time: Duration::ZERO,
+            sent_at: Rc::default(),
         }
     }
 
@@ -119,12 +122,13 @@
         };
         let asked_at = now();
         let idle = self.idle.take();
-        let sent_at = Cell::new(asked_at);
-        let exchange = self.exchange(idle, call, &sent_at);
+        self.sent_at.set(None);
+        let exchange = self.exchange(idle, call);
         let answered = tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await;
         let (idle, (status, era), bytes) = answered.map_err(|_| Error::Timeout)??;
         if wait.is_zero() {
-            self.answer_time = now().saturating_duration_since(sent_at.get());
+            let sent_at = self.sent_at.get().unwrap_or(asked_at);
+            self.answer_time = now().saturating_duration_since(sent_at);
             self.host.metrics.record_store_answer(self.answer_time);
         }
         self.idle = idle;
@@ -163,7 +167,6 @@
         &self,
         idle: Option<TcpStream>,
         call: &Call,
-        sent_at: &Cell<Instant>,
     ) -> Result<(Option<TcpStream>, (StatusCode, u64), Bytes), Error> {
         let purpose = match call {
             Call::Watch { wait, .. } if !wait.is_zero() => Purpose::Watch,
@@ -173,7 +176,7 @@
             Some(stream) => stream,
             None => dialer::connect(&self.host, purpose).await?,
         };
-        sent_at.set(now());
+        self.sent_at.set(Some(now()));
         let mut connection = Connection::new(stream).await?;
         let request = (self.host.platform.store.encode)(call)?.map(full);
         let Ok(response) = connection.send(request).await else {
