The answer time of a poll is that of all its pages

A list of evacuations of many pages took more than 0.7 s in a debug build, and hosts took the store for away at each refresh: since the time for connections is left out, the time of the last page was recorded in place of the whole answer.

--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -108,11 +108,14 @@
         Ok(revision)
     }
 
-    /// Records how long the store took for the answer to a poll, without the time for a connection.
-    fn record_answer<T>(&self, answer: &Result<T, Error>) {
+    /// Records how long the store took for the answer to a poll, all pages of it, without the time for
+    /// a connection.
+    fn record_answer<T>(&self, asked_at: Instant, answer: &Result<T, Error>) {
+        let connect_time = self.client.connect_time.take();
         if answer.is_ok() {
-            let took = self.client.answer_time;
-            self.host.watch_state.record_answer(took);
+            let took = now().saturating_duration_since(asked_at);
+            let answer_time = took.saturating_sub(connect_time);
+            self.host.watch_state.record_answer(answer_time);
         }
     }
 
@@ -214,7 +217,7 @@
             polls_since = 0;
             let query = refresher.query(asked_at);
             let answer = await_poll(&host, now, &sent_at, query).await;
-            refresher.record_answer(&answer);
+            refresher.record_answer(now, &answer);
             match answer {
                 Ok(revision) => refresher.update_copies(asked_at, revision).await,
                 Err(error) => Err(error),
@@ -222,7 +225,7 @@
         } else {
             let query = refresher.query_stale();
             let answer = await_poll(&host, now, &sent_at, query).await;
-            refresher.record_answer(&answer);
+            refresher.record_answer(now, &answer);
             answer
         };
         polls_since += 1;
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -66,8 +66,8 @@
     pub(crate) has_skipped: bool,
     /// The store's era as of the last answer; 0 if the answer did not contain it.
     pub(crate) era: u64,
-    /// How long the store took for the last answer, once there was a connection.
-    pub(crate) answer_time: Duration,
+    /// How long calls have waited for a connection since this was last taken.
+    pub(crate) connect_time: Cell<Duration>,
     /// When the last call was sent, once there was a connection.
     pub(crate) sent_at: Rc<Cell<Option<Instant>>>,
 }
@@ -85,7 +85,7 @@
             idle: None,
             has_skipped: false,
             era: 0,
-            answer_time: Duration::ZERO,
+            connect_time: Cell::default(),
             sent_at: Rc::default(),
         }
     }
@@ -128,8 +128,8 @@
         let (idle, (status, era), bytes) = answered.map_err(|_| Error::Timeout)??;
         if wait.is_zero() {
             let sent_at = self.sent_at.get().unwrap_or(asked_at);
-            self.answer_time = now().saturating_duration_since(sent_at);
-            self.host.metrics.record_store_answer(self.answer_time);
+            let took = now().saturating_duration_since(sent_at);
+            self.host.metrics.record_store_answer(took);
         }
         self.idle = idle;
         self.era = era;
@@ -174,7 +174,13 @@
         };
         let stream = match idle.filter(client::is_reusable) {
             Some(stream) => stream,
-            None => dialer::connect(&self.host, purpose).await?,
+            None => {
+                let began_at = now();
+                let stream = dialer::connect(&self.host, purpose).await?;
+                let took = now().saturating_duration_since(began_at);
+                self.connect_time.set(self.connect_time.get() + took);
+                stream
+            }
         };
         self.sent_at.set(Some(now()));
         let mut connection = Connection::new(stream).await?;
