Polls of the store: one record of when a query had its connection; one wait for the answer to a ping

Reading the change: whether a poll was sent and how long the store took for it were two cells of the client that each call set, one of which had already been wrong for answers of several pages. A refresher now connects before each query and keeps when it did; the client opens its connection in one place. The wait for a ping's answer stood in two functions.

--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -46,6 +46,8 @@
 pub(super) struct Refresher {
     host: Rc<Host>,
     client: Client,
+    /// When the last query had a connection, or none while it waits for one.
+    connected_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl Refresher {
@@ -53,15 +55,23 @@
         Self {
             host: host.clone(),
             client: Client::new(host),
+            connected_at: Rc::default(),
         }
     }
 
+    async fn connect(&mut self) -> Result<(), Error> {
+        self.connected_at.set(None);
+        self.client.connect().await?;
+        self.connected_at.set(Some(now()));
+        Ok(())
+    }
+
     /// Queries the store once, updates the copy and records that it is current. The first answer may
     /// take up to `limit`: a later one may show the store as it was before an outage.
     pub(super) async fn refresh(&mut self, limit: Duration) -> Result<(), Error> {
         let began_at = now();
         let host = self.host.clone();
-        let connected = self.client.connect().await;
+        let connected = self.connect().await;
         connected.inspect_err(|error| record_unanswered(&host, began_at, error))?;
         let asked_at = proof::moment();
         let answer = tokio::time::timeout(limit, self.query(asked_at)).await;
@@ -85,22 +95,13 @@
     /// Checks whether the store responds at all; a stale response suffices. That the answer is late
     /// is recorded, and it counts all the same.
     pub(super) async fn ping(&mut self) -> Result<(), Error> {
-        let asked_at = now();
         let host = self.host.clone();
-        let mut query = pin!(self.query_stale());
-        let limit = host.watch_state.answer_limit();
-        let result = match tokio::time::timeout(limit, &mut query).await {
-            Ok(result) => result,
-            Err(_) => {
-                record_unanswered(&host, asked_at, &Error::Timeout);
-                query.await
-            }
-        };
-        result.inspect_err(|error| record_unanswered(&host, asked_at, error))
+        await_pong(&host, now(), self.query_stale()).await
     }
 
     /// Queries the store's revision, with the evacuated availability zones.
     async fn query(&mut self, asked_at: Moment) -> Result<Revision, Error> {
+        self.connect().await?;
         let host = &self.host;
         let list = sync::list(host, &mut self.client, Kind::Evacuations, Age::Latest);
         let revision = list.await?;
@@ -110,17 +111,16 @@
 
     /// Records how long the store took for the answer to a poll, all pages of it, without the time for
     /// a connection.
-    fn record_answer<T>(&self, asked_at: Instant, answer: &Result<T, Error>) {
-        let connect_time = self.client.connect_time.take();
-        if answer.is_ok() {
-            let took = now().saturating_duration_since(asked_at);
-            let answer_time = took.saturating_sub(connect_time);
-            self.host.watch_state.record_answer(answer_time);
+    fn record_answer<T>(&self, answer: &Result<T, Error>) {
+        if let (Ok(_), Some(at)) = (answer, self.connected_at.get()) {
+            let took = now().saturating_duration_since(at);
+            self.host.watch_state.record_answer(took);
         }
     }
 
     /// Queries anything of the store.
     async fn query_stale(&mut self) -> Result<(), Error> {
+        self.connect().await?;
         let list = sync::read_pages(&mut self.client, Kind::Evacuations, Age::Some);
         list.await.map(|_| ())
     }
@@ -211,21 +211,21 @@
                 .is_none_or(|at| now.saturating_duration_since(at) >= MAX_REFRESH_INTERVAL)
             || !host.watch_state.is_answering.get()
             || !host.has_current_era();
-        let sent_at = refresher.client.sent_at.clone();
+        let connected_at = refresher.connected_at.clone();
         let result = if is_refresh {
             refreshed_at = Some(now);
             polls_since = 0;
             let query = refresher.query(asked_at);
-            let answer = await_poll(&host, now, &sent_at, query).await;
-            refresher.record_answer(now, &answer);
+            let answer = await_poll(&host, now, &connected_at, query).await;
+            refresher.record_answer(&answer);
             match answer {
                 Ok(revision) => refresher.update_copies(asked_at, revision).await,
                 Err(error) => Err(error),
             }
         } else {
             let query = refresher.query_stale();
-            let answer = await_poll(&host, now, &sent_at, query).await;
-            refresher.record_answer(now, &answer);
+            let answer = await_poll(&host, now, &connected_at, query).await;
+            refresher.record_answer(&answer);
             answer
         };
         polls_since += 1;
@@ -245,7 +245,7 @@
 async fn await_poll<T>(
     host: &Rc<Host>,
     asked_at: Instant,
-    sent_at: &Cell<Option<Instant>>,
+    connected_at: &Cell<Option<Instant>>,
     query: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
     let mut query = pin!(query);
@@ -265,13 +265,13 @@
             host.dialer.discard_spare();
             host.watch_state.suspend();
             report_reachability(host, Some(&Error::Timeout)).await;
-            let was_sent = sent_at.get().is_some();
+            let was_sent = connected_at.get().is_some();
             let answer = await_late_answer(host, query).await?;
             host.watch_state.resume();
             if was_sent {
                 host.core.borrow_mut().presence.forget_outage(asked_at);
-            } else if let Some(sent_at) = sent_at.get() {
-                record_unanswered(host, sent_at, &Error::Timeout);
+            } else if let Some(at) = connected_at.get() {
+                record_unanswered(host, at, &Error::Timeout);
             }
             report_reachability(host, None).await;
             Ok(answer)
@@ -353,7 +353,7 @@
 ) -> ((Instant, Option<Instant>), Result<(), Error>) {
     progress.is_connecting.set(true);
     let mut refresher = Refresher::new(host);
-    let connected = refresher.client.connect().await;
+    let connected = refresher.connect().await;
     progress.is_connecting.set(false);
     let asked_at = now();
     let is_seen = host.core.borrow().presence.is_store_seen(asked_at);
@@ -366,10 +366,21 @@
         return (sent, Err(error));
     }
     // A connection on which the answer is late is of use to the next call.
-    let (sender, mut answer) = oneshot::channel();
+    let (sender, answer) = oneshot::channel();
     task::spawn(host, "store-ping", async move {
         let _ = sender.send(refresher.query_stale().await);
     });
+    let answer = async { answer.await.unwrap_or(Err(Error::Broken)) };
+    (sent, await_pong(host, asked_at, answer).await)
+}
+
+/// Waits for the answer to a ping that was sent at `asked_at`, and records if it is late or missing.
+async fn await_pong(
+    host: &Host,
+    asked_at: Instant,
+    answer: impl Future<Output = Result<(), Error>>,
+) -> Result<(), Error> {
+    let mut answer = pin!(answer);
     let limit = host.watch_state.answer_limit();
     let result = match tokio::time::timeout(limit, &mut answer).await {
         Ok(result) => result,
@@ -378,9 +389,7 @@
             answer.await
         }
     };
-    let result = result.unwrap_or(Err(Error::Broken));
-    let result = result.inspect_err(|error| record_unanswered(host, asked_at, error));
-    (sent, result)
+    result.inspect_err(|error| record_unanswered(host, asked_at, error))
 }
 
 /// Records whether the store responded to all queries.
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -1,8 +1,7 @@
 //! Client for the platform's store.
 
-use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -66,10 +65,6 @@
     pub(crate) has_skipped: bool,
     /// The store's era as of the last answer; 0 if the answer did not contain it.
     pub(crate) era: u64,
-    /// How long calls have waited for a connection since this was last taken.
-    pub(crate) connect_time: Cell<Duration>,
-    /// When the last call was sent, once there was a connection.
-    pub(crate) sent_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl Drop for Client {
@@ -85,21 +80,29 @@
             idle: None,
             has_skipped: false,
             era: 0,
-            connect_time: Cell::default(),
-            sent_at: Rc::default(),
         }
     }
 
     /// Waits for a connection for the next call.
     pub(crate) async fn connect(&mut self) -> Result<(), Error> {
-        if !self.idle.as_ref().is_some_and(client::is_reusable) {
-            let connecting = dialer::connect(&self.host, Purpose::Query);
-            let connected = tokio::time::timeout(CALL_TIMEOUT, connecting).await;
-            self.idle = Some(connected.map_err(|_| client::Error::Timeout)??);
-        }
+        let idle = self.idle.take();
+        let opening = self.open(idle, Purpose::Query);
+        let opened = tokio::time::timeout(CALL_TIMEOUT, opening).await;
+        self.idle = Some(opened.map_err(|_| client::Error::Timeout)??);
         Ok(())
     }
 
+    async fn open(
+        &self,
+        idle: Option<TcpStream>,
+        purpose: Purpose,
+    ) -> Result<TcpStream, client::Error> {
+        match idle.filter(client::is_reusable) {
+            Some(stream) => Ok(stream),
+            None => dialer::connect(&self.host, purpose).await,
+        }
+    }
+
     /// Leaves the connection of the last call to other calls.
     pub(crate) fn release(&mut self) {
         if let Some(stream) = self.idle.take() {
@@ -120,14 +123,20 @@
             Call::Watch { wait, .. } => *wait,
             _ => Duration::ZERO,
         };
+        let purpose = if wait.is_zero() {
+            Purpose::Query
+        } else {
+            Purpose::Watch
+        };
         let asked_at = now();
         let idle = self.idle.take();
-        self.sent_at.set(None);
-        let exchange = self.exchange(idle, call);
+        let exchange = async {
+            let stream = self.open(idle, purpose).await?;
+            Ok::<_, Error>((now(), self.exchange(stream, call).await?))
+        };
         let answered = tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await;
-        let (idle, (status, era), bytes) = answered.map_err(|_| Error::Timeout)??;
+        let (sent_at, (idle, (status, era), bytes)) = answered.map_err(|_| Error::Timeout)??;
         if wait.is_zero() {
-            let sent_at = self.sent_at.get().unwrap_or(asked_at);
             let took = now().saturating_duration_since(sent_at);
             self.host.metrics.record_store_answer(took);
         }
@@ -165,24 +174,9 @@
 
     async fn exchange(
         &self,
-        idle: Option<TcpStream>,
+        stream: TcpStream,
         call: &Call,
     ) -> Result<(Option<TcpStream>, (StatusCode, u64), Bytes), Error> {
-        let purpose = match call {
-            Call::Watch { wait, .. } if !wait.is_zero() => Purpose::Watch,
-            _ => Purpose::Query,
-        };
-        let stream = match idle.filter(client::is_reusable) {
-            Some(stream) => stream,
-            None => {
-                let began_at = now();
-                let stream = dialer::connect(&self.host, purpose).await?;
-                let took = now().saturating_duration_since(began_at);
-                self.connect_time.set(self.connect_time.get() + took);
-                stream
-            }
-        };
-        self.sent_at.set(Some(now()));
         let mut connection = Connection::new(stream).await?;
         let request = (self.host.platform.store.encode)(call)?.map(full);
         let Ok(response) = connection.send(request).await else {
