Tests: connections that open late behind the shared link, not a proxy of their own

The stand-in of links had the same mechanism for lost SYNs, resets and counts. It accepts connections late now; standin/tests/link.rs has a case of it.

--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -18,7 +18,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -68,6 +68,9 @@
     Refuse,
     /// Attempts to connect get no reply.
     Ignore,
+    /// They are connected to the far end one after the other, each after so many milliseconds. Attempts of others to connect get
+    /// no reply.
+    Late(u32),
     /// They are accepted and reset.
     Reset,
 }
@@ -186,6 +189,8 @@
     shared: Arc<Shared>,
     source_paths: SourcePaths,
     listener: Listener,
+    /// Number of connections that were accepted so far.
+    accepted: Arc<AtomicU64>,
     control: Option<Server>,
 }
 
@@ -195,9 +200,10 @@
         let shared = Arc::new(Shared::new(far_address));
         let source_paths = SourcePaths::default();
         let (inner, inner_paths) = (Arc::clone(&shared), Arc::clone(&source_paths));
-        let mut last_id = 0;
+        let accepted = Arc::<AtomicU64>::default();
+        let last_id = Arc::clone(&accepted);
         let listener = Listener::new(listen, move |stream| {
-            last_id += 1;
+            let last_id = last_id.fetch_add(1, Ordering::Relaxed) + 1;
             let path = stream.peer_addr().ok();
             let path = path.and_then(|from| lock(&inner_paths).get(&from.ip()).cloned());
             start_connection(path.as_ref().unwrap_or(&inner), last_id, stream);
@@ -209,6 +215,7 @@
             shared,
             source_paths,
             listener,
+            accepted,
             control: None,
         })
     }
@@ -255,7 +262,7 @@
     }
 
     /// Replaces the faults of connections from `source`, to which the link's own faults no longer
-    /// apply. [`Accept::Refuse`] and [`Accept::Ignore`] have no effect here, since the listener is
+    /// apply. [`Accept::Refuse`], [`Accept::Ignore`] and [`Accept::Late`] have no effect here, since the listener is
     /// shared; [`Accept::Reset`] has.
     pub fn set_fault_from(&self, source: IpAddr, fault: Fault) {
         let mut paths = lock(&self.source_paths);
@@ -265,6 +272,11 @@
         path.set_fault(fault);
     }
 
+    /// Number of connections that were accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
     /// Bytes forwarded so far in each direction, forth and back, without those of sources that have
     /// their own faults.
     pub fn bytes(&self) -> [u64; 2] {
@@ -339,6 +351,7 @@
         let listener_state = match state.fault.accept {
             Accept::Ignore => ListenerState::Unreachable,
             Accept::Refuse => ListenerState::Closed,
+            Accept::Late(pause_ms) => ListenerState::Late(Duration::from_millis(pause_ms.into())),
             _ if state.far_refuses => ListenerState::Closed,
             _ => ListenerState::Open,
         };
--- a/standin/src/listen.rs
+++ b/standin/src/listen.rs
@@ -30,12 +30,37 @@
     Open,
     /// Connections are refused by the kernel.
     Closed,
+    /// Connections are accepted one after the other, each after a pause. The kernel ignores the attempts of
+    /// others to connect.
+    Late(Duration),
     /// The kernel ignores attempts to connect, as if the listener were unreachable.
     Unreachable,
     /// The listener has ended and can't be opened again.
     Stopped,
 }
 
+impl ListenerState {
+    fn is_listening(self) -> bool {
+        matches!(self, Self::Open | Self::Late(_))
+    }
+
+    /// The number of connections that wait to be accepted; with 0 the kernel keeps the shortest queue.
+    fn backlog(self) -> i32 {
+        match self {
+            Self::Late(_) => 0,
+            _ => BACKLOG,
+        }
+    }
+
+    /// The pause before a connection is accepted.
+    fn pause(self) -> Option<Duration> {
+        match self {
+            Self::Late(pause) => Some(pause),
+            _ => None,
+        }
+    }
+}
+
 struct State {
     status: ListenerState,
     listener: Option<Arc<TcpListener>>,
@@ -71,7 +96,7 @@
         let address = address
             .as_socket()
             .ok_or_else(|| listen_error(io::Error::other("not an IP address")))?;
-        let first = listen(&runtime, address).map_err(listen_error)?;
+        let first = listen(&runtime, address, BACKLOG).map_err(listen_error)?;
         let shared = Arc::new(Shared {
             state: Mutex::new(State {
                 status: ListenerState::Open,
@@ -112,14 +137,18 @@
 
 fn set_state(shared: &Shared, status: ListenerState) {
     let mut state = lock(&shared.state);
-    if state.status == ListenerState::Stopped {
+    // Opening a listener anew would refuse connections for a moment.
+    if state.status == ListenerState::Stopped || state.status == status {
         return;
     }
     state.status = status;
     state.full_queue = None;
-    if status == ListenerState::Open {
-        if state.listener.is_none() {
-            state.listener = shared.listen();
+    if status.is_listening() {
+        match &state.listener {
+            Some(listener) => {
+                let _ = SockRef::from(&**listener).listen(status.backlog());
+            }
+            None => state.listener = shared.listen(status),
         }
     } else if let Some(listener) = state.listener.take() {
         // Closes the listening socket at once and wakes the accepting task.
@@ -138,11 +167,11 @@
     Ok(socket)
 }
 
-fn listen(runtime: &Handle, address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(runtime: &Handle, address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     let socket = bind(address)?;
     socket.set_tcp_nodelay(true)?;
     socket.set_nonblocking(true)?;
-    socket.listen(BACKLOG)?;
+    socket.listen(backlog)?;
     let _guard = runtime.enter();
     TcpListener::from_std(socket.into())
 }
@@ -164,32 +193,44 @@
 }
 
 impl Shared {
-    fn listen(&self) -> Option<Arc<TcpListener>> {
-        listen(&self.runtime, self.address).ok().map(Arc::new)
+    fn listen(&self, status: ListenerState) -> Option<Arc<TcpListener>> {
+        let listener = listen(&self.runtime, self.address, status.backlog());
+        listener.ok().map(Arc::new)
     }
 
-    /// The listening socket; opens one if the listener is open and has none. None if that fails.
-    fn listener(&self) -> Option<Arc<TcpListener>> {
+    /// The listening socket and the pause before the next connection; opens a socket if the listener is open and has none.
+    /// None if that fails.
+    fn listener(&self) -> Option<(Arc<TcpListener>, Option<Duration>)> {
         let state = &mut *lock(&self.state);
-        if state.status == ListenerState::Open && state.listener.is_none() {
-            state.listener = self.listen();
+        if state.status.is_listening() && state.listener.is_none() {
+            state.listener = self.listen(state.status);
         }
-        state.listener.clone()
+        let listener = state.listener.clone()?;
+        Some((listener, state.status.pause()))
     }
 }
 
 /// Accepts connections until the task is aborted.
 async fn accept_connections(shared: Arc<Shared>, mut accept: impl FnMut(TcpStream)) {
     loop {
-        let Some(listener) = shared.listener() else {
-            let changed = shared.changed.notified();
+        let changed = shared.changed.notified();
+        let Some((listener, pause)) = shared.listener() else {
             // A closed listener waits to be opened. An open one could not bind the port and tries again after the pause.
             let _ = tokio::time::timeout(RETRY_PAUSE * 10, changed).await;
             continue;
         };
-        match listener.accept().await {
-            Ok((stream, _)) => accept(stream),
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        let accepted = async {
+            if let Some(pause) = pause {
+                tokio::time::sleep(pause).await;
+            }
+            listener.accept().await
+        };
+        tokio::select! {
+            result = accepted => match result {
+                Ok((stream, _)) => accept(stream),
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            },
+            () = changed => {}
         }
     }
 }
--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -149,6 +149,16 @@
         let accepted = TcpStream::connect_timeout(&link.address(), Duration::from_secs(5));
         assert!(accepted.is_ok());
     };
+    new_connections_are_accepted_late_one_after_the_other: |link: &Link| {
+        link.set_fault(Fault { accept: Accept::Late(700), ..Fault::default() });
+        let connect = || TcpStream::connect_timeout(&link.address(), Duration::from_millis(300));
+        let opened: Vec<_> = (0..6).map(|_| connect()).filter_map(Result::ok).collect();
+        assert!((1..6).contains(&opened.len()), "{}", opened.len());
+        thread::sleep(Duration::from_millis(1000));
+        assert!((1..4).contains(&link.accepted()), "{}", link.accepted());
+        link.set_fault(Fault::default());
+        assert!(TcpStream::connect_timeout(&link.address(), Duration::from_secs(5)).is_ok());
+    };
     new_connections_are_refused_or_reset: |link: &Link| {
         link.set_fault(Fault { accept: Accept::Refuse, ..Fault::default() });
         let refused = TcpStream::connect(link.address()).unwrap_err();
