Pings that were due while one waits for its connection are left out

Cause: while a ping waits for its connection no other is begun, and the interval made up for all ticks that were missed meanwhile.

--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -15,6 +15,7 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::StreamExt;
 use tokio::sync::oneshot;
+use tokio::time::MissedTickBehavior;
 
 use super::log::Event;
 use super::store::{Client, Error};
@@ -310,6 +311,8 @@
     let progress = Progress::default();
     let mut pings = FuturesUnordered::new();
     let mut interval = tokio::time::interval(PING_INTERVAL);
+    // Pings that were due while one waited for its connection are left out.
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     // When the newest ping that was answered was sent, and the one before it.
     let mut answered = None;
     let mut collect_until = None;
