A watch's time runs from when it has its connection

Seen: on a store that opens connections late, hosts opened one or two connections more and sent further watches beside those that had just begun. Cause: the end of a watch was counted from the call, which may have waited for its connection for seconds. So the next one began before the store had ended it, and it was given up 3 s after that end, although the store still held it.

--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -83,11 +83,21 @@
         }
     }
 
-    /// Waits for a connection for the next call.
+    /// Waits for a connection for the next query.
     pub(crate) async fn connect(&mut self) -> Result<(), Error> {
+        self.connect_within(CALL_TIMEOUT, Purpose::Query).await
+    }
+
+    /// Waits for a connection for the next watch, which may take as long as the watch itself.
+    pub(crate) async fn connect_watch(&mut self, wait: Duration) -> Result<(), Error> {
+        let limit = CALL_TIMEOUT + wait;
+        self.connect_within(limit, Purpose::Watch).await
+    }
+
+    async fn connect_within(&mut self, limit: Duration, purpose: Purpose) -> Result<(), Error> {
         let idle = self.idle.take();
-        let opening = self.open(idle, Purpose::Query);
-        let opened = tokio::time::timeout(CALL_TIMEOUT, opening).await;
+        let opening = self.open(idle, purpose);
+        let opened = tokio::time::timeout(limit, opening).await;
         self.idle = Some(opened.map_err(|_| client::Error::Timeout)??);
         Ok(())
     }
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the copy of the platform's store current, by watching the store or by following the feed
 //! of another host that does.
 
+use std::cell::Cell;
 use std::cmp::Ordering;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -252,8 +253,11 @@
 /// The next watch begins when the store ends the one before, not when the answer to that has arrived:
 /// a change in between would take a slow store the time of two answers.
 async fn watch_kind(host: Rc<Host>, kind: Kind) -> Infallible {
+    // When the newest watch was sent, or began to wait for its connection.
+    let sent_at = Cell::new(now());
+    let next_at = |wait: Duration| sent_at.get() + wait + host.watch_state.overlap_delay();
+    let mut wait = Duration::ZERO;
     let mut watches = FuturesUnordered::new();
-    let mut next_at = now();
     let mut backoff = Backoff::new();
     let mut is_failing = false;
     loop {
@@ -264,15 +268,15 @@
                 () = host.watch_state.wait_for_renewal(kind) => {}
             }
         }
-        if watches.is_empty() || (watches.len() < MAX_WATCHES && now() >= next_at) {
-            let wait = host.core.borrow_mut().rng.random_range(WATCH_WAIT_S);
-            let wait = duration::from_seconds(wait);
-            next_at = now() + wait + host.watch_state.overlap_delay();
-            watches.push(watch_or_catch_up(&host, kind, wait));
+        if watches.is_empty() || (watches.len() < MAX_WATCHES && now() >= next_at(wait)) {
+            let seconds = host.core.borrow_mut().rng.random_range(WATCH_WAIT_S);
+            wait = duration::from_seconds(seconds);
+            sent_at.set(now());
+            watches.push(watch_or_catch_up(&host, kind, wait, &sent_at));
         }
         let result = tokio::select! {
             Some(result) = watches.next() => result,
-            () = tokio::time::sleep_until(next_at.into()), if watches.len() < MAX_WATCHES => continue,
+            () = tokio::time::sleep_until(next_at(wait).into()), if watches.len() < MAX_WATCHES => continue,
             () = host.watch_state.wait_for_renewal(kind) => {
                 watches.clear();
                 continue;
@@ -296,8 +300,19 @@
 }
 
 /// Waits for changes of a kind, or reads all objects if the changes are not available.
-async fn watch_or_catch_up(host: &Rc<Host>, kind: Kind, wait: Duration) -> Result<(), Error> {
+async fn watch_or_catch_up(
+    host: &Rc<Host>,
+    kind: Kind,
+    wait: Duration,
+    sent_at: &Cell<Instant>,
+) -> Result<(), Error> {
     let client = &mut Client::new(host);
+    let is_known = host.core.borrow().replica.revision(kind).is_some();
+    if is_known {
+        client.connect_watch(wait).await?;
+        sent_at.set(now());
+    }
+    // The copy may have changed meanwhile.
     let known = host.core.borrow().replica.revision(kind);
     if let Some(revision) = known {
         let result = watch_once(host, client, kind, revision, wait).await?;
