Tests: the look-up TTL of a planned stop is read, not inserted

The index of a mutable JSON object inserts what it lacks, so the check wrote a null into the configuration that it read. As strict: the key must be absent.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use cluster::TestCluster;
-use serde_json::{json, Value};
+use serde_json::json;
 
 const LEAVING: &str = "ent-lima-a-1";
 /// Time from SIGTERM within which the process has to end.
@@ -217,8 +217,9 @@
 #[test]
 fn an_idle_host_does_not_wait_for_the_end_of_its_grace_period() {
     let mut cluster = start_cluster(Duration::from_secs(60));
-    let ttl = &mut cluster.configuration["limits"]["lookup_ttl_ms"];
-    assert_eq!(*ttl, Value::Null);
+    // Nor for a look-up TTL of its own.
+    let ttl = cluster.configuration.pointer("/limits/lookup_ttl_ms");
+    assert_eq!(ttl, None);
     let told_at = Instant::now();
     cluster.hosts[LEAVING].signal("TERM");
     assert_eq!(cluster.hosts.get_mut(LEAVING).unwrap().wait(), Some(0));
