A query that is given up still ends, and leaves its connection to the next call

Cause: hosts that do not watch a lost store query it now and then, and gave such a query up 0.7 s after it had its connection, with the connection. The store began to read it up to 1.5 s after it had opened, so each of these queries used up the one connection of 1.5 s for nothing. Pings that are late kept theirs already. Why it holds: a query ends in a task of its own, after 3 s at the most. What it shows is not used if the call was given up; its connection is. Applies to all queries, so the one case for pings is gone.

--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -14,14 +14,13 @@
 
 use futures_util::stream::FuturesUnordered;
 use futures_util::StreamExt;
-use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
 use super::log::Event;
 use super::store::{Client, Error};
 use super::sync::{self, WatchResult};
 use super::watcher::WATCHED_KINDS;
-use super::{datagram, now, proof, task, Host};
+use super::{datagram, now, proof, Host};
 use crate::control::freshness::{ANSWER_TIMEOUT, INTERVAL};
 use crate::control::proof::Moment;
 use crate::control::revision::Revision;
@@ -368,12 +367,7 @@
         record_unanswered(host, asked_at, &error);
         return (sent, Err(error));
     }
-    // A connection on which the answer is late is of use to the next call.
-    let (sender, answer) = oneshot::channel();
-    task::spawn(host, "store-ping", async move {
-        let _ = sender.send(refresher.query_stale().await);
-    });
-    let answer = async { answer.await.unwrap_or(Err(Error::Broken)) };
+    let answer = refresher.query_stale();
     (sent, await_pong(host, asked_at, answer).await)
 }
 
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -7,12 +7,13 @@
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
 use super::body::full;
 use super::client::{self, Connection};
 use super::dialer::{self, Purpose};
 use super::log::Event;
-use super::{now, Host};
+use super::{now, task, Host};
 use crate::port::{Call, Malformed, Reply};
 
 /// Timeout of a call, in addition to the time that a watch asks the store to wait.
@@ -142,7 +143,12 @@
         let idle = self.idle.take();
         let exchange = async {
             let stream = self.open(idle, purpose).await?;
-            Ok::<_, Error>((now(), self.exchange(stream, call).await?))
+            let sent_at = now();
+            let answer = match purpose {
+                Purpose::Query => self.query(stream, call).await?,
+                Purpose::Watch => exchange(&self.host, stream, call).await?,
+            };
+            Ok::<_, Error>((sent_at, answer))
         };
         let answered = tokio::time::timeout(CALL_TIMEOUT + wait, exchange).await;
         let (sent_at, (idle, (status, era), bytes)) = answered.map_err(|_| Error::Timeout)??;
@@ -182,21 +188,36 @@
         logged_faults.insert(error);
     }
 
-    async fn exchange(
-        &self,
-        stream: TcpStream,
-        call: &Call,
-    ) -> Result<(Option<TcpStream>, (StatusCode, u64), Bytes), Error> {
-        let mut connection = Connection::new(stream).await?;
-        let request = (self.host.platform.store.encode)(call)?.map(full);
-        let Ok(response) = connection.send(request).await else {
-            return Err(client::Error::Unanswered.into());
-        };
-        let status = response.status();
-        let era = (self.host.platform.store.era)(response.headers()).unwrap_or_default();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-        let bytes = connection.read(body).await.map_err(|_| Error::Broken)?;
-        let bytes = bytes.to_bytes();
-        Ok((connection.release().await, (status, era), bytes))
+    /// Makes a query. One that is given up still ends, so that its connection serves the next call:
+    /// to open another one may take longer than the answer does.
+    async fn query(&self, stream: TcpStream, call: &Call) -> Result<Answer, Error> {
+        let (sender, answer) = oneshot::channel();
+        let (host, call) = (self.host.clone(), call.clone());
+        task::spawn(&self.host, "store-query", async move {
+            let exchange = exchange(&host, stream, &call);
+            let answer = tokio::time::timeout(CALL_TIMEOUT, exchange).await;
+            let unused = sender.send(answer.unwrap_or(Err(Error::Timeout)));
+            if let Err(Ok((Some(stream), ..))) = unused {
+                host.dialer.put(stream);
+            }
+        });
+        answer.await.unwrap_or(Err(Error::Broken))
     }
 }
+
+/// The connection, if it can be reused, with the status, the store's era and the body of an answer.
+type Answer = (Option<TcpStream>, (StatusCode, u64), Bytes);
+
+async fn exchange(host: &Host, stream: TcpStream, call: &Call) -> Result<Answer, Error> {
+    let mut connection = Connection::new(stream).await?;
+    let request = (host.platform.store.encode)(call)?.map(full);
+    let Ok(response) = connection.send(request).await else {
+        return Err(client::Error::Unanswered.into());
+    };
+    let status = response.status();
+    let era = (host.platform.store.era)(response.headers()).unwrap_or_default();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+    let bytes = connection.read(body).await.map_err(|_| Error::Broken)?;
+    let bytes = bytes.to_bytes();
+    Ok((connection.release().await, (status, era), bytes))
+}
