While polls have no connection to the store, watches leave it to them

Cause: a watch that was the first to have a connection kept it without an answer, so its host still took the store for lost; once it was answered, at the removal, the next watch took the connection again, and the poll went on waiting. The removal counted as a part of the outage, and the host told nobody that the store was there. Evidence: in all failed runs that were read, a host had the change 2 ms after it, and called itself stale until 4.6 to 4.9 s, when another one had an answer. Why it holds: from the loss until a poll is answered, watches take no connection; polls find all changes on one. A watch that has a connection keeps it.

--- a/src/host/dialer.rs
+++ b/src/host/dialer.rs
@@ -66,6 +66,8 @@
     waiting: Cell<usize>,
     /// Those among them that are queries.
     waiting_queries: Cell<usize>,
+    /// Whether watches leave all connections to queries.
+    is_reserved: Cell<bool>,
     /// Number of attempts that the network has rejected, and why the last one was.
     rejected: Cell<u64>,
     rejection: Cell<Option<io::ErrorKind>>,
@@ -107,7 +109,8 @@
 impl Dialer {
     /// Takes a connection that no call uses.
     pub(super) fn take(&self, purpose: Purpose) -> Option<TcpStream> {
-        if purpose == Purpose::Watch && self.waiting_queries.get() > 0 {
+        let is_for_queries = self.is_reserved.get() || self.waiting_queries.get() > 0;
+        if purpose == Purpose::Watch && is_for_queries {
             return None;
         }
         let now = now();
@@ -135,6 +138,19 @@
         self.changed.notify_waiters();
     }
 
+    /// Leaves all connections to queries until one is answered: a single connection is enough for
+    /// polls to find all changes, whereas a watch may show nothing for long.
+    pub(super) fn reserve_for_queries(&self) {
+        self.is_reserved.set(true);
+    }
+
+    /// Leaves connections to watches again.
+    pub(super) fn end_reservation(&self) {
+        if self.is_reserved.replace(false) {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Closes the connections that no call uses: they may be dead.
     pub(super) fn discard_spare(&self) {
         self.spare.borrow_mut().clear();
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -197,6 +197,7 @@
 pub(super) async fn run(host: Rc<Host>) -> Infallible {
     let mut refresher = Refresher::new(&host);
     refresher.client.reserve();
+    host.dialer.end_reservation();
     if host.watch_state.is_answering.get() {
         tokio::time::sleep(INTERVAL).await;
     }
@@ -254,6 +255,9 @@
         Ok(Err(error)) if error.is_outage() => {
             record_unanswered(host, asked_at, &error);
             host.dialer.discard_spare();
+            if error.is_unanswered() {
+                host.dialer.reserve_for_queries();
+            }
             host.watch_state.clear_evidence();
             report_reachability(host, Some(&error)).await;
             await_return(host).await;
@@ -264,8 +268,11 @@
             record_unanswered(host, asked_at, &Error::Timeout);
             host.dialer.discard_spare();
             host.watch_state.suspend();
-            report_reachability(host, Some(&Error::Timeout)).await;
             let was_sent = connected_at.get().is_some();
+            if !was_sent {
+                host.dialer.reserve_for_queries();
+            }
+            report_reachability(host, Some(&Error::Timeout)).await;
             let answer = await_late_answer(host, query).await?;
             host.watch_state.resume();
             if was_sent {
@@ -394,6 +401,9 @@
     if result.is_err() {
         host.watch_state.clear_evidence();
     }
+    if !matches!(&result, Err(error) if error.is_unanswered()) {
+        host.dialer.end_reservation();
+    }
     let was_answering = host.watch_state.is_answering.get();
     report_reachability(host, result.as_ref().err()).await;
     if result.is_ok() && !was_answering {
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -56,6 +56,11 @@
             Self::Limited | Self::Malformed(_) | Self::Unexpected | Self::Superseded => false,
         }
     }
+
+    /// Whether there was no answer at all.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        matches!(self, Self::Connect(_) | Self::Broken | Self::Timeout)
+    }
 }
 
 /// A client for the store that connects on demand.
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -293,6 +293,9 @@
                 if !std::mem::replace(&mut is_failing, true) {
                     log::kind_changed(kind, Some(&error));
                 }
+                if error.is_unanswered() {
+                    host.dialer.reserve_for_queries();
+                }
                 backoff.wait(&host).await;
             }
         }
