A poll that falls in the pause of a watch is a ping, and the query for changes the next one

Cause: a watch that was answered pauses for 0.3 s, so that changes collect. A full poll in that time finds changes that the watch was about to show, reads them with a query of its own, and restarts the watch. Since connections are kept, the watches begin a round trip sooner, and meet the polls more often. Why it holds: the poll is made all the same, so a silent store is noticed as before; the query for changes is put off by one poll at the most.

--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -473,6 +473,8 @@
         return Ok(WatchResult::Unchanged);
     }
     if !wait.is_zero() {
+        host.watch_state
+            .record_collecting(kind, now() + BATCH_DELAY);
         tokio::time::sleep(BATCH_DELAY).await;
     }
     Ok(WatchResult::Applied)
