A registration that is given up is not sent on

Cause: calls that write went the same way as queries, so one that was given up could still reach the store up to 3 s later, and bring a host's registration back. Why it holds: only lists and queries for changes end in a task of their own.

--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -149,9 +149,12 @@
         let exchange = async {
             let stream = self.open(idle, purpose).await?;
             let sent_at = now();
-            let answer = match purpose {
-                Purpose::Query => self.query(stream, call).await?,
-                Purpose::Watch => exchange(&self.host, stream, call).await?,
+            let answer = match call {
+                Call::List { .. } | Call::Watch { .. } if purpose == Purpose::Query => {
+                    self.query(stream, call).await?
+                }
+                // A write that is given up must not be made afterwards.
+                _ => exchange(&self.host, stream, call).await?,
             };
             Ok::<_, Error>((sent_at, answer))
         };
