--- a/src/host/dialer.rs
+++ b/src/host/dialer.rs
@@ -186,13 +186,12 @@
     if let Some(stream) = dialer.take(purpose) {
         return Ok(stream);
     }
-    let waiter = Waiter::new(dialer, purpose);
+    let _waiter = Waiter::new(dialer, purpose);
     let rejected = dialer.rejected.get();
     loop {
         let mut changed = pin!(dialer.changed.notified());
         changed.as_mut().enable();
         if let Some(stream) = dialer.take(purpose) {
-            drop(waiter);
             return Ok(stream);
         }
         if dialer.rejected.get() != rejected {
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -206,10 +206,10 @@
     loop {
         let asked_at = proof::moment();
         let now = asked_at.runtime_clock();
-        // The watches will show what has changed meanwhile without a query of their own.
-        let is_collecting = polls_since == REFRESH_EVERY && host.watch_state.is_collecting(now);
+        // A watch that lets changes collect will show them without a query of their own.
+        let put_off = u32::from(host.watch_state.is_collecting(now));
         // After an outage the store may have changed.
-        let is_refresh = (polls_since >= REFRESH_EVERY && !is_collecting)
+        let is_refresh = polls_since >= REFRESH_EVERY + put_off
             || refreshed_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= MAX_REFRESH_INTERVAL)
             || !host.watch_state.is_answering.get()
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -52,14 +52,18 @@
     /// Whether it shows that the store is unavailable.
     pub(crate) fn is_outage(&self) -> bool {
         match self {
-            Self::Connect(_) | Self::Broken | Self::Timeout | Self::Busy => true,
-            Self::Limited | Self::Malformed(_) | Self::Unexpected | Self::Superseded => false,
+            Self::Busy => true,
+            _ => self.is_unanswered(),
         }
     }
 
     /// Whether there was no answer at all.
     pub(crate) fn is_unanswered(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Broken | Self::Timeout)
+        match self {
+            Self::Connect(_) | Self::Broken | Self::Timeout => true,
+            Self::Busy | Self::Limited | Self::Malformed(_) => false,
+            Self::Unexpected | Self::Superseded => false,
+        }
     }
 }
 
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -473,8 +473,7 @@
         return Ok(WatchResult::Unchanged);
     }
     if !wait.is_zero() {
-        host.watch_state
-            .record_collecting(kind, now() + BATCH_DELAY);
+        host.watch_state.record_collecting(now() + BATCH_DELAY);
         tokio::time::sleep(BATCH_DELAY).await;
     }
     Ok(WatchResult::Applied)
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -45,8 +45,8 @@
     pub(super) reached: Notify,
     /// Whether the last configuration could not be decoded.
     pub(super) is_config_unreadable: Cell<bool>,
-    /// Until when the watch of a kind, which was answered, lets changes collect at the store.
-    collecting_until: RefCell<BTreeMap<Kind, Instant>>,
+    /// Until when the watch that was answered last lets changes collect at the store.
+    collecting_until: Cell<Option<Instant>>,
     /// Locked while a kind is being updated, so that it is not read twice at once.
     locks: BTreeMap<Kind, Mutex<()>>,
     /// Signals that the watch of a kind is to be restarted on a new connection.
@@ -138,15 +138,14 @@
         self.behind_since.borrow_mut().remove(&kind);
     }
 
-    /// Records that the watch of a kind has shown changes, and begins again at `until`.
-    pub(super) fn record_collecting(&self, kind: Kind, until: Instant) {
-        self.collecting_until.borrow_mut().insert(kind, until);
+    /// Records that a watch has shown changes, and begins again at `until`.
+    pub(super) fn record_collecting(&self, until: Instant) {
+        self.collecting_until.set(Some(until));
     }
 
-    /// Whether the watch of any kind lets changes collect at the store.
+    /// Whether a watch lets changes collect at the store.
     pub(super) fn is_collecting(&self, now: Instant) -> bool {
-        let collecting_until = self.collecting_until.borrow();
-        collecting_until.values().any(|until| now < *until)
+        self.collecting_until.get().is_some_and(|until| now < until)
     }
 
     /// Whether the host watches the store and its copy is known to be current, up to the time that
