Review: the cases end their hosts whatever happens

Cause: a case that gave up, or was ended by its time limit, left its hosts running. The script now ends them by the ids that the case records.

--- a/review/standin-2/lab.rs
+++ b/review/standin-2/lab.rs
@@ -633,12 +633,17 @@
     fn spawn(settings: &Path, log: &Path) -> Child {
         let log = File::options().create(true).append(true).open(log);
         let log = log.unwrap_or_else(|error| give_up(&error.to_string()));
-        Command::new("target/release/ragwortfold-host")
+        let child = Command::new("target/release/ragwortfold-host")
             .env("RAGWORTFOLD_SETTINGS", settings)
             .stdin(Stdio::null())
             .stdout(log)
             .spawn()
-            .unwrap_or_else(|error| give_up(&error.to_string()))
+            .unwrap_or_else(|error| give_up(&error.to_string()));
+        // The script ends the process if this program can't.
+        let ids = File::options().create(true).append(true).open(settings.with_file_name("pids"));
+        let recorded = ids.and_then(|mut ids| writeln!(ids, "{}", child.id()));
+        recorded.unwrap_or_else(|error| give_up(&error.to_string()));
+        child
     }
 
     pub fn is_ready(&self) -> bool {
