--- a/src/border/settings.rs
+++ b/src/border/settings.rs
@@ -237,6 +237,9 @@
     ///Threads kept for look-ups, health, metrics and status.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 4>")]
     pub lookup_workers: ::std::num::NonZeroU32,
+    ///Memory that the process may use, in megabytes; 0 for that of the machine.
+    #[serde(default)]
+    pub memory_mb: u32,
     ///The limit of open files to ask the system for.
     #[serde(default = "defaults::default_u64::<u32, 8192>")]
     pub open_files: u32,
@@ -256,6 +259,7 @@
             head_bytes: defaults::default_u64::<u32, 32768>(),
             idle_ms: defaults::default_u64::<u32, 30000>(),
             lookup_workers: defaults::default_nzu64::<::std::num::NonZeroU32, 4>(),
+            memory_mb: Default::default(),
             open_files: defaults::default_u64::<u32, 8192>(),
             relay_workers: defaults::default_nzu64::<::std::num::NonZeroU32, 128>(),
             workers: defaults::default_nzu64::<::std::num::NonZeroU32, 128>(),
@@ -412,6 +416,7 @@
             head_bytes: 32768_u32,
             idle_ms: 30000_u32,
             lookup_workers: ::std::num::NonZeroU32::new(4).unwrap(),
+            memory_mb: 0_u32,
             open_files: 8192_u32,
             relay_workers: ::std::num::NonZeroU32::new(128).unwrap(),
             workers: ::std::num::NonZeroU32::new(128).unwrap(),
--- a/src/port.rs
+++ b/src/port.rs
@@ -62,6 +62,10 @@
     pub strength: presence::Strength,
     /// Whether requests share insufficient capacity by their urgency and their accounts.
     pub sharing: Switch,
+    /// Memory that the process may use, in megabytes; that of the machine, if unset.
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may open; as many as the system allows, if unset.
+    pub descriptors: Option<u32>,
 }
 
 /// Limits that a deployment guarantees to its callers.
