Tests: crowds of callers that send large bodies, or read nothing, at both interfaces

The tests start a host with 48 MB and 512 descriptors, and have 64 to 1,024 clients send chunked bodies in large, small and one-byte chunks, or bodies of legal size at once or piece by piece, most of which stop short of their end and stay open; further idle connections, heads that stop short or do not end, and answers that are not read. They check that the process lives, that its peak of memory and its descriptors stay within the settings, and that an ordinary request is answered, with the crowd connected and after it has left. None measures time or a share. Crowd and bounds are fixed here, before anything is mended.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod crash;
+pub mod crowd;
 pub mod cut_head;
 mod error;
 mod http;
