Host: what is held for peers is charged to one budget of memory and connections

Callers that sent large bodies and stopped short of their end made a host use as much memory as they liked. Each request could keep 512 KiB, each connection its buffers, and nothing summed them or counted the connections.

There is one budget for a process now (budget.rs), from its settings or the machine, the group and the limits of the system. Connections, buffers of requests, bodies whole or in part, queues of streamed bodies, answers that wait for their caller and lists of the store are charged before they are allocated, and returned when the last slice of them is freed. A copy is made of a body in several parts, so that a small part keeps no read buffer alive. Over the budget the peer goes that is waited for and holds most, of equals the one that waits longest (steer/holdings.rs, pure); a request that has not run is refused as not run, and its connection closed. Idle connections to targets and hosts get an eighth of the descriptors, connections from outside three eighths, as each may need another one.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use super::Error;
+use crate::budget::{Budget, Shortage};
 use crate::steer::fleet::{PopularObjects, TargetEstimate};
 
 /// Bounds of latency histograms, in seconds.
@@ -36,6 +37,9 @@
     undelivered: Counter<u64>,
     after_departure: Counter<u64>,
     rebuilds: Counter<u64>,
+    closed_peers: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    held_connections: Gauge<u64>,
     task_failures: Counter<u64>,
     headroom: Gauge<f64>,
     revision: Gauge<u64>,
@@ -86,6 +90,9 @@
         rebuilds.add(0, &[]);
         Ok(Self {
             rebuilds,
+            closed_peers: meter.u64_counter("ragwortfold_closed_peers").build(),
+            held_bytes: meter.u64_gauge("ragwortfold_held_bytes").build(),
+            held_connections: meter.u64_gauge("ragwortfold_held_connections").build(),
             lookups: meter.u64_counter("ragwortfold_lookups").build(),
             requests: latency_histogram(&meter, "ragwortfold_request_seconds"),
             added: latency_histogram(&meter, "ragwortfold_added_seconds"),
@@ -124,6 +131,25 @@
         })
     }
 
+    /// Counts a peer that was closed since others needed its memory or its connection.
+    pub(crate) fn count_closed_peer(&self, shortage: Shortage) {
+        self.closed_peers
+            .add(1, &[KeyValue::new("reason", shortage.as_str())]);
+    }
+
+    /// Sets what is held for peers, and the limits.
+    pub(crate) fn set_held(&self, budget: &Budget) {
+        let (bytes, peers) = budget.usage();
+        let limits = budget.limits();
+        let used = [KeyValue::new("kind", "used")];
+        let limit = [KeyValue::new("kind", "limit")];
+        self.held_bytes.record(bytes as u64, &used);
+        self.held_bytes.record(limits.bytes as u64, &limit);
+        self.held_connections.record(peers as u64, &used);
+        self.held_connections
+            .record(limits.connections as u64, &limit);
+    }
+
     /// Counts an answered look-up.
     pub(crate) fn count_lookup(&self, service: &Arc<str>) {
         self.lookups.add(1, &[label("service", service)]);
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -387,7 +387,11 @@
 
 /// Reads the body of an answer, or the beginning of a long one.
 pub(crate) async fn read_body(exchange: &Exchange, incoming: Incoming) -> Option<ReceivedBody> {
-    let read = body::read(incoming, u64::MAX);
+    let limits = body::Limits {
+        max_bytes: u64::MAX,
+        read_buffer_bytes: client::READ_BUFFER_BYTES,
+    };
+    let read = body::read(incoming, &limits, &exchange.account);
     match tokio::time::timeout_at(exchange.deadline.into(), read).await {
         Ok(Ok(payload)) => Some(payload),
         Ok(Err(error)) => {
@@ -425,7 +429,7 @@
 pub(crate) fn stream_response(
     exchange: &Exchange,
     parts: response::Parts,
-    (start, rest): (Bytes, Incoming),
+    (start, rest): (Bytes, body::Rest),
     guard: impl Unpin + 'static,
 ) -> Response<Body> {
     let max_bytes = match parts.status.is_server_error() {
--- a/src/host/body.rs
+++ b/src/host/body.rs
@@ -3,10 +3,11 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 
+use crate::budget::{Account, Buffer, Charge, Exceeded};
 use crate::steer::fingerprint::HASHED_BODY_BYTES;
 
 /// Bodies up to this many bytes are buffered completely, so that a request can be sent again and a
@@ -28,6 +29,9 @@
     /// Its sender took too long.
     #[error("not complete before the deadline")]
     TooSlow,
+    /// The host has no memory for it.
+    #[error(transparent)]
+    NoMemory(#[from] Exceeded),
 }
 
 impl BodyError {
@@ -37,6 +41,7 @@
             Self::Sender(_) => "body-broke-off",
             Self::TooLong(_) => "body-too-long",
             Self::TooSlow => "body-too-slow",
+            Self::NoMemory(_) => "no-memory",
         }
     }
 }
@@ -46,7 +51,7 @@
     /// The complete body.
     Complete(Bytes),
     /// Its beginning; the rest is still to be received.
-    Prefix(Bytes, Incoming),
+    Prefix(Bytes, Rest),
 }
 
 impl ReceivedBody {
@@ -54,7 +59,7 @@
     pub(crate) fn length(&self) -> u64 {
         match self {
             Self::Complete(bytes) => bytes.len() as u64,
-            Self::Prefix(start, rest) => start.len() as u64 + rest.size_hint().lower(),
+            Self::Prefix(start, rest) => start.len() as u64 + rest.incoming.size_hint().lower(),
         }
     }
 
@@ -107,9 +112,43 @@
     })
 }
 
+/// Limits on reading a body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Length of the longest body, in bytes.
+    pub(crate) max_bytes: u64,
+    /// Memory that a part of the body keeps in use, in bytes: that of the buffer it was read into.
+    pub(crate) read_buffer_bytes: usize,
+}
+
+/// The rest of a body that is streamed.
+pub(crate) struct Rest {
+    incoming: Incoming,
+    /// What waits to be sent on.
+    _charge: Charge,
+}
+
+/// Parts of a body that the HTTP library queues until they can be sent on.
+const MAX_QUEUED_PARTS: usize = 16;
+
+impl Rest {
+    async fn new(incoming: Incoming, limits: &Limits, account: &Account) -> Result<Self, Exceeded> {
+        let bytes = MAX_QUEUED_PARTS * limits.read_buffer_bytes;
+        Ok(Self {
+            incoming,
+            _charge: account.charge(bytes).await?,
+        })
+    }
+}
+
 /// Reads a body up to [`MAX_BUFFERED_BYTES`], or the beginning of one that is announced to be
-/// longer.
-pub(crate) async fn read(mut body: Incoming, max_bytes: u64) -> Result<ReceivedBody, BodyError> {
+/// longer. What is kept of it is charged to `account`.
+pub(crate) async fn read(
+    mut body: Incoming,
+    limits: &Limits,
+    account: &Account,
+) -> Result<ReceivedBody, BodyError> {
+    let max_bytes = limits.max_bytes;
     let announced = body.size_hint().lower();
     if announced > max_bytes {
         return Err(BodyError::TooLong(max_bytes));
@@ -119,24 +158,25 @@
     } else {
         MAX_BUFFERED_BYTES
     };
+    let expected = match announced as usize {
+        0 => wanted,
+        announced => announced.min(wanted),
+    };
+    // A body that consists of one part is not copied: the buffer that it was read into belongs to
+    // the connection.
     let mut first: Option<Bytes> = None;
-    let mut read = BytesMut::new();
+    let mut read = Buffer::new(account);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        match first.take() {
-            None if read.is_empty() => first = Some(data),
-            None => read.extend_from_slice(&data),
-            Some(begin) => {
-                read.reserve(
-                    (announced as usize)
-                        .min(wanted)
-                        .max(begin.len() + data.len()),
-                );
-                read.extend_from_slice(&begin);
-                read.extend_from_slice(&data);
+        if first.is_none() && read.is_empty() {
+            first = Some(data);
+        } else {
+            if let Some(begin) = first.take() {
+                read.append(&begin, expected).await?;
             }
+            read.append(&data, expected).await?;
         }
         let length = read.len() + first.as_ref().map_or(0, Bytes::len);
         if length as u64 > max_bytes {
@@ -144,7 +184,8 @@
         }
         if length > wanted {
             let start = first.take().unwrap_or_else(|| read.freeze());
-            return Ok(ReceivedBody::Prefix(start, body));
+            let rest = Rest::new(body, limits, account).await?;
+            return Ok(ReceivedBody::Prefix(start, rest));
         }
     }
     Ok(ReceivedBody::Complete(
@@ -153,13 +194,13 @@
 }
 
 /// A body that streams `start` and then the frames of `rest`, up to `max_bytes` in all.
-pub(crate) fn stream(start: Bytes, rest: Incoming, max_bytes: u64) -> Body {
+pub(crate) fn stream(start: Bytes, rest: Rest, max_bytes: u64) -> Body {
     let state = (Some(start), rest, 0u64);
     let frames = futures_util::stream::unfold(Some(state), move |state| async move {
         let (start, mut rest, mut length) = state?;
         let frame = match start {
             Some(start) if !start.is_empty() => Ok(Frame::data(start)),
-            _ => rest.frame().await?.map_err(BodyError::from),
+            _ => rest.incoming.frame().await?.map_err(BodyError::from),
         };
         if let Ok(data) = frame.as_ref().map(Frame::data_ref) {
             length += data.map_or(0, |data| data.len() as u64);
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -36,7 +36,7 @@
 /// How long sent bytes may stay unacknowledged: as long as the keepalive probes take.
 const ACK_TIMEOUT: Duration = Duration::from_secs(4);
 /// Read buffer, in bytes: most answers of a few kilobytes take two reads.
-const READ_BUFFER_BYTES: usize = 4 << 10;
+pub(crate) const READ_BUFFER_BYTES: usize = 4 << 10;
 
 /// Bytes that may be received before the head of a response is complete, interim responses included.
 const MAX_HEAD_BYTES: usize = 256 << 10;
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -17,6 +17,7 @@
 use super::request_log::{self, RequestTrace, StopReason};
 use super::{answer, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
+use crate::budget::Account;
 use crate::catalog::Repeat;
 use crate::inventory::{Route, TargetKey};
 use crate::port::Head;
@@ -44,6 +45,8 @@
 
 /// An admitted request whose body has been read, at least its beginning.
 pub(crate) struct Exchange {
+    /// The account of the connection that it arrived on.
+    pub(crate) account: Account,
     pub(crate) route: Arc<Route>,
     pub(crate) admitted: Admitted,
     pub(crate) head: Head,
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -28,11 +28,13 @@
 use super::Error;
 use super::Gap;
 use super::Host;
+use crate::budget::{Account, Exceeded};
 use crate::control::presence::HostRecord;
 use crate::control::presence::StoreView;
 use crate::control::replica::Update;
 use crate::control::revision::Revision;
 use crate::port::{Entry, Kind};
+use crate::steer::holdings::Stage;
 
 /// Interval of the keepalive messages.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(600);
@@ -48,6 +50,8 @@
 const FOLLOWER_QUEUE: usize = 64;
 /// Read and write buffer of a connection, in bytes: most updates are a few hundred.
 const BUFFER_BYTES: usize = 4 << 10;
+/// Memory of a follower's connection, in bytes. Queued updates are shared by all followers.
+const FOLLOWER_BYTES: usize = 4 * BUFFER_BYTES;
 /// Maximum message size, in bytes: objects in the store are smaller, and a full copy consists of
 /// many small ones.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
@@ -103,6 +107,8 @@
     CopyDiffers(Kind),
     #[error("the follower did not send its revisions")]
     NoIntroduction,
+    #[error(transparent)]
+    NoMemory(#[from] Exceeded),
 }
 
 impl FeedError {
@@ -199,14 +205,19 @@
 }
 
 async fn accept(host: Rc<Host>, listener: Rc<TcpListener>) -> Infallible {
-    serve::accept_each(&listener, KEEPALIVE_INTERVAL, |stream, address| {
-        let state = host.clone();
-        task::spawn(&host, "follower", async move {
-            if let Err(error) = serve_follower(&state, stream).await {
-                spdlog::debug!("feed: the connection of follower {address} ended: {error}");
-            }
-        });
-    })
+    serve::accept_each(
+        &host.budget,
+        &listener,
+        KEEPALIVE_INTERVAL,
+        |stream, address, account| {
+            let state = host.clone();
+            task::spawn(&host, "follower", async move {
+                if let Err(error) = serve_follower(&state, stream, &account).await {
+                    spdlog::debug!("feed: the connection of follower {address} ended: {error}");
+                }
+            });
+        },
+    )
     .await
 }
 
@@ -218,8 +229,13 @@
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
 
-async fn serve_follower(host: &Rc<Host>, stream: TcpStream) -> Result<(), FeedError> {
+async fn serve_follower(
+    host: &Rc<Host>,
+    stream: TcpStream,
+    account: &Account,
+) -> Result<(), FeedError> {
     client::configure_socket(&stream)?;
+    let _charge = account.charge(FOLLOWER_BYTES).await?;
     let upgrade = tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()));
     let mut socket = tokio::time::timeout(CONNECT_TIMEOUT, upgrade)
         .await
@@ -227,6 +243,8 @@
     let known = tokio::time::timeout(CONNECT_TIMEOUT, read_introduction(&mut socket))
         .await
         .map_err(|_| FeedError::NoIntroduction)??;
+    // Other hosts are closed only while they have not introduced themselves.
+    account.set_stage(Stage::Own);
     let mut queue = host.followers.borrow_mut().add();
     for kind in SYNCED_KINDS {
         let messages = match known.get(&kind) {
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -14,10 +14,12 @@
 use super::exchange::{self, Buffered, Exchange};
 use super::request_log::Rejection;
 use super::{answer, now, relay, request_log, serve, startup, Error, Host};
+use crate::budget::{Account, Exceeded};
 use crate::duration;
 use crate::inventory::Route;
 use crate::port::Head;
 use crate::steer::fingerprint::{Content, Fingerprint};
+use crate::steer::holdings::Stage;
 
 /// Listens for callers.
 pub(crate) async fn listen(host: &Rc<Host>) -> Result<(), Error> {
@@ -45,11 +47,16 @@
 /// Ends the connection with this response if the host is shutting down.
 pub(crate) fn close_if_leaving(host: &Host, response: &mut Response<Body>) {
     if host.shutdown.is_leaving() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        close_connection(response);
     }
 }
 
+/// Ends the connection with this response.
+fn close_connection(response: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 /// Handles a request of a caller, or of another host that relays it with `context`.
 async fn handle_request(
     host: &Rc<Host>,
@@ -97,7 +104,14 @@
     };
     let timeout = timeout.min(route.timeout);
     let deadline = duration::after(started_at, timeout);
-    let body = match read_body(incoming, limits.body_bytes, deadline).await {
+    let Some(account) = serve::account(&parts.extensions).cloned() else {
+        return answer::not_run(host, "no account\n");
+    };
+    let read_limits = body::Limits {
+        max_bytes: limits.body_bytes,
+        read_buffer_bytes: serve::read_buffer_bytes(limits.head_bytes),
+    };
+    let body = match read_body(incoming, &read_limits, &account, deadline).await {
         Ok(body) => body,
         Err(error) => {
             let detail = error.to_string();
@@ -117,6 +131,7 @@
         Some(_) => Charge::Relaying,
         None => Charge::Here,
     };
+    account.set_stage(Stage::Running);
     let admitted = match admit(host, &route, &head, charge) {
         Ok(admitted) => admitted,
         Err(error) => {
@@ -141,6 +156,7 @@
         is_counted: Cell::new(context.as_ref().is_some_and(|context| context.is_counted)),
         context,
         caller_aborted: Rc::default(),
+        account,
         route,
         admitted,
         head,
@@ -164,19 +180,27 @@
             answer::plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n")
         }
         BodyError::TooSlow => answer::not_run(host, "the body did not arrive in time\n"),
+        BodyError::NoMemory(_) => {
+            let mut answer = answer::not_run(host, "no memory for the body\n");
+            close_connection(&mut answer);
+            answer
+        }
         BodyError::Sender(_) => answer::plain_text(StatusCode::BAD_REQUEST, "the body broke off\n"),
     }
 }
 
 async fn read_body(
     incoming: Incoming,
-    max_bytes: u64,
+    limits: &body::Limits,
+    account: &Account,
     deadline: Instant,
 ) -> Result<body::ReceivedBody, BodyError> {
-    let read = body::read(incoming, max_bytes);
-    match tokio::time::timeout_at(deadline.into(), read).await {
-        Ok(result) => result,
-        Err(_) => Err(BodyError::TooSlow),
+    let read = body::read(incoming, limits, account);
+    tokio::select! {
+        biased;
+        result = read => result,
+        () = account.wait_for_closing() => Err(Exceeded.into()),
+        () = tokio::time::sleep_until(deadline.into()) => Err(BodyError::TooSlow),
     }
 }
 
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -162,6 +162,8 @@
     UnreadableObject => "store.unread",
     /// An object of the store could not be applied.
     ObjectFailed => "store.object-failed",
+    /// A connection was closed since others needed its memory or its descriptor.
+    ConnectionClosed => "connection.closed",
     /// A task of the host panicked.
     TaskFailed => "task.failed",
 }
@@ -470,6 +472,23 @@
     });
 }
 
+/// Logs that a connection was closed since others needed its memory or its descriptor. `state` says
+/// what it was used for.
+pub(crate) fn connection_closed(host: &Host, state: &str) {
+    let event = Event::ConnectionClosed;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    let (bytes, connections) = host.budget.usage();
+    spdlog::warn!("serve: a connection was closed, as others need what it holds", kv: {
+        event = event.as_str(),
+        state = state,
+        held_bytes = bytes as u64,
+        connections = connections as u64,
+        left_out = left_out
+    });
+}
+
 /// Logs that an object of the store could not be applied.
 pub(crate) fn object_failed(host: &Host, object: FailedObject) {
     host.metrics.count_task_failure("object");
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -33,6 +33,7 @@
 /// Updates the gauges from the host's current state.
 fn update_gauges(host: &Host) {
     let metrics = &host.metrics;
+    metrics.set_held(&host.budget);
     let core = &mut *host.core.borrow_mut();
     let now = now();
     metrics.set_revision(core.table.version().unwrap_or_default());
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -55,6 +55,7 @@
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
+use crate::budget::{self, Account, Budget};
 use crate::control::presence::StoreView;
 use crate::control::replica::{Effect, Update};
 use crate::control::revision::Revision;
@@ -72,12 +73,15 @@
 struct Host {
     platform: Platform,
     settings: Settings,
+    budget: Budget,
+    /// What is held for the platform's store.
+    store_account: Account,
     core: RefCell<core::Core>,
     pool: RefCell<pool::Pool<TargetKey>>,
     relays: relay::Relays,
     dialer: dialer::Dialer,
     shutdown: shutdown::Shutdown,
-    metrics: Metrics,
+    metrics: Arc<Metrics>,
     log_limits: RefCell<log::RateLimits>,
     /// Requests that the limits leave without a line of their own.
     brief: RefCell<brief::Brief>,
@@ -235,19 +239,32 @@
     result
 }
 
+/// The budget for what the host holds for its peers.
+fn budget(settings: &Settings, metrics: Arc<Metrics>) -> Budget {
+    let memory = budget::available_memory(settings.memory_mb);
+    let descriptors = budget::available_descriptors(settings.descriptors);
+    Budget::new(memory, descriptors, move |shortage| {
+        metrics.count_closed_peer(shortage);
+    })
+}
+
 async fn start(
     platform: Platform,
     settings: Settings,
     path: &Path,
     tasks: &Tasks,
 ) -> Result<(), Error> {
+    let metrics = Arc::new(Metrics::new()?);
+    let budget = budget(&settings, metrics.clone());
     let host = Rc::new(Host {
         core: RefCell::new(core::Core::new(now(), &settings)),
-        pool: RefCell::new(pool::Pool::new()),
-        relays: relay::Relays::new(),
+        pool: RefCell::new(pool::Pool::new(budget.idle_connections())),
+        relays: relay::Relays::new(budget.idle_connections()),
         dialer: dialer::Dialer::default(),
         shutdown: shutdown::Shutdown::new(),
-        metrics: Metrics::new()?,
+        metrics,
+        store_account: budget.open_own(),
+        budget,
         log_limits: RefCell::default(),
         brief: RefCell::default(),
         peer_socket: RefCell::new(None),
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -15,9 +15,6 @@
 const CLOSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Maximum idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 6;
-/// Maximum idle connections in all: less than half of the file descriptors of the smallest hosts in
-/// use, as callers need the rest.
-const MAX_IDLE: usize = 1500;
 
 struct Idle {
     stream: TcpStream,
@@ -27,13 +24,15 @@
 /// The idle connections of a host to servers that `K` identifies.
 pub(crate) struct Pool<K> {
     idle: BTreeMap<K, Vec<Idle>>,
+    max_idle: usize,
 }
 
 impl<K: Ord + Copy> Pool<K> {
-    /// Creates an empty pool.
-    pub(crate) fn new() -> Self {
+    /// Creates an empty pool for at most `max_idle` connections.
+    pub(crate) fn new(max_idle: usize) -> Self {
         Self {
             idle: BTreeMap::new(),
+            max_idle,
         }
     }
 
@@ -65,10 +64,10 @@
         let keep_time = idle_timeout
             .unwrap_or(DEFAULT_IDLE_TIME)
             .saturating_sub(CLOSE_MARGIN);
-        if self.count() >= MAX_IDLE {
+        if self.count() >= self.max_idle {
             self.sweep(now);
         }
-        let is_full = self.count() >= MAX_IDLE;
+        let is_full = self.count() >= self.max_idle;
         let connections = self.idle.entry(server).or_default();
         if is_full || connections.len() >= MAX_IDLE_PER_SERVER || keep_time.is_zero() {
             return;
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -165,9 +165,10 @@
 }
 
 impl Relays {
-    pub(crate) fn new() -> Self {
+    /// Creates a pool for at most `max_idle` connections.
+    pub(crate) fn new(max_idle: usize) -> Self {
         Self {
-            pool: RefCell::new(Pool::new()),
+            pool: RefCell::new(Pool::new(max_idle)),
             avoided_until: RefCell::default(),
         }
     }
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -25,8 +25,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::body::{self, Body};
-use super::{answer, client, now, shutdown, task, Error, Host};
+use super::{answer, client, log, now, shutdown, task, Error, Host};
+use crate::budget::{Account, Budget};
 use crate::duration;
+use crate::steer::holdings::Stage;
 
 /// Listen backlog: connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -42,6 +44,26 @@
 const MIN_BUFFER_BYTES: usize = 8192;
 /// Limit on a request head before the first configuration, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+/// Memory of a connection without a request, in bytes.
+const IDLE_BYTES: usize = 4 << 10;
+/// Memory of a request besides the buffers of its connection, in bytes: the parsed head, the task, and
+/// the connection to a target.
+const REQUEST_BYTES: usize = 32 << 10;
+/// Time limit for the admission of an accepted connection, in which another one has to be closed.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for sending a refusal to a caller whose connection has to be closed.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The size of the buffer that a request is read into, of which the head may have `head_bytes` bytes.
+pub(crate) fn read_buffer_bytes(head_bytes: usize) -> usize {
+    head_bytes.max(MIN_BUFFER_BYTES)
+}
+
+/// Memory of a connection with a request whose head may have `head_bytes` bytes: the buffer that is
+/// read into, and the one before it, of which a slice may be in use.
+fn serving_bytes(head_bytes: usize) -> usize {
+    2 * read_buffer_bytes(head_bytes) + REQUEST_BYTES
+}
 
 /// The phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -65,11 +87,16 @@
     blocked_since: Cell<Option<Instant>>,
     /// Until when the response that is being sent may be streamed.
     stream_until: Cell<Option<Instant>>,
+    /// Whether a request is being handled that has no response yet.
+    is_unanswered: Cell<bool>,
+    account: Account,
 }
 
 impl ConnectionState {
-    fn new() -> Self {
+    fn new(account: Account) -> Self {
         Self {
+            account,
+            is_unanswered: Cell::new(false),
             phase: Cell::new(Phase::Idle(now())),
             is_flushed: Cell::new(true),
             has_unread_body: Cell::new(false),
@@ -100,6 +127,7 @@
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
         self.0.phase.set(Phase::Idle(now()));
+        self.0.is_unanswered.set(false);
         self.0.stream_until.set(None);
     }
 }
@@ -178,6 +206,11 @@
     }
 }
 
+/// The account of the connection that a request arrived on, from its extensions.
+pub(crate) fn account(extensions: &Extensions) -> Option<&Account> {
+    extensions.get()
+}
+
 /// The address of the caller, from a request's extensions.
 pub(crate) fn caller_address(extensions: &Extensions) -> IpAddr {
     let caller = extensions.get::<IpAddr>().copied();
@@ -213,22 +246,34 @@
     F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Response<Body>> + 'static,
 {
-    accept_each(&listener, ACCEPT_PAUSE, |stream, _| {
-        let connection = serve_connection(host.clone(), stream, handler);
-        task::spawn(&host, "connection", connection);
-    })
+    accept_each(
+        &host.budget,
+        &listener,
+        ACCEPT_PAUSE,
+        |stream, _, account| {
+            let connection = serve_connection(host.clone(), stream, account, handler);
+            task::spawn(&host, "connection", connection);
+        },
+    )
     .await
 }
 
-/// Passes each connection that `listener` accepts to `handle`, with a pause after a failure.
+/// Passes each connection that `listener` accepts to `handle`, with its account, and with a pause after
+/// a failure.
 pub(super) async fn accept_each(
+    budget: &Budget,
     listener: &TcpListener,
     pause: Duration,
-    handle: impl Fn(TcpStream, SocketAddr),
+    handle: impl Fn(TcpStream, SocketAddr, Account),
 ) -> Infallible {
     loop {
         match listener.accept().await {
-            Ok((stream, address)) => handle(stream, address),
+            Ok((stream, address)) => {
+                let admission = tokio::time::timeout(ADMISSION_TIMEOUT, budget.admit());
+                if let Ok(Some(account)) = admission.await {
+                    handle(stream, address, account);
+                }
+            }
             Err(error) => {
                 spdlog::warn!("serve: cannot accept a connection: {error}");
                 tokio::time::sleep(pause).await;
@@ -237,7 +282,7 @@
     }
 }
 
-async fn serve_connection<F, R>(host: Rc<Host>, stream: TcpStream, handler: F)
+async fn serve_connection<F, R>(host: Rc<Host>, stream: TcpStream, account: Account, handler: F)
 where
     F: Fn(Rc<Host>, Request<Incoming>) -> R + Copy + 'static,
     R: Future<Output = Response<Body>> + 'static,
@@ -247,25 +292,45 @@
         spdlog::debug!("serve: cannot configure the socket of a connection: {error}");
         return;
     }
+    let Ok(_charge) = account.charge(IDLE_BYTES).await else {
+        return;
+    };
     let mut next = Some(TrackedStream {
         tcp: stream,
         unparsed: Bytes::new(),
-        state: Rc::new(ConnectionState::new()),
+        state: Rc::new(ConnectionState::new(account)),
     });
     while let Some(stream) = next.take() {
         if stream.unparsed.has_remaining() || wait_readable(&host, &stream).await {
+            let account = stream.state.account.clone();
+            account.set_stage(Stage::Waiting);
+            let head_bytes = head_limit(&host);
+            let Ok(_charge) = account.charge(serving_bytes(head_bytes)).await else {
+                return;
+            };
             // Boxed, so that it takes no memory while the connection is idle.
-            next = Box::pin(serve_requests(&host, stream, handler)).await;
+            next = Box::pin(serve_requests(&host, stream, head_bytes, handler)).await;
+            account.set_stage(Stage::Idle);
         }
     }
 }
 
+/// The limit on the head of a request, in bytes.
+fn head_limit(host: &Host) -> usize {
+    let limits = host.core.borrow().table.limits();
+    limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes)
+}
+
 /// Waits until the stream is readable; returns false if the connection is to be closed.
 async fn wait_readable(host: &Host, stream: &TrackedStream) -> bool {
     loop {
         tokio::select! {
             readable = stream.tcp.readable() => return readable.is_ok(),
             () = host.shutdown.wait_for_close() => return false,
+            () = stream.state.account.wait_for_closing() => {
+                log::connection_closed(host, "idle");
+                return false;
+            }
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
                 if exceeded_limit(host, &stream.state) != ExceededLimit::None {
                     return false;
@@ -280,6 +345,7 @@
 async fn serve_requests<F, R>(
     host: &Rc<Host>,
     stream: TrackedStream,
+    head_bytes: usize,
     handler: F,
 ) -> Option<TrackedStream>
 where
@@ -292,13 +358,17 @@
         if let Some(caller) = caller {
             request.extensions_mut().insert(caller);
         }
+        request.extensions_mut().insert(state.account.clone());
         state.phase.set(Phase::Busy);
+        state.is_unanswered.set(true);
         state.has_unread_body.set(!request.body().is_end_stream());
         let guard = AnswerGuard(state.clone());
         let answer = Box::pin(handler(host.clone(), request));
         async move {
             let response = task::catch(host, "request", answer).await;
             let response = response.unwrap_or_else(|| answer::outcome_unknown("the host failed\n"));
+            guard.0.is_unanswered.set(false);
+            guard.0.account.set_stage(Stage::Waiting);
             if response.extensions().get::<BodyConsumed>().is_some() {
                 guard.0.has_unread_body.set(false);
             }
@@ -307,16 +377,22 @@
             Ok::<_, Infallible>(response.map(|body| body::with_guard(body, guard)))
         }
     });
-    let limits = host.core.borrow().table.limits();
-    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
     let mut builder = http1::Builder::new();
     builder
-        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(read_buffer_bytes(head_bytes))
         .auto_date_header(false);
     let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut check_timer = tokio::time::interval_at((now() + CHECK_INTERVAL).into(), CHECK_INTERVAL);
     let mut deadline = pin!(tokio::time::sleep(Duration::ZERO));
     let mut is_closing = false;
+    let account = state.account.clone();
+    // A request that has not run is refused first.
+    let mut closing = pin!(async {
+        account.wait_for_closing().await;
+        if state.is_unanswered.get() && account.stage() == Some(Stage::Waiting) {
+            tokio::time::sleep(REFUSAL_TIMEOUT).await;
+        }
+    });
     loop {
         let work = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
             Poll::Ready(end) => Poll::Ready(Progress::Ended(end)),
@@ -347,6 +423,10 @@
                     return None;
                 }
             },
+            () = &mut closing => {
+                log::connection_closed(host, "in use");
+                return None;
+            }
             () = host.shutdown.wait_for_close(), if !is_closing => {
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
@@ -14,6 +15,7 @@
 use super::dialer::{self, Purpose};
 use super::log::Event;
 use super::{now, task, Host};
+use crate::budget::{Account, Buffer};
 use crate::port::{Call, Malformed, Reply};
 
 /// Timeout of a call, in addition to the time that a watch asks the store to wait.
@@ -228,8 +230,27 @@
     };
     let status = response.status();
     let era = (host.platform.store.era)(response.headers()).unwrap_or_default();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-    let bytes = connection.read(body).await.map_err(|_| Error::Broken)?;
-    let bytes = bytes.to_bytes();
+    let body = read_body(response.into_body(), &host.store_account);
+    let bytes = connection.read(body).await?;
     Ok((connection.release().await, (status, era), bytes))
 }
+
+/// Reads the body of an answer, which is charged to `account`.
+async fn read_body(mut body: Incoming, account: &Account) -> Result<Bytes, Error> {
+    let expected = match body.size_hint().exact() {
+        Some(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        None => MAX_ANSWER_BYTES,
+    };
+    let mut read = Buffer::new(account);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(Error::Broken);
+        }
+        let appended = read.append(&data, expected).await;
+        appended.map_err(|_| Error::Broken)?;
+    }
+    Ok(read.freeze())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod account;
 pub mod border;
+pub mod budget;
 pub mod catalog;
 pub mod config;
 pub mod control;
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -16,6 +16,7 @@
 pub mod goal;
 pub mod group;
 pub mod hedge;
+pub mod holdings;
 pub mod limit;
 pub mod lookup;
 pub mod pause;
