--- a/src/host/body.rs
+++ b/src/edge/body.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -29,6 +30,9 @@
     /// Its sender took too long.
     #[error("not complete before the deadline")]
     TooSlow,
+    /// The thread that passes it on could not read it.
+    #[error("{0}")]
+    Reader(#[from] std::io::Error),
     /// The host has no memory for it.
     #[error(transparent)]
     NoMemory(#[from] Exceeded),
@@ -38,7 +42,7 @@
     /// The value of the log field `reason`.
     pub(crate) fn reason(&self) -> &'static str {
         match self {
-            Self::Sender(_) => "body-broke-off",
+            Self::Sender(_) | Self::Reader(_) => "body-broke-off",
             Self::TooLong(_) => "body-too-long",
             Self::TooSlow => "body-too-slow",
             Self::NoMemory(_) => "no-memory",
@@ -117,6 +121,10 @@
 pub(crate) struct Limits {
     /// Length of the longest body, in bytes.
     pub(crate) max_bytes: u64,
+    /// Length of the longest body that is buffered completely, in bytes.
+    pub(crate) max_buffered: usize,
+    /// How long its sender may pause, if that is limited.
+    pub(crate) max_pause: Option<Duration>,
     /// Memory that a part of the body keeps in use, in bytes: that of the buffer it was read into.
     pub(crate) read_buffer_bytes: usize,
 }
@@ -139,6 +147,19 @@
             _charge: account.charge(bytes).await?,
         })
     }
+
+    /// The next part of the body.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            let frame = match self.incoming.frame().await? {
+                Ok(frame) => frame,
+                Err(error) => return Some(Err(error.into())),
+            };
+            if let Ok(data) = frame.into_data() {
+                return Some(Ok(data));
+            }
+        }
+    }
 }
 
 /// Reads a body up to [`MAX_BUFFERED_BYTES`], or the beginning of one that is announced to be
@@ -153,10 +174,10 @@
     if announced > max_bytes {
         return Err(BodyError::TooLong(max_bytes));
     }
-    let wanted = if announced > MAX_BUFFERED_BYTES as u64 {
-        HASHED_BODY_BYTES
+    let wanted = if announced > limits.max_buffered as u64 {
+        HASHED_BODY_BYTES.min(limits.max_buffered)
     } else {
-        MAX_BUFFERED_BYTES
+        limits.max_buffered
     };
     let expected = match announced as usize {
         0 => wanted,
@@ -166,8 +187,8 @@
     // the connection.
     let mut first: Option<Bytes> = None;
     let mut read = Buffer::new(account);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
+    while let Some(frame) = next_frame(&mut body, limits.max_pause).await? {
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         if first.is_none() && read.is_empty() {
@@ -193,6 +214,19 @@
     ))
 }
 
+async fn next_frame(
+    body: &mut Incoming,
+    max_pause: Option<Duration>,
+) -> Result<Option<Frame<Bytes>>, BodyError> {
+    let frame = match max_pause {
+        None => body.frame().await,
+        Some(pause) => tokio::time::timeout(pause, body.frame())
+            .await
+            .map_err(|_| BodyError::TooSlow)?,
+    };
+    Ok(frame.transpose()?)
+}
+
 /// A body that streams `start` and then the frames of `rest`, up to `max_bytes` in all.
 pub(crate) fn stream(start: Bytes, rest: Rest, max_bytes: u64) -> Body {
     let state = (Some(start), rest, 0u64);
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -1,14 +1,17 @@
 //! Request bodies: small ones are buffered whole, larger ones are streamed.
 
 use std::io::{self, Cursor, Read};
-use std::sync::Arc;
+use std::time::Instant;
 
+use bytes::Bytes;
+
+use crate::budget::{Account, Buffer, Exceeded};
 use crate::steer::fingerprint::HASHED_BODY_BYTES;
 
 /// A request's body.
 pub(crate) enum Body {
     /// The complete body, which can be sent again.
-    Whole(Arc<[u8]>),
+    Whole(Bytes),
     /// The beginning of the body; the rest is still to be read.
     Partial(PartialBody),
 }
@@ -16,7 +19,7 @@
 /// The beginning of a body whose rest is still to be read.
 pub(crate) struct PartialBody {
     /// The bytes read so far.
-    buffered: Vec<u8>,
+    buffered: Bytes,
     /// Number of bytes hashed for the request's fingerprint, independent of how the body is transferred.
     hashed: usize,
     /// Length stated by the requester; none for a chunked body.
@@ -32,53 +35,89 @@
     Oversize(u64),
     #[error("the body ended early: {0}")]
     Short(io::Error),
+    #[error(transparent)]
+    NoMemory(#[from] Exceeded),
 }
 
-impl Error {
-    pub(crate) fn status(&self) -> u16 {
-        match self {
-            Self::Oversize(_) => 413,
-            Self::Short(_) => 400,
-        }
+/// Size of the buffer that a body of another host is read through, in bytes.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
+/// How a body is read.
+pub(crate) struct Limits {
+    /// Length stated by the requester; none for a chunked body.
+    pub(crate) length: Option<u64>,
+    /// Length of the longest body that is buffered whole.
+    pub(crate) max_buffered: u64,
+    /// Maximum size of the body, in bytes.
+    pub(crate) max_length: u64,
+    /// When reading it is given up.
+    pub(crate) deadline: Instant,
+}
+
+impl Limits {
+    fn hashed(&self) -> u64 {
+        self.max_buffered.min(HASHED_BODY_BYTES as u64)
+    }
+
+    /// The body of which `buffered` has been read, and which has a rest.
+    pub(crate) fn partial(&self, buffered: Bytes) -> Body {
+        Body::Partial(PartialBody {
+            buffered,
+            hashed: self.hashed() as usize,
+            length: self.length,
+            max_length: self.max_length,
+        })
     }
 }
 
 impl Body {
-    /// Reads a body of `length` bytes (none: chunked). A body of up to `max_buffered` bytes is buffered whole.
+    /// Reads the body of a request that another host relays. What is kept of it is charged to `account`.
     pub(crate) fn read(
         reader: &mut dyn Read,
-        length: Option<u64>,
-        max_buffered: u64,
-        max_length: u64,
+        limits: &Limits,
+        account: &Account,
     ) -> Result<Self, Error> {
-        if length.is_some_and(|length| length > max_length) {
+        let max_length = limits.max_length;
+        if limits.length.is_some_and(|length| length > max_length) {
             return Err(Error::Oversize(max_length));
         }
-        let hashed = max_buffered.min(HASHED_BODY_BYTES as u64);
-        let mut part = PartialBody {
-            buffered: Vec::new(),
-            hashed: hashed as usize,
-            length,
-            max_length,
-        };
-        let is_streamed = length.is_some_and(|length| length > max_buffered);
-        let limit = match length {
-            Some(_) if is_streamed => hashed,
+        let is_streamed = limits
+            .length
+            .is_some_and(|length| length > limits.max_buffered);
+        let limit = match limits.length {
+            Some(_) if is_streamed => limits.hashed(),
             Some(length) => length,
-            None => max_buffered.min(max_length) + 1,
+            None => limits.max_buffered.min(max_length) + 1,
         };
-        reader
-            .take(limit)
-            .read_to_end(&mut part.buffered)
-            .map_err(Error::Short)?;
-        let count = part.buffered.len() as u64;
-        match length {
-            Some(_) if is_streamed && count == limit => Ok(Self::Partial(part)),
+        let bytes = read_up_to(reader, limit, account, limits.deadline)?;
+        let count = bytes.len() as u64;
+        match limits.length {
+            Some(_) if is_streamed && count == limit => Ok(limits.partial(bytes)),
             Some(length) if count < length => Err(Error::Short(unexpected_end(count, length))),
             None if count > max_length => Err(Error::Oversize(max_length)),
-            None if count > max_buffered => Ok(Self::Partial(part)),
-            _ => Ok(Self::Whole(part.buffered.into())),
+            None if count > limits.max_buffered => Ok(limits.partial(bytes)),
+            _ => Ok(Self::Whole(bytes)),
+        }
+    }
+}
+
+/// Reads to the end, or `limit` bytes, which are charged to `account`.
+pub(crate) fn read_up_to(
+    reader: &mut dyn Read,
+    limit: u64,
+    account: &Account,
+    deadline: Instant,
+) -> Result<Bytes, Error> {
+    let mut buffer = [0; READ_BUFFER_BYTES];
+    let mut bytes = Buffer::new(account);
+    let mut reader = reader.take(limit);
+    let expected = usize::try_from(limit).unwrap_or(usize::MAX);
+    loop {
+        let count = reader.read(&mut buffer).map_err(Error::Short)?;
+        if count == 0 {
+            return Ok(bytes.freeze());
         }
+        bytes.append_blocking(&buffer[..count], expected, deadline)?;
     }
 }
 
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::background::BackgroundTask;
-use super::body::Body;
+use super::body::{read_up_to, Body};
 use super::classify::{end_of, failure_of_error, failure_of_status, to_load, to_state};
 use super::core::Event;
 use super::head::{self, Head, Header};
@@ -17,6 +17,7 @@
 use super::request::Request;
 use super::target::{self, Answer, Connection, RequestBody};
 use super::Shared;
+use crate::budget::{Account, Charge};
 use crate::catalog::{Catalog, HostKey, RegionKey, Repeat, ServiceKey, TargetKey};
 use crate::peer::stream::Incoming;
 use crate::steer::attempt::{
@@ -40,6 +41,10 @@
     pub(crate) id: Id,
     pub(crate) head: Head,
     pub(crate) body: Body,
+    /// What is held for the request is charged to it.
+    pub(crate) account: Account,
+    /// What the connections to targets hold that it uses.
+    pub(crate) _connections: Charge,
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) service: ServiceKey,
     pub(crate) locality: RegionKey,
@@ -376,7 +381,8 @@
         let time_left = self.tracker().time_left(Instant::now());
         let id = shared.request_id(self.context.id);
         let open = relay::to_open(&self.context, &id, time_left, purpose);
-        self.send_body(|body| relay::call(&shared.mesh, name, &open, body))
+        let account = &self.context.account;
+        self.send_body(|body| relay::call(&shared.mesh, name, &open, body, account))
     }
 
     /// Relays the request to the home host of its ticket, the only one that may run it.
@@ -425,7 +431,7 @@
         if is_large && &*self.context.head.method != "HEAD" {
             return self.stream_answer(shared, attempt_id, grant, answer, started);
         }
-        let buffered = read_whole(&mut answer, &self.context.head.method);
+        let buffered = self.read_whole(&mut answer);
         let cause = match &buffered {
             Err(cause) => Some(*cause),
             Ok(_) => failure_of_status(&answer),
@@ -461,6 +467,28 @@
         }
     }
 
+    /// Reads an answer's whole body and checks its length.
+    fn read_whole(&self, answer: &mut Answer) -> Result<reply::Body, FailurePoint> {
+        if &*self.context.head.method == "HEAD" {
+            return Ok(reply::Body::Length(answer.length.unwrap_or_default()));
+        }
+        let limit = answer.length.unwrap_or(MAX_BUFFERED_ANSWER_BYTES) + 1;
+        let context = &self.context;
+        let bytes = read_up_to(
+            &mut *answer.reader,
+            limit,
+            &context.account,
+            context.deadline,
+        );
+        let bytes = bytes.map_err(|_| FailurePoint::ConnectionClosed(Stage::AnswerBody))?;
+        let count = bytes.len() as u64;
+        let is_too_long = count > MAX_BUFFERED_ANSWER_BYTES;
+        if answer.length.is_some_and(|length| length != count) || is_too_long {
+            return Err(FailurePoint::WrongLength(Stage::AnswerBody));
+        }
+        Ok(reply::Body::Whole(bytes))
+    }
+
     /// Streams a large answer to the requester as it arrives.
     fn stream_answer(
         &self,
@@ -683,24 +711,6 @@
     shared.core.send(Event::TargetFinished(grant, report));
 }
 
-/// Reads an answer's whole body and checks its length.
-fn read_whole(answer: &mut Answer, method: &str) -> Result<reply::Body, FailurePoint> {
-    if method == "HEAD" {
-        return Ok(reply::Body::Length(answer.length.unwrap_or_default()));
-    }
-    let mut bytes = Vec::new();
-    let limit = MAX_BUFFERED_ANSWER_BYTES + 1;
-    let result = answer.reader.by_ref().take(limit).read_to_end(&mut bytes);
-    if result.is_err() {
-        return Err(FailurePoint::ConnectionClosed(Stage::AnswerBody));
-    }
-    let count = bytes.len() as u64;
-    if answer.length.is_some_and(|length| length != count) || count == limit {
-        return Err(FailurePoint::WrongLength(Stage::AnswerBody));
-    }
-    Ok(reply::Body::Whole(bytes.into()))
-}
-
 fn to_reply(answer: Answer, body: reply::Body) -> Reply {
     let headers: Vec<Header> = answer.headers;
     Reply {
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -6,38 +6,62 @@
 
 use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
 
+use http::{request, Method};
 use serde::Serialize;
-use tiny_http::Method;
 
-use super::body::Body;
+use super::body::{self, Body};
 use super::call::{RequestContext, Requester};
-use super::head::{Head, SERVICES_PREFIX};
+use super::head::{self, Head, SERVICES_PREFIX};
 use super::idempotency;
 use super::published::{Readiness, State};
 use super::relay;
 use super::reply::Reply;
 use super::request::Request;
+use super::target::CALL_BYTES;
 use super::{Error, Shared};
-use crate::catalog::{Catalog, ServiceKey};
+use crate::budget::Charge;
+use crate::catalog::{Catalog, RegionKey, ServiceKey};
+use crate::edge::body::BodyError;
 use crate::peer::stream::Incoming;
 use crate::steer::attempt::{Outcome, Reason};
 use crate::steer::engine::Origin;
 use crate::steer::fingerprint::{Content, Fingerprint};
 use crate::steer::lookup::Snapshot;
-use crate::supervisor::Supervisor;
 
 /// `Retry-After` for requests that this host refuses because it is full, starting or leaving.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Largest body, in bytes, that the pool for small bodies receives.
-const MAX_SMALL_BODY_BYTES: u64 = 16 << 10;
-
-/// Number of threads that answer refused requests whose body is still being received.
-const REFUSAL_THREADS: usize = 4;
+const MAX_SMALL_BODY_BYTES: usize = 16 << 10;
+
+/// A request to a service whose head is valid.
+pub(crate) struct Prepared {
+    pub(crate) head: Head,
+    catalog: Arc<Catalog>,
+    service: ServiceKey,
+    locality: RegionKey,
+    block: u64,
+    arrived: Instant,
+    /// How its body is read.
+    pub(crate) limits: body::Limits,
+}
 
 /// A request that waits for a worker.
 struct Job {
     request: Request,
-    arrived: Instant,
+    prepared: Prepared,
+    body: Body,
+    /// What the connections to targets hold that the request uses.
+    connections: Charge,
+}
+
+/// Who handles a request.
+pub(crate) enum Dispatch {
+    /// Nobody; this is the answer.
+    Answer(Reply),
+    /// A thread for look-ups.
+    Lookup,
+    /// A worker, once the body has been read.
+    Service(Box<Prepared>),
 }
 
 /// Routes requests and feeds the two worker pools. Large bodies have their own pool, so that they cannot
@@ -46,7 +70,6 @@
     shared: Arc<Shared>,
     small: Sender<Job>,
     large: Sender<Job>,
-    refusals: Sender<(Request, Reply)>,
 }
 
 #[derive(Serialize)]
@@ -72,63 +95,98 @@
         Ok(Self {
             small: start_pool(&shared, "call", workers)?,
             large: start_pool(&shared, "upload", large)?,
-            refusals: start_refusal_threads(
-                shared.settings.pool.backlog.get() as usize,
-                &shared.supervisor,
-            )?,
             shared,
         })
     }
 
-    /// Answers a request or passes it to a worker.
-    pub(crate) fn handle(&self, request: Request) {
-        let url = request.url();
+    /// Decides who handles a request, from its head.
+    pub(crate) fn dispatch(
+        &self,
+        parts: &request::Parts,
+        caller: IpAddr,
+        arrived: Instant,
+    ) -> Dispatch {
+        let url = head::url(parts);
         if url.starts_with(SERVICES_PREFIX) {
             if self.shared.is_refusing() {
                 let reply = Reply::not_run(503, "this host is leaving", Some(RETRY_AFTER));
-                return self.reply(request, reply);
+                return Dispatch::Answer(reply);
             }
-            return self.enqueue(request);
+            return match prepare(&self.shared, parts, caller, arrived) {
+                Ok(prepared) => Dispatch::Service(Box::new(prepared)),
+                Err(reply) => Dispatch::Answer(reply),
+            };
         }
-        let (path, query) = url.split_once('?').unwrap_or((url, ""));
-        let reply = match (request.method(), path) {
-            (Method::Get | Method::Head, "/v1/entries") => self.lookup(&request, query),
-            (Method::Get | Method::Head, "/healthz") => self.health(),
-            (Method::Get | Method::Head, "/metrics") => self.metrics(),
-            (Method::Get | Method::Head, "/v1/status") => self.shared.status(),
-            (_, "/v1/entries" | "/healthz" | "/metrics" | "/v1/status") => {
-                Reply::not_run(405, "only GET is possible here", None)
+        let is_read = parts.method == Method::GET || parts.method == Method::HEAD;
+        match (is_read, parts.uri.path()) {
+            (true, "/v1/entries" | "/healthz" | "/metrics" | "/v1/status") => Dispatch::Lookup,
+            (false, "/v1/entries" | "/healthz" | "/metrics" | "/v1/status") => {
+                Dispatch::Answer(Reply::not_run(405, "only GET is possible here", None))
             }
-            _ => Reply::not_run(404, &format!("nothing is at {path}"), None),
-        };
-        self.reply(request, reply);
+            (_, path) => {
+                Dispatch::Answer(Reply::not_run(404, &format!("nothing is at {path}"), None))
+            }
+        }
     }
 
-    /// Sends a reply without blocking this thread on the rest of a body.
-    fn reply(&self, request: Request, reply: Reply) {
-        if !request.has_body_left() {
-            return reply.send(request);
-        }
-        if let Err(full) = self.refusals.try_send((request, reply)) {
-            let (request, reply) = full.into_inner();
-            reply.send(request);
-        }
+    /// Answers a look-up, or a request for health, metrics or status.
+    pub(crate) fn answer(&self, request: Request) {
+        let uri = &request.parts.uri;
+        let reply = match uri.path() {
+            "/v1/entries" => self.lookup(&request, uri.query().unwrap_or_default()),
+            "/healthz" => self.health(),
+            "/metrics" => self.metrics(),
+            _ => self.shared.status(),
+        };
+        reply.send(request);
     }
 
-    fn enqueue(&self, request: Request) {
-        let is_large = request.body_length().map_or_else(
-            || is_chunked(&request),
-            |length| length as u64 > MAX_SMALL_BODY_BYTES,
-        );
+    /// Passes a request to a worker. Returns the request if all are busy and enough others wait.
+    pub(crate) fn enqueue(
+        &self,
+        request: Request,
+        prepared: Prepared,
+        body: Body,
+        connections: Charge,
+    ) -> Result<(), Box<(Request, Reply)>> {
+        let is_large = match &body {
+            Body::Whole(bytes) => bytes.len() > MAX_SMALL_BODY_BYTES,
+            Body::Partial(_) => true,
+        };
         let queue = if is_large { &self.large } else { &self.small };
         let job = Job {
             request,
-            arrived: Instant::now(),
+            prepared,
+            body,
+            connections,
         };
-        if let Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) = queue.try_send(job)
-        {
-            let reply = Reply::not_run(503, "this host is full", Some(RETRY_AFTER));
-            self.reply(job.request, reply);
+        match queue.try_send(job) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => {
+                let reply = Reply::not_run(503, "this host is full", Some(RETRY_AFTER));
+                Err(Box::new((job.request, reply)))
+            }
+        }
+    }
+
+    /// The answer to a request whose body could not be read.
+    pub(crate) fn refuse_body(&self, service: &Arc<str>, error: &BodyError) -> Reply {
+        match error {
+            BodyError::TooLong(limit) => {
+                let text = format!("the body is larger than the service's {limit} bytes");
+                Reply::not_run(413, &text, None)
+            }
+            BodyError::NoMemory(_) => {
+                self.shared.metrics.count_refusal(service, "no-memory");
+                Reply::not_run(
+                    503,
+                    "this host has no memory for the body",
+                    Some(RETRY_AFTER),
+                )
+            }
+            BodyError::Sender(_) | BodyError::Reader(_) | BodyError::TooSlow => {
+                Reply::not_run(400, &format!("the body ended early: {error}"), None)
+            }
         }
     }
 
@@ -151,10 +209,7 @@
         let Some(key) = state.catalog.service_key(&service) else {
             return Reply::not_run(404, &format!("service: no '{service}'"), None);
         };
-        let client = client.or_else(|| remote_ip(request));
-        let Some(client) = client else {
-            return Reply::not_run(400, "client: is missing", None);
-        };
+        let client = client.unwrap_or(request.caller);
         self.shared
             .metrics
             .count_lookup(&state.catalog.service(key).name);
@@ -204,21 +259,11 @@
     fn metrics(&self) -> Reply {
         let metrics = &self.shared.metrics;
         metrics.set_revision(self.shared.published.get().catalog.revision);
+        metrics.set_held(&self.shared.budget);
         Reply::whole(200, "text/plain; version=0.0.4", metrics.encode())
     }
 }
 
-fn is_chunked(request: &Request) -> bool {
-    request
-        .headers()
-        .iter()
-        .any(|header| header.field.equiv("Transfer-Encoding"))
-}
-
-fn remote_ip(request: &Request) -> Option<IpAddr> {
-    request.remote_addr().map(|address| address.ip())
-}
-
 /// Parses `service=S&client=IP`.
 fn parse_query(query: &str) -> Result<(Option<Arc<str>>, Option<IpAddr>), String> {
     let mut service = None;
@@ -256,69 +301,60 @@
     Ok(sender)
 }
 
-fn start_refusal_threads(
-    backlog: usize,
-    supervisor: &Supervisor,
-) -> Result<Sender<(Request, Reply)>, Error> {
-    let (sender, receiver) = bounded::<(Request, Reply)>(backlog);
-    for index in 0..REFUSAL_THREADS {
-        let receiver = receiver.clone();
-        let supervisor = supervisor.clone();
-        supervisor
-            .clone()
-            .spawn(format!("refuse-{index}"), move || {
-                for (request, reply) in &receiver {
-                    supervisor.catch("request", || reply.send(request));
-                }
-            })?;
-    }
-    Ok(sender)
-}
-
 fn serve_caller(shared: &Arc<Shared>, job: Job) {
     let _in_flight = shared.track_in_flight();
-    let mut request = job.request;
-    let Some(client) = remote_ip(&request) else {
-        return Reply::not_run(400, "no remote address", None).send(request);
+    let Job {
+        request,
+        prepared,
+        body,
+        connections,
+    } = job;
+    let context = RequestContext {
+        id: shared.next_id(),
+        fingerprint: fingerprint(&prepared.head, &body),
+        head: prepared.head,
+        body,
+        account: request.account.clone(),
+        _connections: connections,
+        catalog: prepared.catalog,
+        service: prepared.service,
+        locality: prepared.locality,
+        block: prepared.block,
+        origin: Origin::Caller,
+        arrived: prepared.arrived,
+        deadline: prepared.limits.deadline,
     };
-    match prepare(shared, &mut request, client, job.arrived) {
-        Ok(context) => idempotency::run(shared, context, Requester::Caller(request)),
-        Err(reply) => reply.send(request),
-    }
+    idempotency::run(shared, context, Requester::Caller(request));
 }
 
-/// Validates a request and reads its body.
+/// Validates the head of a request.
 fn prepare(
     shared: &Shared,
-    request: &mut Request,
-    client: IpAddr,
+    parts: &request::Parts,
+    caller: IpAddr,
     arrived: Instant,
-) -> Result<RequestContext, Reply> {
+) -> Result<Prepared, Reply> {
     let limit = shared.settings.pool.head_bytes as usize;
-    let head = Head::new(request, limit)
+    let head = Head::new(parts, limit)
         .map_err(|error| Reply::not_run(error.status(), &error.to_string(), None))?;
     let state = shared.published.get();
     let (catalog, service, lookup) = find_service(&state, &head)?;
     let record = catalog.service(service);
-    let max_buffered = u64::from(shared.settings.pool.buffer_bytes);
     let deadline = arrived + head.deadline.unwrap_or(record.deadline);
-    let deadline = shared.limit_deadline(deadline);
-    request.limit_body(deadline);
-    let body = Body::read(request, head.length, max_buffered, record.max_body_bytes)
-        .map_err(|error| Reply::not_run(error.status(), &error.to_string(), None))?;
-    let location = lookup.locate_client(client, 0);
-    Ok(RequestContext {
-        id: shared.next_id(),
-        fingerprint: fingerprint(&head, &body),
+    let location = lookup.locate_client(caller, 0);
+    Ok(Prepared {
+        limits: body::Limits {
+            length: head.length,
+            max_buffered: shared.settings.pool.buffer_bytes.into(),
+            max_length: record.max_body_bytes,
+            deadline: shared.limit_deadline(deadline),
+        },
         head,
-        body,
         catalog: catalog.clone(),
         service,
         locality: location.locality,
         block: location.block,
-        origin: Origin::Caller,
         arrived,
-        deadline,
     })
 }
 
@@ -418,31 +454,40 @@
         .block
         .as_deref()
         .and_then(|text| text.parse().ok());
-    let max_buffered = u64::from(shared.settings.pool.buffer_bytes);
-    let deadline = shared.limit_deadline(incoming.deadline());
+    let limits = body::Limits {
+        length: head.length,
+        max_buffered: shared.settings.pool.buffer_bytes.into(),
+        max_length: record.max_body_bytes,
+        deadline: shared.limit_deadline(incoming.deadline()),
+    };
+    let account = shared.budget.open_running();
+    let mut connections = Charge::new(&account);
+    let reserved = connections.grow_blocking(CALL_BYTES, limits.deadline);
+    reserved.map_err(|_| Outcome::NotRun(Reason::Crowded))?;
     let origin = match head.ticket {
         Some(_) => Origin::TicketRelay,
         None => Origin::Host,
     };
     let mut reader = relay::RequestReader(incoming);
-    let body = Body::read(
-        &mut reader,
-        head.length,
-        max_buffered,
-        record.max_body_bytes,
-    )
-    .map_err(|_| Outcome::NotRun(Reason::BadRequest))?;
+    let body = Body::read(&mut reader, &limits, &account).map_err(|error| {
+        Outcome::NotRun(match error {
+            body::Error::NoMemory(_) => Reason::Crowded,
+            _ => Reason::BadRequest,
+        })
+    })?;
     Ok(RequestContext {
         id: shared.next_id(),
         fingerprint: fingerprint(&head, &body),
         head,
         body,
+        account,
+        _connections: connections,
         catalog: catalog.clone(),
         service,
         locality,
         block: block.unwrap_or_default(),
         origin,
         arrived,
-        deadline,
+        deadline: limits.deadline,
     })
 }
--- a/src/entry/head.rs
+++ b/src/entry/head.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::{request, HeaderMap};
+
+use crate::edge::RepeatedLength;
 use crate::peer::stream::Open;
 use crate::steer::ticket;
 
@@ -82,6 +85,8 @@
     Key,
     #[error("{TICKET}: {0}")]
     Ticket(#[from] ticket::Error),
+    #[error("{0}: the value is not visible ASCII text")]
+    Text(Arc<str>),
     #[error("Content-Length: '{0}' is not a number")]
     Length(Arc<str>),
     #[error("Transfer-Encoding: '{0}' is not 'chunked'")]
@@ -116,14 +121,13 @@
 }
 
 impl Head {
-    /// Validates the head of `request`; its URL and headers may have `limit` bytes in all.
-    pub(crate) fn new(request: &tiny_http::Request, limit: usize) -> Result<Self, Error> {
-        let url = request.url();
+    /// Validates the head of a request; its URL and headers may have `limit` bytes in all.
+    pub(crate) fn new(parts: &request::Parts, limit: usize) -> Result<Self, Error> {
+        let url = url(parts);
+        let headers = parts.headers.iter();
         let size = url.len()
-            + request
-                .headers()
-                .iter()
-                .map(|header| header.field.as_str().as_str().len() + header.value.as_str().len())
+            + headers
+                .map(|(name, value)| name.as_str().len() + value.len())
                 .sum::<usize>();
         if size > limit {
             return Err(Error::Oversize(size));
@@ -131,15 +135,18 @@
         let (service, path) = split_url(url).ok_or_else(|| Error::Path(url.into()))?;
         let mut head = Self {
             service,
-            method: request.method().as_str().into(),
+            method: parts.method.as_str().into(),
             path,
-            headers: Vec::with_capacity(request.headers().len()),
+            headers: Vec::with_capacity(parts.headers.len()),
             deadline: None,
             key: None,
             ticket: None,
             length: None,
         };
-        head.parse_headers(request)?;
+        head.parse_headers(&parts.headers)?;
+        if parts.extensions.get::<RepeatedLength>().is_some() {
+            return Err(Error::Repeated("Content-Length"));
+        }
         Ok(head)
     }
 
@@ -159,17 +166,17 @@
         })
     }
 
-    fn parse_headers(&mut self, request: &tiny_http::Request) -> Result<(), Error> {
-        let connection = find_header(request, "connection").unwrap_or_default();
-        let encoding = find_header(request, "transfer-encoding");
+    fn parse_headers(&mut self, headers: &HeaderMap) -> Result<(), Error> {
+        let connection = find_header(headers, "connection").unwrap_or_default();
+        let encoding = find_header(headers, "transfer-encoding");
         let is_chunked = encoding.is_some();
         if let Some(encoding) = encoding.filter(|text| !text.eq_ignore_ascii_case("chunked")) {
             return Err(Error::Encoding(encoding));
         }
         let mut length_headers = 0;
-        for header in request.headers() {
-            let name = header.field.as_str().as_str();
-            let value = header.value.as_str();
+        for (name, value) in headers {
+            let name = name.as_str();
+            let value = value.to_str().map_err(|_| Error::Text(name.into()))?;
             if name.eq_ignore_ascii_case(DEADLINE) {
                 self.deadline = Some(parse_deadline(value)?);
             } else if name.eq_ignore_ascii_case(KEY) {
@@ -208,12 +215,17 @@
     }
 }
 
-fn find_header(request: &tiny_http::Request, name: &'static str) -> Option<Arc<str>> {
-    request
-        .headers()
-        .iter()
-        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
-        .map(|header| header.value.as_str().into())
+fn find_header(headers: &HeaderMap, name: &'static str) -> Option<Arc<str>> {
+    let value = headers.get(name)?;
+    value.to_str().ok().map(Into::into)
+}
+
+/// The path and query of a request.
+pub(crate) fn url(parts: &request::Parts) -> &str {
+    parts
+        .uri
+        .path_and_query()
+        .map_or("", |path_and_query| path_and_query.as_str())
 }
 
 fn parse_deadline(value: &str) -> Result<Duration, Error> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,10 +14,8 @@
 mod idempotency;
 mod log;
 pub(crate) mod metrics;
-mod pipelining;
 mod platform;
 mod published;
-mod raw_socket;
 mod relay;
 mod reply;
 mod request;
@@ -26,7 +24,6 @@
 mod stage;
 mod status;
 mod target;
-mod watchdog;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -40,6 +37,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::border::settings::Settings;
+use crate::budget::{self, Budget};
 use crate::peer;
 use crate::peer::config::Listen;
 use crate::peer::mesh::Mesh;
@@ -56,6 +54,9 @@
 use reply::Reply;
 use server::Server;
 
+/// Memory of a thread, in bytes: the part of its stack that is in use, and what the allocator keeps
+/// for it.
+const THREAD_BYTES: u64 = 64 << 10;
 /// Time limit for the core's status report, and the `Retry-After` if it is exceeded.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// How much longer than the look-up TTL a leaving host serves.
@@ -83,6 +84,8 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) issuer: Issuer,
     pub(crate) mesh: Arc<Mesh>,
+    /// The budget for what is held for callers, targets and other hosts.
+    pub(crate) budget: Budget,
     background: TaskSender,
     incarnation: u64,
     ids: AtomicU64,
@@ -187,7 +190,7 @@
         let settings = Arc::new(settings);
         let listen = parse_address("listen", &settings.listen)?;
         let idle_timeout = Duration::from_millis(settings.pool.idle_ms.into());
-        let listener = server::listen(listen, idle_timeout).map_err(|source| Error::Listen {
+        let listener = server::listen(listen).map_err(|source| Error::Listen {
             address: listen,
             source,
         })?;
@@ -196,6 +199,7 @@
         let published = Arc::new(Published::new());
         let (background, tasks) = background::task_queue();
         let metrics = Arc::new(Metrics::new()?);
+        let budget = build_budget(&settings, metrics.clone());
         let (store_commands, store_command_receiver) = unbounded();
         let (config_events, config_event_receiver) = unbounded();
         let is_delegate = Arc::new(AtomicBool::new(false));
@@ -235,13 +239,14 @@
         let shared = Arc::new(Shared {
             core: core.clone(),
             published,
-            targets: target::Client::new(connect),
+            targets: target::Client::new(connect, &budget),
             metrics,
             issuer: Issuer::new(settings.host.as_str().into(), incarnation, rotation),
             mesh,
             background,
             incarnation,
             ids: AtomicU64::new(0),
+            budget: budget.clone(),
             in_flight: Arc::default(),
             is_refusing: AtomicBool::new(false),
             latest_end: OnceLock::new(),
@@ -264,16 +269,17 @@
         let zone = &shared.settings.availability_zone;
         health::start(zone, &shared.published, &core, &stop, &supervisor)?;
         let threads = shared.settings.pool.lookup_workers.get() as usize;
-        let handler = Arc::new(move |request| front.handle(request));
-        let shared_for_rebuilds = shared.clone();
-        let on_rebuild = Box::new(move || shared_for_rebuilds.metrics.count_rebuild());
+        let restarted = shared.clone();
+        let on_restart = Box::new(move || restarted.metrics.count_rebuild());
+        let head_bytes = shared.settings.pool.head_bytes as usize;
         let server = Server::new(
             listener,
             threads,
-            idle_timeout,
-            handler,
-            on_rebuild,
-            supervisor,
+            server::limits(head_bytes, idle_timeout),
+            front,
+            budget,
+            on_restart,
+            &supervisor,
         )?;
         spdlog::info!(
             "entry: {} listens on {}",
@@ -435,6 +441,20 @@
     Ok(())
 }
 
+/// The budget for what the host holds for its peers.
+fn build_budget(settings: &Settings, metrics: Arc<Metrics>) -> Budget {
+    let pool = &settings.pool;
+    let configured = Some(pool.memory_mb).filter(|megabytes| *megabytes > 0);
+    let workers = pool.workers.get();
+    let threads = workers + workers / 4 + pool.relay_workers.get() + pool.lookup_workers.get();
+    let memory =
+        budget::available_memory(configured).saturating_sub(u64::from(threads) * THREAD_BYTES);
+    let descriptors = budget::available_descriptors(Some(pool.open_files));
+    Budget::new(memory, descriptors, move |shortage| {
+        metrics.count_closed_peer(shortage);
+    })
+}
+
 /// Raises the limit of open files to `wanted`, or as far as the hard limit allows.
 fn raise_file_limit(wanted: u64) {
     let set = Resource::NOFILE.get().and_then(|(_, hard)| {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -2,11 +2,12 @@
 
 use std::io::{self, Read};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::call::{RequestContext, MAX_BUFFERED_ANSWER_BYTES};
 use super::reply::{Body, Reply};
 use super::target::RequestBody;
+use crate::budget::{Account, Buffer};
 use crate::peer::error::{Dispatch, StreamError};
 use crate::peer::mesh::Mesh;
 use crate::peer::stream::{Incoming, Open, Reply as Head, Stream};
@@ -92,6 +93,7 @@
     host: &str,
     open: &Open,
     body: RequestBody<'_, '_>,
+    account: &Account,
 ) -> (Result<Answer, Failure>, u64) {
     let mut stream = match mesh.open(host, open, LINK_TIMEOUT) {
         Ok(stream) => stream,
@@ -102,7 +104,7 @@
     };
     let mut bytes = 0;
     let result = send_body(&mut stream, body, &mut bytes)
-        .and_then(|()| read_answer(stream, open, &mut bytes));
+        .and_then(|()| read_answer(stream, open, &mut bytes, account));
     (result, bytes)
 }
 
@@ -149,7 +151,12 @@
     }
 }
 
-fn read_answer(mut stream: Stream, open: &Open, bytes: &mut u64) -> Result<Answer, Failure> {
+fn read_answer(
+    mut stream: Stream,
+    open: &Open,
+    bytes: &mut u64,
+    account: &Account,
+) -> Result<Answer, Failure> {
     let head = stream
         .read_head(open.deadline)
         .map_err(|error| to_failure(&stream, &error, Stage::Sent))?;
@@ -181,12 +188,16 @@
         reply.body = Body::Stream(Box::new(AnswerReader(stream)), length);
         return Ok(Answer::Stream(reply));
     }
-    let mut content = Vec::new();
+    let expected = length.unwrap_or(MAX_BUFFERED_ANSWER_BYTES) as usize;
+    let memory_timeout = Instant::now() + open.deadline;
+    let mut content = Buffer::new(account);
     let mut buffer = [0; COPY_BUFFER_BYTES];
     loop {
         match stream.read_body(&mut buffer) {
             Ok(0) => break,
-            Ok(count) => content.extend_from_slice(&buffer[..count]),
+            Ok(count) => content
+                .append_blocking(&buffer[..count], expected, memory_timeout)
+                .map_err(|_| Failure::new(FailurePoint::ConnectionClosed(Stage::AnswerBody)))?,
             Err(error) => return Err(to_failure(&stream, &error, Stage::AnswerBody)),
         }
         if content.len() as u64 > MAX_BUFFERED_ANSWER_BYTES {
@@ -194,7 +205,7 @@
         }
     }
     *bytes += content.len() as u64;
-    reply.body = Body::Whole(content.into());
+    reply.body = Body::Whole(content.freeze());
     Ok(Answer::Whole(reply))
 }
 
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -1,21 +1,28 @@
 //! Answers to callers and how they are written.
 
-use std::io::{self, Cursor, Read};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::io::{self, Read};
+use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue};
 use serde::Serialize;
-use tiny_http::{Response, StatusCode};
+use tokio::sync::mpsc;
 
 use super::head::{self, Header};
-use super::raw_socket;
-use super::request::Request;
+use super::request::{Answer, AnswerBody, Request};
+use crate::budget::Charge;
+
+/// Size of the parts in which a body is sent, in bytes.
+const PART_BYTES: usize = 16 << 10;
+/// Memory of the parts that wait to be sent, in bytes.
+const QUEUED_BYTES: usize = 8 * PART_BYTES;
+/// How long an answer waits for memory.
+const MEMORY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The body of an answer.
 pub(crate) enum Body {
     /// The complete body.
-    Whole(Arc<[u8]>),
+    Whole(Bytes),
     /// A body too large to buffer, and its length.
     Stream(Box<dyn Read + Send>, u64),
     /// No body, only its length: the answer to a HEAD request.
@@ -78,41 +85,74 @@
         self.headers.push((name.into(), value.into()));
     }
 
-    /// Writes the answer to the caller. If the body breaks off, the connection is closed so that the
+    /// Sends the answer to the caller. If the body breaks off, the connection is closed so that the
     /// caller cannot mistake it for complete.
     pub(crate) fn send(self, request: Request) {
-        let peer = request.remote_addr().copied();
-        let (length, reader): (u64, Box<dyn Read + Send>) = match self.body {
-            Body::Whole(bytes) => (bytes.len() as u64, Box::new(Cursor::new(bytes))),
-            Body::Stream(reader, length) => {
-                (length, Box::new(ExactLengthReader::new(reader, length)))
-            }
-            Body::Length(length) => (length, Box::new(io::empty())),
+        let (head, body) = (self.head(), self.body);
+        let is_sent = match body {
+            Body::Whole(bytes) => request.answer(Answer::new(head, AnswerBody::Whole(bytes))),
+            Body::Length(length) => request.answer(Answer::new(head, AnswerBody::Length(length))),
+            Body::Stream(reader, length) => stream(request, head, reader, length),
         };
-        let headers = self.headers.iter().filter_map(to_header).collect();
-        let response = Response::new(
-            StatusCode(self.status),
-            headers,
-            reader,
-            usize::try_from(length).ok(),
-            None,
-        )
-        .with_chunked_threshold(usize::MAX);
-        if let Err(error) = request.respond(response) {
-            spdlog::debug!("http: an answer broke off: {error}");
-            close_connection(peer);
+        if !is_sent {
+            spdlog::debug!("http: an answer broke off");
         }
     }
-}
 
-fn close_connection(peer: Option<SocketAddr>) {
-    if let Some(peer) = peer {
-        raw_socket::close(peer);
+    /// Status and headers of the answer.
+    fn head(&self) -> http::response::Builder {
+        let mut head = http::Response::builder().status(self.status);
+        if let Some(headers) = head.headers_mut() {
+            for (name, value) in &self.headers {
+                let name = HeaderName::from_bytes(name.as_bytes());
+                if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+                    headers.append(name, value);
+                }
+            }
+        }
+        head
+    }
+
+    /// The answer, if its body is complete.
+    pub(crate) fn into_answer(self) -> Answer {
+        let head = self.head();
+        match self.body {
+            Body::Whole(bytes) => Answer::new(head, AnswerBody::Whole(bytes)),
+            Body::Length(length) => Answer::new(head, AnswerBody::Length(length)),
+            Body::Stream(..) => Answer::new(head, AnswerBody::Whole(Bytes::new())),
+        }
     }
 }
 
-fn to_header((name, value): &Header) -> Option<tiny_http::Header> {
-    tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
+/// Sends an answer whose body arrives part by part. Returns whether the caller has taken all of it.
+fn stream(
+    request: Request,
+    head: http::response::Builder,
+    reader: Box<dyn Read + Send>,
+    length: u64,
+) -> bool {
+    let mut charge = Charge::new(&request.account);
+    let deadline = Instant::now() + MEMORY_TIMEOUT;
+    if charge.grow_blocking(QUEUED_BYTES, deadline).is_err() {
+        return false;
+    }
+    let (sender, parts) = mpsc::channel(1);
+    if !request.answer(Answer::new(head, AnswerBody::Parts(parts, length))) {
+        return false;
+    }
+    let mut reader = ExactLengthReader::new(reader, length);
+    let mut buffer = [0; PART_BYTES];
+    loop {
+        let part = match reader.read(&mut buffer) {
+            Ok(0) => return true,
+            Ok(count) => Ok(Bytes::copy_from_slice(&buffer[..count])),
+            Err(error) => Err(error),
+        };
+        let has_failed = part.is_err();
+        if sender.blocking_send(part).is_err() || has_failed {
+            return false;
+        }
+    }
 }
 
 /// A reader that fails if its source ends before `bytes_left` bytes.
@@ -138,10 +178,7 @@
         let limit = buffer
             .len()
             .min(usize::try_from(self.bytes_left).unwrap_or(usize::MAX));
-        let count = self.reader.read(&mut buffer[..limit]).map_err(|error| {
-            // The library ignores connection errors because it attributes them to the caller; wrap them.
-            io::Error::other(error)
-        })?;
+        let count = self.reader.read(&mut buffer[..limit])?;
         if count == 0 && limit > 0 {
             return Err(io::Error::other("the body ended early"));
         }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,64 +1,66 @@
-//! The HTTP edge towards callers, on `tiny_http`.
+//! The HTTP edge towards callers.
 //!
-//! All workarounds for limits of the library are here and in the modules named below, so that the library
-//! could be replaced:
-//!
-//! - One failed `accept` ends a `tiny_http::Server` permanently, and silently if its thread panics because
-//!   the process has no file descriptors left. The listening socket is therefore kept here and a new server
-//!   is built on a duplicate of it; the old one keeps serving its existing connections. A probe connects to
-//!   the socket to detect a server that has ended.
-//! - It has no time-outs. They are set on the listening socket, from which each accepted socket
-//!   inherits them. Since they also make an idle `accept` fail, the probe connects more often than that.
-//! - It returns the pipelined requests of one connection at once, and the thread that sends an answer then
-//!   blocks until the earlier ones are sent. [`super::pipelining`] admits them one after the other.
-//! - It reads the unread rest of a body without a time limit, or parses it as the next request.
-//!   [`super::request`] prevents both.
+//! One thread serves all connections. It reads the head of each request and its body, or the
+//! beginning of a long one, before a thread of a pool handles it: a caller that sends slowly holds
+//! none of them. Answers are handed back to it, and no thread waits until a caller has read one,
+//! unless it is too long to be buffered.
 
-use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::thread;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{unbounded, Receiver as ChannelReceiver, RecvTimeoutError};
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use bytes::Bytes;
+use crossbeam_channel::{unbounded, Sender};
+use futures_util::stream;
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::LocalSet;
 
-use super::pipelining::ConnectionTable;
-use super::request::Request;
-use super::watchdog::{TimeoutAction, Watchdog};
+use super::front::{Dispatch, Front, Prepared};
+use super::reply::Reply;
+use super::request::{Answer, AnswerBody, Part, Request};
+use super::target::CALL_BYTES;
 use super::InFlightGuard;
+use crate::budget::{Account, Budget, Exceeded};
+use crate::edge::body::{self, Body, BodyError, ReceivedBody, Rest};
+use crate::edge::{self, Closing, Edge, Limits, RepeatedLengths};
+use crate::entry::body::Body as RequestBody;
+use crate::steer::holdings::Stage;
 use crate::supervisor::Supervisor;
 
 /// Maximum number of connections waiting to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
-/// How much longer than [`STOP_CHECK_INTERVAL`] a thread may wait for a request before this process
-/// counts as paused.
-const MAX_WAKE_UP_DELAY: Duration = Duration::from_millis(30);
-/// How long after a pause requests are read that arrived during it.
-const LATE_READ_PERIOD: Duration = Duration::from_secs(1);
-/// Pause before a server is rebuilt after `accept` failed.
-const REBUILD_PAUSE: Duration = Duration::from_millis(50);
-/// How long a replaced server is still polled after its last request.
-const RETIRE_AFTER: Duration = Duration::from_secs(600);
-/// How often a blocked thread checks whether it should stop.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Minimum number of probes within the time-out of the sockets.
-const MIN_PROBES_PER_TIMEOUT: u32 = 3;
-/// Longest time between two probes, and the time limit for the answer to one.
-const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered probes after which the server is rebuilt.
-const MAX_UNANSWERED_PROBES: u32 = 2;
-/// The request that the probe sends.
-const PROBE_REQUEST: &[u8] = b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n";
-/// Time limit for handling a request on a thread that receives requests; without it, a caller that
-/// does not read its answer would block the thread.
-const HANDLER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Number of headers that a request may have.
+const MAX_HEADERS: usize = 1000;
+/// Bytes of a head besides its names and values: the request line, and signs between them.
+const HEAD_SYNTAX_BYTES: usize = 1 << 10;
+/// How long the rest of a refused body is read, so that the caller can receive the answer.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of bytes of a refused body that are read.
+const MAX_DRAIN_BYTES: usize = 32 << 20;
+/// Name of the thread that serves the connections.
+const THREAD: &str = "http";
+
+/// Called when the thread that serves the connections was started again.
+pub(crate) type RestartHandler = Box<dyn Fn() + Send + Sync>;
 
-/// Called with each request.
-pub(crate) type Handler = Arc<dyn Fn(Request) + Send + Sync>;
-/// Called when the library's server was rebuilt.
-pub(crate) type RebuildHandler = Box<dyn Fn() + Send + Sync>;
+/// What the server does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Open,
+    /// It accepts no connections any more.
+    Closed,
+    Stopped,
+}
 
 /// A listening server.
 pub(crate) struct Server {
@@ -66,85 +68,90 @@
 }
 
 struct Inner {
-    listener: TcpListener,
+    listener: Mutex<Option<TcpListener>>,
     address: SocketAddr,
-    threads: usize,
-    idle_timeout: Duration,
-    handler: Handler,
-    on_rebuild: RebuildHandler,
-    /// The flag of the newest server, set when that server is replaced.
-    replaced: Mutex<Arc<AtomicBool>>,
-    stop: AtomicBool,
+    limits: Limits,
+    front: Arc<Front>,
+    lookups: Sender<Request>,
+    budget: Budget,
+    mode: watch::Sender<Mode>,
     /// Whether answers tell callers to close their connections.
-    is_leaving: Arc<AtomicBool>,
-    /// Whether no connections are accepted any more.
-    is_closed: AtomicBool,
+    is_leaving: AtomicBool,
     /// Requests that have been read and not been answered yet.
     open: Arc<AtomicUsize>,
-    /// When a pause of this process was last noticed.
-    paused_at: Mutex<Option<Instant>>,
-    connections: Arc<ConnectionTable>,
-    watchdog: Watchdog,
-    supervisor: Supervisor,
+    has_started: AtomicBool,
+    on_restart: RestartHandler,
 }
 
-/// Opens a listening socket whose time-outs each accepted socket inherits.
-pub(crate) fn listen(address: SocketAddr, idle_timeout: Duration) -> io::Result<TcpListener> {
+/// Opens a listening socket.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
         Some(Protocol::TCP),
     )?;
     socket.set_reuse_address(true)?;
-    socket.set_read_timeout(Some(idle_timeout))?;
-    socket.set_write_timeout(Some(idle_timeout))?;
     socket.set_tcp_nodelay(true)?;
+    socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
     Ok(socket.into())
 }
 
+/// Limits on a caller's connection. The names and values of a head may have `head_bytes` bytes.
+pub(crate) fn limits(head_bytes: usize, idle_timeout: Duration) -> Limits {
+    Limits {
+        buffer_bytes: edge::buffer_bytes(head_bytes + head_bytes / 4 + HEAD_SYNTAX_BYTES),
+        head_timeout: idle_timeout,
+        idle_timeout,
+    }
+}
+
 impl Server {
-    /// Serves `listener` with `threads` threads that pass each request to `handler`.
+    /// Serves `listener`. `threads` threads answer look-ups.
     pub(crate) fn new(
         listener: TcpListener,
         threads: usize,
-        idle_timeout: Duration,
-        handler: Handler,
-        on_rebuild: RebuildHandler,
-        supervisor: Supervisor,
+        limits: Limits,
+        front: Front,
+        budget: Budget,
+        on_restart: RestartHandler,
+        supervisor: &Supervisor,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
-        let (ready, queued) = unbounded();
+        let (lookups, waiting) = unbounded::<Request>();
+        let front = Arc::new(front);
+        for index in 0..threads {
+            let (front, waiting) = (front.clone(), waiting.clone());
+            let own = supervisor.clone();
+            supervisor.spawn(format!("lookup-{index}"), move || {
+                for request in &waiting {
+                    own.catch("request", || front.answer(request));
+                }
+            })?;
+        }
         let inner = Arc::new(Inner {
-            listener,
+            listener: Mutex::new(Some(listener)),
             address,
-            threads,
-            idle_timeout,
-            handler,
-            on_rebuild,
-            replaced: Mutex::default(),
-            stop: AtomicBool::new(false),
-            is_leaving: Arc::default(),
-            is_closed: AtomicBool::new(false),
+            limits,
+            front,
+            lookups,
+            budget,
+            mode: watch::Sender::new(Mode::Open),
+            is_leaving: AtomicBool::new(false),
             open: Arc::default(),
-            paused_at: Mutex::default(),
-            connections: ConnectionTable::new(ready),
-            watchdog: Watchdog::new(&supervisor)?,
-            supervisor,
+            has_started: AtomicBool::new(false),
+            on_restart,
         });
-        Inner::serve(&inner)?;
-        for index in 0..threads {
-            let inner = inner.clone();
-            let queued = queued.clone();
-            let supervisor = inner.supervisor.clone();
-            supervisor.spawn(format!("next-{index}"), move || {
-                inner.handle_queued(&queued)
-            })?;
-        }
-        let prober = inner.clone();
-        let supervisor = inner.supervisor.clone();
-        supervisor.spawn("probe", move || Inner::probe(&prober))?;
+        let served = inner.clone();
+        supervisor.spawn(THREAD, move || {
+            if served.has_started.swap(true, Ordering::Relaxed) {
+                (served.on_restart)();
+            }
+            if let Err(error) = run(&served) {
+                spdlog::error!("http: cannot serve connections: {error}");
+            }
+        })?;
         Ok(Self { inner })
     }
 
@@ -160,11 +167,8 @@
 
     /// Accepts no connections any more; those that are open are served on.
     pub(crate) fn close(&self) {
-        self.inner.is_closed.store(true, Ordering::Relaxed);
-        let socket = SockRef::from(&self.inner.listener);
-        if let Err(error) = socket.shutdown(Shutdown::Read) {
-            spdlog::warn!("http: cannot close the listening socket: {error}");
-        }
+        self.inner.listener().take();
+        self.inner.mode.send_replace(Mode::Closed);
     }
 
     /// The number of requests that have been read and not been answered yet.
@@ -172,186 +176,287 @@
         self.inner.open.load(Ordering::Relaxed)
     }
 
-    /// Ends the server's threads; requests already passed to the handler continue.
+    /// Ends the connections; requests already passed to a worker continue.
     pub(crate) fn stop(&self) {
-        self.inner.stop.store(true, Ordering::Relaxed);
+        self.inner.mode.send_replace(Mode::Stopped);
     }
 }
 
 impl Inner {
-    /// Builds a server on a duplicate of the listening socket and starts its threads.
-    fn serve(inner: &Arc<Self>) -> io::Result<()> {
-        let listener = inner.listener.try_clone()?;
-        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(Mutex::new(server));
-        let replaced = Arc::new(AtomicBool::new(false));
-        *inner.replaced_flag() = replaced.clone();
-        for index in 0..inner.threads {
-            let receiver = RequestReceiver {
-                inner: inner.clone(),
-                server: server.clone(),
-                replaced: replaced.clone(),
-                is_first: index == 0,
-            };
-            inner
-                .supervisor
-                .spawn(format!("http-{index}"), move || receiver.run())?;
-        }
-        Ok(())
-    }
-
-    fn replaced_flag(&self) -> MutexGuard<'_, Arc<AtomicBool>> {
-        self.replaced.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Notes how long a thread has waited for a request, and returns whether the process was paused so
-    /// recently that requests may be read late.
-    fn note_wait(&self, wait: Duration) -> bool {
-        let mut paused_at = self
-            .paused_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if wait > STOP_CHECK_INTERVAL + MAX_WAKE_UP_DELAY {
-            *paused_at = Some(Instant::now());
-        }
-        paused_at.is_some_and(|at| at.elapsed() < LATE_READ_PERIOD)
+    fn listener(&self) -> std::sync::MutexGuard<'_, Option<TcpListener>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    fn rebuild(inner: &Arc<Self>) {
-        while !inner.stop.load(Ordering::Relaxed) {
-            thread::sleep(REBUILD_PAUSE);
-            match Self::serve(inner) {
-                Ok(()) => {
-                    (inner.on_rebuild)();
-                    return;
-                }
-                Err(error) => spdlog::warn!("http: cannot build the server anew: {error}"),
+/// Serves connections until the server is stopped.
+fn run(inner: &Arc<Inner>) -> io::Result<()> {
+    let listener = match inner.listener().as_ref() {
+        Some(listener) => Some(listener.try_clone()?),
+        None => None,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let mut mode = inner.mode.subscribe();
+        if let Some(listener) = listener {
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            tokio::select! {
+                never = accept(inner, &listener) => match never {},
+                _ = mode.wait_for(|mode| *mode != Mode::Open) => {}
             }
         }
-    }
+        // The sender lives as long as the server.
+        let _ = mode.wait_for(|mode| *mode == Mode::Stopped).await;
+        Ok(())
+    })
+}
 
-    /// Handles requests that were queued behind an earlier one of their connection.
-    fn handle_queued(&self, queued: &ChannelReceiver<Request>) {
-        while !self.stop.load(Ordering::Relaxed) {
-            match queued.recv_timeout(STOP_CHECK_INTERVAL) {
-                Ok(request) => self.handle(request),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+async fn accept(
+    inner: &Arc<Inner>,
+    listener: &tokio::net::TcpListener,
+) -> std::convert::Infallible {
+    let limits = inner.limits;
+    let edge = Rc::new(Edge {
+        limits: Box::new(move || limits),
+        closing: Rc::<Closing>::default(),
+        log_closed: Box::new(|used_for| {
+            spdlog::debug!(
+                "http: a connection ({used_for}) was closed, as others need what it holds"
+            );
+        }),
+        unparsed: Some(unparsed),
+        max_headers: MAX_HEADERS,
+        repeated_lengths: RepeatedLengths::Marked,
+    });
+    edge::accept_each(
+        &inner.budget,
+        listener,
+        ACCEPT_PAUSE,
+        |stream, _, account| {
+            if let Err(error) = stream.set_nodelay(true) {
+                spdlog::debug!("http: cannot configure the socket of a connection: {error}");
+                return;
             }
-        }
-    }
+            let (edge, inner) = (edge.clone(), inner.clone());
+            tokio::task::spawn_local(async move {
+                let handle = |request| handle(inner.clone(), request);
+                edge::serve_connection(&edge, stream, account, handle).await;
+            });
+        },
+    )
+    .await
+}
 
-    fn handle(&self, request: Request) {
-        let peer = request.remote_addr().copied();
-        let _guard = peer.map(|peer| {
-            self.watchdog
-                .guard(peer, HANDLER_TIMEOUT, TimeoutAction::Close)
-        });
-        self.supervisor.catch("request", || (self.handler)(request));
+/// The response to a request that can't be parsed.
+fn unparsed(status: u16) -> Bytes {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+    let reason = status.canonical_reason().unwrap_or_default();
+    let reply = Reply::not_run(
+        status.as_u16(),
+        &format!("cannot be parsed: {reason}"),
+        None,
+    );
+    let mut text = format!("HTTP/1.1 {} {reason}\r\n", status.as_u16());
+    for (name, value) in &reply.headers {
+        text += &format!("{name}: {value}\r\n");
     }
+    let body = match reply.body {
+        super::reply::Body::Whole(bytes) => bytes,
+        _ => Bytes::new(),
+    };
+    text += &format!(
+        "Connection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [text.as_bytes(), &body].concat().into()
+}
 
-    /// Sends a probe at regular intervals, so that `accept` never reaches the socket's time-out and a
-    /// server that no longer accepts connections is replaced.
-    fn probe(inner: &Arc<Self>) {
-        let interval = MAX_PROBE_INTERVAL.min(inner.idle_timeout / MIN_PROBES_PER_TIMEOUT);
-        let mut next_probe = Instant::now() + interval;
-        let mut unanswered = 0;
-        while !inner.stop.load(Ordering::Relaxed) {
-            thread::sleep(STOP_CHECK_INTERVAL.min(interval));
-            if Instant::now() < next_probe || inner.is_closed.load(Ordering::Relaxed) {
-                continue;
-            }
-            inner.connections.purge(Instant::now());
-            match inner.send_probe() {
-                Ok(()) => unanswered = 0,
+/// Handles a request, from its head to its answer.
+async fn handle(inner: Arc<Inner>, request: http::Request<Incoming>) -> Response<Body> {
+    let open = InFlightGuard::new(&inner.open);
+    let arrived = Instant::now();
+    // The connection is polled once more first. A request that was read late, by a host that was
+    // paused, is dropped then if its caller has left.
+    tokio::task::yield_now().await;
+    let (parts, incoming) = request.into_parts();
+    let caller = edge::caller_address(&parts.extensions);
+    let Some(account) = edge::account(&parts.extensions).cloned() else {
+        return build(
+            &inner,
+            Reply::unknown(500, "no account").into_answer(),
+            open,
+        );
+    };
+    let awaits_continue = parts.headers.contains_key(EXPECT);
+    let dispatch = inner.front.dispatch(&parts, caller, arrived);
+    let (sender, answer) = oneshot::channel();
+    let request = Request::new(parts, caller, account, sender);
+    let mut is_consumed = false;
+    let answer = match dispatch {
+        Dispatch::Answer(reply) => {
+            drain(incoming, awaits_continue);
+            reply.into_answer()
+        }
+        Dispatch::Lookup => {
+            drain(incoming, awaits_continue);
+            // The threads that receive it end with the process.
+            let _ = inner.lookups.send(request);
+            receive(answer).await
+        }
+        Dispatch::Service(prepared) => {
+            let read = read_body(&inner, incoming, &prepared, &request.account).await;
+            is_consumed = matches!(read, Ok(ReceivedBody::Complete(_)));
+            match read {
+                Ok(body) => serve(&inner, request, *prepared, body, answer).await,
                 Err(error) => {
-                    spdlog::warn!("http: own socket does not answer: {error}");
-                    unanswered += 1;
+                    let service = &prepared.head.service;
+                    inner.front.refuse_body(service, &error).into_answer()
                 }
             }
-            if unanswered >= MAX_UNANSWERED_PROBES {
-                unanswered = 0;
-                inner.replaced_flag().store(true, Ordering::Relaxed);
-                Self::rebuild(inner);
-            }
-            next_probe = Instant::now() + interval;
         }
+    };
+    let mut response = build(&inner, answer, open);
+    if is_consumed {
+        response.extensions_mut().insert(edge::BodyConsumed);
     }
+    response
+}
 
-    /// Sends the probe; any answer counts as success.
-    fn send_probe(&self) -> io::Result<()> {
-        let mut stream = TcpStream::connect_timeout(&self.address, MAX_PROBE_INTERVAL)?;
-        stream.set_read_timeout(Some(MAX_PROBE_INTERVAL))?;
-        stream.set_write_timeout(Some(MAX_PROBE_INTERVAL))?;
-        stream.write_all(PROBE_REQUEST)?;
-        stream.read_exact(&mut [0])
+/// Reads the rest of a body that isn't wanted, while the answer is sent. Otherwise the connection
+/// would be reset, and the caller might not receive the answer.
+fn drain(mut incoming: Incoming, awaits_continue: bool) {
+    if incoming.is_end_stream() || awaits_continue {
+        return;
     }
+    let drained = async move {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = incoming.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_DRAIN_BYTES {
+                return;
+            }
+        }
+    };
+    tokio::task::spawn_local(tokio::time::timeout(LINGER_TIMEOUT, drained));
 }
 
-/// The state of one thread that receives requests from one server.
-struct RequestReceiver {
-    inner: Arc<Inner>,
-    /// Locked while waiting for a request, so that requests of one connection keep their order.
-    server: Arc<Mutex<tiny_http::Server>>,
-    replaced: Arc<AtomicBool>,
-    is_first: bool,
+async fn read_body(
+    inner: &Inner,
+    incoming: Incoming,
+    prepared: &Prepared,
+    account: &Account,
+) -> Result<ReceivedBody, BodyError> {
+    let limits = body::Limits {
+        max_bytes: prepared.limits.max_length,
+        max_buffered: usize::try_from(prepared.limits.max_buffered).unwrap_or(usize::MAX),
+        max_pause: Some(inner.limits.idle_timeout),
+        read_buffer_bytes: inner.limits.buffer_bytes,
+    };
+    tokio::select! {
+        biased;
+        read = body::read(incoming, &limits, account) => read,
+        () = account.wait_for_closing() => Err(Exceeded.into()),
+        () = tokio::time::sleep_until(prepared.limits.deadline.into()) => Err(BodyError::TooSlow),
+    }
 }
 
-/// The result of waiting for a request.
-enum Received {
-    Request(Box<Request>),
-    /// A request was queued behind an earlier one of its connection.
-    Queued,
-    Nothing,
+/// Passes a request to a worker and waits for its answer.
+async fn serve(
+    inner: &Inner,
+    request: Request,
+    prepared: Prepared,
+    body: ReceivedBody,
+    answer: oneshot::Receiver<Answer>,
+) -> Answer {
+    request.account.set_stage(Stage::Running);
+    let reserved = request.account.charge(CALL_BYTES);
+    let reserved = tokio::time::timeout_at(prepared.limits.deadline.into(), reserved).await;
+    let Ok(connections) = reserved.unwrap_or(Err(Exceeded)) else {
+        let service = &prepared.head.service;
+        return inner
+            .front
+            .refuse_body(service, &Exceeded.into())
+            .into_answer();
+    };
+    let (request, body) = match body {
+        ReceivedBody::Complete(bytes) => (request, RequestBody::Whole(bytes)),
+        ReceivedBody::Prefix(start, rest) => {
+            let (sender, parts) = mpsc::channel(1);
+            let limits = Pump {
+                deadline: prepared.limits.deadline,
+                max_pause: inner.limits.idle_timeout,
+            };
+            tokio::task::spawn_local(limits.run(rest, sender));
+            (request.with_rest(parts), prepared.limits.partial(start))
+        }
+    };
+    match inner.front.enqueue(request, prepared, body, connections) {
+        Ok(()) => receive(answer).await,
+        Err(refused) => refused.1.into_answer(),
+    }
 }
 
-impl RequestReceiver {
-    fn run(&self) {
-        let mut last_request = Instant::now();
-        while !self.inner.stop.load(Ordering::Relaxed) {
-            match self.receive() {
-                Ok(Received::Request(request)) => {
-                    last_request = Instant::now();
-                    self.inner.handle(*request);
-                }
-                Ok(Received::Queued) => last_request = Instant::now(),
-                Ok(Received::Nothing) => {
-                    if self.is_done(last_request) {
-                        break;
-                    }
-                }
-                // The library accepts nothing any more, and returns the requests of open connections.
-                Err(_) if self.inner.is_closed.load(Ordering::Relaxed) => {}
-                Err(error) => {
-                    spdlog::warn!("http: accept failed, building the server anew: {error}");
-                    self.replaced.store(true, Ordering::Relaxed);
-                    Inner::rebuild(&self.inner);
-                }
+/// Passes the rest of a body to the thread that sends it on.
+struct Pump {
+    deadline: Instant,
+    max_pause: Duration,
+}
+
+impl Pump {
+    async fn run(self, mut rest: Rest, parts: mpsc::Sender<Part>) {
+        loop {
+            let until = (Instant::now() + self.max_pause).min(self.deadline);
+            let part = match tokio::time::timeout_at(until.into(), rest.next()).await {
+                Ok(Some(Ok(bytes))) => Ok(bytes),
+                Ok(Some(Err(error))) => Err(io::Error::other(error)),
+                Ok(None) => return,
+                Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            };
+            let has_failed = part.is_err();
+            if parts.send(part).await.is_err() || has_failed {
+                return;
             }
         }
     }
+}
 
-    fn receive(&self) -> io::Result<Received> {
-        let server = self.server.lock().unwrap_or_else(PoisonError::into_inner);
-        let started = Instant::now();
-        let received = server.recv_timeout(STOP_CHECK_INTERVAL)?;
-        let is_late = self.inner.note_wait(started.elapsed());
-        let Some(request) = received else {
-            return Ok(Received::Nothing);
-        };
-        let open = InFlightGuard::new(&self.inner.open);
-        let request = Request::new(request, &self.inner.watchdog)
-            .with_late_read(is_late)
-            .with_shutdown(self.inner.is_leaving.clone(), open);
-        let admitted = ConnectionTable::admit(&self.inner.connections, request);
-        Ok(admitted.map_or(Received::Queued, |request| {
-            Received::Request(Box::new(request))
-        }))
-    }
+/// Waits for the answer of the thread that handles a request.
+async fn receive(answer: oneshot::Receiver<Answer>) -> Answer {
+    let answer = answer.await;
+    answer.unwrap_or_else(|_| Reply::unknown(500, "the host failed").into_answer())
+}
 
-    /// Whether this thread's server was replaced and no longer needs the thread.
-    fn is_done(&self, last_request: Instant) -> bool {
-        let replaced = self.replaced.load(Ordering::Relaxed);
-        replaced && (!self.is_first || last_request.elapsed() > RETIRE_AFTER)
+/// Builds the response. The request counts as open until its body has been sent.
+fn build(inner: &Inner, answer: Answer, open: InFlightGuard) -> Response<Body> {
+    let Answer { head, body } = answer;
+    let (length, body) = match body {
+        AnswerBody::Whole(bytes) => (None, body::full(bytes)),
+        AnswerBody::Length(length) => (Some(length), body::full(Bytes::new())),
+        AnswerBody::Parts(parts, length) => (Some(length), stream_parts(parts)),
+    };
+    let body = body::with_guard(body, open);
+    let mut response = head.body(body).unwrap_or_else(|error| {
+        spdlog::error!("http: an answer can't be sent: {error}");
+        let mut response = Response::new(body::full(Bytes::new()));
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    });
+    let headers = response.headers_mut();
+    if let Some(length) = length {
+        headers.insert(CONTENT_LENGTH, length.into());
     }
+    if inner.is_leaving.load(Ordering::Relaxed) {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn stream_parts(parts: mpsc::Receiver<Part>) -> Body {
+    let frames = stream::unfold(parts, |mut parts| async move {
+        let part = parts.recv().await?;
+        let frame = part.map(Frame::data).map_err(BodyError::from);
+        Some((frame, parts))
+    });
+    Box::pin(StreamBody::new(frames))
 }
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -12,6 +12,7 @@
 use super::body::Stream;
 use super::head::{self, Header};
 use super::stage::{self, Stage};
+use crate::budget::{Budget, Charge};
 use crate::literal::LiteralResolver;
 use crate::steer::announcement::RequestedRest;
 use crate::steer::throttle::Rate;
@@ -21,6 +22,13 @@
 const MAX_IDLE_PER_TARGET: usize = 16;
 /// Maximum number of idle connections to all targets.
 const MAX_IDLE: usize = 1024;
+/// The part of the memory for peers that idle connections may use.
+const MAX_IDLE_SHARE: usize = 8;
+/// Buffers of a connection, in bytes. The head of an answer has to fit into the first one.
+const INPUT_BYTES: usize = 64 << 10;
+const OUTPUT_BYTES: usize = 16 << 10;
+/// Memory of the connections of one request, in bytes: that of an attempt and of a hedge.
+pub(crate) const CALL_BYTES: usize = 2 * (INPUT_BYTES + OUTPUT_BYTES);
 /// Time within which a pooled connection that the target had closed fails: a round trip within the zone, with some margin
 /// for a busy machine. If it fails later, the request may have run and crashed the target.
 const STALE_DETECTION_TIME: Duration = Duration::from_millis(10);
@@ -45,6 +53,8 @@
 pub(crate) struct Client {
     pooled: Agent,
     fresh: Agent,
+    /// What idle connections hold.
+    _idle: Arc<Charge>,
 }
 
 /// A request to a target, without its body.
@@ -134,11 +144,21 @@
 }
 
 impl Client {
-    /// Creates a client whose connects time out after `connect`.
-    pub(crate) fn new(connect: Duration) -> Self {
+    /// Creates a client whose connects time out after `connect`. Idle connections are kept as far as
+    /// `budget` allows.
+    pub(crate) fn new(connect: Duration, budget: &Budget) -> Self {
+        let connection_bytes = INPUT_BYTES + OUTPUT_BYTES;
+        let affordable = budget.limits().bytes / MAX_IDLE_SHARE / connection_bytes;
+        let mut idle = MAX_IDLE.min(budget.idle_connections()).min(affordable);
+        let mut charge = Charge::new(&budget.open_own());
+        if let Err(error) = charge.grow_blocking(idle * connection_bytes, Instant::now()) {
+            spdlog::warn!("target: no idle connections are kept: {error}");
+            idle = 0;
+        }
         Self {
-            pooled: build_agent(connect, MAX_IDLE, MAX_IDLE_PER_TARGET),
+            pooled: build_agent(connect, idle, MAX_IDLE_PER_TARGET),
             fresh: build_agent(connect, 0, 0),
+            _idle: Arc::new(charge),
         }
     }
 
@@ -254,6 +274,8 @@
         .max_idle_connections(idle)
         .max_idle_connections_per_host(idle_per_target)
         .max_idle_age(MAX_IDLE_AGE)
+        .input_buffer_size(INPUT_BYTES)
+        .output_buffer_size(OUTPUT_BYTES)
         .proxy(None)
         .build();
     let connector = stage::RecordDial
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -389,6 +389,8 @@
 pub(crate) async fn read_body(exchange: &Exchange, incoming: Incoming) -> Option<ReceivedBody> {
     let limits = body::Limits {
         max_bytes: u64::MAX,
+        max_buffered: body::MAX_BUFFERED_BYTES,
+        max_pause: None,
         read_buffer_bytes: client::READ_BUFFER_BYTES,
     };
     let read = body::read(incoming, &limits, &exchange.account);
--- a/src/host/client.rs
+++ b/src/host/client.rs
@@ -124,13 +124,6 @@
     SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO))
 }
 
-/// Resets a socket when it is closed.
-pub(crate) fn reset_on_close(stream: &TcpStream) {
-    if let Err(error) = set_reset_on_close(stream, true) {
-        spdlog::debug!("client: cannot configure a socket: {error}");
-    }
-}
-
 /// An HTTP connection in use; it is reset when dropped, see [`Connection::release`].
 pub(crate) struct Connection {
     // Dropped before the driver, which owns the stream.
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -109,7 +109,9 @@
     };
     let read_limits = body::Limits {
         max_bytes: limits.body_bytes,
-        read_buffer_bytes: serve::read_buffer_bytes(limits.head_bytes),
+        max_buffered: body::MAX_BUFFERED_BYTES,
+        max_pause: None,
+        read_buffer_bytes: serve::buffer_bytes(limits.head_bytes),
     };
     let body = match read_body(incoming, &read_limits, &account, deadline).await {
         Ok(body) => body,
@@ -185,7 +187,9 @@
             close_connection(&mut answer);
             answer
         }
-        BodyError::Sender(_) => answer::plain_text(StatusCode::BAD_REQUEST, "the body broke off\n"),
+        BodyError::Sender(_) | BodyError::Reader(_) => {
+            answer::plain_text(StatusCode::BAD_REQUEST, "the body broke off\n")
+        }
     }
 }
 
--- a/src/host/shutdown.rs
+++ b/src/host/shutdown.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::Notify;
 
 use super::log::Event;
 use super::{brief, datagram, join, Host};
+use crate::edge::Closing;
 
 /// Fraction of the grace period during which callers that still have the address are served.
 const SERVE_FRACTION: f64 = 0.45;
@@ -25,8 +25,7 @@
 /// Progress of the shutdown.
 pub(crate) struct Shutdown {
     is_leaving: Cell<bool>,
-    is_closing: Cell<bool>,
-    close_signal: Notify,
+    closing: Rc<Closing>,
     connections: Cell<usize>,
 }
 
@@ -52,8 +51,7 @@
     pub(crate) fn new() -> Self {
         Self {
             is_leaving: Cell::new(false),
-            is_closing: Cell::new(false),
-            close_signal: Notify::new(),
+            closing: Rc::default(),
             connections: Cell::new(0),
         }
     }
@@ -65,9 +63,12 @@
 
     /// Waits until idle connections are to be closed.
     pub(crate) async fn wait_for_close(&self) {
-        while !self.is_closing.get() {
-            self.close_signal.notified().await;
-        }
+        self.closing.wait().await;
+    }
+
+    /// Tells connections to close.
+    pub(crate) fn closing(&self) -> Rc<Closing> {
+        self.closing.clone()
     }
 }
 
@@ -93,8 +94,7 @@
         join::unregister(host),
         tokio::time::sleep(grace.mul_f64(SERVE_FRACTION))
     );
-    host.shutdown.is_closing.set(true);
-    host.shutdown.close_signal.notify_waiters();
+    host.shutdown.closing.set();
     while host.shutdown.connections.get() > 0 && started_at.elapsed() < grace.mul_f64(END_FRACTION)
     {
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod control;
 pub mod duration;
+mod edge;
 pub mod entry;
 pub mod explain;
 pub mod host;
