A slot that waits for its own caller is given to others

A few dozen callers that stopped short of the end of a long body held every slot of a service's targets until their deadlines: a body above 512 KiB is passed on while it arrives, and ordinary callers were refused (`full`).

Requests whose body is passed on are recorded with the time since when their next part is awaited (host/uploads.rs). A request that finds no slot gives up those that have waited for over half a second, the longest one first, until it has one. Bodies that a target reads slowly do not count as awaited.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -51,6 +51,8 @@
     Memory,
     /// A connection was needed for others.
     Connections,
+    /// The slot of a target was needed for others.
+    Slots,
 }
 
 impl Shortage {
@@ -59,6 +61,7 @@
         match self {
             Self::Memory => "memory",
             Self::Connections => "connections",
+            Self::Slots => "slots",
         }
     }
 }
@@ -274,6 +277,14 @@
         self.owner.budget.state().holdings.stage(self.owner.key)
     }
 
+    /// Has the peer closed, as others lack something that it uses.
+    pub fn close(&self, shortage: Shortage) {
+        let mut state = self.owner.budget.state();
+        if state.holdings.close(self.owner.key) {
+            self.owner.budget.close(&state, &[self.owner.key], shortage);
+        }
+    }
+
     /// Whether the peer has to be closed.
     pub fn is_closing(&self) -> bool {
         self.owner.signal.is_set.load(Ordering::Acquire)
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -164,7 +164,7 @@
     in_flight: &mut InFlight,
     (mut connection, id, body): (Connection, HeaderValue, ReceivedBody),
 ) -> Outcome {
-    let request = message::build_target_request(host, exchange, body, &id);
+    let request = message::build_target_request(host, exchange, query.service, body, &id);
     let sent_at = now();
     let recall = wait_for_recall(host, in_flight.target, connection.transfer());
     let answer = async {
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -15,7 +15,7 @@
 use super::quarantine::Permit;
 use super::relay::{self, Disposition, Relay};
 use super::request_log::{self, RequestTrace, StopReason};
-use super::{answer, now, quarantine, throttle, Host};
+use super::{answer, now, quarantine, throttle, uploads, Host};
 use crate::border::settings::Switch;
 use crate::budget::Account;
 use crate::catalog::Repeat;
@@ -486,10 +486,18 @@
     let until = now() + MAX_PERMIT_WAIT;
     let mut query = query.clone();
     loop {
-        let (target, assignment) = {
+        let proposed = {
             let pool = host.pool.borrow();
             let fleet = &mut host.core.borrow_mut().fleet;
-            fleet.propose(now(), &query, |target| pool.has(target))?
+            fleet.propose(now(), &query, |target| pool.has(target))
+        };
+        let (target, assignment) = match proposed {
+            Err(Refusal::Full) if host.uploads.give_up_one(query.service) => {
+                // Its connection is closed, which returns the slot.
+                tokio::task::yield_now().await;
+                continue;
+            }
+            proposed => proposed?,
         };
         let can_ask = now() < until;
         let is_permitted = if can_ask {
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -1,5 +1,8 @@
 //! Prepares requests and responses for forwarding, without hop-by-hop headers.
 
+use std::rc::Rc;
+use std::sync::Arc;
+
 use http::header::{
     HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
@@ -8,7 +11,7 @@
 
 use super::body::{self, Body, ReceivedBody};
 use super::exchange::Exchange;
-use super::{now, Host};
+use super::{now, uploads, Host};
 use crate::account::Caller;
 
 /// Hop-by-hop headers.
@@ -26,8 +29,9 @@
 /// Builds the request for a target, with the remaining time and the ID of the expected target
 /// process.
 pub(crate) fn build_target_request(
-    host: &Host,
+    host: &Rc<Host>,
     exchange: &Exchange,
+    service: &Arc<str>,
     body: ReceivedBody,
     id: &HeaderValue,
 ) -> Request<Body> {
@@ -41,7 +45,12 @@
             (host.platform.wire.replace_credential)(&mut headers, Some(&account.name))
         }
     }
-    build_request(exchange, headers, body)
+    let is_passed_on = matches!(body, ReceivedBody::Prefix(..));
+    let request = build_request(exchange, headers, body);
+    if !is_passed_on {
+        return request;
+    }
+    request.map(|body| uploads::track(host, service, &exchange.account, body))
 }
 
 /// Builds the request for another host, with an additional header.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -40,6 +40,7 @@
 mod sync;
 mod task;
 mod throttle;
+mod uploads;
 mod watcher;
 
 use std::cell::{Cell, RefCell};
@@ -74,6 +75,7 @@
     platform: Platform,
     settings: Settings,
     budget: Budget,
+    uploads: uploads::Uploads,
     /// What is held for the platform's store.
     store_account: Account,
     core: RefCell<core::Core>,
@@ -263,6 +265,7 @@
         dialer: dialer::Dialer::default(),
         shutdown: shutdown::Shutdown::new(),
         metrics,
+        uploads: uploads::Uploads::default(),
         store_account: budget.open_own(),
         budget,
         log_limits: RefCell::default(),
--- a/src/steer/holdings.rs
+++ b/src/steer/holdings.rs
@@ -170,7 +170,9 @@
         let wanted = Claim::new(key, peer, bytes);
         match self.choose(wanted, missing - self.closing_bytes) {
             Some(chosen) => {
-                chosen.iter().for_each(|key| self.close(*key));
+                for key in &chosen {
+                    self.close(*key);
+                }
                 Verdict::Wait(chosen)
             }
             None => Verdict::Refused,
@@ -212,12 +214,15 @@
         }
     }
 
-    fn close(&mut self, key: PeerKey) {
-        if let Some(peer) = self.peers.get_mut(&key) {
-            peer.is_closing = true;
-            self.closing += 1;
-            self.closing_bytes += peer.bytes;
-        }
+    /// Records that a peer is being closed. Returns whether it was not before.
+    pub fn close(&mut self, key: PeerKey) -> bool {
+        let Some(peer) = self.peers.get_mut(&key).filter(|peer| !peer.is_closing) else {
+            return false;
+        };
+        peer.is_closing = true;
+        self.closing += 1;
+        self.closing_bytes += peer.bytes;
+        true
     }
 }
 
