Entry: requests that were sent ahead are answered in a stop, and waits for memory end

Requests that were being closed waited for a slot of the target and held memory, and those with the slots waited for that memory, until their deadline. Nobody waits for memory for more than half a second now. - extreme_values.rs: a limit of heads without bound overflowed the charge. A head may use a 64th of the memory; a buffer of over 16 KiB is charged as it grows. - The body of a refused request is read for half a second also if it was refused for its length or while it was passed on, and is not recorded as a head.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -36,10 +36,21 @@
 /// Smallest capacity of a buffer that grows, in bytes.
 const MIN_CAPACITY: usize = 64 << 10;
 
+/// Number of the largest heads for which the memory suffices.
+const HEADS: usize = 64;
+/// Smallest buffer for a head, in bytes.
+const MIN_HEAD_BUFFER: usize = 8 << 10;
+/// Time limit for waiting until others have returned what they hold. Those may wait for something that
+/// the waiting peer has, such as the slot of a target.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+/// Longest time for which a blocked thread doesn't look whether it may go on.
+const MAX_BLOCKED_WAIT: Duration = Duration::from_millis(20);
+
 /// The memory limit of the control group of the process.
 const GROUP_LIMIT: &str = "/sys/fs/cgroup/memory.max";
 
-/// Why nothing may be held for a peer: it holds most, or is being closed.
+/// Why nothing may be held for a peer: it holds most, is being closed, or others have not returned
+/// enough in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the host has no memory for it")]
 pub struct Exceeded;
@@ -134,6 +145,13 @@
         self.inner.idle_connections
     }
 
+    /// The size of the buffer that the head of a request has to fit into, if it may have `wanted`
+    /// bytes.
+    pub fn head_buffer(&self, wanted: usize) -> usize {
+        let largest = (self.inner.limits.bytes / HEADS).max(MIN_HEAD_BUFFER);
+        wanted.clamp(MIN_HEAD_BUFFER, largest)
+    }
+
     /// Bytes that are held for peers, and the number of accounts.
     pub fn usage(&self) -> (usize, usize) {
         let state = self.state();
@@ -342,12 +360,19 @@
         }
     }
 
+    /// The number of bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Charges more bytes, once they may be held.
     ///
     /// # Errors
     ///
-    /// The peer has to be closed. The charge stays as it was.
+    /// The peer has to be closed, or others have not returned enough in time. The charge stays as it
+    /// was.
     pub async fn grow(&mut self, bytes: usize) -> Result<(), Exceeded> {
+        let mut timeout = pin!(None);
         loop {
             let budget = self.account.owner.budget.clone();
             let mut returned = pin!(budget.inner.returned.notified());
@@ -356,20 +381,39 @@
                 self.bytes += bytes;
                 return Ok(());
             }
+            if timeout.is_none() {
+                timeout.set(Some(tokio::time::sleep(MAX_WAIT)));
+            }
+            let Some(timeout) = timeout.as_mut().as_pin_mut() else {
+                return Err(Exceeded);
+            };
             tokio::select! {
                 () = returned => {}
                 () = self.account.wait_for_closing() => return Err(Exceeded),
+                () = timeout => return Err(Exceeded),
             }
         }
     }
 
+    /// Charges more bytes, if they may be held now. Returns whether they were charged.
+    ///
+    /// # Errors
+    ///
+    /// The peer has to be closed.
+    pub fn try_grow(&mut self, bytes: usize) -> Result<bool, Exceeded> {
+        let is_charged = self.account.try_add(bytes)?;
+        self.bytes += if is_charged { bytes } else { 0 };
+        Ok(is_charged)
+    }
+
     /// Charges more bytes, and blocks the thread until they may be held.
     ///
     /// # Errors
     ///
-    /// The peer has to be closed, or nothing was returned until `deadline`. The charge stays as it
-    /// was.
+    /// The peer has to be closed, or others have not returned enough in time or until `deadline`.
+    /// The charge stays as it was.
     pub fn grow_blocking(&mut self, bytes: usize, deadline: Instant) -> Result<(), Exceeded> {
+        let deadline = deadline.min(Instant::now() + MAX_WAIT);
         while !self.account.try_add(bytes)? {
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -397,9 +441,6 @@
     }
 }
 
-/// Longest time for which a blocked thread doesn't look whether it may go on.
-const MAX_BLOCKED_WAIT: Duration = Duration::from_millis(20);
-
 impl Drop for Charge {
     fn drop(&mut self) {
         if self.bytes > 0 {
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -139,13 +139,34 @@
 /// Parts of a body that the HTTP library queues until they can be sent on.
 const MAX_QUEUED_PARTS: usize = 16;
 
+/// The part of a body that has been read.
+pub(crate) enum Part {
+    /// The complete body.
+    Complete(Bytes),
+    /// Its beginning, and what is charged for passing on the rest.
+    Prefix(Bytes, Charge),
+}
+
+impl Part {
+    /// Adds the body that it was read from.
+    pub(crate) fn with_rest(self, incoming: Incoming) -> ReceivedBody {
+        match self {
+            Self::Complete(bytes) => ReceivedBody::Complete(bytes),
+            Self::Prefix(start, charge) => {
+                let rest = Rest {
+                    incoming,
+                    _charge: charge,
+                };
+                ReceivedBody::Prefix(start, rest)
+            }
+        }
+    }
+}
+
 impl Rest {
-    async fn new(incoming: Incoming, limits: &Limits, account: &Account) -> Result<Self, Exceeded> {
-        let bytes = MAX_QUEUED_PARTS * limits.read_buffer_bytes;
-        Ok(Self {
-            incoming,
-            _charge: account.charge(bytes).await?,
-        })
+    /// What has not been read of the body.
+    pub(crate) fn into_incoming(self) -> Incoming {
+        self.incoming
     }
 
     /// The next part of the body.
@@ -165,10 +186,10 @@
 /// Reads a body up to [`MAX_BUFFERED_BYTES`], or the beginning of one that is announced to be
 /// longer. What is kept of it is charged to `account`.
 pub(crate) async fn read(
-    mut body: Incoming,
+    body: &mut Incoming,
     limits: &Limits,
     account: &Account,
-) -> Result<ReceivedBody, BodyError> {
+) -> Result<Part, BodyError> {
     let max_bytes = limits.max_bytes;
     let announced = body.size_hint().lower();
     if announced > max_bytes {
@@ -187,7 +208,7 @@
     // the connection.
     let mut first: Option<Bytes> = None;
     let mut read = Buffer::new(account);
-    while let Some(frame) = next_frame(&mut body, limits.max_pause).await? {
+    while let Some(frame) = next_frame(body, limits.max_pause).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -205,13 +226,11 @@
         }
         if length > wanted {
             let start = first.take().unwrap_or_else(|| read.freeze());
-            let rest = Rest::new(body, limits, account).await?;
-            return Ok(ReceivedBody::Prefix(start, rest));
+            let queue = MAX_QUEUED_PARTS * limits.read_buffer_bytes;
+            return Ok(Part::Prefix(start, account.charge(queue).await?));
         }
     }
-    Ok(ReceivedBody::Complete(
-        first.unwrap_or_else(|| read.freeze()),
-    ))
+    Ok(Part::Complete(first.unwrap_or_else(|| read.freeze())))
 }
 
 async fn next_frame(
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -30,7 +30,7 @@
 use tokio::sync::Notify;
 
 use self::body::Body;
-use crate::budget::{Account, Budget};
+use crate::budget::{Account, Budget, Charge, Exceeded};
 use crate::duration;
 use crate::steer::holdings::Stage;
 
@@ -40,8 +40,10 @@
 /// the process. So an idle connection may be closed this much later than its time limit, until
 /// which callers use it.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
-/// Smallest buffer size that hyper accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8192;
+/// The part of a read buffer that is charged before a request is received, in bytes.
+const CHARGED_BUFFER_BYTES: usize = 16 << 10;
+/// How often a read is tried again while other connections are being closed.
+const MAX_CHARGE_ATTEMPTS: u32 = 1000;
 /// Memory of a connection without a request, in bytes.
 const IDLE_BYTES: usize = 4 << 10;
 /// Memory of a request besides the buffers of its connection, in bytes: the parsed head, the task, and
@@ -52,19 +54,11 @@
 /// Time limit for sending a refusal to a caller whose connection has to be closed.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The size of the buffer that a request is read into whose head may have `head_bytes` bytes.
-pub(crate) fn buffer_bytes(head_bytes: usize) -> usize {
-    head_bytes.max(MIN_BUFFER_BYTES)
-}
-
 /// Memory of a connection with a request: the buffer that is read into, the one before it, of which a
 /// slice may be in use, and the head, if it is recorded.
 fn serving_bytes(edge: &Edge, buffer_bytes: usize) -> usize {
-    let buffers = match edge.repeated_lengths {
-        RepeatedLengths::Accepted => 2,
-        RepeatedLengths::Marked => 3,
-    };
-    buffers * buffer_bytes + REQUEST_BYTES
+    let buffer_bytes = buffer_bytes.min(CHARGED_BUFFER_BYTES);
+    edge.repeated_lengths.buffers() * buffer_bytes + REQUEST_BYTES
 }
 
 /// Limits on the connections of callers.
@@ -125,6 +119,16 @@
     Marked,
 }
 
+impl RepeatedLengths {
+    /// The number of buffers that a head may be in.
+    fn buffers(self) -> usize {
+        match self {
+            Self::Accepted => 2,
+            Self::Marked => 3,
+        }
+    }
+}
+
 /// Request extension: the length of the body is stated more than once.
 #[derive(Clone, Copy)]
 pub(crate) struct RepeatedLength;
@@ -160,20 +164,32 @@
     is_unanswered: Cell<bool>,
     /// Whether a response is being sent.
     is_responding: Cell<bool>,
-    /// The rest of a response that is sent in place of the HTTP library's own.
-    replacement: RefCell<Option<Bytes>>,
+    /// What is sent in place of the next bytes that the HTTP library writes.
+    replacement: RefCell<Option<Replacement>>,
+    /// Whether [`CLOSE_HEADER`] is to be added to the response that is sent next.
+    announces_close: Cell<bool>,
     /// The head that is being received, as far as it is recorded.
     head: RefCell<Vec<u8>>,
+    /// Number of bytes of a head that have been received.
+    head_bytes: Cell<usize>,
+    /// What is charged for a read buffer beyond [`CHARGED_BUFFER_BYTES`].
+    buffer_charge: RefCell<Charge>,
+    /// How often a read was put off since others have to be closed first.
+    charge_attempts: Cell<u32>,
     account: Account,
 }
 
 impl ConnectionState {
     fn new(account: Account) -> Self {
         Self {
+            buffer_charge: RefCell::new(Charge::new(&account)),
+            head_bytes: Cell::new(0),
+            charge_attempts: Cell::new(0),
             account,
             is_unanswered: Cell::new(false),
             is_responding: Cell::new(false),
             replacement: RefCell::default(),
+            announces_close: Cell::new(false),
             head: RefCell::default(),
             phase: Cell::new(Phase::Idle(now())),
             is_flushed: Cell::new(true),
@@ -191,6 +207,21 @@
     }
 }
 
+/// What is sent in place of bytes that the HTTP library writes.
+struct Replacement {
+    bytes: Bytes,
+    /// Number of bytes that it stands for.
+    replaced: usize,
+}
+
+/// The header that [`AnnounceClose`] adds.
+const CLOSE_HEADER: &[u8] = b"connection: close\r\n";
+
+/// Response extension: the response tells the caller to close the connection. Requests that it has
+/// sent already are still answered: with a header of its own, the HTTP library would drop them.
+#[derive(Clone, Copy)]
+pub(crate) struct AnnounceClose;
+
 /// Response extension: the request's body has been read completely.
 #[derive(Clone, Copy)]
 pub(crate) struct BodyConsumed;
@@ -219,6 +250,8 @@
     /// See [`Edge::unparsed`].
     replace: Option<fn(u16) -> Bytes>,
     repeated_lengths: RepeatedLengths,
+    /// Size of the buffer that a head has to fit into.
+    buffer_bytes: usize,
 }
 
 impl AsyncRead for TrackedStream {
@@ -228,6 +261,15 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        match self.charge_buffer(buf.remaining()) {
+            Ok(true) => self.state.charge_attempts.set(0),
+            Ok(false) => {
+                // The connections that have to be closed are polled first.
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            Err(error) => return Poll::Ready(Err(io::Error::other(error))),
+        }
         let result = if self.unparsed.has_remaining() {
             let count = self.unparsed.len().min(buf.remaining());
             buf.put_slice(&self.unparsed.split_to(count));
@@ -238,47 +280,100 @@
         if buf.filled().len() > before && matches!(self.state.phase.get(), Phase::Idle(_)) {
             self.state.phase.set(Phase::Head(now()));
         }
-        if self.repeated_lengths == RepeatedLengths::Marked
-            && matches!(self.state.phase.get(), Phase::Head(_))
-        {
+        if matches!(self.state.phase.get(), Phase::Head(_)) {
+            let received = buf.filled().len() - before;
+            let head_bytes = &self.state.head_bytes;
+            head_bytes.set(head_bytes.get() + received);
+        }
+        if self.records_head() {
             let mut head = self.state.head.borrow_mut();
-            head.extend_from_slice(&buf.filled()[before..]);
+            let room = self.buffer_bytes.saturating_sub(head.len());
+            let received = &buf.filled()[before..];
+            head.extend_from_slice(&received[..received.len().min(room)]);
         }
         result
     }
 }
 
 impl TrackedStream {
-    /// Whether these bytes are the HTTP library's own response to a request that it can't parse. If
-    /// so, the response that is sent in its place is prepared.
-    fn replaces(&self, bytes: &[u8]) -> bool {
-        let mut replacement = self.state.replacement.borrow_mut();
+    /// Charges what a buffer with room for so many bytes takes beyond what is charged in advance.
+    /// Returns whether it may be filled now.
+    fn charge_buffer(&self, room: usize) -> Result<bool, Exceeded> {
+        if self.buffer_bytes <= CHARGED_BUFFER_BYTES {
+            return Ok(true);
+        }
+        let size = (self.state.head_bytes.get() + room).min(self.buffer_bytes);
+        let needed = size.saturating_sub(CHARGED_BUFFER_BYTES) * self.repeated_lengths.buffers();
+        let charge = &mut *self.state.buffer_charge.borrow_mut();
+        let missing = needed.saturating_sub(charge.bytes());
+        if missing == 0 || charge.try_grow(missing)? {
+            return Ok(true);
+        }
+        let attempts = &self.state.charge_attempts;
+        attempts.set(attempts.get() + 1);
+        if attempts.get() > MAX_CHARGE_ATTEMPTS {
+            return Err(Exceeded);
+        }
+        Ok(false)
+    }
+
+    /// Whether a head is being received that is to be recorded. The rest of a refused body is none.
+    fn records_head(&self) -> bool {
+        self.repeated_lengths == RepeatedLengths::Marked
+            && matches!(self.state.phase.get(), Phase::Head(_))
+            && !self.state.has_unread_body.get()
+    }
+
+    /// Prepares what is sent in place of these bytes, if that is something else.
+    fn prepare_replacement(&self, bytes: &[u8]) {
+        let replacement = &mut *self.state.replacement.borrow_mut();
         if replacement.is_some() {
-            return true;
+            return;
+        }
+        if self.state.announces_close.get() {
+            let end_of_line = bytes.windows(2).position(|pair| pair == b"\r\n");
+            if let Some(end) = end_of_line {
+                self.state.announces_close.set(false);
+                let line = &bytes[..end + 2];
+                *replacement = Some(Replacement {
+                    bytes: [line, CLOSE_HEADER].concat().into(),
+                    replaced: line.len(),
+                });
+            }
+            return;
         }
+        // The HTTP library's own response to a request that it can't parse.
         let is_own = !self.state.is_responding.get() && self.state.phase.get() != Phase::Busy;
         let status = bytes.get(9..12).filter(|_| is_own);
         let status = status.and_then(|status| std::str::from_utf8(status).ok()?.parse().ok());
-        match (self.replace, status) {
-            (Some(replace), Some(status)) => {
-                *replacement = Some(replace(status));
-                true
-            }
-            _ => false,
+        if let (Some(replace), Some(status)) = (self.replace, status) {
+            *replacement = Some(Replacement {
+                bytes: replace(status),
+                replaced: bytes.len(),
+            });
         }
     }
 
-    /// Sends the prepared response. Is ready with `count` when all of it is sent.
-    fn poll_replacement(&mut self, cx: &mut Context<'_>, count: usize) -> Poll<io::Result<usize>> {
-        let mut replacement = self.state.replacement.borrow_mut();
-        while let Some(rest) = replacement.as_mut().filter(|rest| rest.has_remaining()) {
-            match Pin::new(&mut self.tcp).poll_write(cx, rest) {
-                Poll::Ready(Ok(written)) => rest.advance(written),
-                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
-                Poll::Pending => return Poll::Pending,
+    /// Sends what was prepared, if anything was. Is ready with the number of bytes that it replaces
+    /// when all of it is sent.
+    fn poll_replacement(&self, cx: &mut Context<'_>) -> Option<Poll<io::Result<usize>>> {
+        let replacement = &mut *self.state.replacement.borrow_mut();
+        let current = replacement.as_mut()?;
+        while current.bytes.has_remaining() {
+            match self.tcp.poll_write_ready(cx) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(error)) => return Some(Poll::Ready(Err(error))),
+                Poll::Pending => return Some(Poll::Pending),
+            }
+            match self.tcp.try_write(&current.bytes) {
+                Ok(written) => current.bytes.advance(written),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Some(Poll::Ready(Err(error))),
             }
         }
-        Poll::Ready(Ok(count))
+        let replaced = current.replaced;
+        *replacement = None;
+        Some(Poll::Ready(Ok(replaced)))
     }
 
     fn record_write<T>(&self, written: &Poll<io::Result<T>>) {
@@ -295,10 +390,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = if self.replaces(buf) {
-            self.poll_replacement(cx, buf.len())
-        } else {
-            Pin::new(&mut self.tcp).poll_write(cx, buf)
+        self.prepare_replacement(buf);
+        let written = match self.poll_replacement(cx) {
+            Some(written) => written,
+            None => Pin::new(&mut self.tcp).poll_write(cx, buf),
         };
         self.record_write(&written);
         written
@@ -309,11 +404,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = if self.replaces(bufs.first().map_or(&[], |buf| buf)) {
-            let count = bufs.iter().map(|buf| buf.len()).sum();
-            self.poll_replacement(cx, count)
-        } else {
-            Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        self.prepare_replacement(bufs.first().map_or(&[], |buf| buf));
+        let written = match self.poll_replacement(cx) {
+            Some(written) => written,
+            None => Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs),
         };
         self.record_write(&written);
         written
@@ -391,6 +485,7 @@
         state: Rc::new(ConnectionState::new(account)),
         replace: edge.unparsed,
         repeated_lengths: edge.repeated_lengths,
+        buffer_bytes: (edge.limits)().buffer_bytes,
     });
     while let Some(stream) = next.take() {
         if stream.unparsed.has_remaining() || wait_readable(edge, &stream).await {
@@ -402,6 +497,9 @@
             };
             // Boxed, so that it takes no memory while the connection is idle.
             next = Box::pin(serve_requests(edge, stream, buffer_bytes, &handler)).await;
+            if let Some(stream) = &next {
+                stream.state.buffer_charge.replace(Charge::new(&account));
+            }
             account.set_stage(Stage::Idle);
         }
     }
@@ -449,6 +547,7 @@
             request.extensions_mut().insert(RepeatedLength);
         }
         state.phase.set(Phase::Busy);
+        state.head_bytes.set(0);
         state.is_unanswered.set(true);
         state.has_unread_body.set(!request.body().is_end_stream());
         let guard = AnswerGuard(state.clone());
@@ -461,6 +560,8 @@
             if response.extensions().get::<BodyConsumed>().is_some() {
                 guard.0.has_unread_body.set(false);
             }
+            let announces_close = response.extensions().get::<AnnounceClose>().is_some();
+            guard.0.announces_close.set(announces_close);
             let until = response.extensions().get::<StreamUntil>();
             guard.0.stream_until.set(until.map(|until| until.0));
             Ok::<_, Infallible>(response.map(|body| body::with_guard(body, guard)))
@@ -476,13 +577,8 @@
     let mut deadline = pin!(tokio::time::sleep(Duration::ZERO));
     let mut is_closing = false;
     let account = state.account.clone();
-    // A request that has not run is refused first.
-    let mut closing = pin!(async {
-        account.wait_for_closing().await;
-        if state.is_unanswered.get() && account.stage() == Some(Stage::Waiting) {
-            tokio::time::sleep(REFUSAL_TIMEOUT).await;
-        }
-    });
+    let mut refusal_timer = pin!(tokio::time::sleep(Duration::ZERO));
+    let mut is_refusing = false;
     loop {
         let work = poll_fn(|cx| match Pin::new(&mut connection).poll(cx) {
             Poll::Ready(end) => Poll::Ready(Progress::Ended(end)),
@@ -513,10 +609,20 @@
                     return None;
                 }
             },
-            () = &mut closing => {
+            () = account.wait_for_closing(), if !is_refusing => {
                 (edge.log_closed)("in use");
-                return None;
+                let is_refusable =
+                    state.is_unanswered.get() && account.stage() == Some(Stage::Waiting);
+                if !is_refusable {
+                    return None;
+                }
+                // The handler refuses the request, which has not run.
+                is_refusing = true;
+                is_closing = true;
+                refusal_timer.as_mut().reset((now() + REFUSAL_TIMEOUT).into());
+                Pin::new(&mut connection).graceful_shutdown();
             }
+            () = &mut refusal_timer, if is_refusing => return None,
             () = edge.closing.wait(), if !is_closing => {
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -275,7 +275,7 @@
         let server = Server::new(
             listener,
             threads,
-            server::limits(head_bytes, idle_timeout),
+            server::limits(&budget, head_bytes, idle_timeout),
             front,
             budget,
             on_restart,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -12,12 +12,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use crossbeam_channel::{unbounded, Sender};
-use futures_util::stream;
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT};
-use http::{HeaderValue, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use futures_util::{stream, Stream, StreamExt};
+use http::header::{CONTENT_LENGTH, EXPECT};
+use http::{Response, StatusCode};
+use http_body_util::{BodyStream, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -99,9 +99,9 @@
 }
 
 /// Limits on a caller's connection. The names and values of a head may have `head_bytes` bytes.
-pub(crate) fn limits(head_bytes: usize, idle_timeout: Duration) -> Limits {
+pub(crate) fn limits(budget: &Budget, head_bytes: usize, idle_timeout: Duration) -> Limits {
     Limits {
-        buffer_bytes: edge::buffer_bytes(head_bytes + head_bytes / 4 + HEAD_SYNTAX_BYTES),
+        buffer_bytes: budget.head_buffer(head_bytes + head_bytes / 4 + HEAD_SYNTAX_BYTES),
         head_timeout: idle_timeout,
         idle_timeout,
     }
@@ -305,11 +305,16 @@
             receive(answer).await
         }
         Dispatch::Service(prepared) => {
-            let read = read_body(&inner, incoming, &prepared, &request.account).await;
-            is_consumed = matches!(read, Ok(ReceivedBody::Complete(_)));
+            let mut incoming = incoming;
+            let read = read_body(&inner, &mut incoming, &prepared, &request.account).await;
+            is_consumed = matches!(read, Ok(body::Part::Complete(_)));
             match read {
-                Ok(body) => serve(&inner, request, *prepared, body, answer).await,
+                Ok(part) => {
+                    let body = part.with_rest(incoming);
+                    serve(&inner, request, *prepared, body, answer).await
+                }
                 Err(error) => {
+                    drain(incoming, false);
                     let service = &prepared.head.service;
                     inner.front.refuse_body(service, &error).into_answer()
                 }
@@ -325,28 +330,37 @@
 
 /// Reads the rest of a body that isn't wanted, while the answer is sent. Otherwise the connection
 /// would be reset, and the caller might not receive the answer.
-fn drain(mut incoming: Incoming, awaits_continue: bool) {
-    if incoming.is_end_stream() || awaits_continue {
-        return;
+fn drain(incoming: Incoming, awaits_continue: bool) {
+    if !incoming.is_end_stream() && !awaits_continue {
+        let drained = drain_parts(BodyStream::new(incoming));
+        tokio::task::spawn_local(drained);
     }
-    let drained = async move {
-        let mut bytes = 0;
-        while let Some(Ok(frame)) = incoming.frame().await {
-            bytes += frame.data_ref().map_or(0, Bytes::len);
+}
+
+/// Reads what comes for a short time.
+async fn drain_parts<T, E>(mut parts: impl Stream<Item = Result<Frame<T>, E>> + Unpin)
+where
+    T: Buf,
+{
+    let mut bytes = 0;
+    let drained = async {
+        while let Some(Ok(frame)) = parts.next().await {
+            bytes += frame.data_ref().map_or(0, Buf::remaining);
             if bytes > MAX_DRAIN_BYTES {
                 return;
             }
         }
     };
-    tokio::task::spawn_local(tokio::time::timeout(LINGER_TIMEOUT, drained));
+    // The rest is not read; the connection is closed.
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, drained).await;
 }
 
 async fn read_body(
     inner: &Inner,
-    incoming: Incoming,
+    incoming: &mut Incoming,
     prepared: &Prepared,
     account: &Account,
-) -> Result<ReceivedBody, BodyError> {
+) -> Result<body::Part, BodyError> {
     let limits = body::Limits {
         max_bytes: prepared.limits.max_length,
         max_buffered: usize::try_from(prepared.limits.max_buffered).unwrap_or(usize::MAX),
@@ -414,7 +428,11 @@
                 Err(_) => Err(io::ErrorKind::TimedOut.into()),
             };
             let has_failed = part.is_err();
-            if parts.send(part).await.is_err() || has_failed {
+            let is_unwanted = parts.send(part).await.is_err();
+            if is_unwanted && !has_failed {
+                return drain_parts(BodyStream::new(rest.into_incoming())).await;
+            }
+            if has_failed {
                 return;
             }
         }
@@ -447,7 +465,7 @@
         headers.insert(CONTENT_LENGTH, length.into());
     }
     if inner.is_leaving.load(Ordering::Relaxed) {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        response.extensions_mut().insert(edge::AnnounceClose);
     }
     response
 }
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -386,16 +386,16 @@
 }
 
 /// Reads the body of an answer, or the beginning of a long one.
-pub(crate) async fn read_body(exchange: &Exchange, incoming: Incoming) -> Option<ReceivedBody> {
+pub(crate) async fn read_body(exchange: &Exchange, mut incoming: Incoming) -> Option<ReceivedBody> {
     let limits = body::Limits {
         max_bytes: u64::MAX,
         max_buffered: body::MAX_BUFFERED_BYTES,
         max_pause: None,
         read_buffer_bytes: client::READ_BUFFER_BYTES,
     };
-    let read = body::read(incoming, &limits, &exchange.account);
+    let read = body::read(&mut incoming, &limits, &exchange.account);
     match tokio::time::timeout_at(exchange.deadline.into(), read).await {
-        Ok(Ok(payload)) => Some(payload),
+        Ok(Ok(part)) => Some(part.with_rest(incoming)),
         Ok(Err(error)) => {
             spdlog::debug!("exchange: an answer broke off: {error}");
             None
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -15,7 +15,7 @@
 use super::quarantine::Permit;
 use super::relay::{self, Disposition, Relay};
 use super::request_log::{self, RequestTrace, StopReason};
-use super::{answer, now, quarantine, throttle, uploads, Host};
+use super::{answer, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
 use crate::budget::Account;
 use crate::catalog::Repeat;
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -111,7 +111,7 @@
         max_bytes: limits.body_bytes,
         max_buffered: body::MAX_BUFFERED_BYTES,
         max_pause: None,
-        read_buffer_bytes: serve::buffer_bytes(limits.head_bytes),
+        read_buffer_bytes: host.budget.head_buffer(limits.head_bytes),
     };
     let body = match read_body(incoming, &read_limits, &account, deadline).await {
         Ok(body) => body,
@@ -194,18 +194,19 @@
 }
 
 async fn read_body(
-    incoming: Incoming,
+    mut incoming: Incoming,
     limits: &body::Limits,
     account: &Account,
     deadline: Instant,
 ) -> Result<body::ReceivedBody, BodyError> {
-    let read = body::read(incoming, limits, account);
-    tokio::select! {
+    let read = body::read(&mut incoming, limits, account);
+    let part = tokio::select! {
         biased;
-        result = read => result,
-        () = account.wait_for_closing() => Err(Exceeded.into()),
-        () = tokio::time::sleep_until(deadline.into()) => Err(BodyError::TooSlow),
-    }
+        result = read => result?,
+        () = account.wait_for_closing() => return Err(Exceeded.into()),
+        () = tokio::time::sleep_until(deadline.into()) => return Err(BodyError::TooSlow),
+    };
+    Ok(part.with_rest(incoming))
 }
 
 /// The host name that the request is for, lower-cased and without a port.
--- a/src/host/serve.rs
+++ b/src/host/serve.rs
@@ -13,9 +13,7 @@
 use super::body::Body;
 use super::{answer, client, log, shutdown, task, Error, Host};
 use crate::duration;
-pub(crate) use crate::edge::{
-    accept_each, account, buffer_bytes, caller_address, BodyConsumed, StreamUntil,
-};
+pub(crate) use crate::edge::{accept_each, account, caller_address, BodyConsumed, StreamUntil};
 use crate::edge::{serve_connection, Edge, Limits, RepeatedLengths};
 
 /// Listen backlog: connections that may wait to be accepted.
@@ -70,12 +68,12 @@
     let limits = host.core.borrow().table.limits();
     limits.map_or(
         Limits {
-            buffer_bytes: buffer_bytes(DEFAULT_HEAD_BYTES),
+            buffer_bytes: host.budget.head_buffer(DEFAULT_HEAD_BYTES),
             head_timeout: duration::MAX,
             idle_timeout: duration::MAX,
         },
         |limits| Limits {
-            buffer_bytes: buffer_bytes(limits.head_bytes),
+            buffer_bytes: host.budget.head_buffer(limits.head_bytes),
             head_timeout: limits.head_timeout,
             idle_timeout: limits.idle_timeout,
         },
