An answer without a length that ends with a reset is no complete answer

Own interface: a target answered with 200 and no length, sent a part and reset the connection, also while the upload was still being written, and the caller got the part as the whole answer. The HTTP client takes a reset for the end of a body without a length. The transport renames the error of a reset, which ends the attempt with an unknown outcome.

Platform's interface: callers of HTTP/1.1 noticed, as the last chunk is missing, but for callers of HTTP/1.0, for whom the end of the connection is the end of the body, a longer answer ended in an orderly way. The connection is reset if a body breaks off.

Before: tests/target.rs, 5 new rows failed (200 "answered" in place of 502; two of these as the caller of the test could not read the answer during its upload), platform/tests/odd_answers.rs, 4 of 16 failed (long answers to HTTP/1.0, direct and by way of another host). All pass now, with uploads, directly and relayed.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -600,6 +600,10 @@
                 Progress::Ended(end) => {
                     if let Err(error) = end {
                         spdlog::debug!("serve: a connection failed: {error}");
+                        // An orderly end would complete a response without a length.
+                        if error.is_user() || error.is_body_write_aborted() {
+                            reset_on_close(&connection.into_parts().io.into_inner().tcp);
+                        }
                     }
                     return None;
                 }
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -72,7 +72,7 @@
         let count = loop {
             match self.stream.read(input) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                read => break read.map_err(|error| to_error(error, timeout.reason))?,
+                read => break read.map_err(|error| to_read_error(error, timeout.reason))?,
             }
         };
         self.buffers.input_appended(count);
@@ -98,6 +98,16 @@
     Ok(timeout.not_zero().map(|left| *left))
 }
 
+/// The error of a read. A reset is renamed: `ureq` takes it for the end of an answer without a length.
+fn to_read_error(error: io::Error, reason: Timeout) -> Error {
+    match error.kind() {
+        io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionAborted => {
+            io::Error::other(error).into()
+        }
+        _ => to_error(error, reason),
+    }
+}
+
 fn to_error(error: io::Error, reason: Timeout) -> Error {
     match error.kind() {
         io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Error::Timeout(reason),
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -48,6 +48,10 @@
     TruncateChunkedAnswer,
     /// Executes the request, answers with this text and closes.
     Raw(&'static str),
+    /// Executes the request, answers without a length and with this number of bytes, and resets the connection.
+    ResetInAnswer(usize),
+    /// The same after reading the given number of bytes of the request.
+    ResetDuringUpload(usize, usize),
     /// Executes the request and never answers.
     Hang,
     /// Answers 503 and states that the request was not executed.
@@ -191,6 +195,15 @@
         .unwrap();
 }
 
+/// Sends an answer without a length and with so many bytes, and resets the connection after these have been delivered.
+fn reset_in_answer(stream: &mut TcpStream, count: usize) -> io::Result<()> {
+    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n")?;
+    stream.write_all(&vec![b'a'; count])?;
+    thread::sleep(Duration::from_millis(100));
+    reset(stream);
+    Ok(())
+}
+
 const HEALTH: &[u8] = b"GET /health ";
 
 /// Whether a connection begins with a health check. Those are always answered, so that they don't
@@ -225,7 +238,10 @@
     }
     let on_accept = matches!(
         state.behavior,
-        Behavior::ResetOnAccept | Behavior::CloseOnAccept | Behavior::ResetWhileReading(_)
+        Behavior::ResetOnAccept
+            | Behavior::CloseOnAccept
+            | Behavior::ResetWhileReading(_)
+            | Behavior::ResetDuringUpload(..)
     );
     let behavior = if on_accept {
         state.next_behavior()
@@ -240,6 +256,11 @@
             let _ = stream.read_exact(&mut bytes);
             return reset(&stream);
         }
+        Behavior::ResetDuringUpload(count, sent) => {
+            let _ = stream.read_exact(&mut vec![0; count]);
+            let _ = reset_in_answer(&mut stream, sent);
+            return;
+        }
         _ => {}
     }
     let mut input = Vec::new();
@@ -313,6 +334,10 @@
             let _ = io::copy(stream, &mut io::sink());
             return Ok(false);
         }
+        Behavior::ResetInAnswer(count) => {
+            reset_in_answer(stream, count)?;
+            return Ok(false);
+        }
         Behavior::Hang => {
             let _ = io::copy(stream, &mut io::sink());
             return Ok(false);
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -268,6 +268,13 @@
     length_too_large: always(
         Behavior::Raw("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{body}"),
         Unknown(502), Unknown(502));
+    reset_at_once_without_length: always(Behavior::ResetInAnswer(0), Unknown(502), Unknown(502));
+    reset_without_length: always(Behavior::ResetInAnswer(900), Unknown(502), Unknown(502));
+    reset_in_a_long_answer: always(Behavior::ResetInAnswer(900_000), Unknown(502), Unknown(502));
+    reset_during_an_upload: always(
+        Behavior::ResetDuringUpload(10_000, 900), Unknown(502), Unknown(502)).body(8_000_000);
+    reset_in_a_long_answer_during_an_upload: always(
+        Behavior::ResetDuringUpload(10_000, 900_000), Unknown(502), Unknown(502)).body(8_000_000);
     hang: always(Behavior::Hang, Unknown(504), Unknown(504)).short_deadline();
 
     refusal: always(Behavior::Refusal, NotRun, NotRun);
