A status outside of 200 to 599 is no answer

A target in trouble sent a status that does not exist, and the caller got it as an answer: 600, 999 and 101 at the platform's interface, directly and by way of another host, 600 and 999 at the own one. (000, 099, 1000, two digits and letters were refused already: the HTTP libraries parse none of them.) Such an answer counts as broken off: the caller gets 502 unless another target may be tried. Event target.invalid-status.

--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -108,6 +108,9 @@
 enum Cause {
     #[error("{0}")]
     Http(#[from] ureq::Error),
+    /// The status is none that ends an exchange.
+    #[error("the status {0} does not exist")]
+    Status(u16),
     /// The target sent an answer twice, or the answer to an abandoned request.
     #[error("the answer belongs to request '{0}'")]
     OtherRequest(Arc<str>),
@@ -123,7 +126,9 @@
     pub(crate) fn is_invalid_answer(&self) -> bool {
         matches!(
             self.cause,
-            Cause::OtherRequest(_) | Cause::Http(ureq::Error::Protocol(_) | ureq::Error::Http(_))
+            Cause::OtherRequest(_)
+                | Cause::Status(_)
+                | Cause::Http(ureq::Error::Protocol(_) | ureq::Error::Http(_))
         )
     }
 
@@ -332,6 +337,10 @@
     if let Some(id) = header(head::REQUEST_ID).filter(|id| **id != *target_request.id) {
         return Err(Cause::OtherRequest(id));
     }
+    let status = parts.status.as_u16();
+    if !(200..600).contains(&status) {
+        return Err(Cause::Status(status));
+    }
     let connection = header("connection").unwrap_or_default();
     let headers = parts
         .headers
@@ -341,7 +350,6 @@
         .collect();
     let length = header("content-length").and_then(|text| text.parse().ok());
     stage::allow_body(length.unwrap_or(MAX_CHUNKED_BYTES));
-    let status = parts.status.as_u16();
     let refused = status == 503 && header(head::OUTCOME).as_deref() == Some("not-run");
     Ok(Answer {
         status,
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -300,6 +300,11 @@
     response: Response<Incoming>,
 ) -> Outcome {
     let (parts, incoming) = response.into_parts();
+    if !is_final_status(parts.status) {
+        log::invalid_status(host, in_flight.target, parts.status);
+        in_flight.end = End::Broken;
+        return Outcome::Unknown;
+    }
     request_log::log_unknown_headers(host, in_flight.target, &parts.headers);
     let target_answer = (host.platform.wire.answer)(&parts);
     in_flight.observation.load = target_answer.load;
@@ -349,6 +354,12 @@
     }
 }
 
+/// Whether a status may end an exchange: it is of one of the classes that HTTP defines, and not an
+/// interim one.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Classifies a target's answer.
 fn classify_response(
     exchange: &Exchange,
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
 use spdlog::{Logger, ThreadPool};
@@ -78,6 +79,8 @@
     Unlimited => "target.unlimited",
     /// A target announces a rate limit that can't be parsed.
     UnreadableRate => "target.unreadable-rate",
+    /// A target answers with a status that does not exist.
+    InvalidStatus => "target.invalid-status",
     /// A target reports a slowdown that can't be parsed or is not plausible.
     UnreadableSlowdown => "target.unreadable-slowdown",
     /// A target states in an answer that it is shutting down.
@@ -301,6 +304,22 @@
     });
 }
 
+/// Logs that a target's answer has a status that does not exist.
+pub(crate) fn invalid_status(host: &Host, target: TargetKey, status: StatusCode) {
+    let event = Event::InvalidStatus;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    let core = host.core.borrow();
+    let id = core.fleet.member(target).map(|member| member.id().clone());
+    spdlog::warn!("a target answers with a status that does not exist", kv: {
+        event = event.as_str(),
+        target = id.as_deref().unwrap_or_default(),
+        status = status.as_u16(),
+        left_out = left_out
+    });
+}
+
 /// Logs that a target's slowdown can't be parsed or is not plausible; the rest of its load report
 /// is used.
 pub(crate) fn unreadable_slowdown(host: &Host, target: TargetKey, value: &str) {
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -278,6 +278,14 @@
     response: Response<Incoming>,
 ) -> Outcome {
     let (mut parts, incoming) = response.into_parts();
+    if !attempt::is_final_status(parts.status) {
+        spdlog::warn!(
+            "relay: host {} answered with status {}",
+            relay.host,
+            parts.status
+        );
+        return Outcome::Unknown;
+    }
     record_announcement(host, &mut parts);
     let disposition = parts.headers.remove(DISPOSITION);
     let Some(disposition) = disposition.and_then(|value| decode(&value)) else {
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -275,6 +275,20 @@
         Behavior::ResetDuringUpload(10_000, 900), Unknown(502), Unknown(502)).body(8_000_000);
     reset_in_a_long_answer_during_an_upload: always(
         Behavior::ResetDuringUpload(10_000, 900_000), Unknown(502), Unknown(502)).body(8_000_000);
+    status_000: always(
+        Behavior::Raw("HTTP/1.1 000 No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
+    status_099: always(
+        Behavior::Raw("HTTP/1.1 099 No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
+    status_101: always(
+        Behavior::Raw("HTTP/1.1 101 No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
+    status_600: always(
+        Behavior::Raw("HTTP/1.1 600 No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
+    status_999: always(
+        Behavior::Raw("HTTP/1.1 999 No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
+    status_1000: always(
+        Behavior::Raw("HTTP/1.1 1000 No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
+    status_of_letters: always(
+        Behavior::Raw("HTTP/1.1 abc No\r\nContent-Length: 2\r\n\r\nno"), Unknown(502), Unknown(502));
     hang: always(Behavior::Hang, Unknown(504), Unknown(504)).short_deadline();
 
     refusal: always(Behavior::Refusal, NotRun, NotRun);
