Tests: refusals for lack of memory are true, and the largest legal request is served in calm

At both interfaces. The second one found that a header of 32 KiB no longer fitted into the buffer for what is sent to a target at the own interface (502): that buffer follows pool.head_bytes now.

--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -17,7 +17,6 @@
 use super::relay;
 use super::reply::Reply;
 use super::request::Request;
-use super::target::CALL_BYTES;
 use super::{Error, Shared};
 use crate::budget::Charge;
 use crate::catalog::{Catalog, RegionKey, ServiceKey};
@@ -141,6 +140,11 @@
         reply.send(request);
     }
 
+    /// Memory of the connections to targets of one request, in bytes.
+    pub(crate) fn call_bytes(&self) -> usize {
+        self.shared.targets.call_bytes()
+    }
+
     /// Passes a request to a worker. Returns the request if all are busy and enough others wait.
     pub(crate) fn enqueue(
         &self,
@@ -462,7 +466,7 @@
     };
     let account = shared.budget.open_running();
     let mut connections = Charge::new(&account);
-    let reserved = connections.grow_blocking(CALL_BYTES, limits.deadline);
+    let reserved = connections.grow_blocking(shared.targets.call_bytes(), limits.deadline);
     reserved.map_err(|_| Outcome::NotRun(Reason::Crowded))?;
     let origin = match head.ticket {
         Some(_) => Origin::TicketRelay,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -239,7 +239,7 @@
         let shared = Arc::new(Shared {
             core: core.clone(),
             published,
-            targets: target::Client::new(connect, &budget),
+            targets: target::Client::new(connect, settings.pool.head_bytes as usize, &budget),
             metrics,
             issuer: Issuer::new(settings.host.as_str().into(), incarnation, rotation),
             mesh,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -26,7 +26,6 @@
 use super::front::{Dispatch, Front, Prepared};
 use super::reply::Reply;
 use super::request::{Answer, AnswerBody, Part, Request};
-use super::target::CALL_BYTES;
 use super::InFlightGuard;
 use crate::budget::{Account, Budget, Exceeded};
 use crate::edge::body::{self, Body, BodyError, ReceivedBody, Rest};
@@ -384,7 +383,7 @@
     answer: oneshot::Receiver<Answer>,
 ) -> Answer {
     request.account.set_stage(Stage::Running);
-    let reserved = request.account.charge(CALL_BYTES);
+    let reserved = request.account.charge(inner.front.call_bytes());
     let reserved = tokio::time::timeout_at(prepared.limits.deadline.into(), reserved).await;
     let Ok(connections) = reserved.unwrap_or(Err(Exceeded)) else {
         let service = &prepared.head.service;
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -24,11 +24,13 @@
 const MAX_IDLE: usize = 1024;
 /// The part of the memory for peers that idle connections may use.
 const MAX_IDLE_SHARE: usize = 8;
-/// Buffers of a connection, in bytes. The head of an answer has to fit into the first one.
+/// Buffer for what a connection receives, in bytes. The head of an answer has to fit into it.
 const INPUT_BYTES: usize = 64 << 10;
+/// Part of the buffer for what a connection sends, in bytes, beside the longest header of a request,
+/// which has to fit into it as well.
 const OUTPUT_BYTES: usize = 16 << 10;
-/// Memory of the connections of one request, in bytes: that of an attempt and of a hedge.
-pub(crate) const CALL_BYTES: usize = 2 * (INPUT_BYTES + OUTPUT_BYTES);
+/// Connections of one request: that of an attempt and of a hedge.
+const CONNECTIONS_PER_CALL: usize = 2;
 /// Time within which a pooled connection that the target had closed fails: a round trip within the zone, with some margin
 /// for a busy machine. If it fails later, the request may have run and crashed the target.
 const STALE_DETECTION_TIME: Duration = Duration::from_millis(10);
@@ -53,6 +55,8 @@
 pub(crate) struct Client {
     pooled: Agent,
     fresh: Agent,
+    /// Buffers of a connection, in bytes.
+    connection_bytes: usize,
     /// What idle connections hold.
     _idle: Arc<Charge>,
 }
@@ -149,10 +153,11 @@
 }
 
 impl Client {
-    /// Creates a client whose connects time out after `connect`. Idle connections are kept as far as
-    /// `budget` allows.
-    pub(crate) fn new(connect: Duration, budget: &Budget) -> Self {
-        let connection_bytes = INPUT_BYTES + OUTPUT_BYTES;
+    /// Creates a client whose connects time out after `connect`, for requests whose heads have up to
+    /// `head_bytes` bytes. Idle connections are kept as far as `budget` allows.
+    pub(crate) fn new(connect: Duration, head_bytes: usize, budget: &Budget) -> Self {
+        let output_bytes = OUTPUT_BYTES + head_bytes;
+        let connection_bytes = INPUT_BYTES + output_bytes;
         let affordable = budget.limits().bytes / MAX_IDLE_SHARE / connection_bytes;
         let mut idle = MAX_IDLE.min(budget.idle_connections()).min(affordable);
         let mut charge = Charge::new(&budget.open_own());
@@ -161,12 +166,18 @@
             idle = 0;
         }
         Self {
-            pooled: build_agent(connect, idle, MAX_IDLE_PER_TARGET),
-            fresh: build_agent(connect, 0, 0),
+            pooled: build_agent(connect, output_bytes, idle, MAX_IDLE_PER_TARGET),
+            fresh: build_agent(connect, output_bytes, 0, 0),
+            connection_bytes,
             _idle: Arc::new(charge),
         }
     }
 
+    /// Memory of the connections of one request, in bytes.
+    pub(crate) fn call_bytes(&self) -> usize {
+        CONNECTIONS_PER_CALL * self.connection_bytes
+    }
+
     /// Sends a request and waits for the head of its answer. A request whose pooled connection fails as stale
     /// within [`STALE_DETECTION_TIME`] is sent once more on a new connection.
     pub(crate) fn call(
@@ -266,7 +277,12 @@
     matches!(method, "GET" | "HEAD" | "OPTIONS" | "DELETE" | "TRACE")
 }
 
-fn build_agent(connect: Duration, idle: usize, idle_per_target: usize) -> Agent {
+fn build_agent(
+    connect: Duration,
+    output_bytes: usize,
+    idle: usize,
+    idle_per_target: usize,
+) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
@@ -280,7 +296,7 @@
         .max_idle_connections_per_host(idle_per_target)
         .max_idle_age(MAX_IDLE_AGE)
         .input_buffer_size(INPUT_BYTES)
-        .output_buffer_size(OUTPUT_BYTES)
+        .output_buffer_size(output_bytes)
         .proxy(None)
         .build();
     let connector = stage::RecordDial
--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -1,6 +1,6 @@
 //! Many clients at once that send large requests, most of which stop just short of their end and stay open.
 
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -73,7 +73,17 @@
 
 /// Clients whose connections stay open until this is dropped.
 pub struct Crowd {
-    _streams: Vec<TcpStream>,
+    streams: Vec<TcpStream>,
+}
+
+/// What one client has received.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// The client's number.
+    pub number: usize,
+    pub text: String,
+    /// Whether the other side has closed the connection.
+    pub is_closed: bool,
 }
 
 /// One client and what it has still to write.
@@ -191,9 +201,28 @@
         }
         let streams = clients.into_iter().map(|client| client.stream);
         Ok(Self {
-            _streams: streams.collect(),
+            streams: streams.collect(),
         })
     }
+
+    /// Returns what has been received by the clients that have received anything.
+    pub fn responses(&self) -> Vec<Response> {
+        let responses = self.streams.iter().enumerate();
+        let responses = responses.map(|(number, stream)| {
+            let mut stream = stream;
+            let mut bytes = Vec::new();
+            let end = stream.read_to_end(&mut bytes);
+            let is_open = end.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+            Response {
+                number,
+                text: String::from_utf8_lossy(&bytes).into_owned(),
+                is_closed: !is_open,
+            }
+        });
+        responses
+            .filter(|response| !response.text.is_empty())
+            .collect()
+    }
 }
 
 fn connect(address: SocketAddr) -> io::Result<TcpStream> {
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -188,6 +188,88 @@
     };
 }
 
+/// What a host answers that has no memory for a body is true: the request has not run and does not run later, and the rest of the
+/// body is no request.
+#[test]
+fn refusals_are_true() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let world = World::new();
+    let plan = Plan {
+        clients: 128,
+        body_bytes: 1_000_000,
+        framing: Framing::Chunks(64 << 10),
+        piece_bytes: 64 << 10,
+    };
+    let head =
+        |number| format!("POST /v1/services/bookings/crowd{number}. HTTP/1.1\r\nHost: h\r\n");
+    let crowd = Crowd::new(world.address(), &plan, head).unwrap();
+    world.check();
+    let responses = crowd.responses();
+    let journal = world.cluster.targets["book-1"].journal();
+    let mut count = 0;
+    for response in responses
+        .iter()
+        .filter(|response| response.text.contains("HTTP/1.1 503"))
+    {
+        count += 1;
+        let text = response.text.to_ascii_lowercase();
+        assert!(
+            text.contains("ragwortfold-outcome: not-run"),
+            "{response:?}"
+        );
+        assert!(text.contains("retry-after: "), "{response:?}");
+        assert_eq!(text.matches("http/1.1").count(), 1, "{response:?}");
+        let path = format!("crowd{}.", response.number);
+        let has_run = journal
+            .entries
+            .iter()
+            .any(|entry| entry.line.contains(&path));
+        assert!(!has_run, "{response:?} has run");
+    }
+    assert!(count > 0, "{responses:?}");
+    drop(crowd);
+    world.check();
+}
+
+/// The largest head of the settings' default, and the largest body of a service's.
+const DEFAULT_HEAD_BYTES: usize = 32_768;
+const DEFAULT_BODY_BYTES: usize = 16 << 20;
+/// Memory of a usual machine, in megabytes.
+const USUAL_MEMORY_MB: u64 = 256;
+
+#[test]
+fn the_largest_request_is_served_in_calm() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let cluster = TestCluster::new()
+        .with_zone("lima", ZONE)
+        .with_target(ZONE, "lookups", "look-1", 16)
+        .with_target(ZONE, "bookings", "book-1", 16)
+        .with_host(ZONE, "ent-1")
+        .start_all_with(&json!({"pool": {"memory_mb": USUAL_MEMORY_MB}}));
+    let host = &cluster.hosts["ent-1"];
+    for framing in [Framing::Length, Framing::Chunks(30_000)] {
+        let path = "/v1/services/lookups/x";
+        let rest = path.len() + "hosthx-filltransfer-encodingchunked".len() + 16;
+        let fill = "x".repeat(DEFAULT_HEAD_BYTES - rest);
+        let head = |_| format!("POST {path} HTTP/1.1\r\nHost: h\r\nX-Fill: {fill}\r\n");
+        let plan = Plan {
+            clients: 1,
+            body_bytes: DEFAULT_BODY_BYTES,
+            framing,
+            piece_bytes: usize::MAX,
+        };
+        let crowd = Crowd::new(host.address, &plan, head).unwrap();
+        settle(host.id()).unwrap();
+        let responses = crowd.responses();
+        let length = format!("\"body_length\":{DEFAULT_BODY_BYTES}");
+        let is_served = responses.iter().any(|response| {
+            response.text.starts_with("HTTP/1.1 200")
+                && response.text.replace(' ', "").contains(&length)
+        });
+        assert!(is_served, "{framing:?} {responses:?}");
+    }
+}
+
 /// A crowd whose clients send a head, or a part of one, and read nothing.
 macro_rules! requests {
     ($($name:ident: $clients:expr, $request:expr;)*) => {$(
