--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -32,7 +32,9 @@
 use crate::peer::mesh::{self, Mesh};
 use crate::steer::announcement::RequestedRest;
 use crate::steer::attempt::Reason;
-use crate::steer::dedupe::{Admission, IdempotencyTable, Identity, RunOutcome, RunPermit};
+use crate::steer::dedupe::{
+    Admission, IdempotencyTable, Identity, RunOutcome, RunPermit, DEFAULT_MAX_RECORDS,
+};
 use crate::steer::engine::{AttemptKind, Decision, Engine, Id, Refusal, RouteRequest, Verdict};
 use crate::steer::fingerprint::Fingerprint;
 use crate::steer::group;
@@ -212,6 +214,8 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) published: Arc<Published>,
     pub(crate) background: TaskSender,
+    /// Memory for the records of idempotency keys, in bytes.
+    pub(crate) key_bytes: usize,
     pub(crate) rotation: Rotation,
     pub(crate) incarnation: u64,
     pub(crate) store_commands: Sender<platform::StoreCommand>,
@@ -299,7 +303,8 @@
         Some(Self {
             engine: Engine::new(&dependencies.settings.steer, dependencies.incarnation)
                 .with_host(dependencies.settings.host.as_str().into()),
-            keys: IdempotencyTable::new(dependencies.rotation),
+            keys: IdempotencyTable::new(dependencies.rotation)
+                .with_capacity(DEFAULT_MAX_RECORDS, dependencies.key_bytes),
             rng: Pcg64Mcg::seed_from_u64(dependencies.incarnation),
             waiting: BTreeMap::new(),
             unreadable_rates: BTreeSet::new(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -41,6 +41,7 @@
 use crate::peer;
 use crate::peer::config::Listen;
 use crate::peer::mesh::Mesh;
+use crate::steer::dedupe::DEFAULT_MAX_BYTES;
 use crate::steer::ticket::{Issuer, Rotation};
 use crate::supervisor::Supervisor;
 
@@ -57,6 +58,10 @@
 /// Memory of a thread, in bytes: the part of its stack that is in use, and what the allocator keeps
 /// for it.
 const THREAD_BYTES: u64 = 64 << 10;
+/// One part in so many of the memory without the threads may be used by records of idempotency keys,
+/// and by windows of streams between hosts.
+const KEYS_SHARE: u64 = 16;
+const WINDOWS_SHARE: u64 = 32;
 /// Time limit for the core's status report, and the `Retry-After` if it is exceeded.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// How much longer than the look-up TTL a leaving host serves.
@@ -199,7 +204,8 @@
         let published = Arc::new(Published::new());
         let (background, tasks) = background::task_queue();
         let metrics = Arc::new(Metrics::new()?);
-        let budget = build_budget(&settings, metrics.clone());
+        let memory = Memory::new(&settings);
+        let budget = build_budget(&settings, &memory, metrics.clone());
         let (store_commands, store_command_receiver) = unbounded();
         let (config_events, config_event_receiver) = unbounded();
         let is_delegate = Arc::new(AtomicBool::new(false));
@@ -209,6 +215,7 @@
             settings: settings.clone(),
             published: published.clone(),
             background: background.clone(),
+            key_bytes: memory.keys,
             rotation,
             incarnation,
             store_commands,
@@ -228,6 +235,7 @@
         let (relays, relayed_requests) = RelayPool::new(settings.pool.backlog.get() as usize);
         let mesh = Arc::new(build_mesh(
             &settings,
+            memory.windows,
             incarnation,
             core.clone(),
             relays,
@@ -374,19 +382,21 @@
 /// Creates the mesh of links to other hosts.
 fn build_mesh(
     settings: &Settings,
+    window_bytes: usize,
     incarnation: u64,
     core: core::Handle,
     relays: RelayPool,
     supervisor: Supervisor,
 ) -> Result<Mesh, Error> {
     let listen = parse_address("peer_listen", &settings.peer_listen)?;
-    let config = peer::config::Config::new(
+    let mut config = peer::config::Config::new(
         settings.host.as_str(),
         incarnation,
         settings.availability_zone.as_str(),
         settings.peer_secret.as_str(),
         Listen::Address(listen),
     );
+    config.window_pool_bytes = window_bytes;
     Mesh::new(config, move |event| match event {
         peer::mesh::Event::Open(incoming) => relays.enqueue(incoming),
         peer::mesh::Event::TaskFailed { task, reason } => supervisor.report(task, &reason),
@@ -441,16 +451,43 @@
     Ok(())
 }
 
+/// How the memory of the process is divided, in bytes.
+struct Memory {
+    /// What is left for the process itself and its peers.
+    rest: u64,
+    /// Records of idempotency keys.
+    keys: usize,
+    /// Windows of streams between hosts, beyond the first part of each.
+    windows: usize,
+}
+
+impl Memory {
+    fn new(settings: &Settings) -> Self {
+        let pool = &settings.pool;
+        let configured = Some(pool.memory_mb).filter(|megabytes| *megabytes > 0);
+        let workers = pool.workers.get();
+        let threads = workers + workers / 4 + pool.relay_workers.get() + pool.lookup_workers.get();
+        let available = budget::available_memory(configured);
+        let free = available.saturating_sub(u64::from(threads) * THREAD_BYTES);
+        let part = |share: u64, most: usize| {
+            usize::try_from(free / share).map_or(most, |bytes| bytes.min(most))
+        };
+        let keys = part(KEYS_SHARE, DEFAULT_MAX_BYTES);
+        let windows = part(WINDOWS_SHARE, peer::config::DEFAULT_WINDOW_POOL_BYTES);
+        // The budget counts as much again for what the allocator can't reuse.
+        let reserved = 2 * (keys + windows) as u64;
+        Self {
+            rest: free.saturating_sub(reserved),
+            keys,
+            windows,
+        }
+    }
+}
+
 /// The budget for what the host holds for its peers.
-fn build_budget(settings: &Settings, metrics: Arc<Metrics>) -> Budget {
-    let pool = &settings.pool;
-    let configured = Some(pool.memory_mb).filter(|megabytes| *megabytes > 0);
-    let workers = pool.workers.get();
-    let threads = workers + workers / 4 + pool.relay_workers.get() + pool.lookup_workers.get();
-    let memory =
-        budget::available_memory(configured).saturating_sub(u64::from(threads) * THREAD_BYTES);
-    let descriptors = budget::available_descriptors(Some(pool.open_files));
-    Budget::new(memory, descriptors, move |shortage| {
+fn build_budget(settings: &Settings, memory: &Memory, metrics: Arc<Metrics>) -> Budget {
+    let descriptors = budget::available_descriptors(Some(settings.pool.open_files));
+    Budget::new(memory.rest, descriptors, move |shortage| {
         metrics.count_closed_peer(shortage);
     })
 }
--- a/src/peer/config.rs
+++ b/src/peer/config.rs
@@ -13,6 +13,9 @@
     Bound(TcpListener),
 }
 
+/// Default of [`Config::window_pool_bytes`].
+pub const DEFAULT_WINDOW_POOL_BYTES: usize = 32 << 20;
+
 /// Identity, limits and timeouts of a mesh.
 #[derive(Debug)]
 pub struct Config {
@@ -87,7 +90,7 @@
             max_streams: 512,
             initial_window: 64 << 10,
             full_window: 256 << 10,
-            window_pool_bytes: 32 << 20,
+            window_pool_bytes: DEFAULT_WINDOW_POOL_BYTES,
         }
     }
 }
