--- a/src/budget.rs
+++ b/src/budget.rs
@@ -372,25 +372,26 @@
     /// The peer has to be closed, or others have not returned enough in time. The charge stays as it
     /// was.
     pub async fn grow(&mut self, bytes: usize) -> Result<(), Exceeded> {
-        let mut timeout = pin!(None);
+        if !self.try_grow(bytes)? {
+            // Boxed, so that a charge takes little memory while it need not wait.
+            Box::pin(self.wait_and_grow(bytes)).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_and_grow(&mut self, bytes: usize) -> Result<(), Exceeded> {
+        let budget = self.account.owner.budget.clone();
+        let mut timeout = pin!(tokio::time::sleep(MAX_WAIT));
         loop {
-            let budget = self.account.owner.budget.clone();
             let mut returned = pin!(budget.inner.returned.notified());
             returned.as_mut().enable();
-            if self.account.try_add(bytes)? {
-                self.bytes += bytes;
+            if self.try_grow(bytes)? {
                 return Ok(());
             }
-            if timeout.is_none() {
-                timeout.set(Some(tokio::time::sleep(MAX_WAIT)));
-            }
-            let Some(timeout) = timeout.as_mut().as_pin_mut() else {
-                return Err(Exceeded);
-            };
             tokio::select! {
                 () = returned => {}
                 () = self.account.wait_for_closing() => return Err(Exceeded),
-                () = timeout => return Err(Exceeded),
+                () = &mut timeout => return Err(Exceeded),
             }
         }
     }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -46,7 +46,7 @@
 /// How often a read is tried again while other connections are being closed.
 const MAX_CHARGE_ATTEMPTS: u32 = 1000;
 /// Memory of a connection without a request, in bytes.
-const IDLE_BYTES: usize = 4 << 10;
+const IDLE_BYTES: usize = 8 << 10;
 /// Memory of a request besides the buffers of its connection, in bytes: the parsed head, the task, and
 /// the connection to a target.
 const REQUEST_BYTES: usize = 32 << 10;
