--- a/src/budget.rs
+++ b/src/budget.rs
@@ -34,7 +34,7 @@
 /// Descriptors that are assumed if the system doesn't tell.
 const DEFAULT_DESCRIPTORS: u64 = 1024;
 /// Smallest capacity of a buffer that grows, in bytes.
-const MIN_CAPACITY: usize = 64 << 10;
+const MIN_CAPACITY: usize = 8 << 10;
 
 /// Number of the largest heads for which the memory suffices.
 const HEADS: usize = 64;
@@ -454,6 +454,8 @@
 pub struct Buffer {
     bytes: Vec<u8>,
     charge: Charge,
+    /// The number of bytes that are expected in all, if that is known.
+    expected: Option<usize>,
 }
 
 impl Buffer {
@@ -462,9 +464,17 @@
         Self {
             bytes: Vec::new(),
             charge: Charge::new(account),
+            expected: None,
         }
     }
 
+    /// Sets the number of bytes that are expected in all, if that is known. So many are allocated at
+    /// once.
+    pub fn with_expected(mut self, bytes: Option<usize>) -> Self {
+        self.expected = bytes;
+        self
+    }
+
     /// The number of bytes in it.
     pub fn len(&self) -> usize {
         self.bytes.len()
@@ -475,13 +485,13 @@
         self.bytes.is_empty()
     }
 
-    /// Appends bytes, once there may be room for them. At most `limit` bytes are expected in all.
+    /// Appends bytes, once there may be room for them.
     ///
     /// # Errors
     ///
     /// The peer has to be closed.
-    pub async fn append(&mut self, bytes: &[u8], limit: usize) -> Result<(), Exceeded> {
-        let capacity = self.needed_capacity(bytes.len(), limit);
+    pub async fn append(&mut self, bytes: &[u8]) -> Result<(), Exceeded> {
+        let capacity = self.needed_capacity(bytes.len());
         if let Some(capacity) = capacity {
             self.charge.grow(capacity).await?;
             self.reallocate(capacity);
@@ -495,13 +505,8 @@
     /// # Errors
     ///
     /// The peer has to be closed, or there was no room until `deadline`.
-    pub fn append_blocking(
-        &mut self,
-        bytes: &[u8],
-        limit: usize,
-        deadline: Instant,
-    ) -> Result<(), Exceeded> {
-        let capacity = self.needed_capacity(bytes.len(), limit);
+    pub fn append_blocking(&mut self, bytes: &[u8], deadline: Instant) -> Result<(), Exceeded> {
+        let capacity = self.needed_capacity(bytes.len());
         if let Some(capacity) = capacity {
             self.charge.grow_blocking(capacity, deadline)?;
             self.reallocate(capacity);
@@ -511,10 +516,11 @@
     }
 
     /// The capacity that the buffer has to have for `more` bytes, if it has less.
-    fn needed_capacity(&self, more: usize, limit: usize) -> Option<usize> {
+    fn needed_capacity(&self, more: usize) -> Option<usize> {
         let length = self.bytes.len() + more;
-        let doubled = self.bytes.capacity().saturating_mul(2).max(MIN_CAPACITY);
-        (length > self.bytes.capacity()).then(|| length.max(doubled.min(limit)))
+        let capacity = self.bytes.capacity();
+        let doubled = || capacity.saturating_mul(2).max(MIN_CAPACITY);
+        (length > capacity).then(|| length.max(self.expected.unwrap_or_else(doubled)))
     }
 
     /// Moves the content to an allocation of so many bytes, which have been charged.
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -200,14 +200,11 @@
     } else {
         limits.max_buffered
     };
-    let expected = match announced as usize {
-        0 => wanted,
-        announced => announced.min(wanted),
-    };
+    let expected = (announced > 0).then_some((announced as usize).min(wanted));
     // A body that consists of one part is not copied: the buffer that it was read into belongs to
     // the connection.
     let mut first: Option<Bytes> = None;
-    let mut read = Buffer::new(account);
+    let mut read = Buffer::new(account).with_expected(expected);
     while let Some(frame) = next_frame(body, limits.max_pause).await? {
         let Ok(data) = frame.into_data() else {
             continue;
@@ -216,9 +213,9 @@
             first = Some(data);
         } else {
             if let Some(begin) = first.take() {
-                read.append(&begin, expected).await?;
+                read.append(&begin).await?;
             }
-            read.append(&data, expected).await?;
+            read.append(&data).await?;
         }
         let length = read.len() + first.as_ref().map_or(0, Bytes::len);
         if length as u64 > max_bytes {
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -111,13 +111,12 @@
     let mut buffer = [0; READ_BUFFER_BYTES];
     let mut bytes = Buffer::new(account);
     let mut reader = reader.take(limit);
-    let expected = usize::try_from(limit).unwrap_or(usize::MAX);
     loop {
         let count = reader.read(&mut buffer).map_err(Error::Short)?;
         if count == 0 {
             return Ok(bytes.freeze());
         }
-        bytes.append_blocking(&buffer[..count], expected, deadline)?;
+        bytes.append_blocking(&buffer[..count], deadline)?;
     }
 }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -188,7 +188,6 @@
         reply.body = Body::Stream(Box::new(AnswerReader(stream)), length);
         return Ok(Answer::Stream(reply));
     }
-    let expected = length.unwrap_or(MAX_BUFFERED_ANSWER_BYTES) as usize;
     let memory_timeout = Instant::now() + open.deadline;
     let mut content = Buffer::new(account);
     let mut buffer = [0; COPY_BUFFER_BYTES];
@@ -196,7 +195,7 @@
         match stream.read_body(&mut buffer) {
             Ok(0) => break,
             Ok(count) => content
-                .append_blocking(&buffer[..count], expected, memory_timeout)
+                .append_blocking(&buffer[..count], memory_timeout)
                 .map_err(|_| Failure::new(FailurePoint::ConnectionClosed(Stage::AnswerBody)))?,
             Err(error) => return Err(to_failure(&stream, &error, Stage::AnswerBody)),
         }
--- a/src/host/store.rs
+++ b/src/host/store.rs
@@ -237,11 +237,9 @@
 
 /// Reads the body of an answer, which is charged to `account`.
 async fn read_body(mut body: Incoming, account: &Account) -> Result<Bytes, Error> {
-    let expected = match body.size_hint().exact() {
-        Some(length) => usize::try_from(length).unwrap_or(usize::MAX),
-        None => MAX_ANSWER_BYTES,
-    };
-    let mut read = Buffer::new(account);
+    let announced = body.size_hint().exact();
+    let expected = announced.map(|length| MAX_ANSWER_BYTES.min(length as usize));
+    let mut read = Buffer::new(account).with_expected(expected);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Error::Broken)?.into_data() else {
             continue;
@@ -249,7 +247,7 @@
         if read.len() + data.len() > MAX_ANSWER_BYTES {
             return Err(Error::Broken);
         }
-        let appended = read.append(&data, expected).await;
+        let appended = read.append(&data).await;
         appended.map_err(|_| Error::Broken)?;
     }
     Ok(read.freeze())
