A key that may be withdrawn names no account on an open route

Cause: `Accounts::identify` decided that an open route needs no proof before it asked how old the configuration is. That is so for whether the request may run, not for the name that the host vouches for. The account was also charged for the request, had its priority and its share, and stood in the log.

Now such a caller is `Caller::Unproved`: the request runs without a name, charged to nobody. The regions of the account still apply: the account may have the key as before, and its requests must not leave them.

--- a/src/account.rs
+++ b/src/account.rs
@@ -118,7 +118,7 @@
     Current,
     /// It may be outdated, and the deployment lets hosts continue with it.
     Stale,
-    /// It may be outdated, and must not be used to accept keys.
+    /// It may be outdated, and must not be used to accept keys or to name their accounts.
     Expired,
 }
 
@@ -129,16 +129,29 @@
     Unnamed,
     /// An unidentified caller, on a route that is open to all.
     Public,
+    /// A caller on a route that is open to all. Its key was that of this account in a configuration
+    /// that is too old to name the account.
+    Unproved(Arc<Account>),
     /// A client account.
     Account(Arc<Account>),
 }
 
 impl Caller {
-    /// Returns the account, if the caller has one.
+    /// Returns the account in whose name the request runs, if there is one.
     pub fn account(&self) -> Option<&Arc<Account>> {
         match self {
             Self::Account(account) => Some(account),
-            Self::Unnamed | Self::Public => None,
+            Self::Unnamed | Self::Public | Self::Unproved(_) => None,
+        }
+    }
+
+    /// Returns the regions that may serve the caller's requests; any if empty. Those of an account
+    /// that is not proved apply as well, since it may still have the key.
+    pub fn homes(&self) -> &BTreeSet<Arc<str>> {
+        static ANY: BTreeSet<Arc<str>> = BTreeSet::new();
+        match self {
+            Self::Account(account) | Self::Unproved(account) => &account.homes,
+            Self::Unnamed | Self::Public => &ANY,
         }
     }
 }
@@ -187,7 +200,8 @@
             Credential::Missing | Credential::Unreadable => None,
         };
         match (account, freshness) {
-            (account, _) if open => Ok(account.map_or(Caller::Public, Caller::Account)),
+            (None, _) if open => Ok(Caller::Public),
+            (Some(account), ConfigFreshness::Expired) if open => Ok(Caller::Unproved(account)),
             (_, ConfigFreshness::Expired) => Err(Denial::Undecided),
             (Some(account), _) => Ok(Caller::Account(account)),
             (None, ConfigFreshness::Current) => Err(Denial::NoAccount),
--- a/src/host/admission.rs
+++ b/src/host/admission.rs
@@ -56,9 +56,10 @@
     /// is unknown.
     #[error("the configuration may be {0:?} old")]
     UnprovedConfiguration(Option<Duration>),
-    /// The route and the account have no region in common.
-    #[error("account {0} and the route share no region")]
-    NoHome(Arc<str>),
+    /// The route and the account have no region in common. The account is `None` if it is not proved
+    /// to have the key.
+    #[error("the account and the route share no region: {0:?}")]
+    NoHome(Option<Arc<str>>),
     /// The account exceeds its quota.
     #[error("account {account} has {left:.1} requests left and gets {rate:.1} a second here")]
     OverQuota {
@@ -122,15 +123,16 @@
         Denial::NoAccount => AdmissionError::NoAccount,
         Denial::Undecided => AdmissionError::UnprovedConfiguration(core.proof.age(moment())),
     })?;
+    let homes = account::allowed_regions(&route.homes, caller.homes()).map_err(|_| {
+        AdmissionError::NoHome(caller.account().map(|account| account.name.clone()))
+    })?;
     let Some(account) = caller.account() else {
         return Ok(Admitted {
             caller,
-            homes: route.homes.clone(),
+            homes,
             charge,
         });
     };
-    let homes = account::allowed_regions(&route.homes, &account.homes)
-        .map_err(|_| AdmissionError::NoHome(account.name.clone()))?;
     if let Some(ledger) = core.ledger.as_mut().filter(|_| charge == Charge::Here) {
         if let Err(refusal) = ledger.admit(now(), account) {
             // Randomized, so that rejected callers don't all return at once and exceed the quota
--- a/src/host/message.rs
+++ b/src/host/message.rs
@@ -39,7 +39,9 @@
     (host.platform.wire.add_target_headers)(&mut headers, left, id);
     match &exchange.admitted.caller {
         Caller::Unnamed => {}
-        Caller::Public => (host.platform.wire.replace_credential)(&mut headers, None),
+        Caller::Public | Caller::Unproved(_) => {
+            (host.platform.wire.replace_credential)(&mut headers, None)
+        }
         Caller::Account(account) => {
             (host.platform.wire.replace_credential)(&mut headers, Some(&account.name))
         }
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -57,6 +57,10 @@
     no_key_on_an_open_route_with_expired_config: Credential::Missing, open true, Expired => Ok(None);
     an_unknown_key_on_an_open_route: key("k4"), open true, Current => Ok(None);
     a_known_key_on_an_open_route: key("k1"), open true, Current => Ok(Some("one"));
+    a_known_key_on_an_open_route_with_stale_config: key("k1"), open true, Stale => Ok(Some("one"));
+    // Guards against requests that run in the name of an account whose key may be withdrawn.
+    a_known_key_on_an_open_route_with_expired_config: key("k1"), open true, Expired => Ok(None);
+    an_unknown_key_on_an_open_route_with_expired_config: key("k4"), open true, Expired => Ok(None);
 }
 
 #[test]
@@ -66,6 +70,18 @@
     assert_eq!(caller, Ok(Caller::Public));
 }
 
+/// Guards against requests that leave the regions of an account which may still have the key.
+#[test]
+fn the_regions_of_an_account_apply_while_its_key_may_be_withdrawn() {
+    let home = Account {
+        homes: regions(&["n"]),
+        ..(*account("one", &["k1"])).clone()
+    };
+    let accounts = Accounts::new(&[Arc::new(home)]);
+    let caller = accounts.identify(key("k1"), true, ConfigFreshness::Expired);
+    assert_eq!(caller.unwrap().homes(), &regions(&["n"]));
+}
+
 #[test]
 fn a_key_of_two_accounts_is_an_error() {
     let accounts = [account("one", &["k1", "k2"]), account("other", &["k2"])];
