A relayed request is charged where its account can be named

A host that relays a request has charged the quota of its account, so the other host charges nothing. The other host names the account by its own configuration and let it run without a charge: an account could run more than its quota by way of hosts that are cut off.

The context of a relayed request names the account that was charged (`charged`, the identifier that quotas have between hosts); the other host charges unless it is the one that it names itself.

--- a/src/host/admission.rs
+++ b/src/host/admission.rs
@@ -14,6 +14,7 @@
 use crate::account::{self, Caller, Denial};
 use crate::inventory::Route;
 use crate::port::Head;
+use crate::steer::allowance::AccountId;
 
 /// A request that may run.
 pub(crate) struct Admitted {
@@ -26,7 +27,7 @@
 
 /// Whether a request counts towards its account's quota at this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Charge {
+enum Charge {
     /// It does.
     Here,
     /// The host that relays it has counted it.
@@ -34,6 +35,12 @@
 }
 
 impl Admitted {
+    /// The account that was charged for the request.
+    pub(crate) fn charged_account(&self) -> Option<AccountId> {
+        let account = self.caller.account();
+        account.map(|account| AccountId::new(&account.name))
+    }
+
     /// Returns the request to its account's quota, since it did not run and will not.
     pub(crate) fn refund(&self, host: &Host) {
         if self.charge == Charge::Relaying {
@@ -107,12 +114,12 @@
 }
 
 /// Decides whether a request on `route` may run. If so, charges it to its account's quota, unless
-/// `charge` says that this was done elsewhere.
+/// the host that relays it has charged that account.
 pub(crate) fn admit(
     host: &Host,
     route: &Route,
     head: &Head,
-    charge: Charge,
+    charged_by_relay: Option<AccountId>,
 ) -> Result<Admitted, AdmissionError> {
     let core = &mut *host.core.borrow_mut();
     let freshness = core.config_freshness(moment());
@@ -130,9 +137,13 @@
         return Ok(Admitted {
             caller,
             homes,
-            charge,
+            charge: Charge::Here,
         });
     };
+    let charge = match charged_by_relay {
+        Some(charged) if charged == AccountId::new(&account.name) => Charge::Relaying,
+        _ => Charge::Here,
+    };
     if let Some(ledger) = core.ledger.as_mut().filter(|_| charge == Charge::Here) {
         if let Err(refusal) = ledger.admit(now(), account) {
             // Randomized, so that rejected callers don't all return at once and exceed the quota
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -9,7 +9,7 @@
 use http::{request, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use super::admission::{admit, Admitted, Charge};
+use super::admission::{admit, Admitted};
 use super::body::{self, Body, BodyError};
 use super::exchange::{self, Buffered, Exchange};
 use super::request_log::Rejection;
@@ -129,12 +129,9 @@
         body::ReceivedBody::Complete(_) => Buffered::Complete,
         body::ReceivedBody::Prefix(..) => Buffered::Prefix,
     };
-    let charge = match context {
-        Some(_) => Charge::Relaying,
-        None => Charge::Here,
-    };
+    let charged_by_relay = context.as_ref().and_then(|context| context.charged);
     account.set_stage(Stage::Running);
-    let admitted = match admit(host, &route, &head, charge) {
+    let admitted = match admit(host, &route, &head, charged_by_relay) {
         Ok(admitted) => admitted,
         Err(error) => {
             let detail = error.to_string();
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -3,9 +3,9 @@
 //!
 //! A relayed request is an HTTP request at the address that receives a host's datagrams. It is
 //! relayed once: the other host sends it to targets or refuses it. Each limit is applied by one of
-//! the two: the host that the caller asked charges the account's quota, the one that sends to
-//! targets applies their limits and rates and the retry budget. It takes requests of registered hosts
-//! only, and no more attempts or time than the route has.
+//! the two: the host that the caller asked charges the account's quota, if it can name the account,
+//! and the one that sends to targets applies their limits and rates and the retry budget. It takes
+//! requests of registered hosts only, and no more attempts or time than the route has.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -28,6 +28,7 @@
 use super::{announcement, answer, front, message, now, serve, Error, Host};
 use crate::duration;
 use crate::inventory::TargetKey;
+use crate::steer::allowance::AccountId;
 use crate::steer::fleet::TargetQuery;
 
 /// Header of a relayed request, with a [`Context`] in JSON.
@@ -58,6 +59,9 @@
     pub(crate) attempts: usize,
     /// Whether the retry budget has counted it already.
     pub(crate) is_counted: bool,
+    /// The account whose quota it was charged to.
+    #[serde(default)]
+    pub(crate) charged: Option<AccountId>,
     /// Version of the configuration at the host that relays it.
     pub(crate) configuration: Option<u64>,
     /// Targets that it was sent to.
@@ -253,6 +257,7 @@
         time_left: exchange.deadline.saturating_duration_since(now()),
         attempts: exchange.attempts.saturating_sub(sent_to.len()),
         is_counted: exchange.is_counted.get(),
+        charged: exchange.admitted.charged_account(),
         configuration: core.table.version(),
         tried: tried.map(|member| member.id().clone()).collect(),
     }
--- a/src/steer/allowance.rs
+++ b/src/steer/allowance.rs
@@ -107,7 +107,8 @@
 pub struct AccountId(u32);
 
 impl AccountId {
-    fn new(account: &str) -> Self {
+    /// Returns the identifier of the account with this name.
+    pub(crate) fn new(account: &str) -> Self {
         Self(xxh3_64(account.as_bytes()) as u32)
     }
 }
