A request that any host would reject keeps no other requests from a relay

A host that rejects a relayed request before a target is chosen answered `NotServed`, whatever the reason. The host that relayed it then offers the request to up to two further hosts and uses none of them for 0.5 s (`relay::AVOIDANCE`). An unknown key, a used-up quota, a long body or a route that is gone says nothing about the other host; while links to targets are lost, a single caller with such requests had all other callers refused.

Now only what another host may decide otherwise is `NotServed`: no configuration or an older one, no proof of its age, no memory.

--- a/src/host/admission.rs
+++ b/src/host/admission.rs
@@ -10,6 +10,7 @@
 
 use super::body::Body;
 use super::proof::moment;
+use super::relay::Disposition;
 use super::{answer, now, Host};
 use crate::account::{self, Caller, Denial};
 use crate::inventory::Route;
@@ -100,6 +101,15 @@
         }
     }
 
+    /// What a host that relays the request is to make of it, unless another host may admit it.
+    pub(crate) fn disposition(&self) -> Option<Disposition> {
+        match self {
+            Self::NoAccount | Self::OverQuota { .. } => Some(Disposition::Answered),
+            Self::NoHome(_) => Some(Disposition::NotRun(answer::DEFAULT_RETRY_AFTER)),
+            Self::UnprovedConfiguration(_) => None,
+        }
+    }
+
     /// The response for the caller.
     pub(crate) fn response(&self, host: &Host) -> Response<Body> {
         match self {
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -13,7 +13,7 @@
 use super::attempt::{self, connect_target, take_body, InFlight, Outcome};
 use super::body::{Body, ReceivedBody};
 use super::quarantine::Permit;
-use super::relay::{self, Disposition, Relay};
+use super::relay::{self, with_disposition, Disposition, Relay};
 use super::request_log::{self, RequestTrace, StopReason};
 use super::{answer, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
@@ -262,11 +262,6 @@
     }
 }
 
-fn with_disposition(mut response: Response<Body>, disposition: Disposition) -> Response<Body> {
-    response.extensions_mut().insert(disposition);
-    response
-}
-
 /// Decides whether a request is sent to a target, or to another host since this one can't reach
 /// targets, or none of many that this request tried.
 fn choose_path(
--- a/src/host/front.rs
+++ b/src/host/front.rs
@@ -12,6 +12,7 @@
 use super::admission::{admit, Admitted};
 use super::body::{self, Body, BodyError};
 use super::exchange::{self, Buffered, Exchange};
+use super::relay::{with_disposition, Disposition};
 use super::request_log::Rejection;
 use super::{answer, now, relay, request_log, serve, startup, Error, Host};
 use crate::budget::{Account, Exceeded};
@@ -95,6 +96,7 @@
     }
     let Some(route) = find_route(host, &site, &parts) else {
         let answer = answer::plain_text(StatusCode::NOT_FOUND, "no such route\n");
+        let answer = with_disposition(answer, Disposition::Answered);
         return reject(&parts, answer, "no-route", "");
     };
     let head = (host.platform.wire.head)(&parts);
@@ -135,7 +137,7 @@
         Ok(admitted) => admitted,
         Err(error) => {
             let detail = error.to_string();
-            let response = error.response(host);
+            let response = with_disposition(error.response(host), error.disposition());
             let rejection = Rejection {
                 reason: error.reason(),
                 detail: &detail,
@@ -174,18 +176,25 @@
 
 /// The response to a request whose body could not be read completely.
 fn body_error_response(host: &Host, error: &BodyError) -> Response<Body> {
+    let not_run = Some(Disposition::NotRun(answer::DEFAULT_RETRY_AFTER));
     match error {
         BodyError::TooLong(_) => {
-            answer::plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n")
+            let text = "the body is too long\n";
+            let answer = answer::plain_text(StatusCode::PAYLOAD_TOO_LARGE, text);
+            with_disposition(answer, Disposition::Answered)
+        }
+        BodyError::TooSlow => {
+            let answer = answer::not_run(host, "the body did not arrive in time\n");
+            with_disposition(answer, not_run)
         }
-        BodyError::TooSlow => answer::not_run(host, "the body did not arrive in time\n"),
         BodyError::NoMemory(_) => {
             let mut answer = answer::not_run(host, "no memory for the body\n");
             close_connection(&mut answer);
             answer
         }
         BodyError::Sender(_) | BodyError::Reader(_) => {
-            answer::plain_text(StatusCode::BAD_REQUEST, "the body broke off\n")
+            let answer = answer::plain_text(StatusCode::BAD_REQUEST, "the body broke off\n");
+            with_disposition(answer, not_run)
         }
     }
 }
--- a/src/host/relay.rs
+++ b/src/host/relay.rs
@@ -71,7 +71,7 @@
 /// What became of a request at the host that sent it to targets. It is attached to the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Disposition {
-    /// A target answered.
+    /// A target answered, or the request was rejected whichever host it is sent to.
     Answered,
     /// A target answered with a server error.
     Failed,
@@ -377,6 +377,18 @@
     response
 }
 
+/// Attaches what a host that relays the request is to make of the response. Without it the request
+/// is offered to other hosts, and this one is not used for a while.
+pub(crate) fn with_disposition(
+    mut response: Response<Body>,
+    disposition: impl Into<Option<Disposition>>,
+) -> Response<Body> {
+    if let Some(disposition) = disposition.into() {
+        response.extensions_mut().insert(disposition);
+    }
+    response
+}
+
 fn with_disposition_header(
     mut response: Response<Body>,
     disposition: Disposition,
