--- a/soak/main.rs
+++ b/soak/main.rs
@@ -11,12 +11,14 @@
 
 mod caller;
 mod fault;
+mod regions;
 mod shutdown;
 mod world;
 
 use std::ops::Range;
 use std::time::Duration;
 
+use regions::Course;
 use world::World;
 
 /// How long faults are injected.
@@ -109,3 +111,28 @@
         assert_no_violations(seed, &shutdown::run_seed(seed, hosts));
     }
 }
+
+/// Days of a deployment of three regions: `SOAK_REGIONS=N` seeds of each course, or of the one that `SOAK_COURSE` names.
+#[test]
+fn days_of_three_regions_that_are_asked_for() {
+    let asked = std::env::var("SOAK_COURSE").ok();
+    let is_asked = |course: &Course| {
+        asked
+            .as_ref()
+            .is_none_or(|name| *name == format!("{course:?}"))
+    };
+    let courses: Vec<Course> = Course::ALL.into_iter().filter(is_asked).collect();
+    assert!(!courses.is_empty(), "no course of this name: {asked:?}");
+    let mut violations = Vec::new();
+    for seed in seeds_from("SOAK_REGIONS") {
+        for course in &courses {
+            let found = regions::run_seed(seed, *course);
+            violations.extend(
+                found
+                    .iter()
+                    .map(|line| format!("seed {seed} {course:?}: {line}")),
+            );
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
--- /dev/null
+++ b/soak/regions.rs
@@ -0,0 +1,734 @@
+//! A deployment of three regions under load: a store in one of them, round trips of 110 ms between regions, targets that leave and are
+//! replaced all the time, and troubles of hosts, links, targets and the store by seeds. Checks that no target gets requests later than
+//! [`DRAIN`] after the store has acknowledged that it leaves, from hosts that had no trouble themselves.
+//!
+//! The hosts reach the store and the targets over links. Between each other they are on one machine, without delay or loss.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ::standin::link::{Accept, Fault, Link};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+
+use crate::standin::{build_response, read_message, start_target, wait_until, Host, Mode, Store};
+use crate::world::DRAIN;
+
+const ZONES: [(&str, &str); 6] = [
+    ("arq-a", "arq"),
+    ("lim-a", "lim"),
+    ("cus-a", "cus"),
+    ("arq-b", "arq"),
+    ("lim-b", "lim"),
+    ("cus-b", "cus"),
+];
+/// The region of the store.
+const STORE_REGION: &str = "arq";
+const HOSTS: usize = 11;
+/// Latency between two regions, and within one.
+const FAR: Duration = Duration::from_millis(55);
+const NEAR: Duration = Duration::from_micros(500);
+/// Share of the chunks that a bad link loses, in thousandths, and its retransmission timeout.
+const LOSS: u16 = 200;
+const RETRANSMIT: Duration = Duration::from_millis(320);
+
+/// A service with its path, whether its requests may be repeated, targets, slots, work and requests a second.
+struct Service {
+    name: &'static str,
+    is_safe: bool,
+    targets: usize,
+    slots: usize,
+    work: Duration,
+    rate: f64,
+}
+
+const SERVICES: [Service; 3] = [
+    Service {
+        name: "lookup",
+        is_safe: true,
+        targets: 22,
+        slots: 6,
+        work: Duration::from_millis(256),
+        rate: 635.0,
+    },
+    Service {
+        name: "reserve",
+        is_safe: false,
+        targets: 12,
+        slots: 4,
+        work: Duration::from_millis(332),
+        rate: 198.0,
+    },
+    Service {
+        name: "upload",
+        is_safe: false,
+        targets: 12,
+        slots: 3,
+        work: Duration::from_millis(304),
+        rate: 66.7,
+    },
+];
+
+/// Objects that callers ask for, and the share of the work that is left for an object that the target handled lately.
+const OBJECTS: u32 = 300;
+const REPEAT_WORK: f64 = 0.3;
+const DEADLINE: Duration = Duration::from_millis(1500);
+/// Pause of a caller between two requests.
+const CALLER_PAUSE: Duration = Duration::from_millis(200);
+/// Time without trouble after which a host, or the store, is bound by the rules again.
+const STABLE: Duration = Duration::from_secs(4);
+const WARM_UP: Duration = Duration::from_secs(6);
+/// How long targets leave and troubles come.
+const DAY: Duration = Duration::from_secs(24);
+const DEPARTURE_INTERVAL: Duration = Duration::from_millis(600);
+const TROUBLE_INTERVAL: Duration = Duration::from_millis(1100);
+/// Longest time that a target runs on after [`DRAIN`], and pause before its address has another process.
+const MAX_LINGERING: Duration = Duration::from_secs(4);
+const REUSE_PAUSE: Duration = Duration::from_secs(2);
+
+/// What happens in a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Course {
+    /// Hosts and their links to the store have troubles.
+    Hosts,
+    /// Hosts and targets have.
+    Targets,
+    /// The store has as well, in the first third.
+    Store,
+    /// Hosts and targets have, and some of the targets read nothing before they leave.
+    Silence,
+}
+
+impl Course {
+    pub const ALL: [Self; 4] = [Self::Hosts, Self::Targets, Self::Store, Self::Silence];
+}
+
+/// A span of time.
+type Span = (Instant, Instant);
+
+/// How a target handles requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Manner {
+    #[default]
+    Normal,
+    WrongId,
+    Close,
+    Fail,
+    Slow,
+    /// It reads nothing.
+    Silent,
+}
+
+/// A target: an address with one process after the other.
+struct Target {
+    service: usize,
+    zone: usize,
+    manner: Mutex<Manner>,
+    /// Its process, and the one before.
+    processes: Mutex<BTreeSet<String>>,
+    running: AtomicUsize,
+    seen: Mutex<BTreeMap<String, Instant>>,
+    /// When it stopped reading the last time.
+    silent_since: Mutex<Option<Instant>>,
+    /// Processes that requests reached, the requests' IDs, and when.
+    arrivals: Mutex<Vec<(Instant, String, String)>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Target {
+    fn respond(&self, headers: &BTreeMap<String, String>) -> Option<String> {
+        while *lock(&self.manner) == Manner::Silent {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let Some(id) = headers.get("ragwortfold-request-id") else {
+            let processes = lock(&self.processes);
+            let process = processes.last().map_or("", |process| process);
+            return Some(format!(
+                "HTTP/1.1 200 OK\r\nragwortfold-instance-id: {process}\r\ncontent-length: 0\r\n\r\n"
+            ));
+        };
+        let process = headers.get("ragwortfold-expect-instance")?;
+        if !lock(&self.processes).contains(process) {
+            return Some(build_response(
+                headers,
+                "421 X",
+                "ragwortfold-not-run: 1\r\n",
+                "",
+            ));
+        }
+        lock(&self.arrivals).push((Instant::now(), process.clone(), id.clone()));
+        let service = &SERVICES[self.service];
+        let running = self.running.fetch_add(1, Ordering::SeqCst);
+        let load = |running| format!("ragwortfold-server-load: {running},0,{}\r\n", service.slots);
+        if running >= service.slots {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            let extra = format!("ragwortfold-not-run: 1\r\n{}", load(running));
+            return Some(build_response(headers, "503 X", &extra, ""));
+        }
+        let manner = *lock(&self.manner);
+        let object = headers.get("cookie").cloned().unwrap_or_default();
+        let seen = lock(&self.seen).insert(object, Instant::now());
+        let work = if seen.is_some() {
+            service.work.mul_f64(REPEAT_WORK)
+        } else {
+            service.work
+        };
+        thread::sleep(if manner == Manner::Slow {
+            work * 3
+        } else {
+            work
+        });
+        let running = self.running.fetch_sub(1, Ordering::SeqCst);
+        match manner {
+            Manner::Normal | Manner::Slow | Manner::Silent => {
+                Some(build_response(headers, "200 OK", &load(running), "x"))
+            }
+            Manner::WrongId => {
+                let mut other = headers.clone();
+                other.insert("ragwortfold-request-id".into(), "other".into());
+                Some(build_response(&other, "200 OK", "", "x"))
+            }
+            Manner::Close => None,
+            Manner::Fail => Some(build_response(headers, "500 X", "", "no")),
+        }
+    }
+}
+
+/// A process that leaves.
+struct Departure {
+    process: String,
+    target: usize,
+    acknowledged_at: Instant,
+    ends_at: Instant,
+    is_announced: bool,
+    is_replaced: bool,
+}
+
+/// The deployment, and the troubles that it has had.
+struct Deployment {
+    started_at: Instant,
+    store: Store,
+    views: Vec<Store>,
+    store_links: Vec<Link>,
+    /// The links to each target, by region.
+    target_links: Vec<BTreeMap<&'static str, Link>>,
+    targets: Vec<Arc<Target>>,
+    generations: Vec<usize>,
+    hosts: Vec<Host>,
+    departures: Vec<Departure>,
+    host_troubles: Vec<(usize, Span)>,
+    store_troubles: Vec<Span>,
+    target_links_troubles: Vec<(usize, Span)>,
+}
+
+fn latency(one: &str, other: &str) -> Fault {
+    Fault::delay(if one == other { NEAR } else { FAR })
+}
+
+fn region(host: usize) -> &'static str {
+    ZONES[host % ZONES.len()].1
+}
+
+fn configure(store: &Store) {
+    let route = |service: &Service| {
+        json!({"host": "a.example", "pathPrefix": format!("/{}/", service.name), "kind": if service.is_safe { "safe" } else { "unsafe" },
+            "timeout": "1500ms", "goal": "300ms", "priority": 1, "service": service.name, "maxAttempts": 3, "sticky": true})
+    };
+    let routes: BTreeMap<&str, Value> = SERVICES
+        .iter()
+        .map(|service| (service.name, route(service)))
+        .collect();
+    let service = json!({"healthPath": "/health", "maxConns": 390, "cold": "3s", "coldPerS": 17.0});
+    let services: BTreeMap<&str, Value> = SERVICES
+        .iter()
+        .map(|one| (one.name, service.clone()))
+        .collect();
+    let spec = json!({"version": "00000001", "routes": routes, "services": services,
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeout": "3s", "idleTimeout": "15s"}});
+    store.put("config", "main", json!({"spec": spec}));
+}
+
+impl Deployment {
+    fn new(seed: u64) -> Self {
+        let store = Store::new();
+        configure(&store);
+        let mut deployment = Self {
+            started_at: Instant::now(),
+            store: store.clone(),
+            views: (0..HOSTS).map(|_| store.with_new_address()).collect(),
+            store_links: Vec::new(),
+            target_links: Vec::new(),
+            targets: Vec::new(),
+            generations: Vec::new(),
+            hosts: Vec::new(),
+            departures: Vec::new(),
+            host_troubles: Vec::new(),
+            store_troubles: Vec::new(),
+            target_links_troubles: Vec::new(),
+        };
+        for (service, entry) in SERVICES.iter().enumerate() {
+            for number in 0..entry.targets {
+                deployment.start_target(service, number % ZONES.len(), seed);
+            }
+        }
+        let regions: BTreeMap<&str, &str> = ZONES.into_iter().collect();
+        for host in 0..HOSTS {
+            let (zone, region) = ZONES[host % ZONES.len()];
+            let view = &deployment.views[host];
+            let link = Link::new(([127, 0, 0, 1], 0).into(), view.address).unwrap();
+            let link = link.with_seed(seed + host as u64);
+            link.set_fault(latency(region, STORE_REGION));
+            let store = view.at_address(link.address());
+            deployment.store_links.push(link);
+            let name = format!("h{host}");
+            let started = Host::in_zone(&store, &name, zone, &json!(regions));
+            deployment.hosts.push(started);
+        }
+        for host in &deployment.hosts {
+            wait_until(|| host.is_ready());
+        }
+        deployment
+    }
+
+    fn start_target(&mut self, service: usize, zone: usize, seed: u64) {
+        let target = Arc::new(Target {
+            service,
+            zone,
+            manner: Mutex::default(),
+            processes: Mutex::default(),
+            running: AtomicUsize::new(0),
+            seen: Mutex::default(),
+            silent_since: Mutex::default(),
+            arrivals: Mutex::default(),
+        });
+        let responder = target.clone();
+        let address = start_target(move |headers| responder.respond(headers));
+        let index = self.targets.len();
+        let mut links = BTreeMap::new();
+        for region in ["arq", "lim", "cus"] {
+            let link = Link::new(([127, 0, 0, 1], 0).into(), address).unwrap();
+            let link = link.with_seed(seed + index as u64);
+            link.set_fault(latency(region, ZONES[zone].1));
+            links.insert(region, link);
+        }
+        for (host, view) in self.views.iter().enumerate() {
+            view.set_link(address, links[region(host)].address());
+        }
+        self.targets.push(target);
+        self.target_links.push(links);
+        self.generations.push(0);
+        self.register(index, address);
+    }
+
+    fn process(&self, target: usize) -> String {
+        format!("i-{target:02}-{:03}", self.generations[target])
+    }
+
+    fn entry(&self, target: usize, address: SocketAddr, state: &str) -> Value {
+        let entry = &self.targets[target];
+        let service = &SERVICES[entry.service];
+        json!({"spec": {"address": address, "info": {"service": service.name, "zone": ZONES[entry.zone].0, "slots": service.slots}},
+            "status": {"state": state, "seq": 1, "coldLeft": "0ms"}})
+    }
+
+    fn register(&mut self, target: usize, address: SocketAddr) {
+        let process = self.process(target);
+        lock(&self.targets[target].processes).insert(process.clone());
+        self.store
+            .put("servers", &process, self.entry(target, address, "ready"));
+    }
+
+    /// Has the process of a target leave; it announces that, or its entry is removed.
+    fn depart(&mut self, target: usize, is_announced: bool, lingering: Duration) {
+        let process = self.process(target);
+        let object = self.store.get("servers", &process).unwrap();
+        if is_announced {
+            let address: SocketAddr =
+                serde_json::from_value(object["spec"]["address"].clone()).unwrap();
+            self.store
+                .put("servers", &process, self.entry(target, address, "draining"));
+        } else {
+            self.store.remove("servers", &process);
+        }
+        let acknowledged_at = Instant::now();
+        self.departures.push(Departure {
+            process,
+            target,
+            acknowledged_at,
+            ends_at: acknowledged_at + DRAIN + lingering,
+            is_announced,
+            is_replaced: false,
+        });
+    }
+
+    /// Ends processes that have lingered long enough, and starts others at their addresses.
+    fn replace(&mut self) {
+        let now = Instant::now();
+        for index in 0..self.departures.len() {
+            let departure = &mut self.departures[index];
+            let (target, process) = (departure.target, departure.process.clone());
+            if now < departure.ends_at {
+                continue;
+            }
+            if lock(&self.targets[target].processes).remove(&process) {
+                self.store.remove("servers", &process);
+                *lock(&self.targets[target].manner) = Manner::Normal;
+            }
+            if !departure.is_replaced && now >= departure.ends_at + REUSE_PAUSE {
+                departure.is_replaced = true;
+                self.generations[target] += 1;
+                // All links lead to the same address, the one that the target listens on.
+                let address = self.target_links[target]["arq"].far_address();
+                self.register(target, address);
+            }
+        }
+    }
+
+    fn is_leaving(&self, target: usize) -> bool {
+        let mut departures = self.departures.iter();
+        departures.any(|departure| departure.target == target && !departure.is_replaced)
+    }
+
+    /// Returns descriptions of the requests that reached targets later than they may, by target.
+    fn find_late_arrivals(&self) -> Vec<String> {
+        let overlaps = |(start, end): &Span, at: Instant| *start <= at && at <= *end + STABLE;
+        let mut late = Vec::new();
+        for departure in &self.departures {
+            let target = &self.targets[departure.target];
+            let mut found = Vec::new();
+            for (at, process, id) in lock(&target.arrivals).iter() {
+                let since = at.saturating_duration_since(departure.acknowledged_at);
+                if *process != departure.process || since <= DRAIN {
+                    continue;
+                }
+                let host = id
+                    .strip_prefix('h')
+                    .and_then(|rest| rest.split('-').next()?.parse().ok());
+                let is_excused =
+                    self.store_troubles.iter().any(|span| {
+                        overlaps(span, *at) || overlaps(span, departure.acknowledged_at)
+                    }) || self
+                        .host_troubles
+                        .iter()
+                        .any(|(other, span)| Some(*other) == host && overlaps(span, *at))
+                        || self
+                            .target_links_troubles
+                            .iter()
+                            .any(|(other, span)| *other == departure.target && overlaps(span, *at));
+                if !is_excused {
+                    let sent_at = id.rsplit('-').next().and_then(|ms| ms.parse().ok());
+                    let sent_at = self.started_at + Duration::from_millis(sent_at.unwrap_or(0));
+                    let sent = match *lock(&target.silent_since) {
+                        Some(silent) => format!(
+                            "{} ms after it fell silent",
+                            sent_at.saturating_duration_since(silent).as_millis()
+                        ),
+                        None => format!(
+                            "{} ms before",
+                            at.saturating_duration_since(sent_at).as_millis()
+                        ),
+                    };
+                    found.push(format!("{id} after {} ms, sent {sent}", since.as_millis()));
+                }
+            }
+            if !found.is_empty() {
+                let how = if departure.is_announced {
+                    "announced"
+                } else {
+                    "removed"
+                };
+                late.push(format!(
+                    "{} ({how}) got {}: {}",
+                    departure.process,
+                    found.len(),
+                    found.join(", ")
+                ));
+            }
+        }
+        late
+    }
+}
+
+/// The end of a trouble.
+type Ending = (Instant, Box<dyn FnOnce(&mut Deployment)>);
+
+/// Begins a trouble of the course. Returns how it ends.
+fn begin_trouble(
+    deployment: &mut Deployment,
+    rng: &mut Pcg64Mcg,
+    course: Course,
+    is_early: bool,
+) -> Option<Ending> {
+    let now = Instant::now();
+    let end = now + Duration::from_secs_f64(rng.random_range(0.5..4.0));
+    let kinds = match course {
+        Course::Hosts => 0..8,
+        Course::Targets | Course::Silence => 0..12,
+        Course::Store if is_early => 0..16,
+        Course::Store => 0..12,
+    };
+    let kind = rng.random_range(kinds);
+    let host = rng.random_range(0..HOSTS);
+    let target = rng.random_range(0..deployment.targets.len());
+    let calm = latency(region(host), STORE_REGION);
+    let calm_links =
+        move |deployment: &mut Deployment| deployment.store_links[host].set_fault(calm);
+    let link =
+        |deployment: &mut Deployment, fault: Fault| deployment.store_links[host].set_fault(fault);
+    match kind {
+        0 => link(
+            deployment,
+            Fault {
+                accept: Accept::Ignore,
+                ..calm.with_black_hole()
+            },
+        ),
+        1 => {
+            let mut fault = calm;
+            fault.back.black_hole = true;
+            link(deployment, fault);
+        }
+        2 => {
+            let mut fault = calm;
+            fault.forth.black_hole = true;
+            link(deployment, fault);
+        }
+        3 => link(deployment, calm.with_loss(LOSS, RETRANSMIT)),
+        4 => link(
+            deployment,
+            Fault {
+                accept: Accept::Refuse,
+                reset_open: true,
+                ..calm
+            },
+        ),
+        5 => {
+            deployment.hosts[host].restart("-KILL");
+            deployment.host_troubles.push((host, (now, Instant::now())));
+            return None;
+        }
+        6 => {
+            deployment.hosts[host].signal("-STOP");
+            deployment.host_troubles.push((host, (now, end)));
+            return Some((
+                end,
+                Box::new(move |deployment| deployment.hosts[host].signal("-CONT")),
+            ));
+        }
+        7 => link(
+            deployment,
+            Fault {
+                accept: Accept::Late(1100),
+                reset_open: true,
+                ..calm
+            },
+        ),
+        8..=11 => {
+            if deployment.is_leaving(target) && course != Course::Silence {
+                return None;
+            }
+            let manner = [Manner::WrongId, Manner::Close, Manner::Fail, Manner::Slow][kind - 8];
+            *lock(&deployment.targets[target].manner) = manner;
+            return Some((
+                end,
+                Box::new(move |deployment| {
+                    *lock(&deployment.targets[target].manner) = Manner::Normal;
+                }),
+            ));
+        }
+        _ => {
+            deployment.store_troubles.push((now, end));
+            let set_mode = |deployment: &Deployment, mode| {
+                deployment.views.iter().for_each(|view| view.set_mode(mode))
+            };
+            match kind {
+                12 => set_mode(deployment, Mode::Silent),
+                13 => set_mode(deployment, Mode::Busy),
+                14 => deployment.store.forget_history(),
+                _ => deployment
+                    .views
+                    .iter()
+                    .for_each(|view| view.set_delay(Duration::from_millis(700))),
+            }
+            return Some((
+                end,
+                Box::new(move |deployment| {
+                    for view in &deployment.views {
+                        view.set_mode(Mode::Up);
+                        view.set_delay(Duration::ZERO);
+                    }
+                }),
+            ));
+        }
+    }
+    deployment.host_troubles.push((host, (now, end)));
+    Some((end, Box::new(calm_links)))
+}
+
+/// Runs one seed; returns descriptions of the requests that reached targets later than they may.
+pub fn run_seed(seed: u64, course: Course) -> Vec<String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut deployment = Deployment::new(seed);
+    let callers = Callers::start(&deployment, seed);
+    thread::sleep(WARM_UP);
+    let started_at = Instant::now();
+    let (mut next_departure, mut next_trouble) = (started_at, started_at);
+    let mut endings: Vec<Ending> = Vec::new();
+    let mut leaving_silently: Vec<(Instant, usize)> = Vec::new();
+    while started_at.elapsed() < DAY || !endings.is_empty() {
+        let now = Instant::now();
+        if now >= next_departure && started_at.elapsed() < DAY {
+            next_departure = now + DEPARTURE_INTERVAL;
+            let target = rng.random_range(0..deployment.targets.len());
+            let is_pending = leaving_silently.iter().any(|(_, other)| *other == target);
+            if !deployment.is_leaving(target) && !is_pending {
+                let silence = Duration::from_secs_f64(rng.random_range(0.0..2.5));
+                if course == Course::Silence && rng.random_bool(0.3) {
+                    *lock(&deployment.targets[target].manner) = Manner::Silent;
+                    *lock(&deployment.targets[target].silent_since) = Some(now);
+                    leaving_silently.push((now + silence, target));
+                } else {
+                    let lingering = MAX_LINGERING.mul_f64(rng.random_range(0.0..1.0));
+                    deployment.depart(target, rng.random_bool(0.5), lingering);
+                }
+            }
+        }
+        for (_, target) in leaving_silently.extract_if(.., |(at, _)| now >= *at) {
+            deployment.depart(target, false, MAX_LINGERING);
+            endings.push((
+                now + DRAIN + MAX_LINGERING / 4,
+                Box::new(move |deployment| {
+                    *lock(&deployment.targets[target].manner) = Manner::Normal;
+                }),
+            ));
+        }
+        if now >= next_trouble && started_at.elapsed() < DAY {
+            next_trouble = now + TROUBLE_INTERVAL;
+            let is_early = started_at.elapsed() < DAY / 3;
+            endings.extend(begin_trouble(&mut deployment, &mut rng, course, is_early));
+        }
+        let due: Vec<Ending> = endings.extract_if(.., |(at, _)| now >= *at).collect();
+        due.into_iter().for_each(|(_, end)| end(&mut deployment));
+        deployment.replace();
+        thread::sleep(Duration::from_millis(20));
+    }
+    thread::sleep(DRAIN + MAX_LINGERING / 2);
+    deployment.replace();
+    let (sent, served) = callers.stop();
+    println!(
+        "seed {seed} {course:?}: {} departures, {sent} requests, {served} served",
+        deployment.departures.len()
+    );
+    let mut found = deployment.find_late_arrivals();
+    if served * 2 < sent {
+        found.push(format!("only {served} of {sent} requests were served"));
+    }
+    found
+}
+
+/// Callers that keep the rates of all services.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<(usize, usize)>>,
+}
+
+impl Callers {
+    fn start(deployment: &Deployment, seed: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
+        for (index, service) in SERVICES.iter().enumerate() {
+            let count = (service.rate * (CALLER_PAUSE + service.work / 2).as_secs_f64()) as usize;
+            for number in 0..count {
+                let host = (number + index) % HOSTS;
+                let caller = Caller {
+                    front: deployment.hosts[host].front,
+                    name: format!("h{host}-{index}-{number}"),
+                    service,
+                    started_at: deployment.started_at,
+                    rng: Pcg64Mcg::seed_from_u64(seed << 20 | (index << 10 | number) as u64),
+                };
+                let stop = stop.clone();
+                threads.push(thread::spawn(move || caller.run(&stop)));
+            }
+        }
+        Self { stop, threads }
+    }
+
+    /// Stops the callers. Returns how many requests were sent and served.
+    fn stop(self) -> (usize, usize) {
+        self.stop.store(true, Ordering::SeqCst);
+        let results = self
+            .threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap());
+        results.fold((0, 0), |(sent, served), (more_sent, more_served)| {
+            (sent + more_sent, served + more_served)
+        })
+    }
+}
+
+/// Sends requests to one host, each with an ID that tells when it was sent.
+struct Caller {
+    front: SocketAddr,
+    name: String,
+    service: &'static Service,
+    started_at: Instant,
+    rng: Pcg64Mcg,
+}
+
+impl Caller {
+    /// Sends requests until the stop. Returns how many were sent and served.
+    fn run(mut self, stop: &AtomicBool) -> (usize, usize) {
+        let (mut sent, mut served) = (0, 0);
+        let mut connection: Option<TcpStream> = None;
+        while !stop.load(Ordering::SeqCst) {
+            thread::sleep(CALLER_PAUSE.mul_f64(self.rng.random_range(0.5..1.5)));
+            sent += 1;
+            let stream = connection.take();
+            let stream = stream.or_else(|| TcpStream::connect_timeout(&self.front, DEADLINE).ok());
+            let Some(mut stream) = stream else { continue };
+            let _ = stream.set_read_timeout(Some(2 * DEADLINE));
+            if stream
+                .write_all(self.next_request(sent).as_bytes())
+                .is_err()
+            {
+                continue;
+            }
+            let Ok(reader) = stream.try_clone() else {
+                continue;
+            };
+            let Some((line, headers, _)) = read_message(&mut BufReader::new(reader)) else {
+                continue;
+            };
+            served += usize::from(line.contains(" 200 "));
+            if headers
+                .get("connection")
+                .is_none_or(|value| value != "close")
+            {
+                connection = Some(stream);
+            }
+        }
+        (sent, served)
+    }
+
+    fn next_request(&mut self, number: usize) -> String {
+        let object = self.rng.random_range(0..OBJECTS);
+        format!(
+            "GET /{}/{object} HTTP/1.1\r\nHost: a.example\r\nragwortfold-request-id: {}-{number}-{}\r\n\
+             ragwortfold-deadline-ms: {}\r\ncookie: Ragwortfold-Affinity-Key={object}\r\n\r\n",
+            self.service.name,
+            self.name,
+            self.started_at.elapsed().as_millis(),
+            DEADLINE.as_millis()
+        )
+    }
+}
--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -22,6 +22,8 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
 use tokio::net::{TcpSocket, TcpStream};
@@ -41,6 +43,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between attempts to connect to a far end that refused.
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
+/// Maximum retransmissions of a chunk.
+const MAX_RETRANSMISSIONS: u32 = 6;
 const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// How the bytes of one direction are forwarded; without any fault by default.
@@ -55,6 +59,11 @@
     pub cut_after: Option<u64>,
     /// Bandwidth shared by all connections, in bytes per second; 0 for unlimited.
     pub bytes_per_s: u64,
+    /// Of 1,000 chunks so many are lost. A lost chunk is sent again after [`Flow::retransmit_ms`], after twice that if it is lost once
+    /// more, and so on; the chunks behind it on the same connection wait.
+    pub lost_per_1000: u16,
+    /// Retransmission timeout, in milliseconds.
+    pub retransmit_ms: u32,
 }
 
 /// How a link handles new connections.
@@ -103,6 +112,15 @@
         }
     }
 
+    /// Loses chunks in both directions.
+    pub fn with_loss(mut self, lost_per_1000: u16, retransmit: Duration) -> Self {
+        for flow in [&mut self.forth, &mut self.back] {
+            flow.lost_per_1000 = lost_per_1000;
+            flow.retransmit_ms = retransmit.as_millis() as u32;
+        }
+        self
+    }
+
     /// Makes both directions black holes.
     pub fn with_black_hole(mut self) -> Self {
         self.forth.black_hole = true;
@@ -169,9 +187,29 @@
     far_refuses: bool,
     /// Bytes forwarded so far in each direction.
     bytes: [u64; 2],
+    /// Decides which chunks are lost.
+    rng: Pcg64Mcg,
     is_stopped: bool,
 }
 
+impl State {
+    /// How long the retransmissions of a chunk take.
+    fn retransmission_time(&mut self, flow: Flow) -> Duration {
+        let first = Duration::from_millis(flow.retransmit_ms.into());
+        let mut time = Duration::ZERO;
+        for doublings in 0..MAX_RETRANSMISSIONS {
+            if !self
+                .rng
+                .random_ratio(flow.lost_per_1000.min(1000).into(), 1000)
+            {
+                break;
+            }
+            time += first * (1 << doublings);
+        }
+        time
+    }
+}
+
 struct Shared {
     far_address: SocketAddr,
     keep_source: AtomicBool,
@@ -227,6 +265,12 @@
         self
     }
 
+    /// Loses other chunks than a link with another seed.
+    pub fn with_seed(self, seed: u64) -> Self {
+        lock(&self.shared.state).rng = Pcg64Mcg::seed_from_u64(seed);
+        self
+    }
+
     /// Serves `POST /standin/fault` at a second address, which faults do not affect.
     pub fn with_control(mut self, listen: SocketAddr) -> Result<Self, Error> {
         let shared = Arc::clone(&self.shared);
@@ -251,6 +295,11 @@
         self.listener.address()
     }
 
+    /// The address that it leads to.
+    pub fn far_address(&self) -> SocketAddr {
+        self.shared.far_address
+    }
+
     /// The second address, for control calls, if there is one.
     pub fn control_address(&self) -> Option<SocketAddr> {
         self.control.as_ref().map(Server::address)
@@ -308,6 +357,7 @@
             connections: BTreeMap::new(),
             far_refuses: false,
             bytes: [0; 2],
+            rng: Pcg64Mcg::seed_from_u64(0),
             is_stopped: false,
         };
         Self {
@@ -396,7 +446,8 @@
             sent_at += Duration::from_secs_f64(length as f64 / flow.bytes_per_s as f64);
         }
         *last_sent_at = Some(sent_at);
-        sent_at + Duration::from_micros(flow.delay_us)
+        let retransmission = state.retransmission_time(flow);
+        sent_at + Duration::from_micros(flow.delay_us) + retransmission
     }
 
     /// Waits until a chunk may be sent; returns the flow, the fault's generation and whether a black
