What one host finds out about a silent target the others know

What callers saw: a target stops reading. Each host finds that out for itself, once two of its own requests have waited there for 1.5 times the peak service time. A host with few requests never has two: its request waited until its deadline and got 504, 5 s after another host had found the target silent.

Cause: a bound that each host keeps for itself, on something that concerns one target and all hosts.

Now a host that finds a target silent tells all others (`Datagram::Silent`), again each second while it lasts, and at once when the target answers. They use other targets for 2 s at most, and send requests that wait there to a further target beside it. A host that has had an answer since then ignores it, so that one with lost links keeps nobody from sound targets, and tells nothing of what it was told. While a host suspects its own links it tells nothing. Event `target.silent`.

--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -15,6 +15,7 @@
 use crate::port::Answer;
 use crate::steer::announcement::{Announcement, RequestedRest};
 use crate::steer::departures::Numbered;
+use crate::steer::fleet::Silence;
 
 /// Processes that are named in one datagram, drawn at random: as many as fit.
 const PROCESSES_PER_DATAGRAM: usize = 64;
@@ -140,6 +141,27 @@
     }
 }
 
+/// Tells all hosts of targets that have fallen silent, or answer again.
+pub(crate) fn tell_silences(host: &Rc<Host>) {
+    let silences = host.core.borrow_mut().fleet.silences_to_tell(now());
+    for chunk in silences.chunks(PROCESSES_PER_DATAGRAM) {
+        for silence in chunk {
+            log::target_silent(host, *silence, "requests");
+        }
+        tell_all(host, Datagram::Silent(chunk.to_vec()));
+    }
+}
+
+/// Records what another host has found out about silent targets.
+pub(crate) fn apply_silences(host: &Host, silences: &[Silence]) {
+    for silence in silences {
+        let is_new = host.core.borrow_mut().fleet.merge_silence(now(), *silence);
+        if is_new {
+            log::target_silent(host, *silence, "host");
+        }
+    }
+}
+
 fn record_rest(host: &Host, target: TargetKey, rest: Duration) {
     let is_new = host
         .core
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -261,9 +261,12 @@
         }
         attempt.silence.set(attempt.index, is_silent);
         if is_silent {
-            let core = &mut *host.core.borrow_mut();
-            core.fleet
-                .record_reach(now(), in_flight.target, End::Silent);
+            let target = in_flight.target;
+            host.core
+                .borrow_mut()
+                .fleet
+                .record_reach(now(), target, End::Silent);
+            announcement::tell_silences(host);
             if may_repeat(exchange) {
                 attempt.silence.notify();
             }
--- a/src/host/datagram.rs
+++ b/src/host/datagram.rs
@@ -14,6 +14,7 @@
 use crate::control::presence::{Heartbeat, Pulse, StoreView, INTERVAL};
 use crate::steer::allowance::{AccountUsage, Reporter};
 use crate::steer::departures::Numbered;
+use crate::steer::fleet::Silence;
 use crate::steer::quarantine::Notice;
 use crate::steer::throttle::{Claim, Grant, RateUpdate};
 
@@ -71,6 +72,9 @@
     /// Processes of targets that run although their registrations had been removed.
     #[serde(rename = "y")]
     Confirmed(Vec<Numbered>),
+    /// Processes of targets that answer nothing, or answer again.
+    #[serde(rename = "s")]
+    Silent(Vec<Silence>),
     /// Whether the sender is unable to reach targets.
     #[serde(rename = "u")]
     CutOff(bool),
@@ -351,6 +355,7 @@
             Ok(Datagram::Leaving(processes)) => announcement::apply_leaving(&host, &processes),
             Ok(Datagram::Removed(processes)) => announcement::apply_removed(&host, &processes),
             Ok(Datagram::Confirmed(processes)) => announcement::apply_confirmed(&host, &processes),
+            Ok(Datagram::Silent(silences)) => announcement::apply_silences(&host, &silences),
             Ok(Datagram::Returned(elapsed)) => {
                 if let Some(at) = now().checked_sub(Duration::from_millis(elapsed)) {
                     host.core.borrow_mut().record_unavailable(now(), at);
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -22,7 +22,7 @@
 use crate::inventory::{Registration, TargetKey};
 use crate::panic;
 use crate::port::Kind;
-use crate::steer::fleet::EjectionChange;
+use crate::steer::fleet::{EjectionChange, Silence};
 use crate::steer::quarantine::Notice;
 
 /// Capacity of the queue in lines: some seconds at the limits below.
@@ -85,6 +85,8 @@
     UnreadableSlowdown => "target.unreadable-slowdown",
     /// A target states in an answer that it is shutting down.
     TargetLeaving => "target.leaving",
+    /// A target has answered none of several requests for too long, or answers again.
+    Silent => "target.silent",
     /// A target asks this host to send it nothing for some time.
     Resting => "target.resting",
     /// A target asks for a rest that can't be parsed.
@@ -285,6 +287,25 @@
     });
 }
 
+/// Logs what was found out about a target that does not answer, by this host's requests or by another
+/// host.
+pub(crate) fn target_silent(host: &Host, silence: Silence, from: &str) {
+    let event = Event::Silent;
+    let Some(left_out) = host.log_limits.borrow_mut().take(now(), event) else {
+        return;
+    };
+    let Silence(process, silent_ms) = silence;
+    let core = host.core.borrow();
+    let id = core.fleet.process_id(process);
+    spdlog::info!("a target answers nothing, or answers again after 0 ms", kv: {
+        event = event.as_str(),
+        target = id.as_deref().unwrap_or_default(),
+        silent_ms,
+        from,
+        left_out
+    });
+}
+
 /// Logs that a target's rate limit can't be parsed; the previous one stays in force.
 pub(crate) fn unreadable_rate(host: &Host, target: TargetKey, value: &str) {
     let Some(left_out) = host
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -100,6 +100,7 @@
         for probe in due_probes(&host) {
             task::spawn(&host, "probe", run_probe(host.clone(), probe));
         }
+        announcement::tell_silences(&host);
         let silent = host.core.borrow_mut().fleet.begin_rechecks(now());
         for target in silent {
             task::spawn(&host, "probe", recheck(host.clone(), target));
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -61,6 +61,7 @@
 pub use self::member::{Load, Member, TargetEstimate};
 pub use self::popularity::PopularObjects;
 pub use self::rate_limit::Permission;
+pub use self::silence::Silence;
 pub use self::speed::parse_slowdown;
 pub use self::switches::Switches;
 
@@ -344,6 +345,9 @@
             measured_slowdown: 1.0,
             silent_since: None,
             unanswered: 0,
+            heard_at: None,
+            reported_silent_until: None,
+            silence_told_at: None,
             recheck: Recheck::default(),
             connect_failed_at: None,
             rest: Rest::default(),
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -71,6 +71,12 @@
     pub(super) silent_since: Option<Instant>,
     /// Requests that were given up after it had been silent for too long, since its last answer.
     pub(super) unanswered: u32,
+    /// When this host last knew that it answers.
+    pub(super) heard_at: Option<Instant>,
+    /// Until when it counts as silent, as another host says.
+    pub(super) reported_silent_until: Option<Instant>,
+    /// When this host last told the others that it is silent.
+    pub(super) silence_told_at: Option<Instant>,
     /// Health checks of the silent target.
     pub(super) recheck: Recheck,
     /// When a connection to it last failed, if none was opened since.
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -6,13 +6,18 @@
 //! while there are other targets, and requests that may be repeated are sent elsewhere. That lasts
 //! until it answers, also once all of these requests are given up: its kernel may have acknowledged
 //! them, and whatever it is sent meanwhile is read when it continues, even after it has announced
-//! its shutdown. Health checks find out when it answers again. Targets to
+//! its shutdown. Health checks find out when it answers again. What one host has found out it tells
+//! the others: each of them would send requests that may run once and lose them, and a host with few
+//! requests would find out late. A host that has had an answer since ignores that. Targets to
 //! which no connection can be opened are skipped for a moment as well. With two of four targets of
 //! a region without power, at most half as many requests are lost as without this detection (replay
 //! in virtual time).
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use super::member::Member;
 use super::Fleet;
 use crate::border::settings::Switch;
@@ -30,6 +35,11 @@
 /// takes long.
 const MIN_SILENT_REQUESTS: u32 = 2;
 
+/// Interval at which the other hosts are told that a target is still silent.
+const TELL_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time for which such a report counts: two intervals, as one may be lost.
+const REPORT_LIFETIME: Duration = Duration::from_millis(2000);
+
 /// Shortest and longest time between two health checks of a silent target.
 const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(400);
 const MAX_RECHECK_INTERVAL: Duration = Duration::from_millis(800);
@@ -65,7 +75,77 @@
     }
 }
 
+/// What a host tells the others of a target that has answered none of several requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silence(
+    /// The target's process.
+    pub u64,
+    /// How long it has sent no answer, in milliseconds; 0 if it answers again.
+    pub u64,
+);
+
 impl Fleet {
+    /// Returns what the other hosts should be told about silent targets. While this host may have
+    /// lost its own links, silence is no evidence against targets.
+    pub fn silences_to_tell(&mut self, now: Instant) -> Vec<Silence> {
+        if !self.reaches_targets() || self.suspects_links() {
+            return Vec::new();
+        }
+        let mut due = Vec::new();
+        for (key, member) in &self.members {
+            let limit = self.silence_limit(member.service());
+            let is_silent = member.is_silent_here(now, limit) && self.is_available(member);
+            let is_told = member.silence_told_at.is_some();
+            if is_silent && !member.is_reported_silent(now) {
+                let told_at = member.silence_told_at;
+                if told_at.is_none_or(|at| now.saturating_duration_since(at) >= TELL_INTERVAL) {
+                    due.push((*key, Some(now)));
+                }
+            } else if is_told && !is_silent {
+                due.push((*key, None));
+            }
+        }
+        let told = due.into_iter().filter_map(|(key, told_at)| {
+            let member = self.members.get_mut(&key)?;
+            member.silence_told_at = told_at;
+            let since = member.silent_since.filter(|_| told_at.is_some());
+            let age = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+            Some(Silence(
+                member.process,
+                u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            ))
+        });
+        told.collect()
+    }
+
+    /// Records what another host has found out about a target. Returns whether the target counts as
+    /// silent by that, and did not before.
+    pub fn merge_silence(&mut self, now: Instant, silence: Silence) -> bool {
+        let Silence(process, age_ms) = silence;
+        let mut members = self.members.values_mut();
+        let Some(member) = members.find(|member| member.process == process) else {
+            return false;
+        };
+        if age_ms == 0 {
+            member.reported_silent_until = None;
+            return false;
+        }
+        let since = now.checked_sub(Duration::from_millis(age_ms));
+        if member.heard_at > since {
+            return false;
+        }
+        let is_new = !member.is_reported_silent(now);
+        member.reported_silent_until = Some(now + REPORT_LIFETIME);
+        is_new
+    }
+
+    /// Returns the identity of a process.
+    pub fn process_id(&self, process: u64) -> Option<Arc<str>> {
+        let mut members = self.members.values();
+        let member = members.find(|member| member.process == process);
+        member.map(|member| member.id().clone())
+    }
+
     /// Begins the health checks that are due of targets that are silent and are not leaving, and
     /// returns these targets.
     pub fn begin_rechecks(&mut self, now: Instant) -> Vec<TargetKey> {
@@ -114,9 +194,20 @@
         since.is_some_and(|since| now.saturating_duration_since(since) < UNREACHABLE_PAUSE)
     }
 
-    /// Whether it has sent no answer for longer than `silence_limit`, or a multiple of it while it is
-    /// slow; `false` without a limit.
+    /// Whether this host or another one has found it silent; `false` without a limit.
     pub(super) fn is_silent(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
+        let is_reported = silence_limit.is_some() && self.is_reported_silent(now);
+        is_reported || self.is_silent_here(now, silence_limit)
+    }
+
+    /// Whether another host has found it silent.
+    fn is_reported_silent(&self, now: Instant) -> bool {
+        self.reported_silent_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it has sent this host no answer for longer than `silence_limit`, or a multiple of it
+    /// while it is slow; `false` without a limit.
+    fn is_silent_here(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
         if self.in_flight.saturating_add(self.unanswered) < MIN_SILENT_REQUESTS {
             return false;
         }
@@ -133,6 +224,8 @@
     /// Records that it sent an answer, or showed otherwise that it can be reached.
     pub(super) fn record_sign_of_life(&mut self, now: Instant) {
         self.silent_since = Some(now);
+        self.heard_at = Some(now);
+        self.reported_silent_until = None;
         self.unanswered = 0;
         self.recheck.reset();
     }
