--- a/soak/main.rs
+++ b/soak/main.rs
@@ -2,7 +2,7 @@
 //! callers and targets observed.
 //!
 //! `SOAK_SEEDS=N` runs N seeds starting at `SOAK_FIRST`, in addition to the few that always run, and `SOAK_SHUTDOWNS=N` as many
-//! of series of shutdowns, with `SOAK_HOSTS` hosts.
+//! of series of shutdowns, with `SOAK_HOSTS` hosts. `SOAK_REGIONS=N` runs N days of each course of a deployment of three regions.
 
 #![allow(clippy::unwrap_used)]
 
@@ -18,7 +18,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use regions::Course;
+use regions::{Course, Size};
 use world::World;
 
 /// How long faults are injected.
@@ -84,6 +84,21 @@
     shutdowns_under_overload: 31;
 }
 
+/// Short days of a deployment of three regions that always run.
+macro_rules! days {
+    ($($name:ident: $course:ident, $seed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_no_violations($seed, &regions::run_seed($seed, Course::$course, Size::SHORT));
+        }
+    )*};
+}
+
+days! {
+    targets_leave_three_regions_while_hosts_have_troubles: Hosts, 101;
+    targets_leave_three_regions_while_targets_have_troubles: Targets, 102;
+}
+
 /// The number in an environment variable.
 fn number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
@@ -126,7 +141,7 @@
     let mut violations = Vec::new();
     for seed in seeds_from("SOAK_REGIONS") {
         for course in &courses {
-            let found = regions::run_seed(seed, *course);
+            let found = regions::run_seed(seed, *course, Size::WHOLE);
             violations.extend(
                 found
                     .iter()
--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -84,14 +84,34 @@
 /// Time without trouble after which a host, or the store, is bound by the rules again.
 const STABLE: Duration = Duration::from_secs(4);
 const WARM_UP: Duration = Duration::from_secs(6);
-/// How long targets leave and troubles come.
-const DAY: Duration = Duration::from_secs(24);
 const DEPARTURE_INTERVAL: Duration = Duration::from_millis(600);
 const TROUBLE_INTERVAL: Duration = Duration::from_millis(1100);
 /// Longest time that a target runs on after [`DRAIN`], and pause before its address has another process.
 const MAX_LINGERING: Duration = Duration::from_secs(4);
 const REUSE_PAUSE: Duration = Duration::from_secs(2);
 
+/// How much happens in a day.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// How long targets leave and troubles come.
+    day: Duration,
+    /// Share of the services' rates.
+    load: f64,
+}
+
+impl Size {
+    /// The whole deployment.
+    pub const WHOLE: Self = Self {
+        day: Duration::from_secs(24),
+        load: 1.0,
+    };
+    /// Little enough to run beside other tests.
+    pub const SHORT: Self = Self {
+        day: Duration::from_secs(9),
+        load: 0.2,
+    };
+}
+
 /// What happens in a day.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Course {
@@ -575,18 +595,18 @@
 }
 
 /// Runs one seed; returns descriptions of the requests that reached targets later than they may.
-pub fn run_seed(seed: u64, course: Course) -> Vec<String> {
+pub fn run_seed(seed: u64, course: Course, size: Size) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut deployment = Deployment::new(seed);
-    let callers = Callers::start(&deployment, seed);
+    let callers = Callers::start(&deployment, seed, size.load);
     thread::sleep(WARM_UP);
     let started_at = Instant::now();
     let (mut next_departure, mut next_trouble) = (started_at, started_at);
     let mut endings: Vec<Ending> = Vec::new();
     let mut leaving_silently: Vec<(Instant, usize)> = Vec::new();
-    while started_at.elapsed() < DAY || !endings.is_empty() {
+    while started_at.elapsed() < size.day || !endings.is_empty() {
         let now = Instant::now();
-        if now >= next_departure && started_at.elapsed() < DAY {
+        if now >= next_departure && started_at.elapsed() < size.day {
             next_departure = now + DEPARTURE_INTERVAL;
             let target = rng.random_range(0..deployment.targets.len());
             let is_pending = leaving_silently.iter().any(|(_, other)| *other == target);
@@ -611,9 +631,9 @@
                 }),
             ));
         }
-        if now >= next_trouble && started_at.elapsed() < DAY {
+        if now >= next_trouble && started_at.elapsed() < size.day {
             next_trouble = now + TROUBLE_INTERVAL;
-            let is_early = started_at.elapsed() < DAY / 3;
+            let is_early = started_at.elapsed() < size.day / 3;
             endings.extend(begin_trouble(&mut deployment, &mut rng, course, is_early));
         }
         let due: Vec<Ending> = endings.extract_if(.., |(at, _)| now >= *at).collect();
@@ -642,11 +662,12 @@
 }
 
 impl Callers {
-    fn start(deployment: &Deployment, seed: u64) -> Self {
+    fn start(deployment: &Deployment, seed: u64, load: f64) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
         for (index, service) in SERVICES.iter().enumerate() {
-            let count = (service.rate * (CALLER_PAUSE + service.work / 2).as_secs_f64()) as usize;
+            let count =
+                (load * service.rate * (CALLER_PAUSE + service.work / 2).as_secs_f64()) as usize;
             for number in 0..count {
                 let host = (number + index) % HOSTS;
                 let caller = Caller {
--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -222,3 +222,27 @@
     let (_, peer) = listener.accept().unwrap();
     assert_eq!(peer.ip(), from.ip());
 }
+
+/// With every second chunk lost some bytes come much later than others, and all in order.
+#[test]
+fn lost_chunks_arrive_later_and_in_order() {
+    const CHUNKS: usize = 40;
+    const RETRANSMIT: Duration = Duration::from_millis(40);
+    let link = Link::new(any_port(), start_echo()).unwrap().with_seed(1);
+    link.set_fault(Fault::default().with_loss(500, RETRANSMIT));
+    let mut stream = connect(&link);
+    let mut writer = stream.try_clone().unwrap();
+    let started_at = Instant::now();
+    let sender = thread::spawn(move || {
+        for chunk in 0..CHUNKS as u8 {
+            writer.write_all(&[chunk]).unwrap();
+            thread::sleep(Duration::from_millis(5));
+        }
+        writer.shutdown(Shutdown::Write).unwrap();
+    });
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).unwrap();
+    sender.join().unwrap();
+    assert_eq!(received, (0..CHUNKS as u8).collect::<Vec<_>>());
+    assert!(started_at.elapsed() > Duration::from_millis(5) * CHUNKS as u32 + RETRANSMIT);
+}
