--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -261,12 +261,7 @@
         }
         attempt.silence.set(attempt.index, is_silent);
         if is_silent {
-            let target = in_flight.target;
-            host.core
-                .borrow_mut()
-                .fleet
-                .record_reach(now(), target, End::Silent);
-            announcement::tell_silences(host);
+            record_silence(host, in_flight.target);
             if may_repeat(exchange) {
                 attempt.silence.notify();
             }
@@ -274,8 +269,20 @@
     }
 }
 
+/// Records that a target has not answered for too long, and tells all hosts if that is new.
+fn record_silence(host: &Rc<Host>, target: TargetKey) {
+    let is_new = {
+        let fleet = &mut host.core.borrow_mut().fleet;
+        fleet.record_reach(now(), target, End::Silent);
+        fleet.is_silence_untold(now(), target)
+    };
+    if is_new {
+        announcement::tell_silences(host);
+    }
+}
+
 /// Whether a request that may have run can be sent to another target.
-pub(crate) fn may_repeat(exchange: &Exchange) -> bool {
+fn may_repeat(exchange: &Exchange) -> bool {
     exchange.route.repeat != Repeat::Never && exchange.buffered == Buffered::Complete
 }
 
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -42,6 +42,9 @@
 /// be used.
 const NO_TARGET_PAUSE: Duration = Duration::from_secs(1);
 
+/// Response to a request that may have run, without an answer.
+const BROKEN_OFF: &str = "the target broke off\n";
+
 /// Limit on the time spent asking hosts for permission to send: enough for several queries within
 /// the region or one to another region. A request without a permitted target is refused soon after.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(50);
@@ -228,7 +231,7 @@
         (Some(response), _) => with_disposition(response, disposition),
         (None, Disposition::TimedOut) => with_disposition(answer::timed_out(), disposition),
         (None, Disposition::Unknown) => {
-            let response = answer::outcome_unknown("the target broke off\n");
+            let response = answer::outcome_unknown(BROKEN_OFF);
             with_disposition(response, disposition)
         }
         (None, _) => {
@@ -294,11 +297,14 @@
 ) -> Response<Body> {
     attempts.give_up();
     let target = ended.in_flight.target;
-    let outcome = finish_attempt(active, ended);
-    let (Outcome::Answered(response) | Outcome::Failed(response)) = outcome else {
-        return answer::outcome_unknown("the target broke off\n");
-    };
-    relay::with_source(active.host, active.exchange, target, response)
+    match finish_attempt(active, ended) {
+        Outcome::Answered(response) | Outcome::Failed(response) => {
+            relay::with_source(active.host, active.exchange, target, response)
+        }
+        Outcome::NotRun | Outcome::Unknown | Outcome::TimedOut => {
+            answer::outcome_unknown(BROKEN_OFF)
+        }
+    }
 }
 
 /// Records how an attempt ended. Returns its outcome.
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -93,9 +93,12 @@
         }
         let mut due = Vec::new();
         for (key, member) in &self.members {
+            let is_told = member.silence_told_at.is_some();
+            if !is_told && !member.has_silent_requests() {
+                continue;
+            }
             let limit = self.silence_limit(member.service());
             let is_silent = member.is_silent_here(now, limit) && self.is_available(member);
-            let is_told = member.silence_told_at.is_some();
             if is_silent && !member.is_reported_silent(now) {
                 let told_at = member.silence_told_at;
                 if told_at.is_none_or(|at| now.saturating_duration_since(at) >= TELL_INTERVAL) {
@@ -118,6 +121,16 @@
         told.collect()
     }
 
+    /// Whether this host has found a target silent, and no host has told the others.
+    pub fn is_silence_untold(&self, now: Instant, key: TargetKey) -> bool {
+        self.members.get(&key).is_some_and(|member| {
+            let limit = self.silence_limit(member.service());
+            member.silence_told_at.is_none()
+                && !member.is_reported_silent(now)
+                && member.is_silent_here(now, limit)
+        })
+    }
+
     /// Records what another host has found out about a target. Returns whether the target counts as
     /// silent by that, and did not before.
     pub fn merge_silence(&mut self, now: Instant, silence: Silence) -> bool {
@@ -208,10 +221,12 @@
     /// Whether it has sent this host no answer for longer than `silence_limit`, or a multiple of it
     /// while it is slow; `false` without a limit.
     fn is_silent_here(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
-        if self.in_flight.saturating_add(self.unanswered) < MIN_SILENT_REQUESTS {
-            return false;
-        }
-        self.exceeds_silence(now, silence_limit)
+        self.has_silent_requests() && self.exceeds_silence(now, silence_limit)
+    }
+
+    /// Whether as many requests wait at it or were given up there as a silence needs.
+    fn has_silent_requests(&self) -> bool {
+        self.in_flight.saturating_add(self.unanswered) >= MIN_SILENT_REQUESTS
     }
 
     /// Records that a request at it was given up without an answer.
