Requests of several hosts that wait at one target show that it is silent

What callers saw: where a service has few requests, no host has two of them waiting at a target that has stopped reading, so none finds it silent: requests of two hosts waited until their deadline of 5 s and got 504. Each host sends such a target one request after the other, and it reads them all when it continues.

Now a host whose request waits in vain for a target tells one host in each availability zone, chosen by the target's process as for requests that crash targets (`Datagram::Waiting`). Two hosts count as two requests; that host then tells all others. An answer since the silence began counts against it, as before.

--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -1,6 +1,6 @@
 //! Records what targets state about their processes in their answers.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -152,6 +152,35 @@
     }
 }
 
+/// Tells the hosts that count, one of which this one may be, that a request waits in vain for a
+/// target.
+pub(crate) fn tell_doubt(host: &Rc<Host>, target: TargetKey) {
+    let Some(doubt) = host.core.borrow().fleet.doubt(now(), target) else {
+        return;
+    };
+    let state = host.clone();
+    task::spawn(host, "announcement", async move {
+        let counters = {
+            let core = state.core.borrow();
+            core.presence.counting_hosts(now(), doubt.0)
+        };
+        datagram::send(&state, &Datagram::Waiting(doubt), &counters).await;
+    });
+}
+
+/// Counts a request of another host that waits in vain for a target. Tells all hosts if the target
+/// counts as silent by that.
+pub(crate) fn apply_doubt(host: &Rc<Host>, from: IpAddr, doubt: Silence) {
+    let is_silent = {
+        let fleet = &mut host.core.borrow_mut().fleet;
+        fleet.merge_doubt(now(), from, doubt)
+    };
+    if is_silent {
+        log::target_silent(host, doubt, "hosts");
+        tell_all(host, Datagram::Silent(vec![doubt]));
+    }
+}
+
 /// Records what another host has found out about silent targets.
 pub(crate) fn apply_silences(host: &Host, silences: &[Silence]) {
     for silence in silences {
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -259,6 +259,9 @@
             }
             return Err(Outcome::TimedOut);
         }
+        if !is_silent {
+            announcement::tell_doubt(host, in_flight.target);
+        }
         attempt.silence.set(attempt.index, is_silent);
         if is_silent {
             record_silence(host, in_flight.target);
--- a/src/host/datagram.rs
+++ b/src/host/datagram.rs
@@ -75,6 +75,9 @@
     /// Processes of targets that answer nothing, or answer again.
     #[serde(rename = "s")]
     Silent(Vec<Silence>),
+    /// A request of the sender waits in vain for this process of a target.
+    #[serde(rename = "w")]
+    Waiting(Silence),
     /// Whether the sender is unable to reach targets.
     #[serde(rename = "u")]
     CutOff(bool),
@@ -355,6 +358,9 @@
             Ok(Datagram::Leaving(processes)) => announcement::apply_leaving(&host, &processes),
             Ok(Datagram::Removed(processes)) => announcement::apply_removed(&host, &processes),
             Ok(Datagram::Confirmed(processes)) => announcement::apply_confirmed(&host, &processes),
+            Ok(Datagram::Waiting(doubt)) => {
+                announcement::apply_doubt(&host, sender.ip(), doubt);
+            }
             Ok(Datagram::Silent(silences)) => announcement::apply_silences(&host, &silences),
             Ok(Datagram::Returned(elapsed)) => {
                 if let Some(at) = now().checked_sub(Duration::from_millis(elapsed)) {
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -347,6 +347,7 @@
             unanswered: 0,
             heard_at: None,
             reported_silent_until: None,
+            doubts: BTreeMap::new(),
             silence_told_at: None,
             recheck: Recheck::default(),
             connect_failed_at: None,
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -1,6 +1,7 @@
 //! State of one target at this host.
 
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -75,6 +76,8 @@
     pub(super) heard_at: Option<Instant>,
     /// Until when it counts as silent, as another host says.
     pub(super) reported_silent_until: Option<Instant>,
+    /// Hosts at which a request waits for it in vain, and until when that counts.
+    pub(super) doubts: BTreeMap<IpAddr, Instant>,
     /// When this host last told the others that it is silent.
     pub(super) silence_told_at: Option<Instant>,
     /// Health checks of the silent target.
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -8,11 +8,13 @@
 //! them, and whatever it is sent meanwhile is read when it continues, even after it has announced
 //! its shutdown. Health checks find out when it answers again. What one host has found out it tells
 //! the others: each of them would send requests that may run once and lose them, and a host with few
-//! requests would find out late. A host that has had an answer since ignores that. Targets to
+//! requests would find out late. Where each host has a single request waiting, one host in each
+//! availability zone counts them. A host that has had an answer since ignores all that. Targets to
 //! which no connection can be opened are skipped for a moment as well. With two of four targets of
 //! a region without power, at most half as many requests are lost as without this detection (replay
 //! in virtual time).
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -39,6 +41,8 @@
 const TELL_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time for which such a report counts: two intervals, as one may be lost.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2000);
+/// Maximum hosts whose waiting requests are counted for one target.
+const MAX_DOUBTS: usize = 8;
 
 /// Shortest and longest time between two health checks of a silent target.
 const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(400);
@@ -84,6 +88,12 @@
     pub u64,
 );
 
+impl Silence {
+    fn new(process: u64, age: Duration) -> Self {
+        Self(process, u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
 impl Fleet {
     /// Returns what the other hosts should be told about silent targets. While this host may have
     /// lost its own links, silence is no evidence against targets.
@@ -113,10 +123,7 @@
             member.silence_told_at = told_at;
             let since = member.silent_since.filter(|_| told_at.is_some());
             let age = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-            Some(Silence(
-                member.process,
-                u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            ))
+            Some(Silence::new(member.process, age))
         });
         told.collect()
     }
@@ -131,12 +138,56 @@
         })
     }
 
+    /// Returns what the hosts that count should be told if a request waits in vain for a target that
+    /// does not count as silent yet.
+    pub fn doubt(&self, now: Instant, key: TargetKey) -> Option<Silence> {
+        if !self.reaches_targets() || self.suspects_links() {
+            return None;
+        }
+        let member = self.members.get(&key)?;
+        let limit = self.silence_limit(member.service());
+        let is_doubtful = member.exceeds_silence(now, limit) && !member.is_silent(now, limit);
+        let age = now.saturating_duration_since(member.silent_since?);
+        (is_doubtful && self.is_available(member)).then(|| Silence::new(member.process, age))
+    }
+
+    /// Records that a request of the host at `from` waits in vain for a target. Returns whether the
+    /// target counts as silent by that, and did not before.
+    pub fn merge_doubt(&mut self, now: Instant, from: IpAddr, doubt: Silence) -> bool {
+        let Silence(process, age_ms) = doubt;
+        let Some(key) = self.process_key(process) else {
+            return false;
+        };
+        let limit = match self.members.get(&key) {
+            Some(member) => self.silence_limit(member.service()),
+            None => None,
+        };
+        let Some(member) = self.members.get_mut(&key) else {
+            return false;
+        };
+        let since = now.checked_sub(Duration::from_millis(age_ms));
+        if member.heard_at > since {
+            return false;
+        }
+        member.doubts.retain(|_, until| now < *until);
+        if member.doubts.len() < MAX_DOUBTS {
+            member.doubts.insert(from, now + REPORT_LIFETIME);
+        }
+        let own = usize::from(member.has_waiting_requests() && member.exceeds_silence(now, limit));
+        if own + member.doubts.len() < MIN_SILENT_REQUESTS as usize {
+            return false;
+        }
+        let is_new = !member.is_reported_silent(now);
+        member.reported_silent_until = Some(now + REPORT_LIFETIME);
+        is_new
+    }
+
     /// Records what another host has found out about a target. Returns whether the target counts as
     /// silent by that, and did not before.
     pub fn merge_silence(&mut self, now: Instant, silence: Silence) -> bool {
         let Silence(process, age_ms) = silence;
-        let mut members = self.members.values_mut();
-        let Some(member) = members.find(|member| member.process == process) else {
+        let key = self.process_key(process);
+        let Some(member) = key.and_then(|key| self.members.get_mut(&key)) else {
             return false;
         };
         if age_ms == 0 {
@@ -152,11 +203,16 @@
         is_new
     }
 
+    fn process_key(&self, process: u64) -> Option<TargetKey> {
+        let mut members = self.members.iter();
+        let (key, _) = members.find(|(_, member)| member.process == process)?;
+        Some(*key)
+    }
+
     /// Returns the identity of a process.
     pub fn process_id(&self, process: u64) -> Option<Arc<str>> {
-        let mut members = self.members.values();
-        let member = members.find(|member| member.process == process);
-        member.map(|member| member.id().clone())
+        let member = self.members.get(&self.process_key(process)?)?;
+        Some(member.id().clone())
     }
 
     /// Begins the health checks that are due of targets that are silent and are not leaving, and
@@ -224,6 +280,10 @@
         self.has_silent_requests() && self.exceeds_silence(now, silence_limit)
     }
 
+    fn has_waiting_requests(&self) -> bool {
+        self.in_flight > 0 || self.unanswered > 0
+    }
+
     /// Whether as many requests wait at it or were given up there as a silence needs.
     fn has_silent_requests(&self) -> bool {
         self.in_flight.saturating_add(self.unanswered) >= MIN_SILENT_REQUESTS
@@ -241,6 +301,7 @@
         self.silent_since = Some(now);
         self.heard_at = Some(now);
         self.reported_silent_until = None;
+        self.doubts.clear();
         self.unanswered = 0;
         self.recheck.reset();
     }
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -220,3 +220,49 @@
     assert!(!other.fleet.merge_silence(other.now, Silence(!told[0].0, 1)));
     assert!(other.used().contains("b"));
 }
+
+/// A host that has a single request waiting at a target, and what it tells the hosts that count.
+fn doubting_world() -> (World, Silence) {
+    let mut world = World::new();
+    world.send_to("a", 1);
+    let target = world.key("a");
+    assert_eq!(world.fleet.doubt(world.now, target), None);
+    world.now += SILENCE;
+    let doubt = world.fleet.doubt(world.now, target).unwrap();
+    (world, doubt)
+}
+
+#[test]
+fn requests_of_two_hosts_make_a_target_silent() {
+    let (_, doubt) = doubting_world();
+    let mut other = World::new();
+    other.now += SILENCE * 2;
+    let [one, two] = ["127.0.0.1", "127.0.0.2"].map(|from| from.parse().unwrap());
+    assert!(!other.fleet.merge_doubt(other.now, one, doubt));
+    assert!(!other.fleet.merge_doubt(other.now, one, doubt));
+    assert_eq!(other.used().len(), 2);
+    other.now += SILENCE * 2;
+    assert!(!other.fleet.merge_doubt(other.now, one, doubt));
+    assert!(other.fleet.merge_doubt(other.now, two, doubt));
+    assert_eq!(other.used(), BTreeSet::from(["b".into()]));
+}
+
+#[test]
+fn a_request_of_its_own_counts_as_well() {
+    let (mut world, doubt) = doubting_world();
+    let from = "127.0.0.1".parse().unwrap();
+    assert!(world.fleet.merge_doubt(world.now, from, doubt));
+    assert_eq!(world.used(), BTreeSet::from(["b".into()]));
+}
+
+#[test]
+fn doubts_expire() {
+    let (mut world, doubt) = doubting_world();
+    let target = world.key("a");
+    world.answer(target);
+    world.now += SILENCE * 3;
+    let [one, two] = ["127.0.0.1", "127.0.0.2"].map(|from| from.parse().unwrap());
+    assert!(!world.fleet.merge_doubt(world.now, one, doubt));
+    world.now += Duration::from_secs(2);
+    assert!(!world.fleet.merge_doubt(world.now, two, doubt));
+}
