--- a/tests/links.rs
+++ b/tests/links.rs
@@ -34,6 +34,8 @@
     black_hole: true,
     cut_after: None,
     bytes_per_s: 0,
+    lost_per_1000: 0,
+    retransmit_ms: 0,
 };
 
 /// Open connections are reset, and new ones refused.
