--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -158,15 +158,12 @@
         let Some(key) = self.process_key(process) else {
             return false;
         };
-        let limit = match self.members.get(&key) {
-            Some(member) => self.silence_limit(member.service()),
-            None => None,
-        };
+        let member = self.members.get(&key);
+        let limit = member.and_then(|member| self.silence_limit(member.service()));
         let Some(member) = self.members.get_mut(&key) else {
             return false;
         };
-        let since = now.checked_sub(Duration::from_millis(age_ms));
-        if member.heard_at > since {
+        if member.has_answered_within(now, age_ms) {
             return false;
         }
         member.doubts.retain(|_, until| now < *until);
@@ -177,9 +174,7 @@
         if own + member.doubts.len() < MIN_SILENT_REQUESTS as usize {
             return false;
         }
-        let is_new = !member.is_reported_silent(now);
-        member.reported_silent_until = Some(now + REPORT_LIFETIME);
-        is_new
+        member.report_silent(now)
     }
 
     /// Records what another host has found out about a target. Returns whether the target counts as
@@ -194,13 +189,7 @@
             member.reported_silent_until = None;
             return false;
         }
-        let since = now.checked_sub(Duration::from_millis(age_ms));
-        if member.heard_at > since {
-            return false;
-        }
-        let is_new = !member.is_reported_silent(now);
-        member.reported_silent_until = Some(now + REPORT_LIFETIME);
-        is_new
+        !member.has_answered_within(now, age_ms) && member.report_silent(now)
     }
 
     fn process_key(&self, process: u64) -> Option<TargetKey> {
@@ -269,6 +258,18 @@
         is_reported || self.is_silent_here(now, silence_limit)
     }
 
+    /// Whether this host knows that it answered within the last milliseconds.
+    fn has_answered_within(&self, now: Instant, age_ms: u64) -> bool {
+        self.heard_at > now.checked_sub(Duration::from_millis(age_ms))
+    }
+
+    /// Records that other hosts have found it silent. Returns whether that is new.
+    fn report_silent(&mut self, now: Instant) -> bool {
+        let is_new = !self.is_reported_silent(now);
+        self.reported_silent_until = Some(now + REPORT_LIFETIME);
+        is_new
+    }
+
     /// Whether another host has found it silent.
     fn is_reported_silent(&self, now: Instant) -> bool {
         self.reported_silent_until.is_some_and(|until| now < until)
