--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -247,7 +247,6 @@
     departures: Vec<Departure>,
     host_troubles: Vec<(usize, Span)>,
     store_troubles: Vec<Span>,
-    target_links_troubles: Vec<(usize, Span)>,
 }
 
 fn latency(one: &str, other: &str) -> Fault {
@@ -293,7 +292,6 @@
             departures: Vec::new(),
             host_troubles: Vec::new(),
             store_troubles: Vec::new(),
-            target_links_troubles: Vec::new(),
         };
         for (service, entry) in SERVICES.iter().enumerate() {
             for number in 0..entry.targets {
@@ -439,11 +437,7 @@
                     }) || self
                         .host_troubles
                         .iter()
-                        .any(|(other, span)| Some(*other) == host && overlaps(span, *at))
-                        || self
-                            .target_links_troubles
-                            .iter()
-                            .any(|(other, span)| *other == departure.target && overlaps(span, *at));
+                        .any(|(other, span)| Some(*other) == host && overlaps(span, *at));
                 if !is_excused {
                     let sent_at = id.rsplit('-').next().and_then(|ms| ms.parse().ok());
                     let sent_at = self.started_at + Duration::from_millis(sent_at.unwrap_or(0));
