--- a/src/host/running.rs
+++ b/src/host/running.rs
@@ -3,11 +3,11 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::Poll;
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::Notify;
 
 use super::attempt::{InFlight, Outcome};
@@ -65,7 +65,7 @@
 /// The attempts of a request that run now, and those that have ended unnoticed.
 #[derive(Default)]
 pub(crate) struct Attempts<'a> {
-    running: FuturesUnordered<Pin<Box<dyn Future<Output = Ended> + 'a>>>,
+    running: Vec<Pin<Box<dyn Future<Output = Ended> + 'a>>>,
     ended: VecDeque<Ended>,
     pub(crate) silence: Rc<Silence>,
 }
@@ -97,7 +97,7 @@
         loop {
             let ended = tokio::select! {
                 biased;
-                Some(ended) = self.running.next() => ended,
+                ended = end(&mut self.running) => ended,
                 output = &mut step => return Ok(output),
             };
             if ended.is_answered() {
@@ -116,7 +116,7 @@
         loop {
             tokio::select! {
                 biased;
-                Some(ended) = self.running.next() => return Some(ended),
+                ended = end(&mut self.running) => return Some(ended),
                 () = self.silence.changed.notified() => {}
             }
             if self.silence.is_any() {
@@ -125,3 +125,17 @@
         }
     }
 }
+
+/// Waits until one of the attempts has ended, which is removed; without attempts for ever.
+async fn end(running: &mut Vec<Pin<Box<dyn Future<Output = Ended> + '_>>>) -> Ended {
+    poll_fn(|context| {
+        for index in 0..running.len() {
+            if let Poll::Ready(ended) = running[index].as_mut().poll(context) {
+                drop(running.swap_remove(index));
+                return Poll::Ready(ended);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
