--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -10,7 +10,7 @@
 use super::body::{self, Body, ReceivedBody};
 use super::client::{self, Connection, Transfer, Unanswered};
 use super::exchange::{Buffered, Exchange};
-use super::running::{Ended, Index, Silence};
+use super::running::{Ended, Index, Monitor};
 use super::task::{self, AbortGuard};
 use super::{announcement, links, log, message, now, request_log, serve, throttle, Host};
 use crate::catalog::Repeat;
@@ -163,7 +163,7 @@
     pub(crate) in_flight: InFlight,
     /// Its number among those of its request.
     pub(crate) index: Index,
-    pub(crate) silence: Rc<Silence>,
+    pub(crate) monitor: Rc<Monitor>,
 }
 
 /// Sends a request over a connection and waits for the answer.
@@ -227,7 +227,7 @@
         match tokio::time::timeout_at(until.into(), &mut answer).await {
             Ok(Some(Ok(response))) => {
                 in_flight.end = End::Cancelled;
-                attempt.silence.set(attempt.index, false);
+                attempt.monitor.set(attempt.index, false);
                 return Ok(response);
             }
             Ok(None) => {
@@ -262,11 +262,11 @@
         if !is_silent {
             announcement::tell_doubt(host, in_flight.target);
         }
-        attempt.silence.set(attempt.index, is_silent);
+        attempt.monitor.set(attempt.index, is_silent);
         if is_silent {
             record_silence(host, in_flight.target);
             if may_repeat(exchange) {
-                attempt.silence.notify();
+                attempt.monitor.notify();
             }
         }
     }
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -17,7 +17,7 @@
 use super::quarantine::Permit;
 use super::relay::{self, with_disposition, Disposition, Relay};
 use super::request_log::{self, RequestTrace, StopReason};
-use super::running::{Attempts, Ended, Silence};
+use super::running::{Attempts, Ended, Monitor};
 use super::{answer, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
 use crate::budget::Account;
@@ -219,7 +219,7 @@
     let mut progress = Progress::new(body);
     let stop = match run_attempts(active, &mut progress, &mut attempts).await {
         Ok(response) => {
-            active.trace.give_up_attempts(host, &attempts.silence);
+            active.trace.give_up_attempts(host, &attempts.monitor);
             return with_disposition(response, Disposition::Answered);
         }
         Err(stop) => stop,
@@ -262,8 +262,8 @@
     let mut stop = None;
     loop {
         if stop.is_none() {
-            let silence = attempts.silence.clone();
-            let begun = attempts.race(begin_attempt(active, progress, silence));
+            let monitor = attempts.monitor.clone();
+            let begun = attempts.race(begin_attempt(active, progress, monitor));
             match begun.await {
                 Err(ended) => return Ok(accept(active, attempts, ended)),
                 Ok(Ok(Begun::Sent(attempt))) => attempts.push(attempt),
@@ -390,7 +390,7 @@
 async fn begin_attempt<'a>(
     active: &mut ActiveRequest<'a>,
     progress: &mut Progress<'a>,
-    silence: Rc<Silence>,
+    monitor: Rc<Monitor>,
 ) -> Result<Begun<'a>, StopReason> {
     let (host, exchange) = (active.host, active.exchange);
     if !std::mem::replace(&mut progress.has_checked_quarantine, true) {
@@ -403,7 +403,7 @@
         }
     }
     match choose_path(host, exchange, &active.query, progress) {
-        Path::Target => begin_at_target(active, progress, silence).await,
+        Path::Target => begin_at_target(active, progress, monitor).await,
         Path::Relay(relay) => {
             let answered = try_relay(host, exchange, &mut active.trace, progress, &relay).await?;
             Ok(answered.map_or(Begun::Nothing, Begun::Answered))
@@ -416,7 +416,7 @@
 async fn begin_at_target<'a>(
     active: &mut ActiveRequest<'a>,
     progress: &mut Progress<'a>,
-    silence: Rc<Silence>,
+    monitor: Rc<Monitor>,
 ) -> Result<Begun<'a>, StopReason> {
     let (host, exchange, service) = (active.host, active.exchange, active.query.service);
     if !exchange.is_counted.replace(true) {
@@ -458,7 +458,7 @@
         service,
         in_flight,
         index,
-        silence,
+        monitor,
     };
     let sent = attempt::send(attempt, (connection, id, payload));
     Ok(Begun::Sent(Box::pin(sent)))
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -12,7 +12,7 @@
 use super::client::{Connection, Transfer};
 use super::exchange::Exchange;
 use super::log::Event;
-use super::running::{Index, Silence};
+use super::running::{Index, Monitor};
 use super::{now, relay, serve, Host};
 use crate::control::revision::Revision;
 use crate::entry::metrics::RequestSample;
@@ -204,13 +204,13 @@
     }
 
     /// Records that the attempts that still run are given up.
-    pub(crate) fn give_up_attempts(&mut self, host: &Host, silence: &Silence) {
+    pub(crate) fn give_up_attempts(&mut self, host: &Host, monitor: &Monitor) {
         let now = now();
         for (index, attempt) in self.attempts.iter_mut().enumerate() {
             if !attempt.took.is_zero() {
                 continue;
             }
-            if silence.contains(index) {
+            if monitor.contains(index) {
                 attempt.end = AttemptEnd::Target(End::Silent);
             }
             attempt.took = now.saturating_duration_since(attempt.started_at);
@@ -236,7 +236,7 @@
 
     /// Records that the caller disconnected, possibly during attempts.
     pub(crate) fn abandon(&mut self, host: &Host) {
-        self.give_up_attempts(host, &Silence::default());
+        self.give_up_attempts(host, &Monitor::default());
         self.stop_reason = StopReason::Left;
     }
 
--- a/src/host/running.rs
+++ b/src/host/running.rs
@@ -29,14 +29,14 @@
     }
 }
 
-/// The attempts of a request whose targets count as silent.
+/// Keeps which attempts of a request are at targets that count as silent.
 #[derive(Default)]
-pub(crate) struct Silence {
+pub(crate) struct Monitor {
     attempts: RefCell<BTreeSet<Index>>,
     changed: Notify,
 }
 
-impl Silence {
+impl Monitor {
     /// Records whether an attempt's target counts as silent now.
     pub(crate) fn set(&self, index: Index, is_silent: bool) {
         let attempts = &mut *self.attempts.borrow_mut();
@@ -67,7 +67,7 @@
 pub(crate) struct Attempts<'a> {
     running: Vec<Pin<Box<dyn Future<Output = Ended> + 'a>>>,
     ended: VecDeque<Ended>,
-    pub(crate) silence: Rc<Silence>,
+    pub(crate) monitor: Rc<Monitor>,
 }
 
 impl<'a> Attempts<'a> {
@@ -117,9 +117,9 @@
             tokio::select! {
                 biased;
                 ended = end(&mut self.running) => return Some(ended),
-                () = self.silence.changed.notified() => {}
+                () = self.monitor.changed.notified() => {}
             }
-            if self.silence.is_any() {
+            if self.monitor.is_any() {
                 return None;
             }
         }
