Log the requests that a target which leaves may not have read yet

An attempt that is given up before its host learns of the departure left no line that connects it with it, and since requests at silent targets are answered by another one, they often have none of their own. target.unread names them: when they were sent, whether their host took the target for silent then, and whether the target's kernel had them. One line for each departure and host.

--- a/soak/main.rs
+++ b/soak/main.rs
@@ -11,6 +11,7 @@
 
 mod caller;
 mod fault;
+mod process;
 mod regions;
 mod shutdown;
 mod world;
--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -3,6 +3,7 @@
 //! [`DRAIN`] after the store has acknowledged that it leaves, from hosts that had no trouble themselves.
 //!
 //! The hosts reach the store and the targets over links. Between each other they are on one machine, without delay or loss.
+//! In the course [`Course::Held`] targets are processes of their own, which a signal stops.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
@@ -15,8 +16,10 @@
 use ::standin::link::{Accept, Fault, Link};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+use crate::process::{self, Process};
 use crate::standin::{build_response, read_message, start_target, wait_until, Host, Mode, Store};
 use crate::world::DRAIN;
 
@@ -89,6 +92,8 @@
 /// Longest time that a target runs on after [`DRAIN`], and pause before its address has another process.
 const MAX_LINGERING: Duration = Duration::from_secs(4);
 const REUSE_PAUSE: Duration = Duration::from_secs(2);
+/// Requests that may wait at a target that is a process, for each of its slots.
+const QUEUE_PER_SLOT: usize = 3;
 
 /// How much happens in a day.
 #[derive(Clone, Copy, Debug)]
@@ -123,18 +128,31 @@
     Store,
     /// Hosts and targets have, and some of the targets read nothing before they leave.
     Silence,
+    /// The same with targets that are processes, which queue requests and are stopped.
+    Held,
 }
 
 impl Course {
-    pub const ALL: [Self; 4] = [Self::Hosts, Self::Targets, Self::Store, Self::Silence];
+    pub const ALL: [Self; 5] = [
+        Self::Hosts,
+        Self::Targets,
+        Self::Store,
+        Self::Silence,
+        Self::Held,
+    ];
+
+    /// Whether some targets answer nothing before they leave.
+    fn has_silences(self) -> bool {
+        matches!(self, Self::Silence | Self::Held)
+    }
 }
 
 /// A span of time.
 type Span = (Instant, Instant);
 
 /// How a target handles requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Manner {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Manner {
     #[default]
     Normal,
     WrongId,
@@ -158,6 +176,10 @@
     silent_since: Mutex<Option<Instant>>,
     /// Processes that requests reached, the requests' IDs, and when.
     arrivals: Mutex<Vec<(Instant, String, String)>>,
+    /// Requests that wait for a slot, if it lets any wait.
+    queue: Option<AtomicUsize>,
+    /// Where it runs, if not in this process.
+    runner: Option<Mutex<Process>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -165,6 +187,60 @@
 }
 
 impl Target {
+    fn new(service: usize, zone: usize) -> Self {
+        Self {
+            service,
+            zone,
+            manner: Mutex::default(),
+            processes: Mutex::default(),
+            running: AtomicUsize::new(0),
+            seen: Mutex::default(),
+            silent_since: Mutex::default(),
+            arrivals: Mutex::default(),
+            queue: None,
+            runner: None,
+        }
+    }
+
+    /// Has it handle requests in this way from now on.
+    fn set_manner(&self, manner: Manner) {
+        *lock(&self.manner) = manner;
+        if let Some(runner) = &self.runner {
+            lock(runner).set_manner(manner);
+        }
+    }
+
+    /// Sets the processes that it is.
+    fn set_processes(&self, change: impl FnOnce(&mut BTreeSet<String>)) {
+        let processes = &mut *lock(&self.processes);
+        change(processes);
+        if let Some(runner) = &self.runner {
+            lock(runner).set_processes(processes);
+        }
+    }
+
+    /// Takes a slot, for which the request may have to wait. Returns whether it has one, and how many requests then run.
+    fn take_slot(&self, slots: usize) -> (bool, usize) {
+        let take = || {
+            let running = self.running.fetch_add(1, Ordering::SeqCst);
+            if running >= slots {
+                self.running.fetch_sub(1, Ordering::SeqCst);
+            }
+            (running < slots, running)
+        };
+        let Some(queue) = &self.queue else {
+            return take();
+        };
+        let waiting = queue.fetch_add(1, Ordering::SeqCst);
+        let mut taken = take();
+        while !taken.0 && waiting < QUEUE_PER_SLOT * slots {
+            thread::sleep(Duration::from_millis(1));
+            taken = take();
+        }
+        queue.fetch_sub(1, Ordering::SeqCst);
+        taken
+    }
+
     fn respond(&self, headers: &BTreeMap<String, String>) -> Option<String> {
         while *lock(&self.manner) == Manner::Silent {
             thread::sleep(Duration::from_millis(5));
@@ -186,11 +262,22 @@
             ));
         }
         lock(&self.arrivals).push((Instant::now(), process.clone(), id.clone()));
+        if self.queue.is_some() {
+            process::report_arrival(process, id);
+        }
         let service = &SERVICES[self.service];
-        let running = self.running.fetch_add(1, Ordering::SeqCst);
-        let load = |running| format!("ragwortfold-server-load: {running},0,{}\r\n", service.slots);
-        if running >= service.slots {
-            self.running.fetch_sub(1, Ordering::SeqCst);
+        let (has_slot, running) = self.take_slot(service.slots);
+        let load = |running| {
+            let waiting = self
+                .queue
+                .as_ref()
+                .map_or(0, |queue| queue.load(Ordering::SeqCst));
+            format!(
+                "ragwortfold-server-load: {running},{waiting},{}\r\n",
+                service.slots
+            )
+        };
+        if !has_slot {
             let extra = format!("ragwortfold-not-run: 1\r\n{}", load(running));
             return Some(build_response(headers, "503 X", &extra, ""));
         }
@@ -223,6 +310,22 @@
     }
 }
 
+/// Runs a target in this process, which the parent started for it, until the parent ends.
+pub fn run_target(service: usize) {
+    let target = Arc::new(Target {
+        queue: Some(AtomicUsize::new(0)),
+        ..Target::new(service, 0)
+    });
+    let responder = target.clone();
+    process::report_address(start_target(move |headers| responder.respond(headers)));
+    process::obey(
+        |manner| target.set_manner(manner),
+        |processes| {
+            target.set_processes(|own| *own = processes);
+        },
+    );
+}
+
 /// A process that leaves.
 struct Departure {
     process: String,
@@ -277,7 +380,7 @@
 }
 
 impl Deployment {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, course: Course) -> Self {
         let store = Store::new();
         configure(&store);
         let mut deployment = Self {
@@ -295,7 +398,7 @@
         };
         for (service, entry) in SERVICES.iter().enumerate() {
             for number in 0..entry.targets {
-                deployment.start_target(service, number % ZONES.len(), seed);
+                deployment.start_target(service, number % ZONES.len(), seed, course);
             }
         }
         let regions: BTreeMap<&str, &str> = ZONES.into_iter().collect();
@@ -317,19 +420,24 @@
         deployment
     }
 
-    fn start_target(&mut self, service: usize, zone: usize, seed: u64) {
-        let target = Arc::new(Target {
-            service,
-            zone,
-            manner: Mutex::default(),
-            processes: Mutex::default(),
-            running: AtomicUsize::new(0),
-            seen: Mutex::default(),
-            silent_since: Mutex::default(),
-            arrivals: Mutex::default(),
+    fn start_target(&mut self, service: usize, zone: usize, seed: u64, course: Course) {
+        let mut target = Target::new(service, zone);
+        let arrivals = (course == Course::Held).then(|| {
+            let (runner, address, arrivals) = Process::start(service);
+            target.runner = Some(Mutex::new(runner));
+            (address, arrivals)
         });
-        let responder = target.clone();
-        let address = start_target(move |headers| responder.respond(headers));
+        let target = Arc::new(target);
+        let recorder = target.clone();
+        let address = match arrivals {
+            Some((address, arrivals)) => {
+                thread::spawn(move || {
+                    arrivals.for_each(|arrival| lock(&recorder.arrivals).push(arrival));
+                });
+                address
+            }
+            None => start_target(move |headers| recorder.respond(headers)),
+        };
         let index = self.targets.len();
         let mut links = BTreeMap::new();
         for region in ["arq", "lim", "cus"] {
@@ -360,7 +468,9 @@
 
     fn register(&mut self, target: usize, address: SocketAddr) {
         let process = self.process(target);
-        lock(&self.targets[target].processes).insert(process.clone());
+        self.targets[target].set_processes(|processes| {
+            processes.insert(process.clone());
+        });
         self.store
             .put("servers", &process, self.entry(target, address, "ready"));
     }
@@ -397,9 +507,12 @@
             if now < departure.ends_at {
                 continue;
             }
-            if lock(&self.targets[target].processes).remove(&process) {
+            if lock(&self.targets[target].processes).contains(&process) {
+                self.targets[target].set_processes(|processes| {
+                    processes.remove(&process);
+                });
                 self.store.remove("servers", &process);
-                *lock(&self.targets[target].manner) = Manner::Normal;
+                self.targets[target].set_manner(Manner::Normal);
             }
             if !departure.is_replaced && now >= departure.ends_at + REUSE_PAUSE {
                 departure.is_replaced = true;
@@ -486,7 +599,7 @@
     let end = now + Duration::from_secs_f64(rng.random_range(0.5..4.0));
     let kinds = match course {
         Course::Hosts => 0..8,
-        Course::Targets | Course::Silence => 0..12,
+        Course::Targets | Course::Silence | Course::Held => 0..12,
         Course::Store if is_early => 0..16,
         Course::Store => 0..12,
     };
@@ -547,15 +660,15 @@
             },
         ),
         8..=11 => {
-            if deployment.is_leaving(target) && course != Course::Silence {
+            if deployment.is_leaving(target) && !course.has_silences() {
                 return None;
             }
             let manner = [Manner::WrongId, Manner::Close, Manner::Fail, Manner::Slow][kind - 8];
-            *lock(&deployment.targets[target].manner) = manner;
+            deployment.targets[target].set_manner(manner);
             return Some((
                 end,
                 Box::new(move |deployment| {
-                    *lock(&deployment.targets[target].manner) = Manner::Normal;
+                    deployment.targets[target].set_manner(Manner::Normal);
                 }),
             ));
         }
@@ -591,7 +704,7 @@
 /// Runs one seed; returns descriptions of the requests that reached targets later than they may.
 pub fn run_seed(seed: u64, course: Course, size: Size) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut deployment = Deployment::new(seed);
+    let mut deployment = Deployment::new(seed, course);
     let callers = Callers::start(&deployment, seed, size.load);
     thread::sleep(WARM_UP);
     let started_at = Instant::now();
@@ -606,8 +719,8 @@
             let is_pending = leaving_silently.iter().any(|(_, other)| *other == target);
             if !deployment.is_leaving(target) && !is_pending {
                 let silence = Duration::from_secs_f64(rng.random_range(0.0..2.5));
-                if course == Course::Silence && rng.random_bool(0.3) {
-                    *lock(&deployment.targets[target].manner) = Manner::Silent;
+                if course.has_silences() && rng.random_bool(0.3) {
+                    deployment.targets[target].set_manner(Manner::Silent);
                     *lock(&deployment.targets[target].silent_since) = Some(now);
                     leaving_silently.push((now + silence, target));
                 } else {
@@ -621,7 +734,7 @@
             endings.push((
                 now + DRAIN + MAX_LINGERING / 4,
                 Box::new(move |deployment| {
-                    *lock(&deployment.targets[target].manner) = Manner::Normal;
+                    deployment.targets[target].set_manner(Manner::Normal);
                 }),
             ));
         }
--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -50,16 +50,19 @@
     let Some(process) = process else {
         return;
     };
-    log::target_leaving(&target_id(host, target), "answer");
+    let id = target_id(host, target);
+    log::target_leaving(&id, "answer");
+    host.core.borrow_mut().log_unread(now(), &id);
     tell_all(host, Datagram::Leaving(vec![process]));
 }
 
 /// Records the processes that another host knows to shut down.
 pub(crate) fn apply_leaving(host: &Host, processes: &[u64]) {
-    let fleet = &mut host.core.borrow_mut().fleet;
+    let core = &mut *host.core.borrow_mut();
     for process in processes {
-        if let Some(target) = fleet.merge_leaving(now(), *process) {
+        if let Some(target) = core.fleet.merge_leaving(now(), *process) {
             log::target_leaving(&target, "host");
+            core.log_unread(now(), &target);
         }
     }
 }
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -16,7 +16,7 @@
 use crate::catalog::Repeat;
 use crate::inventory::TargetKey;
 use crate::port::Answer;
-use crate::steer::fleet::{End, Member, Observation};
+use crate::steer::fleet::{End, Member, Observation, Unread};
 use bytes::Bytes;
 use http::{response, HeaderValue, Method, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
@@ -56,6 +56,15 @@
     /// request ends.
     pub(crate) process_digest: u64,
     observation: Observation,
+    sent: Option<Sent>,
+}
+
+/// A request that was sent, for the log.
+struct Sent {
+    id: Option<Arc<str>>,
+    at: Instant,
+    is_to_silent: bool,
+    transfer: Rc<Transfer>,
 }
 
 impl InFlight {
@@ -68,6 +77,36 @@
             started_at: now(),
             end: End::Cancelled,
             observation,
+            sent: None,
+        }
+    }
+
+    /// Records that a request is sent over a connection.
+    fn record_sent(&mut self, exchange: &Exchange, connection: &Connection) {
+        let now = now();
+        self.sent = Some(Sent {
+            id: exchange.head.id.clone(),
+            at: now,
+            is_to_silent: self.host.core.borrow().fleet.is_silent(now, self.target),
+            transfer: connection.transfer(),
+        });
+    }
+
+    /// Records a request that was given up and may still be read by the target.
+    fn record_unread(&mut self) {
+        let is_given_up = matches!(
+            self.end,
+            End::Cancelled | End::Recalled | End::Silent | End::TimedOut
+        );
+        if let Some(sent) = self.sent.take().filter(|_| is_given_up) {
+            let unread = Unread {
+                id: sent.id.unwrap_or_default(),
+                sent_at: sent.at,
+                is_to_silent: sent.is_to_silent,
+                is_undelivered: sent.transfer.is_undelivered(),
+            };
+            let fleet = &mut self.host.core.borrow_mut().fleet;
+            fleet.record_unread(self.target, unread);
         }
     }
 
@@ -97,6 +136,7 @@
                 log::ejection_changed(member.id(), change);
             }
         }
+        self.record_unread();
         links::update(&self.host);
     }
 }
@@ -174,6 +214,7 @@
     let (host, exchange) = (attempt.host, attempt.exchange);
     let request = message::build_target_request(host, exchange, attempt.service, body, &id);
     let sent_at = now();
+    attempt.in_flight.record_sent(exchange, &connection);
     let recall = wait_for_recall(host, attempt.in_flight.target, connection.transfer());
     let answer = async {
         tokio::select! {
@@ -187,6 +228,7 @@
     let outcome = match head {
         Ok(response) => {
             in_flight.observation.response_time = Some(now().saturating_duration_since(sent_at));
+            in_flight.sent = None;
             receive_response(host, exchange, &mut in_flight, connection, response).await
         }
         Err(outcome) => outcome,
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -350,6 +350,7 @@
         if registration.state == State::Draining {
             self.fleet.record_departure(now, id);
             self.log_departure(now, Event::Draining, id, Outage::None);
+            self.log_unread(now, id);
         } else if self.fleet.is_draining(id) {
             spdlog::warn!("core: a draining target is registered as ready again", kv: {
                 event = Event::ReadyAgain.as_str(),
@@ -392,6 +393,7 @@
     /// run, as its registration may have expired during a store outage.
     fn withdraw_target(&mut self, now: Instant, id: &str, outage: Outage, may_have_expired: bool) {
         self.fleet.record_departure(now, id);
+        self.log_unread(now, id);
         if may_have_expired {
             self.update_return_deadline(now);
             self.fleet.mark_lapsed(id, now + REREGISTRATION_GRACE);
@@ -415,6 +417,13 @@
         });
     }
 
+    /// Logs the requests that a target which leaves may not have read yet.
+    pub(crate) fn log_unread(&mut self, now: Instant, id: &str) {
+        if let Some(unanswered) = self.fleet.take_unread(now, id) {
+            log::target_unread(now, id, &unanswered);
+        }
+    }
+
     /// Logs the targets in changed entries that this host does not know.
     fn log_registrations(&self, entries: &[Entry]) {
         for entry in entries {
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -22,7 +22,7 @@
 use crate::inventory::{Registration, TargetKey};
 use crate::panic;
 use crate::port::Kind;
-use crate::steer::fleet::{EjectionChange, Silence};
+use crate::steer::fleet::{EjectionChange, Silence, Unanswered, Unread};
 use crate::steer::quarantine::Notice;
 
 /// Capacity of the queue in lines: some seconds at the limits below.
@@ -69,6 +69,8 @@
     Rejected => "request.rejected",
     /// An attempt of a request ended after this host had learned that its target leaves.
     AfterDeparture => "target.after-departure",
+    /// A target leaves that may not have read some requests yet.
+    Unread => "target.unread",
     /// A target's answer carries the ID of another request.
     StrayAnswer => "target.stray-answer",
     /// A target's answer has an unknown header.
@@ -393,6 +395,30 @@
     });
 }
 
+/// Logs the requests that were given up at a target which leaves, since its last answer. They may
+/// reach it later.
+pub(crate) fn target_unread(now: Instant, id: &str, unanswered: &Unanswered) {
+    let requests = &unanswered.requests;
+    let count = |is_counted: fn(&Unread) -> bool| {
+        requests.iter().filter(|unread| is_counted(unread)).count() as u64
+    };
+    let age_ms = |unread: Option<&Unread>| {
+        let age = unread.map(|unread| now.saturating_duration_since(unread.sent_at));
+        age.map_or(0, |age| age.as_millis() as u64)
+    };
+    let ids = requests.iter().map(|unread| &*unread.id);
+    spdlog::info!("a target leaves that may not have read some requests", kv: {
+        event = Event::Unread.as_str(),
+        requests = ids.collect::<Vec<_>>().join(" ").as_str(),
+        target = id,
+        first_sent_ms = age_ms(requests.first()),
+        last_sent_ms = age_ms(requests.last()),
+        heard_ms = unanswered.heard.map_or(u64::MAX, |heard| heard.as_millis() as u64),
+        sent_to_silent = count(|unread| unread.is_to_silent),
+        undelivered = count(|unread| unread.is_undelivered)
+    });
+}
+
 /// Logs that the host starts or stops watching the store.
 pub(crate) fn watching_changed(is_watching: bool) {
     spdlog::info!("the host starts or stops watching the store", kv: {
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -28,6 +28,7 @@
 mod silence;
 mod speed;
 mod switches;
+mod unread;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -64,6 +65,7 @@
 pub use self::silence::Silence;
 pub use self::speed::parse_slowdown;
 pub use self::switches::Switches;
+pub use self::unread::{Unanswered, Unread};
 
 /// A request for which a target is to be selected.
 #[derive(Clone, Debug)]
@@ -346,6 +348,7 @@
             silent_since: None,
             unanswered: 0,
             heard_at: None,
+            unread: Vec::new(),
             reported_silent_until: None,
             doubts: BTreeMap::new(),
             silence_told_at: None,
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -9,6 +9,7 @@
 
 use super::silence::Recheck;
 use super::speed::SlowdownReport;
+use super::unread::Unread;
 use crate::inventory::Registration;
 use crate::steer::eject::OutlierDetector;
 use crate::steer::rest::Rest;
@@ -74,6 +75,8 @@
     pub(super) unanswered: u32,
     /// When this host last knew that it answers.
     pub(super) heard_at: Option<Instant>,
+    /// The last requests that were given up since its last answer.
+    pub(super) unread: Vec<Unread>,
     /// Until when it counts as silent, as another host says.
     pub(super) reported_silent_until: Option<Instant>,
     /// Hosts at which a request waits for it in vain, and until when that counts.
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -304,6 +304,7 @@
         self.reported_silent_until = None;
         self.doubts.clear();
         self.unanswered = 0;
+        self.unread.clear();
         self.recheck.reset();
     }
 
