Hosts ask each other about late targets and decide together which are silent

Callers: requests went on for 0.4 to 1.9 s to targets that stood still, and reached them after they had left; sound targets were taken for silent, and since hosts tell each other of silences, left by all of them.

Cause: a host judged a target by the time since its own last answer, against the longest time of its service. Most answers of a target go to other hosts, so that limit has to be long, and is wrong all the same where requests queue.

A host whose request takes 1.5 times as long as usual (by its object, the target's queue and speed) now asks up to eight hosts in the target's region. An answer to one of them within the usual gap between two answers clears it. If nobody had one and two requests wait, these hosts send it no new ones for 0.2 s. Only if two requests are overdue and nobody has had an answer for longer than its service takes (0.4 s at least) are all hosts told, and whoever has heard it objects. With replies of less than half of those asked nothing is concluded. Requests of one host decide alone only while others do not reply, and after twice the time if the target answers others.

Tests: what hosts tell each other is found out by questions now, so the tests of doubts that one host counts are replaced by those of questions and replies, and a host that hears nobody, an objection and a limit on questions are new. The case that two requests of one host are told without a question is gone.

--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -461,6 +461,18 @@
         others.map(|record| record.peers).collect()
     }
 
+    /// The heartbeat addresses of the hosts that are most likely to send requests to the targets of
+    /// a region: the live ones there, or all others if there is none.
+    pub fn witnesses(&self, now: Instant, region: &Arc<str>) -> Vec<SocketAddr> {
+        let others = || self.live_peers(now).map(|peer| &peer.record);
+        let near = others().filter(|record| self.region(record) == region);
+        let near: Vec<_> = near.map(|record| record.peers).collect();
+        if near.is_empty() {
+            return others().map(|record| record.peers).collect();
+        }
+        near
+    }
+
     /// The hosts that can serve callers: alive and not known to lack a configuration.
     pub fn serving(&self, now: Instant) -> impl Iterator<Item = &HostRecord> {
         let own = (!self.is_leaving && self.store_view > StoreView::Nothing).then_some(&self.own);
--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -15,10 +15,14 @@
 use crate::port::Answer;
 use crate::steer::announcement::{Announcement, RequestedRest};
 use crate::steer::departures::Numbered;
-use crate::steer::fleet::Silence;
+use crate::steer::fleet::{Finding, Member, Silence, Testimony};
 
 /// Processes that are named in one datagram, drawn at random: as many as fit.
 const PROCESSES_PER_DATAGRAM: usize = 64;
+/// Maximum hosts that are asked about one target.
+const MAX_WITNESSES: usize = 8;
+/// Time for a reply within a region. A host that gets little processor time replies late.
+const MAX_REPLY_TIME: Duration = Duration::from_millis(60);
 
 /// The target whose process sent an answer: the one that the answer names, or the one that the
 /// request was sent to unless the answer says that another one has its address.
@@ -144,53 +148,111 @@
     }
 }
 
-/// Tells all hosts of targets that have fallen silent, or answer again.
+/// Tells all hosts of targets that are still silent, or answer again.
 pub(crate) fn tell_silences(host: &Rc<Host>) {
     let silences = host.core.borrow_mut().fleet.silences_to_tell(now());
     for chunk in silences.chunks(PROCESSES_PER_DATAGRAM) {
         for silence in chunk {
-            log::target_silent(host, *silence, "requests");
+            log::target_silent(host, *silence, "hosts");
         }
         tell_all(host, Datagram::Silent(chunk.to_vec()));
     }
 }
 
-/// Tells the hosts that count, one of which this one may be, that a request waits in vain for a
-/// target.
-pub(crate) fn tell_doubt(host: &Rc<Host>, target: TargetKey) {
-    let Some(doubt) = host.core.borrow().fleet.doubt(now(), target) else {
-        return;
+/// Logs whether a target is silent by this host's requests alone, if that has changed.
+pub(crate) fn note_silence(host: &Host, target: TargetKey) {
+    let change = {
+        let fleet = &mut host.core.borrow_mut().fleet;
+        fleet.note_silence(now(), target)
+    };
+    if let Some(silence) = change {
+        log::target_silent(host, silence, "requests");
+    }
+}
+
+/// Tells all hosts at once if a target answers again that they were told is silent.
+pub(crate) fn tell_end_of_silence(host: &Rc<Host>, target: TargetKey) {
+    note_silence(host, target);
+    let is_over = {
+        let fleet = &host.core.borrow().fleet;
+        fleet.is_silence_over(now(), target)
+    };
+    if is_over {
+        tell_silences(host);
+    }
+}
+
+/// Asks hosts that send to the same target whether it answers, once it has sent this host no answer
+/// for longer than `patience`.
+pub(crate) fn ask(host: &Rc<Host>, target: TargetKey, patience: Duration) {
+    let (question, witnesses) = {
+        let core = &mut *host.core.borrow_mut();
+        let Some(question) = core.fleet.ask(now(), target, patience) else {
+            return;
+        };
+        let region = core.fleet.member(target).map(Member::region);
+        let witnesses = region.map(|region| core.presence.witnesses(now(), region));
+        let witnesses = witnesses.unwrap_or_default().into_iter();
+        let witnesses: Vec<_> = witnesses.sample(&mut core.rng, MAX_WITNESSES);
+        core.fleet.expect_replies(target, witnesses.len());
+        (question, witnesses)
     };
+    if witnesses.is_empty() {
+        return;
+    }
     let state = host.clone();
     task::spawn(host, "announcement", async move {
-        let counters = {
-            let core = state.core.borrow();
-            core.presence.counting_hosts(now(), doubt.0)
+        let wait = {
+            let fleet = &state.core.borrow().fleet;
+            MAX_REPLY_TIME + fleet.round_trip_time(target) * 2
         };
-        datagram::send(&state, &Datagram::Waiting(doubt), &counters).await;
+        datagram::send(&state, &Datagram::Question(question), &witnesses).await;
+        tokio::time::sleep(wait).await;
+        let finding = state.core.borrow_mut().fleet.conclude(now(), target);
+        tell_finding(&state, finding);
     });
 }
 
-/// Counts a request of another host that waits in vain for a target. Tells all hosts if the target
-/// counts as silent by that.
-pub(crate) fn apply_doubt(host: &Rc<Host>, from: IpAddr, doubt: Silence) {
-    let is_silent = {
+/// Replies to a question about a target.
+pub(crate) async fn testify(host: &Host, sender: SocketAddr, question: Silence) {
+    let testimony = host.core.borrow_mut().fleet.testify(now(), question);
+    if let Some(testimony) = testimony {
+        datagram::send(host, &Datagram::Testimony(testimony), &[sender]).await;
+    }
+}
+
+/// Records the reply to a question.
+pub(crate) fn hear(host: &Rc<Host>, from: IpAddr, testimony: Testimony) {
+    let finding = {
         let fleet = &mut host.core.borrow_mut().fleet;
-        fleet.merge_doubt(now(), from, doubt)
+        fleet.hear(now(), from, testimony)
     };
-    if is_silent {
-        log::target_silent(host, doubt, "hosts");
-        tell_all(host, Datagram::Silent(vec![doubt]));
-    }
+    tell_finding(host, finding);
 }
 
-/// Records what another host has found out about silent targets.
-pub(crate) fn apply_silences(host: &Host, silences: &[Silence]) {
+fn tell_finding(host: &Rc<Host>, finding: Finding) {
+    let (Finding::Silent(silence) | Finding::Answers(silence)) = finding else {
+        return;
+    };
+    log::target_silent(host, silence, "hosts");
+    tell_all(host, Datagram::Silent(vec![silence]));
+}
+
+/// Records what another host has found out about silent targets, and tells it of those that have
+/// answered this host since.
+pub(crate) async fn apply_silences(host: &Host, sender: SocketAddr, silences: &[Silence]) {
     for silence in silences {
-        let is_new = host.core.borrow_mut().fleet.merge_silence(now(), *silence);
+        let (is_new, objection) = {
+            let fleet = &mut host.core.borrow_mut().fleet;
+            let is_new = fleet.merge_silence(now(), *silence);
+            (is_new, fleet.objection(now(), *silence))
+        };
         if is_new {
             log::target_silent(host, *silence, "host");
         }
+        if let Some(objection) = objection {
+            datagram::send(host, &Datagram::Testimony(objection), &[sender]).await;
+        }
     }
 }
 
--- a/src/host/attempt.rs
+++ b/src/host/attempt.rs
@@ -30,6 +30,8 @@
 /// Interval at which a request that waits for its answer is checked for whether it has to be
 /// recalled. An acknowledgement takes less, unless packets are lost repeatedly.
 const RECALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a request whose answer is late is checked for whether its target is silent.
+const WAITING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Result of one attempt.
 pub(crate) enum Outcome {
@@ -57,6 +59,7 @@
     pub(crate) process_digest: u64,
     observation: Observation,
     sent: Option<Sent>,
+    is_overdue: bool,
 }
 
 /// A request that was sent, for the log.
@@ -78,6 +81,7 @@
             end: End::Cancelled,
             observation,
             sent: None,
+            is_overdue: false,
         }
     }
 
@@ -92,6 +96,14 @@
         });
     }
 
+    /// Records that the answer takes longer than usual.
+    fn record_overdue(&mut self) {
+        if !std::mem::replace(&mut self.is_overdue, true) {
+            let fleet = &mut self.host.core.borrow_mut().fleet;
+            fleet.record_overdue(self.target);
+        }
+    }
+
     /// Records a request that was given up and may still be read by the target.
     fn record_unread(&mut self) {
         let is_given_up = matches!(
@@ -125,6 +137,9 @@
         }
         {
             let core = &mut *self.host.core.borrow_mut();
+            if self.is_overdue {
+                core.fleet.finish_overdue(self.target);
+            }
             let change = core.fleet.finish(
                 now(),
                 self.target,
@@ -204,6 +219,8 @@
     /// Its number among those of its request.
     pub(crate) index: Index,
     pub(crate) monitor: Rc<Monitor>,
+    /// How long it may wait for its answer until other hosts are asked about the target.
+    pub(crate) patience: Option<Duration>,
 }
 
 /// Sends a request over a connection and waits for the answer.
@@ -261,11 +278,11 @@
     let (host, exchange) = (attempt.host, attempt.exchange);
     let in_flight = &mut attempt.in_flight;
     let mut answer = pin!(answer);
+    let mut pause = attempt.patience;
     loop {
-        let max_silence = host.core.borrow().fleet.silence_limit(attempt.service);
-        let check_at =
-            now() + max_silence.unwrap_or(exchange.deadline.saturating_duration_since(now()));
-        let until = check_at.min(exchange.deadline);
+        let left = exchange.deadline.saturating_duration_since(now());
+        let until = now() + pause.unwrap_or(left).min(left);
+        pause = pause.map(|_| WAITING_CHECK_INTERVAL);
         match tokio::time::timeout_at(until.into(), &mut answer).await {
             Ok(Some(Ok(response))) => {
                 in_flight.end = End::Cancelled;
@@ -301,12 +318,15 @@
             }
             return Err(Outcome::TimedOut);
         }
-        if !is_silent {
-            announcement::tell_doubt(host, in_flight.target);
+        if let Some(patience) = attempt.patience {
+            in_flight.record_overdue();
+            announcement::ask(host, in_flight.target, patience);
         }
         attempt.monitor.set(attempt.index, is_silent);
         if is_silent {
-            record_silence(host, in_flight.target);
+            announcement::note_silence(host, in_flight.target);
+            let fleet = &mut host.core.borrow_mut().fleet;
+            fleet.record_reach(now(), in_flight.target, End::Silent);
             if may_repeat(exchange) {
                 attempt.monitor.notify();
             }
@@ -314,18 +334,6 @@
     }
 }
 
-/// Records that a target has not answered for too long, and tells all hosts if that is new.
-fn record_silence(host: &Rc<Host>, target: TargetKey) {
-    let is_new = {
-        let fleet = &mut host.core.borrow_mut().fleet;
-        fleet.record_reach(now(), target, End::Silent);
-        fleet.is_silence_untold(now(), target)
-    };
-    if is_new {
-        announcement::tell_silences(host);
-    }
-}
-
 /// Whether a request that may have run can be sent to another target.
 fn may_repeat(exchange: &Exchange) -> bool {
     exchange.route.repeat != Repeat::Never && exchange.buffered == Buffered::Complete
--- a/src/host/datagram.rs
+++ b/src/host/datagram.rs
@@ -14,7 +14,7 @@
 use crate::control::presence::{Heartbeat, Pulse, StoreView, INTERVAL};
 use crate::steer::allowance::{AccountUsage, Reporter};
 use crate::steer::departures::Numbered;
-use crate::steer::fleet::Silence;
+use crate::steer::fleet::{Silence, Testimony};
 use crate::steer::quarantine::Notice;
 use crate::steer::throttle::{Claim, Grant, RateUpdate};
 
@@ -75,9 +75,12 @@
     /// Processes of targets that answer nothing, or answer again.
     #[serde(rename = "s")]
     Silent(Vec<Silence>),
-    /// A request of the sender waits in vain for this process of a target.
+    /// Asks whether this process of a target has answered within a time.
     #[serde(rename = "w")]
-    Waiting(Silence),
+    Question(Silence),
+    /// The response to a [`Datagram::Question`], or to a [`Datagram::Silent`] that is wrong.
+    #[serde(rename = "h")]
+    Testimony(Testimony),
     /// Whether the sender is unable to reach targets.
     #[serde(rename = "u")]
     CutOff(bool),
@@ -358,10 +361,15 @@
             Ok(Datagram::Leaving(processes)) => announcement::apply_leaving(&host, &processes),
             Ok(Datagram::Removed(processes)) => announcement::apply_removed(&host, &processes),
             Ok(Datagram::Confirmed(processes)) => announcement::apply_confirmed(&host, &processes),
-            Ok(Datagram::Waiting(doubt)) => {
-                announcement::apply_doubt(&host, sender.ip(), doubt);
+            Ok(Datagram::Question(question)) => {
+                announcement::testify(&host, sender, question).await;
+            }
+            Ok(Datagram::Testimony(testimony)) => {
+                announcement::hear(&host, sender.ip(), testimony);
+            }
+            Ok(Datagram::Silent(silences)) => {
+                announcement::apply_silences(&host, sender, &silences).await;
             }
-            Ok(Datagram::Silent(silences)) => announcement::apply_silences(&host, &silences),
             Ok(Datagram::Returned(elapsed)) => {
                 if let Some(at) = now().checked_sub(Duration::from_millis(elapsed)) {
                     host.core.borrow_mut().record_unavailable(now(), at);
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -18,7 +18,7 @@
 use super::relay::{self, with_disposition, Disposition, Relay};
 use super::request_log::{self, RequestTrace, StopReason};
 use super::running::{Attempts, Ended, Monitor};
-use super::{answer, now, quarantine, throttle, Host};
+use super::{announcement, answer, now, quarantine, throttle, Host};
 use crate::border::settings::Switch;
 use crate::budget::Account;
 use crate::catalog::Repeat;
@@ -309,9 +309,17 @@
 
 /// Records how an attempt ended. Returns its outcome.
 fn finish_attempt(active: &mut ActiveRequest<'_>, ended: Ended) -> Outcome {
-    active.trace.finish_attempt(ended.index, &ended.in_flight);
-    quarantine::record_attempt_end(active.host, active.exchange, &ended.in_flight);
-    ended.outcome
+    let Ended {
+        index,
+        in_flight,
+        outcome,
+    } = ended;
+    active.trace.finish_attempt(index, &in_flight);
+    quarantine::record_attempt_end(active.host, active.exchange, &in_flight);
+    let target = in_flight.target;
+    drop(in_flight);
+    announcement::tell_end_of_silence(active.host, target);
+    outcome
 }
 
 /// Records the end of an attempt that was not answered. Returns why no further one may be made.
@@ -449,6 +457,10 @@
         }
     };
     active.trace.observe(&connection);
+    let patience = {
+        let fleet = &host.core.borrow().fleet;
+        fleet.patience(now(), target, &active.query)
+    };
     let payload = take_body(&mut progress.body).ok_or(StopReason::Body)?;
     progress.sent_to.push(target);
     progress.is_retry_paid = false;
@@ -459,6 +471,7 @@
         in_flight,
         index,
         monitor,
+        patience,
     };
     let sent = attempt::send(attempt, (connection, id, payload));
     Ok(Begun::Sent(Box::pin(sent)))
--- a/src/steer/fleet.rs
+++ b/src/steer/fleet.rs
@@ -15,6 +15,7 @@
 mod cold;
 mod cold_checks;
 mod cost;
+mod inquiry;
 mod member;
 mod object_locations;
 mod popularity;
@@ -39,6 +40,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use self::cold::FleetHost;
+use self::inquiry::QuestionCount;
 use self::member::{process_digest, LoadReport};
 use self::object_locations::ObjectLocations;
 use self::popularity::Popularity;
@@ -59,6 +61,7 @@
 
 pub use self::cold_checks::{CHECKERS_PER_TARGET, MAX_CHECK_FACTOR, MIN_CHECKS};
 pub use self::cost::Cost;
+pub use self::inquiry::{Finding, Testimony};
 pub use self::member::{Load, Member, TargetEstimate};
 pub use self::popularity::PopularObjects;
 pub use self::rate_limit::Permission;
@@ -195,6 +198,8 @@
     switches: Switches,
     /// Recent requests by service, if they share insufficient capacity.
     sharing: Option<BTreeMap<Arc<str>, Sharing>>,
+    /// Questions about targets that this host has asked others lately.
+    question_count: QuestionCount,
     /// Number of selections so far.
     query_count: u64,
     /// All live hosts including this one; empty while they are not known.
@@ -256,6 +261,7 @@
             own_host,
             switches: Switches::default(),
             sharing: None,
+            question_count: QuestionCount::default(),
             query_count: 0,
             region,
             regions,
@@ -347,10 +353,16 @@
             measured_slowdown: 1.0,
             silent_since: None,
             unanswered: 0,
+            overdue: 0,
             heard_at: None,
             unread: Vec::new(),
             reported_silent_until: None,
-            doubts: BTreeMap::new(),
+            answered_elsewhere_at: None,
+            question: None,
+            asked_at: None,
+            replied_until: None,
+            doubted_until: None,
+            is_silence_noted: false,
             silence_told_at: None,
             recheck: Recheck::default(),
             connect_failed_at: None,
--- a/src/steer/fleet/choice.rs
+++ b/src/steer/fleet/choice.rs
@@ -100,7 +100,10 @@
     /// Whether none of the reasons applies to a target.
     pub(super) fn admits(&self, now: Instant, member: &Member) -> bool {
         let is_missing = self.excludes_lapsed && member.lapsed_until.is_some();
-        !(is_missing || member.is_silent(now, self.silence_limit) || member.is_unreachable(now))
+        !(is_missing
+            || member.is_silent(now, self.silence_limit)
+            || member.is_doubted(now)
+            || member.is_unreachable(now))
     }
 }
 
--- a/src/steer/fleet/cost.rs
+++ b/src/steer/fleet/cost.rs
@@ -8,6 +8,7 @@
 use super::service_stats::ServiceStats;
 use super::{Fleet, Observation, TargetQuery};
 use crate::border::settings::Switch;
+use crate::duration;
 use crate::inventory::TargetKey;
 
 /// Assumed round trip to another region while it is not measured, in seconds.
@@ -85,6 +86,21 @@
         })
     }
 
+    /// Returns how long a request usually takes at a target, in seconds, with its wait for a slot;
+    /// `None` for an unknown target, and while the service's times are not known.
+    pub(super) fn usual_processing_time(
+        &self,
+        now: Instant,
+        key: TargetKey,
+        query: &TargetQuery<'_>,
+    ) -> Option<f64> {
+        let stats = self.stats(query.service);
+        stats.longest_service_time()?;
+        let terms = self.cost_terms(now, key, query, true)?;
+        let processing = stats.processing_time(self.may_be_uncached(now, key, query));
+        Some(terms.wait + processing + terms.slowdown)
+    }
+
     /// Whether the object of a request may be new to a target, as the target is not known to have
     /// it.
     fn may_be_uncached(&self, now: Instant, key: TargetKey, query: &TargetQuery<'_>) -> bool {
@@ -107,6 +123,12 @@
         }
     }
 
+    /// Returns the round trip to a target.
+    pub fn round_trip_time(&self, key: TargetKey) -> Duration {
+        let member = self.members.get(&key);
+        duration::from_seconds(member.map_or(0.0, |member| self.round_trip(member)))
+    }
+
     /// Returns the round trip to a target in seconds.
     fn round_trip(&self, member: &Member) -> f64 {
         let measured = self.round_trips.get(&member.region).copied();
--- a/src/steer/fleet/member.rs
+++ b/src/steer/fleet/member.rs
@@ -1,12 +1,12 @@
 //! State of one target at this host.
 
-use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::inquiry::Question;
 use super::silence::Recheck;
 use super::speed::SlowdownReport;
 use super::unread::Unread;
@@ -73,14 +73,25 @@
     pub(super) silent_since: Option<Instant>,
     /// Requests that were given up after it had been silent for too long, since its last answer.
     pub(super) unanswered: u32,
+    /// Requests of this host that have waited for it longer than usual.
+    pub(super) overdue: u32,
     /// When this host last knew that it answers.
     pub(super) heard_at: Option<Instant>,
     /// The last requests that were given up since its last answer.
     pub(super) unread: Vec<Unread>,
     /// Until when it counts as silent, as another host says.
     pub(super) reported_silent_until: Option<Instant>,
-    /// Hosts at which a request waits for it in vain, and until when that counts.
-    pub(super) doubts: BTreeMap<IpAddr, Instant>,
+    /// When it last answered another host, as that host says.
+    pub(super) answered_elsewhere_at: Option<Instant>,
+    /// What this host is asking others about it, and when it last asked.
+    pub(super) question: Option<Question>,
+    pub(super) asked_at: Option<Instant>,
+    /// Until when the last replies count that no other host had an answer either.
+    pub(super) replied_until: Option<Instant>,
+    /// Until when it gets no new requests, as no host is known to have had an answer.
+    pub(super) doubted_until: Option<Instant>,
+    /// Whether the log says that it is silent by this host's requests.
+    pub(super) is_silence_noted: bool,
     /// When this host last told the others that it is silent.
     pub(super) silence_told_at: Option<Instant>,
     /// Health checks of the silent target.
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -6,15 +6,13 @@
 //! while there are other targets, and requests that may be repeated are sent elsewhere. That lasts
 //! until it answers, also once all of these requests are given up: its kernel may have acknowledged
 //! them, and whatever it is sent meanwhile is read when it continues, even after it has announced
-//! its shutdown. Health checks find out when it answers again. What one host has found out it tells
-//! the others: each of them would send requests that may run once and lose them, and a host with few
-//! requests would find out late. Where each host has a single request waiting, one host in each
-//! availability zone counts them. A host that has had an answer since ignores all that. Targets to
-//! which no connection can be opened are skipped for a moment as well. With two of four targets of
-//! a region without power, at most half as many requests are lost as without this detection (replay
-//! in virtual time).
-
-use std::net::IpAddr;
+//! its shutdown. Health checks find out when it answers again. Hosts find out together, and sooner
+//! than one of them could, see [`super::inquiry`], and tell all others: each of them would send
+//! requests that may run once and lose them. A host that has had an answer since ignores that and
+//! says so. Targets to which no connection can be opened are skipped for a moment as well. With two
+//! of four targets of a region without power, at most half as many requests are lost as without this
+//! detection (replay in virtual time).
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -29,20 +27,22 @@
 /// Maximum silence of a target in multiples of its service's peak service time.
 const SILENCE_FACTOR: f64 = 1.5;
 /// Lower bound of the silence limit: lost packets are retransmitted after 0.2 s and more.
-const MIN_SILENCE_LIMIT: Duration = Duration::from_millis(400);
+pub(super) const MIN_SILENCE_LIMIT: Duration = Duration::from_millis(400);
 /// Time for which a target is skipped after a failed connection: it stays registered for seconds
 /// after a crash, and each request that tries it loses a round trip.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Requests that have to be in flight at a silent target: a single one may concern an object that
 /// takes long.
-const MIN_SILENT_REQUESTS: u32 = 2;
+pub(super) const MIN_SILENT_REQUESTS: u32 = 2;
 
 /// Interval at which the other hosts are told that a target is still silent.
 const TELL_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time for which such a report counts: two intervals, as one may be lost.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2000);
-/// Maximum hosts whose waiting requests are counted for one target.
-const MAX_DOUBTS: usize = 8;
+
+/// Factor on the limit of silence for targets that answer other hosts: they are late here, or cannot
+/// be reached from this host.
+const LATE_FACTOR: u32 = 2;
 
 /// Shortest and longest time between two health checks of a silent target.
 const MIN_RECHECK_INTERVAL: Duration = Duration::from_millis(400);
@@ -89,33 +89,27 @@
 );
 
 impl Silence {
-    fn new(process: u64, age: Duration) -> Self {
+    pub(super) fn new(process: u64, age: Duration) -> Self {
         Self(process, u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 }
 
 impl Fleet {
-    /// Returns what the other hosts should be told about silent targets. While this host may have
-    /// lost its own links, silence is no evidence against targets.
+    /// Returns what the other hosts should be told of targets that this host has told them are silent:
+    /// that they still are, or answer again.
     pub fn silences_to_tell(&mut self, now: Instant) -> Vec<Silence> {
-        if !self.reaches_targets() || self.suspects_links() {
-            return Vec::new();
-        }
         let mut due = Vec::new();
         for (key, member) in &self.members {
-            let is_told = member.silence_told_at.is_some();
-            if !is_told && !member.has_silent_requests() {
+            let Some(told_at) = member.silence_told_at else {
                 continue;
-            }
+            };
             let limit = self.silence_limit(member.service());
-            let is_silent = member.is_silent_here(now, limit) && self.is_available(member);
-            if is_silent && !member.is_reported_silent(now) {
-                let told_at = member.silence_told_at;
-                if told_at.is_none_or(|at| now.saturating_duration_since(at) >= TELL_INTERVAL) {
-                    due.push((*key, Some(now)));
-                }
-            } else if is_told && !is_silent {
+            if !member.is_silent(now, limit) || !self.is_available(member) {
                 due.push((*key, None));
+            } else if now.saturating_duration_since(told_at) >= TELL_INTERVAL
+                && member.is_silent_here(now, limit)
+            {
+                due.push((*key, Some(now)));
             }
         }
         let told = due.into_iter().filter_map(|(key, told_at)| {
@@ -128,53 +122,27 @@
         told.collect()
     }
 
-    /// Whether this host has found a target silent, and no host has told the others.
-    pub fn is_silence_untold(&self, now: Instant, key: TargetKey) -> bool {
+    /// Whether a target answers again that this host has told the others is silent.
+    pub fn is_silence_over(&self, now: Instant, key: TargetKey) -> bool {
         self.members.get(&key).is_some_and(|member| {
             let limit = self.silence_limit(member.service());
-            member.silence_told_at.is_none()
-                && !member.is_reported_silent(now)
-                && member.is_silent_here(now, limit)
+            member.silence_told_at.is_some() && !member.is_silent(now, limit)
         })
     }
 
-    /// Returns what the hosts that count should be told if a request waits in vain for a target that
-    /// does not count as silent yet.
-    pub fn doubt(&self, now: Instant, key: TargetKey) -> Option<Silence> {
-        if !self.reaches_targets() || self.suspects_links() {
+    /// Returns a change of whether a target is silent by this host's requests alone, for the log.
+    pub fn note_silence(&mut self, now: Instant, key: TargetKey) -> Option<Silence> {
+        let limit = self.silence_limit(self.members.get(&key)?.service());
+        let member = self.members.get_mut(&key)?;
+        let is_silent = member.is_silent_here(now, limit);
+        let is_new = is_silent && !member.is_reported_silent(now);
+        if is_new == member.is_silence_noted || (is_silent && member.is_silence_noted) {
             return None;
         }
-        let member = self.members.get(&key)?;
-        let limit = self.silence_limit(member.service());
-        let is_doubtful = member.exceeds_silence(now, limit) && !member.is_silent(now, limit);
-        let age = now.saturating_duration_since(member.silent_since?);
-        (is_doubtful && self.is_available(member)).then(|| Silence::new(member.process, age))
-    }
-
-    /// Records that a request of the host at `from` waits in vain for a target. Returns whether the
-    /// target counts as silent by that, and did not before.
-    pub fn merge_doubt(&mut self, now: Instant, from: IpAddr, doubt: Silence) -> bool {
-        let Silence(process, age_ms) = doubt;
-        let Some(key) = self.process_key(process) else {
-            return false;
-        };
-        let member = self.members.get(&key);
-        let limit = member.and_then(|member| self.silence_limit(member.service()));
-        let Some(member) = self.members.get_mut(&key) else {
-            return false;
-        };
-        if member.has_answered_within(now, age_ms) {
-            return false;
-        }
-        member.doubts.retain(|_, until| now < *until);
-        if member.doubts.len() < MAX_DOUBTS {
-            member.doubts.insert(from, now + REPORT_LIFETIME);
-        }
-        let own = usize::from(member.has_waiting_requests() && member.exceeds_silence(now, limit));
-        if own + member.doubts.len() < MIN_SILENT_REQUESTS as usize {
-            return false;
-        }
-        member.report_silent(now)
+        member.is_silence_noted = is_new;
+        let since = member.silent_since.filter(|_| is_new);
+        let age = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        Some(Silence::new(member.process, age))
     }
 
     /// Records what another host has found out about a target. Returns whether the target counts as
@@ -192,7 +160,7 @@
         !member.has_answered_within(now, age_ms) && member.report_silent(now)
     }
 
-    fn process_key(&self, process: u64) -> Option<TargetKey> {
+    pub(super) fn process_key(&self, process: u64) -> Option<TargetKey> {
         let mut members = self.members.iter();
         let (key, _) = members.find(|(_, member)| member.process == process)?;
         Some(*key)
@@ -259,30 +227,28 @@
     }
 
     /// Whether this host knows that it answered within the last milliseconds.
-    fn has_answered_within(&self, now: Instant, age_ms: u64) -> bool {
+    pub(super) fn has_answered_within(&self, now: Instant, age_ms: u64) -> bool {
         self.heard_at > now.checked_sub(Duration::from_millis(age_ms))
     }
 
     /// Records that other hosts have found it silent. Returns whether that is new.
-    fn report_silent(&mut self, now: Instant) -> bool {
+    pub(super) fn report_silent(&mut self, now: Instant) -> bool {
         let is_new = !self.is_reported_silent(now);
         self.reported_silent_until = Some(now + REPORT_LIFETIME);
         is_new
     }
 
-    /// Whether another host has found it silent.
-    fn is_reported_silent(&self, now: Instant) -> bool {
+    /// Whether several hosts have found it silent together.
+    pub(super) fn is_reported_silent(&self, now: Instant) -> bool {
         self.reported_silent_until.is_some_and(|until| now < until)
     }
 
     /// Whether it has sent this host no answer for longer than `silence_limit`, or a multiple of it
     /// while it is slow; `false` without a limit.
     fn is_silent_here(&self, now: Instant, silence_limit: Option<Duration>) -> bool {
-        self.has_silent_requests() && self.exceeds_silence(now, silence_limit)
-    }
-
-    fn has_waiting_requests(&self) -> bool {
-        self.in_flight > 0 || self.unanswered > 0
+        self.has_silent_requests()
+            && !self.is_judged_together(now)
+            && self.exceeds_silence(now, silence_limit)
     }
 
     /// Whether as many requests wait at it or were given up there as a silence needs.
@@ -302,7 +268,8 @@
         self.silent_since = Some(now);
         self.heard_at = Some(now);
         self.reported_silent_until = None;
-        self.doubts.clear();
+        self.doubted_until = None;
+        self.question = None;
         self.unanswered = 0;
         self.unread.clear();
         self.recheck.reset();
@@ -318,6 +285,11 @@
                 } else {
                     silence_limit
                 };
+                let silence_limit = if self.has_answered_elsewhere() {
+                    silence_limit * LATE_FACTOR
+                } else {
+                    silence_limit
+                };
                 now.saturating_duration_since(since) > silence_limit
             }
             _ => false,
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -3,11 +3,14 @@
 #![allow(clippy::unwrap_used)]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ragwortfold::inventory::{Registration, State, TargetKey};
-use ragwortfold::steer::fleet::{End, Fleet, Observation, Silence, TargetQuery};
+use ragwortfold::steer::fleet::{
+    End, Finding, Fleet, Observation, Silence, TargetQuery, Testimony,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -16,6 +19,8 @@
 const ANSWERS: u64 = 100;
 /// Longer than answers take, also twice as long as a silence that is noticed.
 const SILENCE: Duration = Duration::from_millis(900);
+/// How long a request waits until other hosts are asked about its target.
+const PATIENCE: Duration = Duration::from_millis(100);
 
 /// A host with two targets that have answered requests.
 struct World {
@@ -111,6 +116,26 @@
         }
     }
 
+    /// Lets requests wait at a target for longer than usual.
+    fn wait(&mut self, id: &str, requests: usize) {
+        self.now += SILENCE;
+        let key = self.key(id);
+        (0..requests).for_each(|_| self.fleet.record_overdue(key));
+    }
+
+    /// Asks other hosts about a target, if that is due.
+    fn ask(&mut self, id: &str, witnesses: usize) -> Option<Silence> {
+        let key = self.key(id);
+        let question = self.fleet.ask(self.now, key, PATIENCE)?;
+        self.fleet.expect_replies(key, witnesses);
+        Some(question)
+    }
+
+    /// Receives the reply of another host.
+    fn hear(&mut self, from: u8, testimony: Testimony) -> Finding {
+        self.fleet.hear(self.now, host(from), testimony)
+    }
+
     /// The targets of some requests, all of which are answered.
     fn used(&mut self) -> BTreeSet<Arc<str>> {
         let mut used = BTreeSet::new();
@@ -123,15 +148,23 @@
     }
 }
 
+/// The address of another host.
+fn host(number: u8) -> IpAddr {
+    IpAddr::from([127, 0, 0, number])
+}
+
 /// A host at which a target is silent, and what it tells.
 fn silent_world() -> (World, Vec<Silence>) {
     let mut world = World::new();
     world.send_to("a", 2);
-    assert_eq!(world.fleet.silences_to_tell(world.now), Vec::new());
-    world.now += SILENCE;
-    let told = world.fleet.silences_to_tell(world.now);
-    assert_eq!(told.len(), 1);
-    (world, told)
+    assert_eq!(world.ask("a", 1), None);
+    world.wait("a", 2);
+    let Silence(process, _) = world.ask("a", 1).unwrap();
+    let finding = world.hear(1, Testimony(process, None, 0, 0));
+    let Finding::Silent(told) = finding else {
+        panic!("{finding:?}");
+    };
+    (world, vec![told])
 }
 
 #[test]
@@ -159,7 +192,10 @@
 fn a_single_unanswered_request_is_told_to_nobody() {
     let mut world = World::new();
     world.send_to("a", 1);
-    world.now += SILENCE;
+    world.wait("a", 1);
+    let Silence(process, _) = world.ask("a", 1).unwrap();
+    let reply = Testimony(process, None, 0, 0);
+    assert_eq!(world.hear(1, reply), Finding::Nothing);
     assert_eq!(world.fleet.silences_to_tell(world.now), Vec::new());
 }
 
@@ -221,48 +257,141 @@
     assert!(other.used().contains("b"));
 }
 
-/// A host that has a single request waiting at a target, and what it tells the hosts that count.
-fn doubting_world() -> (World, Silence) {
+/// A host that has a single request waiting at a target, and what it asks.
+fn doubting_world(witnesses: usize) -> (World, Silence) {
     let mut world = World::new();
     world.send_to("a", 1);
-    let target = world.key("a");
-    assert_eq!(world.fleet.doubt(world.now, target), None);
-    world.now += SILENCE;
-    let doubt = world.fleet.doubt(world.now, target).unwrap();
-    (world, doubt)
+    assert_eq!(world.ask("a", witnesses), None);
+    world.wait("a", 1);
+    let question = world.ask("a", witnesses).unwrap();
+    (world, question)
 }
 
 #[test]
 fn requests_of_two_hosts_make_a_target_silent() {
-    let (_, doubt) = doubting_world();
+    let (mut world, question) = doubting_world(2);
     let mut other = World::new();
-    other.now += SILENCE * 2;
-    let [one, two] = ["127.0.0.1", "127.0.0.2"].map(|from| from.parse().unwrap());
-    assert!(!other.fleet.merge_doubt(other.now, one, doubt));
-    assert!(!other.fleet.merge_doubt(other.now, one, doubt));
-    assert_eq!(other.used().len(), 2);
-    other.now += SILENCE * 2;
-    assert!(!other.fleet.merge_doubt(other.now, one, doubt));
-    assert!(other.fleet.merge_doubt(other.now, two, doubt));
+    other.send_to("a", 1);
+    other.now += SILENCE;
+    other.wait("a", 1);
+    let reply = other.fleet.testify(other.now, question).unwrap();
+    assert!(matches!(reply, Testimony(_, Some(_), 1, 1)), "{reply:?}");
+    assert_eq!(world.hear(1, reply), Finding::Nothing);
+    // The same host counts once.
+    assert_eq!(world.hear(1, reply), Finding::Nothing);
+    let Finding::Silent(told) = world.hear(2, Testimony(question.0, None, 0, 0)) else {
+        panic!("not silent");
+    };
+    assert_eq!(world.used(), BTreeSet::from(["b".into()]));
+    other.now += SILENCE;
+    assert!(other.fleet.merge_silence(other.now, told));
     assert_eq!(other.used(), BTreeSet::from(["b".into()]));
 }
 
 #[test]
-fn a_request_of_its_own_counts_as_well() {
-    let (mut world, doubt) = doubting_world();
-    let from = "127.0.0.1".parse().unwrap();
-    assert!(world.fleet.merge_doubt(world.now, from, doubt));
-    assert_eq!(world.used(), BTreeSet::from(["b".into()]));
+fn a_target_that_nobody_has_heard_gets_no_new_requests_for_a_moment() {
+    let mut world = World::new();
+    world.send_to("a", 1);
+    world.now += PATIENCE * 2;
+    let target = world.key("a");
+    world.fleet.record_overdue(target);
+    let question = world.ask("a", 1).unwrap();
+    let mut other = World::new();
+    other.send_to("a", 1);
+    other.wait("a", 1);
+    let reply = other.fleet.testify(other.now, question).unwrap();
+    assert_eq!(world.hear(1, reply), Finding::Nothing);
+    for world in [&mut world, &mut other] {
+        assert_eq!(world.used(), BTreeSet::from(["b".into()]));
+        world.now += Duration::from_millis(200);
+        assert_eq!(world.used().len(), 2);
+    }
 }
 
+/// Guards against sound targets that are left because one host had no answer for a while.
 #[test]
-fn doubts_expire() {
-    let (mut world, doubt) = doubting_world();
+fn a_target_that_has_answered_another_host_is_late_and_not_silent() {
+    let (mut world, question) = doubting_world(1);
+    let mut other = World::new();
+    let reply = other.fleet.testify(other.now, question).unwrap();
+    assert!(matches!(reply, Testimony(_, Some(_), 0, 0)), "{reply:?}");
+    assert_eq!(world.hear(1, reply), Finding::Nothing);
     let target = world.key("a");
-    world.answer(target);
-    world.now += SILENCE * 3;
-    let [one, two] = ["127.0.0.1", "127.0.0.2"].map(|from| from.parse().unwrap());
-    assert!(!world.fleet.merge_doubt(world.now, one, doubt));
-    world.now += Duration::from_secs(2);
-    assert!(!world.fleet.merge_doubt(world.now, two, doubt));
+    assert_eq!(world.fleet.conclude(world.now, target), Finding::Nothing);
+    assert_eq!(world.used().len(), 2);
+    assert_eq!(other.used().len(), 2);
+    assert_eq!(world.ask("a", 1), None);
+}
+
+/// Guards against a host that is cut off and accuses all targets.
+#[test]
+fn a_host_that_hears_no_other_host_concludes_nothing() {
+    for replies in 0..2 {
+        let (mut world, question) = doubting_world(3);
+        for number in 0..replies {
+            world.hear(number, Testimony(question.0, None, 5, 5));
+        }
+        let target = world.key("a");
+        assert_eq!(world.fleet.conclude(world.now, target), Finding::Nothing);
+        assert_eq!(world.used().len(), 2);
+        assert_eq!(world.fleet.silences_to_tell(world.now), Vec::new());
+    }
+}
+
+#[test]
+fn half_of_the_replies_suffice() {
+    let (mut world, question) = doubting_world(4);
+    world.hear(1, Testimony(question.0, None, 1, 1));
+    world.hear(2, Testimony(question.0, None, 0, 0));
+    let target = world.key("a");
+    let finding = world.fleet.conclude(world.now, target);
+    assert!(matches!(finding, Finding::Silent(_)), "{finding:?}");
+}
+
+/// Guards against sound targets that are left until the host which was wrong hears of them itself.
+#[test]
+fn a_host_that_was_wrong_takes_it_back_at_once() {
+    let (mut world, question) = doubting_world(1);
+    let Finding::Silent(told) = world.hear(1, Testimony(question.0, None, 1, 1)) else {
+        panic!("not silent");
+    };
+    let mut other = World::new();
+    let objection = other.fleet.objection(other.now, told).unwrap();
+    let answers = Finding::Answers(Silence(told.0, 0));
+    assert_eq!(world.hear(2, objection), answers);
+    assert_eq!(world.used().len(), 2);
+    assert_eq!(world.fleet.silences_to_tell(world.now), Vec::new());
+    // An answer from before the silence is no reason.
+    other.now += SILENCE * 2;
+    assert_eq!(other.fleet.objection(other.now, told), None);
+}
+
+#[test]
+fn a_host_asks_no_more_than_some_questions_a_second() {
+    let mut world = World::new();
+    world.send_to("a", 1);
+    let target = world.key("a");
+    let started_at = world.now;
+    let mut asked = 0;
+    while world.now < started_at + Duration::from_secs(10) {
+        world.now += Duration::from_millis(10);
+        if world.ask("a", 1).is_some() {
+            asked += 1;
+            world.fleet.conclude(world.now, target);
+        }
+    }
+    assert!((50..=100).contains(&asked), "{asked}");
+}
+
+#[test]
+fn extreme_replies_are_accepted() {
+    let (mut world, question) = doubting_world(2);
+    for reply in [
+        Testimony(question.0, Some(u64::MAX), u32::MAX, u32::MAX),
+        Testimony(question.0, None, u32::MAX, u32::MAX),
+        Testimony(!question.0, None, 1, 1),
+    ] {
+        assert_eq!(world.hear(1, reply), Finding::Nothing);
+    }
+    assert!(world.used().contains("b"));
 }
