--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -130,15 +130,19 @@
     Silence,
     /// The same with targets that are processes, which queue requests and are stopped.
     Held,
+    /// Hosts and targets have troubles, zones are evacuated, configurations change, all hosts start at once, and connections to
+    /// targets open late, as if a SYN were lost.
+    Operations,
 }
 
 impl Course {
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Hosts,
         Self::Targets,
         Self::Store,
         Self::Silence,
         Self::Held,
+        Self::Operations,
     ];
 
     /// Whether some targets answer nothing before they leave.
@@ -159,6 +163,8 @@
     Close,
     Fail,
     Slow,
+    /// It rejects each second request.
+    Shed,
     /// It reads nothing.
     Silent,
 }
@@ -295,8 +301,14 @@
             work
         });
         let running = self.running.fetch_sub(1, Ordering::SeqCst);
+        let is_shed =
+            manner == Manner::Shed && id.as_bytes().last().is_some_and(|last| last % 2 == 0);
+        if is_shed {
+            let extra = format!("ragwortfold-not-run: 1\r\n{}", load(running));
+            return Some(build_response(headers, "503 X", &extra, ""));
+        }
         match manner {
-            Manner::Normal | Manner::Slow | Manner::Silent => {
+            Manner::Normal | Manner::Slow | Manner::Shed | Manner::Silent => {
                 Some(build_response(headers, "200 OK", &load(running), "x"))
             }
             Manner::WrongId => {
@@ -350,6 +362,8 @@
     departures: Vec<Departure>,
     host_troubles: Vec<(usize, Span)>,
     store_troubles: Vec<Span>,
+    /// The version of the configuration.
+    version: usize,
 }
 
 fn latency(one: &str, other: &str) -> Fault {
@@ -360,7 +374,7 @@
     ZONES[host % ZONES.len()].1
 }
 
-fn configure(store: &Store) {
+fn configure(store: &Store, version: usize) {
     let route = |service: &Service| {
         json!({"host": "a.example", "pathPrefix": format!("/{}/", service.name), "kind": if service.is_safe { "safe" } else { "unsafe" },
             "timeout": "1500ms", "goal": "300ms", "priority": 1, "service": service.name, "maxAttempts": 3, "sticky": true})
@@ -374,7 +388,7 @@
         .iter()
         .map(|one| (one.name, service.clone()))
         .collect();
-    let spec = json!({"version": "00000001", "routes": routes, "services": services,
+    let spec = json!({"version": format!("{version:08x}"), "routes": routes, "services": services,
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeout": "3s", "idleTimeout": "15s"}});
     store.put("config", "main", json!({"spec": spec}));
 }
@@ -382,7 +396,7 @@
 impl Deployment {
     fn new(seed: u64, course: Course) -> Self {
         let store = Store::new();
-        configure(&store);
+        configure(&store, 1);
         let mut deployment = Self {
             started_at: Instant::now(),
             store: store.clone(),
@@ -395,6 +409,7 @@
             departures: Vec::new(),
             host_troubles: Vec::new(),
             store_troubles: Vec::new(),
+            version: 1,
         };
         for (service, entry) in SERVICES.iter().enumerate() {
             for number in 0..entry.targets {
@@ -602,8 +617,12 @@
         Course::Targets | Course::Silence | Course::Held => 0..12,
         Course::Store if is_early => 0..16,
         Course::Store => 0..12,
+        Course::Operations => 0..21,
     };
     let kind = rng.random_range(kinds);
+    if course == Course::Operations && kind >= 12 {
+        return begin_operation(deployment, rng, kind, end);
+    }
     let host = rng.random_range(0..HOSTS);
     let target = rng.random_range(0..deployment.targets.len());
     let calm = latency(region(host), STORE_REGION);
@@ -701,6 +720,63 @@
     Some((end, Box::new(calm_links)))
 }
 
+/// Begins planned work, or a trouble of a target that is no trouble of a host or the store. Returns how it ends.
+fn begin_operation(
+    deployment: &mut Deployment,
+    rng: &mut Pcg64Mcg,
+    kind: usize,
+    end: Instant,
+) -> Option<Ending> {
+    let now = Instant::now();
+    let target = rng.random_range(0..deployment.targets.len());
+    match kind {
+        12 | 13 => {
+            let (zone, _) = ZONES[rng.random_range(0..ZONES.len())];
+            deployment.store.evacuate(zone);
+            let end_it = move |deployment: &mut Deployment| {
+                deployment.store.remove("evacuations", zone);
+            };
+            Some((end, Box::new(end_it)))
+        }
+        14 | 15 => {
+            deployment.version += 1;
+            configure(&deployment.store, deployment.version);
+            None
+        }
+        16 => {
+            for host in 0..HOSTS {
+                deployment.hosts[host].restart("-KILL");
+            }
+            let spans = (0..HOSTS).map(|host| (host, (now, Instant::now())));
+            deployment.host_troubles.extend(spans);
+            None
+        }
+        17 | 18 => {
+            deployment.targets[target].set_manner(Manner::Shed);
+            let end_it = move |deployment: &mut Deployment| {
+                deployment.targets[target].set_manner(Manner::Normal);
+            };
+            Some((end, Box::new(end_it)))
+        }
+        _ => {
+            let zone = deployment.targets[target].zone;
+            for (region, link) in &deployment.target_links[target] {
+                link.set_fault(Fault {
+                    accept: Accept::Late(1100),
+                    reset_open: true,
+                    ..latency(region, ZONES[zone].1)
+                });
+            }
+            let end_it = move |deployment: &mut Deployment| {
+                for (region, link) in &deployment.target_links[target] {
+                    link.set_fault(latency(region, ZONES[zone].1));
+                }
+            };
+            Some((end, Box::new(end_it)))
+        }
+    }
+}
+
 /// Runs one seed; returns descriptions of the requests that reached targets later than they may.
 pub fn run_seed(seed: u64, course: Course, size: Size) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
