--- a/src/steer/fleet/inquiry.rs
+++ b/src/steer/fleet/inquiry.rs
@@ -25,7 +25,7 @@
 /// Shortest time after which they are, and between two questions about one target.
 const MIN_PATIENCE: Duration = Duration::from_millis(100);
 /// Factor on the mean time between two answers of a target that works on all its slots.
-const GAP_FACTOR: f64 = 2.0;
+const GAP_FACTOR: f64 = 3.0;
 /// Time for which a target gets no new requests while nobody is known to have an answer: longer than
 /// the time until the next question.
 const DOUBT_LIFETIME: Duration = Duration::from_millis(200);
