A question about a target ends only with its own replies

A question to another region is waited for longer than the time until the next one, so the end of the first ended the second with the replies that had arrived: less than half of them, and the doubt was dropped. Found by reading; the test fails if the end of any question ends the current one.

--- a/src/host/announcement.rs
+++ b/src/host/announcement.rs
@@ -185,9 +185,10 @@
 /// Asks hosts that send to the same target whether it answers, once it has sent this host no answer
 /// for longer than `patience`.
 pub(crate) fn ask(host: &Rc<Host>, target: TargetKey, patience: Duration) {
+    let asked_at = now();
     let (question, witnesses) = {
         let core = &mut *host.core.borrow_mut();
-        let Some(question) = core.fleet.ask(now(), target, patience) else {
+        let Some(question) = core.fleet.ask(asked_at, target, patience) else {
             return;
         };
         let region = core.fleet.member(target).map(Member::region);
@@ -208,7 +209,10 @@
         };
         datagram::send(&state, &Datagram::Question(question), &witnesses).await;
         tokio::time::sleep(wait).await;
-        let finding = state.core.borrow_mut().fleet.conclude(now(), target);
+        let finding = {
+            let fleet = &mut state.core.borrow_mut().fleet;
+            fleet.end_question(now(), target, asked_at)
+        };
         tell_finding(&state, finding);
     });
 }
--- a/src/steer/fleet/inquiry.rs
+++ b/src/steer/fleet/inquiry.rs
@@ -37,6 +37,7 @@
 /// A question that this host has asked.
 #[derive(Clone, Debug)]
 pub(super) struct Question {
+    asked_at: Instant,
     /// Number of hosts that were asked.
     witnesses: usize,
     /// Those that replied that they have had no answer lately either.
@@ -149,6 +150,7 @@
         let member = self.members.get_mut(&key)?;
         member.asked_at = Some(now);
         member.question = Some(Question {
+            asked_at: now,
             witnesses: 0,
             unheard: BTreeSet::new(),
             waiting: 0,
@@ -227,8 +229,21 @@
         self.conclude(now, key)
     }
 
-    /// Ends a question, if it has not ended yet. Returns what the replies show.
-    pub fn conclude(&mut self, now: Instant, key: TargetKey) -> Finding {
+    /// Ends the question that was asked at a moment, if it has not ended yet: no more replies are
+    /// waited for. Returns what those show that arrived.
+    pub fn end_question(&mut self, now: Instant, key: TargetKey, asked_at: Instant) -> Finding {
+        let question = self
+            .members
+            .get(&key)
+            .and_then(|member| member.question.as_ref());
+        if question.is_some_and(|question| question.asked_at == asked_at) {
+            self.conclude(now, key)
+        } else {
+            Finding::Nothing
+        }
+    }
+
+    fn conclude(&mut self, now: Instant, key: TargetKey) -> Finding {
         let limit = self.members.get(&key).and_then(|member| {
             let longest = self.stats(member.service()).longest_service_time()?;
             Some(duration::from_seconds(
@@ -261,9 +276,7 @@
         member.silence_told_at = Some(now);
         Finding::Silent(Silence::new(member.process, silent_for))
     }
-}
 
-impl Fleet {
     /// Returns how long a target that works on all its slots sends no answer to anybody, at most.
     fn longest_gap(&self, member: &Member) -> Duration {
         let processing = self.stats(member.service()).processing_time(true);
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -29,6 +29,8 @@
     service: Arc<str>,
     homes: BTreeSet<Arc<str>>,
     rng: Pcg64Mcg,
+    /// When other hosts were last asked about a target.
+    asked_at: Instant,
 }
 
 impl World {
@@ -59,6 +61,7 @@
             service: "s".into(),
             homes: BTreeSet::new(),
             rng: Pcg64Mcg::seed_from_u64(1),
+            asked_at: now,
         };
         for object in 0..ANSWERS {
             let target = world.send(object);
@@ -127,10 +130,17 @@
     fn ask(&mut self, id: &str, witnesses: usize) -> Option<Silence> {
         let key = self.key(id);
         let question = self.fleet.ask(self.now, key, PATIENCE)?;
+        self.asked_at = self.now;
         self.fleet.expect_replies(key, witnesses);
         Some(question)
     }
 
+    /// Waits for no more replies to the last question about a target.
+    fn end_question(&mut self, id: &str) -> Finding {
+        let key = self.key(id);
+        self.fleet.end_question(self.now, key, self.asked_at)
+    }
+
     /// Receives the reply of another host.
     fn hear(&mut self, from: u8, testimony: Testimony) -> Finding {
         self.fleet.hear(self.now, host(from), testimony)
@@ -316,8 +326,7 @@
     let reply = other.fleet.testify(other.now, question).unwrap();
     assert!(matches!(reply, Testimony(_, Some(_), 0, 0)), "{reply:?}");
     assert_eq!(world.hear(1, reply), Finding::Nothing);
-    let target = world.key("a");
-    assert_eq!(world.fleet.conclude(world.now, target), Finding::Nothing);
+    assert_eq!(world.end_question("a"), Finding::Nothing);
     assert_eq!(world.used().len(), 2);
     assert_eq!(other.used().len(), 2);
     assert_eq!(world.ask("a", 1), None);
@@ -331,20 +340,37 @@
         for number in 0..replies {
             world.hear(number, Testimony(question.0, None, 5, 5));
         }
-        let target = world.key("a");
-        assert_eq!(world.fleet.conclude(world.now, target), Finding::Nothing);
+        assert_eq!(world.end_question("a"), Finding::Nothing);
         assert_eq!(world.used().len(), 2);
         assert_eq!(world.fleet.silences_to_tell(world.now), Vec::new());
     }
 }
 
+/// Guards against a question to another region that ends early, as one was asked before.
+#[test]
+fn the_end_of_an_earlier_question_does_not_end_the_next_one() {
+    let (mut world, question) = doubting_world(1);
+    let first = world.asked_at;
+    assert_eq!(
+        world.hear(1, Testimony(question.0, None, 0, 0)),
+        Finding::Nothing
+    );
+    world.now += PATIENCE;
+    world.ask("a", 2).unwrap();
+    let target = world.key("a");
+    world.hear(1, Testimony(question.0, None, 1, 1));
+    let finding = world.fleet.end_question(world.now, target, first);
+    assert_eq!(finding, Finding::Nothing);
+    let finding = world.hear(2, Testimony(question.0, None, 0, 0));
+    assert!(matches!(finding, Finding::Silent(_)), "{finding:?}");
+}
+
 #[test]
 fn half_of_the_replies_suffice() {
     let (mut world, question) = doubting_world(4);
     world.hear(1, Testimony(question.0, None, 1, 1));
     world.hear(2, Testimony(question.0, None, 0, 0));
-    let target = world.key("a");
-    let finding = world.fleet.conclude(world.now, target);
+    let finding = world.end_question("a");
     assert!(matches!(finding, Finding::Silent(_)), "{finding:?}");
 }
 
@@ -370,14 +396,13 @@
 fn a_host_asks_no_more_than_some_questions_a_second() {
     let mut world = World::new();
     world.send_to("a", 1);
-    let target = world.key("a");
     let started_at = world.now;
     let mut asked = 0;
     while world.now < started_at + Duration::from_secs(10) {
         world.now += Duration::from_millis(10);
         if world.ask("a", 1).is_some() {
             asked += 1;
-            world.fleet.conclude(world.now, target);
+            world.end_question("a");
         }
     }
     assert!((50..=100).contains(&asked), "{asked}");
