One test of how recently a target answered, for questions and for reports of silence

Two functions compared the last answer with an age, one of them in milliseconds from a message. An answer exactly as old as the usual gap no longer counts as within it.

--- a/src/steer/fleet/inquiry.rs
+++ b/src/steer/fleet/inquiry.rs
@@ -192,7 +192,7 @@
         let Silence(process, age_ms) = silence;
         let member = self.members.get(&self.process_key(process)?)?;
         member
-            .has_answered_within(now, age_ms)
+            .is_heard_within(now, duration::from_millis(age_ms))
             .then(|| member.testimony(now))
     }
 
@@ -312,11 +312,6 @@
         Testimony(self.process, heard_ms, waiting, overdue)
     }
 
-    fn is_heard_within(&self, now: Instant, time: Duration) -> bool {
-        let heard_at = self.heard_at;
-        heard_at.is_some_and(|at| now.saturating_duration_since(at) <= time)
-    }
-
     /// Whether other hosts have said lately that they had no answer either. They then decide together
     /// whether it is silent.
     pub(super) fn is_judged_together(&self, now: Instant) -> bool {
--- a/src/steer/fleet/silence.rs
+++ b/src/steer/fleet/silence.rs
@@ -157,7 +157,8 @@
             member.reported_silent_until = None;
             return false;
         }
-        !member.has_answered_within(now, age_ms) && member.report_silent(now)
+        let age = duration::from_millis(age_ms);
+        !member.is_heard_within(now, age) && member.report_silent(now)
     }
 
     pub(super) fn process_key(&self, process: u64) -> Option<TargetKey> {
@@ -226,9 +227,10 @@
         is_reported || self.is_silent_here(now, silence_limit)
     }
 
-    /// Whether this host knows that it answered within the last milliseconds.
-    pub(super) fn has_answered_within(&self, now: Instant, age_ms: u64) -> bool {
-        self.heard_at > now.checked_sub(Duration::from_millis(age_ms))
+    /// Whether this host knows that it answered within the last `time`.
+    pub(super) fn is_heard_within(&self, now: Instant, time: Duration) -> bool {
+        let heard_at = self.heard_at;
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) < time)
     }
 
     /// Records that other hosts have found it silent. Returns whether that is new.
