Warn when a host's copy of the store is old, and name the requests sent on it to departed targets

store.stale (copy not known to be complete for 2 s, and when it is again) and target.departed-unseen (IDs of requests that went to a target that had left) are warnings, as target.unread is now. The age of the copy is kept by a FreshnessTracker and counts answers of the store and confirmations of a source that sees it; updates of any feed counted before.

--- a/src/control/freshness.rs
+++ b/src/control/freshness.rs
@@ -74,6 +74,12 @@
         Some(now.saturating_duration_since(*asked))
     }
 
+    /// The time since the copies of all of `kinds` were known to be current.
+    pub fn max_age(&self, now: Instant, kinds: &[Kind]) -> Option<Duration> {
+        let ages = kinds.iter().map(|kind| self.age(now, *kind));
+        ages.collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+
     /// Whether all of `kinds` were known to be current less than `term` ago.
     pub fn are_fresh(&self, now: Instant, kinds: &[Kind], term: Duration) -> bool {
         let is_young = |kind: &Kind| self.age(now, *kind).is_some_and(|age| age < term);
--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -111,6 +111,12 @@
                 .any(|peer| peer.store_view == Some(StoreView::Store))
     }
 
+    /// The number of other hosts that count as seeing the store.
+    pub fn count_store_viewers(&self, now: Instant) -> usize {
+        let sees_store = |peer: &&Peer| peer.store_view == Some(StoreView::Store);
+        self.live_peers(now).filter(sees_store).count()
+    }
+
     /// Whether this host is weak, has received nothing from the store yet and should wait for a
     /// copy from a strong host of its region. All hosts may start at once. If each read all
     /// targets, or copied them from whichever region has them first, the calls to the store and the
--- a/src/host/brief.rs
+++ b/src/host/brief.rs
@@ -130,8 +130,7 @@
     }
     let core = host.core.borrow();
     let revision = core.replica.revision(Kind::Targets).unwrap_or_default();
-    let confirmed_at = core.confirmed_at.get(&Kind::Targets);
-    let age = confirmed_at.map_or(Duration::MAX, |at| now.saturating_duration_since(*at));
+    let age = core.copy_age(now, Kind::Targets);
     spdlog::info!("request: finished without a line of their own", kv: {
         event = Event::Brief.as_str(),
         requests = brief.describe(now).as_str(),
--- a/src/host/core.rs
+++ b/src/host/core.rs
@@ -10,8 +10,10 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::log::{self, Event};
+use super::staleness::StaleAttempts;
 use crate::account::ConfigFreshness;
 use crate::control::carryover::Carryover;
+use crate::control::freshness::FreshnessTracker;
 use crate::control::presence::{self, HostRecord, LookupFilter, Presence, StoreView};
 use crate::control::proof::{Moment, Proof, RENEWAL_FRACTION};
 use crate::control::replica::{Effect, Outage, Replica, Update};
@@ -63,8 +65,10 @@
     pub(crate) proof: Proof,
     /// Maximum age of that proof for keys to be accepted.
     max_proof_age: Option<Duration>,
-    /// When the copy of each kind of objects was last confirmed, also without a change.
-    pub(crate) confirmed_at: BTreeMap<Kind, Instant>,
+    /// When the copy of each kind of objects was last known to lack nothing.
+    pub(crate) confirmations: FreshnessTracker,
+    /// Attempts that chose their target from an old copy.
+    pub(crate) stale_attempts: StaleAttempts,
     /// What is known beyond a store that was restored from a copy.
     carryovers: BTreeMap<Kind, Carryover>,
     /// Time within which whatever is in use is written again to a restored store.
@@ -132,7 +136,8 @@
             registered_version: None,
             budgets,
             quarantine: Quarantine::new(seed),
-            confirmed_at: BTreeMap::new(),
+            confirmations: FreshnessTracker::new(),
+            stale_attempts: StaleAttempts::default(),
             carryovers: BTreeMap::new(),
             rewrite_time: REREGISTRATION_GRACE + settings.bounds.heartbeat * EXPIRY_INTERVALS,
             failed_objects: Vec::new(),
@@ -164,10 +169,6 @@
         };
         let had_copy = known.is_some();
         let effect = self.replica.apply(now, update);
-        let known = self.replica.revision(kind);
-        if known.is_some_and(|known| known.includes(revision)) {
-            self.confirmed_at.insert(kind, now);
-        }
         let (entries, outage) = match &effect {
             Effect::Changed(entries) => {
                 self.record_writes(now, kind, entries);
@@ -351,6 +352,7 @@
             self.fleet.record_departure(now, id);
             self.log_departure(now, Event::Draining, id, Outage::None);
             self.log_unread(now, id);
+            self.log_stale_attempts(id);
         } else if self.fleet.is_draining(id) {
             spdlog::warn!("core: a draining target is registered as ready again", kv: {
                 event = Event::ReadyAgain.as_str(),
@@ -394,6 +396,7 @@
     fn withdraw_target(&mut self, now: Instant, id: &str, outage: Outage, may_have_expired: bool) {
         self.fleet.record_departure(now, id);
         self.log_unread(now, id);
+        self.log_stale_attempts(id);
         if may_have_expired {
             self.update_return_deadline(now);
             self.fleet.mark_lapsed(id, now + REREGISTRATION_GRACE);
@@ -424,6 +427,20 @@
         }
     }
 
+    /// Logs the attempts at a target that leaves for which it was chosen from an old copy.
+    fn log_stale_attempts(&mut self, id: &str) {
+        let attempts = self.stale_attempts.take(id);
+        if !attempts.is_empty() {
+            log::target_departed_unseen(id, &attempts);
+        }
+    }
+
+    /// The time since this host's copy of a kind was known to lack nothing.
+    pub(crate) fn copy_age(&self, now: Instant, kind: Kind) -> Duration {
+        let age = self.confirmations.age(now, kind);
+        age.unwrap_or(Duration::MAX)
+    }
+
     /// Logs the targets in changed entries that this host does not know.
     fn log_registrations(&self, entries: &[Entry]) {
         for entry in entries {
--- a/src/host/exchange.rs
+++ b/src/host/exchange.rs
@@ -440,7 +440,9 @@
         ..Observation::default()
     };
     let mut in_flight = InFlight::new(host, target, observation);
-    let index = active.trace.start_attempt(host, &in_flight);
+    let index = active
+        .trace
+        .start_attempt(host, &in_flight, exchange.head.id.as_ref());
     active.query.tried.push(target);
     let connected = connect_target(host, exchange, &mut in_flight).await;
     let (connection, id) = match connected {
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -404,8 +404,7 @@
                 host.source_store_view.set(Some(view));
                 if view == StoreView::Store {
                     // Any earlier change would have arrived before this message.
-                    let confirmed_at = &mut host.core.borrow_mut().confirmed_at;
-                    confirmed_at.extend(SYNCED_KINDS.map(|kind| (kind, now())));
+                    host.confirm(&SYNCED_KINDS, now());
                 }
             }
             Message::Known(_) | Message::Ask | Message::AskProof => {}
--- a/src/host/log.rs
+++ b/src/host/log.rs
@@ -16,6 +16,7 @@
 use spdlog::{Logger, ThreadPool};
 
 use super::core::FailedObject;
+use super::staleness::StaleAttempt;
 use super::{client, now, Host};
 use crate::control::replica::Outage;
 use crate::control::revision::Revision;
@@ -69,6 +70,8 @@
     Rejected => "request.rejected",
     /// An attempt of a request ended after this host had learned that its target leaves.
     AfterDeparture => "target.after-departure",
+    /// A target had left while this host's copy of the store was old, and was sent requests.
+    DepartedUnseen => "target.departed-unseen",
     /// A target leaves that may not have read some requests yet.
     Unread => "target.unread",
     /// A target's answer carries the ID of another request.
@@ -144,6 +147,8 @@
     HostsReceived => "hosts.told",
     /// The host's view of the store has changed.
     StoreViewChanged => "store.sight",
+    /// The host's copy of the store is old, or is current again.
+    CopyStale => "store.stale",
     /// The host starts or stops watching the store.
     Watching => "store.watching",
     /// The copy of the store differs from that of the followed host.
@@ -407,7 +412,7 @@
         age.map_or(0, |age| age.as_millis() as u64)
     };
     let ids = requests.iter().map(|unread| &*unread.id);
-    spdlog::info!("a target leaves that may not have read some requests", kv: {
+    spdlog::warn!("a target leaves that may not have read some requests", kv: {
         event = Event::Unread.as_str(),
         requests = ids.collect::<Vec<_>>().join(" ").as_str(),
         target = id,
@@ -419,6 +424,37 @@
     });
 }
 
+/// Logs the attempts at a target that leaves for which it was chosen from an old copy of the store.
+pub(crate) fn target_departed_unseen(id: &str, attempts: &[StaleAttempt]) {
+    let requests = attempts
+        .iter()
+        .filter_map(|attempt| attempt.request.as_deref());
+    let ages = attempts.iter().map(|attempt| attempt.age);
+    spdlog::warn!("a target had left while the copy of the store was old", kv: {
+        event = Event::DepartedUnseen.as_str(),
+        requests = requests.collect::<Vec<_>>().join(" ").as_str(),
+        target = id,
+        attempts = attempts.len(),
+        age_ms = ages.max().map_or(0, |age| age.as_millis() as u64)
+    });
+}
+
+/// Logs that the host's copy of the store is old, or is current again. Each host writes both in an
+/// outage of the store.
+pub(crate) fn copy_stale(host: &Host, is_stale: bool, age: Duration) {
+    let presence = &host.core.borrow().presence;
+    let (source, error) = host.staleness.last_source();
+    spdlog::warn!("sync: the copy of the store is old, or is current again", kv: {
+        event = Event::CopyStale.as_str(),
+        stale = is_stale,
+        age_ms = age.as_millis() as u64,
+        sight = format!("{:?}", presence.store_view()).as_str(),
+        seen_by = presence.count_store_viewers(now()),
+        source = source.as_str(),
+        error = error.as_str()
+    });
+}
+
 /// Logs that the host starts or stops watching the store.
 pub(crate) fn watching_changed(is_watching: bool) {
     spdlog::info!("the host starts or stops watching the store", kv: {
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use super::body::{full, Body};
+use super::feed::SYNCED_KINDS;
 use super::{answer, now, serve, Error, Host};
 
 /// The path of the metrics.
@@ -46,8 +47,10 @@
     for popular in core.fleet.popular_objects(now) {
         metrics.set_popular_objects(&popular);
     }
-    for (kind, at) in &core.confirmed_at {
-        metrics.set_age(kind.as_str(), now.saturating_duration_since(*at));
+    for kind in SYNCED_KINDS {
+        if let Some(age) = core.confirmations.age(now, kind) {
+            metrics.set_age(kind.as_str(), age);
+        }
     }
     metrics.set_reaches_targets(core.fleet.reaches_targets());
     metrics.set_host_count("alive", core.presence.alive(now).count());
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -36,6 +36,7 @@
 mod serve;
 mod shutdown;
 mod snapshot;
+mod staleness;
 mod startup;
 mod store;
 mod sync;
@@ -98,6 +99,7 @@
     links: links::Links,
     /// Feeds that ended, and when.
     failed_feeds: RefCell<BTreeMap<SocketAddr, Instant>>,
+    staleness: staleness::Staleness,
     pending_claims: throttle::PendingClaims,
     /// Names of unknown headers in targets' answers that were already logged.
     unknown_headers: RefCell<BTreeSet<Arc<str>>>,
@@ -198,6 +200,14 @@
         }
     }
 
+    /// Records that the copies of these kinds lacked nothing `at` that moment.
+    fn confirm(&self, kinds: &[Kind], at: Instant) {
+        let confirmations = &mut self.core.borrow_mut().confirmations;
+        kinds
+            .iter()
+            .for_each(|kind| confirmations.record(*kind, at));
+    }
+
     /// Whether the host has a copy of all kinds of objects, however old.
     fn has_full_copy(&self) -> bool {
         let core = self.core.borrow();
@@ -278,6 +288,7 @@
         has_joined: Cell::new(false),
         links: links::Links::new(),
         failed_feeds: RefCell::default(),
+        staleness: staleness::Staleness::default(),
         pending_claims: throttle::PendingClaims::default(),
         unknown_headers: RefCell::default(),
         store_era: Cell::new(0),
--- a/src/host/refresh.rs
+++ b/src/host/refresh.rs
@@ -166,10 +166,7 @@
 fn mark_current(host: &Host, kind: Kind, asked_at: Moment) {
     host.watch_state
         .mark_current(kind, asked_at.runtime_clock());
-    host.core
-        .borrow_mut()
-        .confirmed_at
-        .insert(kind, asked_at.runtime_clock());
+    host.confirm(&[kind], asked_at.runtime_clock());
     if kind == Kind::Config && !host.watch_state.is_config_unreadable.get() {
         proof::record_query(host, asked_at);
     }
--- a/src/host/request_log.rs
+++ b/src/host/request_log.rs
@@ -13,6 +13,7 @@
 use super::exchange::Exchange;
 use super::log::Event;
 use super::running::{Index, Monitor};
+use super::staleness::STALE_AGE;
 use super::{now, relay, serve, Host};
 use crate::control::revision::Revision;
 use crate::entry::metrics::RequestSample;
@@ -171,15 +172,23 @@
     }
 
     /// Adds an attempt that starts. Returns its number.
-    pub(crate) fn start_attempt(&mut self, host: &Host, in_flight: &InFlight) -> Index {
-        let core = host.core.borrow();
+    pub(crate) fn start_attempt(
+        &mut self,
+        host: &Host,
+        in_flight: &InFlight,
+        id: Option<&Arc<str>>,
+    ) -> Index {
+        let core = &mut *host.core.borrow_mut();
         let target = core.fleet.member(in_flight.target);
         let target = target.map_or_else(|| "gone".into(), |member| member.id().clone());
-        let confirmed_at = core.confirmed_at.get(&Kind::Targets);
+        let age = core.copy_age(now(), Kind::Targets);
         self.targets = TargetsCopy {
             revision: core.replica.revision(Kind::Targets).unwrap_or_default(),
-            age: confirmed_at.map_or(Duration::MAX, |at| now().saturating_duration_since(*at)),
+            age,
         };
+        if age >= STALE_AGE {
+            core.stale_attempts.add(&target, id, age);
+        }
         self.attempts.push(Attempt::new(
             target,
             Some(in_flight.target),
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -20,7 +20,7 @@
 use super::store::{Client, Error};
 use super::task::{self, AbortGuard};
 use super::watcher::{Debounce, StoreProbe, WATCHED_KINDS};
-use super::{brief, datagram, join, now, proof, Host};
+use super::{brief, datagram, join, now, proof, staleness, Host};
 use crate::control::presence::{HostRecord, StoreView};
 use crate::control::replica::Update;
 use crate::control::revision::Revision;
@@ -89,6 +89,7 @@
             () = host.watch_state.reached.notified() => {}
         }
         let now = now();
+        staleness::update(&host, now);
         host.core.borrow_mut().presence.track_outage(now);
         let is_watcher = host.core.borrow().presence.is_watcher(now);
         let should_watch = host.has_joined.get() && (is_watcher || store_probe.has_reached(now));
@@ -181,6 +182,7 @@
 
 async fn follow_feed(host: Rc<Host>, address: SocketAddr) {
     let error = feed::follow(&host, address).await;
+    host.staleness.record_end(address, &error);
     spdlog::info!("sync: the feed of another host has ended", kv: {
         event = Event::FeedEnded.as_str(),
         source = address.to_string().as_str(),
@@ -357,6 +359,9 @@
     if !host.has_revision(kind, revision) {
         return Err(Error::Superseded);
     }
+    if age == Age::Latest {
+        host.confirm(&[kind], asked_at.runtime_clock());
+    }
     if kind == Kind::Config && age == Age::Latest && is_complete {
         proof::record_query(host, asked_at);
     }
@@ -466,6 +471,7 @@
     if !host.has_revision(kind, shown) {
         return Err(Error::Superseded);
     }
+    host.confirm(&[kind], asked_at.runtime_clock());
     if kind == Kind::Config && !host.watch_state.is_config_unreadable.get() {
         proof::record_query(host, asked_at);
     }
