A follower whose copy of the store is not confirmed queries the store itself

Callers' requests reached targets up to 3.4 s after the store had acknowledged that these leave (2.5 s allowed), at all hosts that were left, when the hosts that watch the store were killed together.

Cause: what a follower knows hung on the search for another source. It counted the killed hosts as hosts that see the store until their heartbeats were missed, 2.5 s in the region and 7.6 s beyond, so no host probed the store and none began to watch it, although the end of the feeds is known within milliseconds. Each step is bounded; nothing bounded the sum. Only feeds that fell silent had their host ask the store once (1.7 s after the last message).

Change: control::fallback. It replaces the query after a silent feed. A store that does not answer is asked again at the interval of probes.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod delegate;
 pub mod detector;
 pub mod digest;
+pub mod fallback;
 pub mod freshness;
 pub mod heartbeat;
 pub mod lease;
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -76,6 +76,8 @@
     last_heard: Instant,
     is_leaving: bool,
     store_view: Option<StoreView>,
+    /// Whether its feed was lost since it was last heard of.
+    is_feed_lost: bool,
     rate: u32,
     /// Until when it counts as unable to reach targets.
     cut_off_until: Option<Instant>,
@@ -85,6 +87,7 @@
     fn update(&mut self, now: Instant, view: StoreView, leaving: bool, rate: u32) {
         self.last_heard = now;
         self.store_view = Some(view);
+        self.is_feed_lost = false;
         self.is_leaving = leaving;
         self.rate = rate;
     }
@@ -331,6 +334,7 @@
             last_heard: now,
             is_leaving: false,
             store_view: None,
+            is_feed_lost: false,
             rate: 0,
             cut_off_until: None,
             record,
--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -76,6 +76,7 @@
             let sees_store = peer.store_view == Some(StoreView::Store);
             let could_see_store = is_store_lost || peer.store_view >= Some(StoreView::Relayed);
             peer.is_near
+                && !peer.is_feed_lost
                 && rank(&peer.record) > own
                 && (sees_store
                     || is_starting
@@ -156,12 +157,20 @@
             .map(|(peer, view)| (&peer.record, view))
     }
 
-    /// Discards the last known store view of the host with this feed, which has fallen silent,
-    /// until the host is heard again.
-    pub fn forget_store_view(&mut self, feed: SocketAddr) {
+    /// Records that the host with this feed can't be followed any more, as it has fallen silent or
+    /// its process has ended. Until it is heard again it does not count as a host that sees the
+    /// store, nor as one that is about to.
+    pub fn record_lost_feed(&mut self, feed: SocketAddr) {
         let peers = self.peers.values_mut();
-        let matching = peers.filter(|peer| peer.record.feed == feed);
-        matching.for_each(|peer| peer.store_view = None);
+        for peer in peers.filter(|peer| peer.record.feed == feed) {
+            peer.store_view = None;
+            peer.is_feed_lost = true;
+        }
+    }
+
+    /// Records that the store has just answered this host, which does not watch it.
+    pub fn record_answer(&mut self) {
+        self.unseen_since = None;
     }
 
     /// Records whether any host sees the store.
--- a/src/host/dialer.rs
+++ b/src/host/dialer.rs
@@ -206,6 +206,18 @@
     }
 }
 
+/// Opens a connection for the next call, if there is none and none is being opened.
+pub(super) fn prepare(host: &Rc<Host>) {
+    let dialer = &host.dialer;
+    let now = now();
+    dialer.sweep(now);
+    let is_prepared = !dialer.spare.borrow().is_empty() || !dialer.attempts.borrow().is_empty();
+    let last_begun = dialer.last_begun.get();
+    if !is_prepared && last_begun.is_none_or(|at| now >= at + MAX_PAUSE) {
+        begin_attempt(host, now);
+    }
+}
+
 /// Begins an attempt if too few are in progress or none has opened a connection in time. Returns
 /// when the next one is due.
 fn begin_attempt_if_due(host: &Rc<Host>) -> Instant {
--- a/src/host/feed.rs
+++ b/src/host/feed.rs
@@ -37,7 +37,7 @@
 use crate::steer::holdings::Stage;
 
 /// Interval of the keepalive messages.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(600);
+pub const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(600);
 /// Timeout after which a feed counts as dead: between two and three keepalives. A host that loses
 /// power sends nothing, and its followers have to find another feed, which takes some 0.3 s, before
 /// a change has to be in force, which is 2.5 s at the least.
@@ -112,13 +112,15 @@
 }
 
 impl FeedError {
-    /// Whether the other host did not respond at all, which suggests that it lost power or is
-    /// partitioned.
-    pub(crate) fn is_timeout(&self) -> bool {
-        matches!(
-            self,
-            Self::Silent | Self::Connect | Self::Open(client::Error::Timeout)
-        )
+    /// Whether the connection to the other host was lost or did not open, which suggests that its
+    /// process has ended, or that it lost power or is partitioned.
+    pub(crate) fn is_loss(&self) -> bool {
+        match self {
+            Self::Silent | Self::Connect | Self::Open(_) => true,
+            Self::WebSocket(_) | Self::Ended => true,
+            Self::Io(_) | Self::Malformed(_) | Self::Gap | Self::LaterEra => false,
+            Self::CopyDiffers(_) | Self::NoIntroduction | Self::NoMemory(_) => false,
+        }
     }
 }
 
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -57,6 +57,7 @@
 use tokio::task::LocalSet;
 
 use crate::budget::{self, Account, Budget};
+use crate::control::fallback::Fallback;
 use crate::control::presence::StoreView;
 use crate::control::replica::{Effect, Update};
 use crate::control::revision::Revision;
@@ -66,9 +67,10 @@
 use crate::port::{Kind, Platform, Settings};
 
 pub use error::Error;
-pub use feed::FEED_TIMEOUT;
+pub use feed::{FEED_TIMEOUT, KEEPALIVE_INTERVAL};
 pub use log::EVENTS;
 pub use startup::START_WAIT;
+pub use sync::DECISION_INTERVAL;
 pub use task::Tasks;
 
 /// State shared by all tasks of a host.
@@ -100,6 +102,7 @@
     /// Feeds that ended, and when.
     failed_feeds: RefCell<BTreeMap<SocketAddr, Instant>>,
     staleness: staleness::Staleness,
+    fallback: RefCell<Fallback>,
     pending_claims: throttle::PendingClaims,
     /// Names of unknown headers in targets' answers that were already logged.
     unknown_headers: RefCell<BTreeSet<Arc<str>>>,
@@ -289,6 +292,7 @@
         links: links::Links::new(),
         failed_feeds: RefCell::default(),
         staleness: staleness::Staleness::default(),
+        fallback: RefCell::default(),
         pending_claims: throttle::PendingClaims::default(),
         unknown_headers: RefCell::default(),
         store_era: Cell::new(0),
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -14,13 +14,15 @@
 use futures_util::StreamExt;
 use rand::RngExt;
 
-use super::feed;
+use super::dialer;
+use super::feed::{self, SYNCED_KINDS};
 use super::log::{self, Event};
 use super::refresh::{self, Refresher};
 use super::store::{Client, Error};
 use super::task::{self, AbortGuard};
 use super::watcher::{Debounce, StoreProbe, WATCHED_KINDS};
 use super::{brief, datagram, join, now, proof, staleness, Host};
+use crate::control::fallback::Action;
 use crate::control::presence::{HostRecord, StoreView};
 use crate::control::replica::Update;
 use crate::control::revision::Revision;
@@ -40,7 +42,7 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 /// How often the host re-evaluates whether to watch the store and which feed to follow.
-const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+pub const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How long a failed feed is skipped: until heartbeats show whether its host has died.
 const FAILED_FEED_SKIP: Duration = Duration::from_secs(3);
@@ -87,6 +89,7 @@
         tokio::select! {
             _ = interval.tick() => {}
             () = host.watch_state.reached.notified() => {}
+            () = host.watch_state.feed_ended.notified() => {}
         }
         let now = now();
         staleness::update(&host, now);
@@ -136,6 +139,7 @@
                 ),
             });
         }
+        fall_back_if_due(&host, now);
         update_store_view(&host).await;
     }
 }
@@ -189,29 +193,45 @@
         error = error.to_string().as_str()
     });
     let now = now();
-    let is_timeout = error.is_timeout();
     {
         let mut failed_feeds = host.failed_feeds.borrow_mut();
         failed_feeds.retain(|_, at| now.saturating_duration_since(*at) < FAILED_FEED_SKIP);
         failed_feeds.insert(address, now);
     }
-    if is_timeout {
-        host.core.borrow_mut().presence.forget_store_view(address);
-        // Without a copy this would read all targets.
-        if host.has_full_copy() {
-            let refresh = refresh_once(host.clone());
-            task::spawn(&host, "store-probe", refresh);
-        }
+    if error.is_loss() {
+        host.core.borrow_mut().presence.record_lost_feed(address);
+    }
+    host.watch_state.feed_ended.notify_one();
+}
+
+/// Does what a host that follows others has to while its copy of the store is not confirmed.
+fn fall_back_if_due(host: &Rc<Host>, now: Instant) {
+    let age = host.core.borrow().confirmations.max_age(now, &SYNCED_KINDS);
+    // A source that has lost the store says so; then hosts probe the store in turn.
+    let is_store_lost = host.source_store_view.get() == Some(StoreView::Stale);
+    let (Some(age), false) = (age, host.watch_state.is_active() || is_store_lost) else {
+        return;
+    };
+    let action = host.fallback.borrow_mut().decide(now, age);
+    match action {
+        Action::Wait => {}
+        Action::Connect => dialer::prepare(host),
+        Action::Query => drop(task::spawn(host, "fallback", query_once(host.clone()))),
     }
 }
 
-/// Queries the store once for changes that a feed that timed out may not have delivered. Hosts that
-/// lost power seem alive for a while, so finding another feed may take longer than a change may
-/// take to be in force.
-async fn refresh_once(host: Rc<Host>) {
+/// Queries the store once for changes that no other host may have passed on.
+async fn query_once(host: Rc<Host>) {
     let limit = host.watch_state.answer_limit();
     let result = Refresher::new(&host).refresh(limit).await;
     log::store_probed(&result);
+    let presence = &mut host.core.borrow_mut().presence;
+    if result.is_ok() {
+        presence.record_answer();
+    }
+    let retry_interval = presence.probe_interval();
+    let fallback = &mut *host.fallback.borrow_mut();
+    fallback.record_end(now(), result.is_ok(), retry_interval);
 }
 
 /// Updates this host's view of the store, and publishes it to other hosts if it has changed.
--- a/src/host/watcher.rs
+++ b/src/host/watcher.rs
@@ -43,6 +43,8 @@
     behind_since: RefCell<BTreeMap<Kind, Instant>>,
     /// Signals that a probe of the store succeeded.
     pub(super) reached: Notify,
+    /// Signals that the feed of the followed host has ended.
+    pub(super) feed_ended: Notify,
     /// Whether the last configuration could not be decoded.
     pub(super) is_config_unreadable: Cell<bool>,
     /// Until when the watch that was answered last lets changes collect at the store.
@@ -77,6 +79,11 @@
         self.clear_evidence();
     }
 
+    /// Whether the host watches the store.
+    pub(super) fn is_active(&self) -> bool {
+        self.is_active.get()
+    }
+
     /// Records that the copy of a kind is as recent as the store was at `asked_at`.
     pub(super) fn mark_current(&self, kind: Kind, asked_at: Instant) {
         self.evidence.borrow_mut().record(kind, asked_at);
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -445,13 +445,39 @@
     let other = record("h1", "n-b", 1);
     presence.receive_heartbeat(now, heartbeat(other.clone(), StoreView::Store));
     assert!(presence.is_store_seen(now));
-    presence.forget_store_view(other.feed);
+    presence.record_lost_feed(other.feed);
     assert!(!presence.is_store_seen(now));
     assert!(presence.feed_source(now, |_| false).is_none());
     presence.receive_heartbeat(now + INTERVAL, heartbeat(other, StoreView::Store));
     assert!(presence.is_store_seen(now + INTERVAL));
 }
 
+#[test]
+fn a_host_whose_feed_was_lost_keeps_no_other_from_watching() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    presence.set_store_view(StoreView::Stale);
+    let hash = |record: &HostRecord| xxhash_rust::xxh3::xxh3_64(record.host.as_bytes());
+    let own_hash = hash(presence.own());
+    // As many watch the store if there is only one region.
+    let names = (0..).map(|number| format!("h{number}"));
+    let records = names.map(|name| record(&name, "n-b", 1));
+    let ranked_before = records.filter(|record| hash(record) > own_hash);
+    let sources: Vec<HostRecord> = ranked_before.take(3).collect();
+    let hear_all = |presence: &mut Presence, at| {
+        for source in &sources {
+            presence.receive_heartbeat(at, heartbeat(source.clone(), StoreView::Store));
+        }
+    };
+    hear_all(&mut presence, now);
+    assert!(!presence.is_watcher(now));
+    presence.record_lost_feed(sources[0].feed);
+    assert!(presence.is_watcher(now));
+    let later = now + INTERVAL;
+    hear_all(&mut presence, later);
+    assert!(!presence.is_watcher(later));
+}
+
 #[test]
 fn a_host_whose_feed_failed_is_skipped() {
     let now = Instant::now();
