Test: a configuration comes into force in time when delegates of the own interface are lost together

Links between all hosts of a zone show each loss by itself, so the waits don't add up. The sum of the steps (1.85 s to notice, 0.2 s to see that it is a delegate now, three round trips) is held by a test.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -25,7 +25,7 @@
 use crate::steer::throttle::RateUpdate;
 
 /// Interval between checks for silent hosts.
-const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest number of hosts in a zone for which every host reports its load each
 /// [`summary::INTERVAL`].
 const MAX_FREQUENT_REPORTERS: usize = 24;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -47,6 +47,7 @@
 use crate::supervisor::Supervisor;
 
 pub use error::Error;
+pub use platform::CHECK_INTERVAL;
 
 use self::core::Dependencies;
 use background::{BackgroundTask, TaskSender};
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -34,7 +34,7 @@
 /// Mean polling interval of a host that does not watch.
 const POLL_INTERVAL: Duration = Duration::from_secs(30);
 /// How often the threads check whether to stop or whether this host became a delegate.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which a delegate reads the list of hosts.
 const HOST_LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Key of the planner lease in the store.
