--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -827,9 +827,6 @@
     thread::sleep(DRAIN + MAX_LINGERING / 2);
     deployment.replace();
     let (sent, served) = callers.stop();
-    for (i, h) in deployment.hosts.iter().enumerate() {
-        std::fs::write(format!("/tmp/w/hlog-{i}.log"), h.log()).unwrap();
-    }
     println!(
         "seed {seed} {course:?}: {} departures, {sent} requests, {served} served",
         deployment.departures.len()
