--- a/soak/main.rs
+++ b/soak/main.rs
@@ -98,6 +98,7 @@
 days! {
     targets_leave_three_regions_while_hosts_have_troubles: Hosts, 101;
     targets_leave_three_regions_while_targets_have_troubles: Targets, 102;
+    targets_leave_three_regions_while_several_hosts_are_lost: Losses, 103;
 }
 
 /// The number in an environment variable.
--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -95,6 +95,9 @@
 /// Requests that may wait at a target that is a process, for each of its slots.
 const QUEUE_PER_SLOT: usize = 3;
 
+/// Share of the troubles that lose several hosts, in the course [`Course::Losses`].
+const LOSS_SHARE: f64 = 0.25;
+
 /// How much happens in a day.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -133,16 +136,19 @@
     /// Hosts and targets have troubles, zones are evacuated, configurations change, all hosts start at once, and connections to
     /// targets open late, as if a SYN were lost.
     Operations,
+    /// Hosts and their links have troubles, and now and then several hosts are lost at one moment.
+    Losses,
 }
 
 impl Course {
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Hosts,
         Self::Targets,
         Self::Store,
         Self::Silence,
         Self::Held,
         Self::Operations,
+        Self::Losses,
     ];
 
     /// Whether some targets answer nothing before they leave.
@@ -613,7 +619,10 @@
     let now = Instant::now();
     let end = now + Duration::from_secs_f64(rng.random_range(0.5..4.0));
     let kinds = match course {
-        Course::Hosts => 0..8,
+        Course::Losses if rng.random_bool(LOSS_SHARE) => {
+            return Some(lose_hosts(deployment, rng, end));
+        }
+        Course::Hosts | Course::Losses => 0..8,
         Course::Targets | Course::Silence | Course::Held => 0..12,
         Course::Store if is_early => 0..16,
         Course::Store => 0..12,
@@ -720,6 +729,29 @@
     Some((end, Box::new(calm_links)))
 }
 
+/// Loses several hosts at one moment, killed or stopped. Returns when they are back.
+fn lose_hosts(deployment: &mut Deployment, rng: &mut Pcg64Mcg, end: Instant) -> Ending {
+    let now = Instant::now();
+    let share = rng.random_range(0.2..0.7);
+    let lost: Vec<usize> = (0..HOSTS).filter(|_| rng.random_bool(share)).collect();
+    let is_killed = rng.random_bool(0.5);
+    let signal = if is_killed { "-KILL" } else { "-STOP" };
+    for host in &lost {
+        deployment.hosts[*host].signal(signal);
+        deployment.host_troubles.push((*host, (now, end)));
+    }
+    let bring_back = move |deployment: &mut Deployment| {
+        for host in lost {
+            if is_killed {
+                deployment.hosts[host].restart_if_ended();
+            } else {
+                deployment.hosts[host].signal("-CONT");
+            }
+        }
+    };
+    (end, Box::new(bring_back))
+}
+
 /// Begins planned work, or a trouble of a target that is no trouble of a host or the store. Returns how it ends.
 fn begin_operation(
     deployment: &mut Deployment,
