--- a/soak/regions.rs
+++ b/soak/regions.rs
@@ -729,11 +729,17 @@
     Some((end, Box::new(calm_links)))
 }
 
-/// Loses several hosts at one moment, killed or stopped. Returns when they are back.
+/// Loses several hosts at one moment, killed or stopped, in half of the cases with all that watch the store. Returns when they
+/// are back.
 fn lose_hosts(deployment: &mut Deployment, rng: &mut Pcg64Mcg, end: Instant) -> Ending {
     let now = Instant::now();
     let share = rng.random_range(0.2..0.7);
-    let lost: Vec<usize> = (0..HOSTS).filter(|_| rng.random_bool(share)).collect();
+    let takes_sources = rng.random_bool(0.5);
+    let lost: Vec<usize> = (0..HOSTS)
+        .filter(|host| {
+            rng.random_bool(share) || (takes_sources && deployment.hosts[*host].is_watching())
+        })
+        .collect();
     let is_killed = rng.random_bool(0.5);
     let signal = if is_killed { "-KILL" } else { "-STOP" };
     for host in &lost {
