Followers of a source that has told that it lost the store leave the store to probes

In an outage followers drop the feed of a source that no longer sees the store. Each of them then queried the store once more by itself, all at the same moment, although the outage was known and hosts probe the store in turn. Found when reading the diff; no test of its own but a_host_has_lost_the_store_only_if_it_says_so.

--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -168,6 +168,13 @@
         }
     }
 
+    /// Whether the host with this feed has told that it does not see the store.
+    pub fn has_lost_store(&self, feed: SocketAddr) -> bool {
+        let view = |peer: &Peer| peer.store_view.filter(|_| peer.record.feed == feed);
+        let mut views = self.peers.values().filter_map(view);
+        views.any(|view| view <= StoreView::Stale)
+    }
+
     /// Records that the store has just answered this host, which does not watch it.
     pub fn record_answer(&mut self) {
         self.unseen_since = None;
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -82,6 +82,8 @@
 async fn run_source_selection(host: Rc<Host>) -> Infallible {
     let mut watchers: Vec<AbortGuard> = Vec::new();
     let mut following: Option<FollowedFeed> = None;
+    // Whether the last host that was followed has told that it no longer sees the store.
+    let mut has_source_lost_store = false;
     let store_probe = StoreProbe::default();
     let mut debounce = Debounce::default();
     let mut interval = tokio::time::interval(DECISION_INTERVAL);
@@ -125,11 +127,13 @@
         let is_obsolete = following.as_ref().is_some_and(|current| {
             current.task.is_finished() || Some(current.address) != wanted_feed
         });
-        if is_obsolete {
-            following = None;
+        if let Some(former) = following.take_if(|_| is_obsolete) {
+            let presence = &host.core.borrow().presence;
+            has_source_lost_store = presence.has_lost_store(former.address);
             host.source_store_view.set(None);
         }
         if let (None, Some(address)) = (&following, wanted_feed) {
+            has_source_lost_store = false;
             following = Some(FollowedFeed {
                 address,
                 task: task::spawn_failing_on_request(
@@ -139,7 +143,10 @@
                 ),
             });
         }
-        fall_back_if_due(&host, now);
+        // A source that has lost the store says so; then hosts probe the store in turn.
+        if !has_source_lost_store {
+            fall_back_if_due(&host, now);
+        }
         update_store_view(&host).await;
     }
 }
@@ -207,9 +214,7 @@
 /// Does what a host that follows others has to while its copy of the store is not confirmed.
 fn fall_back_if_due(host: &Rc<Host>, now: Instant) {
     let age = host.core.borrow().confirmations.max_age(now, &SYNCED_KINDS);
-    // A source that has lost the store says so; then hosts probe the store in turn.
-    let is_store_lost = host.source_store_view.get() == Some(StoreView::Stale);
-    let (Some(age), false) = (age, host.watch_state.is_active() || is_store_lost) else {
+    let (Some(age), false) = (age, host.watch_state.is_active()) else {
         return;
     };
     let action = host.fallback.borrow_mut().decide(now, age);
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -452,6 +452,19 @@
     assert!(presence.is_store_seen(now + INTERVAL));
 }
 
+#[test]
+fn a_host_has_lost_the_store_only_if_it_says_so() {
+    let now = Instant::now();
+    let mut presence = presence(now, &[]);
+    let other = record("h1", "n-b", 1);
+    presence.receive_heartbeat(now, heartbeat(other.clone(), StoreView::Store));
+    assert!(!presence.has_lost_store(other.feed));
+    presence.receive_heartbeat(now, heartbeat(other.clone(), StoreView::Stale));
+    assert!(presence.has_lost_store(other.feed));
+    presence.record_lost_feed(other.feed);
+    assert!(!presence.has_lost_store(other.feed), "it is not known");
+}
+
 #[test]
 fn a_host_whose_feed_was_lost_keeps_no_other_from_watching() {
     let now = Instant::now();
