--- a/src/control/fallback.rs
+++ b/src/control/fallback.rs
@@ -16,7 +16,6 @@
 /// A gap between two decisions of more than this means that this process was paused. What it
 /// received meanwhile has not been read yet.
 const PAUSE: Duration = Duration::from_millis(300);
-
 /// Time after which a query whose end was not recorded has ended.
 const MAX_QUERY_TIME: Duration = Duration::from_secs(8);
 
--- a/src/control/presence.rs
+++ b/src/control/presence.rs
@@ -84,6 +84,10 @@
 }
 
 impl Peer {
+    fn sees_store(&self) -> bool {
+        self.store_view == Some(StoreView::Store)
+    }
+
     fn update(&mut self, now: Instant, view: StoreView, leaving: bool, rate: u32) {
         self.last_heard = now;
         self.store_view = Some(view);
@@ -495,7 +499,7 @@
         let is_first = self.store_view == StoreView::Store
             && !self
                 .live_peers(now)
-                .any(|peer| peer.store_view == Some(StoreView::Store) && rank(&peer.record) > own);
+                .any(|peer| peer.sees_store() && rank(&peer.record) > own);
         self.peers
             .values()
             .filter(move |peer| is_first && self.is_removable(now, peer))
--- a/src/control/presence/watching.rs
+++ b/src/control/presence/watching.rs
@@ -73,12 +73,11 @@
         let is_store_lost = !self.is_store_seen(now);
         let ranked_before = self.live_peers(now).filter(|peer| {
             let is_starting = now.saturating_duration_since(peer.first_heard) < START_ALLOWANCE;
-            let sees_store = peer.store_view == Some(StoreView::Store);
             let could_see_store = is_store_lost || peer.store_view >= Some(StoreView::Relayed);
             peer.is_near
                 && !peer.is_feed_lost
                 && rank(&peer.record) > own
-                && (sees_store
+                && (peer.sees_store()
                     || is_starting
                     || (could_see_store && self.store_view != StoreView::Store))
         });
@@ -106,16 +105,13 @@
 
     /// Whether any host sees the store.
     pub fn is_store_seen(&self, now: Instant) -> bool {
-        self.store_view == StoreView::Store
-            || self
-                .live_peers(now)
-                .any(|peer| peer.store_view == Some(StoreView::Store))
+        self.store_view == StoreView::Store || self.live_peers(now).any(Peer::sees_store)
     }
 
     /// The number of other hosts that count as seeing the store.
     pub fn count_store_viewers(&self, now: Instant) -> usize {
-        let sees_store = |peer: &&Peer| peer.store_view == Some(StoreView::Store);
-        self.live_peers(now).filter(sees_store).count()
+        let peers = self.live_peers(now);
+        peers.filter(|peer| peer.sees_store()).count()
     }
 
     /// Whether this host is weak, has received nothing from the store yet and should wait for a
